--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,90 @@
+//! violetward decides for a query gateway: what runs, on which engine, with how much memory.
+//!
+//! It is a library of decisions. The host owns the clock, the network and the timers; it passes each
+//! [`Event`] with the time to [`Gateway::handle`] and carries out the [`Action`]s in order.
+//!
+//! ```
+//! use violetward::*;
+//!
+//! let settings = Settings {
+//!     me: PeerId(0),
+//!     gateways: 1,
+//!     classes: vec![Class {
+//!         aim: 1_000_000,
+//!         aim_stretch: 2.0,
+//!         give_up: 5_000_000,
+//!         worth: 1.0,
+//!         late_worth: 0.0,
+//!         effect: Effect::Repeatable,
+//!         in_order: false,
+//!         kinds: None,
+//!         zones: None,
+//!         threads: 1,
+//!         is_load: false,
+//!         waits_for_loads: false,
+//!     }],
+//!     kinds: vec![Kind { cores: 8.0, memory_mb: 16384.0 }],
+//!     tenants: vec![],
+//!     over_share_worth: 1.0,
+//!     grants: true,
+//!     priorities: false,
+//!     grant_cap: 0.4,
+//!     when_short: WhenShort::LineUp,
+//!     tells_cost: true,
+//!     ask_within: None,
+//!     cold_from: 0.3,
+//!     cold_span: 15_000_000,
+//!     fall_multiple: 4.0,
+//!     fall_span: 1_500_000,
+//!     key_rest: 0,
+//!     budget: None,
+//!     attempts_cap: 3,
+//!     may_cancel: true,
+//!     may_duplicate: false,
+//!     may_probe: true,
+//!     peer_messages: false,
+//!     retry_advice: None,
+//!     quantum: 5_000,
+//! };
+//! let mut gateway = Gateway::new(settings, 7);
+//! let mut actions = Vec::new();
+//! let entry = EngineEntry {
+//!     engine: EngineId(1),
+//!     came_up: 0,
+//!     weight: 1.0,
+//!     kind: KindId(0),
+//!     zone: ZoneId(0),
+//!     cell: CellId(0),
+//!     listed: Listed::Up,
+//! };
+//! gateway.handle(0, Event::Engines { kind: ListKind::Whole, entries: vec![entry] }, &mut actions);
+//! let request = Request {
+//!     id: RequestId(1),
+//!     class: ClassId(0),
+//!     tenant: TenantId(0),
+//!     cost: 100_000,
+//!     memory_mb: 64.0,
+//!     group: GroupId(3),
+//!     key: None,
+//!     is_retry: false,
+//!     due: 5_000_000,
+//! };
+//! gateway.handle(10, Event::Request(request), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Dispatch { engine: EngineId(1), .. })));
+//! ```
+//!
+//! # The contract
+//!
+//! - **Time** is the host's and goes forward; a time before the last one counts as the last one.
+//! - **Order**: events are passed in the order in which they arrive, actions are carried out as listed.
+//! - **Timers**: each [`Action::Arm`] comes back once as [`Event::Elapsed`]; late is allowed, early is not.
+//! - **Over**: a request is over after [`Action::Refuse`], [`Action::Fail`], [`Event::Lapsed`] or an
+//!   [`Answer`] marked complete. Attempts still out get their [`Answer`] nonetheless.
+//! - **Determinism**: the same settings, seed and events give the same actions.
+//! - Events that name something unknown, over or repeated are ignored.
+
+mod api;
+mod logic;
+
+pub use api::*;
+pub use logic::Gateway;
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,1306 @@
+//! All decisions of violetward. Their interface (types, events, actions) is the file `src/api.rs`.
+//!
+//! A request's course: `take` → `place` (its turn? which engine passes?) → the engine's line, earliest
+//! deadline first → `pump` (thread bound, memory, `guard`) → `send` → `answered` → served, placed again or
+//! `end`ed. A tick looks after what no event tells: deadlines, silence, trials of sick engines.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::api::*;
+
+// ---- Tuned values -------------------------------------------------------------------------------------
+
+/// The tick; also how early before its deadline a waiting request is ended.
+const TICK: Micros = 20_000;
+/// Weight of one sample in the averages of cost, slowness and use: about the last thirty.
+const SAMPLE: f64 = 0.03;
+/// A sample of k counts at most this many times (or, inverted, this part of) the class's k: one bad plan
+/// must not turn away the light queries that follow it.
+const CLIP: f64 = 4.0;
+/// As many samples of an engine weigh as much as the class's average over all engines.
+const LEAN: f64 = 20.0;
+/// Threads for each core of the share at the start; cores stand idle while their query reads.
+const THREADS_PER_CORE: f64 = 1.3;
+/// Slowness against the best seen under which the thread bound widens, and over which it is cut.
+const WIDEN_UNDER: f64 = 1.5;
+const CUT_OVER: f64 = 2.3;
+/// One step of widening and of cutting, and the least time between two steps of an engine.
+const WIDEN: f64 = 1.06;
+const CUT: f64 = 0.9;
+const STEP_EVERY: Micros = 150_000;
+/// How far the bound may be cut under its start, and how far it may pass one gateway's whole engine.
+const NARROWEST: f64 = 0.4;
+const WIDEST: f64 = 1.8;
+/// Work that a group of tables costs more where it is not warm, in the choice of an engine.
+const COLD_READ: f64 = 0.35;
+/// Groups that an engine is thought to keep warm.
+const WARM_GROUPS: usize = 4;
+/// Share of the debt of what waits or runs that stays until it is answered: an engine that does not get
+/// on with its work keeps its debt, whatever the reason.
+const STANDING: f64 = 0.5;
+/// Drain share that a class keeps however seldom it comes.
+const LEAST_USE: f64 = 0.05;
+/// An attempt that can be repeated is given up after this many times its usual time, and this span more;
+/// more patience where giving up frees nothing because attempts can't be withdrawn.
+const PATIENCE: f64 = 3.0;
+const PATIENCE_SPAN: Micros = 1_000_000;
+const STUBBORN: f64 = 2.0;
+/// An attempt is overdue after this many times its usual time, and this span more.
+const OVERDUE: f64 = 2.0;
+const OVERDUE_SPAN: Micros = 500_000;
+/// Weight of one outcome in an engine's share of failures, and the share over which it is sick.
+const FAIL_SAMPLE: f64 = 0.2;
+const FAIL_OVER: f64 = 0.35;
+/// Good trials in a row before a sick engine is well; the first wait for a trial, and the longest.
+const TRIALS: u32 = 3;
+const TRIAL_FIRST: Micros = 500_000;
+const TRIAL_LONGEST: Micros = 4_000_000;
+/// How long an attempt may stay unanswered past its time before its record is dropped.
+const FORGET: Micros = 60_000_000;
+/// The quantile of need against estimate that a memory grant covers, one step of learning it, its start.
+const GRANT_QUANTILE: f64 = 0.8;
+const GRANT_STEP: f64 = 0.06;
+const GRANT_START: f64 = 1.25;
+/// Part of the cold budget used: chance, and attempts whose work is over the usual.
+const COLD_MARGIN: f64 = 0.6;
+/// Part of a core's time that the rules take for its capacity.
+const CAPACITY: f64 = 0.85;
+/// Requests beyond their tenant's share find buckets of this depth against the usual.
+const OVER_SHARE_DEPTH: f64 = 0.25;
+/// Seconds of a tenant's quota that may come at once.
+const QUOTA_BURST: f64 = 2.0;
+/// The least advice to stay away, where advice is allowed.
+const ADVICE: Micros = 200_000;
+/// Stand-in for a class's work while nothing is told or learned: this part of its aim, on each thread.
+const UNKNOWN_COST: f64 = 0.25;
+/// The timer of the tick.
+const TICK_HANDLE: u64 = 0;
+
+// ---- State --------------------------------------------------------------------------------------------
+
+/// Two decayed sums whose ratio is learned.
+#[derive(Clone, Copy, Default)]
+struct Ratio {
+    truth: f64,
+    told: f64,
+    samples: f64,
+}
+
+impl Ratio {
+    fn learn(&mut self, truth: f64, told: f64) {
+        self.truth += truth - SAMPLE * self.truth;
+        self.told += told - SAMPLE * self.told;
+        self.samples += 1.0 - SAMPLE * self.samples;
+    }
+
+    fn get(&self) -> Option<f64> {
+        (self.told > 0.0).then(|| self.truth / self.told)
+    }
+
+    /// Its own value, leaning on `other` while samples are few.
+    fn leaning(&self, other: f64) -> f64 {
+        let own = self.get().unwrap_or(other);
+        (own * self.samples + other * LEAN) / (self.samples + LEAN)
+    }
+}
+
+/// What is learned of a class over all engines.
+#[derive(Clone)]
+struct Learned {
+    k: Ratio,
+    /// Latency × threads against true work.
+    slow: Ratio,
+    /// The average work of a query.
+    usual: Ratio,
+    /// Logarithm of memory granted against estimated.
+    grant: f64,
+    /// Decayed work asked for.
+    use_: f64,
+}
+
+struct Engine {
+    entry: EngineEntry,
+    debt: Vec<f64>,
+    drained_at: Micros,
+    standing: Vec<f64>,
+    k: Vec<Ratio>,
+    slow: Ratio,
+    /// Threads for each core of this gateway's share, learned from latency.
+    width: f64,
+    stepped_at: Micros,
+    pressed: bool,
+    line: BTreeSet<(Micros, RequestId)>,
+    threads: f64,
+    memory: f64,
+    /// Work given up on that may still run: until when, threads, memory.
+    ghosts: Vec<(Micros, f64, f64)>,
+    warm: VecDeque<GroupId>,
+    heard_at: Micros,
+    fails: f64,
+    sick: Option<Sick>,
+    /// Sends since the start of a cold engine, with their weight.
+    cold: VecDeque<(Micros, f64)>,
+}
+
+struct Sick {
+    good: u32,
+    wait: Micros,
+    next: Micros,
+    probing: bool,
+    trial: Option<RequestId>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Place {
+    /// Waits for its key's turn.
+    Parked,
+    Line(EngineId),
+    Out(EngineId),
+    /// Its stream belongs to the client.
+    Bound,
+}
+
+struct Open {
+    request: Request,
+    place: Place,
+    /// When its worth falls.
+    goal: Micros,
+    over_share: bool,
+    attempts: u32,
+    /// The first attempt that may have run: its number, zone, cell, and when it was sent.
+    maybe: Option<(u32, ZoneId, CellId, Micros)>,
+    /// The engine of the last failed attempt; others are better.
+    avoid: Option<EngineId>,
+    /// What its place in a line has added to the debt there.
+    charged: f64,
+}
+
+struct Flight {
+    engine: EngineId,
+    class: ClassId,
+    sent: Micros,
+    until: Micros,
+    cost: f64,
+    told: f64,
+    told_memory: f64,
+    memory: f64,
+    threads: f64,
+    /// How long it should take.
+    usual: f64,
+    repeatable: bool,
+    is_load: bool,
+    group: GroupId,
+    key: Option<OrderKey>,
+    cancelled: bool,
+}
+
+#[derive(Default)]
+struct Turns {
+    queue: VecDeque<RequestId>,
+    rest_until: Micros,
+}
+
+enum Leave {
+    Yes,
+    Later,
+    No,
+}
+
+/// The decisions of one query gateway.
+pub struct Gateway {
+    settings: Settings,
+    now: Micros,
+    rng: u64,
+    ticking: bool,
+    asked_at: Option<Micros>,
+    best_slow: f64,
+    learned: Vec<Learned>,
+    tokens: Vec<(f64, Micros)>,
+    engines: BTreeMap<EngineId, Engine>,
+    open: BTreeMap<RequestId, Open>,
+    /// Open requests by when they are due.
+    due: BTreeSet<(Micros, RequestId)>,
+    flights: BTreeMap<(RequestId, u32), Flight>,
+    keys: BTreeMap<OrderKey, Turns>,
+    taken: VecDeque<Micros>,
+    extras: VecDeque<Micros>,
+}
+
+fn finite(x: f64, least: f64, most: f64) -> f64 {
+    if x.is_finite() {
+        x.clamp(least, most)
+    } else {
+        least
+    }
+}
+
+impl Gateway {
+    /// A gateway that knows its settings and nothing else. `seed` feeds all its random draws.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let start = Learned {
+            k: Ratio::default(),
+            slow: Ratio::default(),
+            usual: Ratio::default(),
+            grant: GRANT_START.ln(),
+            use_: 0.0,
+        };
+        Gateway {
+            learned: vec![start; settings.classes.len()],
+            tokens: settings.tenants.iter().map(|t| (t.quota_per_s.max(0.0) * QUOTA_BURST, 0)).collect(),
+            settings,
+            now: 0,
+            rng: seed,
+            ticking: false,
+            asked_at: None,
+            best_slow: f64::INFINITY,
+            engines: BTreeMap::new(),
+            open: BTreeMap::new(),
+            due: BTreeSet::new(),
+            flights: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            taken: VecDeque::new(),
+            extras: VecDeque::new(),
+        }
+    }
+
+    /// Decides on one event at the time `now`; what is to be done is added to `out`, in order.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Engines { kind, entries } => self.listed(kind, entries, out),
+            Event::Request(request) => self.take(request, out),
+            Event::Lapsed(id) => self.lapsed(id, out),
+            Event::Answer(answer) => self.answered(answer, out),
+            Event::Streaming(id) => self.streaming(id),
+            Event::Probed { engine, ok, .. } => self.probed(engine, ok, out),
+            Event::Heard { .. } => {}
+            Event::Elapsed(TICK_HANDLE) => self.tick(out),
+            Event::Elapsed(_) => {}
+        }
+        if !self.ticking {
+            self.ticking = true;
+            out.push(Action::Arm { handle: TICK_HANDLE, span: TICK });
+        }
+    }
+
+    // ---- Taking a request and choosing its engine ------------------------------------------------------
+
+    fn take(&mut self, request: Request, out: &mut Vec<Action>) {
+        let class = request.class.0;
+        if class >= self.settings.classes.len() || self.open.contains_key(&request.id) {
+            return;
+        }
+        self.taken.push_back(self.now);
+        let over_share = !self.within_share(request.tenant);
+        let cost = self.cost(&request, None);
+        for (i, learned) in self.learned.iter_mut().enumerate() {
+            learned.use_ += if i == class { cost } else { 0.0 } - SAMPLE * learned.use_;
+        }
+        let settings = &self.settings.classes[class];
+        let stretch = settings.aim_stretch.max(0.0) * cost / f64::from(settings.threads.max(1));
+        let goal = self.now.saturating_add(settings.aim).saturating_add(stretch as Micros).min(request.due);
+        if let (true, Some(key)) = (settings.in_order, &request.key) {
+            self.keys.entry(key.clone()).or_default().queue.push_back(request.id);
+        }
+        let id = request.id;
+        self.due.insert((request.due, id));
+        let open = Open {
+            request,
+            place: Place::Parked,
+            goal,
+            over_share,
+            attempts: 0,
+            maybe: None,
+            avoid: None,
+            charged: 0.0,
+        };
+        self.open.insert(id, open);
+        self.place(id, out);
+    }
+
+    /// A token bucket for each tenant, filled with this gateway's part of the quota.
+    fn within_share(&mut self, tenant: TenantId) -> bool {
+        let parts = f64::from(self.settings.gateways.max(1));
+        let Some((tokens, at)) = self.tokens.get_mut(tenant.0) else {
+            return true;
+        };
+        let rate = finite(self.settings.tenants[tenant.0].quota_per_s, 0.0, 1e9) / parts;
+        let more = rate * (self.now - *at) as f64 / 1e6;
+        *tokens = (*tokens + more).min((rate * QUOTA_BURST).max(1.0));
+        *at = self.now;
+        let within = *tokens >= 1.0;
+        *tokens -= if within { 1.0 } else { 0.0 };
+        within
+    }
+
+    /// Estimate × k: the class's k on `engine`, or over all engines.
+    fn cost(&self, request: &Request, engine: Option<&Engine>) -> f64 {
+        let class = request.class.0;
+        let k = self.learned[class].k.get().unwrap_or(1.0);
+        let k = engine.map_or(k, |e| e.k[class].leaning(k));
+        finite(self.told(request) * k, 1.0, 1e12)
+    }
+
+    /// The estimate, or a stand-in for it where none is told.
+    fn told(&self, request: &Request) -> f64 {
+        let class = &self.settings.classes[request.class.0];
+        let unknown = class.aim as f64 * UNKNOWN_COST * f64::from(class.threads.max(1));
+        if request.cost > 0 {
+            request.cost as f64
+        } else {
+            unknown.max(1.0)
+        }
+    }
+
+    /// Finds an engine's line for a request that has its turn; refuses it at once if none passes.
+    fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if !self.has_turn(id) {
+            return;
+        }
+        match self.choose(id) {
+            Some(engine) => {
+                self.join(id, engine);
+                self.pump(engine, out);
+            }
+            None => self.end(id, out),
+        }
+    }
+
+    /// The passing engine with the least debt against its drain. An engine that is not warm for the group
+    /// counts with the reading it would cost; a hash that all gateways share breaks ties, so that they
+    /// keep the same groups warm on the same engines.
+    fn choose(&mut self, id: RequestId) -> Option<EngineId> {
+        let ids: Vec<EngineId> = self.engines.keys().copied().collect();
+        for engine in ids {
+            self.drain(engine);
+        }
+        let open = self.open.get(&id)?;
+        let mut best: Option<(bool, f64, u64, EngineId)> = None;
+        for (&engine, e) in &self.engines {
+            if e.sick.is_some() || matches!(self.guard(id, engine), Leave::No) || !self.passes(open, e) {
+                continue;
+            }
+            let group = open.request.group;
+            let warm = if e.warm.contains(&group) { 1.0 } else { 1.0 + COLD_READ };
+            let debt = e.debt.iter().sum::<f64>() + warm * self.cost(&open.request, Some(e));
+            let blocked = if self.is_blocked(open, engine) { 2.0 } else { 1.0 };
+            let score = blocked * debt / self.drain_rate(e);
+            let rank = (open.avoid == Some(engine), score, mix(group.0 ^ mix(engine.0)), engine);
+            if best.is_none_or(|b| rank < b) {
+                best = Some(rank);
+            }
+        }
+        best.map(|b| b.3)
+    }
+
+    /// Debt fits the class's bucket and the query can finish by its goal; an idle engine always passes if
+    /// the client will still be there.
+    fn passes(&self, open: &Open, e: &Engine) -> bool {
+        let request = &open.request;
+        let class = request.class.0;
+        let cost = self.cost(request, Some(e));
+        let threads = f64::from(self.settings.classes[class].threads.max(1));
+        let run = cost / threads / self.speed(e);
+        let left = request.due.saturating_sub(self.now) as f64;
+        if e.threads == 0.0 && e.line.is_empty() && e.debt.iter().all(|&d| d <= 0.0) {
+            return run < left;
+        }
+        let goal = if self.now < open.goal { open.goal } else { request.due };
+        let slack = goal.saturating_sub(self.now) as f64;
+        let rate = self.drain_rate(e);
+        let wait = if self.fits(e, threads) && e.line.is_empty() { 0.0 } else { self.ahead(open, e) / rate };
+        let depth = (rate * self.use_of(class) * slack).max(self.costliest());
+        let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
+        e.debt[class] + cost <= depth && wait + run <= slack
+    }
+
+    /// Work before a request in an engine's line, and half of what runs there.
+    fn ahead(&self, open: &Open, e: &Engine) -> f64 {
+        let before = e.line.range(..(open.goal, open.request.id));
+        let line: f64 = before.filter_map(|(_, id)| self.open.get(id)).map(|o| o.charged).sum();
+        let waiting: f64 = e.line.iter().filter_map(|(_, id)| self.open.get(id)).map(|o| o.charged).sum();
+        line + STANDING * (e.standing.iter().sum::<f64>() - waiting).max(0.0)
+    }
+
+    fn costliest(&self) -> f64 {
+        self.learned.iter().filter_map(|l| l.usual.get()).fold(1.0, f64::max)
+    }
+
+    fn use_of(&self, class: usize) -> f64 {
+        let all: f64 = self.learned.iter().map(|l| l.use_).sum();
+        (self.learned[class].use_ / all.max(1.0)).max(LEAST_USE)
+    }
+
+    /// A load stands still while another holds its group there, and so do classes that wait for loads.
+    fn is_blocked(&self, open: &Open, engine: EngineId) -> bool {
+        let class = &self.settings.classes[open.request.class.0];
+        let waits = class.is_load || class.waits_for_loads;
+        let holds = |f: &Flight| f.is_load && f.engine == engine && f.group == open.request.group;
+        waits && self.flights.values().any(holds)
+    }
+
+    // ---- Debt, drain and the thread bound --------------------------------------------------------------
+
+    fn cores(&self, e: &Engine) -> f64 {
+        let cores = self.settings.kinds.get(e.entry.kind.0).map_or(1.0, |k| k.cores);
+        finite(cores, 1.0, 4096.0)
+    }
+
+    fn share(&self) -> f64 {
+        1.0 / f64::from(self.settings.gateways.max(1))
+    }
+
+    /// How far an engine keeps up with its peers, and with its own warm self.
+    fn speed(&self, e: &Engine) -> f64 {
+        let usual = self.usual_slow();
+        finite(usual / e.slow.leaning(usual), 0.05, 1.0) * self.warmth(e)
+    }
+
+    /// What a cold engine can do for sure, against a warm one.
+    fn warmth(&self, e: &Engine) -> f64 {
+        if self.is_cold(e) {
+            finite(self.settings.cold_from, 0.05, 1.0)
+        } else {
+            1.0
+        }
+    }
+
+    fn is_cold(&self, e: &Engine) -> bool {
+        e.entry.came_up > 0 && self.now < e.entry.came_up.saturating_add(self.settings.cold_span)
+    }
+
+    /// The median slowness of the engines.
+    fn usual_slow(&self) -> f64 {
+        let mut all: Vec<f64> = self.engines.values().filter_map(|e| e.slow.get()).collect();
+        all.sort_by(f64::total_cmp);
+        all.get(all.len() / 2).copied().unwrap_or(1.0).max(0.1)
+    }
+
+    /// Work an engine does for this gateway in a microsecond.
+    fn drain_rate(&self, e: &Engine) -> f64 {
+        let part = (self.share() * e.width / THREADS_PER_CORE).min(1.0);
+        (self.cores(e) * part * self.speed(e)).max(0.01)
+    }
+
+    fn bound(&self, e: &Engine) -> f64 {
+        self.cores(e) * self.share() * e.width * self.warmth(e)
+    }
+
+    /// Lowers the debts of an engine by what has drained since the last look, split by recent use among
+    /// the buckets that hold any.
+    fn drain(&mut self, engine: EngineId) {
+        let Some(e) = self.engines.get(&engine) else {
+            return;
+        };
+        let amount = self.drain_rate(e) * (self.now - e.drained_at) as f64;
+        let uses: Vec<f64> = (0..e.debt.len()).map(|c| self.use_of(c)).collect();
+        let e = self.engines.get_mut(&engine).expect("looked up above");
+        let all: f64 = uses.iter().zip(&e.debt).filter(|(_, &d)| d > 0.0).map(|(u, _)| u).sum();
+        for (class, debt) in e.debt.iter_mut().enumerate() {
+            let drained = *debt - amount * uses[class] / all.max(LEAST_USE);
+            *debt = drained.max(STANDING * e.standing[class]).max(0.0);
+        }
+        e.drained_at = self.now;
+        let now = self.now;
+        e.ghosts.retain(|g| g.0 > now);
+    }
+
+    /// Room under the thread bound; where this gateway runs nothing, one query may start.
+    fn fits(&self, e: &Engine, threads: f64) -> bool {
+        let ghosts: f64 = e.ghosts.iter().map(|g| g.1).sum();
+        e.threads + ghosts == 0.0 || e.threads + ghosts + threads <= self.bound(e)
+    }
+
+    fn has_memory(&self, e: &Engine, grant: f64) -> bool {
+        let all = self.settings.kinds.get(e.entry.kind.0).map_or(0.0, |k| k.memory_mb);
+        let part = (self.share() * e.width / THREADS_PER_CORE).min(1.0);
+        let ghosts: f64 = e.ghosts.iter().map(|g| g.2).sum();
+        all <= 0.0 || e.threads == 0.0 || e.memory + ghosts + grant <= all * part
+    }
+
+    /// Widens the bound while queries take little longer than at best, cuts it as they take longer.
+    fn steer(&mut self, engine: EngineId) {
+        let (now, best) = (self.now, self.best_slow);
+        let most = WIDEST / self.share();
+        let Some(e) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        let slow = e.slow.get().unwrap_or(best);
+        if now < e.stepped_at + STEP_EVERY {
+            return;
+        }
+        if slow < WIDEN_UNDER * best && e.pressed {
+            e.width = (e.width * WIDEN).min(most);
+        } else if slow > CUT_OVER * best {
+            e.width = (e.width * CUT).max(NARROWEST);
+        }
+        e.stepped_at = now;
+        e.pressed = false;
+    }
+
+    fn join(&mut self, id: RequestId, engine: EngineId) {
+        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else {
+            return;
+        };
+        let cost = self.cost(&open.request, Some(e));
+        let class = open.request.class.0;
+        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else {
+            return;
+        };
+        open.place = Place::Line(engine);
+        open.charged = cost;
+        e.debt[class] += cost;
+        e.standing[class] += cost;
+        e.line.insert((open.goal, id));
+    }
+
+    /// Takes a request out of the line it waits in and lifts its charge.
+    fn leave(&mut self, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        let Place::Line(engine) = open.place else { return };
+        open.place = Place::Parked;
+        let class = open.request.class.0;
+        if let Some(e) = self.engines.get_mut(&engine) {
+            e.line.remove(&(open.goal, id));
+            e.debt[class] = (e.debt[class] - open.charged).max(0.0);
+            e.standing[class] = (e.standing[class] - open.charged).max(0.0);
+        }
+    }
+
+    /// Starts what may start on an engine, earliest deadline first.
+    fn pump(&mut self, engine: EngineId, out: &mut Vec<Action>) {
+        self.drain(engine);
+        loop {
+            let Some(e) = self.engines.get(&engine) else {
+                return;
+            };
+            let Some(&(_, id)) = e.line.first() else { return };
+            let Some(open) = self.open.get(&id) else { return };
+            if matches!(self.guard(id, engine), Leave::No) {
+                self.leave(id);
+                self.place(id, out);
+                continue;
+            }
+            let threads = f64::from(self.settings.classes[open.request.class.0].threads.max(1));
+            let grant = self.grant(&open.request, e);
+            let room = self.fits(e, threads) && self.has_memory(e, grant);
+            if !room || matches!(self.guard(id, engine), Leave::Later) {
+                self.engines.get_mut(&engine).expect("looked up above").pressed = true;
+                return;
+            }
+            self.send(id, engine, grant, out);
+        }
+    }
+
+    // ---- Sending: one guard, one place -----------------------------------------------------------------
+
+    /// Every dispatch passes here. `No`: not on this engine. `Later`: not now.
+    fn guard(&self, id: RequestId, engine: EngineId) -> Leave {
+        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else {
+            return Leave::No;
+        };
+        let class = &self.settings.classes[open.request.class.0];
+        let kind_ok = class.kinds.as_ref().is_none_or(|k| k.contains(&e.entry.kind));
+        let zone_ok = class.zones.as_ref().is_none_or(|z| z.contains(&e.entry.zone));
+        let out_now = matches!(open.place, Place::Out(_) | Place::Bound) || self.is_out(id);
+        let capped = open.attempts >= self.settings.attempts_cap;
+        let up = e.entry.listed == Listed::Up;
+        if !kind_ok || !zone_ok || !up || out_now || capped || !self.effect_allows(open, e) {
+            return Leave::No;
+        }
+        if open.attempts > 0 && !self.budget_allows() || !self.cold_allows(open, e, true) {
+            return Leave::No;
+        }
+        if !self.has_turn(id) || !self.cold_allows(open, e, false) {
+            return Leave::Later;
+        }
+        Leave::Yes
+    }
+
+    fn is_out(&self, id: RequestId) -> bool {
+        self.flights.range((id, 0)..=(id, u32::MAX)).next().is_some()
+    }
+
+    /// A request that may have run goes out again only where that is harmless.
+    fn effect_allows(&self, open: &Open, e: &Engine) -> bool {
+        let Some((_, zone, cell, sent)) = open.maybe else {
+            return true;
+        };
+        match self.settings.classes[open.request.class.0].effect {
+            Effect::Repeatable => true,
+            Effect::Once => false,
+            Effect::Keyed { scope, window } => {
+                let known = match scope {
+                    KeyScope::All => true,
+                    KeyScope::Zone => e.entry.zone == zone,
+                    KeyScope::Cell => e.entry.cell == cell,
+                };
+                known && self.now + self.settings.quantum < sent.saturating_add(window)
+            }
+        }
+    }
+
+    /// Further attempts are rationed; what is close to the window's edge counts against us.
+    fn budget_allows(&self) -> bool {
+        let Some(budget) = &self.settings.budget else {
+            return true;
+        };
+        let since = |span: Micros| self.now.saturating_sub(span);
+        let quantum = self.settings.quantum;
+        let taken = self.taken.iter().rev().take_while(|&&t| t + budget.window > self.now + quantum).count();
+        let from = since(budget.window + quantum);
+        let made = self.extras.iter().rev().take_while(|&&t| t >= from).count();
+        made as f64 + 1.0 <= budget.free + budget.per_request * taken as f64
+    }
+
+    /// A fresh engine falls over if all gateways send too much: each sends its part, whatever the others
+    /// do, in every window of the rule's length. With `ever`, whether it could fit an empty window.
+    fn cold_allows(&self, open: &Open, e: &Engine, ever: bool) -> bool {
+        if !self.is_cold(e) || self.settings.fall_multiple <= 0.0 {
+            return true;
+        }
+        let capacity = self.cores(e) * CAPACITY * finite(self.settings.cold_from, 0.01, 1.0);
+        let span = self.settings.fall_span as f64;
+        let part = COLD_MARGIN / f64::from(self.settings.gateways.max(1));
+        let budget = self.settings.fall_multiple * capacity * span * part;
+        let from = self.now.saturating_sub(self.settings.fall_span);
+        let sent: f64 = e.cold.iter().rev().take_while(|c| c.0 >= from).map(|c| c.1).sum();
+        let sent = if ever { 0.0 } else { sent };
+        sent + self.cold_weight(open) <= budget
+    }
+
+    fn cold_weight(&self, open: &Open) -> f64 {
+        let usual = self.learned[open.request.class.0].usual.get().unwrap_or(0.0);
+        usual.max(self.cost(&open.request, None))
+    }
+
+    /// The request is the first of its key that is not over, and the key does not rest.
+    fn has_turn(&self, id: RequestId) -> bool {
+        let Some(open) = self.open.get(&id) else {
+            return false;
+        };
+        let Some(turns) = open.request.key.as_ref().and_then(|k| self.keys.get(k)) else {
+            return true;
+        };
+        if !turns.queue.contains(&id) {
+            return true;
+        }
+        turns.queue.front() == Some(&id) && (open.attempts > 0 || self.now >= turns.rest_until)
+    }
+
+    /// Memory for a query: what covers most needs of its class at this estimate.
+    fn grant(&self, request: &Request, e: &Engine) -> f64 {
+        let all = self.settings.kinds.get(e.entry.kind.0).map_or(0.0, |k| k.memory_mb);
+        let most = if all > 0.0 { all * finite(self.settings.grant_cap, 0.01, 1.0) } else { 1e9 };
+        finite(request.memory_mb * self.learned[request.class.0].grant.exp(), 0.0, most)
+    }
+
+    /// Light queries first, by worth for each unit of work against the average.
+    fn rank(&self, request: &Request) -> u8 {
+        let worth: f64 = self.settings.classes[request.class.0].worth;
+        let density = worth / self.cost(request, None);
+        let classes = self.settings.classes.iter().zip(&self.learned);
+        let all = classes.filter_map(|(c, l)| l.usual.get().map(|u| (c.worth, u)));
+        let (worths, works) = all.fold((0.0, 1.0), |sum, (w, u)| (sum.0 + w, sum.1 + u));
+        let average = worths / works;
+        match density {
+            d if d >= average => 3,
+            d if d >= average / 2.0 => 2,
+            _ => 1,
+        }
+    }
+
+    fn send(&mut self, id: RequestId, engine: EngineId, grant: f64, out: &mut Vec<Action>) {
+        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else {
+            return;
+        };
+        let request = &open.request;
+        let class = &self.settings.classes[request.class.0];
+        let cost = self.cost(request, Some(e));
+        let threads = f64::from(class.threads.max(1));
+        let slow = self.learned[request.class.0].slow.leaning(1.0).max(e.slow.leaning(1.0)).max(1.0);
+        let usual = cost / threads * slow / self.warmth(e);
+        let flight = Flight {
+            engine,
+            class: request.class,
+            sent: self.now,
+            until: self.until(open, usual),
+            cost: if open.charged > 0.0 { open.charged } else { cost },
+            told: self.told(request),
+            told_memory: request.memory_mb,
+            memory: grant,
+            threads,
+            usual,
+            repeatable: matches!(class.effect, Effect::Repeatable),
+            is_load: class.is_load,
+            group: request.group,
+            key: request.key.clone().filter(|_| class.in_order),
+            cancelled: false,
+        };
+        let (weight, rank, group) = (self.cold_weight(open), self.rank(request), request.group);
+        if self.settings.grants || self.settings.priorities {
+            let memory_mb = if self.settings.grants { grant } else { 0.0 };
+            out.push(Action::Terms { id, memory_mb, rank: if self.settings.priorities { rank } else { 1 } });
+        }
+        out.push(Action::Dispatch { id, engine, until: flight.until });
+        let cold = self.is_cold(e);
+        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else {
+            return;
+        };
+        e.line.remove(&(open.goal, id));
+        e.threads += threads;
+        e.memory += grant;
+        e.warm.retain(|&g| g != group);
+        e.warm.push_front(group);
+        e.warm.truncate(WARM_GROUPS);
+        if cold {
+            e.cold.push_back((self.now, weight));
+        }
+        if open.attempts > 0 {
+            self.extras.push_back(self.now);
+        }
+        open.place = Place::Out(engine);
+        open.charged = 0.0;
+        open.maybe = open.maybe.or(Some((open.attempts, e.entry.zone, e.entry.cell, self.now)));
+        self.flights.insert((id, open.attempts), flight);
+        open.attempts += 1;
+    }
+
+    /// When to give an attempt up: with the client, or earlier where another may follow and has time.
+    fn until(&self, open: &Open, usual: f64) -> Micros {
+        let due = open.request.due;
+        let class = &self.settings.classes[open.request.class.0];
+        let last = open.attempts + 1 >= self.settings.attempts_cap || !self.budget_allows();
+        if last || matches!(class.effect, Effect::Once) {
+            return due;
+        }
+        let stubborn = if self.settings.may_cancel { 1.0 } else { STUBBORN };
+        let patience = stubborn * (PATIENCE * usual + PATIENCE_SPAN as f64);
+        let until = self.now.saturating_add(patience as Micros);
+        if until.saturating_add(usual as Micros) < due {
+            until
+        } else {
+            due
+        }
+    }
+
+    // ---- Outcomes --------------------------------------------------------------------------------------
+
+    fn answered(&mut self, answer: Answer, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.remove(&(answer.id, answer.attempt)) else {
+            return;
+        };
+        let engine = flight.engine;
+        self.settle(&flight, &answer);
+        self.symptom(&flight, &answer, out);
+        if let Some(open) = self.open.get_mut(&answer.id) {
+            let proved = matches!(answer.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+            if proved && open.maybe.is_some_and(|m| m.0 == answer.attempt) {
+                open.maybe = None;
+            }
+            open.avoid = Some(engine);
+            open.place = Place::Parked;
+            if answer.complete {
+                self.forget(answer.id);
+            } else if self.now + TICK >= open.request.due {
+                self.end(answer.id, out);
+            } else {
+                self.place(answer.id, out);
+            }
+        }
+        if let Some(key) = &flight.key {
+            self.advance(key, out);
+        }
+        self.pump(engine, out);
+        self.fetch_work(engine, out);
+    }
+
+    /// Frees what the attempt held and learns from it.
+    fn settle(&mut self, flight: &Flight, answer: &Answer) {
+        let now = self.now;
+        let unsure = matches!(answer.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        if let (true, Some(turns)) = (unsure, flight.key.as_ref().and_then(|k| self.keys.get_mut(k))) {
+            turns.rest_until = turns.rest_until.max(now.saturating_add(self.settings.key_rest));
+        }
+        let runs_on = !self.settings.may_cancel && matches!(answer.outcome, Outcome::Timeout);
+        if let Some(e) = self.engines.get_mut(&flight.engine) {
+            e.threads = (e.threads - flight.threads).max(0.0);
+            e.memory = (e.memory - flight.memory).max(0.0);
+            let class = flight.class.0;
+            e.standing[class] = (e.standing[class] - flight.cost).max(0.0);
+            if runs_on {
+                // Nothing stops the work of an attempt given up here: it holds its threads a while yet.
+                let end = now.saturating_add(flight.usual as Micros);
+                e.ghosts.push((end, flight.threads, flight.memory));
+            }
+        }
+        if answer.outcome == Outcome::Ok {
+            self.learn(flight, answer);
+        }
+    }
+
+    /// Only what was served teaches: a fast error costs little and proves nothing.
+    fn learn(&mut self, flight: &Flight, answer: &Answer) {
+        let took = answer.took as f64 * flight.threads;
+        let truth = answer.work.filter(|&w| w > 0 && self.settings.tells_cost).map_or(took, |w| w as f64);
+        let learned = &mut self.learned[flight.class.0];
+        let k = learned.k.get().unwrap_or(truth / flight.told);
+        let clipped = truth.clamp(flight.told * k / CLIP, flight.told * k * CLIP);
+        learned.k.learn(clipped, flight.told);
+        learned.usual.learn(truth, 1.0);
+        learned.slow.learn(took, truth);
+        if let (Some(need), true) = (answer.memory_mb, flight.told_memory > 0.0) {
+            let over = (need / flight.told_memory).ln() > learned.grant;
+            learned.grant += GRANT_STEP * if over { GRANT_QUANTILE } else { GRANT_QUANTILE - 1.0 };
+        }
+        if let Some(e) = self.engines.get_mut(&flight.engine) {
+            e.k[flight.class.0].learn(clipped, flight.told);
+            e.slow.learn(took, truth);
+            e.debt[flight.class.0] = (e.debt[flight.class.0] + clipped - flight.cost).max(0.0);
+            let slow = e.slow.get().unwrap_or(1.0);
+            self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).max(0.1);
+        }
+        self.steer(flight.engine);
+    }
+
+    fn streaming(&mut self, id: RequestId) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.place = Place::Bound;
+            self.due.remove(&(open.request.due, id));
+        }
+    }
+
+    fn lapsed(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        self.withdraw(id, out);
+        self.forget_and_advance(id, out);
+    }
+
+    fn withdraw(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let may = self.settings.may_cancel;
+        for (&(_, attempt), f) in self.flights.range_mut((id, 0)..=(id, u32::MAX)) {
+            if may && !f.cancelled {
+                f.cancelled = true;
+                out.push(Action::Cancel { id, attempt });
+            }
+        }
+    }
+
+    /// The one place that ends requests: refused where a further try is harmless, else failed.
+    fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let harmless = match self.settings.classes[open.request.class.0].effect {
+            Effect::Repeatable => true,
+            Effect::Keyed { scope: KeyScope::All, .. } => true,
+            Effect::Keyed { .. } | Effect::Once => open.maybe.is_none(),
+        };
+        if harmless {
+            let longest = self.settings.retry_advice.unwrap_or(0);
+            let spread = self.draw() % ADVICE;
+            let retry_after = (ADVICE + spread).min(longest);
+            out.push(Action::Refuse { id, retry_after });
+        } else {
+            out.push(Action::Fail(id));
+        }
+        self.withdraw(id, out);
+        self.forget_and_advance(id, out);
+    }
+
+    fn forget_and_advance(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let key = self.open.get(&id).and_then(|o| o.request.key.clone());
+        self.forget(id);
+        if let Some(key) = key {
+            self.advance(&key, out);
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        self.leave(id);
+        if let Some(open) = self.open.remove(&id) {
+            self.due.remove(&(open.request.due, id));
+        }
+    }
+
+    /// Gives the turn to the next request of a key, once the one before it is over and answered.
+    fn advance(&mut self, key: &OrderKey, out: &mut Vec<Action>) {
+        loop {
+            let Some(turns) = self.keys.get(key) else { return };
+            let Some(&first) = turns.queue.front() else {
+                if self.now >= turns.rest_until {
+                    self.keys.remove(key);
+                }
+                return;
+            };
+            if self.open.contains_key(&first) || self.is_out(first) {
+                let parked = self.open.get(&first).is_some_and(|o| o.place == Place::Parked);
+                if parked && !self.is_out(first) && self.has_turn(first) {
+                    self.place(first, out);
+                }
+                return;
+            }
+            self.keys.get_mut(key).expect("looked up above").queue.pop_front();
+        }
+    }
+
+    // ---- Engines: the list, symptoms, trials -----------------------------------------------------------
+
+    fn listed(&mut self, kind: ListKind, entries: Vec<EngineEntry>, out: &mut Vec<Action>) {
+        if self.asked_at.is_none() || kind == ListKind::Lost {
+            self.ask(out);
+        }
+        if kind == ListKind::Lost {
+            return;
+        }
+        let named: BTreeSet<EngineId> = entries.iter().map(|e| e.engine).collect();
+        if kind != ListKind::Changes {
+            for (id, e) in &mut self.engines {
+                if !named.contains(id) {
+                    e.entry.listed = Listed::Removed;
+                }
+            }
+        }
+        for entry in entries {
+            self.relist(entry);
+        }
+        let gone: Vec<EngineId> =
+            self.engines.iter().filter(|(_, e)| e.entry.listed != Listed::Up).map(|(&id, _)| id).collect();
+        for engine in gone {
+            self.empty_line(engine, out);
+            let idle = !self.flights.values().any(|f| f.engine == engine);
+            if idle && self.engines.get(&engine).is_some_and(|e| e.entry.listed == Listed::Removed) {
+                self.engines.remove(&engine);
+            }
+        }
+    }
+
+    fn relist(&mut self, entry: EngineEntry) {
+        let classes = self.settings.classes.len();
+        let now = self.now;
+        match self.engines.get_mut(&entry.engine) {
+            Some(e) => {
+                if entry.came_up > e.entry.came_up {
+                    // It has started anew: nothing is warm, and old symptoms are another process's.
+                    e.warm.clear();
+                    e.fails = 0.0;
+                    e.sick = None;
+                    e.slow = Ratio::default();
+                }
+                e.entry = entry;
+            }
+            None => {
+                let engine = Engine {
+                    debt: vec![0.0; classes],
+                    drained_at: now,
+                    standing: vec![0.0; classes],
+                    k: vec![Ratio::default(); classes],
+                    slow: Ratio::default(),
+                    width: THREADS_PER_CORE,
+                    stepped_at: now,
+                    pressed: false,
+                    line: BTreeSet::new(),
+                    threads: 0.0,
+                    memory: 0.0,
+                    ghosts: Vec::new(),
+                    warm: VecDeque::new(),
+                    heard_at: now,
+                    fails: 0.0,
+                    sick: None,
+                    cold: VecDeque::new(),
+                    entry,
+                };
+                self.engines.insert(engine.entry.engine, engine);
+            }
+        }
+    }
+
+    /// Where the list comes only when asked for: subscribes, and asks again in good time.
+    fn ask(&mut self, out: &mut Vec<Action>) {
+        if self.settings.ask_within.is_some() {
+            out.push(Action::Subscribe);
+        }
+        self.asked_at = Some(self.now);
+    }
+
+    /// Places again all that waits for an engine that is not to be used.
+    fn empty_line(&mut self, engine: EngineId, out: &mut Vec<Action>) {
+        let Some(e) = self.engines.get(&engine) else {
+            return;
+        };
+        for (_, id) in e.line.clone() {
+            self.leave(id);
+            self.place(id, out);
+        }
+    }
+
+    /// What an outcome tells of an engine's health.
+    fn symptom(&mut self, flight: &Flight, answer: &Answer, out: &mut Vec<Action>) {
+        let now = self.now;
+        let good = answer.outcome == Outcome::Ok;
+        let bad = matches!(answer.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
+        let peers: Vec<f64> = self.engines.values().map(|e| e.fails).collect();
+        let common = peers.iter().filter(|&&f| f > FAIL_OVER).count() * 2 > peers.len();
+        let Some(e) = self.engines.get_mut(&flight.engine) else {
+            return;
+        };
+        if good || bad {
+            e.fails += FAIL_SAMPLE * (if bad { 1.0 } else { 0.0 } - e.fails);
+        }
+        if good {
+            e.heard_at = now;
+        }
+        match &mut e.sick {
+            Some(sick) if sick.trial == Some(answer.id) => {
+                sick.trial = None;
+                self.trial_done(flight.engine, good, out);
+            }
+            Some(_) => {}
+            None if bad && e.fails > FAIL_OVER && !common => self.condemn(flight.engine, "fails", out),
+            None => {}
+        }
+    }
+
+    fn condemn(&mut self, engine: EngineId, why: &str, out: &mut Vec<Action>) {
+        let next = self.now + TRIAL_FIRST;
+        let Some(e) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        e.sick = Some(Sick { good: 0, wait: TRIAL_FIRST, next, probing: false, trial: None });
+        out.push(Action::Log(format!("engine {:x} is left alone: {why}", engine.0)));
+        self.empty_line(engine, out);
+        self.give_up_on(engine, out);
+    }
+
+    /// Withdraws the attempts at a silent engine whose requests may and can still be served elsewhere.
+    fn give_up_on(&mut self, engine: EngineId, out: &mut Vec<Action>) {
+        if !self.settings.may_cancel {
+            return;
+        }
+        let mut budget = self.extras_left();
+        let (open, now, cap) = (&self.open, self.now, self.settings.attempts_cap);
+        for (&(id, attempt), f) in self.flights.iter_mut().filter(|(_, f)| f.engine == engine) {
+            let late = (now - f.sent) as f64 > OVERDUE * f.usual;
+            let time = open
+                .get(&id)
+                .is_some_and(|o| o.attempts < cap && now.saturating_add(f.usual as Micros) < o.request.due);
+            if f.repeatable && late && time && budget >= 1.0 && !f.cancelled {
+                budget -= 1.0;
+                f.cancelled = true;
+                out.push(Action::Cancel { id, attempt });
+            }
+        }
+    }
+
+    fn extras_left(&self) -> f64 {
+        let Some(budget) = &self.settings.budget else {
+            return f64::INFINITY;
+        };
+        let from = self.now.saturating_sub(budget.window);
+        let taken = self.taken.iter().rev().take_while(|&&t| t > from).count() as f64;
+        let made = self.extras.iter().rev().take_while(|&&t| t >= from).count() as f64;
+        budget.free + budget.per_request * taken - made
+    }
+
+    fn trial_done(&mut self, engine: EngineId, good: bool, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(e) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        let Some(sick) = &mut e.sick else { return };
+        sick.good = if good { sick.good + 1 } else { 0 };
+        sick.wait = if good { TRIAL_FIRST / 2 } else { (sick.wait * 2).min(TRIAL_LONGEST) };
+        sick.next = now + sick.wait;
+        if sick.good >= TRIALS {
+            e.sick = None;
+            e.fails = 0.0;
+            e.heard_at = now;
+            out.push(Action::Log(format!("engine {:x} is used again", engine.0)));
+        }
+    }
+
+    fn probed(&mut self, engine: EngineId, ok: bool, out: &mut Vec<Action>) {
+        let Some(sick) = self.engines.get_mut(&engine).and_then(|e| e.sick.as_mut()) else {
+            return;
+        };
+        if sick.probing {
+            sick.probing = false;
+            if !ok {
+                self.trial_done(engine, false, out);
+            } else {
+                self.try_out(engine, out);
+            }
+        }
+    }
+
+    /// A trial of a sick engine: a probe where allowed, then one light repeatable request that waits.
+    fn trial(&mut self, engine: EngineId, out: &mut Vec<Action>) {
+        let may_probe = self.settings.may_probe;
+        let now = self.now;
+        let Some(e) = self.engines.get_mut(&engine) else {
+            return;
+        };
+        let Some(sick) = &mut e.sick else { return };
+        if now < sick.next || sick.trial.is_some() || e.entry.listed != Listed::Up {
+            return;
+        }
+        sick.next = now + TRIAL_LONGEST;
+        if may_probe {
+            sick.probing = true;
+            out.push(Action::Probe(engine));
+        } else {
+            self.try_out(engine, out);
+        }
+    }
+
+    /// Takes the lightest repeatable request that waits anywhere and can still be served elsewhere after.
+    fn try_out(&mut self, engine: EngineId, out: &mut Vec<Action>) {
+        let light = |open: &Open| {
+            let class = &self.settings.classes[open.request.class.0];
+            matches!(class.effect, Effect::Repeatable) && open.attempts + 1 < self.settings.attempts_cap
+        };
+        let waiting = self.open.iter().filter(|(_, o)| matches!(o.place, Place::Line(_)) && light(o));
+        let allowed = waiting.filter(|(&id, _)| matches!(self.guard(id, engine), Leave::Yes));
+        let cost = |o: &Open| self.cost(&o.request, None);
+        let Some(id) = allowed.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1))).map(|(&id, _)| id) else {
+            if let Some(sick) = self.engines.get_mut(&engine).and_then(|e| e.sick.as_mut()) {
+                sick.next = self.now + TICK;
+                sick.probing = false;
+            }
+            return;
+        };
+        self.leave(id);
+        self.join(id, engine);
+        let grant = self.grant(&self.open[&id].request, &self.engines[&engine]);
+        self.send(id, engine, grant, out);
+        if let Some(sick) = self.engines.get_mut(&engine).and_then(|e| e.sick.as_mut()) {
+            sick.trial = Some(id);
+        }
+    }
+
+    // ---- The tick --------------------------------------------------------------------------------------
+
+    fn tick(&mut self, out: &mut Vec<Action>) {
+        self.ticking = false;
+        self.end_due(out);
+        self.find_silent(out);
+        let engines: Vec<EngineId> = self.engines.keys().copied().collect();
+        for &engine in &engines {
+            self.trial(engine, out);
+            self.pump(engine, out);
+            self.fetch_work(engine, out);
+        }
+        let keys: Vec<OrderKey> = self.keys.keys().cloned().collect();
+        for key in keys {
+            self.advance(&key, out);
+        }
+        self.drop_old(out);
+    }
+
+    /// Ends what waits and can no longer be served in time; attempts out have a time-out of their own.
+    fn end_due(&mut self, out: &mut Vec<Action>) {
+        let edge = self.now + TICK + self.settings.quantum;
+        let due: Vec<RequestId> = self.due.iter().take_while(|d| d.0 <= edge).map(|d| d.1).collect();
+        for id in due {
+            if self.open.get(&id).is_some_and(|o| matches!(o.place, Place::Parked | Place::Line(_))) {
+                self.end(id, out);
+            }
+        }
+        let late = |o: &Open| {
+            let class = &self.settings.classes[o.request.class.0];
+            let run = self.cost(&o.request, None) / f64::from(class.threads.max(1));
+            let end = if class.late_worth > 0.0 { o.request.due } else { o.goal };
+            matches!(o.place, Place::Parked | Place::Line(_)) && self.now as f64 + run > end as f64
+        };
+        let late: Vec<RequestId> = self.open.iter().filter(|(_, o)| late(o)).map(|(&id, _)| id).collect();
+        for id in late {
+            self.end(id, out);
+        }
+    }
+
+    /// An engine is silent if attempts there are overdue and nothing has come from it since they should
+    /// have been answered. Where more than half are, the trouble is shared and none is condemned.
+    fn find_silent(&mut self, out: &mut Vec<Action>) {
+        let mut silent: BTreeSet<EngineId> = BTreeSet::new();
+        for f in self.flights.values() {
+            let expected = f.sent as f64 + OVERDUE * f.usual + OVERDUE_SPAN as f64;
+            let Some(e) = self.engines.get(&f.engine) else {
+                continue;
+            };
+            let quiet = (e.heard_at as f64) < expected - f.usual;
+            if self.now as f64 > expected && quiet && e.sick.is_none() {
+                silent.insert(f.engine);
+            }
+        }
+        if silent.len() * 2 > self.engines.len() {
+            return;
+        }
+        for engine in silent {
+            self.condemn(engine, "no answers", out);
+        }
+    }
+
+    /// An engine with room and nothing waiting takes over the most urgent request that waits elsewhere.
+    fn fetch_work(&mut self, engine: EngineId, out: &mut Vec<Action>) {
+        let Some(e) = self.engines.get(&engine) else {
+            return;
+        };
+        if e.sick.is_some() || !e.line.is_empty() || e.entry.listed != Listed::Up {
+            return;
+        }
+        let others = self.engines.iter().filter(|(&id, _)| id != engine);
+        let heads = others.filter_map(|(_, other)| other.line.first().copied());
+        let movable = heads.filter(|&(_, id)| {
+            let open = &self.open[&id];
+            let threads = f64::from(self.settings.classes[open.request.class.0].threads.max(1));
+            self.fits(e, threads)
+                && self.has_memory(e, self.grant(&open.request, e))
+                && matches!(self.guard(id, engine), Leave::Yes)
+                && open.avoid != Some(engine)
+                && !self.is_blocked(open, engine)
+        });
+        if let Some((_, id)) = movable.min() {
+            self.leave(id);
+            self.join(id, engine);
+            self.pump(engine, out);
+        }
+    }
+
+    /// Memory stays bounded on a long life.
+    fn drop_old(&mut self, out: &mut Vec<Action>) {
+        let window = self.settings.budget.as_ref().map_or(0, |b| b.window) + 2 * self.settings.quantum;
+        let from = self.now.saturating_sub(window);
+        while self.taken.front().is_some_and(|&t| t < from) {
+            self.taken.pop_front();
+        }
+        while self.extras.front().is_some_and(|&t| t < from) {
+            self.extras.pop_front();
+        }
+        let cold_from = self.now.saturating_sub(2 * self.settings.fall_span);
+        for e in self.engines.values_mut() {
+            while e.cold.front().is_some_and(|c| c.0 < cold_from) {
+                e.cold.pop_front();
+            }
+        }
+        let now = self.now;
+        self.flights.retain(|_, f| now < f.until.saturating_add(FORGET));
+        if let (Some(span), Some(at)) = (self.settings.ask_within, self.asked_at) {
+            if now >= at.saturating_add(span / 3) {
+                self.asked_at = Some(now);
+                out.push(Action::FetchList);
+            }
+        }
+    }
+
+    /// A random draw (splitmix64).
+    fn draw(&mut self) -> u64 {
+        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.rng)
+    }
+}
+
+/// Scatters the bits of a number.
+fn mix(x: u64) -> u64 {
+    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
