--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,8 +46,8 @@
 const PATIENCE_SPAN: Micros = 1_000_000;
 const STUBBORN: f64 = 2.0;
 /// An attempt is overdue after this many times its usual time, and this span more.
-const OVERDUE: f64 = 2.0;
-const OVERDUE_SPAN: Micros = 500_000;
+const OVERDUE: f64 = 3.0;
+const OVERDUE_SPAN: Micros = 700_000;
 /// Weight of one outcome in an engine's share of failures, and the share over which it is sick.
 const FAIL_SAMPLE: f64 = 0.2;
 const FAIL_OVER: f64 = 0.35;
@@ -525,8 +525,8 @@
         let Some(e) = self.engines.get_mut(&engine) else {
             return;
         };
-        let slow = e.slow.get().unwrap_or(best);
-        if now < e.stepped_at + STEP_EVERY {
+        let slow = e.slow.get().unwrap_or(1.0);
+        if !best.is_finite() || now < e.stepped_at + STEP_EVERY {
             return;
         }
         if slow < WIDEN_UNDER * best && e.pressed {
@@ -859,8 +859,9 @@
             e.k[flight.class.0].learn(clipped, flight.told);
             e.slow.learn(took, truth);
             e.debt[flight.class.0] = (e.debt[flight.class.0] + clipped - flight.cost).max(0.0);
-            let slow = e.slow.get().unwrap_or(1.0);
-            self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).max(0.1);
+            if let (Some(slow), true) = (e.slow.get(), e.slow.samples > LEAN / 2.0) {
+                self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).max(0.1);
+            }
         }
         self.steer(flight.engine);
     }
@@ -1163,7 +1164,7 @@
         let cost = |o: &Open| self.cost(&o.request, None);
         let Some(id) = allowed.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1))).map(|(&id, _)| id) else {
             if let Some(sick) = self.engines.get_mut(&engine).and_then(|e| e.sick.as_mut()) {
-                sick.next = self.now + TICK;
+                sick.next = self.now + sick.wait;
                 sick.probing = false;
             }
             return;
@@ -1222,12 +1223,9 @@
     fn find_silent(&mut self, out: &mut Vec<Action>) {
         let mut silent: BTreeSet<EngineId> = BTreeSet::new();
         for f in self.flights.values() {
-            let expected = f.sent as f64 + OVERDUE * f.usual + OVERDUE_SPAN as f64;
-            let Some(e) = self.engines.get(&f.engine) else {
-                continue;
-            };
-            let quiet = (e.heard_at as f64) < expected - f.usual;
-            if self.now as f64 > expected && quiet && e.sick.is_none() {
+            let Some(e) = self.engines.get(&f.engine) else { continue };
+            let since = f.sent.max(e.heard_at) as f64;
+            if e.sick.is_none() && self.now as f64 > since + OVERDUE * f.usual + OVERDUE_SPAN as f64 {
                 silent.insert(f.engine);
             }
         }
