--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,7 +29,7 @@
 const CUT: f64 = 0.9;
 const STEP_EVERY: Micros = 150_000;
 /// How far the bound may be cut under its start, and how far it may pass one gateway's whole engine.
-const NARROWEST: f64 = 0.4;
+const NARROWEST: f64 = 1.0;
 const WIDEST: f64 = 1.8;
 /// Work that a group of tables costs more where it is not warm, in the choice of an engine.
 const COLD_READ: f64 = 0.35;
