A quiet engine is probed before it is left alone, where probes are allowed

Covers every false alarm of silence: bad plans, small gateways with one long query. May hurt where an engine answers probes and nothing else.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -137,6 +137,7 @@
     warm: VecDeque<GroupId>,
     heard_at: Micros,
     fails: f64,
+    probing: bool,
     sick: Option<Sick>,
     /// Sends since the start of a cold engine, with their weight.
     cold: VecDeque<(Micros, f64)>,
@@ -146,7 +147,6 @@
     good: u32,
     wait: Micros,
     next: Micros,
-    probing: bool,
     trial: Option<RequestId>,
 }
 
@@ -1006,6 +1006,7 @@
                     warm: VecDeque::new(),
                     heard_at: now,
                     fails: 0.0,
+                    probing: false,
                     sick: None,
                     cold: VecDeque::new(),
                     entry,
@@ -1066,7 +1067,7 @@
         let Some(e) = self.engines.get_mut(&engine) else {
             return;
         };
-        e.sick = Some(Sick { good: 0, wait: TRIAL_FIRST, next, probing: false, trial: None });
+        e.sick = Some(Sick { good: 0, wait: TRIAL_FIRST, next, trial: None });
         out.push(Action::Log(format!("engine {:x} is left alone: {why}", engine.0)));
         self.empty_line(engine, out);
         self.give_up_on(engine, out);
@@ -1119,17 +1120,18 @@
         }
     }
 
+    /// A probe tells whether a quiet engine still answers, and is the first step of a sick one's trial.
     fn probed(&mut self, engine: EngineId, ok: bool, out: &mut Vec<Action>) {
-        let Some(sick) = self.engines.get_mut(&engine).and_then(|e| e.sick.as_mut()) else {
-            return;
-        };
-        if sick.probing {
-            sick.probing = false;
-            if !ok {
-                self.trial_done(engine, false, out);
-            } else {
-                self.try_out(engine, out);
-            }
+        let Some(e) = self.engines.get_mut(&engine).filter(|e| e.probing) else { return };
+        e.probing = false;
+        if ok {
+            e.heard_at = self.now;
+        }
+        match (e.sick.is_some(), ok) {
+            (false, true) => {}
+            (false, false) => self.condemn(engine, "no answers", out),
+            (true, true) => self.try_out(engine, out),
+            (true, false) => self.trial_done(engine, false, out),
         }
     }
 
@@ -1146,7 +1148,7 @@
         }
         sick.next = now + TRIAL_LONGEST;
         if may_probe {
-            sick.probing = true;
+            e.probing = true;
             out.push(Action::Probe(engine));
         } else {
             self.try_out(engine, out);
@@ -1165,7 +1167,6 @@
         let Some(id) = allowed.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1))).map(|(&id, _)| id) else {
             if let Some(sick) = self.engines.get_mut(&engine).and_then(|e| e.sick.as_mut()) {
                 sick.next = self.now + sick.wait;
-                sick.probing = false;
             }
             return;
         };
@@ -1233,7 +1234,13 @@
             return;
         }
         for engine in silent {
-            self.condemn(engine, "no answers", out);
+            let Some(e) = self.engines.get_mut(&engine) else { continue };
+            if !self.settings.may_probe {
+                self.condemn(engine, "no answers", out);
+            } else if !e.probing {
+                e.probing = true;
+                out.push(Action::Probe(engine));
+            }
         }
     }
 
