--- a/src/logic.rs
+++ b/src/logic.rs
@@ -65,6 +65,9 @@
 const COLD_MARGIN: f64 = 0.6;
 /// Part of a core's time that the rules take for its capacity.
 const CAPACITY: f64 = 0.85;
+/// How fast a backlog shuts out what earns less for its work than the average: the power of that ratio by
+/// which the time that a request may find ahead of it shrinks.
+const PINCH: f64 = 1.0;
 /// Requests beyond their tenant's share find buckets of this depth against the usual.
 const OVER_SHARE_DEPTH: f64 = 0.25;
 /// Seconds of a tenant's quota that may come at once.
@@ -114,8 +117,9 @@
     usual: Ratio,
     /// Logarithm of memory granted against estimated.
     grant: f64,
-    /// Decayed work asked for.
+    /// Decayed work and worth asked for.
     use_: f64,
+    worth: f64,
 }
 
 struct Engine {
@@ -243,6 +247,7 @@
             usual: Ratio::default(),
             grant: GRANT_START.ln(),
             use_: 0.0,
+            worth: 0.0,
         };
         Gateway {
             learned: vec![start; settings.classes.len()],
@@ -293,8 +298,11 @@
         self.taken.push_back(self.now);
         let over_share = !self.within_share(request.tenant);
         let cost = self.cost(&request, None);
+        let worth = finite(self.settings.classes[class].worth, 0.0, 1e9);
         for (i, learned) in self.learned.iter_mut().enumerate() {
-            learned.use_ += if i == class { cost } else { 0.0 } - SAMPLE * learned.use_;
+            let asked = if i == class { (cost, worth) } else { (0.0, 0.0) };
+            learned.use_ += SAMPLE * (asked.0 - learned.use_);
+            learned.worth += SAMPLE * (asked.1 - learned.worth);
         }
         let settings = &self.settings.classes[class];
         let stretch = settings.aim_stretch.max(0.0) * cost / f64::from(settings.threads.max(1));
@@ -411,7 +419,10 @@
         let wait = if self.fits(e, threads) && e.line.is_empty() { 0.0 } else { self.ahead(open, e) / rate };
         let depth = (rate * self.use_of(class) * slack).max(self.costliest());
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
-        e.debt[class] + cost <= depth && wait + run <= slack
+        let backlog = e.debt.iter().sum::<f64>() / rate;
+        let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
+        let pinched = wait > 0.0 && pinch < 1.0 && backlog > slack * pinch;
+        e.debt[class] + cost <= depth && wait + run <= slack && !pinched
     }
 
     /// Work before a request in an engine's line, and half of what runs there.
@@ -697,14 +708,20 @@
         finite(request.memory_mb * self.learned[request.class.0].grant.exp(), 0.0, most)
     }
 
+    /// Worth for each unit of predicted work.
+    fn density(&self, request: &Request) -> f64 {
+        finite(self.settings.classes[request.class.0].worth, 0.0, 1e9) / self.cost(request, None)
+    }
+
+    /// The same of all that was asked for of late.
+    fn usual_density(&self) -> f64 {
+        let sums = self.learned.iter().fold((0.0, 0.0), |s, l| (s.0 + l.worth, s.1 + l.use_));
+        if sums.1 > 0.0 { (sums.0 / sums.1).max(1e-12) } else { 1e-12 }
+    }
+
     /// Light queries first, by worth for each unit of work against the average.
     fn rank(&self, request: &Request) -> u8 {
-        let worth: f64 = self.settings.classes[request.class.0].worth;
-        let density = worth / self.cost(request, None);
-        let classes = self.settings.classes.iter().zip(&self.learned);
-        let all = classes.filter_map(|(c, l)| l.usual.get().map(|u| (c.worth, u)));
-        let (worths, works) = all.fold((0.0, 1.0), |sum, (w, u)| (sum.0 + w, sum.1 + u));
-        let average = worths / works;
+        let (density, average) = (self.density(request), self.usual_density());
         match density {
             d if d >= average => 3,
             d if d >= average / 2.0 => 2,
