--- a/src/logic.rs
+++ b/src/logic.rs
@@ -437,9 +437,10 @@
         self.learned.iter().filter_map(|l| l.usual.get()).fold(1.0, f64::max)
     }
 
+    /// A class's part of the drain: its recent use, counted by what it is worth.
     fn use_of(&self, class: usize) -> f64 {
-        let all: f64 = self.learned.iter().map(|l| l.use_).sum();
-        (self.learned[class].use_ / all.max(1.0)).max(LEAST_USE)
+        let all: f64 = self.learned.iter().map(|l| l.worth).sum();
+        (self.learned[class].worth / all.max(1e-9)).max(LEAST_USE)
     }
 
     /// A load stands still while another holds its group there, and so do classes that wait for loads.
