--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,6 +68,8 @@
 /// How fast a backlog shuts out what earns less for its work than the average: the power of that ratio by
 /// which the time that a request may find ahead of it shrinks.
 const PINCH: f64 = 1.0;
+/// Depth of a bucket against what it drains in the time that a request has.
+const DEPTH: f64 = 2.5;
 /// Requests beyond their tenant's share find buckets of this depth against the usual.
 const OVER_SHARE_DEPTH: f64 = 0.25;
 /// Seconds of a tenant's quota that may come at once.
@@ -417,7 +419,7 @@
         let slack = goal.saturating_sub(self.now) as f64;
         let rate = self.drain_rate(e);
         let wait = if self.fits(e, threads) && e.line.is_empty() { 0.0 } else { self.ahead(open, e) / rate };
-        let depth = (rate * self.use_of(class) * slack).max(self.costliest());
+        let depth = (DEPTH * rate * self.use_of(class) * slack).max(self.costliest());
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
         let backlog = e.debt.iter().sum::<f64>() / rate;
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
@@ -437,10 +439,10 @@
         self.learned.iter().filter_map(|l| l.usual.get()).fold(1.0, f64::max)
     }
 
-    /// A class's part of the drain: its recent use, counted by what it is worth.
+    /// A class's part of the drain, by its recent use.
     fn use_of(&self, class: usize) -> f64 {
-        let all: f64 = self.learned.iter().map(|l| l.worth).sum();
-        (self.learned[class].worth / all.max(1e-9)).max(LEAST_USE)
+        let all: f64 = self.learned.iter().map(|l| l.use_).sum();
+        (self.learned[class].use_ / all.max(1.0)).max(LEAST_USE)
     }
 
     /// A load stands still while another holds its group there, and so do classes that wait for loads.
