--- a/src/lib.rs
+++ b/src/lib.rs
@@ -85,6 +85,7 @@
 
 mod api;
 mod logic;
+mod state;
 
 pub use api::*;
 pub use logic::Gateway;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::api::*;
+use crate::state::*;
 
 // ---- Tuned values -------------------------------------------------------------------------------------
 
@@ -81,130 +82,7 @@
 /// The timer of the tick.
 const TICK_HANDLE: u64 = 0;
 
-// ---- State --------------------------------------------------------------------------------------------
-
-/// Two decayed sums whose ratio is learned.
-#[derive(Clone, Copy, Default)]
-struct Ratio {
-    truth: f64,
-    told: f64,
-    samples: f64,
-}
-
-impl Ratio {
-    fn learn(&mut self, truth: f64, told: f64) {
-        self.truth += truth - SAMPLE * self.truth;
-        self.told += told - SAMPLE * self.told;
-        self.samples += 1.0 - SAMPLE * self.samples;
-    }
-
-    fn get(&self) -> Option<f64> {
-        (self.told > 0.0).then(|| self.truth / self.told)
-    }
-
-    /// Its own value, leaning on `other` while samples are few.
-    fn leaning(&self, other: f64) -> f64 {
-        let own = self.get().unwrap_or(other);
-        (own * self.samples + other * LEAN) / (self.samples + LEAN)
-    }
-}
-
-/// What is learned of a class over all engines.
-#[derive(Clone)]
-struct Learned {
-    k: Ratio,
-    /// Latency × threads against true work.
-    slow: Ratio,
-    /// The average work of a query.
-    usual: Ratio,
-    /// Logarithm of memory granted against estimated.
-    grant: f64,
-    /// Decayed work and worth asked for.
-    use_: f64,
-    worth: f64,
-}
-
-struct Engine {
-    entry: EngineEntry,
-    debt: Vec<f64>,
-    drained_at: Micros,
-    standing: Vec<f64>,
-    k: Vec<Ratio>,
-    slow: Ratio,
-    /// Threads for each core of this gateway's share, learned from latency.
-    width: f64,
-    stepped_at: Micros,
-    pressed: bool,
-    line: BTreeSet<(Micros, RequestId)>,
-    threads: f64,
-    memory: f64,
-    /// Work given up on that may still run: until when, threads, memory.
-    ghosts: Vec<(Micros, f64, f64)>,
-    warm: VecDeque<GroupId>,
-    heard_at: Micros,
-    fails: f64,
-    probing: bool,
-    sick: Option<Sick>,
-    /// Sends since the start of a cold engine, with their weight.
-    cold: VecDeque<(Micros, f64)>,
-}
-
-struct Sick {
-    good: u32,
-    wait: Micros,
-    next: Micros,
-    trial: Option<RequestId>,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Place {
-    /// Waits for its key's turn.
-    Parked,
-    Line(EngineId),
-    Out(EngineId),
-    /// Its stream belongs to the client.
-    Bound,
-}
-
-struct Open {
-    request: Request,
-    place: Place,
-    /// When its worth falls.
-    goal: Micros,
-    over_share: bool,
-    attempts: u32,
-    /// The first attempt that may have run: its number, zone, cell, and when it was sent.
-    maybe: Option<(u32, ZoneId, CellId, Micros)>,
-    /// The engine of the last failed attempt; others are better.
-    avoid: Option<EngineId>,
-    /// What its place in a line has added to the debt there.
-    charged: f64,
-}
-
-struct Flight {
-    engine: EngineId,
-    class: ClassId,
-    sent: Micros,
-    until: Micros,
-    cost: f64,
-    told: f64,
-    told_memory: f64,
-    memory: f64,
-    threads: f64,
-    /// How long it should take.
-    usual: f64,
-    repeatable: bool,
-    is_load: bool,
-    group: GroupId,
-    key: Option<OrderKey>,
-    cancelled: bool,
-}
-
-#[derive(Default)]
-struct Turns {
-    queue: VecDeque<RequestId>,
-    rest_until: Micros,
-}
+// ---- State; what is only kept stands in `src/state.rs` --------------------------------------------------
 
 enum Leave {
     Yes,
@@ -224,33 +102,16 @@
     tokens: Vec<(f64, Micros)>,
     engines: BTreeMap<EngineId, Engine>,
     open: BTreeMap<RequestId, Open>,
-    /// Open requests by when they are due.
-    due: BTreeSet<(Micros, RequestId)>,
     flights: BTreeMap<(RequestId, u32), Flight>,
     keys: BTreeMap<OrderKey, Turns>,
     taken: VecDeque<Micros>,
     extras: VecDeque<Micros>,
 }
 
-fn finite(x: f64, least: f64, most: f64) -> f64 {
-    if x.is_finite() {
-        x.clamp(least, most)
-    } else {
-        least
-    }
-}
-
 impl Gateway {
     /// A gateway that knows its settings and nothing else. `seed` feeds all its random draws.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let start = Learned {
-            k: Ratio::default(),
-            slow: Ratio::default(),
-            usual: Ratio::default(),
-            grant: GRANT_START.ln(),
-            use_: 0.0,
-            worth: 0.0,
-        };
+        let start = Learned { grant: GRANT_START.ln(), ..Learned::default() };
         Gateway {
             learned: vec![start; settings.classes.len()],
             tokens: settings.tenants.iter().map(|t| (t.quota_per_s.max(0.0) * QUOTA_BURST, 0)).collect(),
@@ -262,7 +123,6 @@
             best_slow: f64::INFINITY,
             engines: BTreeMap::new(),
             open: BTreeMap::new(),
-            due: BTreeSet::new(),
             flights: BTreeMap::new(),
             keys: BTreeMap::new(),
             taken: VecDeque::new(),
@@ -276,7 +136,7 @@
         match event {
             Event::Engines { kind, entries } => self.listed(kind, entries, out),
             Event::Request(request) => self.take(request, out),
-            Event::Lapsed(id) => self.lapsed(id, out),
+            Event::Lapsed(id) => self.forget(id, out),
             Event::Answer(answer) => self.answered(answer, out),
             Event::Streaming(id) => self.streaming(id),
             Event::Probed { engine, ok, .. } => self.probed(engine, ok, out),
@@ -303,7 +163,7 @@
         let worth = finite(self.settings.classes[class].worth, 0.0, 1e9);
         for (i, learned) in self.learned.iter_mut().enumerate() {
             let asked = if i == class { (cost, worth) } else { (0.0, 0.0) };
-            learned.use_ += SAMPLE * (asked.0 - learned.use_);
+            learned.asked += SAMPLE * (asked.0 - learned.asked);
             learned.worth += SAMPLE * (asked.1 - learned.worth);
         }
         let settings = &self.settings.classes[class];
@@ -313,7 +173,6 @@
             self.keys.entry(key.clone()).or_default().queue.push_back(request.id);
         }
         let id = request.id;
-        self.due.insert((request.due, id));
         let open = Open {
             request,
             place: Place::Parked,
@@ -347,7 +206,7 @@
     fn cost(&self, request: &Request, engine: Option<&Engine>) -> f64 {
         let class = request.class.0;
         let k = self.learned[class].k.get().unwrap_or(1.0);
-        let k = engine.map_or(k, |e| e.k[class].leaning(k));
+        let k = engine.map_or(k, |e| e.k[class].leaning(k, LEAN));
         finite(self.told(request) * k, 1.0, 1e12)
     }
 
@@ -392,7 +251,7 @@
             }
             let group = open.request.group;
             let warm = if e.warm.contains(&group) { 1.0 } else { 1.0 + COLD_READ };
-            let debt = e.debt.iter().sum::<f64>() + warm * self.cost(&open.request, Some(e));
+            let debt = e.total_debt() + warm * self.cost(&open.request, Some(e));
             let blocked = if self.is_blocked(open, engine) { 2.0 } else { 1.0 };
             let score = blocked * debt / self.drain_rate(e);
             let rank = (open.avoid == Some(engine), score, mix(group.0 ^ mix(engine.0)), engine);
@@ -421,7 +280,7 @@
         let wait = if self.fits(e, threads) && e.line.is_empty() { 0.0 } else { self.ahead(open, e) / rate };
         let depth = (DEPTH * rate * self.use_of(class) * slack).max(self.costliest());
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
-        let backlog = e.debt.iter().sum::<f64>() / rate;
+        let backlog = e.total_debt() / rate;
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
         let pinched = wait > 0.0 && pinch < 1.0 && backlog > slack * pinch;
         e.debt[class] + cost <= depth && wait + run <= slack && !pinched
@@ -441,15 +300,17 @@
 
     /// A class's part of the drain, by its recent use.
     fn use_of(&self, class: usize) -> f64 {
-        let all: f64 = self.learned.iter().map(|l| l.use_).sum();
-        (self.learned[class].use_ / all.max(1.0)).max(LEAST_USE)
+        let all: f64 = self.learned.iter().map(|l| l.asked).sum();
+        (self.learned[class].asked / all.max(1.0)).max(LEAST_USE)
     }
 
     /// A load stands still while another holds its group there, and so do classes that wait for loads.
     fn is_blocked(&self, open: &Open, engine: EngineId) -> bool {
         let class = &self.settings.classes[open.request.class.0];
         let waits = class.is_load || class.waits_for_loads;
-        let holds = |f: &Flight| f.is_load && f.engine == engine && f.group == open.request.group;
+        let group = open.request.group;
+        let is_load = |f: &Flight| self.settings.classes[f.request.class.0].is_load;
+        let holds = |f: &Flight| f.engine == engine && f.request.group == group && is_load(f);
         waits && self.flights.values().any(holds)
     }
 
@@ -467,7 +328,7 @@
     /// How far an engine keeps up with its peers, and with its own warm self.
     fn speed(&self, e: &Engine) -> f64 {
         let usual = self.usual_slow();
-        finite(usual / e.slow.leaning(usual), 0.05, 1.0) * self.warmth(e)
+        finite(usual / e.slow.leaning(usual, LEAN), 0.05, 1.0) * self.warmth(e)
     }
 
     /// What a cold engine can do for sure, against a warm one.
@@ -521,15 +382,14 @@
 
     /// Room under the thread bound; where this gateway runs nothing, one query may start.
     fn fits(&self, e: &Engine, threads: f64) -> bool {
-        let ghosts: f64 = e.ghosts.iter().map(|g| g.1).sum();
-        e.threads + ghosts == 0.0 || e.threads + ghosts + threads <= self.bound(e)
+        let held = e.held().0;
+        held == 0.0 || held + threads <= self.bound(e)
     }
 
     fn has_memory(&self, e: &Engine, grant: f64) -> bool {
         let all = self.settings.kinds.get(e.entry.kind.0).map_or(0.0, |k| k.memory_mb);
         let part = (self.share() * e.width / THREADS_PER_CORE).min(1.0);
-        let ghosts: f64 = e.ghosts.iter().map(|g| g.2).sum();
-        all <= 0.0 || e.threads == 0.0 || e.memory + ghosts + grant <= all * part
+        all <= 0.0 || e.threads == 0.0 || e.held().1 + grant <= all * part
     }
 
     /// Widens the bound while queries take little longer than at best, cuts it as they take longer.
@@ -575,11 +435,9 @@
         };
         let Place::Line(engine) = open.place else { return };
         open.place = Place::Parked;
-        let class = open.request.class.0;
         if let Some(e) = self.engines.get_mut(&engine) {
             e.line.remove(&(open.goal, id));
-            e.debt[class] = (e.debt[class] - open.charged).max(0.0);
-            e.standing[class] = (e.standing[class] - open.charged).max(0.0);
+            e.discharge(open.request.class, open.charged);
         }
     }
 
@@ -618,13 +476,13 @@
         let class = &self.settings.classes[open.request.class.0];
         let kind_ok = class.kinds.as_ref().is_none_or(|k| k.contains(&e.entry.kind));
         let zone_ok = class.zones.as_ref().is_none_or(|z| z.contains(&e.entry.zone));
-        let out_now = matches!(open.place, Place::Out(_) | Place::Bound) || self.is_out(id);
+        let out_now = !open.waits() || self.is_out(id);
         let capped = open.attempts >= self.settings.attempts_cap;
         let up = e.entry.listed == Listed::Up;
         if !kind_ok || !zone_ok || !up || out_now || capped || !self.effect_allows(open, e) {
             return Leave::No;
         }
-        if open.attempts > 0 && !self.budget_allows() || !self.cold_allows(open, e, true) {
+        if open.attempts > 0 && self.budget_left() < 1.0 || !self.cold_allows(open, e, true) {
             return Leave::No;
         }
         if !self.has_turn(id) || !self.cold_allows(open, e, false) {
@@ -657,16 +515,13 @@
     }
 
     /// Further attempts are rationed; what is close to the window's edge counts against us.
-    fn budget_allows(&self) -> bool {
-        let Some(budget) = &self.settings.budget else {
-            return true;
-        };
-        let since = |span: Micros| self.now.saturating_sub(span);
+    fn budget_left(&self) -> f64 {
+        let Some(budget) = &self.settings.budget else { return f64::INFINITY };
+        let edge = self.now.saturating_sub(budget.window);
         let quantum = self.settings.quantum;
-        let taken = self.taken.iter().rev().take_while(|&&t| t + budget.window > self.now + quantum).count();
-        let from = since(budget.window + quantum);
-        let made = self.extras.iter().rev().take_while(|&&t| t >= from).count();
-        made as f64 + 1.0 <= budget.free + budget.per_request * taken as f64
+        let taken = self.taken.iter().rev().take_while(|&&t| t > edge + quantum).count() as f64;
+        let made = self.extras.iter().rev().take_while(|&&t| t + quantum >= edge).count() as f64;
+        budget.free + budget.per_request * taken - made
     }
 
     /// A fresh engine falls over if all gateways send too much: each sends its part, whatever the others
@@ -718,8 +573,12 @@
 
     /// The same of all that was asked for of late.
     fn usual_density(&self) -> f64 {
-        let sums = self.learned.iter().fold((0.0, 0.0), |s, l| (s.0 + l.worth, s.1 + l.use_));
-        if sums.1 > 0.0 { (sums.0 / sums.1).max(1e-12) } else { 1e-12 }
+        let sums = self.learned.iter().fold((0.0, 0.0), |s, l| (s.0 + l.worth, s.1 + l.asked));
+        if sums.1 > 0.0 {
+            (sums.0 / sums.1).max(1e-12)
+        } else {
+            1e-12
+        }
     }
 
     /// Light queries first, by worth for each unit of work against the average.
@@ -740,26 +599,21 @@
         let class = &self.settings.classes[request.class.0];
         let cost = self.cost(request, Some(e));
         let threads = f64::from(class.threads.max(1));
-        let slow = self.learned[request.class.0].slow.leaning(1.0).max(e.slow.leaning(1.0)).max(1.0);
+        let slow =
+            self.learned[request.class.0].slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN)).max(1.0);
         let usual = cost / threads * slow / self.warmth(e);
         let flight = Flight {
             engine,
-            class: request.class,
+            request: request.clone(),
             sent: self.now,
             until: self.until(open, usual),
-            cost: if open.charged > 0.0 { open.charged } else { cost },
-            told: self.told(request),
-            told_memory: request.memory_mb,
+            cost: open.charged,
             memory: grant,
             threads,
             usual,
-            repeatable: matches!(class.effect, Effect::Repeatable),
-            is_load: class.is_load,
-            group: request.group,
-            key: request.key.clone().filter(|_| class.in_order),
             cancelled: false,
         };
-        let (weight, rank, group) = (self.cold_weight(open), self.rank(request), request.group);
+        let (weight, rank) = (self.cold_weight(open), self.rank(request));
         if self.settings.grants || self.settings.priorities {
             let memory_mb = if self.settings.grants { grant } else { 0.0 };
             out.push(Action::Terms { id, memory_mb, rank: if self.settings.priorities { rank } else { 1 } });
@@ -772,16 +626,14 @@
         e.line.remove(&(open.goal, id));
         e.threads += threads;
         e.memory += grant;
-        e.warm.retain(|&g| g != group);
-        e.warm.push_front(group);
-        e.warm.truncate(WARM_GROUPS);
+        e.touch(open.request.group, WARM_GROUPS);
         if cold {
             e.cold.push_back((self.now, weight));
         }
         if open.attempts > 0 {
             self.extras.push_back(self.now);
         }
-        open.place = Place::Out(engine);
+        open.place = Place::Out;
         open.charged = 0.0;
         open.maybe = open.maybe.or(Some((open.attempts, e.entry.zone, e.entry.cell, self.now)));
         self.flights.insert((id, open.attempts), flight);
@@ -792,7 +644,7 @@
     fn until(&self, open: &Open, usual: f64) -> Micros {
         let due = open.request.due;
         let class = &self.settings.classes[open.request.class.0];
-        let last = open.attempts + 1 >= self.settings.attempts_cap || !self.budget_allows();
+        let last = open.attempts + 1 >= self.settings.attempts_cap || self.budget_left() < 1.0;
         if last || matches!(class.effect, Effect::Once) {
             return due;
         }
@@ -823,36 +675,32 @@
             open.avoid = Some(engine);
             open.place = Place::Parked;
             if answer.complete {
-                self.forget(answer.id);
+                self.forget(answer.id, out);
             } else if self.now + TICK >= open.request.due {
                 self.end(answer.id, out);
             } else {
                 self.place(answer.id, out);
             }
         }
-        if let Some(key) = &flight.key {
-            self.advance(key, out);
-        }
+        self.advance(flight.request.key.as_ref(), out);
         self.pump(engine, out);
         self.fetch_work(engine, out);
     }
 
     /// Frees what the attempt held and learns from it.
     fn settle(&mut self, flight: &Flight, answer: &Answer) {
-        let now = self.now;
         let unsure = matches!(answer.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        if let (true, Some(turns)) = (unsure, flight.key.as_ref().and_then(|k| self.keys.get_mut(k))) {
-            turns.rest_until = turns.rest_until.max(now.saturating_add(self.settings.key_rest));
+        let turns = flight.request.key.as_ref().and_then(|k| self.keys.get_mut(k));
+        if let (true, Some(turns)) = (unsure, turns) {
+            turns.rest_until = turns.rest_until.max(self.now.saturating_add(self.settings.key_rest));
         }
-        let runs_on = !self.settings.may_cancel && matches!(answer.outcome, Outcome::Timeout);
         if let Some(e) = self.engines.get_mut(&flight.engine) {
             e.threads = (e.threads - flight.threads).max(0.0);
             e.memory = (e.memory - flight.memory).max(0.0);
-            let class = flight.class.0;
-            e.standing[class] = (e.standing[class] - flight.cost).max(0.0);
-            if runs_on {
+            e.standing[flight.request.class.0] -= flight.cost.min(e.standing[flight.request.class.0]);
+            if !self.settings.may_cancel && answer.outcome == Outcome::Timeout {
                 // Nothing stops the work of an attempt given up here: it holds its threads a while yet.
-                let end = now.saturating_add(flight.usual as Micros);
+                let end = self.now.saturating_add(flight.usual as Micros);
                 e.ghosts.push((end, flight.threads, flight.memory));
             }
         }
@@ -865,20 +713,21 @@
     fn learn(&mut self, flight: &Flight, answer: &Answer) {
         let took = answer.took as f64 * flight.threads;
         let truth = answer.work.filter(|&w| w > 0 && self.settings.tells_cost).map_or(took, |w| w as f64);
-        let learned = &mut self.learned[flight.class.0];
-        let k = learned.k.get().unwrap_or(truth / flight.told);
-        let clipped = truth.clamp(flight.told * k / CLIP, flight.told * k * CLIP);
-        learned.k.learn(clipped, flight.told);
-        learned.usual.learn(truth, 1.0);
-        learned.slow.learn(took, truth);
-        if let (Some(need), true) = (answer.memory_mb, flight.told_memory > 0.0) {
-            let over = (need / flight.told_memory).ln() > learned.grant;
+        let (class, told) = (flight.request.class.0, self.told(&flight.request));
+        let learned = &mut self.learned[class];
+        let k = learned.k.get().unwrap_or(truth / told);
+        let clipped = truth.clamp(told * k / CLIP, told * k * CLIP);
+        learned.k.learn(clipped, told, SAMPLE);
+        learned.usual.learn(truth, 1.0, SAMPLE);
+        learned.slow.learn(took, truth, SAMPLE);
+        if let (Some(need), true) = (answer.memory_mb, flight.request.memory_mb > 0.0) {
+            let over = (need / flight.request.memory_mb).ln() > learned.grant;
             learned.grant += GRANT_STEP * if over { GRANT_QUANTILE } else { GRANT_QUANTILE - 1.0 };
         }
         if let Some(e) = self.engines.get_mut(&flight.engine) {
-            e.k[flight.class.0].learn(clipped, flight.told);
-            e.slow.learn(took, truth);
-            e.debt[flight.class.0] = (e.debt[flight.class.0] + clipped - flight.cost).max(0.0);
+            e.k[class].learn(clipped, told, SAMPLE);
+            e.slow.learn(took, truth, SAMPLE);
+            e.debt[class] = (e.debt[class] + clipped - flight.cost).max(0.0);
             if let (Some(slow), true) = (e.slow.get(), e.slow.samples > LEAN / 2.0) {
                 self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).max(0.1);
             }
@@ -889,22 +738,6 @@
     fn streaming(&mut self, id: RequestId) {
         if let Some(open) = self.open.get_mut(&id) {
             open.place = Place::Bound;
-            self.due.remove(&(open.request.due, id));
-        }
-    }
-
-    fn lapsed(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        self.withdraw(id, out);
-        self.forget_and_advance(id, out);
-    }
-
-    fn withdraw(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let may = self.settings.may_cancel;
-        for (&(_, attempt), f) in self.flights.range_mut((id, 0)..=(id, u32::MAX)) {
-            if may && !f.cancelled {
-                f.cancelled = true;
-                out.push(Action::Cancel { id, attempt });
-            }
         }
     }
 
@@ -924,27 +757,26 @@
         } else {
             out.push(Action::Fail(id));
         }
-        self.withdraw(id, out);
-        self.forget_and_advance(id, out);
+        self.forget(id, out);
     }
 
-    fn forget_and_advance(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let key = self.open.get(&id).and_then(|o| o.request.key.clone());
-        self.forget(id);
-        if let Some(key) = key {
-            self.advance(&key, out);
-        }
-    }
-
-    fn forget(&mut self, id: RequestId) {
+    /// A request is over: what of it is out is withdrawn, and its key may go on.
+    fn forget(&mut self, id: RequestId, out: &mut Vec<Action>) {
         self.leave(id);
-        if let Some(open) = self.open.remove(&id) {
-            self.due.remove(&(open.request.due, id));
+        let Some(open) = self.open.remove(&id) else { return };
+        let may = self.settings.may_cancel;
+        for (&(_, attempt), f) in self.flights.range_mut((id, 0)..=(id, u32::MAX)) {
+            if may && !f.cancelled {
+                f.cancelled = true;
+                out.push(Action::Cancel { id, attempt });
+            }
         }
+        self.advance(open.request.key.as_ref(), out);
     }
 
     /// Gives the turn to the next request of a key, once the one before it is over and answered.
-    fn advance(&mut self, key: &OrderKey, out: &mut Vec<Action>) {
+    fn advance(&mut self, key: Option<&OrderKey>, out: &mut Vec<Action>) {
+        let Some(key) = key else { return };
         loop {
             let Some(turns) = self.keys.get(key) else { return };
             let Some(&first) = turns.queue.front() else {
@@ -967,9 +799,10 @@
     // ---- Engines: the list, symptoms, trials -----------------------------------------------------------
 
     fn listed(&mut self, kind: ListKind, entries: Vec<EngineEntry>, out: &mut Vec<Action>) {
-        if self.asked_at.is_none() || kind == ListKind::Lost {
-            self.ask(out);
+        if self.settings.ask_within.is_some() && (self.asked_at.is_none() || kind == ListKind::Lost) {
+            out.push(Action::Subscribe);
         }
+        self.asked_at = self.asked_at.or(Some(self.now));
         if kind == ListKind::Lost {
             return;
         }
@@ -996,8 +829,7 @@
     }
 
     fn relist(&mut self, entry: EngineEntry) {
-        let classes = self.settings.classes.len();
-        let now = self.now;
+        let (classes, now) = (self.settings.classes.len(), self.now);
         match self.engines.get_mut(&entry.engine) {
             Some(e) => {
                 if entry.came_up > e.entry.came_up {
@@ -1010,40 +842,12 @@
                 e.entry = entry;
             }
             None => {
-                let engine = Engine {
-                    debt: vec![0.0; classes],
-                    drained_at: now,
-                    standing: vec![0.0; classes],
-                    k: vec![Ratio::default(); classes],
-                    slow: Ratio::default(),
-                    width: THREADS_PER_CORE,
-                    stepped_at: now,
-                    pressed: false,
-                    line: BTreeSet::new(),
-                    threads: 0.0,
-                    memory: 0.0,
-                    ghosts: Vec::new(),
-                    warm: VecDeque::new(),
-                    heard_at: now,
-                    fails: 0.0,
-                    probing: false,
-                    sick: None,
-                    cold: VecDeque::new(),
-                    entry,
-                };
-                self.engines.insert(engine.entry.engine, engine);
+                let id = entry.engine;
+                self.engines.insert(id, Engine::new(entry, classes, THREADS_PER_CORE, now));
             }
         }
     }
 
-    /// Where the list comes only when asked for: subscribes, and asks again in good time.
-    fn ask(&mut self, out: &mut Vec<Action>) {
-        if self.settings.ask_within.is_some() {
-            out.push(Action::Subscribe);
-        }
-        self.asked_at = Some(self.now);
-    }
-
     /// Places again all that waits for an engine that is not to be used.
     fn empty_line(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let Some(e) = self.engines.get(&engine) else {
@@ -1098,14 +902,19 @@
         if !self.settings.may_cancel {
             return;
         }
-        let mut budget = self.extras_left();
+        let mut budget = self.budget_left();
         let (open, now, cap) = (&self.open, self.now, self.settings.attempts_cap);
         for (&(id, attempt), f) in self.flights.iter_mut().filter(|(_, f)| f.engine == engine) {
             let late = (now - f.sent) as f64 > OVERDUE * f.usual;
             let time = open
                 .get(&id)
                 .is_some_and(|o| o.attempts < cap && now.saturating_add(f.usual as Micros) < o.request.due);
-            if f.repeatable && late && time && budget >= 1.0 && !f.cancelled {
+            if self.settings.classes[f.request.class.0].effect == Effect::Repeatable
+                && late
+                && time
+                && budget >= 1.0
+                && !f.cancelled
+            {
                 budget -= 1.0;
                 f.cancelled = true;
                 out.push(Action::Cancel { id, attempt });
@@ -1113,16 +922,6 @@
         }
     }
 
-    fn extras_left(&self) -> f64 {
-        let Some(budget) = &self.settings.budget else {
-            return f64::INFINITY;
-        };
-        let from = self.now.saturating_sub(budget.window);
-        let taken = self.taken.iter().rev().take_while(|&&t| t > from).count() as f64;
-        let made = self.extras.iter().rev().take_while(|&&t| t >= from).count() as f64;
-        budget.free + budget.per_request * taken - made
-    }
-
     fn trial_done(&mut self, engine: EngineId, good: bool, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(e) = self.engines.get_mut(&engine) else {
@@ -1179,7 +978,7 @@
     fn try_out(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let light = |open: &Open| {
             let class = &self.settings.classes[open.request.class.0];
-            matches!(class.effect, Effect::Repeatable) && open.attempts + 1 < self.settings.attempts_cap
+            class.effect == Effect::Repeatable && open.attempts + 1 < self.settings.attempts_cap
         };
         let waiting = self.open.iter().filter(|(_, o)| matches!(o.place, Place::Line(_)) && light(o));
         let allowed = waiting.filter(|(&id, _)| matches!(self.guard(id, engine), Leave::Yes));
@@ -1213,7 +1012,7 @@
         }
         let keys: Vec<OrderKey> = self.keys.keys().cloned().collect();
         for key in keys {
-            self.advance(&key, out);
+            self.advance(Some(&key), out);
         }
         self.drop_old(out);
     }
@@ -1221,20 +1020,15 @@
     /// Ends what waits and can no longer be served in time; attempts out have a time-out of their own.
     fn end_due(&mut self, out: &mut Vec<Action>) {
         let edge = self.now + TICK + self.settings.quantum;
-        let due: Vec<RequestId> = self.due.iter().take_while(|d| d.0 <= edge).map(|d| d.1).collect();
-        for id in due {
-            if self.open.get(&id).is_some_and(|o| matches!(o.place, Place::Parked | Place::Line(_))) {
-                self.end(id, out);
-            }
-        }
-        let late = |o: &Open| {
+        let hopeless = |o: &Open| {
             let class = &self.settings.classes[o.request.class.0];
             let run = self.cost(&o.request, None) / f64::from(class.threads.max(1));
             let end = if class.late_worth > 0.0 { o.request.due } else { o.goal };
-            matches!(o.place, Place::Parked | Place::Line(_)) && self.now as f64 + run > end as f64
+            o.waits() && (o.request.due <= edge || self.now as f64 + run > end as f64)
         };
-        let late: Vec<RequestId> = self.open.iter().filter(|(_, o)| late(o)).map(|(&id, _)| id).collect();
-        for id in late {
+        let ended: Vec<RequestId> =
+            self.open.iter().filter(|(_, o)| hopeless(o)).map(|(&id, _)| id).collect();
+        for id in ended {
             self.end(id, out);
         }
     }
@@ -1294,17 +1088,11 @@
     fn drop_old(&mut self, out: &mut Vec<Action>) {
         let window = self.settings.budget.as_ref().map_or(0, |b| b.window) + 2 * self.settings.quantum;
         let from = self.now.saturating_sub(window);
-        while self.taken.front().is_some_and(|&t| t < from) {
-            self.taken.pop_front();
-        }
-        while self.extras.front().is_some_and(|&t| t < from) {
-            self.extras.pop_front();
-        }
+        trim(&mut self.taken, from, |&t| t);
+        trim(&mut self.extras, from, |&t| t);
         let cold_from = self.now.saturating_sub(2 * self.settings.fall_span);
         for e in self.engines.values_mut() {
-            while e.cold.front().is_some_and(|c| c.0 < cold_from) {
-                e.cold.pop_front();
-            }
+            trim(&mut e.cold, cold_from, |c| c.0);
         }
         let now = self.now;
         self.flights.retain(|_, f| now < f.until.saturating_add(FORGET));
@@ -1322,10 +1110,3 @@
         mix(self.rng)
     }
 }
-
-/// Scatters the bits of a number.
-fn mix(x: u64) -> u64 {
-    let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
