--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,4 +88,4 @@
 mod state;
 
 pub use api::*;
-pub use logic::Gateway;
+pub use state::Gateway;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,7 @@
 //! deadline first → `pump` (thread bound, memory, `guard`) → `send` → `answered` → served, placed again or
 //! `end`ed. A tick looks after what no event tells: deadlines, silence, trials of sick engines.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use crate::api::*;
 use crate::state::*;
@@ -71,6 +71,8 @@
 const PINCH: f64 = 1.0;
 /// Depth of a bucket against what it drains in the time that a request has.
 const DEPTH: f64 = 2.5;
+/// Worth for its work against the average from which a query has more than the lowest rank.
+const SECOND_RANK: f64 = 0.5;
 /// Requests beyond their tenant's share find buckets of this depth against the usual.
 const OVER_SHARE_DEPTH: f64 = 0.25;
 /// Seconds of a tenant's quota that may come at once.
@@ -82,52 +84,12 @@
 /// The timer of the tick.
 const TICK_HANDLE: u64 = 0;
 
-// ---- State; what is only kept stands in `src/state.rs` --------------------------------------------------
-
-enum Leave {
-    Yes,
-    Later,
-    No,
-}
-
-/// The decisions of one query gateway.
-pub struct Gateway {
-    settings: Settings,
-    now: Micros,
-    rng: u64,
-    ticking: bool,
-    asked_at: Option<Micros>,
-    best_slow: f64,
-    learned: Vec<Learned>,
-    tokens: Vec<(f64, Micros)>,
-    engines: BTreeMap<EngineId, Engine>,
-    open: BTreeMap<RequestId, Open>,
-    flights: BTreeMap<(RequestId, u32), Flight>,
-    keys: BTreeMap<OrderKey, Turns>,
-    taken: VecDeque<Micros>,
-    extras: VecDeque<Micros>,
-}
-
 impl Gateway {
     /// A gateway that knows its settings and nothing else. `seed` feeds all its random draws.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let start = Learned { grant: GRANT_START.ln(), ..Learned::default() };
-        Gateway {
-            learned: vec![start; settings.classes.len()],
-            tokens: settings.tenants.iter().map(|t| (t.quota_per_s.max(0.0) * QUOTA_BURST, 0)).collect(),
-            settings,
-            now: 0,
-            rng: seed,
-            ticking: false,
-            asked_at: None,
-            best_slow: f64::INFINITY,
-            engines: BTreeMap::new(),
-            open: BTreeMap::new(),
-            flights: BTreeMap::new(),
-            keys: BTreeMap::new(),
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
-        }
+        let mut gateway = Gateway::empty(settings, seed);
+        gateway.learned.iter_mut().for_each(|l| l.grant = GRANT_START.ln());
+        gateway
     }
 
     /// Decides on one event at the time `now`; what is to be done is added to `out`, in order.
@@ -138,7 +100,7 @@
             Event::Request(request) => self.take(request, out),
             Event::Lapsed(id) => self.forget(id, out),
             Event::Answer(answer) => self.answered(answer, out),
-            Event::Streaming(id) => self.streaming(id),
+            Event::Streaming(id) => self.open.get_mut(&id).into_iter().for_each(|o| o.place = Place::Bound),
             Event::Probed { engine, ok, .. } => self.probed(engine, ok, out),
             Event::Heard { .. } => {}
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
@@ -166,23 +128,14 @@
             learned.asked += SAMPLE * (asked.0 - learned.asked);
             learned.worth += SAMPLE * (asked.1 - learned.worth);
         }
-        let settings = &self.settings.classes[class];
-        let stretch = settings.aim_stretch.max(0.0) * cost / f64::from(settings.threads.max(1));
+        let settings = self.class(&request);
+        let stretch = settings.aim_stretch.max(0.0) * cost / self.threads(&request);
         let goal = self.now.saturating_add(settings.aim).saturating_add(stretch as Micros).min(request.due);
         if let (true, Some(key)) = (settings.in_order, &request.key) {
             self.keys.entry(key.clone()).or_default().queue.push_back(request.id);
         }
         let id = request.id;
-        let open = Open {
-            request,
-            place: Place::Parked,
-            goal,
-            over_share,
-            attempts: 0,
-            maybe: None,
-            avoid: None,
-            charged: 0.0,
-        };
+        let open = Open::new(request, goal, over_share);
         self.open.insert(id, open);
         self.place(id, out);
     }
@@ -190,9 +143,7 @@
     /// A token bucket for each tenant, filled with this gateway's part of the quota.
     fn within_share(&mut self, tenant: TenantId) -> bool {
         let parts = f64::from(self.settings.gateways.max(1));
-        let Some((tokens, at)) = self.tokens.get_mut(tenant.0) else {
-            return true;
-        };
+        let Some((tokens, at)) = self.tokens.get_mut(tenant.0) else { return true };
         let rate = finite(self.settings.tenants[tenant.0].quota_per_s, 0.0, 1e9) / parts;
         let more = rate * (self.now - *at) as f64 / 1e6;
         *tokens = (*tokens + more).min((rate * QUOTA_BURST).max(1.0));
@@ -212,8 +163,7 @@
 
     /// The estimate, or a stand-in for it where none is told.
     fn told(&self, request: &Request) -> f64 {
-        let class = &self.settings.classes[request.class.0];
-        let unknown = class.aim as f64 * UNKNOWN_COST * f64::from(class.threads.max(1));
+        let unknown = self.class(request).aim as f64 * UNKNOWN_COST * self.threads(request);
         if request.cost > 0 {
             request.cost as f64
         } else {
@@ -246,7 +196,7 @@
         let open = self.open.get(&id)?;
         let mut best: Option<(bool, f64, u64, EngineId)> = None;
         for (&engine, e) in &self.engines {
-            if e.sick.is_some() || matches!(self.guard(id, engine), Leave::No) || !self.passes(open, e) {
+            if e.sick.is_some() || self.guard(id, engine) == Leave::No || !self.passes(open, e) {
                 continue;
             }
             let group = open.request.group;
@@ -268,7 +218,7 @@
         let request = &open.request;
         let class = request.class.0;
         let cost = self.cost(request, Some(e));
-        let threads = f64::from(self.settings.classes[class].threads.max(1));
+        let threads = self.threads(request);
         let run = cost / threads / self.speed(e);
         let left = request.due.saturating_sub(self.now) as f64;
         if e.threads == 0.0 && e.line.is_empty() && e.debt.iter().all(|&d| d <= 0.0) {
@@ -306,21 +256,16 @@
 
     /// A load stands still while another holds its group there, and so do classes that wait for loads.
     fn is_blocked(&self, open: &Open, engine: EngineId) -> bool {
-        let class = &self.settings.classes[open.request.class.0];
+        let class = self.class(&open.request);
         let waits = class.is_load || class.waits_for_loads;
         let group = open.request.group;
-        let is_load = |f: &Flight| self.settings.classes[f.request.class.0].is_load;
+        let is_load = |f: &Flight| self.class(&f.request).is_load;
         let holds = |f: &Flight| f.engine == engine && f.request.group == group && is_load(f);
         waits && self.flights.values().any(holds)
     }
 
     // ---- Debt, drain and the thread bound --------------------------------------------------------------
 
-    fn cores(&self, e: &Engine) -> f64 {
-        let cores = self.settings.kinds.get(e.entry.kind.0).map_or(1.0, |k| k.cores);
-        finite(cores, 1.0, 4096.0)
-    }
-
     fn share(&self) -> f64 {
         1.0 / f64::from(self.settings.gateways.max(1))
     }
@@ -364,9 +309,7 @@
     /// Lowers the debts of an engine by what has drained since the last look, split by recent use among
     /// the buckets that hold any.
     fn drain(&mut self, engine: EngineId) {
-        let Some(e) = self.engines.get(&engine) else {
-            return;
-        };
+        let Some(e) = self.engines.get(&engine) else { return };
         let amount = self.drain_rate(e) * (self.now - e.drained_at) as f64;
         let uses: Vec<f64> = (0..e.debt.len()).map(|c| self.use_of(c)).collect();
         let e = self.engines.get_mut(&engine).expect("looked up above");
@@ -387,7 +330,7 @@
     }
 
     fn has_memory(&self, e: &Engine, grant: f64) -> bool {
-        let all = self.settings.kinds.get(e.entry.kind.0).map_or(0.0, |k| k.memory_mb);
+        let all = self.memory(e);
         let part = (self.share() * e.width / THREADS_PER_CORE).min(1.0);
         all <= 0.0 || e.threads == 0.0 || e.held().1 + grant <= all * part
     }
@@ -396,9 +339,7 @@
     fn steer(&mut self, engine: EngineId) {
         let (now, best) = (self.now, self.best_slow);
         let most = WIDEST / self.share();
-        let Some(e) = self.engines.get_mut(&engine) else {
-            return;
-        };
+        let Some(e) = self.engines.get_mut(&engine) else { return };
         let slow = e.slow.get().unwrap_or(1.0);
         if !best.is_finite() || now < e.stepped_at + STEP_EVERY {
             return;
@@ -413,26 +354,18 @@
     }
 
     fn join(&mut self, id: RequestId, engine: EngineId) {
-        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else {
-            return;
-        };
+        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else { return };
         let cost = self.cost(&open.request, Some(e));
-        let class = open.request.class.0;
-        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else {
-            return;
-        };
+        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else { return };
         open.place = Place::Line(engine);
         open.charged = cost;
-        e.debt[class] += cost;
-        e.standing[class] += cost;
+        e.charge(open.request.class, cost);
         e.line.insert((open.goal, id));
     }
 
     /// Takes a request out of the line it waits in and lifts its charge.
     fn leave(&mut self, id: RequestId) {
-        let Some(open) = self.open.get_mut(&id) else {
-            return;
-        };
+        let Some(open) = self.open.get_mut(&id) else { return };
         let Place::Line(engine) = open.place else { return };
         open.place = Place::Parked;
         if let Some(e) = self.engines.get_mut(&engine) {
@@ -445,20 +378,18 @@
     fn pump(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         self.drain(engine);
         loop {
-            let Some(e) = self.engines.get(&engine) else {
-                return;
-            };
+            let Some(e) = self.engines.get(&engine) else { return };
             let Some(&(_, id)) = e.line.first() else { return };
             let Some(open) = self.open.get(&id) else { return };
-            if matches!(self.guard(id, engine), Leave::No) {
+            if self.guard(id, engine) == Leave::No {
                 self.leave(id);
                 self.place(id, out);
                 continue;
             }
-            let threads = f64::from(self.settings.classes[open.request.class.0].threads.max(1));
+            let threads = self.threads(&open.request);
             let grant = self.grant(&open.request, e);
             let room = self.fits(e, threads) && self.has_memory(e, grant);
-            if !room || matches!(self.guard(id, engine), Leave::Later) {
+            if !room || self.guard(id, engine) == Leave::Later {
                 self.engines.get_mut(&engine).expect("looked up above").pressed = true;
                 return;
             }
@@ -470,10 +401,8 @@
 
     /// Every dispatch passes here. `No`: not on this engine. `Later`: not now.
     fn guard(&self, id: RequestId, engine: EngineId) -> Leave {
-        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else {
-            return Leave::No;
-        };
-        let class = &self.settings.classes[open.request.class.0];
+        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else { return Leave::No };
+        let class = self.class(&open.request);
         let kind_ok = class.kinds.as_ref().is_none_or(|k| k.contains(&e.entry.kind));
         let zone_ok = class.zones.as_ref().is_none_or(|z| z.contains(&e.entry.zone));
         let out_now = !open.waits() || self.is_out(id);
@@ -491,16 +420,10 @@
         Leave::Yes
     }
 
-    fn is_out(&self, id: RequestId) -> bool {
-        self.flights.range((id, 0)..=(id, u32::MAX)).next().is_some()
-    }
-
     /// A request that may have run goes out again only where that is harmless.
     fn effect_allows(&self, open: &Open, e: &Engine) -> bool {
-        let Some((_, zone, cell, sent)) = open.maybe else {
-            return true;
-        };
-        match self.settings.classes[open.request.class.0].effect {
+        let Some((_, zone, cell, sent)) = open.maybe else { return true };
+        match self.class(&open.request).effect {
             Effect::Repeatable => true,
             Effect::Once => false,
             Effect::Keyed { scope, window } => {
@@ -547,28 +470,25 @@
 
     /// The request is the first of its key that is not over, and the key does not rest.
     fn has_turn(&self, id: RequestId) -> bool {
-        let Some(open) = self.open.get(&id) else {
-            return false;
-        };
-        let Some(turns) = open.request.key.as_ref().and_then(|k| self.keys.get(k)) else {
-            return true;
-        };
-        if !turns.queue.contains(&id) {
-            return true;
+        let Some(open) = self.open.get(&id) else { return false };
+        match open.request.key.as_ref().and_then(|k| self.keys.get(k)) {
+            Some(turns) if turns.queue.contains(&id) => {
+                turns.queue.front() == Some(&id) && (open.attempts > 0 || self.now >= turns.rest_until)
+            }
+            _ => true,
         }
-        turns.queue.front() == Some(&id) && (open.attempts > 0 || self.now >= turns.rest_until)
     }
 
     /// Memory for a query: what covers most needs of its class at this estimate.
     fn grant(&self, request: &Request, e: &Engine) -> f64 {
-        let all = self.settings.kinds.get(e.entry.kind.0).map_or(0.0, |k| k.memory_mb);
+        let all = self.memory(e);
         let most = if all > 0.0 { all * finite(self.settings.grant_cap, 0.01, 1.0) } else { 1e9 };
         finite(request.memory_mb * self.learned[request.class.0].grant.exp(), 0.0, most)
     }
 
     /// Worth for each unit of predicted work.
     fn density(&self, request: &Request) -> f64 {
-        finite(self.settings.classes[request.class.0].worth, 0.0, 1e9) / self.cost(request, None)
+        finite(self.class(request).worth, 0.0, 1e9) / self.cost(request, None)
     }
 
     /// The same of all that was asked for of late.
@@ -583,25 +503,17 @@
 
     /// Light queries first, by worth for each unit of work against the average.
     fn rank(&self, request: &Request) -> u8 {
-        let (density, average) = (self.density(request), self.usual_density());
-        match density {
-            d if d >= average => 3,
-            d if d >= average / 2.0 => 2,
-            _ => 1,
-        }
+        let ratio = self.density(request) / self.usual_density();
+        1 + u8::from(ratio >= SECOND_RANK) + u8::from(ratio >= 1.0)
     }
 
     fn send(&mut self, id: RequestId, engine: EngineId, grant: f64, out: &mut Vec<Action>) {
-        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else {
-            return;
-        };
+        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else { return };
         let request = &open.request;
-        let class = &self.settings.classes[request.class.0];
         let cost = self.cost(request, Some(e));
-        let threads = f64::from(class.threads.max(1));
-        let slow =
-            self.learned[request.class.0].slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN)).max(1.0);
-        let usual = cost / threads * slow / self.warmth(e);
+        let threads = self.threads(request);
+        let slow = self.learned[request.class.0].slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN));
+        let usual = cost / threads * slow.max(1.0) / self.warmth(e);
         let flight = Flight {
             engine,
             request: request.clone(),
@@ -620,13 +532,9 @@
         }
         out.push(Action::Dispatch { id, engine, until: flight.until });
         let cold = self.is_cold(e);
-        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else {
-            return;
-        };
+        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else { return };
         e.line.remove(&(open.goal, id));
-        e.threads += threads;
-        e.memory += grant;
-        e.touch(open.request.group, WARM_GROUPS);
+        e.start(&flight, WARM_GROUPS);
         if cold {
             e.cold.push_back((self.now, weight));
         }
@@ -643,7 +551,7 @@
     /// When to give an attempt up: with the client, or earlier where another may follow and has time.
     fn until(&self, open: &Open, usual: f64) -> Micros {
         let due = open.request.due;
-        let class = &self.settings.classes[open.request.class.0];
+        let class = self.class(&open.request);
         let last = open.attempts + 1 >= self.settings.attempts_cap || self.budget_left() < 1.0;
         if last || matches!(class.effect, Effect::Once) {
             return due;
@@ -661,9 +569,7 @@
     // ---- Outcomes --------------------------------------------------------------------------------------
 
     fn answered(&mut self, answer: Answer, out: &mut Vec<Action>) {
-        let Some(flight) = self.flights.remove(&(answer.id, answer.attempt)) else {
-            return;
-        };
+        let Some(flight) = self.flights.remove(&(answer.id, answer.attempt)) else { return };
         let engine = flight.engine;
         self.settle(&flight, &answer);
         self.symptom(&flight, &answer, out);
@@ -695,9 +601,7 @@
             turns.rest_until = turns.rest_until.max(self.now.saturating_add(self.settings.key_rest));
         }
         if let Some(e) = self.engines.get_mut(&flight.engine) {
-            e.threads = (e.threads - flight.threads).max(0.0);
-            e.memory = (e.memory - flight.memory).max(0.0);
-            e.standing[flight.request.class.0] -= flight.cost.min(e.standing[flight.request.class.0]);
+            e.finish(flight);
             if !self.settings.may_cancel && answer.outcome == Outcome::Timeout {
                 // Nothing stops the work of an attempt given up here: it holds its threads a while yet.
                 let end = self.now.saturating_add(flight.usual as Micros);
@@ -735,24 +639,17 @@
         self.steer(flight.engine);
     }
 
-    fn streaming(&mut self, id: RequestId) {
-        if let Some(open) = self.open.get_mut(&id) {
-            open.place = Place::Bound;
-        }
-    }
-
     /// The one place that ends requests: refused where a further try is harmless, else failed.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let harmless = match self.settings.classes[open.request.class.0].effect {
+        let harmless = match self.class(&open.request).effect {
             Effect::Repeatable => true,
             Effect::Keyed { scope: KeyScope::All, .. } => true,
             Effect::Keyed { .. } | Effect::Once => open.maybe.is_none(),
         };
         if harmless {
             let longest = self.settings.retry_advice.unwrap_or(0);
-            let spread = self.draw() % ADVICE;
-            let retry_after = (ADVICE + spread).min(longest);
+            let retry_after = (ADVICE + self.draw() % ADVICE).min(longest);
             out.push(Action::Refuse { id, retry_after });
         } else {
             out.push(Action::Fail(id));
@@ -829,30 +726,18 @@
     }
 
     fn relist(&mut self, entry: EngineEntry) {
-        let (classes, now) = (self.settings.classes.len(), self.now);
-        match self.engines.get_mut(&entry.engine) {
-            Some(e) => {
-                if entry.came_up > e.entry.came_up {
-                    // It has started anew: nothing is warm, and old symptoms are another process's.
-                    e.warm.clear();
-                    e.fails = 0.0;
-                    e.sick = None;
-                    e.slow = Ratio::default();
-                }
-                e.entry = entry;
-            }
-            None => {
-                let id = entry.engine;
-                self.engines.insert(id, Engine::new(entry, classes, THREADS_PER_CORE, now));
-            }
+        let fresh = || Engine::new(entry.clone(), self.settings.classes.len(), THREADS_PER_CORE, self.now);
+        let e = self.engines.entry(entry.engine).or_insert_with(fresh);
+        if entry.came_up > e.entry.came_up {
+            // It has started anew: nothing is warm, and old symptoms are another process's.
+            e.restart();
         }
+        e.entry = entry;
     }
 
     /// Places again all that waits for an engine that is not to be used.
     fn empty_line(&mut self, engine: EngineId, out: &mut Vec<Action>) {
-        let Some(e) = self.engines.get(&engine) else {
-            return;
-        };
+        let Some(e) = self.engines.get(&engine) else { return };
         for (_, id) in e.line.clone() {
             self.leave(id);
             self.place(id, out);
@@ -864,11 +749,8 @@
         let now = self.now;
         let good = answer.outcome == Outcome::Ok;
         let bad = matches!(answer.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
-        let peers: Vec<f64> = self.engines.values().map(|e| e.fails).collect();
-        let common = peers.iter().filter(|&&f| f > FAIL_OVER).count() * 2 > peers.len();
-        let Some(e) = self.engines.get_mut(&flight.engine) else {
-            return;
-        };
+        let common = self.engines.values().filter(|e| e.fails > FAIL_OVER).count() * 2 > self.engines.len();
+        let Some(e) = self.engines.get_mut(&flight.engine) else { return };
         if good || bad {
             e.fails += FAIL_SAMPLE * (if bad { 1.0 } else { 0.0 } - e.fails);
         }
@@ -888,9 +770,7 @@
 
     fn condemn(&mut self, engine: EngineId, why: &str, out: &mut Vec<Action>) {
         let next = self.now + TRIAL_FIRST;
-        let Some(e) = self.engines.get_mut(&engine) else {
-            return;
-        };
+        let Some(e) = self.engines.get_mut(&engine) else { return };
         e.sick = Some(Sick { good: 0, wait: TRIAL_FIRST, next, trial: None });
         out.push(Action::Log(format!("engine {:x} is left alone: {why}", engine.0)));
         self.empty_line(engine, out);
@@ -902,31 +782,26 @@
         if !self.settings.may_cancel {
             return;
         }
-        let mut budget = self.budget_left();
-        let (open, now, cap) = (&self.open, self.now, self.settings.attempts_cap);
-        for (&(id, attempt), f) in self.flights.iter_mut().filter(|(_, f)| f.engine == engine) {
-            let late = (now - f.sent) as f64 > OVERDUE * f.usual;
-            let time = open
-                .get(&id)
-                .is_some_and(|o| o.attempts < cap && now.saturating_add(f.usual as Micros) < o.request.due);
-            if self.settings.classes[f.request.class.0].effect == Effect::Repeatable
-                && late
-                && time
-                && budget >= 1.0
-                && !f.cancelled
-            {
-                budget -= 1.0;
-                f.cancelled = true;
-                out.push(Action::Cancel { id, attempt });
-            }
+        let now = self.now;
+        let late = |f: &Flight| (now - f.sent) as f64 > OVERDUE * f.usual && !f.cancelled;
+        let in_time = |o: &Open, f: &Flight| now.saturating_add(f.usual as Micros) < o.request.due;
+        let may = |o: &Open| self.class(&o.request).effect == Effect::Repeatable && self.may_retry(o);
+        let ours = self.flights.iter().filter(|(_, f)| f.engine == engine && late(f));
+        let fine = ours.filter(|((id, _), f)| self.open.get(id).is_some_and(|o| may(o) && in_time(o, f)));
+        let moved: Vec<(RequestId, u32)> = fine.map(|(&k, _)| k).take(self.budget_left() as usize).collect();
+        for (id, attempt) in moved {
+            self.flights.entry((id, attempt)).and_modify(|f| f.cancelled = true);
+            out.push(Action::Cancel { id, attempt });
         }
     }
 
+    fn may_retry(&self, open: &Open) -> bool {
+        open.attempts < self.settings.attempts_cap && self.budget_left() >= 1.0
+    }
+
     fn trial_done(&mut self, engine: EngineId, good: bool, out: &mut Vec<Action>) {
         let now = self.now;
-        let Some(e) = self.engines.get_mut(&engine) else {
-            return;
-        };
+        let Some(e) = self.engines.get_mut(&engine) else { return };
         let Some(sick) = &mut e.sick else { return };
         sick.good = if good { sick.good + 1 } else { 0 };
         sick.wait = if good { TRIAL_FIRST / 2 } else { (sick.wait * 2).min(TRIAL_LONGEST) };
@@ -958,14 +833,12 @@
     fn trial(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let may_probe = self.settings.may_probe;
         let now = self.now;
-        let Some(e) = self.engines.get_mut(&engine) else {
-            return;
-        };
+        let Some(e) = self.engines.get_mut(&engine) else { return };
         let Some(sick) = &mut e.sick else { return };
         if now < sick.next || sick.trial.is_some() || e.entry.listed != Listed::Up {
             return;
         }
-        sick.next = now + TRIAL_LONGEST;
+        sick.next = now;
         if may_probe {
             e.probing = true;
             out.push(Action::Probe(engine));
@@ -977,15 +850,15 @@
     /// Takes the lightest repeatable request that waits anywhere and can still be served elsewhere after.
     fn try_out(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let light = |open: &Open| {
-            let class = &self.settings.classes[open.request.class.0];
+            let class = self.class(&open.request);
             class.effect == Effect::Repeatable && open.attempts + 1 < self.settings.attempts_cap
         };
         let waiting = self.open.iter().filter(|(_, o)| matches!(o.place, Place::Line(_)) && light(o));
-        let allowed = waiting.filter(|(&id, _)| matches!(self.guard(id, engine), Leave::Yes));
+        let allowed = waiting.filter(|(&id, _)| self.guard(id, engine) == Leave::Yes);
         let cost = |o: &Open| self.cost(&o.request, None);
         let Some(id) = allowed.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1))).map(|(&id, _)| id) else {
-            if let Some(sick) = self.engines.get_mut(&engine).and_then(|e| e.sick.as_mut()) {
-                sick.next = self.now + sick.wait;
+            if let Some(sick) = self.sick(engine) {
+                sick.next += sick.wait;
             }
             return;
         };
@@ -993,7 +866,7 @@
         self.join(id, engine);
         let grant = self.grant(&self.open[&id].request, &self.engines[&engine]);
         self.send(id, engine, grant, out);
-        if let Some(sick) = self.engines.get_mut(&engine).and_then(|e| e.sick.as_mut()) {
+        if let Some(sick) = self.sick(engine) {
             sick.trial = Some(id);
         }
     }
@@ -1014,15 +887,15 @@
         for key in keys {
             self.advance(Some(&key), out);
         }
-        self.drop_old(out);
+        self.tidy(out);
     }
 
     /// Ends what waits and can no longer be served in time; attempts out have a time-out of their own.
     fn end_due(&mut self, out: &mut Vec<Action>) {
         let edge = self.now + TICK + self.settings.quantum;
         let hopeless = |o: &Open| {
-            let class = &self.settings.classes[o.request.class.0];
-            let run = self.cost(&o.request, None) / f64::from(class.threads.max(1));
+            let class = self.class(&o.request);
+            let run = self.cost(&o.request, None) / self.threads(&o.request);
             let end = if class.late_worth > 0.0 { o.request.due } else { o.goal };
             o.waits() && (o.request.due <= edge || self.now as f64 + run > end as f64)
         };
@@ -1060,9 +933,7 @@
 
     /// An engine with room and nothing waiting takes over the most urgent request that waits elsewhere.
     fn fetch_work(&mut self, engine: EngineId, out: &mut Vec<Action>) {
-        let Some(e) = self.engines.get(&engine) else {
-            return;
-        };
+        let Some(e) = self.engines.get(&engine) else { return };
         if e.sick.is_some() || !e.line.is_empty() || e.entry.listed != Listed::Up {
             return;
         }
@@ -1070,10 +941,10 @@
         let heads = others.filter_map(|(_, other)| other.line.first().copied());
         let movable = heads.filter(|&(_, id)| {
             let open = &self.open[&id];
-            let threads = f64::from(self.settings.classes[open.request.class.0].threads.max(1));
+            let threads = self.threads(&open.request);
             self.fits(e, threads)
                 && self.has_memory(e, self.grant(&open.request, e))
-                && matches!(self.guard(id, engine), Leave::Yes)
+                && self.guard(id, engine) == Leave::Yes
                 && open.avoid != Some(engine)
                 && !self.is_blocked(open, engine)
         });
@@ -1084,18 +955,15 @@
         }
     }
 
-    /// Memory stays bounded on a long life.
-    fn drop_old(&mut self, out: &mut Vec<Action>) {
-        let window = self.settings.budget.as_ref().map_or(0, |b| b.window) + 2 * self.settings.quantum;
-        let from = self.now.saturating_sub(window);
-        trim(&mut self.taken, from, |&t| t);
-        trim(&mut self.extras, from, |&t| t);
-        let cold_from = self.now.saturating_sub(2 * self.settings.fall_span);
-        for e in self.engines.values_mut() {
-            trim(&mut e.cold, cold_from, |c| c.0);
-        }
+    /// Where the list comes only when asked for, asks in good time; a missing answer is not awaited for ever.
+    fn tidy(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        self.flights.retain(|_, f| now < f.until.saturating_add(FORGET));
+        let lost = self.flights.iter().filter(|(_, f)| now >= f.until.saturating_add(FORGET));
+        for key in lost.map(|(&key, _)| key).collect::<Vec<_>>() {
+            let flight = self.flights.remove(&key);
+            flight.and_then(|f| self.engines.get_mut(&f.engine).map(|e| e.finish(&f)));
+        }
+        self.drop_old();
         if let (Some(span), Some(at)) = (self.settings.ask_within, self.asked_at) {
             if now >= at.saturating_add(span / 3) {
                 self.asked_at = Some(now);
@@ -1103,10 +971,4 @@
             }
         }
     }
-
-    /// A random draw (splitmix64).
-    fn draw(&mut self) -> u64 {
-        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        mix(self.rng)
-    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the module keeps between events: plain data and bookkeeping, no decision and no tuned value.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::api::*;
 
@@ -117,12 +117,30 @@
         self.standing[class.0] = (self.standing[class.0] - cost).max(0.0);
     }
 
-    /// Notes that a group was read here; the `keep` last are remembered.
-    pub fn touch(&mut self, group: GroupId, keep: usize) {
-        self.warm.retain(|&g| g != group);
-        self.warm.push_front(group);
+    /// An attempt starts here; of the groups read, the `keep` last are remembered.
+    pub fn start(&mut self, flight: &Flight, keep: usize) {
+        self.threads += flight.threads;
+        self.memory += flight.memory;
+        self.warm.retain(|&g| g != flight.request.group);
+        self.warm.push_front(flight.request.group);
         self.warm.truncate(keep);
     }
+
+    /// An attempt has ended here.
+    pub fn finish(&mut self, flight: &Flight) {
+        let standing = &mut self.standing[flight.request.class.0];
+        *standing = (*standing - flight.cost).max(0.0);
+        self.threads = (self.threads - flight.threads).max(0.0);
+        self.memory = (self.memory - flight.memory).max(0.0);
+    }
+
+    /// Forgets what held for the process before.
+    pub fn restart(&mut self) {
+        self.warm.clear();
+        self.fails = 0.0;
+        self.sick = None;
+        self.slow = Ratio::default();
+    }
 }
 
 /// How an engine that is left alone gets back.
@@ -161,6 +179,11 @@
 }
 
 impl Open {
+    pub fn new(request: Request, goal: Micros, over_share: bool) -> Self {
+        let (attempts, charged) = (0, 0.0);
+        Open { request, place: Place::Parked, goal, over_share, attempts, maybe: None, avoid: None, charged }
+    }
+
     pub fn waits(&self) -> bool {
         matches!(self.place, Place::Parked | Place::Line(_))
     }
@@ -187,6 +210,98 @@
     pub rest_until: Micros,
 }
 
+/// What the guard says of a dispatch: yes, not now, or not on this engine.
+#[derive(PartialEq)]
+pub(crate) enum Leave {
+    Yes,
+    Later,
+    No,
+}
+
+/// The decisions of one query gateway. What it decides stands in `src/logic.rs`.
+pub struct Gateway {
+    pub(crate) settings: Settings,
+    pub(crate) now: Micros,
+    pub(crate) rng: u64,
+    pub(crate) ticking: bool,
+    pub(crate) asked_at: Option<Micros>,
+    /// The least slowness seen.
+    pub(crate) best_slow: f64,
+    pub(crate) learned: Vec<Learned>,
+    /// Each tenant's tokens, and when they were last filled up.
+    pub(crate) tokens: Vec<(f64, Micros)>,
+    pub(crate) engines: BTreeMap<EngineId, Engine>,
+    pub(crate) open: BTreeMap<RequestId, Open>,
+    pub(crate) flights: BTreeMap<(RequestId, u32), Flight>,
+    pub(crate) keys: BTreeMap<OrderKey, Turns>,
+    /// When requests were taken and further attempts sent, as far back as the budget looks.
+    pub(crate) taken: VecDeque<Micros>,
+    pub(crate) extras: VecDeque<Micros>,
+}
+
+impl Gateway {
+    pub(crate) fn empty(settings: Settings, seed: u64) -> Self {
+        Gateway {
+            learned: vec![Learned::default(); settings.classes.len()],
+            tokens: vec![(f64::INFINITY, 0); settings.tenants.len()],
+            settings,
+            now: 0,
+            rng: seed,
+            ticking: false,
+            asked_at: None,
+            best_slow: f64::INFINITY,
+            engines: BTreeMap::new(),
+            open: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            taken: VecDeque::new(),
+            extras: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn class(&self, request: &Request) -> &Class {
+        &self.settings.classes[request.class.0]
+    }
+
+    pub(crate) fn threads(&self, request: &Request) -> f64 {
+        f64::from(self.class(request).threads.max(1))
+    }
+
+    pub(crate) fn cores(&self, e: &Engine) -> f64 {
+        finite(self.settings.kinds.get(e.entry.kind.0).map_or(1.0, |k| k.cores), 1.0, 4096.0)
+    }
+
+    pub(crate) fn is_out(&self, id: RequestId) -> bool {
+        self.flights.range((id, 0)..=(id, u32::MAX)).next().is_some()
+    }
+
+    /// A random draw (splitmix64).
+    pub(crate) fn draw(&mut self) -> u64 {
+        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.rng)
+    }
+
+    pub(crate) fn memory(&self, e: &Engine) -> f64 {
+        self.settings.kinds.get(e.entry.kind.0).map_or(0.0, |k| k.memory_mb)
+    }
+
+    pub(crate) fn sick(&mut self, engine: EngineId) -> Option<&mut Sick> {
+        self.engines.get_mut(&engine)?.sick.as_mut()
+    }
+
+    /// Forgets what no rule needs any more.
+    pub(crate) fn drop_old(&mut self) {
+        let window = self.settings.budget.as_ref().map_or(0, |b| b.window);
+        let from = self.now.saturating_sub(window.saturating_add(2 * self.settings.quantum));
+        trim(&mut self.taken, from, |&t| t);
+        trim(&mut self.extras, from, |&t| t);
+        let cold_from = self.now.saturating_sub(self.settings.fall_span.saturating_mul(2));
+        for e in self.engines.values_mut() {
+            trim(&mut e.cold, cold_from, |c| c.0);
+        }
+    }
+}
+
 /// Drops what is older than `from` at the front of a queue.
 pub(crate) fn trim<T>(queue: &mut VecDeque<T>, from: Micros, time: impl Fn(&T) -> Micros) {
     while queue.front().is_some_and(|item| time(item) < from) {
