--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 /// As many samples of an engine weigh as much as the class's average over all engines.
 const LEAN: f64 = 20.0;
 /// Threads for each core of the share at the start; cores stand idle while their query reads.
-const THREADS_PER_CORE: f64 = 1.3;
+const THREADS_PER_CORE: f64 = 1.7;
 /// Slowness against the best seen under which the thread bound widens, and over which it is cut.
 const WIDEN_UNDER: f64 = 1.5;
 const CUT_OVER: f64 = 2.3;
