--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,7 +43,7 @@
 const LEAST_USE: f64 = 0.05;
 /// An attempt that can be repeated is given up after this many times its usual time, and this span more;
 /// more patience where giving up frees nothing because attempts can't be withdrawn.
-const PATIENCE: f64 = 5.0;
+const PATIENCE: f64 = 8.0;
 const PATIENCE_SPAN: Micros = 1_000_000;
 const STUBBORN: f64 = 2.0;
 /// An attempt is overdue after this many times its usual time, and this span more.
