--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,184 @@
+//! One test for each failure found.
+
+mod common;
+use common::*;
+use violetward::*;
+
+fn bed(engines: u64) -> Bed {
+    Bed::new(settings(class(Effect::Repeatable)), (1..=engines).map(entry).collect())
+}
+
+/// Sends `n` requests one after another and answers each with what `outcome` says of its engine.
+fn play(bed: &mut Bed, from: u64, n: u64, outcome: impl Fn(u64) -> Outcome) -> Vec<u64> {
+    let mut engines = Vec::new();
+    for id in from..from + n {
+        let mut actions = bed.ask(id);
+        while let Some(&(_, engine)) = sent(&actions).iter().find(|s| s.0 == id) {
+            engines.push(engine);
+            bed.now += 50_000;
+            actions = bed.answer(id, outcome(engine));
+        }
+        bed.pass(50_000);
+    }
+    engines
+}
+
+#[test]
+fn an_engine_that_fails_fast_draws_no_more_queries() {
+    let mut bed = bed(4);
+    play(&mut bed, 0, 40, |e| if e == 2 { Outcome::Error } else { Outcome::Ok });
+    let late = play(&mut bed, 100, 20, |_| Outcome::Ok);
+    let early = bed.all.iter().filter(|(_, a)| matches!(a, Action::Log(t) if t.contains("fails"))).count();
+    assert!(early >= 1 && late.iter().filter(|&&e| e == 2).count() <= 10);
+}
+
+#[test]
+fn trouble_shared_by_all_engines_condemns_none() {
+    let mut bed = bed(4);
+    for id in 0..8 {
+        bed.ask(id);
+    }
+    let actions = bed.pass(4 * SECOND);
+    assert!(!actions.iter().any(|a| matches!(a, Action::Log(_))));
+}
+
+#[test]
+fn an_engine_that_answers_nothing_is_left_alone() {
+    let mut bed = bed(4);
+    let mut silent = Vec::new();
+    for id in 0..60 {
+        for (id, engine) in sent(&bed.ask_with(id, |r| r.group = GroupId(id))) {
+            if engine != 3 {
+                bed.answer(id, Outcome::Ok);
+            } else {
+                silent.push(bed.now);
+            }
+        }
+        bed.pass(100_000);
+    }
+    assert!(bed.all.iter().any(|(_, a)| matches!(a, Action::Log(t) if t.contains("no answers"))));
+    assert!(silent.iter().filter(|&&at| at > 102 * SECOND).count() <= 8);
+}
+
+#[test]
+fn one_overdue_query_among_answered_ones_condemns_nothing() {
+    let mut bed = bed(1);
+    bed.ask(1);
+    for id in 2..40 {
+        if !sent(&bed.ask(id)).is_empty() {
+            bed.answer(id, Outcome::Ok);
+        }
+        bed.pass(100_000);
+    }
+    assert!(!bed.all.iter().any(|(_, a)| matches!(a, Action::Log(_))));
+}
+
+#[test]
+fn one_bad_plan_does_not_turn_light_queries_away() {
+    let mut bed = bed(1);
+    play(&mut bed, 0, 30, |_| Outcome::Ok);
+    bed.ask(100);
+    bed.feed(Event::Answer(Answer {
+        id: RequestId(100),
+        attempt: 0,
+        outcome: Outcome::Ok,
+        took: 3 * SECOND,
+        complete: true,
+        work: Some(20 * SECOND),
+        memory_mb: None,
+        load: Load::default(),
+    }));
+    bed.pass(SECOND);
+    assert_eq!(sent(&bed.ask(101)).len(), 1);
+    assert_eq!(sent(&bed.ask(102)).len(), 1);
+}
+
+#[test]
+fn work_that_no_cancel_stops_keeps_its_threads() {
+    let mut s = settings(class(Effect::Repeatable));
+    s.may_cancel = false;
+    s.attempts_cap = 1;
+    let mut bed = Bed::new(s, vec![entry(1)]);
+    let ids: Vec<u64> = (0..6).collect();
+    let out: usize = ids.iter().map(|&id| sent(&bed.ask(id)).len()).sum();
+    assert_eq!(out, 6);
+    let after: Vec<Action> = ids.iter().flat_map(|&id| bed.answer(id, Outcome::Timeout)).collect();
+    assert!(sent(&after).is_empty());
+    assert!(sent(&bed.ask(50)).is_empty(), "six threads may still run");
+    assert_eq!(sent(&bed.pass(SECOND)).len(), 1);
+}
+
+#[test]
+fn an_empty_list_or_one_that_drains_gives_timely_refusals() {
+    for entries in [vec![], vec![EngineEntry { listed: Listed::Draining, ..entry(1) }]] {
+        let mut bed = Bed::new(settings(class(Effect::Once)), entries);
+        assert!(refused(&bed.ask(1), 1));
+    }
+}
+
+#[test]
+fn absurd_settings_and_estimates_give_finite_decisions() {
+    let mut s = settings(class(Effect::Repeatable));
+    s.kinds = vec![Kind { cores: 0.0, memory_mb: f64::NAN }];
+    s.gateways = 0;
+    s.classes[0].worth = f64::NAN;
+    s.classes[0].aim_stretch = f64::INFINITY;
+    s.fall_multiple = f64::MAX;
+    s.tenants = vec![Tenant { quota_per_s: 0.0 }];
+    let mut bed = Bed::new(s, vec![EngineEntry { weight: 0.0, kind: KindId(9), ..entry(1) }]);
+    for (id, cost) in [(1, 0), (2, u64::MAX), (3, 1)] {
+        bed.ask_with(id, |r| (r.cost, r.memory_mb) = (cost, f64::MAX));
+    }
+    bed.ask_with(4, |r| r.due = u64::MAX);
+    bed.ask_with(5, |r| r.class = ClassId(77));
+    bed.pass(6 * SECOND);
+    let finite = |a: &Action| !matches!(a, Action::Terms { memory_mb, .. } if !memory_mb.is_finite());
+    assert!(bed.all.iter().all(|(_, a)| finite(a)));
+    assert!(bed.all.iter().any(|(_, a)| matches!(a, Action::Dispatch { .. })));
+}
+
+#[test]
+fn unknown_late_and_repeated_events_are_ignored() {
+    let mut bed = bed(2);
+    for event in [Event::Lapsed(RequestId(9)), Event::Streaming(RequestId(9)), Event::Elapsed(99)] {
+        assert!(bed.feed(event).is_empty());
+    }
+    assert!(bed.answer(9, Outcome::Ok).is_empty());
+    let probed = Event::Probed { engine: EngineId(7), ok: false, load: Load::default() };
+    assert!(bed.feed(probed).is_empty());
+    bed.ask(1);
+    bed.answer(1, Outcome::Ok);
+    assert!(bed.answer(1, Outcome::Error).is_empty());
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let run = || {
+        let mut bed = bed(3);
+        play(&mut bed, 0, 50, |e| if e == 1 { Outcome::Error } else { Outcome::Ok });
+        bed.all
+    };
+    assert_eq!(run(), run());
+}
+
+#[test]
+fn light_queries_leave_the_line_before_later_deadlines() {
+    let mut bed = bed(1);
+    for id in 0..6 {
+        bed.ask(id);
+    }
+    bed.ask_with(10, |r| r.cost = 300_000);
+    bed.ask_with(11, |r| r.cost = 50_000);
+    let order: Vec<u64> = (0..6).flat_map(|id| sent(&bed.answer(id, Outcome::Ok))).map(|s| s.0).collect();
+    assert_eq!(order, [11, 10]);
+}
+
+#[test]
+fn a_gateway_asks_for_the_list_where_it_must() {
+    let mut s = settings(class(Effect::Repeatable));
+    s.ask_within = Some(9 * SECOND);
+    let mut bed = Bed::new(s, vec![entry(1)]);
+    assert!(bed.all.iter().any(|(_, a)| *a == Action::Subscribe));
+    bed.pass(10 * SECOND);
+    assert!(bed.all.iter().filter(|(_, a)| *a == Action::FetchList).count() >= 3);
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,185 @@
+//! One test or more for each of the seven rules.
+
+mod common;
+use common::*;
+use violetward::*;
+
+#[test]
+fn every_request_gets_one_final_answer_before_it_is_due() {
+    let mut bed = Bed::new(settings(class(Effect::Once)), vec![entry(1)]);
+    for id in 0..40 {
+        bed.ask(id);
+    }
+    bed.pass(6 * SECOND);
+    for id in 0..40 {
+        let was_sent = bed.all.iter().any(|(_, a)| sent(std::slice::from_ref(a)).iter().any(|s| s.0 == id));
+        let ends: Vec<Micros> = bed
+            .all
+            .iter()
+            .filter(|(_, a)| refused(std::slice::from_ref(a), id) || failed(std::slice::from_ref(a), id))
+            .map(|e| e.0)
+            .collect();
+        assert_eq!(ends.len(), usize::from(!was_sent), "request {id}");
+        assert!(ends.iter().all(|&at| at <= 105 * SECOND));
+    }
+}
+
+#[test]
+fn nothing_goes_out_after_the_client_has_left() {
+    let mut bed = Bed::new(settings(class(Effect::Repeatable)), vec![entry(1), entry(2)]);
+    assert_eq!(sent(&bed.ask(1)).len(), 1);
+    let actions = bed.feed(Event::Lapsed(RequestId(1)));
+    assert_eq!(actions, [Action::Cancel { id: RequestId(1), attempt: 0 }]);
+    assert!(sent(&bed.answer(1, Outcome::Cancelled)).is_empty());
+    assert!(sent(&bed.pass(6 * SECOND)).is_empty());
+}
+
+#[test]
+fn a_once_request_that_may_have_run_is_failed_and_not_sent_again() {
+    for outcome in [Outcome::Error, Outcome::Reset, Outcome::Timeout, Outcome::Cancelled] {
+        let mut bed = Bed::new(settings(class(Effect::Once)), vec![entry(1), entry(2)]);
+        bed.ask(1);
+        let actions = bed.answer(1, outcome);
+        assert!(failed(&actions, 1) && sent(&actions).is_empty(), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_once_request_that_surely_never_ran_is_sent_again_elsewhere() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let mut bed = Bed::new(settings(class(Effect::Once)), vec![entry(1), entry(2)]);
+        let first = sent(&bed.ask(1))[0].1;
+        let again = sent(&bed.answer(1, outcome));
+        assert_eq!(again, [(1, 3 - first)], "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_zone_or_cell_and_is_never_refused_there() {
+    for scope in [KeyScope::Zone, KeyScope::Cell] {
+        let effect = Effect::Keyed { scope, window: 20 * SECOND };
+        let other = EngineEntry { zone: ZoneId(1), cell: CellId(1), ..entry(2) };
+        let mut bed = Bed::new(settings(class(effect)), vec![entry(1)]);
+        assert_eq!(sent(&bed.ask(1)), [(1, 1)]);
+        let gone = EngineEntry { listed: Listed::Draining, ..entry(1) };
+        bed.feed(Event::Engines { kind: ListKind::Changes, entries: vec![gone, other] });
+        let actions = bed.answer(1, Outcome::Reset);
+        assert!(failed(&actions, 1) && sent(&actions).is_empty(), "{scope:?}");
+    }
+}
+
+#[test]
+fn a_keyed_request_is_not_sent_after_its_window() {
+    let effect = Effect::Keyed { scope: KeyScope::All, window: SECOND };
+    for (pause, again) in [(SECOND / 2, 1), (2 * SECOND, 0)] {
+        let mut bed = Bed::new(settings(class(effect)), vec![entry(1), entry(2)]);
+        bed.ask(1);
+        bed.now += pause;
+        assert_eq!(sent(&bed.answer(1, Outcome::Reset)).len(), again);
+    }
+}
+
+#[test]
+fn never_two_attempts_at_once() {
+    let mut bed = Bed::new(settings(class(Effect::Repeatable)), vec![entry(1), entry(2)]);
+    bed.ask(1);
+    assert!(sent(&bed.pass(4 * SECOND)).is_empty());
+    assert!(sent(&bed.ask(1)).is_empty(), "a repeated event is ignored");
+}
+
+#[test]
+fn an_engine_that_drains_or_is_gone_gets_nothing_new() {
+    for listed in [Listed::Draining, Listed::Removed] {
+        let mut bed = Bed::new(settings(class(Effect::Repeatable)), vec![entry(1), entry(2)]);
+        let entries = vec![EngineEntry { listed, ..entry(1) }];
+        bed.feed(Event::Engines { kind: ListKind::Changes, entries });
+        let mut all = Vec::new();
+        for id in 0..30 {
+            all.extend(bed.ask(id));
+        }
+        all.extend(bed.pass(SECOND));
+        assert!(!sent(&all).is_empty() && sent(&all).iter().all(|s| s.1 == 2), "{listed:?}");
+    }
+}
+
+#[test]
+fn what_is_missing_from_a_whole_list_is_gone() {
+    let mut bed = Bed::new(settings(class(Effect::Repeatable)), vec![entry(1), entry(2)]);
+    bed.feed(Event::Engines { kind: ListKind::Whole, entries: vec![entry(2)] });
+    let all: Vec<Action> = (0..20).flat_map(|id| bed.ask(id)).collect();
+    assert!(sent(&all).iter().all(|s| s.1 == 2));
+}
+
+#[test]
+fn a_cold_engine_gets_no_more_than_this_gateways_part() {
+    let mut s = settings(class(Effect::Repeatable));
+    s.gateways = 4;
+    let cold = EngineEntry { came_up: 99 * SECOND, ..entry(1) };
+    let mut bed = Bed::new(s, vec![cold]);
+    let mut sends = 0;
+    for id in 0..200 {
+        sends += sent(&bed.ask(id)).len();
+        sends += sent(&bed.answer(id, Outcome::Ok)).len();
+        bed.now += 2_000;
+    }
+    // 0.4 s pass; each attempt weighs 0.1 s; the whole fleet may send 4 × 0.3 × 4 cores × 0.85 × 1 s = 4.08 s.
+    assert!(sends as f64 * 0.1 <= 4.08 / 4.0, "{sends}");
+    assert!(sends > 0);
+}
+
+#[test]
+fn requests_of_a_key_run_one_at_a_time_in_their_order() {
+    let mut ordered = class(Effect::Keyed { scope: KeyScope::All, window: 20 * SECOND });
+    ordered.in_order = true;
+    let mut s = settings(ordered);
+    s.key_rest = SECOND / 2;
+    let mut bed = Bed::new(s, vec![entry(1), entry(2)]);
+    let key = |r: &mut Request| r.key = Some(OrderKey("a".into()));
+    assert_eq!(sent(&bed.ask_with(1, key)).len(), 1);
+    assert!(sent(&bed.ask_with(2, key)).is_empty());
+    assert_eq!(sent(&bed.ask(3)).len(), 1, "without a key nothing is bound");
+    // The first lapses while it is out: the key waits for its answer and then rests.
+    assert!(sent(&bed.feed(Event::Lapsed(RequestId(1)))).is_empty());
+    assert!(sent(&bed.answer(1, Outcome::Cancelled)).is_empty());
+    assert!(sent(&bed.pass(SECOND * 4 / 10)).is_empty());
+    assert_eq!(sent(&bed.pass(SECOND / 5))[0].0, 2);
+}
+
+#[test]
+fn a_bound_class_goes_only_where_it_may() {
+    let mut bound = class(Effect::Repeatable);
+    bound.kinds = Some(vec![KindId(1)]);
+    bound.zones = Some(vec![ZoneId(0)]);
+    let right = EngineEntry { kind: KindId(1), ..entry(3) };
+    let wrong_zone = EngineEntry { kind: KindId(1), zone: ZoneId(1), ..entry(2) };
+    let mut bed = Bed::new(settings(bound), vec![entry(1), wrong_zone, right]);
+    let mut all = Vec::new();
+    for id in 0..20 {
+        all.extend(bed.ask(id));
+    }
+    all.extend(bed.answer(0, Outcome::ConnectFailed));
+    all.extend(bed.pass(SECOND));
+    assert!(!sent(&all).is_empty() && sent(&all).iter().all(|s| s.1 == 3));
+}
+
+#[test]
+fn further_attempts_stay_within_the_budget() {
+    let mut s = settings(class(Effect::Repeatable));
+    s.budget = Some(AttemptBudget { free: 2.0, per_request: 0.1, window: 5 * SECOND });
+    let mut bed = Bed::new(s, (1..9).map(entry).collect());
+    let mut extras = 0;
+    for id in 0..10 {
+        bed.ask(id);
+        extras += sent(&bed.answer(id, Outcome::Full)).len();
+    }
+    assert_eq!(extras, 3, "2 and a tenth of 10 requests");
+}
+
+#[test]
+fn a_request_has_no_more_attempts_than_allowed() {
+    let mut bed = Bed::new(settings(class(Effect::Repeatable)), (1..9).map(entry).collect());
+    bed.ask(1);
+    assert_eq!(sent(&bed.answer(1, Outcome::Full)).len(), 1);
+    assert_eq!(sent(&bed.answer(1, Outcome::Full)).len(), 1);
+    assert!(refused(&bed.answer(1, Outcome::Full), 1));
+}
