--- a/src/logic.rs
+++ b/src/logic.rs
@@ -904,6 +904,20 @@
         for id in ended {
             self.end(id, out);
         }
+        self.put_back_late();
+    }
+
+    /// What is late in its line moves behind: in the order of first deadlines, requests that have lost their
+    /// full worth would make all that follow late as well.
+    fn put_back_late(&mut self) {
+        for (&id, open) in self.open.iter_mut().filter(|(_, o)| o.goal < self.now) {
+            let Place::Line(engine) = open.place else { continue };
+            if let Some(e) = self.engines.get_mut(&engine) {
+                e.line.remove(&(open.goal, id));
+                open.goal = open.request.due;
+                e.line.insert((open.goal, id));
+            }
+        }
     }
 
     /// An engine is silent if attempts there are overdue and nothing has come from it since they should
