--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,7 +59,7 @@
 /// How long an attempt may stay unanswered past its time before its record is dropped.
 const FORGET: Micros = 60_000_000;
 /// The quantile of need against estimate that a memory grant covers, one step of learning it, its start.
-const GRANT_QUANTILE: f64 = 0.8;
+const GRANT_QUANTILE: f64 = 0.65;
 const GRANT_STEP: f64 = 0.06;
 const GRANT_START: f64 = 1.25;
 /// Part of the cold budget used: chance, and attempts whose work is over the usual.
@@ -331,7 +331,7 @@
 
     fn has_memory(&self, e: &Engine, grant: f64) -> bool {
         let all = self.memory(e);
-        let part = (self.share() * e.width / THREADS_PER_CORE).min(1.0);
+        let part = (self.share() * (e.width / THREADS_PER_CORE).max(1.0)).min(1.0);
         all <= 0.0 || e.threads == 0.0 || e.held().1 + grant <= all * part
     }
 
