--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,7 +59,7 @@
 /// How long an attempt may stay unanswered past its time before its record is dropped.
 const FORGET: Micros = 60_000_000;
 /// The quantile of need against estimate that a memory grant covers, one step of learning it, its start.
-const GRANT_QUANTILE: f64 = 0.65;
+const GRANT_QUANTILE: f64 = 0.9;
 const GRANT_STEP: f64 = 0.06;
 const GRANT_START: f64 = 1.25;
 /// Part of the cold budget used: chance, and attempts whose work is over the usual.
