--- a/src/logic.rs
+++ b/src/logic.rs
@@ -332,7 +332,8 @@
     fn has_memory(&self, e: &Engine, grant: f64) -> bool {
         let all = self.memory(e);
         let part = (self.share() * (e.width / THREADS_PER_CORE).max(1.0)).min(1.0);
-        all <= 0.0 || e.threads == 0.0 || e.held().1 + grant <= all * part
+        let free = all <= 0.0 || e.threads == 0.0 || !self.settings.grants;
+        free || e.held().1 + grant <= all * part
     }
 
     /// Widens the bound while queries take little longer than at best, cuts it as they take longer.
