--- a/src/logic.rs
+++ b/src/logic.rs
@@ -143,14 +143,9 @@
     /// A token bucket for each tenant, filled with this gateway's part of the quota.
     fn within_share(&mut self, tenant: TenantId) -> bool {
         let parts = f64::from(self.settings.gateways.max(1));
-        let Some((tokens, at)) = self.tokens.get_mut(tenant.0) else { return true };
-        let rate = finite(self.settings.tenants[tenant.0].quota_per_s, 0.0, 1e9) / parts;
-        let more = rate * (self.now - *at) as f64 / 1e6;
-        *tokens = (*tokens + more).min((rate * QUOTA_BURST).max(1.0));
-        *at = self.now;
-        let within = *tokens >= 1.0;
-        *tokens -= if within { 1.0 } else { 0.0 };
-        within
+        let Some(settings) = self.settings.tenants.get(tenant.0) else { return true };
+        let rate = finite(settings.quota_per_s, 0.0, 1e9) / parts;
+        self.take_token(tenant, rate, (rate * QUOTA_BURST).max(1.0))
     }
 
     /// Estimate × k: the class's k on `engine`, or over all engines.
@@ -704,26 +699,16 @@
         if kind == ListKind::Lost {
             return;
         }
-        let named: BTreeSet<EngineId> = entries.iter().map(|e| e.engine).collect();
         if kind != ListKind::Changes {
-            for (id, e) in &mut self.engines {
-                if !named.contains(id) {
-                    e.entry.listed = Listed::Removed;
-                }
-            }
+            self.mark_missing(&entries);
         }
         for entry in entries {
             self.relist(entry);
         }
-        let gone: Vec<EngineId> =
-            self.engines.iter().filter(|(_, e)| e.entry.listed != Listed::Up).map(|(&id, _)| id).collect();
-        for engine in gone {
+        for engine in self.not_up() {
             self.empty_line(engine, out);
-            let idle = !self.flights.values().any(|f| f.engine == engine);
-            if idle && self.engines.get(&engine).is_some_and(|e| e.entry.listed == Listed::Removed) {
-                self.engines.remove(&engine);
-            }
         }
+        self.drop_removed();
     }
 
     fn relist(&mut self, entry: EngineEntry) {
@@ -775,29 +760,6 @@
         e.sick = Some(Sick { good: 0, wait: TRIAL_FIRST, next, trial: None });
         out.push(Action::Log(format!("engine {:x} is left alone: {why}", engine.0)));
         self.empty_line(engine, out);
-        self.give_up_on(engine, out);
-    }
-
-    /// Withdraws the attempts at a silent engine whose requests may and can still be served elsewhere.
-    fn give_up_on(&mut self, engine: EngineId, out: &mut Vec<Action>) {
-        if !self.settings.may_cancel {
-            return;
-        }
-        let now = self.now;
-        let late = |f: &Flight| (now - f.sent) as f64 > OVERDUE * f.usual && !f.cancelled;
-        let in_time = |o: &Open, f: &Flight| now.saturating_add(f.usual as Micros) < o.request.due;
-        let may = |o: &Open| self.class(&o.request).effect == Effect::Repeatable && self.may_retry(o);
-        let ours = self.flights.iter().filter(|(_, f)| f.engine == engine && late(f));
-        let fine = ours.filter(|((id, _), f)| self.open.get(id).is_some_and(|o| may(o) && in_time(o, f)));
-        let moved: Vec<(RequestId, u32)> = fine.map(|(&k, _)| k).take(self.budget_left() as usize).collect();
-        for (id, attempt) in moved {
-            self.flights.entry((id, attempt)).and_modify(|f| f.cancelled = true);
-            out.push(Action::Cancel { id, attempt });
-        }
-    }
-
-    fn may_retry(&self, open: &Open) -> bool {
-        open.attempts < self.settings.attempts_cap && self.budget_left() >= 1.0
     }
 
     fn trial_done(&mut self, engine: EngineId, good: bool, out: &mut Vec<Action>) {
@@ -972,16 +934,10 @@
 
     /// Where the list comes only when asked for, asks in good time; a missing answer is not awaited for ever.
     fn tidy(&mut self, out: &mut Vec<Action>) {
-        let now = self.now;
-        let lost = self.flights.iter().filter(|(_, f)| now >= f.until.saturating_add(FORGET));
-        for key in lost.map(|(&key, _)| key).collect::<Vec<_>>() {
-            let flight = self.flights.remove(&key);
-            flight.and_then(|f| self.engines.get_mut(&f.engine).map(|e| e.finish(&f)));
-        }
-        self.drop_old();
+        self.drop_old(FORGET);
         if let (Some(span), Some(at)) = (self.settings.ask_within, self.asked_at) {
-            if now >= at.saturating_add(span / 3) {
-                self.asked_at = Some(now);
+            if self.now >= at.saturating_add(span / 3) {
+                self.asked_at = Some(self.now);
                 out.push(Action::FetchList);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -289,8 +289,43 @@
         self.engines.get_mut(&engine)?.sick.as_mut()
     }
 
-    /// Forgets what no rule needs any more.
-    pub(crate) fn drop_old(&mut self) {
+    /// Takes a token of a tenant, if there is one; tokens come at `rate` a second, up to `most`.
+    pub(crate) fn take_token(&mut self, tenant: TenantId, rate: f64, most: f64) -> bool {
+        let now = self.now;
+        let Some((tokens, at)) = self.tokens.get_mut(tenant.0) else { return true };
+        *tokens = (*tokens + rate * (now - *at) as f64 / 1e6).min(most);
+        *at = now;
+        let within = *tokens >= 1.0;
+        *tokens -= if within { 1.0 } else { 0.0 };
+        within
+    }
+
+    /// What a whole list does not name is gone.
+    pub(crate) fn mark_missing(&mut self, entries: &[EngineEntry]) {
+        let named: BTreeSet<EngineId> = entries.iter().map(|e| e.engine).collect();
+        for (_, e) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            e.entry.listed = Listed::Removed;
+        }
+    }
+
+    pub(crate) fn not_up(&self) -> Vec<EngineId> {
+        self.engines.iter().filter(|(_, e)| e.entry.listed != Listed::Up).map(|(&id, _)| id).collect()
+    }
+
+    /// Forgets engines that are gone and owe no answer.
+    pub(crate) fn drop_removed(&mut self) {
+        let owing: BTreeSet<EngineId> = self.flights.values().map(|f| f.engine).collect();
+        self.engines.retain(|id, e| e.entry.listed != Listed::Removed || owing.contains(id));
+    }
+
+    /// Forgets what no rule needs any more, and attempts `unanswered` for so long past their time.
+    pub(crate) fn drop_old(&mut self, unanswered: Micros) {
+        let now = self.now;
+        let lost = self.flights.iter().filter(|(_, f)| now >= f.until.saturating_add(unanswered));
+        for key in lost.map(|(&key, _)| key).collect::<Vec<_>>() {
+            let flight = self.flights.remove(&key);
+            flight.and_then(|f| self.engines.get_mut(&f.engine).map(|e| e.finish(&f)));
+        }
         let window = self.settings.budget.as_ref().map_or(0, |b| b.window);
         let from = self.now.saturating_sub(window.saturating_add(2 * self.settings.quantum));
         trim(&mut self.taken, from, |&t| t);
