--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,8 @@
 //! All decisions of violetward. Their interface (types, events, actions) is the file `src/api.rs`.
 //!
-//! A request's course: `take` → `place` (its turn? which engine passes?) → the engine's line, earliest
-//! deadline first → `pump` (thread bound, memory, `guard`) → `send` → `answered` → served, placed again or
-//! `end`ed. A tick looks after what no event tells: deadlines, silence, trials of sick engines.
+//! A request's course: `take`, `place` (its turn? which engine passes?), the engine's line (earliest
+//! deadline first), `pump` (thread bound, memory, `guard`), `send`, `answered`; then it is served, placed
+//! again or `end`ed. A tick looks after what no event tells: deadlines, silence, trials of sick engines.
 
 use std::collections::BTreeSet;
 
@@ -52,6 +52,8 @@
 /// Weight of one outcome in an engine's share of failures, and the share over which it is sick.
 const FAIL_SAMPLE: f64 = 0.2;
 const FAIL_OVER: f64 = 0.35;
+/// How much of its peers' share of failures an engine is granted: what all share condemns none.
+const FLEET_FAILS: f64 = 2.0;
 /// Good trials in a row before a sick engine is well; the first wait for a trial, and the longest.
 const TRIALS: u32 = 3;
 const TRIAL_FIRST: Micros = 500_000;
@@ -62,17 +64,15 @@
 const GRANT_QUANTILE: f64 = 0.9;
 const GRANT_STEP: f64 = 0.06;
 const GRANT_START: f64 = 1.25;
-/// Part of the cold budget used: chance, and attempts whose work is over the usual.
-const COLD_MARGIN: f64 = 0.6;
-/// Part of a core's time that the rules take for its capacity.
-const CAPACITY: f64 = 0.85;
+/// Part of the cold budget used: chance, and capacity that is less than all cores.
+const COLD_MARGIN: f64 = 0.5;
 /// How fast a backlog shuts out what earns less for its work than the average: the power of that ratio by
 /// which the time that a request may find ahead of it shrinks.
 const PINCH: f64 = 2.0;
 /// Depth of a bucket against what it drains in the time that a request has.
 const DEPTH: f64 = 2.5;
-/// Worth for its work against the average from which a query has more than the lowest rank.
-const SECOND_RANK: f64 = 0.5;
+/// Worth for its work against the average that lifts a query one rank, and another.
+const RANKS: [f64; 2] = [0.5, 1.0];
 /// Requests beyond their tenant's share find buckets of this depth against the usual.
 const OVER_SHARE_DEPTH: f64 = 0.25;
 /// Seconds of a tenant's quota that may come at once.
@@ -102,9 +102,8 @@
             Event::Answer(answer) => self.answered(answer, out),
             Event::Streaming(id) => self.open.get_mut(&id).into_iter().for_each(|o| o.place = Place::Bound),
             Event::Probed { engine, ok, .. } => self.probed(engine, ok, out),
-            Event::Heard { .. } => {}
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
-            Event::Elapsed(_) => {}
+            Event::Elapsed(_) | Event::Heard { .. } => {}
         }
         if !self.ticking {
             self.ticking = true;
@@ -142,9 +141,8 @@
 
     /// A token bucket for each tenant, filled with this gateway's part of the quota.
     fn within_share(&mut self, tenant: TenantId) -> bool {
-        let parts = f64::from(self.settings.gateways.max(1));
         let Some(settings) = self.settings.tenants.get(tenant.0) else { return true };
-        let rate = finite(settings.quota_per_s, 0.0, 1e9) / parts;
+        let rate = finite(settings.quota_per_s, 0.0, 1e9) * self.share();
         self.take_token(tenant, rate, (rate * QUOTA_BURST).max(1.0))
     }
 
@@ -171,23 +169,16 @@
         if !self.has_turn(id) {
             return;
         }
-        match self.choose(id) {
-            Some(engine) => {
-                self.join(id, engine);
-                self.pump(engine, out);
-            }
-            None => self.end(id, out),
-        }
+        let Some(engine) = self.choose(id) else { return self.end(id, out) };
+        self.join(id, engine);
+        self.pump(engine, out);
     }
 
     /// The passing engine with the least debt against its drain. An engine that is not warm for the group
     /// counts with the reading it would cost; a hash that all gateways share breaks ties, so that they
     /// keep the same groups warm on the same engines.
     fn choose(&mut self, id: RequestId) -> Option<EngineId> {
-        let ids: Vec<EngineId> = self.engines.keys().copied().collect();
-        for engine in ids {
-            self.drain(engine);
-        }
+        self.engines.keys().copied().collect::<Vec<_>>().into_iter().for_each(|engine| self.drain(engine));
         let open = self.open.get(&id)?;
         let mut best: Option<(bool, f64, u64, EngineId)> = None;
         for (&engine, e) in &self.engines {
@@ -223,7 +214,8 @@
         let slack = goal.saturating_sub(self.now) as f64;
         let rate = self.drain_rate(e);
         let wait = if self.fits(e, threads) && e.line.is_empty() { 0.0 } else { self.ahead(open, e) / rate };
-        let depth = (DEPTH * rate * self.use_of(class) * slack).max(self.costliest());
+        let costliest = self.learned.iter().filter_map(|l| l.usual.get()).fold(1.0, f64::max);
+        let depth = (DEPTH * rate * self.use_of(class) * slack).max(costliest);
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
         let backlog = e.total_debt() / rate;
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
@@ -239,10 +231,6 @@
         line + STANDING * (e.standing.iter().sum::<f64>() - waiting).max(0.0)
     }
 
-    fn costliest(&self) -> f64 {
-        self.learned.iter().filter_map(|l| l.usual.get()).fold(1.0, f64::max)
-    }
-
     /// A class's part of the drain, by its recent use.
     fn use_of(&self, class: usize) -> f64 {
         let all: f64 = self.learned.iter().map(|l| l.asked).sum();
@@ -423,11 +411,9 @@
             Effect::Repeatable => true,
             Effect::Once => false,
             Effect::Keyed { scope, window } => {
-                let known = match scope {
-                    KeyScope::All => true,
-                    KeyScope::Zone => e.entry.zone == zone,
-                    KeyScope::Cell => e.entry.cell == cell,
-                };
+                let known = scope == KeyScope::All
+                    || scope == KeyScope::Zone && e.entry.zone == zone
+                    || scope == KeyScope::Cell && e.entry.cell == cell;
                 known && self.now + self.settings.quantum < sent.saturating_add(window)
             }
         }
@@ -449,14 +435,12 @@
         if !self.is_cold(e) || self.settings.fall_multiple <= 0.0 {
             return true;
         }
-        let capacity = self.cores(e) * CAPACITY * finite(self.settings.cold_from, 0.01, 1.0);
+        let capacity = self.cores(e) * finite(self.settings.cold_from, 0.01, 1.0);
         let span = self.settings.fall_span as f64;
-        let part = COLD_MARGIN / f64::from(self.settings.gateways.max(1));
-        let budget = self.settings.fall_multiple * capacity * span * part;
+        let budget = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share();
         let from = self.now.saturating_sub(self.settings.fall_span);
         let sent: f64 = e.cold.iter().rev().take_while(|c| c.0 >= from).map(|c| c.1).sum();
-        let sent = if ever { 0.0 } else { sent };
-        sent + self.cold_weight(open) <= budget
+        self.cold_weight(open) + if ever { 0.0 } else { sent } <= budget
     }
 
     fn cold_weight(&self, open: &Open) -> f64 {
@@ -500,7 +484,7 @@
     /// Light queries first, by worth for each unit of work against the average.
     fn rank(&self, request: &Request) -> u8 {
         let ratio = self.density(request) / self.usual_density();
-        1 + u8::from(ratio >= SECOND_RANK) + u8::from(ratio >= 1.0)
+        1 + RANKS.iter().filter(|&&r| ratio >= r).count() as u8
     }
 
     fn send(&mut self, id: RequestId, engine: EngineId, grant: f64, out: &mut Vec<Action>) {
@@ -547,15 +531,12 @@
     /// When to give an attempt up: with the client, or earlier where another may follow and has time.
     fn until(&self, open: &Open, usual: f64) -> Micros {
         let due = open.request.due;
-        let class = self.class(&open.request);
         let last = open.attempts + 1 >= self.settings.attempts_cap || self.budget_left() < 1.0;
-        if last || matches!(class.effect, Effect::Once) {
-            return due;
-        }
         let stubborn = if self.settings.may_cancel { 1.0 } else { STUBBORN };
         let patience = stubborn * (PATIENCE * usual + PATIENCE_SPAN as f64);
         let until = self.now.saturating_add(patience as Micros);
-        if until.saturating_add(usual as Micros) < due {
+        let again = !last && self.class(&open.request).effect != Effect::Once;
+        if again && until.saturating_add(usual as Micros) < due {
             until
         } else {
             due
@@ -638,14 +619,14 @@
     /// The one place that ends requests: refused where a further try is harmless, else failed.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let harmless = match self.class(&open.request).effect {
-            Effect::Repeatable => true,
-            Effect::Keyed { scope: KeyScope::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Once => open.maybe.is_none(),
-        };
+        let repeats = matches!(
+            self.class(&open.request).effect,
+            Effect::Repeatable | Effect::Keyed { scope: KeyScope::All, .. }
+        );
+        let harmless = repeats || open.maybe.is_none();
         if harmless {
-            let longest = self.settings.retry_advice.unwrap_or(0);
-            let retry_after = (ADVICE + self.draw() % ADVICE).min(longest);
+            let spread = ADVICE + self.draw() % ADVICE;
+            let retry_after = spread.min(self.settings.retry_advice.unwrap_or(0));
             out.push(Action::Refuse { id, retry_after });
         } else {
             out.push(Action::Fail(id));
@@ -703,7 +684,14 @@
             self.mark_missing(&entries);
         }
         for entry in entries {
-            self.relist(entry);
+            let fresh =
+                || Engine::new(entry.clone(), self.settings.classes.len(), THREADS_PER_CORE, self.now);
+            let e = self.engines.entry(entry.engine).or_insert_with(fresh);
+            if entry.came_up > e.entry.came_up {
+                // It has started anew: nothing is warm, and old symptoms are another process's.
+                e.restart();
+            }
+            e.entry = entry;
         }
         for engine in self.not_up() {
             self.empty_line(engine, out);
@@ -711,20 +699,10 @@
         self.drop_removed();
     }
 
-    fn relist(&mut self, entry: EngineEntry) {
-        let fresh = || Engine::new(entry.clone(), self.settings.classes.len(), THREADS_PER_CORE, self.now);
-        let e = self.engines.entry(entry.engine).or_insert_with(fresh);
-        if entry.came_up > e.entry.came_up {
-            // It has started anew: nothing is warm, and old symptoms are another process's.
-            e.restart();
-        }
-        e.entry = entry;
-    }
-
     /// Places again all that waits for an engine that is not to be used.
     fn empty_line(&mut self, engine: EngineId, out: &mut Vec<Action>) {
-        let Some(e) = self.engines.get(&engine) else { return };
-        for (_, id) in e.line.clone() {
+        let line = self.engines.get(&engine).map(|e| e.line.clone()).unwrap_or_default();
+        for (_, id) in line {
             self.leave(id);
             self.place(id, out);
         }
@@ -735,7 +713,8 @@
         let now = self.now;
         let good = answer.outcome == Outcome::Ok;
         let bad = matches!(answer.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
-        let common = self.engines.values().filter(|e| e.fails > FAIL_OVER).count() * 2 > self.engines.len();
+        let others = self.engines.iter().filter(|(&id, _)| id != flight.engine);
+        let usual = others.map(|(_, e)| e.fails).sum::<f64>() / (self.engines.len() as f64 - 1.0).max(1.0);
         let Some(e) = self.engines.get_mut(&flight.engine) else { return };
         if good || bad {
             e.fails += FAIL_SAMPLE * (if bad { 1.0 } else { 0.0 } - e.fails);
@@ -749,7 +728,9 @@
                 self.trial_done(flight.engine, good, out);
             }
             Some(_) => {}
-            None if bad && e.fails > FAIL_OVER && !common => self.condemn(flight.engine, "fails", out),
+            None if bad && e.fails > FAIL_OVER + FLEET_FAILS * usual => {
+                self.condemn(flight.engine, "fails", out)
+            }
             None => {}
         }
     }
@@ -819,19 +800,15 @@
         let waiting = self.open.iter().filter(|(_, o)| matches!(o.place, Place::Line(_)) && light(o));
         let allowed = waiting.filter(|(&id, _)| self.guard(id, engine) == Leave::Yes);
         let cost = |o: &Open| self.cost(&o.request, None);
-        let Some(id) = allowed.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1))).map(|(&id, _)| id) else {
-            if let Some(sick) = self.sick(engine) {
-                sick.next += sick.wait;
-            }
-            return;
-        };
+        let best = allowed.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1))).map(|(&id, _)| id);
+        let Some(sick) = self.sick(engine) else { return };
+        sick.trial = best;
+        sick.next += sick.wait;
+        let Some(id) = best else { return };
         self.leave(id);
         self.join(id, engine);
         let grant = self.grant(&self.open[&id].request, &self.engines[&engine]);
         self.send(id, engine, grant, out);
-        if let Some(sick) = self.sick(engine) {
-            sick.trial = Some(id);
-        }
     }
 
     // ---- The tick --------------------------------------------------------------------------------------
@@ -846,10 +823,7 @@
             self.pump(engine, out);
             self.fetch_work(engine, out);
         }
-        let keys: Vec<OrderKey> = self.keys.keys().cloned().collect();
-        for key in keys {
-            self.advance(Some(&key), out);
-        }
+        self.keys.keys().cloned().collect::<Vec<_>>().iter().for_each(|key| self.advance(Some(key), out));
         self.tidy(out);
     }
 
@@ -862,11 +836,8 @@
             let end = if class.late_worth > 0.0 { o.request.due } else { o.goal };
             o.waits() && (o.request.due <= edge || self.now as f64 + run > end as f64)
         };
-        let ended: Vec<RequestId> =
-            self.open.iter().filter(|(_, o)| hopeless(o)).map(|(&id, _)| id).collect();
-        for id in ended {
-            self.end(id, out);
-        }
+        let ended: Vec<_> = self.open.iter().filter(|(_, o)| hopeless(o)).map(|(&id, _)| id).collect();
+        ended.into_iter().for_each(|id| self.end(id, out));
         self.put_back_late();
     }
 
@@ -886,14 +857,12 @@
     /// An engine is silent if attempts there are overdue and nothing has come from it since they should
     /// have been answered. Where more than half are, the trouble is shared and none is condemned.
     fn find_silent(&mut self, out: &mut Vec<Action>) {
-        let mut silent: BTreeSet<EngineId> = BTreeSet::new();
-        for f in self.flights.values() {
-            let Some(e) = self.engines.get(&f.engine) else { continue };
-            let since = f.sent.max(e.heard_at) as f64;
-            if e.sick.is_none() && self.now as f64 > since + OVERDUE * f.usual + OVERDUE_SPAN as f64 {
-                silent.insert(f.engine);
-            }
-        }
+        let quiet = |f: &&Flight| {
+            let heard = self.engines.get(&f.engine).filter(|e| e.sick.is_none()).map(|e| e.heard_at);
+            let patience = OVERDUE * f.usual + OVERDUE_SPAN as f64;
+            heard.is_some_and(|at| self.now as f64 > f.sent.max(at) as f64 + patience)
+        };
+        let silent: BTreeSet<EngineId> = self.flights.values().filter(quiet).map(|f| f.engine).collect();
         if silent.len() * 2 > self.engines.len() {
             return;
         }
