--- a/src/logic.rs
+++ b/src/logic.rs
@@ -219,7 +219,7 @@
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
         let backlog = e.total_debt() / rate;
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
-        let pinched = wait > 0.0 && pinch < 1.0 && backlog > slack * pinch;
+        let pinched = wait > 0.0 && pinch < 1.0 && backlog > self.class(request).aim as f64 * pinch;
         e.debt[class] + cost <= depth && wait + run <= slack && !pinched
     }
 
