--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,7 +68,7 @@
 const COLD_MARGIN: f64 = 0.5;
 /// How fast a backlog shuts out what earns less for its work than the average: the power of that ratio by
 /// which the time that a request may find ahead of it shrinks.
-const PINCH: f64 = 2.0;
+const PINCH: f64 = 1.0;
 /// Depth of a bucket against what it drains in the time that a request has.
 const DEPTH: f64 = 2.5;
 /// Worth for its work against the average that lifts a query one rank, and another.
