--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,14 +61,14 @@
 /// How long an attempt may stay unanswered past its time before its record is dropped.
 const FORGET: Micros = 60_000_000;
 /// The quantile of need against estimate that a memory grant covers, one step of learning it, its start.
-const GRANT_QUANTILE: f64 = 0.9;
+const GRANT_QUANTILE: f64 = 0.95;
 const GRANT_STEP: f64 = 0.06;
 const GRANT_START: f64 = 1.25;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
 const COLD_MARGIN: f64 = 0.5;
 /// How fast a backlog shuts out what earns less for its work than the average: the power of that ratio by
 /// which the time that a request may find ahead of it shrinks.
-const PINCH: f64 = 1.0;
+const PINCH: f64 = 2.0;
 /// Depth of a bucket against what it drains in the time that a request has.
 const DEPTH: f64 = 2.5;
 /// Worth for its work against the average that lifts a query one rank, and another.
@@ -219,7 +219,7 @@
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
         let backlog = e.total_debt() / rate;
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
-        let pinched = wait > 0.0 && pinch < 1.0 && backlog > self.class(request).aim as f64 * pinch;
+        let pinched = wait > 0.0 && pinch < 1.0 && backlog > slack * pinch;
         e.debt[class] + cost <= depth && wait + run <= slack && !pinched
     }
 
