--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,7 +33,7 @@
 const NARROWEST: f64 = 1.0;
 const WIDEST: f64 = 1.8;
 /// Work that a group of tables costs more where it is not warm, in the choice of an engine.
-const COLD_READ: f64 = 0.35;
+const COLD_READ: f64 = 0.7;
 /// Groups that an engine is thought to keep warm.
 const WARM_GROUPS: usize = 4;
 /// Share of the debt of what waits or runs that stays until it is answered: an engine that does not get
@@ -61,7 +61,7 @@
 /// How long an attempt may stay unanswered past its time before its record is dropped.
 const FORGET: Micros = 60_000_000;
 /// The quantile of need against estimate that a memory grant covers, one step of learning it, its start.
-const GRANT_QUANTILE: f64 = 0.95;
+const GRANT_QUANTILE: f64 = 0.9;
 const GRANT_STEP: f64 = 0.06;
 const GRANT_START: f64 = 1.25;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
