Thread bound over the whole fleet, steered by the slowness of all that is served; shared figures once an event

Cause: 1/150 of an engine is under a thread, so each gateway could start one query on every engine, and no width was ever learned (too few samples of each engine).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,13 @@
 /// A sample of k counts at most this many times (or, inverted, this part of) the class's k: one bad plan
 /// must not turn away the light queries that follow it.
 const CLIP: f64 = 4.0;
+/// Weight of one sample in the slowness of all that is served, by which the fleet's bound is steered; and
+/// the most that is taken for its best: an idle engine takes about the work, a jam at the start longer.
+const FLEET_SAMPLE: f64 = 0.1;
+const BEST_MOST: f64 = 1.5;
+/// By how much the choice of an engine may err at random where gateways are many: with the same news they
+/// would all choose the same.
+const SPREAD: f64 = 0.5;
 /// As many samples of an engine weigh as much as the class's average over all engines.
 const LEAN: f64 = 20.0;
 /// Threads for each core of the share at the start; cores stand idle while their query reads.
@@ -88,6 +95,8 @@
     /// A gateway that knows its settings and nothing else. `seed` feeds all its random draws.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let mut gateway = Gateway::empty(settings, seed);
+        gateway.width = THREADS_PER_CORE;
+        gateway.best_slow = BEST_MOST;
         gateway.learned.iter_mut().for_each(|l| l.grant = GRANT_START.ln());
         gateway
     }
@@ -95,6 +104,7 @@
     /// Decides on one event at the time `now`; what is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.look();
         match event {
             Event::Engines { kind, entries } => self.listed(kind, entries, out),
             Event::Request(request) => self.take(request, out),
@@ -105,7 +115,9 @@
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
             Event::Elapsed(_) | Event::Heard { .. } => {}
         }
-        if !self.ticking {
+        let idle = self.open.is_empty() && self.flights.is_empty() && self.keys.is_empty();
+        let still = idle && self.settings.ask_within.is_none() && self.engines.values().all(|e| e.sick.is_none());
+        if !self.ticking && !still {
             self.ticking = true;
             out.push(Action::Arm { handle: TICK_HANDLE, span: TICK });
         }
@@ -179,17 +191,20 @@
     /// keep the same groups warm on the same engines.
     fn choose(&mut self, id: RequestId) -> Option<EngineId> {
         self.engines.keys().copied().collect::<Vec<_>>().into_iter().for_each(|engine| self.drain(engine));
+        let dice = self.draw();
         let open = self.open.get(&id)?;
+        let fleet_wait = self.fleet_wait(open);
         let mut best: Option<(bool, f64, u64, EngineId)> = None;
         for (&engine, e) in &self.engines {
-            if e.sick.is_some() || self.guard(id, engine) == Leave::No || !self.passes(open, e) {
+            if e.sick.is_some() || self.guard(id, engine) == Leave::No || !self.passes(open, e, fleet_wait) {
                 continue;
             }
             let group = open.request.group;
             let warm = if e.warm.contains(&group) { 1.0 } else { 1.0 + COLD_READ };
             let debt = e.total_debt() + warm * self.cost(&open.request, Some(e));
             let blocked = if self.is_blocked(open, engine) { 2.0 } else { 1.0 };
-            let score = blocked * debt / self.drain_rate(e);
+            let spread = 1.0 + SPREAD * (1.0 - self.share()) * unit(mix(dice ^ engine.0));
+            let score = spread * blocked * debt / self.drain_rate(e);
             let rank = (open.avoid == Some(engine), score, mix(group.0 ^ mix(engine.0)), engine);
             if best.is_none_or(|b| rank < b) {
                 best = Some(rank);
@@ -200,24 +215,25 @@
 
     /// Debt fits the class's bucket and the query can finish by its goal; an idle engine always passes if
     /// the client will still be there.
-    fn passes(&self, open: &Open, e: &Engine) -> bool {
+    fn passes(&self, open: &Open, e: &Engine, fleet_wait: f64) -> bool {
         let request = &open.request;
         let class = request.class.0;
         let cost = self.cost(request, Some(e));
         let threads = self.threads(request);
         let run = cost / threads / self.speed(e);
         let left = request.due.saturating_sub(self.now) as f64;
-        if e.threads == 0.0 && e.line.is_empty() && e.debt.iter().all(|&d| d <= 0.0) {
+        if fleet_wait == 0.0 && e.threads == 0.0 && e.line.is_empty() && e.debt.iter().all(|&d| d <= 0.0) {
             return run < left;
         }
         let goal = if self.now < open.goal { open.goal } else { request.due };
         let slack = goal.saturating_sub(self.now) as f64;
         let rate = self.drain_rate(e);
         let wait = if self.fits(e, threads) && e.line.is_empty() { 0.0 } else { self.ahead(open, e) / rate };
+        let wait = wait.max(fleet_wait);
         let costliest = self.learned.iter().filter_map(|l| l.usual.get()).fold(1.0, f64::max);
         let depth = (DEPTH * rate * self.use_of(class) * slack).max(costliest);
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
-        let backlog = e.total_debt() / rate;
+        let backlog = if fleet_wait > 0.0 { self.fleet_backlog() } else { 0.0 }.max(e.total_debt() / rate);
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
         let pinched = wait > 0.0 && pinch < 1.0 && backlog > slack * pinch;
         e.debt[class] + cost <= depth && wait + run <= slack && !pinched
@@ -227,8 +243,32 @@
     fn ahead(&self, open: &Open, e: &Engine) -> f64 {
         let before = e.line.range(..(open.goal, open.request.id));
         let line: f64 = before.filter_map(|(_, id)| self.open.get(id)).map(|o| o.charged).sum();
-        let waiting: f64 = e.line.iter().filter_map(|(_, id)| self.open.get(id)).map(|o| o.charged).sum();
-        line + STANDING * (e.standing.iter().sum::<f64>() - waiting).max(0.0)
+        line + STANDING * (e.standing.iter().sum::<f64>() - e.waiting).max(0.0)
+    }
+
+    // ---- The whole fleet: a part of one engine says little where gateways are many ---------------------
+
+    fn fleet_rate(&self) -> f64 {
+        let part = (self.width / THREADS_PER_CORE).min(1.0 / self.share());
+        (self.fleet_cores * part).max(0.01)
+    }
+
+    fn fleet_backlog(&self) -> f64 {
+        self.engines.values().map(|e| e.total_debt()).sum::<f64>() / self.fleet_rate()
+    }
+
+    /// Many gateways that each may start one query on every engine would flood all of them: what runs
+    /// anywhere is bounded by the share of the fleet. One query may always run, and one may reach over.
+    fn fleet_is_full(&self) -> bool {
+        let held: f64 = self.engines.values().map(|e| e.held().0).sum();
+        held > 0.0 && held >= self.fleet_cores * self.width
+    }
+
+    fn fleet_wait(&self, open: &Open) -> f64 {
+        if !self.fleet_is_full() && self.engines.values().all(|e| e.line.is_empty()) {
+            return 0.0;
+        }
+        self.engines.values().map(|e| self.ahead(open, e)).sum::<f64>() / self.fleet_rate()
     }
 
     /// A class's part of the drain, by its recent use.
@@ -255,7 +295,7 @@
 
     /// How far an engine keeps up with its peers, and with its own warm self.
     fn speed(&self, e: &Engine) -> f64 {
-        let usual = self.usual_slow();
+        let usual = self.usual_slow;
         finite(usual / e.slow.leaning(usual, LEAN), 0.05, 1.0) * self.warmth(e)
     }
 
@@ -272,21 +312,31 @@
         e.entry.came_up > 0 && self.now < e.entry.came_up.saturating_add(self.settings.cold_span)
     }
 
-    /// The median slowness of the engines.
-    fn usual_slow(&self) -> f64 {
+    /// Once for each event, what all choices share: the median slowness of the engines, and the cores that
+    /// the fleet has for this gateway at an even share.
+    fn look(&mut self) {
         let mut all: Vec<f64> = self.engines.values().filter_map(|e| e.slow.get()).collect();
         all.sort_by(f64::total_cmp);
-        all.get(all.len() / 2).copied().unwrap_or(1.0).max(0.1)
+        self.usual_slow = all.get(all.len() / 2).copied().unwrap_or(1.0).max(0.1);
+        let used = self.engines.values().filter(|e| e.sick.is_none() && e.entry.listed == Listed::Up);
+        self.fleet_cores = used.map(|e| self.cores(e) * self.speed(e)).sum::<f64>() * self.share();
+    }
+
+    /// This gateway's part of an engine: never less than the widest query needs, since a smaller part is
+    /// none; what all engines together may do for it is bounded by the share of the fleet.
+    fn part(&self, e: &Engine) -> f64 {
+        let widest = self.settings.classes.iter().map(|c| c.threads).max().unwrap_or(1);
+        self.share().max((f64::from(widest) / self.cores(e)).min(1.0))
     }
 
     /// Work an engine does for this gateway in a microsecond.
     fn drain_rate(&self, e: &Engine) -> f64 {
-        let part = (self.share() * e.width / THREADS_PER_CORE).min(1.0);
+        let part = (self.part(e) * e.width / THREADS_PER_CORE).min(1.0);
         (self.cores(e) * part * self.speed(e)).max(0.01)
     }
 
     fn bound(&self, e: &Engine) -> f64 {
-        self.cores(e) * self.share() * e.width * self.warmth(e)
+        self.cores(e) * self.part(e) * e.width * self.warmth(e)
     }
 
     /// Lowers the debts of an engine by what has drained since the last look, split by recent use among
@@ -314,27 +364,33 @@
 
     fn has_memory(&self, e: &Engine, grant: f64) -> bool {
         let all = self.memory(e);
-        let part = (self.share() * (e.width / THREADS_PER_CORE).max(1.0)).min(1.0);
+        let part = (self.part(e) * (e.width / THREADS_PER_CORE).max(1.0)).min(1.0);
         let free = all <= 0.0 || e.threads == 0.0 || !self.settings.grants;
         free || e.held().1 + grant <= all * part
     }
 
-    /// Widens the bound while queries take little longer than at best, cuts it as they take longer.
+    /// Widens the bounds while queries take little longer than at best, cuts them as they take longer: of
+    /// an engine by its own slowness, of the fleet by that of all that is served.
     fn steer(&mut self, engine: EngineId) {
         let (now, best) = (self.now, self.best_slow);
         let most = WIDEST / self.share();
+        let step = |width: &mut f64, slow: f64, pressed: &mut bool, stepped_at: &mut Micros| {
+            if now < *stepped_at + STEP_EVERY {
+                return;
+            }
+            if slow < WIDEN_UNDER * best && *pressed {
+                *width = (*width * WIDEN).min(most);
+            } else if slow > CUT_OVER * best {
+                *width = (*width * CUT).max(NARROWEST);
+            }
+            *stepped_at = now;
+            *pressed = false;
+        };
+        let usual = self.slow.get().unwrap_or(1.0);
+        step(&mut self.width, usual, &mut self.pressed, &mut self.stepped_at);
         let Some(e) = self.engines.get_mut(&engine) else { return };
-        let slow = e.slow.get().unwrap_or(1.0);
-        if !best.is_finite() || now < e.stepped_at + STEP_EVERY {
-            return;
-        }
-        if slow < WIDEN_UNDER * best && e.pressed {
-            e.width = (e.width * WIDEN).min(most);
-        } else if slow > CUT_OVER * best {
-            e.width = (e.width * CUT).max(NARROWEST);
-        }
-        e.stepped_at = now;
-        e.pressed = false;
+        let slow = e.slow.leaning(usual, LEAN / 2.0);
+        step(&mut e.width, slow, &mut e.pressed, &mut e.stepped_at);
     }
 
     fn join(&mut self, id: RequestId, engine: EngineId) {
@@ -344,6 +400,7 @@
         open.place = Place::Line(engine);
         open.charged = cost;
         e.charge(open.request.class, cost);
+        e.waiting += cost;
         e.line.insert((open.goal, id));
     }
 
@@ -354,6 +411,7 @@
         open.place = Place::Parked;
         if let Some(e) = self.engines.get_mut(&engine) {
             e.line.remove(&(open.goal, id));
+            e.waiting = (e.waiting - open.charged).max(0.0);
             e.discharge(open.request.class, open.charged);
         }
     }
@@ -372,7 +430,9 @@
             }
             let threads = self.threads(&open.request);
             let grant = self.grant(&open.request, e);
-            let room = self.fits(e, threads) && self.has_memory(e, grant);
+            let full = self.fleet_is_full();
+            let room = self.fits(e, threads) && self.has_memory(e, grant) && !full;
+            self.pressed |= full;
             if !room || self.guard(id, engine) == Leave::Later {
                 self.engines.get_mut(&engine).expect("looked up above").pressed = true;
                 return;
@@ -514,6 +574,7 @@
         let cold = self.is_cold(e);
         let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else { return };
         e.line.remove(&(open.goal, id));
+        e.waiting = (e.waiting - open.charged).max(0.0);
         e.start(&flight, WARM_GROUPS);
         if cold {
             e.cold.push_back((self.now, weight));
@@ -568,6 +629,19 @@
         self.advance(flight.request.key.as_ref(), out);
         self.pump(engine, out);
         self.fetch_work(engine, out);
+        self.pump_all(out);
+    }
+
+    /// Room in the fleet goes to the most urgent of all lines.
+    fn pump_all(&mut self, out: &mut Vec<Action>) {
+        let heads = self.engines.iter().filter_map(|(&id, e)| e.line.first().map(|&head| (head, id)));
+        let lines: BTreeSet<_> = heads.collect();
+        for (_, engine) in lines {
+            self.pump(engine, out);
+            if self.fleet_is_full() {
+                return;
+            }
+        }
     }
 
     /// Frees what the attempt held and learns from it.
@@ -601,6 +675,9 @@
         learned.k.learn(clipped, told, SAMPLE);
         learned.usual.learn(truth, 1.0, SAMPLE);
         learned.slow.learn(took, truth, SAMPLE);
+        self.slow.learn(took, truth, FLEET_SAMPLE);
+        let slow = self.slow.get().unwrap_or(1.0);
+        self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).clamp(0.5, BEST_MOST);
         if let (Some(need), true) = (answer.memory_mb, flight.request.memory_mb > 0.0) {
             let over = (need / flight.request.memory_mb).ln() > learned.grant;
             learned.grant += GRANT_STEP * if over { GRANT_QUANTILE } else { GRANT_QUANTILE - 1.0 };
@@ -609,9 +686,6 @@
             e.k[class].learn(clipped, told, SAMPLE);
             e.slow.learn(took, truth, SAMPLE);
             e.debt[class] = (e.debt[class] + clipped - flight.cost).max(0.0);
-            if let (Some(slow), true) = (e.slow.get(), e.slow.samples > LEAN / 2.0) {
-                self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).max(0.1);
-            }
         }
         self.steer(flight.engine);
     }
@@ -818,11 +892,9 @@
         self.end_due(out);
         self.find_silent(out);
         let engines: Vec<EngineId> = self.engines.keys().copied().collect();
-        for &engine in &engines {
-            self.trial(engine, out);
-            self.pump(engine, out);
-            self.fetch_work(engine, out);
-        }
+        engines.iter().for_each(|&engine| self.trial(engine, out));
+        self.pump_all(out);
+        engines.iter().for_each(|&engine| self.fetch_work(engine, out));
         self.keys.keys().cloned().collect::<Vec<_>>().iter().for_each(|key| self.advance(Some(key), out));
         self.tidy(out);
     }
@@ -880,7 +952,7 @@
     /// An engine with room and nothing waiting takes over the most urgent request that waits elsewhere.
     fn fetch_work(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let Some(e) = self.engines.get(&engine) else { return };
-        if e.sick.is_some() || !e.line.is_empty() || e.entry.listed != Listed::Up {
+        if self.fleet_is_full() || e.sick.is_some() || !e.line.is_empty() || e.entry.listed != Listed::Up {
             return;
         }
         let others = self.engines.iter().filter(|(&id, _)| id != engine);
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,6 +58,8 @@
     pub width: f64,
     pub stepped_at: Micros,
     pub pressed: bool,
+    /// Predicted work of what waits here.
+    pub waiting: f64,
     /// What waits, earliest deadline first.
     pub line: BTreeSet<(Micros, RequestId)>,
     pub threads: f64,
@@ -85,6 +87,7 @@
             width,
             stepped_at: now,
             pressed: false,
+            waiting: 0.0,
             line: BTreeSet::new(),
             threads: 0.0,
             memory: 0.0,
@@ -225,8 +228,16 @@
     pub(crate) rng: u64,
     pub(crate) ticking: bool,
     pub(crate) asked_at: Option<Micros>,
-    /// The least slowness seen.
+    /// The least slowness seen, and that of late, over all engines.
     pub(crate) best_slow: f64,
+    pub(crate) slow: Ratio,
+    /// Threads for each core of this gateway's share of the fleet.
+    pub(crate) width: f64,
+    pub(crate) stepped_at: Micros,
+    pub(crate) pressed: bool,
+    /// Looked up once for each event: the median slowness of engines, the fleet's cores for this gateway.
+    pub(crate) usual_slow: f64,
+    pub(crate) fleet_cores: f64,
     pub(crate) learned: Vec<Learned>,
     /// Each tenant's tokens, and when they were last filled up.
     pub(crate) tokens: Vec<(f64, Micros)>,
@@ -250,6 +261,12 @@
             ticking: false,
             asked_at: None,
             best_slow: f64::INFINITY,
+            slow: Ratio::default(),
+            width: 1.0,
+            stepped_at: 0,
+            pressed: false,
+            usual_slow: 1.0,
+            fleet_cores: 0.0,
             engines: BTreeMap::new(),
             open: BTreeMap::new(),
             flights: BTreeMap::new(),
@@ -353,6 +370,11 @@
     }
 }
 
+/// A number from 0 to 1 made of random bits.
+pub(crate) fn unit(bits: u64) -> f64 {
+    (bits >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// Scatters the bits of a number (the last step of splitmix64).
 pub(crate) fn mix(x: u64) -> u64 {
     let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
