--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,7 @@
 const CUT_OVER: f64 = 2.3;
 /// One step of widening and of cutting, and the least time between two steps of an engine.
 const WIDEN: f64 = 1.06;
+const WIDEN_FLEET: f64 = 1.15;
 const CUT: f64 = 0.9;
 const STEP_EVERY: Micros = 150_000;
 /// How far the bound may be cut under its start, and how far it may pass one gateway's whole engine.
@@ -181,7 +182,10 @@
         if !self.has_turn(id) {
             return;
         }
-        let Some(engine) = self.choose(id) else { return self.end(id, out) };
+        let Some(engine) = self.choose(id) else {
+            self.pressed |= self.fleet_is_full();
+            return self.end(id, out);
+        };
         self.join(id, engine);
         self.pump(engine, out);
     }
@@ -249,8 +253,9 @@
     // ---- The whole fleet: a part of one engine says little where gateways are many ---------------------
 
     fn fleet_rate(&self) -> f64 {
-        let part = (self.width / THREADS_PER_CORE).min(1.0 / self.share());
-        (self.fleet_cores * part).max(0.01)
+        let held: f64 = self.engines.values().map(|e| e.held().0).sum();
+        let slow = self.slow.leaning(THREADS_PER_CORE, 3.0).max(1.0);
+        (held.max(self.fleet_cores * self.width) / slow).max(0.01)
     }
 
     fn fleet_backlog(&self) -> f64 {
@@ -374,12 +379,12 @@
     fn steer(&mut self, engine: EngineId) {
         let (now, best) = (self.now, self.best_slow);
         let most = WIDEST / self.share();
-        let step = |width: &mut f64, slow: f64, pressed: &mut bool, stepped_at: &mut Micros| {
+        let step = |width: &mut f64, slow: f64, pressed: &mut bool, stepped_at: &mut Micros, up: f64| {
             if now < *stepped_at + STEP_EVERY {
                 return;
             }
             if slow < WIDEN_UNDER * best && *pressed {
-                *width = (*width * WIDEN).min(most);
+                *width = (*width * up).min(most);
             } else if slow > CUT_OVER * best {
                 *width = (*width * CUT).max(NARROWEST);
             }
@@ -387,10 +392,10 @@
             *pressed = false;
         };
         let usual = self.slow.get().unwrap_or(1.0);
-        step(&mut self.width, usual, &mut self.pressed, &mut self.stepped_at);
+        step(&mut self.width, usual, &mut self.pressed, &mut self.stepped_at, WIDEN_FLEET);
         let Some(e) = self.engines.get_mut(&engine) else { return };
         let slow = e.slow.leaning(usual, LEAN / 2.0);
-        step(&mut e.width, slow, &mut e.pressed, &mut e.stepped_at);
+        step(&mut e.width, slow, &mut e.pressed, &mut e.stepped_at, WIDEN);
     }
 
     fn join(&mut self, id: RequestId, engine: EngineId) {
