--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,9 @@
 /// the most that is taken for its best: an idle engine takes about the work, a jam at the start longer.
 const FLEET_SAMPLE: f64 = 0.1;
 const BEST_MOST: f64 = 1.5;
+/// How far, in parts of the fleet's bound, a query may find it held by others and still start: its worth
+/// for its work against the average, within these bounds.
+const REACH: [f64; 2] = [0.5, 4.0];
 /// By how much the choice of an engine may err at random where gateways are many: with the same news they
 /// would all choose the same.
 const SPREAD: f64 = 0.1;
@@ -183,7 +186,7 @@
             return;
         }
         let Some(engine) = self.choose(id) else {
-            self.pressed |= self.fleet_is_full();
+            self.pressed |= self.open.get(&id).is_some_and(|o| self.fleet_is_full(&o.request));
             return self.end(id, out);
         };
         self.join(id, engine);
@@ -264,13 +267,16 @@
 
     /// Many gateways that each may start one query on every engine would flood all of them: what runs
     /// anywhere is bounded by the share of the fleet. One query may always run, and one may reach over.
-    fn fleet_is_full(&self) -> bool {
+    /// What earns more for its work than the average reaches further: where a share is worth a few threads,
+    /// one heavy query fills it for seconds, and would turn away all the light ones that cost next to none.
+    fn fleet_is_full(&self, request: &Request) -> bool {
         let held: f64 = self.engines.values().map(|e| e.held().0).sum();
-        held > 0.0 && held >= self.fleet_cores * self.width
+        let reach = finite(self.density(request) / self.usual_density(), REACH[0], REACH[1]);
+        held > 0.0 && held >= self.fleet_cores * self.width * reach
     }
 
     fn fleet_wait(&self, open: &Open) -> f64 {
-        if !self.fleet_is_full() && self.engines.values().all(|e| e.line.is_empty()) {
+        if !self.fleet_is_full(&open.request) {
             return 0.0;
         }
         self.engines.values().map(|e| self.ahead(open, e)).sum::<f64>() / self.fleet_rate()
@@ -435,7 +441,7 @@
             }
             let threads = self.threads(&open.request);
             let grant = self.grant(&open.request, e);
-            let full = self.fleet_is_full();
+            let full = self.fleet_is_full(&open.request);
             let room = self.fits(e, threads) && self.has_memory(e, grant) && !full;
             self.pressed |= full;
             if !room || self.guard(id, engine) == Leave::Later {
@@ -643,9 +649,6 @@
         let lines: BTreeSet<_> = heads.collect();
         for (_, engine) in lines {
             self.pump(engine, out);
-            if self.fleet_is_full() {
-                return;
-            }
         }
     }
 
@@ -957,7 +960,7 @@
     /// An engine with room and nothing waiting takes over the most urgent request that waits elsewhere.
     fn fetch_work(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let Some(e) = self.engines.get(&engine) else { return };
-        if self.fleet_is_full() || e.sick.is_some() || !e.line.is_empty() || e.entry.listed != Listed::Up {
+        if e.sick.is_some() || !e.line.is_empty() || e.entry.listed != Listed::Up {
             return;
         }
         let others = self.engines.iter().filter(|(&id, _)| id != engine);
@@ -966,6 +969,7 @@
             let open = &self.open[&id];
             let threads = self.threads(&open.request);
             self.fits(e, threads)
+                && !self.fleet_is_full(&open.request)
                 && self.has_memory(e, self.grant(&open.request, e))
                 && self.guard(id, engine) == Leave::Yes
                 && open.avoid != Some(engine)
