--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,8 +33,8 @@
 /// Threads for each core of the share at the start; cores stand idle while their query reads.
 const THREADS_PER_CORE: f64 = 1.7;
 /// Slowness against the best seen under which the thread bound widens, and over which it is cut.
-const WIDEN_UNDER: f64 = 2.0;
-const CUT_OVER: f64 = 3.0;
+const WIDEN_UNDER: f64 = 1.5;
+const CUT_OVER: f64 = 2.3;
 /// One step of widening and of cutting, and the least time between two steps of an engine.
 const WIDEN: f64 = 1.06;
 const WIDEN_FLEET: f64 = 1.15;
