--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,6 +25,8 @@
 /// How far, in parts of the fleet's bound, a query may find it held by others and still start: its worth
 /// for its work against the average, within these bounds.
 const REACH: [f64; 2] = [0.5, 4.0];
+/// Part of the share of the fleet's memory that may be granted before the fleet counts as full.
+const MEMORY_PART: f64 = 0.6;
 /// By how much the choice of an engine may err at random where gateways are many: with the same news they
 /// would all choose the same.
 const SPREAD: f64 = 0.1;
@@ -270,9 +272,11 @@
     /// What earns more for its work than the average reaches further: where a share is worth a few threads,
     /// one heavy query fills it for seconds, and would turn away all the light ones that cost next to none.
     fn fleet_is_full(&self, request: &Request) -> bool {
-        let held: f64 = self.engines.values().map(|e| e.held().0).sum();
+        let held = self.engines.values().map(|e| e.held()).fold((0.0, 0.0), |s, h| (s.0 + h.0, s.1 + h.1));
         let reach = finite(self.density(request) / self.usual_density(), REACH[0], REACH[1]);
-        held > 0.0 && held >= self.fleet_cores * self.width * reach
+        let memory = self.fleet_memory * MEMORY_PART * (self.width / THREADS_PER_CORE).max(1.0);
+        let short = self.settings.grants && memory > 0.0 && held.1 >= memory * reach;
+        held.0 > 0.0 && (short || held.0 >= self.fleet_cores * self.width * reach)
     }
 
     fn fleet_wait(&self, open: &Open) -> f64 {
@@ -331,6 +335,8 @@
         self.usual_slow = all.get(all.len() / 2).copied().unwrap_or(1.0).max(0.1);
         let used = self.engines.values().filter(|e| e.sick.is_none() && e.entry.listed == Listed::Up);
         self.fleet_cores = used.map(|e| self.cores(e) * self.speed(e)).sum::<f64>() * self.share();
+        let up = self.engines.values().filter(|e| e.entry.listed == Listed::Up);
+        self.fleet_memory = up.map(|e| self.memory(e)).sum::<f64>() * self.share();
     }
 
     /// This gateway's part of an engine: never less than the widest query needs, since a smaller part is
--- a/src/state.rs
+++ b/src/state.rs
@@ -238,6 +238,7 @@
     /// Looked up once for each event: the median slowness of engines, the fleet's cores for this gateway.
     pub(crate) usual_slow: f64,
     pub(crate) fleet_cores: f64,
+    pub(crate) fleet_memory: f64,
     pub(crate) learned: Vec<Learned>,
     /// Each tenant's tokens, and when they were last filled up.
     pub(crate) tokens: Vec<(f64, Micros)>,
@@ -267,6 +268,7 @@
             pressed: false,
             usual_slow: 1.0,
             fleet_cores: 0.0,
+            fleet_memory: 0.0,
             engines: BTreeMap::new(),
             open: BTreeMap::new(),
             flights: BTreeMap::new(),
