--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,9 @@
 const REACH: [f64; 2] = [0.5, 4.0];
 /// Part of the share of the fleet's memory that may be granted before the fleet counts as full.
 const MEMORY_PART: f64 = 0.6;
+/// How much a reported load of 1 weighs against own debt, and how fast a report fades.
+const OTHERS: f64 = 2.0;
+const REPORT_FADES: f64 = 2e6;
 /// By how much the choice of an engine may err at random where gateways are many: with the same news they
 /// would all choose the same.
 const SPREAD: f64 = 0.1;
@@ -117,7 +120,10 @@
             Event::Lapsed(id) => self.forget(id, out),
             Event::Answer(answer) => self.answered(answer, out),
             Event::Streaming(id) => self.open.get_mut(&id).into_iter().for_each(|o| o.place = Place::Bound),
-            Event::Probed { engine, ok, .. } => self.probed(engine, ok, out),
+            Event::Probed { engine, ok, load } => {
+                self.reported(engine, load);
+                self.probed(engine, ok, out)
+            }
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
             Event::Elapsed(_) | Event::Heard { .. } => {}
         }
@@ -213,7 +219,7 @@
             let debt = e.total_debt() + warm * self.cost(&open.request, Some(e));
             let blocked = if self.is_blocked(open, engine) { 2.0 } else { 1.0 };
             let spread = 1.0 + SPREAD * (1.0 - self.share()) * unit(mix(dice ^ engine.0));
-            let score = spread * blocked * debt / self.drain_rate(e);
+            let score = spread * blocked * debt * self.others(e) / self.drain_rate(e);
             let rank = (open.avoid == Some(engine), score, mix(group.0 ^ mix(engine.0)), engine);
             if best.is_none_or(|b| rank < b) {
                 best = Some(rank);
@@ -222,6 +228,24 @@
         best.map(|b| b.3)
     }
 
+    /// What the load that an engine reported adds to its debt: others' work, of which own debt tells nothing.
+    /// An old report fades into what is usual.
+    fn others(&self, e: &Engine) -> f64 {
+        let Some((load, at)) = e.load else { return 1.0 + OTHERS * self.usual_load };
+        let fresh = (-((self.now - at) as f64) / REPORT_FADES).exp();
+        1.0 + OTHERS * (self.usual_load + (load - self.usual_load) * fresh) * (1.0 - self.share())
+    }
+
+    fn reported(&mut self, engine: EngineId, load: Load) {
+        let told = [load.cores, load.disks];
+        let most = told.iter().flatten().copied().fold(f64::NAN, f64::max);
+        let (now, load) = (self.now, finite(most, 0.0, 1.0));
+        if let (false, Some(e)) = (most.is_nan(), self.engines.get_mut(&engine)) {
+            e.load = Some((load, now));
+            self.usual_load += FLEET_SAMPLE * (load - self.usual_load);
+        }
+    }
+
     /// Debt fits the class's bucket and the query can finish by its goal; an idle engine always passes if
     /// the client will still be there.
     fn passes(&self, open: &Open, e: &Engine, fleet_wait: f64) -> bool {
@@ -626,6 +650,7 @@
     fn answered(&mut self, answer: Answer, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.remove(&(answer.id, answer.attempt)) else { return };
         let engine = flight.engine;
+        self.reported(engine, answer.load);
         self.settle(&flight, &answer);
         self.symptom(&flight, &answer, out);
         if let Some(open) = self.open.get_mut(&answer.id) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,6 +68,8 @@
     pub ghosts: Vec<(Micros, f64, f64)>,
     pub warm: VecDeque<GroupId>,
     pub heard_at: Micros,
+    /// The load that it last reported, and when that came.
+    pub load: Option<(f64, Micros)>,
     pub fails: f64,
     pub probing: bool,
     pub sick: Option<Sick>,
@@ -94,6 +96,7 @@
             ghosts: Vec::new(),
             warm: VecDeque::new(),
             heard_at: now,
+            load: None,
             fails: 0.0,
             probing: false,
             sick: None,
@@ -239,6 +242,8 @@
     pub(crate) usual_slow: f64,
     pub(crate) fleet_cores: f64,
     pub(crate) fleet_memory: f64,
+    /// The load reported of late, over all engines.
+    pub(crate) usual_load: f64,
     pub(crate) learned: Vec<Learned>,
     /// Each tenant's tokens, and when they were last filled up.
     pub(crate) tokens: Vec<(f64, Micros)>,
@@ -269,6 +274,7 @@
             usual_slow: 1.0,
             fleet_cores: 0.0,
             fleet_memory: 0.0,
+            usual_load: 0.0,
             engines: BTreeMap::new(),
             open: BTreeMap::new(),
             flights: BTreeMap::new(),
