A query's run is predicted with the slowness of late; the bound is cut by as much as slowness passes its limit

Also covers shared slowness and mixes that shift; may refuse too much for a few seconds after a slow spell.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -253,7 +253,7 @@
         let class = request.class.0;
         let cost = self.cost(request, Some(e));
         let threads = self.threads(request);
-        let run = cost / threads / self.speed(e);
+        let run = cost / threads / self.speed(e) * self.slow.leaning(1.0, 3.0).max(1.0);
         let left = request.due.saturating_sub(self.now) as f64;
         if fleet_wait == 0.0 && e.threads == 0.0 && e.line.is_empty() && e.debt.iter().all(|&d| d <= 0.0) {
             return run < left;
@@ -422,7 +422,7 @@
             if slow < WIDEN_UNDER * best && *pressed {
                 *width = (*width * up).min(most);
             } else if slow > CUT_OVER * best {
-                *width = (*width * CUT).max(NARROWEST);
+                *width = (*width * (CUT_OVER * best / slow).clamp(0.6, CUT)).max(NARROWEST);
             }
             *stepped_at = now;
             *pressed = false;
