--- a/src/logic.rs
+++ b/src/logic.rs
@@ -366,8 +366,12 @@
     /// This gateway's part of an engine: never less than the widest query needs, since a smaller part is
     /// none; what all engines together may do for it is bounded by the share of the fleet.
     fn part(&self, e: &Engine) -> f64 {
-        let widest = self.settings.classes.iter().map(|c| c.threads).max().unwrap_or(1);
-        self.share().max((f64::from(widest) / self.cores(e)).min(1.0))
+        self.share().max((self.widest() / self.cores(e)).min(1.0))
+    }
+
+    /// Threads of the widest class.
+    fn widest(&self) -> f64 {
+        f64::from(self.settings.classes.iter().map(|c| c.threads).max().unwrap_or(1).max(1))
     }
 
     /// Work an engine does for this gateway in a microsecond.
@@ -716,7 +720,7 @@
         learned.slow.learn(took, truth, SAMPLE);
         self.slow.learn(took, truth, FLEET_SAMPLE);
         let slow = self.slow.get().unwrap_or(1.0);
-        self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).clamp(0.5, BEST_MOST);
+        self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).clamp(1.0, BEST_MOST);
         if let (Some(need), true) = (answer.memory_mb, flight.request.memory_mb > 0.0) {
             let over = (need / flight.request.memory_mb).ln() > learned.grant;
             learned.grant += GRANT_STEP * if over { GRANT_QUANTILE } else { GRANT_QUANTILE - 1.0 };
