--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,23 +15,19 @@
 const TICK: Micros = 20_000;
 /// Weight of one sample in the averages of cost, slowness and use: about the last thirty.
 const SAMPLE: f64 = 0.03;
-/// A sample of k counts at most this many times (or, inverted, this part of) the class's k: one bad plan
-/// must not turn away the light queries that follow it.
+/// A sample of k counts at most this many times the class's k (or this part): one bad plan is no rule.
 const CLIP: f64 = 4.0;
-/// Weight of one sample in the slowness of all that is served, by which the fleet's bound is steered; and
-/// the most that is taken for its best: an idle engine takes about the work, a jam at the start longer.
+/// Weight of one sample in the slowness of all that is served, and the most that is taken for its best.
 const FLEET_SAMPLE: f64 = 0.1;
 const BEST_MOST: f64 = 1.5;
-/// How far, in parts of the fleet's bound, a query may find it held by others and still start: its worth
-/// for its work against the average, within these bounds.
+/// Bounds of the part of the fleet's bound that a query may find held and still start.
 const REACH: [f64; 2] = [0.5, 4.0];
 /// Part of the share of the fleet's memory that may be granted before the fleet counts as full.
 const MEMORY_PART: f64 = 0.6;
 /// How much a reported load of 1 weighs against own debt, and how fast a report fades.
 const OTHERS: f64 = 2.0;
 const REPORT_FADES: f64 = 2e6;
-/// By how much the choice of an engine may err at random where gateways are many: with the same news they
-/// would all choose the same.
+/// Random part of a choice where gateways are many: with the same news they would all choose the same.
 const SPREAD: f64 = 0.1;
 /// As many samples of an engine weigh as much as the class's average over all engines.
 const LEAN: f64 = 20.0;
@@ -41,8 +37,7 @@
 const WIDEN_UNDER: f64 = 1.5;
 const CUT_OVER: f64 = 2.3;
 /// One step of widening and of cutting, and the least time between two steps of an engine.
-const WIDEN: f64 = 1.06;
-const WIDEN_FLEET: f64 = 1.15;
+const WIDEN: f64 = 1.1;
 const CUT: f64 = 0.9;
 const STEP_EVERY: Micros = 150_000;
 /// How far the bound may be cut under its start, and how far it may pass one gateway's whole engine.
@@ -52,13 +47,12 @@
 const COLD_READ: f64 = 0.35;
 /// Groups that an engine is thought to keep warm.
 const WARM_GROUPS: usize = 4;
-/// Share of the debt of what waits or runs that stays until it is answered: an engine that does not get
-/// on with its work keeps its debt, whatever the reason.
+/// Share of the debt that stays until answered: an engine that does not get on keeps it, whatever the reason.
 const STANDING: f64 = 0.5;
 /// Drain share that a class keeps however seldom it comes.
 const LEAST_USE: f64 = 0.05;
-/// An attempt that can be repeated is given up after this many times its usual time, and this span more;
-/// more patience where giving up frees nothing because attempts can't be withdrawn.
+/// An attempt that can be repeated is given up after this many times its usual time and this span; this
+/// many times later where giving up frees nothing, since attempts can't be withdrawn.
 const PATIENCE: f64 = 8.0;
 const PATIENCE_SPAN: Micros = 1_000_000;
 const STUBBORN: f64 = 2.0;
@@ -82,8 +76,7 @@
 const GRANT_START: f64 = 1.25;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
 const COLD_MARGIN: f64 = 0.5;
-/// How fast a backlog shuts out what earns less for its work than the average: the power of that ratio by
-/// which the time that a request may find ahead of it shrinks.
+/// Power of worth for work against the average by which the backlog that a request may find shrinks.
 const PINCH: f64 = 2.0;
 /// Depth of a bucket against what it drains in the time that a request has.
 const DEPTH: f64 = 2.5;
@@ -121,14 +114,15 @@
             Event::Answer(answer) => self.answered(answer, out),
             Event::Streaming(id) => self.open.get_mut(&id).into_iter().for_each(|o| o.place = Place::Bound),
             Event::Probed { engine, ok, load } => {
-                self.reported(engine, load);
+                self.reported(engine, load, FLEET_SAMPLE);
                 self.probed(engine, ok, out)
             }
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
             Event::Elapsed(_) | Event::Heard { .. } => {}
         }
         let idle = self.open.is_empty() && self.flights.is_empty() && self.keys.is_empty();
-        let still = idle && self.settings.ask_within.is_none() && self.engines.values().all(|e| e.sick.is_none());
+        let still =
+            idle && self.settings.ask_within.is_none() && self.engines.values().all(|e| e.sick.is_none());
         if !self.ticking && !still {
             self.ticking = true;
             out.push(Action::Arm { handle: TICK_HANDLE, span: TICK });
@@ -146,11 +140,7 @@
         let over_share = !self.within_share(request.tenant);
         let cost = self.cost(&request, None);
         let worth = finite(self.settings.classes[class].worth, 0.0, 1e9);
-        for (i, learned) in self.learned.iter_mut().enumerate() {
-            let asked = if i == class { (cost, worth) } else { (0.0, 0.0) };
-            learned.asked += SAMPLE * (asked.0 - learned.asked);
-            learned.worth += SAMPLE * (asked.1 - learned.worth);
-        }
+        self.note_asked(class, cost, worth, SAMPLE);
         let settings = self.class(&request);
         let stretch = settings.aim_stretch.max(0.0) * cost / self.threads(&request);
         let goal = self.now.saturating_add(settings.aim).saturating_add(stretch as Micros).min(request.due);
@@ -165,9 +155,18 @@
 
     /// A token bucket for each tenant, filled with this gateway's part of the quota.
     fn within_share(&mut self, tenant: TenantId) -> bool {
-        let Some(settings) = self.settings.tenants.get(tenant.0) else { return true };
-        let rate = finite(settings.quota_per_s, 0.0, 1e9) * self.share();
-        self.take_token(tenant, rate, (rate * QUOTA_BURST).max(1.0))
+        let (now, share) = (self.now, self.share());
+        let (Some(told), Some((tokens, at))) =
+            (self.settings.tenants.get(tenant.0), self.tokens.get_mut(tenant.0))
+        else {
+            return true;
+        };
+        let rate = finite(told.quota_per_s, 0.0, 1e9) * share;
+        *tokens = (*tokens + rate * (now - *at) as f64 / 1e6).min((rate * QUOTA_BURST).max(1.0));
+        *at = now;
+        let within = *tokens >= 1.0;
+        *tokens -= if within { 1.0 } else { 0.0 };
+        within
     }
 
     /// Estimate × k: the class's k on `engine`, or over all engines.
@@ -181,11 +180,7 @@
     /// The estimate, or a stand-in for it where none is told.
     fn told(&self, request: &Request) -> f64 {
         let unknown = self.class(request).aim as f64 * UNKNOWN_COST * self.threads(request);
-        if request.cost > 0 {
-            request.cost as f64
-        } else {
-            unknown.max(1.0)
-        }
+        Some(request.cost as f64).filter(|&told| told > 0.0).unwrap_or(unknown.max(1.0))
     }
 
     /// Finds an engine's line for a request that has its turn; refuses it at once if none passes.
@@ -236,16 +231,6 @@
         1.0 + OTHERS * (self.usual_load + (load - self.usual_load) * fresh) * (1.0 - self.share())
     }
 
-    fn reported(&mut self, engine: EngineId, load: Load) {
-        let told = [load.cores, load.disks];
-        let most = told.iter().flatten().copied().fold(f64::NAN, f64::max);
-        let (now, load) = (self.now, finite(most, 0.0, 1.0));
-        if let (false, Some(e)) = (most.is_nan(), self.engines.get_mut(&engine)) {
-            e.load = Some((load, now));
-            self.usual_load += FLEET_SAMPLE * (load - self.usual_load);
-        }
-    }
-
     /// Debt fits the class's bucket and the query can finish by its goal; an idle engine always passes if
     /// the client will still be there.
     fn passes(&self, open: &Open, e: &Engine, fleet_wait: f64) -> bool {
@@ -266,7 +251,8 @@
         let costliest = self.learned.iter().filter_map(|l| l.usual.get()).fold(1.0, f64::max);
         let depth = (DEPTH * rate * self.use_of(class) * slack).max(costliest);
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
-        let backlog = if fleet_wait > 0.0 { self.fleet_backlog() } else { 0.0 }.max(e.total_debt() / rate);
+        let backlog = if fleet_wait > 0.0 { self.fleet_debt() / self.fleet_rate() } else { 0.0 }
+            .max(e.total_debt() / rate);
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
         let pinched = wait > 0.0 && pinch < 1.0 && backlog > slack * pinch;
         e.debt[class] + cost <= depth && wait + run <= slack && !pinched
@@ -282,13 +268,8 @@
     // ---- The whole fleet: a part of one engine says little where gateways are many ---------------------
 
     fn fleet_rate(&self) -> f64 {
-        let held: f64 = self.engines.values().map(|e| e.held().0).sum();
         let slow = self.slow.leaning(THREADS_PER_CORE, 3.0).max(1.0);
-        (held.max(self.fleet_cores * self.width) / slow).max(0.01)
-    }
-
-    fn fleet_backlog(&self) -> f64 {
-        self.engines.values().map(|e| e.total_debt()).sum::<f64>() / self.fleet_rate()
+        (self.held().0.max(self.fleet_cores * self.width) / slow).max(0.01)
     }
 
     /// Many gateways that each may start one query on every engine would flood all of them: what runs
@@ -296,7 +277,7 @@
     /// What earns more for its work than the average reaches further: where a share is worth a few threads,
     /// one heavy query fills it for seconds, and would turn away all the light ones that cost next to none.
     fn fleet_is_full(&self, request: &Request) -> bool {
-        let held = self.engines.values().map(|e| e.held()).fold((0.0, 0.0), |s, h| (s.0 + h.0, s.1 + h.1));
+        let held = self.held();
         let reach = finite(self.density(request) / self.usual_density(), REACH[0], REACH[1]);
         let memory = self.fleet_memory * MEMORY_PART * (self.width / THREADS_PER_CORE).max(1.0);
         let short = self.settings.grants && memory > 0.0 && held.1 >= memory * reach;
@@ -316,16 +297,6 @@
         (self.learned[class].asked / all.max(1.0)).max(LEAST_USE)
     }
 
-    /// A load stands still while another holds its group there, and so do classes that wait for loads.
-    fn is_blocked(&self, open: &Open, engine: EngineId) -> bool {
-        let class = self.class(&open.request);
-        let waits = class.is_load || class.waits_for_loads;
-        let group = open.request.group;
-        let is_load = |f: &Flight| self.class(&f.request).is_load;
-        let holds = |f: &Flight| f.engine == engine && f.request.group == group && is_load(f);
-        waits && self.flights.values().any(holds)
-    }
-
     // ---- Debt, drain and the thread bound --------------------------------------------------------------
 
     fn share(&self) -> f64 {
@@ -347,16 +318,10 @@
         }
     }
 
-    fn is_cold(&self, e: &Engine) -> bool {
-        e.entry.came_up > 0 && self.now < e.entry.came_up.saturating_add(self.settings.cold_span)
-    }
-
     /// Once for each event, what all choices share: the median slowness of the engines, and the cores that
     /// the fleet has for this gateway at an even share.
     fn look(&mut self) {
-        let mut all: Vec<f64> = self.engines.values().filter_map(|e| e.slow.get()).collect();
-        all.sort_by(f64::total_cmp);
-        self.usual_slow = all.get(all.len() / 2).copied().unwrap_or(1.0).max(0.1);
+        self.usual_slow = median(self.engines.values().filter_map(|e| e.slow.get())).unwrap_or(1.0).max(0.1);
         let used = self.engines.values().filter(|e| e.sick.is_none() && e.entry.listed == Listed::Up);
         self.fleet_cores = used.map(|e| self.cores(e) * self.speed(e)).sum::<f64>() * self.share();
         let up = self.engines.values().filter(|e| e.entry.listed == Listed::Up);
@@ -369,11 +334,6 @@
         self.share().max((self.widest() / self.cores(e)).min(1.0))
     }
 
-    /// Threads of the widest class.
-    fn widest(&self) -> f64 {
-        f64::from(self.settings.classes.iter().map(|c| c.threads).max().unwrap_or(1).max(1))
-    }
-
     /// Work an engine does for this gateway in a microsecond.
     fn drain_rate(&self, e: &Engine) -> f64 {
         let part = (self.part(e) * e.width / THREADS_PER_CORE).min(1.0);
@@ -419,12 +379,12 @@
     fn steer(&mut self, engine: EngineId) {
         let (now, best) = (self.now, self.best_slow);
         let most = WIDEST / self.share();
-        let step = |width: &mut f64, slow: f64, pressed: &mut bool, stepped_at: &mut Micros, up: f64| {
+        let step = |width: &mut f64, slow: f64, pressed: &mut bool, stepped_at: &mut Micros| {
             if now < *stepped_at + STEP_EVERY {
                 return;
             }
             if slow < WIDEN_UNDER * best && *pressed {
-                *width = (*width * up).min(most);
+                *width = (*width * WIDEN).min(most);
             } else if slow > CUT_OVER * best {
                 *width = (*width * (CUT_OVER * best / slow).clamp(0.6, CUT)).max(NARROWEST);
             }
@@ -432,33 +392,16 @@
             *pressed = false;
         };
         let usual = self.slow.get().unwrap_or(1.0);
-        step(&mut self.width, usual, &mut self.pressed, &mut self.stepped_at, WIDEN_FLEET);
+        step(&mut self.width, usual, &mut self.pressed, &mut self.stepped_at);
         let Some(e) = self.engines.get_mut(&engine) else { return };
         let slow = e.slow.leaning(usual, LEAN / 2.0);
-        step(&mut e.width, slow, &mut e.pressed, &mut e.stepped_at, WIDEN);
+        step(&mut e.width, slow, &mut e.pressed, &mut e.stepped_at);
     }
 
     fn join(&mut self, id: RequestId, engine: EngineId) {
         let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else { return };
         let cost = self.cost(&open.request, Some(e));
-        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else { return };
-        open.place = Place::Line(engine);
-        open.charged = cost;
-        e.charge(open.request.class, cost);
-        e.waiting += cost;
-        e.line.insert((open.goal, id));
-    }
-
-    /// Takes a request out of the line it waits in and lifts its charge.
-    fn leave(&mut self, id: RequestId) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let Place::Line(engine) = open.place else { return };
-        open.place = Place::Parked;
-        if let Some(e) = self.engines.get_mut(&engine) {
-            e.line.remove(&(open.goal, id));
-            e.waiting = (e.waiting - open.charged).max(0.0);
-            e.discharge(open.request.class, open.charged);
-        }
+        self.line_up(id, engine, cost);
     }
 
     /// Starts what may start on an engine, earliest deadline first.
@@ -579,11 +522,7 @@
     /// The same of all that was asked for of late.
     fn usual_density(&self) -> f64 {
         let sums = self.learned.iter().fold((0.0, 0.0), |s, l| (s.0 + l.worth, s.1 + l.asked));
-        if sums.1 > 0.0 {
-            (sums.0 / sums.1).max(1e-12)
-        } else {
-            1e-12
-        }
+        finite(sums.0 / sums.1, 1e-12, 1e12)
     }
 
     /// Light queries first, by worth for each unit of work against the average.
@@ -616,22 +555,8 @@
             out.push(Action::Terms { id, memory_mb, rank: if self.settings.priorities { rank } else { 1 } });
         }
         out.push(Action::Dispatch { id, engine, until: flight.until });
-        let cold = self.is_cold(e);
-        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else { return };
-        e.line.remove(&(open.goal, id));
-        e.waiting = (e.waiting - open.charged).max(0.0);
-        e.start(&flight, WARM_GROUPS);
-        if cold {
-            e.cold.push_back((self.now, weight));
-        }
-        if open.attempts > 0 {
-            self.extras.push_back(self.now);
-        }
-        open.place = Place::Out;
-        open.charged = 0.0;
-        open.maybe = open.maybe.or(Some((open.attempts, e.entry.zone, e.entry.cell, self.now)));
-        self.flights.insert((id, open.attempts), flight);
-        open.attempts += 1;
+        let cold = self.is_cold(e).then_some(weight);
+        self.sent(id, flight, cold, WARM_GROUPS);
     }
 
     /// When to give an attempt up: with the client, or earlier where another may follow and has time.
@@ -642,11 +567,8 @@
         let patience = stubborn * (PATIENCE * usual + PATIENCE_SPAN as f64);
         let until = self.now.saturating_add(patience as Micros);
         let again = !last && self.class(&open.request).effect != Effect::Once;
-        if again && until.saturating_add(usual as Micros) < due {
-            until
-        } else {
-            due
-        }
+        let in_time = again && until.saturating_add(usual as Micros) < due;
+        [due, until][usize::from(in_time)]
     }
 
     // ---- Outcomes --------------------------------------------------------------------------------------
@@ -654,7 +576,7 @@
     fn answered(&mut self, answer: Answer, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.remove(&(answer.id, answer.attempt)) else { return };
         let engine = flight.engine;
-        self.reported(engine, answer.load);
+        self.reported(engine, answer.load, FLEET_SAMPLE);
         self.settle(&flight, &answer);
         self.symptom(&flight, &answer, out);
         if let Some(open) = self.open.get_mut(&answer.id) {
@@ -675,16 +597,8 @@
         self.advance(flight.request.key.as_ref(), out);
         self.pump(engine, out);
         self.fetch_work(engine, out);
-        self.pump_all(out);
-    }
-
-    /// Room in the fleet goes to the most urgent of all lines.
-    fn pump_all(&mut self, out: &mut Vec<Action>) {
-        let heads = self.engines.iter().filter_map(|(&id, e)| e.line.first().map(|&head| (head, id)));
-        let lines: BTreeSet<_> = heads.collect();
-        for (_, engine) in lines {
-            self.pump(engine, out);
-        }
+        // Room in the fleet goes to the most urgent of all lines.
+        self.lines().into_iter().for_each(|engine| self.pump(engine, out));
     }
 
     /// Frees what the attempt held and learns from it.
@@ -936,7 +850,7 @@
         self.find_silent(out);
         let engines: Vec<EngineId> = self.engines.keys().copied().collect();
         engines.iter().for_each(|&engine| self.trial(engine, out));
-        self.pump_all(out);
+        self.lines().into_iter().for_each(|engine| self.pump(engine, out));
         engines.iter().for_each(|&engine| self.fetch_work(engine, out));
         self.keys.keys().cloned().collect::<Vec<_>>().iter().for_each(|key| self.advance(Some(key), out));
         self.tidy(out);
@@ -959,14 +873,11 @@
     /// What is late in its line moves behind: in the order of first deadlines, requests that have lost their
     /// full worth would make all that follow late as well.
     fn put_back_late(&mut self) {
-        for (&id, open) in self.open.iter_mut().filter(|(_, o)| o.goal < self.now) {
-            let Place::Line(engine) = open.place else { continue };
-            if let Some(e) = self.engines.get_mut(&engine) {
-                e.line.remove(&(open.goal, id));
-                open.goal = open.request.due;
-                e.line.insert((open.goal, id));
-            }
-        }
+        let late =
+            |o: &Open| o.goal < self.now && o.goal < o.request.due && matches!(o.place, Place::Line(_));
+        let late: Vec<_> =
+            self.open.iter().filter(|(_, o)| late(o)).map(|(&id, o)| (id, o.request.due)).collect();
+        late.into_iter().for_each(|(id, due)| self.put_back(id, due));
     }
 
     /// An engine is silent if attempts there are overdue and nothing has come from it since they should
--- a/src/state.rs
+++ b/src/state.rs
@@ -314,15 +314,110 @@
         self.engines.get_mut(&engine)?.sick.as_mut()
     }
 
-    /// Takes a token of a tenant, if there is one; tokens come at `rate` a second, up to `most`.
-    pub(crate) fn take_token(&mut self, tenant: TenantId, rate: f64, most: f64) -> bool {
+    /// A load stands still while another holds its group there, and so do classes that wait for loads.
+    pub(crate) fn is_blocked(&self, open: &Open, engine: EngineId) -> bool {
+        let class = self.class(&open.request);
+        let waits = class.is_load || class.waits_for_loads;
+        let group = open.request.group;
+        let is_load = |f: &Flight| self.class(&f.request).is_load;
+        let holds = |f: &Flight| f.engine == engine && f.request.group == group && is_load(f);
+        waits && self.flights.values().any(holds)
+    }
+
+    /// Within the span in which an engine may still be cold.
+    pub(crate) fn is_cold(&self, e: &Engine) -> bool {
+        e.entry.came_up > 0 && self.now < e.entry.came_up.saturating_add(self.settings.cold_span)
+    }
+
+    /// Threads of the widest class.
+    pub(crate) fn widest(&self) -> f64 {
+        f64::from(self.settings.classes.iter().map(|c| c.threads).max().unwrap_or(1).max(1))
+    }
+
+    /// Keeps the load that an engine reports of its cores and disks, and the average over all engines.
+    pub(crate) fn reported(&mut self, engine: EngineId, load: Load, weight: f64) {
+        let told = [load.cores, load.disks];
+        let most = told.iter().flatten().copied().fold(f64::NAN, f64::max);
+        let (now, load) = (self.now, finite(most, 0.0, 1.0));
+        if let (false, Some(e)) = (most.is_nan(), self.engines.get_mut(&engine)) {
+            e.load = Some((load, now));
+            self.usual_load += weight * (load - self.usual_load);
+        }
+    }
+
+    /// Puts a request into an engine's line, charged with its predicted cost.
+    pub(crate) fn line_up(&mut self, id: RequestId, engine: EngineId, cost: f64) {
+        let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else { return };
+        open.place = Place::Line(engine);
+        open.charged = cost;
+        e.charge(open.request.class, cost);
+        e.waiting += cost;
+        e.line.insert((open.goal, id));
+    }
+
+    /// Takes a request out of the line it waits in and lifts its charge.
+    pub(crate) fn leave(&mut self, id: RequestId) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Place::Line(engine) = open.place else { return };
+        open.place = Place::Parked;
+        if let Some(e) = self.engines.get_mut(&engine) {
+            e.line.remove(&(open.goal, id));
+            e.waiting = (e.waiting - open.charged).max(0.0);
+            e.discharge(open.request.class, open.charged);
+        }
+    }
+
+    /// An attempt has gone out; `cold` is its weight on a cold engine.
+    pub(crate) fn sent(&mut self, id: RequestId, flight: Flight, cold: Option<f64>, keep: usize) {
         let now = self.now;
-        let Some((tokens, at)) = self.tokens.get_mut(tenant.0) else { return true };
-        *tokens = (*tokens + rate * (now - *at) as f64 / 1e6).min(most);
-        *at = now;
-        let within = *tokens >= 1.0;
-        *tokens -= if within { 1.0 } else { 0.0 };
-        within
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(e) = self.engines.get_mut(&flight.engine) else { return };
+        e.line.remove(&(open.goal, id));
+        e.waiting = (e.waiting - open.charged).max(0.0);
+        e.start(&flight, keep);
+        e.cold.extend(cold.map(|weight| (now, weight)));
+        self.extras.extend((open.attempts > 0).then_some(now));
+        open.place = Place::Out;
+        open.charged = 0.0;
+        open.maybe = open.maybe.or(Some((open.attempts, e.entry.zone, e.entry.cell, now)));
+        self.flights.insert((id, open.attempts), flight);
+        open.attempts += 1;
+    }
+
+    /// Averages of the work and worth asked for, each class's part of them.
+    pub(crate) fn note_asked(&mut self, class: usize, cost: f64, worth: f64, weight: f64) {
+        for (i, learned) in self.learned.iter_mut().enumerate() {
+            let asked = if i == class { (cost, worth) } else { (0.0, 0.0) };
+            learned.asked += weight * (asked.0 - learned.asked);
+            learned.worth += weight * (asked.1 - learned.worth);
+        }
+    }
+
+    /// Threads and memory held on all engines.
+    pub(crate) fn held(&self) -> (f64, f64) {
+        self.engines.values().map(Engine::held).fold((0.0, 0.0), |sum, h| (sum.0 + h.0, sum.1 + h.1))
+    }
+
+    /// Debt on all engines.
+    pub(crate) fn fleet_debt(&self) -> f64 {
+        self.engines.values().map(Engine::total_debt).sum()
+    }
+
+    /// Every engine with a line, the one with the earliest deadline first.
+    pub(crate) fn lines(&self) -> Vec<EngineId> {
+        let heads = self.engines.iter().filter_map(|(&id, e)| e.line.first().map(|&head| (head, id)));
+        heads.collect::<BTreeSet<_>>().into_iter().map(|(_, engine)| engine).collect()
+    }
+
+    /// Moves what waits in a line to another deadline.
+    pub(crate) fn put_back(&mut self, id: RequestId, goal: Micros) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Place::Line(engine) = open.place else { return };
+        if let Some(e) = self.engines.get_mut(&engine) {
+            e.line.remove(&(open.goal, id));
+            open.goal = goal;
+            e.line.insert((open.goal, id));
+        }
     }
 
     /// What a whole list does not name is gone.
@@ -369,6 +464,13 @@
     }
 }
 
+/// The median.
+pub(crate) fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut all: Vec<f64> = values.collect();
+    all.sort_by(f64::total_cmp);
+    all.get(all.len() / 2).copied()
+}
+
 /// `x` within bounds; the least if it is no number.
 pub(crate) fn finite(x: f64, least: f64, most: f64) -> f64 {
     if x.is_finite() {
