--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,6 +76,8 @@
 const GRANT_START: f64 = 1.25;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
 const COLD_MARGIN: f64 = 0.5;
+/// What a gateway may send a cold engine in its turn, in queries of the lightest class.
+const COLD_TURN: f64 = 2.0;
 /// Power of worth for work against the average by which the backlog that a request may find shrinks.
 const PINCH: f64 = 2.0;
 /// Depth of a bucket against what it drains in the time that a request has.
@@ -478,14 +480,20 @@
     }
 
     /// A fresh engine falls over if all gateways send too much: each sends its part, whatever the others
-    /// do, in every window of the rule's length. With `ever`, whether it could fit an empty window.
+    /// do, in every window of the rule's length. With `ever`, whether it could fit an empty window. Where a
+    /// part is less than a light query none could ever send: then gateways take turns that add up to it.
     fn cold_allows(&self, open: &Open, e: &Engine, ever: bool) -> bool {
         if !self.is_cold(e) || self.settings.fall_multiple <= 0.0 {
             return true;
         }
         let capacity = self.cores(e) * finite(self.settings.cold_from, 0.01, 1.0);
         let span = self.settings.fall_span as f64;
-        let budget = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share();
+        let part = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share();
+        let usual = self.learned.iter().filter_map(|l| l.usual.get());
+        let light = COLD_TURN * usual.fold(f64::INFINITY, f64::min);
+        let slice = self.now / self.settings.fall_span.max(1);
+        let turn = unit(mix(e.entry.engine.0 ^ mix(slice))) + self.settings.me.0 as f64 * self.share();
+        let budget = if light.is_finite() && turn.fract() < part / light { part.max(light) } else { part };
         let from = self.now.saturating_sub(self.settings.fall_span);
         let sent: f64 = e.cold.iter().rev().take_while(|c| c.0 >= from).map(|c| c.1).sum();
         self.cold_weight(open) + if ever { 0.0 } else { sent } <= budget
