--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,7 @@
 //! All decisions of violetward. Their interface (types, events, actions) is the file `src/api.rs`.
 //!
-//! A request's course: `take`, `place` (its turn? which engine passes?), the engine's line (earliest
-//! deadline first), `pump` (thread bound, memory, `guard`), `send`, `answered`; then it is served, placed
-//! again or `end`ed. A tick looks after what no event tells: deadlines, silence, trials of sick engines.
+//! A request's course: `take`, `place`, an engine's line (earliest deadline first), `pump` (thread bound,
+//! memory, `guard`), `send`, `answered`; then it is served, placed again or `end`ed. A tick does the rest.
 
 use std::collections::BTreeSet;
 
@@ -39,6 +38,7 @@
 /// One step of widening and of cutting, and the least time between two steps of an engine.
 const WIDEN: f64 = 1.1;
 const CUT: f64 = 0.9;
+const CUT_MOST: f64 = 0.6;
 const STEP_EVERY: Micros = 150_000;
 /// How far the bound may be cut under its start, and how far it may pass one gateway's whole engine.
 const NARROWEST: f64 = 1.0;
@@ -47,7 +47,7 @@
 const COLD_READ: f64 = 0.35;
 /// Groups that an engine is thought to keep warm.
 const WARM_GROUPS: usize = 4;
-/// Share of the debt that stays until answered: an engine that does not get on keeps it, whatever the reason.
+/// Share of the debt that stays until answered: an engine that does not get on keeps it, for any reason.
 const STANDING: f64 = 0.5;
 /// Drain share that a class keeps however seldom it comes.
 const LEAST_USE: f64 = 0.05;
@@ -76,7 +76,7 @@
 const GRANT_START: f64 = 1.25;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
 const COLD_MARGIN: f64 = 0.5;
-/// What a gateway may send a cold engine in its turn, in queries of the lightest class.
+/// Queries of the lightest class that a gateway may send a cold engine in its turn.
 const COLD_TURN: f64 = 2.0;
 /// Power of worth for work against the average by which the backlog that a request may find shrinks.
 const PINCH: f64 = 2.0;
@@ -190,6 +190,12 @@
         if !self.has_turn(id) {
             return;
         }
+        if let Some(engine) = self.trial_for(id) {
+            self.join(id, engine);
+            let grant = self.grant(&self.open[&id].request, &self.engines[&engine]);
+            self.sick(engine).into_iter().for_each(|sick| (sick.ready, sick.trial) = (false, Some(id)));
+            return self.send(id, engine, grant, out);
+        }
         let Some(engine) = self.choose(id) else {
             self.pressed |= self.open.get(&id).is_some_and(|o| self.fleet_is_full(&o.request));
             return self.end(id, out);
@@ -198,9 +204,8 @@
         self.pump(engine, out);
     }
 
-    /// The passing engine with the least debt against its drain. An engine that is not warm for the group
-    /// counts with the reading it would cost; a hash that all gateways share breaks ties, so that they
-    /// keep the same groups warm on the same engines.
+    /// The passing engine with the least debt against its drain, with the reading that it would cost where it
+    /// is not warm for the group. A hash that all gateways share breaks ties.
     fn choose(&mut self, id: RequestId) -> Option<EngineId> {
         self.engines.keys().copied().collect::<Vec<_>>().into_iter().for_each(|engine| self.drain(engine));
         let dice = self.draw();
@@ -225,36 +230,33 @@
         best.map(|b| b.3)
     }
 
-    /// What the load that an engine reported adds to its debt: others' work, of which own debt tells nothing.
-    /// An old report fades into what is usual.
+    /// Others' work, by the load that an engine reported; an old report fades into what is usual.
     fn others(&self, e: &Engine) -> f64 {
         let Some((load, at)) = e.load else { return 1.0 + OTHERS * self.usual_load };
         let fresh = (-((self.now - at) as f64) / REPORT_FADES).exp();
         1.0 + OTHERS * (self.usual_load + (load - self.usual_load) * fresh) * (1.0 - self.share())
     }
 
-    /// Debt fits the class's bucket and the query can finish by its goal; an idle engine always passes if
-    /// the client will still be there.
+    /// Debt fits its bucket and the query can finish by its goal; on an idle engine, by its deadline.
     fn passes(&self, open: &Open, e: &Engine, fleet_wait: f64) -> bool {
         let request = &open.request;
         let class = request.class.0;
         let cost = self.cost(request, Some(e));
         let threads = self.threads(request);
         let run = cost / threads / self.speed(e) * self.slow.leaning(1.0, 3.0).max(1.0);
-        let left = request.due.saturating_sub(self.now) as f64;
         if fleet_wait == 0.0 && e.threads == 0.0 && e.line.is_empty() && e.debt.iter().all(|&d| d <= 0.0) {
-            return run < left;
+            return run < request.due.saturating_sub(self.now) as f64;
         }
         let goal = if self.now < open.goal { open.goal } else { request.due };
         let slack = goal.saturating_sub(self.now) as f64;
         let rate = self.drain_rate(e);
-        let wait = if self.fits(e, threads) && e.line.is_empty() { 0.0 } else { self.ahead(open, e) / rate };
-        let wait = wait.max(fleet_wait);
+        let free = self.fits(e, threads) && e.line.is_empty();
+        let wait = if free { fleet_wait } else { fleet_wait.max(self.ahead(open, e) / rate) };
         let costliest = self.learned.iter().filter_map(|l| l.usual.get()).fold(1.0, f64::max);
         let depth = (DEPTH * rate * self.use_of(class) * slack).max(costliest);
         let depth = if open.over_share { depth * OVER_SHARE_DEPTH } else { depth };
-        let backlog = if fleet_wait > 0.0 { self.fleet_debt() / self.fleet_rate() } else { 0.0 }
-            .max(e.total_debt() / rate);
+        let shared = if fleet_wait > 0.0 { self.fleet_debt() / self.fleet_rate() } else { 0.0 };
+        let backlog = shared.max(e.total_debt() / rate);
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
         let pinched = wait > 0.0 && pinch < 1.0 && backlog > slack * pinch;
         e.debt[class] + cost <= depth && wait + run <= slack && !pinched
@@ -275,9 +277,8 @@
     }
 
     /// Many gateways that each may start one query on every engine would flood all of them: what runs
-    /// anywhere is bounded by the share of the fleet. One query may always run, and one may reach over.
-    /// What earns more for its work than the average reaches further: where a share is worth a few threads,
-    /// one heavy query fills it for seconds, and would turn away all the light ones that cost next to none.
+    /// anywhere is bounded by the share of the fleet. One query may always run, and one may reach over. What
+    /// earns more for its work reaches further: else one heavy query would turn away all light ones for long.
     fn fleet_is_full(&self, request: &Request) -> bool {
         let held = self.held();
         let reach = finite(self.density(request) / self.usual_density(), REACH[0], REACH[1]);
@@ -320,8 +321,7 @@
         }
     }
 
-    /// Once for each event, what all choices share: the median slowness of the engines, and the cores that
-    /// the fleet has for this gateway at an even share.
+    /// Once for each event, what all choices share: usual slowness, and an even share of cores and memory.
     fn look(&mut self) {
         self.usual_slow = median(self.engines.values().filter_map(|e| e.slow.get())).unwrap_or(1.0).max(0.1);
         let used = self.engines.values().filter(|e| e.sick.is_none() && e.entry.listed == Listed::Up);
@@ -330,8 +330,7 @@
         self.fleet_memory = up.map(|e| self.memory(e)).sum::<f64>() * self.share();
     }
 
-    /// This gateway's part of an engine: never less than the widest query needs, since a smaller part is
-    /// none; what all engines together may do for it is bounded by the share of the fleet.
+    /// This gateway's part of an engine: at least the widest query, since the fleet's bound is the share.
     fn part(&self, e: &Engine) -> f64 {
         self.share().max((self.widest() / self.cores(e)).min(1.0))
     }
@@ -346,8 +345,7 @@
         self.cores(e) * self.part(e) * e.width * self.warmth(e)
     }
 
-    /// Lowers the debts of an engine by what has drained since the last look, split by recent use among
-    /// the buckets that hold any.
+    /// Lowers the debts of an engine by what has drained, split by use among the buckets that hold any.
     fn drain(&mut self, engine: EngineId) {
         let Some(e) = self.engines.get(&engine) else { return };
         let amount = self.drain_rate(e) * (self.now - e.drained_at) as f64;
@@ -376,8 +374,7 @@
         free || e.held().1 + grant <= all * part
     }
 
-    /// Widens the bounds while queries take little longer than at best, cuts them as they take longer: of
-    /// an engine by its own slowness, of the fleet by that of all that is served.
+    /// Widens the bounds while queries take little longer than at best, else cuts: each by its own slowness.
     fn steer(&mut self, engine: EngineId) {
         let (now, best) = (self.now, self.best_slow);
         let most = WIDEST / self.share();
@@ -388,7 +385,7 @@
             if slow < WIDEN_UNDER * best && *pressed {
                 *width = (*width * WIDEN).min(most);
             } else if slow > CUT_OVER * best {
-                *width = (*width * (CUT_OVER * best / slow).clamp(0.6, CUT)).max(NARROWEST);
+                *width = (*width * (CUT_OVER * best / slow).clamp(CUT_MOST, CUT)).max(NARROWEST);
             }
             *stepped_at = now;
             *pressed = false;
@@ -461,10 +458,8 @@
             Effect::Repeatable => true,
             Effect::Once => false,
             Effect::Keyed { scope, window } => {
-                let known = scope == KeyScope::All
-                    || scope == KeyScope::Zone && e.entry.zone == zone
-                    || scope == KeyScope::Cell && e.entry.cell == cell;
-                known && self.now + self.settings.quantum < sent.saturating_add(window)
+                scope.holds(&e.entry, zone, cell)
+                    && self.now + self.settings.quantum < sent.saturating_add(window)
             }
         }
     }
@@ -480,8 +475,8 @@
     }
 
     /// A fresh engine falls over if all gateways send too much: each sends its part, whatever the others
-    /// do, in every window of the rule's length. With `ever`, whether it could fit an empty window. Where a
-    /// part is less than a light query none could ever send: then gateways take turns that add up to it.
+    /// do, in every window. With `ever`, whether it could fit an empty window. Where a part is less than a
+    /// light query none could ever send: then gateways take turns that add up to it.
     fn cold_allows(&self, open: &Open, e: &Engine, ever: bool) -> bool {
         if !self.is_cold(e) || self.settings.fall_multiple <= 0.0 {
             return true;
@@ -527,7 +522,7 @@
         finite(self.class(request).worth, 0.0, 1e9) / self.cost(request, None)
     }
 
-    /// The same of all that was asked for of late.
+    /// The same of all that was asked for.
     fn usual_density(&self) -> f64 {
         let sums = self.learned.iter().fold((0.0, 0.0), |s, l| (s.0 + l.worth, s.1 + l.asked));
         finite(sums.0 / sums.1, 1e-12, 1e12)
@@ -536,7 +531,7 @@
     /// Light queries first, by worth for each unit of work against the average.
     fn rank(&self, request: &Request) -> u8 {
         let ratio = self.density(request) / self.usual_density();
-        1 + RANKS.iter().filter(|&&r| ratio >= r).count() as u8
+        1 + RANKS.iter().filter(|&&r| self.settings.priorities && ratio >= r).count() as u8
     }
 
     fn send(&mut self, id: RequestId, engine: EngineId, grant: f64, out: &mut Vec<Action>) {
@@ -544,8 +539,9 @@
         let request = &open.request;
         let cost = self.cost(request, Some(e));
         let threads = self.threads(request);
-        let slow = self.learned[request.class.0].slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN));
-        let usual = cost / threads * slow.max(1.0) / self.warmth(e);
+        let slow =
+            self.learned[request.class.0].slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN)).max(1.0);
+        let usual = cost / threads * slow / self.warmth(e);
         let flight = Flight {
             engine,
             request: request.clone(),
@@ -557,10 +553,10 @@
             usual,
             cancelled: false,
         };
-        let (weight, rank) = (self.cold_weight(open), self.rank(request));
+        let weight = self.cold_weight(open);
         if self.settings.grants || self.settings.priorities {
             let memory_mb = if self.settings.grants { grant } else { 0.0 };
-            out.push(Action::Terms { id, memory_mb, rank: if self.settings.priorities { rank } else { 1 } });
+            out.push(Action::Terms { id, memory_mb, rank: self.rank(request) });
         }
         out.push(Action::Dispatch { id, engine, until: flight.until });
         let cold = self.is_cold(e).then_some(weight);
@@ -658,12 +654,7 @@
     /// The one place that ends requests: refused where a further try is harmless, else failed.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let repeats = matches!(
-            self.class(&open.request).effect,
-            Effect::Repeatable | Effect::Keyed { scope: KeyScope::All, .. }
-        );
-        let harmless = repeats || open.maybe.is_none();
-        if harmless {
+        if self.class(&open.request).effect.repeats_anywhere() || open.maybe.is_none() {
             let spread = ADVICE + self.draw() % ADVICE;
             let retry_after = spread.min(self.settings.retry_advice.unwrap_or(0));
             out.push(Action::Refuse { id, retry_after });
@@ -723,18 +714,15 @@
             self.mark_missing(&entries);
         }
         for entry in entries {
-            let fresh =
-                || Engine::new(entry.clone(), self.settings.classes.len(), THREADS_PER_CORE, self.now);
+            let classes = self.settings.classes.len();
+            let fresh = || Engine::new(entry.clone(), classes, THREADS_PER_CORE, self.now);
             let e = self.engines.entry(entry.engine).or_insert_with(fresh);
             if entry.came_up > e.entry.came_up {
-                // It has started anew: nothing is warm, and old symptoms are another process's.
                 e.restart();
             }
             e.entry = entry;
         }
-        for engine in self.not_up() {
-            self.empty_line(engine, out);
-        }
+        self.not_up().into_iter().for_each(|engine| self.empty_line(engine, out));
         self.drop_removed();
     }
 
@@ -777,7 +765,7 @@
     fn condemn(&mut self, engine: EngineId, why: &str, out: &mut Vec<Action>) {
         let next = self.now + TRIAL_FIRST;
         let Some(e) = self.engines.get_mut(&engine) else { return };
-        e.sick = Some(Sick { good: 0, wait: TRIAL_FIRST, next, trial: None });
+        e.sick = Some(Sick { good: 0, wait: TRIAL_FIRST, next, trial: None, ready: false });
         out.push(Action::Log(format!("engine {:x} is left alone: {why}", engine.0)));
         self.empty_line(engine, out);
     }
@@ -807,47 +795,34 @@
         match (e.sick.is_some(), ok) {
             (false, true) => {}
             (false, false) => self.condemn(engine, "no answers", out),
-            (true, true) => self.try_out(engine, out),
+            (true, true) => self.sick(engine).into_iter().for_each(|sick| sick.ready = true),
             (true, false) => self.trial_done(engine, false, out),
         }
     }
 
-    /// A trial of a sick engine: a probe where allowed, then one light repeatable request that waits.
+    /// A trial of a sick engine: a probe where allowed, then one light repeatable request.
     fn trial(&mut self, engine: EngineId, out: &mut Vec<Action>) {
-        let may_probe = self.settings.may_probe;
-        let now = self.now;
+        let (may_probe, now) = (self.settings.may_probe, self.now);
         let Some(e) = self.engines.get_mut(&engine) else { return };
         let Some(sick) = &mut e.sick else { return };
-        if now < sick.next || sick.trial.is_some() || e.entry.listed != Listed::Up {
+        if now < sick.next || sick.ready || sick.trial.is_some() || e.entry.listed != Listed::Up {
             return;
         }
-        sick.next = now;
-        if may_probe {
-            e.probing = true;
-            out.push(Action::Probe(engine));
-        } else {
-            self.try_out(engine, out);
-        }
+        sick.next = now + sick.wait;
+        sick.ready = !may_probe;
+        e.probing = may_probe;
+        out.extend(may_probe.then_some(Action::Probe(engine)));
     }
 
-    /// Takes the lightest repeatable request that waits anywhere and can still be served elsewhere after.
-    fn try_out(&mut self, engine: EngineId, out: &mut Vec<Action>) {
-        let light = |open: &Open| {
-            let class = self.class(&open.request);
-            class.effect == Effect::Repeatable && open.attempts + 1 < self.settings.attempts_cap
-        };
-        let waiting = self.open.iter().filter(|(_, o)| matches!(o.place, Place::Line(_)) && light(o));
-        let allowed = waiting.filter(|(&id, _)| self.guard(id, engine) == Leave::Yes);
-        let cost = |o: &Open| self.cost(&o.request, None);
-        let best = allowed.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1))).map(|(&id, _)| id);
-        let Some(sick) = self.sick(engine) else { return };
-        sick.trial = best;
-        sick.next += sick.wait;
-        let Some(id) = best else { return };
-        self.leave(id);
-        self.join(id, engine);
-        let grant = self.grant(&self.open[&id].request, &self.engines[&engine]);
-        self.send(id, engine, grant, out);
+    /// A sick engine that a request may try: light and repeatable, with another attempt left. Requests that
+    /// arrive do it; where many gateways each send little, none may ever wait in a line.
+    fn trial_for(&self, id: RequestId) -> Option<EngineId> {
+        let mut ready = self.engines.iter().filter(|(_, e)| e.sick.as_ref().is_some_and(|s| s.ready));
+        let open = self.open.get(&id)?;
+        let light = self.density(&open.request) >= self.usual_density();
+        let repeats = self.class(&open.request).effect == Effect::Repeatable;
+        let may = light && repeats && open.attempts + 1 < self.settings.attempts_cap;
+        ready.find(|(&engine, _)| may && self.guard(id, engine) == Leave::Yes).map(|(&engine, _)| engine)
     }
 
     // ---- The tick --------------------------------------------------------------------------------------
@@ -878,8 +853,7 @@
         self.put_back_late();
     }
 
-    /// What is late in its line moves behind: in the order of first deadlines, requests that have lost their
-    /// full worth would make all that follow late as well.
+    /// What is late in its line moves behind: in the order of deadlines it would make all that follow late.
     fn put_back_late(&mut self) {
         let late =
             |o: &Open| o.goal < self.now && o.goal < o.request.due && matches!(o.place, Place::Line(_));
@@ -921,8 +895,7 @@
         let heads = others.filter_map(|(_, other)| other.line.first().copied());
         let movable = heads.filter(|&(_, id)| {
             let open = &self.open[&id];
-            let threads = self.threads(&open.request);
-            self.fits(e, threads)
+            self.fits(e, self.threads(&open.request))
                 && !self.fleet_is_full(&open.request)
                 && self.has_memory(e, self.grant(&open.request, e))
                 && self.guard(id, engine) == Leave::Yes
@@ -939,11 +912,10 @@
     /// Where the list comes only when asked for, asks in good time; a missing answer is not awaited for ever.
     fn tidy(&mut self, out: &mut Vec<Action>) {
         self.drop_old(FORGET);
-        if let (Some(span), Some(at)) = (self.settings.ask_within, self.asked_at) {
-            if self.now >= at.saturating_add(span / 3) {
-                self.asked_at = Some(self.now);
-                out.push(Action::FetchList);
-            }
+        let (span, at) = (self.settings.ask_within, self.asked_at);
+        if span.zip(at).is_some_and(|(span, at)| self.now >= at.saturating_add(span / 3)) {
+            self.asked_at = Some(self.now);
+            out.push(Action::FetchList);
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -156,6 +156,8 @@
     pub wait: Micros,
     pub next: Micros,
     pub trial: Option<RequestId>,
+    /// A request may try it.
+    pub ready: bool,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -216,6 +218,24 @@
     pub rest_until: Micros,
 }
 
+impl Effect {
+    /// A repeat on any engine does no harm.
+    pub(crate) fn repeats_anywhere(&self) -> bool {
+        matches!(self, Effect::Repeatable | Effect::Keyed { scope: KeyScope::All, .. })
+    }
+}
+
+impl KeyScope {
+    /// The engine drops repeats of what first went to that zone and cell.
+    pub(crate) fn holds(self, entry: &EngineEntry, zone: ZoneId, cell: CellId) -> bool {
+        match self {
+            KeyScope::All => true,
+            KeyScope::Zone => entry.zone == zone,
+            KeyScope::Cell => entry.cell == cell,
+        }
+    }
+}
+
 /// What the guard says of a dispatch: yes, not now, or not on this engine.
 #[derive(PartialEq)]
 pub(crate) enum Leave {
