--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,9 +23,10 @@
 const REACH: [f64; 2] = [0.5, 4.0];
 /// Part of the share of the fleet's memory that may be granted before the fleet counts as full.
 const MEMORY_PART: f64 = 0.6;
-/// How much a reported load of 1 weighs against own debt, and how fast a report fades.
+/// How much a reported load of 1 weighs against own debt, how fast a report fades, and what "full" counts.
 const OTHERS: f64 = 2.0;
 const REPORT_FADES: f64 = 2e6;
+const FULL_LOAD: f64 = 10.0;
 /// Random part of a choice where gateways are many: with the same news they would all choose the same.
 const SPREAD: f64 = 0.1;
 /// As many samples of an engine weigh as much as the class's average over all engines.
@@ -51,8 +52,7 @@
 const STANDING: f64 = 0.5;
 /// Drain share that a class keeps however seldom it comes.
 const LEAST_USE: f64 = 0.05;
-/// An attempt that can be repeated is given up after this many times its usual time and this span; this
-/// many times later where giving up frees nothing, since attempts can't be withdrawn.
+/// An attempt is given up after this many times its usual time and a span; later where that frees nothing.
 const PATIENCE: f64 = 8.0;
 const PATIENCE_SPAN: Micros = 1_000_000;
 const STUBBORN: f64 = 2.0;
@@ -601,7 +601,6 @@
         self.advance(flight.request.key.as_ref(), out);
         self.pump(engine, out);
         self.fetch_work(engine, out);
-        // Room in the fleet goes to the most urgent of all lines.
         self.lines().into_iter().for_each(|engine| self.pump(engine, out));
     }
 
@@ -614,6 +613,8 @@
         }
         if let Some(e) = self.engines.get_mut(&flight.engine) {
             e.finish(flight);
+            // It turns away at once and so looks idle: without this it would draw all that the others can't take.
+            e.load = if answer.outcome == Outcome::Full { Some((FULL_LOAD, self.now)) } else { e.load };
             if !self.settings.may_cancel && answer.outcome == Outcome::Timeout {
                 // Nothing stops the work of an attempt given up here: it holds its threads a while yet.
                 let end = self.now.saturating_add(flight.usual as Micros);
@@ -814,8 +815,7 @@
         out.extend(may_probe.then_some(Action::Probe(engine)));
     }
 
-    /// A sick engine that a request may try: light and repeatable, with another attempt left. Requests that
-    /// arrive do it; where many gateways each send little, none may ever wait in a line.
+    /// A sick engine that a light, repeatable request may try as it arrives: at scale none waits in a line.
     fn trial_for(&self, id: RequestId) -> Option<EngineId> {
         let mut ready = self.engines.iter().filter(|(_, e)| e.sick.as_ref().is_some_and(|s| s.ready));
         let open = self.open.get(&id)?;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -206,3 +206,85 @@
     }
     assert!(!bed.all.iter().any(|(_, a)| matches!(a, Action::Log(_))));
 }
+
+/// One of many gateways over thirty engines, with a light class and a heavy one of four threads.
+fn one_of_many(me: u64, gateways: u32, engines: Vec<EngineEntry>) -> Bed {
+    let heavy = Class { threads: 4, worth: 4.0, ..class(Effect::Repeatable) };
+    let mut s = settings(class(Effect::Repeatable));
+    s.me = PeerId(me);
+    s.gateways = gateways;
+    s.classes.push(heavy);
+    Bed::new(s, engines)
+}
+
+#[test]
+fn a_small_share_of_the_fleet_bounds_what_is_started_on_all_engines() {
+    let mut bed = one_of_many(0, 150, (1..=30).map(entry).collect());
+    let heavy = |r: &mut Request| (r.class, r.cost) = (ClassId(1), 4_000_000);
+    let out: usize = (0..30).map(|id| sent(&bed.ask_with(id, heavy)).len()).sum();
+    assert_eq!(out, 1, "thirty idle engines, but a share worth one query");
+    assert_eq!(
+        sent(&bed.ask_with(100, |r| r.cost = 20_000)).len(),
+        1,
+        "a light query is not turned away for it"
+    );
+}
+
+#[test]
+fn the_fleet_bound_leaves_a_lone_gateway_all_engines() {
+    let mut bed = one_of_many(0, 1, (1..=30).map(entry).collect());
+    let heavy = |r: &mut Request| (r.class, r.cost) = (ClassId(1), 4_000_000);
+    let out: usize = (0..15).map(|id| sent(&bed.ask_with(id, heavy)).len()).sum();
+    assert_eq!(out, 15);
+}
+
+#[test]
+fn a_cold_engine_gets_light_work_from_many_gateways_within_its_budget() {
+    let (gateways, cost) = (150, 100_000);
+    let cold = EngineEntry { came_up: 101 * SECOND, ..entry(2) };
+    let mut at: Vec<Micros> = Vec::new();
+    for me in 0..u64::from(gateways) {
+        let mut bed = one_of_many(me, gateways, vec![entry(1)]);
+        let light = |r: &mut Request| r.cost = cost;
+        for id in 0..10 {
+            bed.ask_with(id, light);
+            bed.answer(id, Outcome::Ok);
+            bed.pass(100_000);
+        }
+        let gone = EngineEntry { listed: Listed::Draining, ..entry(1) };
+        bed.feed(Event::Engines { kind: ListKind::Changes, entries: vec![gone, cold.clone()] });
+        for id in 100..150 {
+            for (id, engine) in sent(&bed.ask_with(id, light)) {
+                at.extend((engine == 2).then_some(bed.now));
+                bed.answer(id, Outcome::Ok);
+            }
+            bed.pass(200_000);
+        }
+    }
+    let budget = 4.0 * 4.0 * 0.3 * SECOND as f64;
+    at.sort_unstable();
+    let most = at.iter().map(|&t| at.iter().filter(|&&u| t <= u && u < t + SECOND).count()).max();
+    let most = most.expect("a cold engine is used at all") as f64;
+    assert!(most * cost as f64 <= budget, "{most} queries in one window");
+}
+
+#[test]
+fn an_engine_left_alone_is_tried_again_though_nothing_waits_in_any_line() {
+    let mut bed = one_of_many(0, 150, (1..=4).map(entry).collect());
+    let first = sent(&bed.ask(90))[0].1;
+    bed.answer(90, Outcome::Ok);
+    play(&mut bed, 0, 60, |e| if e == first { Outcome::Error } else { Outcome::Ok });
+    assert!(bed.all.iter().any(|(_, a)| matches!(a, Action::Log(t) if t.contains("left alone"))));
+    play(&mut bed, 100, 150, |_| Outcome::Ok);
+    assert!(bed.all.iter().any(|(_, a)| matches!(a, Action::Log(t) if t.contains("used again"))));
+}
+
+#[test]
+fn a_full_engine_draws_less_though_it_turns_away_at_once() {
+    let mut bed = one_of_many(0, 150, (1..=4).map(entry).collect());
+    let first = sent(&bed.ask(90))[0].1;
+    bed.answer(90, Outcome::Ok);
+    let engines = play(&mut bed, 0, 80, |e| if e == first { Outcome::Full } else { Outcome::Ok });
+    let full = engines.iter().filter(|&&e| e == first).count();
+    assert!((1..=8).contains(&full), "{full} of {} attempts", engines.len());
+}
