--- a/src/logic.rs
+++ b/src/logic.rs
@@ -16,7 +16,7 @@
 const SAMPLE: f64 = 0.03;
 /// A sample of k counts at most this many times the class's k (or this part): one bad plan is no rule.
 const CLIP: f64 = 4.0;
-/// Weight of one sample in the slowness of all that is served, and the most that is taken for its best.
+/// Sample weight in the fleet's slowness, up to twice at small shares; the most taken for its best.
 const FLEET_SAMPLE: f64 = 0.1;
 const BEST_MOST: f64 = 1.5;
 /// Bounds of the part of the fleet's bound that a query may find held and still start.
@@ -631,13 +631,13 @@
         let took = answer.took as f64 * flight.threads;
         let truth = answer.work.filter(|&w| w > 0 && self.settings.tells_cost).map_or(took, |w| w as f64);
         let (class, told) = (flight.request.class.0, self.told(&flight.request));
+        self.slow.learn(took, truth, FLEET_SAMPLE * (2.0 - self.share()));
         let learned = &mut self.learned[class];
         let k = learned.k.get().unwrap_or(truth / told);
         let clipped = truth.clamp(told * k / CLIP, told * k * CLIP);
         learned.k.learn(clipped, told, SAMPLE);
         learned.usual.learn(truth, 1.0, SAMPLE);
         learned.slow.learn(took, truth, SAMPLE);
-        self.slow.learn(took, truth, FLEET_SAMPLE);
         let slow = self.slow.get().unwrap_or(1.0);
         self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).clamp(1.0, BEST_MOST);
         if let (Some(need), true) = (answer.memory_mb, flight.request.memory_mb > 0.0) {
