--- a/src/logic.rs
+++ b/src/logic.rs
@@ -631,7 +631,7 @@
         let took = answer.took as f64 * flight.threads;
         let truth = answer.work.filter(|&w| w > 0 && self.settings.tells_cost).map_or(took, |w| w as f64);
         let (class, told) = (flight.request.class.0, self.told(&flight.request));
-        self.slow.learn(took, truth, FLEET_SAMPLE * (2.0 - self.share()));
+        self.slow.learn(took, truth, FLEET_SAMPLE * (2.0 - (4.0 * self.share()).min(1.0)));
         let learned = &mut self.learned[class];
         let k = learned.k.get().unwrap_or(truth / told);
         let clipped = truth.clamp(told * k / CLIP, told * k * CLIP);
