--- a/src/logic.rs
+++ b/src/logic.rs
@@ -613,7 +613,7 @@
         }
         if let Some(e) = self.engines.get_mut(&flight.engine) {
             e.finish(flight);
-            // It turns away at once and so looks idle: without this it would draw all that the others can't take.
+            // It turns away at once and so looks idle: it would draw all that the others can't take.
             e.load = if answer.outcome == Outcome::Full { Some((FULL_LOAD, self.now)) } else { e.load };
             if !self.settings.may_cancel && answer.outcome == Outcome::Timeout {
                 // Nothing stops the work of an attempt given up here: it holds its threads a while yet.
