--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -74,7 +74,14 @@
     Streaming {
         job: String,
     },
-    Note {},
+    Note {
+        job: String,
+        #[serde(default)]
+        send_no: u32,
+        #[serde(default)]
+        value: f64,
+        what: u32,
+    },
     HealthResult {
         node: String,
         reason: String,
@@ -163,6 +170,27 @@
     limits: Limits,
     #[serde(default)]
     quantum_us: u64,
+    #[serde(default)]
+    zone: usize,
+    #[serde(default)]
+    report: Report,
+    #[serde(default)]
+    prices: Prices,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Report {
+    how: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Prices {
+    cross_zone: f64,
+    late_fail: f64,
+    probe: f64,
+    waste: f64,
 }
 
 #[derive(Deserialize)]
@@ -203,6 +231,7 @@
     lanes_count: bool,
     loads: Vec<bool>,
     memory_by_kind_mb: Vec<f64>,
+    note_period_us: u64,
     size_cores: Vec<f64>,
     tells_cost: bool,
     waits_for_loads: Vec<bool>,
@@ -300,7 +329,7 @@
 
 fn load(stats: &BTreeMap<String, f64>) -> vw::Load {
     let get = |name: &str| stats.get(name).copied();
-    vw::Load { cores: get("load_share"), memory: get("x0"), disks: get("x1") }
+    vw::Load { in_flight: get("concurrent"), cores: get("load_share"), memory: get("x0"), disks: get("x1") }
 }
 
 pub fn engines(kind: ListKind, lines: &[Line]) -> vw::Event {
@@ -369,7 +398,16 @@
             })
         }
         News::Elapsed { handle } => vw::Event::Elapsed(handle),
-        News::Note {} => return Ok(None),
+        News::Note { job, send_no, value, what } => {
+            let note = match (what, value as u32) {
+                (1, _) => vw::Note::Progress(value),
+                (2, _) => vw::Note::Spills(value),
+                (3, 1) => vw::Note::WaitsForMemory,
+                (3, 2) => vw::Note::WaitsForLoad,
+                _ => return Ok(None),
+            };
+            vw::Event::Note { id: request(&job)?, attempt: send_no, note }
+        }
         News::Configure { .. } | News::Teardown {} | News::List { .. } | News::Endpoints { .. } => {
             return Err("event out of place".to_string())
         }
@@ -454,6 +492,19 @@
             peer_messages: limits.peer_messages,
             retry_advice: limits.retry_after.then_some(limits.max_retry_after_us),
             quantum: self.quantum_us,
+            zone: vw::ZoneId(self.zone),
+            note_period: Some(family.note_period_us).filter(|&period| period > 0),
+            load_reports: match self.report.how.as_str() {
+                "answers" => vw::LoadReports::WithAnswers,
+                "probe" => vw::LoadReports::WithProbes,
+                _ => vw::LoadReports::None,
+            },
+            prices: vw::Prices {
+                cross_zone: self.prices.cross_zone,
+                waste: self.prices.waste,
+                late_fail: self.prices.late_fail,
+                probe: self.prices.probe,
+            },
         })
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -140,11 +140,37 @@
     pub window: Micros,
 }
 
+/// What brings an engine's load report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadReports {
+    /// Every answer, and probes.
+    WithAnswers,
+    /// Probes alone.
+    WithProbes,
+    /// Nothing.
+    None,
+}
+
+/// What is taken off the result, each times its share of first tries or of work asked for; 0 if free.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Prices {
+    /// An attempt that crosses zones.
+    pub cross_zone: f64,
+    /// Work that served no answer.
+    pub waste: f64,
+    /// Worth that ended unserved after its aim.
+    pub late_fail: f64,
+    /// A probe.
+    pub probe: f64,
+}
+
 /// All that a gateway is told at its start.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// This gateway's number.
     pub me: PeerId,
+    /// The zone it stands in.
+    pub zone: ZoneId,
     /// How many gateways there are.
     pub gateways: u32,
     /// Classes of requests.
@@ -193,6 +219,12 @@
     pub retry_advice: Option<Micros>,
     /// Events come at most this often.
     pub quantum: Micros,
+    /// How often an engine tells of a running attempt ([`Event::Note`]); `None` if it does not.
+    pub note_period: Option<Micros>,
+    /// What brings load reports.
+    pub load_reports: LoadReports,
+    /// What costs.
+    pub prices: Prices,
 }
 
 /// What the list says of an engine.
@@ -269,9 +301,11 @@
     Moot,
 }
 
-/// What an engine reports of its load; each as a share from 0 to 1.
+/// What an engine reports of its load; shares are from 0 to 1.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Load {
+    /// Queries that it holds, of all gateways.
+    pub in_flight: Option<f64>,
     /// How busy its cores are.
     pub cores: Option<f64>,
     /// How much of its memory is granted.
@@ -301,6 +335,19 @@
     pub load: Load,
 }
 
+/// News of an attempt that is out.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Note {
+    /// It runs; about this share of it is done.
+    Progress(f64),
+    /// It spills to disk, short of this many megabytes.
+    Spills(f64),
+    /// It stands in the engine's line for memory.
+    WaitsForMemory,
+    /// It stands still while a load holds its group.
+    WaitsForLoad,
+}
+
 /// How a list of engines is to be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListKind {
@@ -330,6 +377,15 @@
     Lapsed(RequestId),
     /// An attempt has ended.
     Answer(Answer),
+    /// An engine tells how an attempt gets on.
+    Note {
+        /// The request.
+        id: RequestId,
+        /// Which of its attempts, from 0.
+        attempt: u32,
+        /// The news.
+        note: Note,
+    },
     /// A streamed answer has begun: the attempt belongs to the client.
     Streaming(RequestId),
     /// A probe has come back.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,10 @@
 //!     peer_messages: false,
 //!     retry_advice: None,
 //!     quantum: 5_000,
+//!     zone: ZoneId(0),
+//!     note_period: None,
+//!     load_reports: LoadReports::WithAnswers,
+//!     prices: Prices::default(),
 //! };
 //! let mut gateway = Gateway::new(settings, 7);
 //! let mut actions = Vec::new();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,6 +12,8 @@
 
 /// The tick; also how early before its deadline a waiting request is ended.
 const TICK: Micros = 20_000;
+/// The tick while nothing waits in a line: it only watches attempts that are out.
+const WATCH: Micros = 60_000;
 /// Weight of one sample in the averages of cost, slowness and use: about the last thirty.
 const SAMPLE: f64 = 0.03;
 /// A sample of k counts at most this many times the class's k (or this part): one bad plan is no rule.
@@ -108,12 +110,16 @@
     /// Decides on one event at the time `now`; what is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        self.look();
+        // A tick with nothing in line chooses nothing: most events of a large fleet are such ticks.
+        if self.any_line() || !matches!(event, Event::Elapsed(_)) {
+            self.look();
+        }
         match event {
             Event::Engines { kind, entries } => self.listed(kind, entries, out),
             Event::Request(request) => self.take(request, out),
             Event::Lapsed(id) => self.forget(id, out),
             Event::Answer(answer) => self.answered(answer, out),
+            Event::Note { .. } => {}
             Event::Streaming(id) => self.open.get_mut(&id).into_iter().for_each(|o| o.place = Place::Bound),
             Event::Probed { engine, ok, load } => {
                 self.reported(engine, load, FLEET_SAMPLE);
@@ -127,7 +133,7 @@
             idle && self.settings.ask_within.is_none() && self.engines.values().all(|e| e.sick.is_none());
         if !self.ticking && !still {
             self.ticking = true;
-            out.push(Action::Arm { handle: TICK_HANDLE, span: TICK });
+            out.push(Action::Arm { handle: TICK_HANDLE, span: if self.any_line() { TICK } else { WATCH } });
         }
     }
 
@@ -834,14 +840,16 @@
         let engines: Vec<EngineId> = self.engines.keys().copied().collect();
         engines.iter().for_each(|&engine| self.trial(engine, out));
         self.lines().into_iter().for_each(|engine| self.pump(engine, out));
-        engines.iter().for_each(|&engine| self.fetch_work(engine, out));
+        if self.any_line() {
+            engines.iter().for_each(|&engine| self.fetch_work(engine, out));
+        }
         self.keys.keys().cloned().collect::<Vec<_>>().iter().for_each(|key| self.advance(Some(key), out));
         self.tidy(out);
     }
 
     /// Ends what waits and can no longer be served in time; attempts out have a time-out of their own.
     fn end_due(&mut self, out: &mut Vec<Action>) {
-        let edge = self.now + TICK + self.settings.quantum;
+        let edge = self.now + WATCH + self.settings.quantum;
         let hopeless = |o: &Open| {
             let class = self.class(&o.request);
             let run = self.cost(&o.request, None) / self.threads(&o.request);
--- a/src/state.rs
+++ b/src/state.rs
@@ -423,6 +423,10 @@
         self.engines.values().map(Engine::total_debt).sum()
     }
 
+    pub(crate) fn any_line(&self) -> bool {
+        self.open.values().any(Open::waits)
+    }
+
     /// Every engine with a line, the one with the earliest deadline first.
     pub(crate) fn lines(&self) -> Vec<EngineId> {
         let heads = self.engines.iter().filter_map(|(&id, e)| e.line.first().map(|&head| (head, id)));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -49,6 +49,10 @@
         peer_messages: false,
         retry_advice: None,
         quantum: 5_000,
+        zone: ZoneId(0),
+        note_period: None,
+        load_reports: LoadReports::WithAnswers,
+        prices: Prices::default(),
     }
 }
 
