--- a/src/logic.rs
+++ b/src/logic.rs
@@ -110,8 +110,8 @@
     /// Decides on one event at the time `now`; what is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        // A tick with nothing in line chooses nothing: most events of a large fleet are such ticks.
-        if self.any_line() || !matches!(event, Event::Elapsed(_)) {
+        // Most events of a large fleet are ticks: they go by what the last other event found.
+        if !matches!(event, Event::Elapsed(_)) {
             self.look();
         }
         match event {
@@ -840,7 +840,9 @@
         let engines: Vec<EngineId> = self.engines.keys().copied().collect();
         engines.iter().for_each(|&engine| self.trial(engine, out));
         self.lines().into_iter().for_each(|engine| self.pump(engine, out));
-        if self.any_line() {
+        // At a full fleet, the usual case in which lines last, no engine need be asked what it could take.
+        let movable = |&(_, id): &(Micros, RequestId)| !self.fleet_is_full(&self.open[&id].request);
+        if self.engines.values().filter_map(|e| e.line.first()).any(movable) {
             engines.iter().for_each(|&engine| self.fetch_work(engine, out));
         }
         self.keys.keys().cloned().collect::<Vec<_>>().iter().for_each(|key| self.advance(Some(key), out));
@@ -896,7 +898,8 @@
     /// An engine with room and nothing waiting takes over the most urgent request that waits elsewhere.
     fn fetch_work(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let Some(e) = self.engines.get(&engine) else { return };
-        if e.sick.is_some() || !e.line.is_empty() || e.entry.listed != Listed::Up {
+        let busy = !e.line.is_empty() || !self.fits(e, 1.0);
+        if busy || e.sick.is_some() || e.entry.listed != Listed::Up {
             return;
         }
         let others = self.engines.iter().filter(|(&id, _)| id != engine);
