--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,8 @@
 const OTHERS: f64 = 2.0;
 const REPORT_FADES: f64 = 2e6;
 const FULL_LOAD: f64 = 10.0;
+/// How much the price of crossing zones weighs in a choice, as a part of the worth at stake.
+const CROSSING: f64 = 15.0;
 /// Random part of a choice where gateways are many: with the same news they would all choose the same.
 const SPREAD: f64 = 0.1;
 /// As many samples of an engine weigh as much as the class's average over all engines.
@@ -61,6 +63,14 @@
 /// An attempt is overdue after this many times its usual time, and this span more.
 const OVERDUE: f64 = 3.0;
 const OVERDUE_SPAN: Micros = 700_000;
+/// Where engines tell of attempts: silent after this many periods without a word.
+const NOTES_MISSED: f64 = 2.5;
+/// A fresh attempt takes an attempt's place if that has still this many times the fresh one's time to run.
+const RESTART: f64 = 4.0;
+/// It is ended if even this part of the time that it still seems to need is more than its client waits.
+const HOPELESS: f64 = 0.6;
+/// A gap between events as long as this is our own stall: what came meanwhile proves no silence.
+const STALL: Micros = 4 * WATCH;
 /// Weight of one outcome in an engine's share of failures, and the share over which it is sick.
 const FAIL_SAMPLE: f64 = 0.2;
 const FAIL_OVER: f64 = 0.35;
@@ -76,6 +86,7 @@
 const GRANT_QUANTILE: f64 = 0.9;
 const GRANT_STEP: f64 = 0.06;
 const GRANT_START: f64 = 1.25;
+const GRANT_FIRST: f64 = 0.3;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
 const COLD_MARGIN: f64 = 0.5;
 /// Queries of the lightest class that a gateway may send a cold engine in its turn.
@@ -109,6 +120,9 @@
 
     /// Decides on one event at the time `now`; what is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        if self.ticking && now > self.now + STALL {
+            self.awake = now;
+        }
         self.now = self.now.max(now);
         // Most events of a large fleet are ticks: they go by what the last other event found.
         if !matches!(event, Event::Elapsed(_)) {
@@ -119,10 +133,10 @@
             Event::Request(request) => self.take(request, out),
             Event::Lapsed(id) => self.forget(id, out),
             Event::Answer(answer) => self.answered(answer, out),
-            Event::Note { .. } => {}
+            Event::Note { id, attempt, note } => self.noted(id, attempt, note, out),
             Event::Streaming(id) => self.open.get_mut(&id).into_iter().for_each(|o| o.place = Place::Bound),
             Event::Probed { engine, ok, load } => {
-                self.reported(engine, load, FLEET_SAMPLE);
+                self.reported(engine, load);
                 self.probed(engine, ok, out)
             }
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
@@ -155,6 +169,7 @@
         if let (true, Some(key)) = (settings.in_order, &request.key) {
             self.keys.entry(key.clone()).or_default().queue.push_back(request.id);
         }
+        self.scout(out);
         let id = request.id;
         let open = Open::new(request, goal, over_share);
         self.open.insert(id, open);
@@ -217,6 +232,9 @@
         let dice = self.draw();
         let open = self.open.get(&id)?;
         let fleet_wait = self.fleet_wait(open);
+        let worth = finite(self.class(&open.request).worth, 1e-9, 1e9);
+        let usual_worth = self.learned.iter().map(|l| l.worth).sum::<f64>();
+        let crossing = CROSSING * finite(self.settings.prices.cross_zone, 0.0, 1.0) * usual_worth / worth;
         let mut best: Option<(bool, f64, u64, EngineId)> = None;
         for (&engine, e) in &self.engines {
             if e.sick.is_some() || self.guard(id, engine) == Leave::No || !self.passes(open, e, fleet_wait) {
@@ -227,7 +245,8 @@
             let debt = e.total_debt() + warm * self.cost(&open.request, Some(e));
             let blocked = if self.is_blocked(open, engine) { 2.0 } else { 1.0 };
             let spread = 1.0 + SPREAD * (1.0 - self.share()) * unit(mix(dice ^ engine.0));
-            let score = spread * blocked * debt * self.others(e) / self.drain_rate(e);
+            let away = if e.entry.zone == self.settings.zone { 1.0 } else { 1.0 + crossing };
+            let score = away * spread * blocked * debt * self.others(e) / self.drain_rate(e);
             let rank = (open.avoid == Some(engine), score, mix(group.0 ^ mix(engine.0)), engine);
             if best.is_none_or(|b| rank < b) {
                 best = Some(rank);
@@ -243,6 +262,39 @@
         1.0 + OTHERS * (self.usual_load + (load - self.usual_load) * fresh) * (1.0 - self.share())
     }
 
+    /// Keeps the load that an engine reports: the busiest of its cores, its disks and its threads against the
+    /// bound. What is in flight shows how far a busy engine is overrun; shares end at 1.
+    fn reported(&mut self, engine: EngineId, load: Load) {
+        let work: f64 = self.learned.iter().map(|l| l.asked).sum();
+        let spans = self.learned.iter().zip(&self.settings.classes);
+        let spans: f64 = spans.map(|(l, c)| l.asked / f64::from(c.threads.max(1))).sum();
+        let threads = if spans > 0.0 { work / spans } else { 1.0 };
+        let Some(e) = self.engines.get(&engine) else { return };
+        let running = load.in_flight.map(|n| n * threads / (self.cores(e) * THREADS_PER_CORE));
+        let most = [load.cores, load.disks, running].into_iter().flatten().fold(f64::NAN, f64::max);
+        if most.is_nan() {
+            return;
+        }
+        let told = finite(most, 0.0, FULL_LOAD);
+        self.usual_load += FLEET_SAMPLE * (told - self.usual_load);
+        self.engines.get_mut(&engine).expect("looked up above").load = Some((told, self.now));
+    }
+
+    /// Where load comes with probes alone, each request taken pays for one, to the engine heard of least late.
+    fn scout(&mut self, out: &mut Vec<Action>) {
+        if !self.settings.may_probe || self.settings.load_reports != LoadReports::WithProbes {
+            return;
+        }
+        let me = self.settings.me.0;
+        let free = |e: &Engine| e.sick.is_none() && !e.probing && e.entry.listed == Listed::Up;
+        let up = self.engines.iter_mut().filter(|(_, e)| free(e));
+        let oldest = up.min_by_key(|(id, e)| (e.load.map(|l| l.1), mix(id.0 ^ mix(me))));
+        if let Some((&engine, e)) = oldest {
+            e.probing = true;
+            out.push(Action::Probe(engine));
+        }
+    }
+
     /// Debt fits its bucket and the query can finish by its goal; on an idle engine, by its deadline.
     fn passes(&self, open: &Open, e: &Engine, fleet_wait: f64) -> bool {
         let request = &open.request;
@@ -558,6 +610,8 @@
             threads,
             usual,
             cancelled: false,
+            waits: false,
+            seen: None,
         };
         let weight = self.cold_weight(open);
         if self.settings.grants || self.settings.priorities {
@@ -586,7 +640,7 @@
     fn answered(&mut self, answer: Answer, out: &mut Vec<Action>) {
         let Some(flight) = self.flights.remove(&(answer.id, answer.attempt)) else { return };
         let engine = flight.engine;
-        self.reported(engine, answer.load, FLEET_SAMPLE);
+        self.reported(engine, answer.load);
         self.settle(&flight, &answer);
         self.symptom(&flight, &answer, out);
         if let Some(open) = self.open.get_mut(&answer.id) {
@@ -635,8 +689,9 @@
     /// Only what was served teaches: a fast error costs little and proves nothing.
     fn learn(&mut self, flight: &Flight, answer: &Answer) {
         let took = answer.took as f64 * flight.threads;
-        let truth = answer.work.filter(|&w| w > 0 && self.settings.tells_cost).map_or(took, |w| w as f64);
         let (class, told) = (flight.request.class.0, self.told(&flight.request));
+        let work = answer.work.filter(|&w| w > 0 && self.settings.tells_cost);
+        let truth = work.map_or_else(|| self.stand_in(&flight.request, took), |w| w as f64);
         self.slow.learn(took, truth, FLEET_SAMPLE * (2.0 - (4.0 * self.share()).min(1.0)));
         let learned = &mut self.learned[class];
         let k = learned.k.get().unwrap_or(truth / told);
@@ -648,7 +703,9 @@
         self.best_slow = (self.best_slow * (1.0 + SAMPLE / 100.0)).min(slow).clamp(1.0, BEST_MOST);
         if let (Some(need), true) = (answer.memory_mb, flight.request.memory_mb > 0.0) {
             let over = (need / flight.request.memory_mb).ln() > learned.grant;
-            learned.grant += GRANT_STEP * if over { GRANT_QUANTILE } else { GRANT_QUANTILE - 1.0 };
+            // Quick at first: a class whose estimates lie low would spill for long.
+            let step = GRANT_STEP + GRANT_FIRST / (1.0 + learned.usual.samples);
+            learned.grant += step * if over { GRANT_QUANTILE } else { GRANT_QUANTILE - 1.0 };
         }
         if let Some(e) = self.engines.get_mut(&flight.engine) {
             e.k[class].learn(clipped, told, SAMPLE);
@@ -658,6 +715,22 @@
         self.steer(flight.engine);
     }
 
+    /// Where no cost is told: the estimate times the least that latency × threads came to against it. Latency
+    /// alone would make a slow engine's queries look costly and the engine as fast as ever. An estimate is
+    /// trusted to be no less than `1 / BEST_MOST` of the work.
+    fn stand_in(&mut self, request: &Request, took: f64) -> f64 {
+        let told = self.told(request);
+        let trusted = if request.cost > 0 { BEST_MOST } else { f64::INFINITY };
+        let learned = &mut self.learned[request.class.0];
+        let most = CLIP * told * learned.best_pace.unwrap_or(took / told);
+        learned.pace.learn(took.min(most), told, SAMPLE);
+        let pace = learned.pace.get().unwrap_or(1.0).min(trusted);
+        let best = learned.best_pace.filter(|_| learned.pace.samples > LEAN / 2.0).unwrap_or(pace);
+        let best = pace.min(best * (1.0 + SAMPLE / 100.0));
+        learned.best_pace = Some(best);
+        told * best
+    }
+
     /// The one place that ends requests: refused where a further try is harmless, else failed.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
@@ -707,6 +780,42 @@
         }
     }
 
+    // ---- Notes of attempts that are out ----------------------------------------------------------------
+
+    /// An engine tells how an attempt gets on. One that does little for its age, for a bad plan, a slow engine
+    /// or a load that holds its group, gives way to a fresh attempt; one that can't end in time is ended. It
+    /// could hurt where estimates are far too low: the same query would then start again up to its cap.
+    fn noted(&mut self, id: RequestId, attempt: u32, note: Note, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
+        if let Some(e) = self.engines.get_mut(&f.engine) {
+            e.heard_at = now;
+        }
+        let Some(left) = f.note(note, now) else { return };
+        self.outlook(id, attempt, left, out);
+    }
+
+    /// Decides on an attempt that seems to need `left` more.
+    fn outlook(&mut self, id: RequestId, attempt: u32, left: f64, out: &mut Vec<Action>) {
+        let Some(open) = self.open.get(&id) else { return };
+        let fresh = self.cost(&open.request, None) / self.threads(&open.request);
+        let fresh = fresh * self.slow.leaning(1.0, 3.0).max(1.0);
+        let rest = open.request.due.saturating_sub(self.now) as f64;
+        let again = self.class(&open.request).effect == Effect::Repeatable
+            && open.attempts < self.settings.attempts_cap
+            && self.budget_left() >= 1.0;
+        let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
+        if !self.settings.may_cancel || f.cancelled {
+            return;
+        }
+        if again && left > RESTART * fresh && fresh < rest {
+            f.cancelled = true;
+            out.push(Action::Cancel { id, attempt });
+        } else if left.is_finite() && left * HOPELESS > rest {
+            self.end(id, out);
+        }
+    }
+
     // ---- Engines: the list, symptoms, trials -----------------------------------------------------------
 
     fn listed(&mut self, kind: ListKind, entries: Vec<EngineEntry>, out: &mut Vec<Action>) {
@@ -795,13 +904,17 @@
     /// A probe tells whether a quiet engine still answers, and is the first step of a sick one's trial.
     fn probed(&mut self, engine: EngineId, ok: bool, out: &mut Vec<Action>) {
         let Some(e) = self.engines.get_mut(&engine).filter(|e| e.probing) else { return };
+        let suspect = std::mem::take(&mut e.suspect);
         e.probing = false;
         if ok {
             e.heard_at = self.now;
+        } else {
+            e.load = Some((FULL_LOAD, self.now));
         }
         match (e.sick.is_some(), ok) {
             (false, true) => {}
-            (false, false) => self.condemn(engine, "no answers", out),
+            (false, false) if suspect => self.condemn(engine, "no answers", out),
+            (false, false) => {}
             (true, true) => self.sick(engine).into_iter().for_each(|sick| sick.ready = true),
             (true, false) => self.trial_done(engine, false, out),
         }
@@ -875,10 +988,18 @@
     /// An engine is silent if attempts there are overdue and nothing has come from it since they should
     /// have been answered. Where more than half are, the trouble is shared and none is condemned.
     fn find_silent(&mut self, out: &mut Vec<Action>) {
+        let missed = self.settings.note_period.map(|period| NOTES_MISSED * period as f64);
         let quiet = |f: &&Flight| {
             let heard = self.engines.get(&f.engine).filter(|e| e.sick.is_none()).map(|e| e.heard_at);
-            let patience = OVERDUE * f.usual + OVERDUE_SPAN as f64;
-            heard.is_some_and(|at| self.now as f64 > f.sent.max(at) as f64 + patience)
+            let overdue = OVERDUE * f.usual + OVERDUE_SPAN as f64;
+            // A probe shows who was suspected for nothing; without one, only missing notes are sure.
+            let patience = match missed {
+                Some(missed) if self.settings.may_probe => missed.min(overdue),
+                Some(missed) => missed,
+                None => overdue,
+            };
+            let since = |at: Micros| f.sent.max(at).max(self.awake) as f64;
+            !f.waits && heard.is_some_and(|at| self.now as f64 > since(at) + patience)
         };
         let silent: BTreeSet<EngineId> = self.flights.values().filter(quiet).map(|f| f.engine).collect();
         if silent.len() * 2 > self.engines.len() {
@@ -886,6 +1007,7 @@
         }
         for engine in silent {
             let Some(e) = self.engines.get_mut(&engine) else { continue };
+            e.suspect = true;
             if !self.settings.may_probe {
                 self.condemn(engine, "no answers", out);
             } else if !e.probing {
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,9 @@
     pub slow: Ratio,
     /// The average work of a query.
     pub usual: Ratio,
+    /// Where no cost is told: latency × threads against the estimate, and the least of it.
+    pub pace: Ratio,
+    pub best_pace: Option<f64>,
     /// Logarithm of memory granted against estimated.
     pub grant: f64,
     /// Decayed work and worth asked for.
@@ -72,6 +75,8 @@
     pub load: Option<(f64, Micros)>,
     pub fails: f64,
     pub probing: bool,
+    /// It has been silent, and the probe that is out decides.
+    pub suspect: bool,
     pub sick: Option<Sick>,
     /// Sends to it while cold: when, and their weight.
     pub cold: VecDeque<(Micros, f64)>,
@@ -99,6 +104,7 @@
             load: None,
             fails: 0.0,
             probing: false,
+            suspect: false,
             sick: None,
             cold: VecDeque::new(),
         }
@@ -209,6 +215,30 @@
     /// How long it should take.
     pub usual: f64,
     pub cancelled: bool,
+    /// It stands in the engine's line for memory.
+    pub waits: bool,
+    /// The first note of progress: when, and the share done.
+    pub seen: Option<(Micros, f64)>,
+}
+
+impl Flight {
+    /// Takes a note down; how long it still needs at the pace seen so far, where that can be told.
+    pub fn note(&mut self, note: Note, now: Micros) -> Option<f64> {
+        let done = match note {
+            Note::Spills(_) => return None,
+            Note::WaitsForLoad => return Some(f64::INFINITY),
+            Note::WaitsForMemory => {
+                self.waits = true;
+                return None;
+            }
+            Note::Progress(done) => finite(done, 0.0, 1.0),
+        };
+        let from = self.seen.or((!self.waits).then_some((self.sent, 0.0)));
+        self.waits = false;
+        self.seen = self.seen.or(Some((now, done)));
+        let (at, before) = from?;
+        Some((1.0 - done) * now.saturating_sub(at) as f64 / (done - before).max(1e-6))
+    }
 }
 
 /// The turns of a key.
@@ -250,6 +280,8 @@
     pub(crate) now: Micros,
     pub(crate) rng: u64,
     pub(crate) ticking: bool,
+    /// When this gateway last came back from a stall.
+    pub(crate) awake: Micros,
     pub(crate) asked_at: Option<Micros>,
     /// The least slowness seen, and that of late, over all engines.
     pub(crate) best_slow: f64,
@@ -285,6 +317,7 @@
             now: 0,
             rng: seed,
             ticking: false,
+            awake: 0,
             asked_at: None,
             best_slow: f64::INFINITY,
             slow: Ratio::default(),
@@ -354,17 +387,6 @@
         f64::from(self.settings.classes.iter().map(|c| c.threads).max().unwrap_or(1).max(1))
     }
 
-    /// Keeps the load that an engine reports of its cores and disks, and the average over all engines.
-    pub(crate) fn reported(&mut self, engine: EngineId, load: Load, weight: f64) {
-        let told = [load.cores, load.disks];
-        let most = told.iter().flatten().copied().fold(f64::NAN, f64::max);
-        let (now, load) = (self.now, finite(most, 0.0, 1.0));
-        if let (false, Some(e)) = (most.is_nan(), self.engines.get_mut(&engine)) {
-            e.load = Some((load, now));
-            self.usual_load += weight * (load - self.usual_load);
-        }
-    }
-
     /// Puts a request into an engine's line, charged with its predicted cost.
     pub(crate) fn line_up(&mut self, id: RequestId, engine: EngineId, cost: f64) {
         let (Some(open), Some(e)) = (self.open.get_mut(&id), self.engines.get_mut(&engine)) else { return };
