--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,7 +30,7 @@
 const REPORT_FADES: f64 = 2e6;
 const FULL_LOAD: f64 = 10.0;
 /// How much the price of crossing zones weighs in a choice, as a part of the worth at stake.
-const CROSSING: f64 = 15.0;
+const CROSSING: f64 = 10.0;
 /// Random part of a choice where gateways are many: with the same news they would all choose the same.
 const SPREAD: f64 = 0.1;
 /// As many samples of an engine weigh as much as the class's average over all engines.
@@ -179,11 +179,8 @@
     /// A token bucket for each tenant, filled with this gateway's part of the quota.
     fn within_share(&mut self, tenant: TenantId) -> bool {
         let (now, share) = (self.now, self.share());
-        let (Some(told), Some((tokens, at))) =
-            (self.settings.tenants.get(tenant.0), self.tokens.get_mut(tenant.0))
-        else {
-            return true;
-        };
+        let Some(told) = self.settings.tenants.get(tenant.0) else { return true };
+        let (tokens, at) = &mut self.tokens[tenant.0];
         let rate = finite(told.quota_per_s, 0.0, 1e9) * share;
         *tokens = (*tokens + rate * (now - *at) as f64 / 1e6).min((rate * QUOTA_BURST).max(1.0));
         *at = now;
@@ -372,11 +369,7 @@
 
     /// What a cold engine can do for sure, against a warm one.
     fn warmth(&self, e: &Engine) -> f64 {
-        if self.is_cold(e) {
-            finite(self.settings.cold_from, 0.05, 1.0)
-        } else {
-            1.0
-        }
+        [1.0, finite(self.settings.cold_from, 0.05, 1.0)][usize::from(self.is_cold(e))]
     }
 
     /// Once for each event, what all choices share: usual slowness, and an even share of cores and memory.
@@ -600,25 +593,14 @@
         let slow =
             self.learned[request.class.0].slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN)).max(1.0);
         let usual = cost / threads * slow / self.warmth(e);
-        let flight = Flight {
-            engine,
-            request: request.clone(),
-            sent: self.now,
-            until: self.until(open, usual),
-            cost: open.charged,
-            memory: grant,
-            threads,
-            usual,
-            cancelled: false,
-            waits: false,
-            seen: None,
-        };
+        let until = self.until(open, usual);
+        let flight = Flight::new(open, engine, (self.now, until), (threads, grant), usual);
         let weight = self.cold_weight(open);
         if self.settings.grants || self.settings.priorities {
             let memory_mb = if self.settings.grants { grant } else { 0.0 };
             out.push(Action::Terms { id, memory_mb, rank: self.rank(request) });
         }
-        out.push(Action::Dispatch { id, engine, until: flight.until });
+        out.push(Action::Dispatch { id, engine, until });
         let cold = self.is_cold(e).then_some(weight);
         self.sent(id, flight, cold, WARM_GROUPS);
     }
@@ -666,10 +648,8 @@
 
     /// Frees what the attempt held and learns from it.
     fn settle(&mut self, flight: &Flight, answer: &Answer) {
-        let unsure = matches!(answer.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        let turns = flight.request.key.as_ref().and_then(|k| self.keys.get_mut(k));
-        if let (true, Some(turns)) = (unsure, turns) {
-            turns.rest_until = turns.rest_until.max(self.now.saturating_add(self.settings.key_rest));
+        if matches!(answer.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+            self.rest_key(flight.request.key.as_ref());
         }
         if let Some(e) = self.engines.get_mut(&flight.engine) {
             e.finish(flight);
@@ -677,8 +657,7 @@
             e.load = if answer.outcome == Outcome::Full { Some((FULL_LOAD, self.now)) } else { e.load };
             if !self.settings.may_cancel && answer.outcome == Outcome::Timeout {
                 // Nothing stops the work of an attempt given up here: it holds its threads a while yet.
-                let end = self.now.saturating_add(flight.usual as Micros);
-                e.ghosts.push((end, flight.threads, flight.memory));
+                e.ghosts.push((self.now + flight.usual as Micros, flight.threads, flight.memory));
             }
         }
         if answer.outcome == Outcome::Ok {
@@ -748,12 +727,8 @@
     fn forget(&mut self, id: RequestId, out: &mut Vec<Action>) {
         self.leave(id);
         let Some(open) = self.open.remove(&id) else { return };
-        let may = self.settings.may_cancel;
-        for (&(_, attempt), f) in self.flights.range_mut((id, 0)..=(id, u32::MAX)) {
-            if may && !f.cancelled {
-                f.cancelled = true;
-                out.push(Action::Cancel { id, attempt });
-            }
+        if self.settings.may_cancel {
+            out.extend(self.withdraw(id).into_iter().map(|attempt| Action::Cancel { id, attempt }));
         }
         self.advance(open.request.key.as_ref(), out);
     }
@@ -829,15 +804,7 @@
         if kind != ListKind::Changes {
             self.mark_missing(&entries);
         }
-        for entry in entries {
-            let classes = self.settings.classes.len();
-            let fresh = || Engine::new(entry.clone(), classes, THREADS_PER_CORE, self.now);
-            let e = self.engines.entry(entry.engine).or_insert_with(fresh);
-            if entry.came_up > e.entry.came_up {
-                e.restart();
-            }
-            e.entry = entry;
-        }
+        self.enlist(entries, THREADS_PER_CORE);
         self.not_up().into_iter().for_each(|engine| self.empty_line(engine, out));
         self.drop_removed();
     }
@@ -862,9 +829,7 @@
         if good || bad {
             e.fails += FAIL_SAMPLE * (if bad { 1.0 } else { 0.0 } - e.fails);
         }
-        if good {
-            e.heard_at = now;
-        }
+        e.heard_at = if good { now } else { e.heard_at };
         match &mut e.sick {
             Some(sick) if sick.trial == Some(answer.id) => {
                 sick.trial = None;
@@ -888,15 +853,12 @@
 
     fn trial_done(&mut self, engine: EngineId, good: bool, out: &mut Vec<Action>) {
         let now = self.now;
-        let Some(e) = self.engines.get_mut(&engine) else { return };
-        let Some(sick) = &mut e.sick else { return };
+        let Some(sick) = self.sick(engine) else { return };
         sick.good = if good { sick.good + 1 } else { 0 };
         sick.wait = if good { TRIAL_FIRST / 2 } else { (sick.wait * 2).min(TRIAL_LONGEST) };
         sick.next = now + sick.wait;
         if sick.good >= TRIALS {
-            e.sick = None;
-            e.fails = 0.0;
-            e.heard_at = now;
+            self.recovered(engine);
             out.push(Action::Log(format!("engine {:x} is used again", engine.0)));
         }
     }
@@ -906,15 +868,11 @@
         let Some(e) = self.engines.get_mut(&engine).filter(|e| e.probing) else { return };
         let suspect = std::mem::take(&mut e.suspect);
         e.probing = false;
-        if ok {
-            e.heard_at = self.now;
-        } else {
-            e.load = Some((FULL_LOAD, self.now));
-        }
+        e.heard_at = if ok { self.now } else { e.heard_at };
+        e.load = if ok { e.load } else { Some((FULL_LOAD, self.now)) };
         match (e.sick.is_some(), ok) {
-            (false, true) => {}
-            (false, false) if suspect => self.condemn(engine, "no answers", out),
-            (false, false) => {}
+            (false, _) if ok || !suspect => {}
+            (false, _) => self.condemn(engine, "no answers", out),
             (true, true) => self.sick(engine).into_iter().for_each(|sick| sick.ready = true),
             (true, false) => self.trial_done(engine, false, out),
         }
@@ -973,18 +931,10 @@
         };
         let ended: Vec<_> = self.open.iter().filter(|(_, o)| hopeless(o)).map(|(&id, _)| id).collect();
         ended.into_iter().for_each(|id| self.end(id, out));
+        // What is late in its line moves behind: in the order of deadlines it would make all that follow late.
         self.put_back_late();
     }
 
-    /// What is late in its line moves behind: in the order of deadlines it would make all that follow late.
-    fn put_back_late(&mut self) {
-        let late =
-            |o: &Open| o.goal < self.now && o.goal < o.request.due && matches!(o.place, Place::Line(_));
-        let late: Vec<_> =
-            self.open.iter().filter(|(_, o)| late(o)).map(|(&id, o)| (id, o.request.due)).collect();
-        late.into_iter().for_each(|(id, due)| self.put_back(id, due));
-    }
-
     /// An engine is silent if attempts there are overdue and nothing has come from it since they should
     /// have been answered. Where more than half are, the trouble is shared and none is condemned.
     fn find_silent(&mut self, out: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -222,6 +222,23 @@
 }
 
 impl Flight {
+    /// An attempt of `open` on `engine` from one time to another, with its threads and memory.
+    pub fn new(open: &Open, engine: EngineId, span: (Micros, Micros), holds: (f64, f64), usual: f64) -> Self {
+        Flight {
+            engine,
+            request: open.request.clone(),
+            sent: span.0,
+            until: span.1,
+            cost: open.charged,
+            memory: holds.1,
+            threads: holds.0,
+            usual,
+            cancelled: false,
+            waits: false,
+            seen: None,
+        }
+    }
+
     /// Takes a note down; how long it still needs at the pace seen so far, where that can be told.
     pub fn note(&mut self, note: Note, now: Micros) -> Option<f64> {
         let done = match note {
@@ -466,6 +483,51 @@
         }
     }
 
+    /// Takes entries of a list over; what has started anew is forgotten.
+    pub(crate) fn enlist(&mut self, entries: Vec<EngineEntry>, width: f64) {
+        let classes = self.settings.classes.len();
+        for entry in entries {
+            let fresh = || Engine::new(entry.clone(), classes, width, self.now);
+            let e = self.engines.entry(entry.engine).or_insert_with(fresh);
+            if entry.came_up > e.entry.came_up {
+                e.restart();
+            }
+            e.entry = entry;
+        }
+    }
+
+    /// An engine that was left alone is as good as new.
+    pub(crate) fn recovered(&mut self, engine: EngineId) {
+        let Some(e) = self.engines.get_mut(&engine) else { return };
+        e.sick = None;
+        e.fails = 0.0;
+        e.heard_at = self.now;
+    }
+
+    /// The attempts of a request that are out and were not withdrawn yet; now they are.
+    pub(crate) fn withdraw(&mut self, id: RequestId) -> Vec<u32> {
+        let out = self.flights.range_mut((id, 0)..=(id, u32::MAX));
+        let mine = out.map(|(&(_, attempt), f)| (attempt, std::mem::replace(&mut f.cancelled, true)));
+        mine.filter(|(_, before)| !before).map(|(attempt, _)| attempt).collect()
+    }
+
+    /// A key's rest begins.
+    pub(crate) fn rest_key(&mut self, key: Option<&OrderKey>) {
+        let until = self.now.saturating_add(self.settings.key_rest);
+        if let Some(turns) = key.and_then(|k| self.keys.get_mut(k)) {
+            turns.rest_until = turns.rest_until.max(until);
+        }
+    }
+
+    /// Moves what has passed its goal while it waited to its deadline.
+    pub(crate) fn put_back_late(&mut self) {
+        let late =
+            |o: &Open| o.goal < self.now && o.goal < o.request.due && matches!(o.place, Place::Line(_));
+        let late: Vec<_> =
+            self.open.iter().filter(|(_, o)| late(o)).map(|(&id, o)| (id, o.request.due)).collect();
+        late.into_iter().for_each(|(id, due)| self.put_back(id, due));
+    }
+
     /// What a whole list does not name is gone.
     pub(crate) fn mark_missing(&mut self, entries: &[EngineEntry]) {
         let named: BTreeSet<EngineId> = entries.iter().map(|e| e.engine).collect();
