--- a/src/logic.rs
+++ b/src/logic.rs
@@ -73,6 +73,7 @@
 const STALL: Micros = 4 * WATCH;
 /// Weight of one outcome in an engine's share of failures, and the share over which it is sick.
 const FAIL_SAMPLE: f64 = 0.2;
+const NO_CONNECTION: f64 = 0.5;
 const FAIL_OVER: f64 = 0.35;
 /// How much of its peers' share of failures an engine is granted: what all share condemns none.
 const FLEET_FAILS: f64 = 2.0;
@@ -88,7 +89,7 @@
 const GRANT_START: f64 = 1.25;
 const GRANT_FIRST: f64 = 0.3;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
-const COLD_MARGIN: f64 = 0.5;
+const COLD_MARGIN: f64 = 0.4;
 /// Queries of the lightest class that a gateway may send a cold engine in its turn.
 const COLD_TURN: f64 = 2.0;
 /// Power of worth for work against the average by which the backlog that a request may find shrinks.
@@ -254,7 +255,9 @@
 
     /// Others' work, by the load that an engine reported; an old report fades into what is usual.
     fn others(&self, e: &Engine) -> f64 {
-        let Some((load, at)) = e.load else { return 1.0 + OTHERS * self.usual_load };
+        // A cold engine that has told nothing yet gets turns only: it draws them, or would stand idle.
+        let unheard = if self.is_cold(e) { 0.0 } else { self.usual_load };
+        let Some((load, at)) = e.load else { return 1.0 + OTHERS * unheard };
         let fresh = (-((self.now - at) as f64) / REPORT_FADES).exp();
         1.0 + OTHERS * (self.usual_load + (load - self.usual_load) * fresh) * (1.0 - self.share())
     }
@@ -526,28 +529,35 @@
     }
 
     /// A fresh engine falls over if all gateways send too much: each sends its part, whatever the others
-    /// do, in every window. With `ever`, whether it could fit an empty window. Where a part is less than a
-    /// light query none could ever send: then gateways take turns that add up to it.
+    /// do, in every window, split among the classes by use. With `ever`, whether it could fit an empty window.
+    /// Where a part is less than some queries of the class, none could ever send: then gateways take turns
+    /// that add up to it, for each class of its own, so that a fleet wholly cold still serves heavy ones.
     fn cold_allows(&self, open: &Open, e: &Engine, ever: bool) -> bool {
         if !self.is_cold(e) || self.settings.fall_multiple <= 0.0 {
             return true;
         }
+        let class = open.request.class.0;
         let capacity = self.cores(e) * finite(self.settings.cold_from, 0.01, 1.0);
         let span = self.settings.fall_span as f64;
-        let part = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share();
-        let usual = self.learned.iter().filter_map(|l| l.usual.get());
-        let light = COLD_TURN * usual.fold(f64::INFINITY, f64::min);
+        let all = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share();
+        let uses: f64 = (0..self.learned.len()).map(|c| self.use_of(c)).sum();
+        let part = all * self.use_of(class) / uses;
+        let weight = self.cold_weight(open);
+        let turn_size =
+            weight * if weight * COLD_TURN <= all / self.share() * LEAST_USE { COLD_TURN } else { 1.0 };
         let slice = self.now / self.settings.fall_span.max(1);
-        let turn = unit(mix(e.entry.engine.0 ^ mix(slice))) + self.settings.me.0 as f64 * self.share();
-        let budget = if light.is_finite() && turn.fract() < part / light { part.max(light) } else { part };
+        let dice = mix(e.entry.engine.0 ^ mix(slice ^ mix(class as u64)));
+        let turn = unit(dice) + self.settings.me.0 as f64 * self.share();
+        let budget = if turn.fract() < part / turn_size { part.max(turn_size) } else { part };
         let from = self.now.saturating_sub(self.settings.fall_span);
-        let sent: f64 = e.cold.iter().rev().take_while(|c| c.0 >= from).map(|c| c.1).sum();
-        self.cold_weight(open) + if ever { 0.0 } else { sent } <= budget
+        let sent = e.cold.iter().rev().take_while(|c| c.0 >= from).filter(|c| c.2 == class).map(|c| c.1);
+        weight + if ever { 0.0 } else { sent.sum::<f64>() } <= budget
     }
 
+    /// What a query weighs on a cold engine: the usual work of its class.
     fn cold_weight(&self, open: &Open) -> f64 {
-        let usual = self.learned[open.request.class.0].usual.get().unwrap_or(0.0);
-        usual.max(self.cost(&open.request, None))
+        let usual = self.learned[open.request.class.0].usual.get();
+        usual.unwrap_or_else(|| self.cost(&open.request, None)).max(1.0)
     }
 
     /// The request is the first of its key that is not over, and the key does not rest.
@@ -826,8 +836,11 @@
         let others = self.engines.iter().filter(|(&id, _)| id != flight.engine);
         let usual = others.map(|(_, e)| e.fails).sum::<f64>() / (self.engines.len() as f64 - 1.0).max(1.0);
         let Some(e) = self.engines.get_mut(&flight.engine) else { return };
+        // No connection says more than an answer that failed: the process is gone or can take no more.
+        let sure = answer.outcome == Outcome::ConnectFailed;
         if good || bad {
-            e.fails += FAIL_SAMPLE * (if bad { 1.0 } else { 0.0 } - e.fails);
+            let sample = if sure { NO_CONNECTION } else { FAIL_SAMPLE };
+            e.fails += sample * (if bad { 1.0 } else { 0.0 } - e.fails);
         }
         e.heard_at = if good { now } else { e.heard_at };
         match &mut e.sick {
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,8 +78,8 @@
     /// It has been silent, and the probe that is out decides.
     pub suspect: bool,
     pub sick: Option<Sick>,
-    /// Sends to it while cold: when, and their weight.
-    pub cold: VecDeque<(Micros, f64)>,
+    /// Sends to it while cold: when, their weight and class.
+    pub cold: VecDeque<(Micros, f64, usize)>,
 }
 
 impl Engine {
@@ -151,6 +151,7 @@
         self.warm.clear();
         self.fails = 0.0;
         self.sick = None;
+        self.load = None;
         self.slow = Ratio::default();
     }
 }
@@ -434,7 +435,7 @@
         e.line.remove(&(open.goal, id));
         e.waiting = (e.waiting - open.charged).max(0.0);
         e.start(&flight, keep);
-        e.cold.extend(cold.map(|weight| (now, weight)));
+        e.cold.extend(cold.map(|weight| (now, weight, open.request.class.0)));
         self.extras.extend((open.attempts > 0).then_some(now));
         open.place = Place::Out;
         open.charged = 0.0;
