--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,6 +25,8 @@
 const REACH: [f64; 2] = [0.5, 4.0];
 /// Part of the share of the fleet's memory that may be granted before the fleet counts as full.
 const MEMORY_PART: f64 = 0.6;
+/// The load that an engine counts as while queries stand in its line for memory.
+const MEMORY_SHORT: f64 = 1.5;
 /// How much a reported load of 1 weighs against own debt, how fast a report fades, and what "full" counts.
 const OTHERS: f64 = 2.0;
 const REPORT_FADES: f64 = 2e6;
@@ -89,9 +91,7 @@
 const GRANT_START: f64 = 1.25;
 const GRANT_FIRST: f64 = 0.3;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
-const COLD_MARGIN: f64 = 0.4;
-/// Queries of the lightest class that a gateway may send a cold engine in its turn.
-const COLD_TURN: f64 = 2.0;
+const COLD_MARGIN: f64 = 0.5;
 /// Power of worth for work against the average by which the backlog that a request may find shrinks.
 const PINCH: f64 = 2.0;
 /// Depth of a bucket against what it drains in the time that a request has.
@@ -543,12 +543,10 @@
         let uses: f64 = (0..self.learned.len()).map(|c| self.use_of(c)).sum();
         let part = all * self.use_of(class) / uses;
         let weight = self.cold_weight(open);
-        let turn_size =
-            weight * if weight * COLD_TURN <= all / self.share() * LEAST_USE { COLD_TURN } else { 1.0 };
         let slice = self.now / self.settings.fall_span.max(1);
         let dice = mix(e.entry.engine.0 ^ mix(slice ^ mix(class as u64)));
         let turn = unit(dice) + self.settings.me.0 as f64 * self.share();
-        let budget = if turn.fract() < part / turn_size { part.max(turn_size) } else { part };
+        let budget = if turn.fract() < part / weight { part.max(weight) } else { part };
         let from = self.now.saturating_sub(self.settings.fall_span);
         let sent = e.cold.iter().rev().take_while(|c| c.0 >= from).filter(|c| c.2 == class).map(|c| c.1);
         weight + if ever { 0.0 } else { sent.sum::<f64>() } <= budget
@@ -773,10 +771,14 @@
     fn noted(&mut self, id: RequestId, attempt: u32, note: Note, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
-        if let Some(e) = self.engines.get_mut(&f.engine) {
-            e.heard_at = now;
-        }
-        let Some(left) = f.note(note, now) else { return };
+        let left = f.note(note, now);
+        let Some(e) = self.engines.get_mut(&f.engine) else { return };
+        e.heard_at = now;
+        if note == Note::WaitsForMemory {
+            // Its cores may be idle all the same: no report tells of the line for memory.
+            e.load = Some((e.load.map_or(0.0, |l| l.0).max(MEMORY_SHORT), now));
+        }
+        let Some(left) = left else { return };
         self.outlook(id, attempt, left, out);
     }
 
@@ -951,16 +953,13 @@
     /// An engine is silent if attempts there are overdue and nothing has come from it since they should
     /// have been answered. Where more than half are, the trouble is shared and none is condemned.
     fn find_silent(&mut self, out: &mut Vec<Action>) {
+        let probes = self.settings.may_probe;
         let missed = self.settings.note_period.map(|period| NOTES_MISSED * period as f64);
         let quiet = |f: &&Flight| {
             let heard = self.engines.get(&f.engine).filter(|e| e.sick.is_none()).map(|e| e.heard_at);
             let overdue = OVERDUE * f.usual + OVERDUE_SPAN as f64;
             // A probe shows who was suspected for nothing; without one, only missing notes are sure.
-            let patience = match missed {
-                Some(missed) if self.settings.may_probe => missed.min(overdue),
-                Some(missed) => missed,
-                None => overdue,
-            };
+            let patience = missed.map_or(overdue, |m| if probes { m.min(overdue) } else { m });
             let since = |at: Micros| f.sent.max(at).max(self.awake) as f64;
             !f.waits && heard.is_some_and(|at| self.now as f64 > since(at) + patience)
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -247,7 +247,7 @@
             Note::WaitsForLoad => return Some(f64::INFINITY),
             Note::WaitsForMemory => {
                 self.waits = true;
-                return None;
+                return Some(f64::INFINITY);
             }
             Note::Progress(done) => finite(done, 0.0, 1.0),
         };
