--- a/src/logic.rs
+++ b/src/logic.rs
@@ -838,8 +838,13 @@
         let others = self.engines.iter().filter(|(&id, _)| id != flight.engine);
         let usual = others.map(|(_, e)| e.fails).sum::<f64>() / (self.engines.len() as f64 - 1.0).max(1.0);
         let Some(e) = self.engines.get_mut(&flight.engine) else { return };
-        // No connection says more than an answer that failed: the process is gone or can take no more.
+        // No connection says more than an answer that failed: the process is gone, and when it is back it is
+        // cold, seconds before the list says so. Trials by all gateways would push it over. It hurts where a
+        // sound engine breaks connections: until the list names its start, it gets a cold one's turns.
         let sure = answer.outcome == Outcome::ConnectFailed;
+        if sure || answer.outcome == Outcome::Reset {
+            e.broke_off(now);
+        }
         if good || bad {
             let sample = if sure { NO_CONNECTION } else { FAIL_SAMPLE };
             e.fails += sample * (if bad { 1.0 } else { 0.0 } - e.fails);
--- a/src/state.rs
+++ b/src/state.rs
@@ -50,6 +50,8 @@
 
 pub(crate) struct Engine {
     pub entry: EngineEntry,
+    /// When its connections last broke; 0 if the list has named a start since.
+    pub started: Micros,
     /// Debt of each class, and how far it is drained.
     pub debt: Vec<f64>,
     pub drained_at: Micros,
@@ -86,6 +88,7 @@
     pub fn new(entry: EngineEntry, classes: usize, width: f64, now: Micros) -> Self {
         Engine {
             entry,
+            started: 0,
             debt: vec![0.0; classes],
             drained_at: now,
             standing: vec![0.0; classes],
@@ -146,6 +149,14 @@
         self.memory = (self.memory - flight.memory).max(0.0);
     }
 
+    /// Its process may have started anew, whatever the list says so far.
+    pub fn broke_off(&mut self, now: Micros) {
+        self.started = now;
+        self.warm.clear();
+        self.load = None;
+        self.slow = Ratio::default();
+    }
+
     /// Forgets what held for the process before.
     pub fn restart(&mut self) {
         self.warm.clear();
@@ -397,7 +408,8 @@
 
     /// Within the span in which an engine may still be cold.
     pub(crate) fn is_cold(&self, e: &Engine) -> bool {
-        e.entry.came_up > 0 && self.now < e.entry.came_up.saturating_add(self.settings.cold_span)
+        let start = e.entry.came_up.max(e.started);
+        start > 0 && self.now < start.saturating_add(self.settings.cold_span)
     }
 
     /// Threads of the widest class.
@@ -492,6 +504,7 @@
             let e = self.engines.entry(entry.engine).or_insert_with(fresh);
             if entry.came_up > e.entry.came_up {
                 e.restart();
+                e.started = 0;
             }
             e.entry = entry;
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -288,3 +288,28 @@
     let full = engines.iter().filter(|&&e| e == first).count();
     assert!((1..=8).contains(&full), "{full} of {} attempts", engines.len());
 }
+
+#[test]
+fn an_engine_that_cannot_be_reached_counts_as_cold_before_the_list_says_so() {
+    let light = |r: &mut Request| r.cost = 100_000;
+    let mut trials = 0;
+    for me in 0..150 {
+        let mut bed = one_of_many(me, 150, (1..=2).map(entry).collect());
+        for id in 0..20 {
+            bed.ask_with(id, light);
+            bed.answer(id, Outcome::Ok);
+            bed.pass(100_000);
+        }
+        let first = sent(&bed.ask_with(50, light))[0].1;
+        bed.answer(50, Outcome::ConnectFailed);
+        bed.pass(SECOND);
+        for id in 100..110 {
+            let actions = bed.ask_with(id, light);
+            trials += sent(&actions).iter().filter(|s| s.1 == first).count();
+            bed.answer(id, Outcome::Ok);
+            bed.pass(100_000);
+        }
+    }
+    // All gateways together: 4 × 0.3 × 4 cores × 1 s in any second is 48 light queries.
+    assert!((1..=96).contains(&trials), "{trials} queries within a second to an engine that may be cold");
+}
