--- a/src/logic.rs
+++ b/src/logic.rs
@@ -91,7 +91,7 @@
 const GRANT_START: f64 = 1.25;
 const GRANT_FIRST: f64 = 0.3;
 /// Part of the cold budget used: chance, and capacity that is less than all cores.
-const COLD_MARGIN: f64 = 0.5;
+const COLD_MARGIN: f64 = 0.7;
 /// Power of worth for work against the average by which the backlog that a request may find shrinks.
 const PINCH: f64 = 2.0;
 /// Depth of a bucket against what it drains in the time that a request has.
