--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,16 +18,15 @@
 const SAMPLE: f64 = 0.03;
 /// A sample of k counts at most this many times the class's k (or this part): one bad plan is no rule.
 const CLIP: f64 = 4.0;
-/// Sample weight in the fleet's slowness, up to twice at small shares; the most taken for its best.
+/// Sample weight in the fleet's slowness, up to twice at small shares; the most that its best may be.
 const FLEET_SAMPLE: f64 = 0.1;
 const BEST_MOST: f64 = 1.5;
 /// Bounds of the part of the fleet's bound that a query may find held and still start.
 const REACH: [f64; 2] = [0.5, 4.0];
 /// Part of the share of the fleet's memory that may be granted before the fleet counts as full.
 const MEMORY_PART: f64 = 0.6;
-/// The load that an engine counts as while queries stand in its line for memory.
-const MEMORY_SHORT: f64 = 1.5;
-/// How much a reported load of 1 weighs against own debt, how fast a report fades, and what "full" counts.
+/// How much a reported load of 1 weighs against own debt, how fast a report fades, and what "full" counts: no
+/// session or no memory left, which reports need not tell of.
 const OTHERS: f64 = 2.0;
 const REPORT_FADES: f64 = 2e6;
 const FULL_LOAD: f64 = 10.0;
@@ -102,8 +101,6 @@
 const OVER_SHARE_DEPTH: f64 = 0.25;
 /// Seconds of a tenant's quota that may come at once.
 const QUOTA_BURST: f64 = 2.0;
-/// The least advice to stay away, where advice is allowed.
-const ADVICE: Micros = 200_000;
 /// Stand-in for a class's work while nothing is told or learned: this part of its aim, on each thread.
 const UNKNOWN_COST: f64 = 0.25;
 /// The timer of the tick.
@@ -143,9 +140,7 @@
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
             Event::Elapsed(_) | Event::Heard { .. } => {}
         }
-        let idle = self.open.is_empty() && self.flights.is_empty() && self.keys.is_empty();
-        let still =
-            idle && self.settings.ask_within.is_none() && self.engines.values().all(|e| e.sick.is_none());
+        let still = self.is_still() && self.settings.ask_within.is_none();
         if !self.ticking && !still {
             self.ticking = true;
             out.push(Action::Arm { handle: TICK_HANDLE, span: if self.any_line() { TICK } else { WATCH } });
@@ -204,16 +199,15 @@
         Some(request.cost as f64).filter(|&told| told > 0.0).unwrap_or(unknown.max(1.0))
     }
 
-    /// Finds an engine's line for a request that has its turn; refuses it at once if none passes.
+    /// Finds an engine's line for a request that has its turn; ends it at once if none passes.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if !self.has_turn(id) {
             return;
         }
         if let Some(engine) = self.trial_for(id) {
             self.join(id, engine);
-            let grant = self.grant(&self.open[&id].request, &self.engines[&engine]);
             self.sick(engine).into_iter().for_each(|sick| (sick.ready, sick.trial) = (false, Some(id)));
-            return self.send(id, engine, grant, out);
+            return self.send(id, engine, out);
         }
         let Some(engine) = self.choose(id) else {
             self.pressed |= self.open.get(&id).is_some_and(|o| self.fleet_is_full(&o.request));
@@ -265,10 +259,7 @@
     /// Keeps the load that an engine reports: the busiest of its cores, its disks and its threads against the
     /// bound. What is in flight shows how far a busy engine is overrun; shares end at 1.
     fn reported(&mut self, engine: EngineId, load: Load) {
-        let work: f64 = self.learned.iter().map(|l| l.asked).sum();
-        let spans = self.learned.iter().zip(&self.settings.classes);
-        let spans: f64 = spans.map(|(l, c)| l.asked / f64::from(c.threads.max(1))).sum();
-        let threads = if spans > 0.0 { work / spans } else { 1.0 };
+        let threads = self.usual_threads();
         let Some(e) = self.engines.get(&engine) else { return };
         let running = load.in_flight.map(|n| n * threads / (self.cores(e) * THREADS_PER_CORE));
         let most = [load.cores, load.disks, running].into_iter().flatten().fold(f64::NAN, f64::max);
@@ -478,7 +469,7 @@
                 self.engines.get_mut(&engine).expect("looked up above").pressed = true;
                 return;
             }
-            self.send(id, engine, grant, out);
+            self.send(id, engine, out);
         }
     }
 
@@ -493,10 +484,9 @@
         let out_now = !open.waits() || self.is_out(id);
         let capped = open.attempts >= self.settings.attempts_cap;
         let up = e.entry.listed == Listed::Up;
-        if !kind_ok || !zone_ok || !up || out_now || capped || !self.effect_allows(open, e) {
-            return Leave::No;
-        }
-        if open.attempts > 0 && self.budget_left() < 1.0 || !self.cold_allows(open, e, true) {
+        let barred = !kind_ok || !zone_ok || !up || out_now || capped || !self.effect_allows(open, e);
+        let spent = open.attempts > 0 && self.budget_left() < 1.0;
+        if barred || spent || !self.cold_allows(open, e, true) {
             return Leave::No;
         }
         if !self.has_turn(id) || !self.cold_allows(open, e, false) {
@@ -529,9 +519,8 @@
     }
 
     /// A fresh engine falls over if all gateways send too much: each sends its part, whatever the others
-    /// do, in every window, split among the classes by use. With `ever`, whether it could fit an empty window.
-    /// Where a part is less than some queries of the class, none could ever send: then gateways take turns
-    /// that add up to it, for each class of its own, so that a fleet wholly cold still serves heavy ones.
+    /// do, in every window, split among the classes by use; `ever`: whether it could fit an empty window.
+    /// Where a part is less than a query of the class, gateways take turns that add up to it, class by class.
     fn cold_allows(&self, open: &Open, e: &Engine, ever: bool) -> bool {
         if !self.is_cold(e) || self.settings.fall_multiple <= 0.0 {
             return true;
@@ -581,23 +570,17 @@
         finite(self.class(request).worth, 0.0, 1e9) / self.cost(request, None)
     }
 
-    /// The same of all that was asked for.
-    fn usual_density(&self) -> f64 {
-        let sums = self.learned.iter().fold((0.0, 0.0), |s, l| (s.0 + l.worth, s.1 + l.asked));
-        finite(sums.0 / sums.1, 1e-12, 1e12)
-    }
-
     /// Light queries first, by worth for each unit of work against the average.
     fn rank(&self, request: &Request) -> u8 {
         let ratio = self.density(request) / self.usual_density();
         1 + RANKS.iter().filter(|&&r| self.settings.priorities && ratio >= r).count() as u8
     }
 
-    fn send(&mut self, id: RequestId, engine: EngineId, grant: f64, out: &mut Vec<Action>) {
+    fn send(&mut self, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
         let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else { return };
         let request = &open.request;
         let cost = self.cost(request, Some(e));
-        let threads = self.threads(request);
+        let (threads, grant) = (self.threads(request), self.grant(request, e));
         let slow =
             self.learned[request.class.0].slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN)).max(1.0);
         let usual = cost / threads * slow / self.warmth(e);
@@ -722,8 +705,9 @@
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
         if self.class(&open.request).effect.repeats_anywhere() || open.maybe.is_none() {
-            let spread = ADVICE + self.draw() % ADVICE;
-            let retry_after = spread.min(self.settings.retry_advice.unwrap_or(0));
+            // When the debt of now has drained, spread by half so that clients don't return together.
+            let wait = self.fleet_debt() / self.fleet_rate() * (0.5 + unit(self.draw()));
+            let retry_after = (wait as Micros).min(self.settings.retry_advice.unwrap_or(0));
             out.push(Action::Refuse { id, retry_after });
         } else {
             out.push(Action::Fail(id));
@@ -743,41 +727,22 @@
 
     /// Gives the turn to the next request of a key, once the one before it is over and answered.
     fn advance(&mut self, key: Option<&OrderKey>, out: &mut Vec<Action>) {
-        let Some(key) = key else { return };
-        loop {
-            let Some(turns) = self.keys.get(key) else { return };
-            let Some(&first) = turns.queue.front() else {
-                if self.now >= turns.rest_until {
-                    self.keys.remove(key);
-                }
-                return;
-            };
-            if self.open.contains_key(&first) || self.is_out(first) {
-                let parked = self.open.get(&first).is_some_and(|o| o.place == Place::Parked);
-                if parked && !self.is_out(first) && self.has_turn(first) {
-                    self.place(first, out);
-                }
-                return;
-            }
-            self.keys.get_mut(key).expect("looked up above").queue.pop_front();
-        }
+        let next = key.and_then(|key| self.next_of(key)).filter(|&id| self.has_turn(id));
+        next.into_iter().for_each(|id| self.place(id, out));
     }
 
     // ---- Notes of attempts that are out ----------------------------------------------------------------
 
-    /// An engine tells how an attempt gets on. One that does little for its age, for a bad plan, a slow engine
-    /// or a load that holds its group, gives way to a fresh attempt; one that can't end in time is ended. It
-    /// could hurt where estimates are far too low: the same query would then start again up to its cap.
+    /// An engine tells how an attempt gets on. One that does little for its age (a bad plan, a slow engine, a
+    /// load in its way) gives way to a fresh one; one that can't end in time is ended. Estimates far too low
+    /// could make the same query start again up to its cap.
     fn noted(&mut self, id: RequestId, attempt: u32, note: Note, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
         let left = f.note(note, now);
         let Some(e) = self.engines.get_mut(&f.engine) else { return };
         e.heard_at = now;
-        if note == Note::WaitsForMemory {
-            // Its cores may be idle all the same: no report tells of the line for memory.
-            e.load = Some((e.load.map_or(0.0, |l| l.0).max(MEMORY_SHORT), now));
-        }
+        e.load = if note == Note::WaitsForMemory { Some((FULL_LOAD, now)) } else { e.load };
         let Some(left) = left else { return };
         self.outlook(id, attempt, left, out);
     }
@@ -810,11 +775,10 @@
             out.push(Action::Subscribe);
         }
         self.asked_at = self.asked_at.or(Some(self.now));
-        if kind == ListKind::Lost {
-            return;
-        }
-        if kind != ListKind::Changes {
-            self.mark_missing(&entries);
+        match kind {
+            ListKind::Lost => return,
+            ListKind::Changes => {}
+            ListKind::Whole | ListKind::WarmCopy => self.mark_missing(&entries),
         }
         self.enlist(entries, THREADS_PER_CORE);
         self.not_up().into_iter().for_each(|engine| self.empty_line(engine, out));
@@ -835,12 +799,10 @@
         let now = self.now;
         let good = answer.outcome == Outcome::Ok;
         let bad = matches!(answer.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
-        let others = self.engines.iter().filter(|(&id, _)| id != flight.engine);
-        let usual = others.map(|(_, e)| e.fails).sum::<f64>() / (self.engines.len() as f64 - 1.0).max(1.0);
+        let usual = self.fails_elsewhere(flight.engine);
         let Some(e) = self.engines.get_mut(&flight.engine) else { return };
-        // No connection says more than an answer that failed: the process is gone, and when it is back it is
-        // cold, seconds before the list says so. Trials by all gateways would push it over. It hurts where a
-        // sound engine breaks connections: until the list names its start, it gets a cold one's turns.
+        // The process is gone, and when it is back it is cold, seconds before the list says so: trials by all
+        // gateways would push it over. It hurts a sound engine that breaks connections: that gets turns only.
         let sure = answer.outcome == Outcome::ConnectFailed;
         if sure || answer.outcome == Outcome::Reset {
             e.broke_off(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -479,6 +479,50 @@
         self.open.values().any(Open::waits)
     }
 
+    /// Drops what is over from a key's queue; its first request, if that is parked and nothing of it is out.
+    pub(crate) fn next_of(&mut self, key: &OrderKey) -> Option<RequestId> {
+        loop {
+            let turns = self.keys.get(key)?;
+            let Some(&first) = turns.queue.front() else {
+                if self.now >= turns.rest_until {
+                    self.keys.remove(key);
+                }
+                return None;
+            };
+            if self.open.contains_key(&first) || self.is_out(first) {
+                let parked = self.open.get(&first).is_some_and(|o| o.place == Place::Parked);
+                return (parked && !self.is_out(first)).then_some(first);
+            }
+            self.keys.get_mut(key)?.queue.pop_front();
+        }
+    }
+
+    /// The average share of failures at the other engines.
+    pub(crate) fn fails_elsewhere(&self, engine: EngineId) -> f64 {
+        let others = self.engines.iter().filter(|(&id, _)| id != engine);
+        others.map(|(_, e)| e.fails).sum::<f64>() / (self.engines.len() as f64 - 1.0).max(1.0)
+    }
+
+    /// Threads of the average query in flight, by the mix of late.
+    pub(crate) fn usual_threads(&self) -> f64 {
+        let work: f64 = self.learned.iter().map(|l| l.asked).sum();
+        let spans = self.learned.iter().zip(&self.settings.classes);
+        let spans: f64 = spans.map(|(l, c)| l.asked / f64::from(c.threads.max(1))).sum();
+        finite(work / spans, 1.0, 1e3)
+    }
+
+    /// Worth for each unit of predicted work, of all that was asked for.
+    pub(crate) fn usual_density(&self) -> f64 {
+        let sums = self.learned.iter().fold((0.0, 0.0), |s, l| (s.0 + l.worth, s.1 + l.asked));
+        finite(sums.0 / sums.1, 1e-12, 1e12)
+    }
+
+    /// Nothing is open, out, ordered or left alone.
+    pub(crate) fn is_still(&self) -> bool {
+        let idle = self.open.is_empty() && self.flights.is_empty() && self.keys.is_empty();
+        idle && self.engines.values().all(|e| e.sick.is_none())
+    }
+
     /// Every engine with a line, the one with the earliest deadline first.
     pub(crate) fn lines(&self) -> Vec<EngineId> {
         let heads = self.engines.iter().filter_map(|(&id, e)| e.line.first().map(|&head| (head, id)));
