--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -60,3 +60,27 @@
         assert!(err.starts_with("violetward-adapter: line 2: ") && err.lines().count() == 1, "{err}");
     }
 }
+
+#[test]
+fn notes_load_reports_and_settings_of_the_wire_are_taken_and_odd_ones_ignored() {
+    let request = r#"{"cmd":"Req","Job":"22b1f2355d3a91c4","CostUs":9,"MemMb":10,"DueUs":5000000}"#;
+    let note =
+        |what: &str| format!(r#"{{"cmd":"Note","Job":"22b1f2355d3a91c4","Node":"10.0.0.1:50",{what}}}"#);
+    let good = [
+        note(r#""Value":0.5,"What":1"#),
+        note(r#""Value":12,"What":2,"SendNo":7"#),
+        note(r#""Value":1,"What":3"#),
+        note(r#""Value":9,"What":3"#),
+        note(r#""What":44"#),
+        r#"{"cmd":"HealthResult","Node":"10.0.0.9:50","Reason":"ok","ServerStats":{"concurrent":3}}"#
+            .to_string(),
+    ];
+    let lines: Vec<String> =
+        [start(), batch(request)].into_iter().chain(good.iter().map(|n| batch(n))).collect();
+    let (ok, out, err) = run(&lines);
+    assert!(ok && err.is_empty() && out.lines().count() == lines.len(), "{err}");
+    for bad in [r#""Value":"much","What":1"#, r#""Value":0.5"#, r#""Value":0.5,"What":-1"#] {
+        let (ok, _, err) = run(&[start(), batch(&note(bad))]);
+        assert!(!ok && err.starts_with("violetward-adapter: line 2: ") && err.lines().count() == 1, "{err}");
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,7 +25,9 @@
 const REACH: [f64; 2] = [0.5, 4.0];
 /// Part of the share of the fleet's memory that may be granted before the fleet counts as full.
 const MEMORY_PART: f64 = 0.6;
-/// How much a reported load of 1 weighs against own debt, how fast a report fades, and what "full" counts: no
+/// Average reported load up to which a gateway's share of the threads does not bind.
+const SPARE_LOAD: f64 = 0.7;
+/// How much a reported load of 1 weighs against own debt, how fast reports fade, and what "full" counts: no
 /// session or no memory left, which reports need not tell of.
 const OTHERS: f64 = 2.0;
 const REPORT_FADES: f64 = 2e6;
@@ -89,8 +91,8 @@
 const GRANT_STEP: f64 = 0.06;
 const GRANT_START: f64 = 1.25;
 const GRANT_FIRST: f64 = 0.3;
-/// Part of the cold budget used: chance, and capacity that is less than all cores.
-const COLD_MARGIN: f64 = 0.7;
+/// Part of the cold budget used: a window may touch two turns.
+const COLD_MARGIN: f64 = 0.5;
 /// Power of worth for work against the average by which the backlog that a request may find shrinks.
 const PINCH: f64 = 2.0;
 /// Depth of a bucket against what it drains in the time that a request has.
@@ -112,6 +114,8 @@
         let mut gateway = Gateway::empty(settings, seed);
         gateway.width = THREADS_PER_CORE;
         gateway.best_slow = BEST_MOST;
+        let reported = gateway.settings.load_reports != LoadReports::None;
+        gateway.usual_load = f64::from(u8::from(reported));
         gateway.learned.iter_mut().for_each(|l| l.grant = GRANT_START.ln());
         gateway
     }
@@ -167,8 +171,7 @@
         }
         self.scout(out);
         let id = request.id;
-        let open = Open::new(request, goal, over_share);
-        self.open.insert(id, open);
+        self.open.insert(id, Open::new(request, goal, over_share));
         self.place(id, out);
     }
 
@@ -271,7 +274,7 @@
         self.engines.get_mut(&engine).expect("looked up above").load = Some((told, self.now));
     }
 
-    /// Where load comes with probes alone, each request taken pays for one, to the engine heard of least late.
+    /// Where load comes with probes alone, each request pays for one, to the engine not heard of for longest.
     fn scout(&mut self, out: &mut Vec<Action>) {
         if !self.settings.may_probe || self.settings.load_reports != LoadReports::WithProbes {
             return;
@@ -328,12 +331,14 @@
     /// Many gateways that each may start one query on every engine would flood all of them: what runs
     /// anywhere is bounded by the share of the fleet. One query may always run, and one may reach over. What
     /// earns more for its work reaches further: else one heavy query would turn away all light ones for long.
+    /// While engines report room, no share of theirs need be kept to: gateways come by uneven traffic.
     fn fleet_is_full(&self, request: &Request) -> bool {
         let held = self.held();
         let reach = finite(self.density(request) / self.usual_density(), REACH[0], REACH[1]);
         let memory = self.fleet_memory * MEMORY_PART * (self.width / THREADS_PER_CORE).max(1.0);
         let short = self.settings.grants && memory > 0.0 && held.1 >= memory * reach;
-        held.0 > 0.0 && (short || held.0 >= self.fleet_cores * self.width * reach)
+        let room = self.settings.load_reports != LoadReports::None && self.usual_load < SPARE_LOAD;
+        held.0 > 0.0 && (short || !room && held.0 >= self.fleet_cores * self.width * reach)
     }
 
     fn fleet_wait(&self, open: &Open) -> f64 {
@@ -625,8 +630,6 @@
             open.place = Place::Parked;
             if answer.complete {
                 self.forget(answer.id, out);
-            } else if self.now + TICK >= open.request.due {
-                self.end(answer.id, out);
             } else {
                 self.place(answer.id, out);
             }
@@ -685,7 +688,7 @@
         self.steer(flight.engine);
     }
 
-    /// Where no cost is told: the estimate times the least that latency × threads came to against it. Latency
+    /// Where no cost is told: the estimate times the least that latency × threads was against it. Latency
     /// alone would make a slow engine's queries look costly and the engine as fast as ever. An estimate is
     /// trusted to be no less than `1 / BEST_MOST` of the work.
     fn stand_in(&mut self, request: &Request, took: f64) -> f64 {
@@ -743,8 +746,7 @@
         let Some(e) = self.engines.get_mut(&f.engine) else { return };
         e.heard_at = now;
         e.load = if note == Note::WaitsForMemory { Some((FULL_LOAD, now)) } else { e.load };
-        let Some(left) = left else { return };
-        self.outlook(id, attempt, left, out);
+        left.into_iter().for_each(|left| self.outlook(id, attempt, left, out));
     }
 
     /// Decides on an attempt that seems to need `left` more.
@@ -913,7 +915,7 @@
         };
         let ended: Vec<_> = self.open.iter().filter(|(_, o)| hopeless(o)).map(|(&id, _)| id).collect();
         ended.into_iter().for_each(|id| self.end(id, out));
-        // What is late in its line moves behind: in the order of deadlines it would make all that follow late.
+        // What is late in its line moves behind: in the order of deadlines it would make the rest late.
         self.put_back_late();
     }
 
@@ -953,8 +955,7 @@
         if busy || e.sick.is_some() || e.entry.listed != Listed::Up {
             return;
         }
-        let others = self.engines.iter().filter(|(&id, _)| id != engine);
-        let heads = others.filter_map(|(_, other)| other.line.first().copied());
+        let heads = self.engines.values().filter_map(|other| other.line.first().copied());
         let movable = heads.filter(|&(_, id)| {
             let open = &self.open[&id];
             self.fits(e, self.threads(&open.request))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -313,3 +313,259 @@
     // All gateways together: 4 × 0.3 × 4 cores × 1 s in any second is 48 light queries.
     assert!((1..=96).contains(&trials), "{trials} queries within a second to an engine that may be cold");
 }
+
+/// A gateway that hears of its attempts every half second, over two engines.
+fn with_notes(change: impl FnOnce(&mut Settings)) -> Bed {
+    let mut s = settings(class(Effect::Repeatable));
+    s.note_period = Some(SECOND / 2);
+    change(&mut s);
+    Bed::new(s, vec![entry(1), entry(2)])
+}
+
+fn note(bed: &mut Bed, id: u64, attempt: u32, note: Note) -> Vec<Action> {
+    bed.feed(Event::Note { id: RequestId(id), attempt, note })
+}
+
+#[test]
+fn a_bad_plan_gives_way_to_a_fresh_attempt_elsewhere() {
+    let mut bed = with_notes(|_| {});
+    let first = sent(&bed.ask_with(1, |r| r.cost = 300_000))[0].1;
+    bed.pass(SECOND / 2);
+    let actions = note(&mut bed, 1, 0, Note::Progress(0.05));
+    assert_eq!(actions, [Action::Cancel { id: RequestId(1), attempt: 0 }]);
+    assert!(note(&mut bed, 1, 0, Note::Progress(0.06)).is_empty(), "withdrawn once");
+    assert_eq!(sent(&bed.answer(1, Outcome::Cancelled)), [(1, 3 - first)]);
+    bed.pass(SECOND / 5);
+    assert!(note(&mut bed, 1, 1, Note::Progress(0.6)).is_empty(), "this one gets on");
+}
+
+#[test]
+fn what_must_not_run_twice_or_has_no_attempts_left_is_not_started_anew() {
+    let changes: [fn(&mut Settings); 3] = [
+        |s| s.classes[0].effect = Effect::Once,
+        |s| s.attempts_cap = 1,
+        |s| s.budget = Some(AttemptBudget { free: 0.0, per_request: 0.0, window: SECOND }),
+    ];
+    for change in changes {
+        let mut bed = with_notes(change);
+        bed.ask_with(1, |r| r.cost = 300_000);
+        bed.pass(SECOND / 2);
+        assert!(note(&mut bed, 1, 0, Note::Progress(0.12)).is_empty());
+    }
+}
+
+#[test]
+fn an_attempt_that_can_not_end_in_time_is_ended_at_once() {
+    let mut bed = with_notes(|s| s.attempts_cap = 1);
+    bed.ask_with(1, |r| r.cost = 300_000);
+    bed.pass(SECOND / 2);
+    let actions = note(&mut bed, 1, 0, Note::Progress(0.02));
+    assert!(refused(&actions, 1) && actions.contains(&Action::Cancel { id: RequestId(1), attempt: 0 }));
+}
+
+#[test]
+fn a_query_in_an_engines_line_for_memory_moves_and_the_engine_is_avoided() {
+    let mut bed = with_notes(|s| s.gateways = 100);
+    let first = sent(&bed.ask(1))[0].1;
+    assert_eq!(note(&mut bed, 1, 0, Note::WaitsForMemory).len(), 1);
+    assert_eq!(sent(&bed.answer(1, Outcome::Cancelled)), [(1, 3 - first)]);
+    bed.answer(1, Outcome::Ok);
+    assert_eq!(sent(&bed.ask(4)), [(4, 3 - first)], "its warm engine is short of memory");
+}
+
+#[test]
+fn a_query_that_a_load_holds_up_moves() {
+    let mut bed = with_notes(|_| {});
+    bed.ask(1);
+    assert_eq!(note(&mut bed, 1, 0, Note::WaitsForLoad), [Action::Cancel { id: RequestId(1), attempt: 0 }]);
+}
+
+/// Whether an engine is left alone 1.4 s after a long query was sent there, with these notes.
+fn condemned(bed: &mut Bed, notes: &[Note]) -> bool {
+    bed.ask_with(1, |r| r.cost = 900_000);
+    for n in 0..7 {
+        bed.pass(SECOND / 5);
+        if let Some(&n) = notes.get(n) {
+            note(bed, 1, 0, n);
+        }
+    }
+    bed.all.iter().any(|(_, a)| matches!(a, Action::Log(t) if t.contains("no answers")))
+}
+
+#[test]
+fn missing_notes_tell_of_silence_and_notes_of_life() {
+    assert!(condemned(&mut with_notes(|_| {}), &[]));
+    assert!(!condemned(
+        &mut with_notes(|_| {}),
+        &[Note::Progress(0.2), Note::Spills(4.0), Note::Progress(0.5)]
+    ));
+}
+
+#[test]
+fn our_own_stall_condemns_no_engine() {
+    for stalls in [false, true] {
+        let mut bed = with_notes(|_| {});
+        bed.ask_with(1, |r| r.cost = 900_000);
+        bed.pass(SECOND / 10);
+        if stalls {
+            bed.now += 2 * SECOND;
+            bed.feed(Event::Elapsed(0));
+        }
+        let until = bed.now + SECOND * 13 / 10 - if stalls { SECOND / 10 } else { 0 };
+        while bed.now < until {
+            bed.pass(SECOND / 20);
+        }
+        let left = bed.all.iter().any(|(_, a)| matches!(a, Action::Log(t) if t.contains("no answers")));
+        assert_eq!(left, !stalls, "stalled: {stalls}");
+    }
+}
+
+#[test]
+fn where_no_cost_is_told_a_slow_fleet_is_seen_and_the_bound_is_cut() {
+    let mut s = settings(class(Effect::Repeatable));
+    s.tells_cost = false;
+    let most_out = |slow: bool| {
+        let mut bed = Bed::new(s.clone(), vec![entry(1)]);
+        for id in 0..120 {
+            if !sent(&bed.ask(id)).is_empty() {
+                let took = if slow && id >= 30 { 600_000 } else { 100_000 };
+                bed.feed(Event::Answer(Answer {
+                    id: RequestId(id),
+                    attempt: 0,
+                    outcome: Outcome::Ok,
+                    took,
+                    complete: true,
+                    work: None,
+                    memory_mb: None,
+                    load: Load::default(),
+                }));
+            }
+            bed.pass(200_000);
+        }
+        (200..240).map(|id| sent(&bed.ask_with(id, |r| r.due += 60 * SECOND)).len()).sum::<usize>()
+    };
+    let (usual, slow) = (most_out(false), most_out(true));
+    assert!(slow < usual, "{slow} in flight at a slow engine, {usual} at a quick one");
+}
+
+#[test]
+fn where_load_comes_with_probes_alone_each_request_pays_for_one() {
+    let probes = |reports| {
+        let mut s = settings(class(Effect::Repeatable));
+        (s.may_probe, s.load_reports) = (true, reports);
+        let mut bed = Bed::new(s, (1..=4).map(entry).collect());
+        let actions: Vec<Action> = (0..3).flat_map(|id| bed.ask(id)).collect();
+        let probed = |a: &Action| if let Action::Probe(e) = a { Some(e.0) } else { None };
+        actions.iter().filter_map(probed).collect::<std::collections::BTreeSet<u64>>().len()
+    };
+    assert_eq!(probes(LoadReports::WithProbes), 3, "three different engines");
+    assert_eq!(probes(LoadReports::WithAnswers), 0);
+}
+
+#[test]
+fn what_is_in_flight_shows_an_overrun_engine_that_reports_busy_cores_like_others() {
+    let mut s = settings(class(Effect::Repeatable));
+    (s.may_probe, s.load_reports, s.gateways) = (true, LoadReports::WithProbes, 100);
+    let mut bed = Bed::new(s, vec![entry(1), entry(2)]);
+    bed.ask(0);
+    bed.ask(1);
+    for (engine, in_flight) in [(1, 40.0), (2, 6.0)] {
+        let load = Load { in_flight: Some(in_flight), cores: Some(1.0), ..Load::default() };
+        bed.feed(Event::Probed { engine: EngineId(engine), ok: true, load });
+    }
+    bed.answer(0, Outcome::Ok);
+    bed.answer(1, Outcome::Ok);
+    assert_eq!(sent(&bed.ask(2)), [(2, 2)]);
+}
+
+#[test]
+fn light_queries_stay_in_their_zone_where_crossing_costs() {
+    let crossed = |price| {
+        let mut s = settings(class(Effect::Repeatable));
+        s.prices.cross_zone = price;
+        let far = |n| EngineEntry { zone: ZoneId(1), ..entry(n) };
+        let mut bed = Bed::new(s, vec![entry(1), far(2), entry(3), far(4)]);
+        let mut far = 0;
+        for id in 0..60 {
+            far += sent(&bed.ask_with(id, |r| r.group = GroupId(id))).iter().filter(|s| s.1 % 2 == 0).count();
+            bed.answer(id, Outcome::Ok);
+            bed.pass(100_000);
+        }
+        far
+    };
+    assert!(crossed(0.0) >= 20 && crossed(0.04) <= 10, "{} and {}", crossed(0.0), crossed(0.04));
+}
+
+#[test]
+fn heavy_queries_have_turns_at_cold_engines_within_the_budget() {
+    let gateways = 150;
+    let heavy = |r: &mut Request| (r.class, r.cost) = (ClassId(1), 2_000_000);
+    let mut at: Vec<Micros> = Vec::new();
+    for me in 0..gateways {
+        let mut bed = one_of_many(me, gateways as u32, vec![entry(1)]);
+        for id in 0..4 {
+            bed.ask_with(id, heavy);
+            bed.feed(Event::Answer(Answer {
+                id: RequestId(id),
+                attempt: 0,
+                outcome: Outcome::Ok,
+                took: SECOND / 2,
+                complete: true,
+                work: Some(2 * SECOND),
+                memory_mb: None,
+                load: Load::default(),
+            }));
+            bed.pass(100_000);
+        }
+        let gone = EngineEntry { listed: Listed::Removed, ..entry(1) };
+        let mut news: Vec<_> = (2..=9).map(|n| EngineEntry { came_up: 100 * SECOND, ..entry(n) }).collect();
+        news.push(gone);
+        bed.feed(Event::Engines { kind: ListKind::Changes, entries: news });
+        for id in 100..140 {
+            at.extend(sent(&bed.ask_with(id, heavy)).iter().filter(|s| s.1 == 2).map(|_| bed.now));
+            bed.answer(id, Outcome::Ok);
+            bed.pass(200_000);
+        }
+    }
+    at.sort_unstable();
+    let most = at.iter().map(|&t| at.iter().filter(|&&u| t <= u && u < t + SECOND).count()).max();
+    let most = most.expect("heavy queries have turns") as f64;
+    assert!(most * 2.0 <= 4.0 * 4.0 * 0.3, "{most} heavy queries in one window");
+}
+
+#[test]
+fn advice_grows_with_the_wait_and_is_spread() {
+    let advised = |queries: u64| {
+        let mut s = settings(class(Effect::Repeatable));
+        s.retry_advice = Some(60 * SECOND);
+        let mut bed = Bed::new(s, vec![entry(1)]);
+        let pick =
+            |a: &Action| if let Action::Refuse { retry_after, .. } = a { Some(*retry_after) } else { None };
+        let all: Vec<Action> = (0..queries).flat_map(|id| bed.ask_with(id, |r| r.cost = 600_000)).collect();
+        all.iter().filter_map(pick).collect::<Vec<_>>()
+    };
+    let advice = advised(60);
+    let distinct: std::collections::BTreeSet<_> = advice.iter().collect();
+    assert!(advice.len() >= 10 && distinct.len() > advice.len() / 2);
+    assert!(advice.iter().all(|&a| (50_000..6 * SECOND).contains(&a)), "{advice:?}");
+}
+
+#[test]
+fn absurd_notes_and_reports_give_finite_decisions() {
+    let mut bed = with_notes(|s| (s.may_probe, s.load_reports) = (true, LoadReports::WithProbes));
+    bed.ask(1);
+    for value in [f64::NAN, f64::INFINITY, -3.0, 7.0, 0.0] {
+        for (id, attempt) in [(1, 0), (1, 9), (77, 0)] {
+            note(&mut bed, id, attempt, Note::Spills(value));
+            note(&mut bed, id, attempt, Note::Progress(value));
+        }
+        let load =
+            Load { in_flight: Some(value), cores: Some(value), memory: Some(value), disks: Some(value) };
+        bed.feed(Event::Probed { engine: EngineId(1), ok: true, load });
+        bed.feed(Event::Probed { engine: EngineId(9), ok: true, load });
+    }
+    bed.pass(2 * SECOND);
+    assert_eq!(sent(&bed.ask(2)).len(), 1);
+    let finite = |a: &Action| !matches!(a, Action::Terms { memory_mb, .. } if !memory_mb.is_finite());
+    assert!(bed.all.iter().all(|(_, a)| finite(a)));
+}
