--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,8 +25,6 @@
 const REACH: [f64; 2] = [0.5, 4.0];
 /// Part of the share of the fleet's memory that may be granted before the fleet counts as full.
 const MEMORY_PART: f64 = 0.6;
-/// Average reported load up to which a gateway's share of the threads does not bind.
-const SPARE_LOAD: f64 = 0.7;
 /// How much a reported load of 1 weighs against own debt, how fast reports fade, and what "full" counts: no
 /// session or no memory left, which reports need not tell of.
 const OTHERS: f64 = 2.0;
@@ -114,8 +112,6 @@
         let mut gateway = Gateway::empty(settings, seed);
         gateway.width = THREADS_PER_CORE;
         gateway.best_slow = BEST_MOST;
-        let reported = gateway.settings.load_reports != LoadReports::None;
-        gateway.usual_load = f64::from(u8::from(reported));
         gateway.learned.iter_mut().for_each(|l| l.grant = GRANT_START.ln());
         gateway
     }
@@ -331,14 +327,12 @@
     /// Many gateways that each may start one query on every engine would flood all of them: what runs
     /// anywhere is bounded by the share of the fleet. One query may always run, and one may reach over. What
     /// earns more for its work reaches further: else one heavy query would turn away all light ones for long.
-    /// While engines report room, no share of theirs need be kept to: gateways come by uneven traffic.
     fn fleet_is_full(&self, request: &Request) -> bool {
         let held = self.held();
         let reach = finite(self.density(request) / self.usual_density(), REACH[0], REACH[1]);
         let memory = self.fleet_memory * MEMORY_PART * (self.width / THREADS_PER_CORE).max(1.0);
         let short = self.settings.grants && memory > 0.0 && held.1 >= memory * reach;
-        let room = self.settings.load_reports != LoadReports::None && self.usual_load < SPARE_LOAD;
-        held.0 > 0.0 && (short || !room && held.0 >= self.fleet_cores * self.width * reach)
+        held.0 > 0.0 && (short || held.0 >= self.fleet_cores * self.width * reach)
     }
 
     fn fleet_wait(&self, open: &Open) -> f64 {
