--- a/src/logic.rs
+++ b/src/logic.rs
@@ -91,6 +91,8 @@
 const GRANT_FIRST: f64 = 0.3;
 /// Part of the cold budget used: a window may touch two turns.
 const COLD_MARGIN: f64 = 0.5;
+/// How far a cold engine is thought to have warmed by the end of its span: how it gets there is not told.
+const COLD_RAMP: f64 = 0.5;
 /// Power of worth for work against the average by which the backlog that a request may find shrinks.
 const PINCH: f64 = 2.0;
 /// Depth of a bucket against what it drains in the time that a request has.
@@ -362,7 +364,8 @@
 
     /// What a cold engine can do for sure, against a warm one.
     fn warmth(&self, e: &Engine) -> f64 {
-        [1.0, finite(self.settings.cold_from, 0.05, 1.0)][usize::from(self.is_cold(e))]
+        let least = finite(self.settings.cold_from, 0.05, 1.0);
+        self.cold_age(e).map_or(1.0, |age| least + (1.0 - least) * COLD_RAMP * age)
     }
 
     /// Once for each event, what all choices share: usual slowness, and an even share of cores and memory.
@@ -525,7 +528,7 @@
             return true;
         }
         let class = open.request.class.0;
-        let capacity = self.cores(e) * finite(self.settings.cold_from, 0.01, 1.0);
+        let capacity = self.cores(e) * self.warmth(e);
         let span = self.settings.fall_span as f64;
         let all = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share();
         let uses: f64 = (0..self.learned.len()).map(|c| self.use_of(c)).sum();
--- a/src/state.rs
+++ b/src/state.rs
@@ -406,10 +406,15 @@
         waits && self.flights.values().any(holds)
     }
 
-    /// Within the span in which an engine may still be cold.
+    /// The part of the span in which an engine may still be cold that has passed; none once it is over.
+    pub(crate) fn cold_age(&self, e: &Engine) -> Option<f64> {
+        let (start, span) = (e.entry.came_up.max(e.started), self.settings.cold_span);
+        let age = self.now.saturating_sub(start);
+        (start > 0 && age < span).then(|| age as f64 / span as f64)
+    }
+
     pub(crate) fn is_cold(&self, e: &Engine) -> bool {
-        let start = e.entry.came_up.max(e.started);
-        start > 0 && self.now < start.saturating_add(self.settings.cold_span)
+        self.cold_age(e).is_some()
     }
 
     /// Threads of the widest class.
