--- a/src/logic.rs
+++ b/src/logic.rs
@@ -66,7 +66,7 @@
 const OVERDUE_SPAN: Micros = 700_000;
 /// Where engines tell of attempts: silent after this many periods without a word.
 const NOTES_MISSED: f64 = 2.5;
-/// A fresh attempt takes an attempt's place if that has still this many times the fresh one's time to run.
+/// A fresh attempt takes the place of one that has this many times the fresh one's time still to run.
 const RESTART: f64 = 4.0;
 /// It is ended if even this part of the time that it still seems to need is more than its client waits.
 const HOPELESS: f64 = 0.6;
@@ -84,11 +84,10 @@
 const TRIAL_LONGEST: Micros = 4_000_000;
 /// How long an attempt may stay unanswered past its time before its record is dropped.
 const FORGET: Micros = 60_000_000;
-/// The quantile of need against estimate that a memory grant covers, one step of learning it, its start.
+/// The quantile of need against estimate that a memory grant covers; its start, a step, more at the first.
 const GRANT_QUANTILE: f64 = 0.9;
-const GRANT_STEP: f64 = 0.06;
 const GRANT_START: f64 = 1.25;
-const GRANT_FIRST: f64 = 0.3;
+const GRANT_STEPS: [f64; 2] = [0.06, 0.3];
 /// Part of the cold budget used: a window may touch two turns.
 const COLD_MARGIN: f64 = 0.5;
 /// How far a cold engine is thought to have warmed by the end of its span: how it gets there is not told.
@@ -202,6 +201,11 @@
 
     /// Finds an engine's line for a request that has its turn; ends it at once if none passes.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        // Whoever waits is looked at once a tick: what is due before the next one would get no answer.
+        let next_tick = self.now + WATCH + self.settings.quantum;
+        if self.open.get(&id).is_some_and(|o| o.request.due <= next_tick) {
+            return self.end(id, out);
+        }
         if !self.has_turn(id) {
             return;
         }
@@ -674,7 +678,7 @@
         if let (Some(need), true) = (answer.memory_mb, flight.request.memory_mb > 0.0) {
             let over = (need / flight.request.memory_mb).ln() > learned.grant;
             // Quick at first: a class whose estimates lie low would spill for long.
-            let step = GRANT_STEP + GRANT_FIRST / (1.0 + learned.usual.samples);
+            let step = GRANT_STEPS[0] + GRANT_STEPS[1] / (1.0 + learned.usual.samples);
             learned.grant += step * if over { GRANT_QUANTILE } else { GRANT_QUANTILE - 1.0 };
         }
         if let Some(e) = self.engines.get_mut(&flight.engine) {
@@ -749,8 +753,8 @@
     /// Decides on an attempt that seems to need `left` more.
     fn outlook(&mut self, id: RequestId, attempt: u32, left: f64, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let fresh = self.cost(&open.request, None) / self.threads(&open.request);
-        let fresh = fresh * self.slow.leaning(1.0, 3.0).max(1.0);
+        let slow = self.slow.leaning(1.0, 3.0).max(1.0);
+        let fresh = self.cost(&open.request, None) / self.threads(&open.request) * slow;
         let rest = open.request.due.saturating_sub(self.now) as f64;
         let again = self.class(&open.request).effect == Effect::Repeatable
             && open.attempts < self.settings.attempts_cap
@@ -903,12 +907,12 @@
 
     /// Ends what waits and can no longer be served in time; attempts out have a time-out of their own.
     fn end_due(&mut self, out: &mut Vec<Action>) {
-        let edge = self.now + WATCH + self.settings.quantum;
+        let next_tick = self.now + WATCH + self.settings.quantum;
         let hopeless = |o: &Open| {
             let class = self.class(&o.request);
             let run = self.cost(&o.request, None) / self.threads(&o.request);
             let end = if class.late_worth > 0.0 { o.request.due } else { o.goal };
-            o.waits() && (o.request.due <= edge || self.now as f64 + run > end as f64)
+            o.waits() && (o.request.due <= next_tick || self.now as f64 + run > end as f64)
         };
         let ended: Vec<_> = self.open.iter().filter(|(_, o)| hopeless(o)).map(|(&id, _)| id).collect();
         ended.into_iter().for_each(|id| self.end(id, out));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -183,3 +183,33 @@
     assert_eq!(sent(&bed.answer(1, Outcome::Full)).len(), 1);
     assert!(refused(&bed.answer(1, Outcome::Full), 1));
 }
+
+#[test]
+fn what_times_out_with_its_client_is_ended_and_tries_no_sick_engine() {
+    // As reported: a time-out at the deadline, and an engine left alone that awaits a trial by a request.
+    let mut bed = Bed::new(settings(class(Effect::Repeatable)), vec![entry(1), entry(2)]);
+    let due = bed.now + 5 * SECOND;
+    let other = sent(&bed.ask_with(1, |r| r.due = due))[0].1;
+    for id in 2..20 {
+        for (id, engine) in sent(&bed.ask_with(id, |r| r.group = GroupId(id))) {
+            bed.answer(id, if engine == other { Outcome::Ok } else { Outcome::Error });
+        }
+    }
+    assert!(bed.all.iter().any(|(_, a)| matches!(a, Action::Log(t) if t.contains("left alone"))));
+    bed.pass(due - bed.now);
+    let actions = bed.answer(1, Outcome::Timeout);
+    assert!(refused(&actions, 1) && sent(&actions).is_empty(), "{actions:?}");
+}
+
+#[test]
+fn what_is_due_before_the_next_tick_is_ended_as_it_comes() {
+    let mut bed = Bed::new(settings(class(Effect::Repeatable)), vec![entry(1)]);
+    for id in 0..20 {
+        bed.ask_with(id, |r| r.cost = 1_000);
+    }
+    bed.pass(SECOND / 2);
+    let due = bed.now + 50_000;
+    let ended = |bed: &Bed| refused(&bed.all.iter().map(|a| a.1.clone()).collect::<Vec<_>>(), 100);
+    bed.ask_with(100, |r| (r.cost, r.due) = (1_000, due));
+    assert!(ended(&bed));
+}
