--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,8 @@
 const WIDEST: f64 = 1.8;
 /// Work that a group of tables costs more where it is not warm, in the choice of an engine.
 const COLD_READ: f64 = 0.35;
+/// Engines that all gateways take for the homes of a group, so that its tables are warm there.
+const HOMES: usize = 2;
 /// Groups that an engine is thought to keep warm.
 const WARM_GROUPS: usize = 4;
 /// Share of the debt that stays until answered: an engine that does not get on keeps it, for any reason.
@@ -232,14 +234,21 @@
         let worth = finite(self.class(&open.request).worth, 1e-9, 1e9);
         let usual_worth = self.learned.iter().map(|l| l.worth).sum::<f64>();
         let crossing = CROSSING * finite(self.settings.prices.cross_zone, 0.0, 1.0) * usual_worth / worth;
+        let well = self.engines.iter().filter(|(_, e)| e.sick.is_none() && e.entry.listed == Listed::Up);
+        let mut homes: Vec<EngineId> = well.map(|(&id, _)| id).collect();
+        homes.sort_by_cached_key(|id| mix(open.request.group.0 ^ mix(id.0)));
+        homes.truncate(HOMES);
         let mut best: Option<(bool, f64, u64, EngineId)> = None;
         for (&engine, e) in &self.engines {
             if e.sick.is_some() || self.guard(id, engine) == Leave::No || !self.passes(open, e, fleet_wait) {
                 continue;
             }
             let group = open.request.group;
-            let warm = if e.warm.contains(&group) { 1.0 } else { 1.0 + COLD_READ };
-            let debt = e.total_debt() + warm * self.cost(&open.request, Some(e));
+            // What this gateway knows to be warm counts by its share; the others keep to the same homes.
+            let (own, home) = (e.warm.contains(&group), homes.contains(&engine));
+            let warm = [0.0, self.share()][usize::from(own)] + [0.0, 1.0 - self.share()][usize::from(home)];
+            let read = 1.0 + COLD_READ * (1.0 - warm);
+            let debt = e.total_debt() + read * self.cost(&open.request, Some(e));
             let blocked = if self.is_blocked(open, engine) { 2.0 } else { 1.0 };
             let spread = 1.0 + SPREAD * (1.0 - self.share()) * unit(mix(dice ^ engine.0));
             let away = if e.entry.zone == self.settings.zone { 1.0 } else { 1.0 + crossing };
