--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,7 +51,7 @@
 const WIDEST: f64 = 1.8;
 /// Work that a group of tables costs more where it is not warm, in the choice of an engine.
 const COLD_READ: f64 = 0.35;
-/// Engines that all gateways take for the homes of a group, so that its tables are warm there.
+/// Engines that all gateways take for a group's homes, warm for it; what one read itself counts by its share.
 const HOMES: usize = 2;
 /// Groups that an engine is thought to keep warm.
 const WARM_GROUPS: usize = 4;
@@ -106,8 +106,6 @@
 const QUOTA_BURST: f64 = 2.0;
 /// Stand-in for a class's work while nothing is told or learned: this part of its aim, on each thread.
 const UNKNOWN_COST: f64 = 0.25;
-/// The timer of the tick.
-const TICK_HANDLE: u64 = 0;
 
 impl Gateway {
     /// A gateway that knows its settings and nothing else. `seed` feeds all its random draws.
@@ -231,23 +229,23 @@
         let dice = self.draw();
         let open = self.open.get(&id)?;
         let fleet_wait = self.fleet_wait(open);
-        let worth = finite(self.class(&open.request).worth, 1e-9, 1e9);
-        let usual_worth = self.learned.iter().map(|l| l.worth).sum::<f64>();
-        let crossing = CROSSING * finite(self.settings.prices.cross_zone, 0.0, 1.0) * usual_worth / worth;
-        let well = self.engines.iter().filter(|(_, e)| e.sick.is_none() && e.entry.listed == Listed::Up);
-        let mut homes: Vec<EngineId> = well.map(|(&id, _)| id).collect();
+        let dear = self.settings.prices.cross_zone * self.usual_worth() / self.class(&open.request).worth;
+        let crossing = finite(CROSSING * dear, 0.0, 1e3);
+        let mut homes = self.well();
         homes.sort_by_cached_key(|id| mix(open.request.group.0 ^ mix(id.0)));
-        homes.truncate(HOMES);
+        // A load at home would hold up all that waits for it; where no load is told, homes would overflow.
+        let class = self.class(&open.request);
+        let blind = self.settings.load_reports == LoadReports::None;
+        homes.truncate(if blind || class.is_load || class.waits_for_loads { 0 } else { HOMES });
         let mut best: Option<(bool, f64, u64, EngineId)> = None;
         for (&engine, e) in &self.engines {
             if e.sick.is_some() || self.guard(id, engine) == Leave::No || !self.passes(open, e, fleet_wait) {
                 continue;
             }
             let group = open.request.group;
-            // What this gateway knows to be warm counts by its share; the others keep to the same homes.
             let (own, home) = (e.warm.contains(&group), homes.contains(&engine));
-            let warm = [0.0, self.share()][usize::from(own)] + [0.0, 1.0 - self.share()][usize::from(home)];
-            let read = 1.0 + COLD_READ * (1.0 - warm);
+            let warm = [if own { self.share() } else { 0.0 }, if home { 1.0 - self.share() } else { 0.0 }];
+            let read = 1.0 + COLD_READ * (1.0 - warm[0] - warm[1]);
             let debt = e.total_debt() + read * self.cost(&open.request, Some(e));
             let blocked = if self.is_blocked(open, engine) { 2.0 } else { 1.0 };
             let spread = 1.0 + SPREAD * (1.0 - self.share()) * unit(mix(dice ^ engine.0));
@@ -290,10 +288,8 @@
         if !self.settings.may_probe || self.settings.load_reports != LoadReports::WithProbes {
             return;
         }
-        let me = self.settings.me.0;
-        let free = |e: &Engine| e.sick.is_none() && !e.probing && e.entry.listed == Listed::Up;
-        let up = self.engines.iter_mut().filter(|(_, e)| free(e));
-        let oldest = up.min_by_key(|(id, e)| (e.load.map(|l| l.1), mix(id.0 ^ mix(me))));
+        let up = self.engines.iter_mut().filter(|(_, e)| e.is_well() && !e.probing);
+        let oldest = up.min_by_key(|(id, e)| (e.load.map(|l| l.1), mix(id.0 ^ mix(self.settings.me.0))));
         if let Some((&engine, e)) = oldest {
             e.probing = true;
             out.push(Action::Probe(engine));
@@ -371,8 +367,7 @@
 
     /// How far an engine keeps up with its peers, and with its own warm self.
     fn speed(&self, e: &Engine) -> f64 {
-        let usual = self.usual_slow;
-        finite(usual / e.slow.leaning(usual, LEAN), 0.05, 1.0) * self.warmth(e)
+        finite(self.usual_slow / e.slow.leaning(self.usual_slow, LEAN), 0.05, 1.0) * self.warmth(e)
     }
 
     /// What a cold engine can do for sure, against a warm one.
@@ -384,7 +379,7 @@
     /// Once for each event, what all choices share: usual slowness, and an even share of cores and memory.
     fn look(&mut self) {
         self.usual_slow = median(self.engines.values().filter_map(|e| e.slow.get())).unwrap_or(1.0).max(0.1);
-        let used = self.engines.values().filter(|e| e.sick.is_none() && e.entry.listed == Listed::Up);
+        let used = self.engines.values().filter(|e| e.is_well());
         self.fleet_cores = used.map(|e| self.cores(e) * self.speed(e)).sum::<f64>() * self.share();
         let up = self.engines.values().filter(|e| e.entry.listed == Listed::Up);
         self.fleet_memory = up.map(|e| self.memory(e)).sum::<f64>() * self.share();
@@ -417,8 +412,7 @@
             *debt = drained.max(STANDING * e.standing[class]).max(0.0);
         }
         e.drained_at = self.now;
-        let now = self.now;
-        e.ghosts.retain(|g| g.0 > now);
+        e.ghosts.retain(|g| g.0 > self.now);
     }
 
     /// Room under the thread bound; where this gateway runs nothing, one query may start.
@@ -829,11 +823,10 @@
                 sick.trial = None;
                 self.trial_done(flight.engine, good, out);
             }
-            Some(_) => {}
             None if bad && e.fails > FAIL_OVER + FLEET_FAILS * usual => {
                 self.condemn(flight.engine, "fails", out)
             }
-            None => {}
+            _ => {}
         }
     }
 
@@ -874,16 +867,15 @@
 
     /// A trial of a sick engine: a probe where allowed, then one light repeatable request.
     fn trial(&mut self, engine: EngineId, out: &mut Vec<Action>) {
-        let (may_probe, now) = (self.settings.may_probe, self.now);
         let Some(e) = self.engines.get_mut(&engine) else { return };
         let Some(sick) = &mut e.sick else { return };
-        if now < sick.next || sick.ready || sick.trial.is_some() || e.entry.listed != Listed::Up {
+        if self.now < sick.next || sick.ready || sick.trial.is_some() || e.entry.listed != Listed::Up {
             return;
         }
-        sick.next = now + sick.wait;
-        sick.ready = !may_probe;
-        e.probing = may_probe;
-        out.extend(may_probe.then_some(Action::Probe(engine)));
+        sick.next = self.now + sick.wait;
+        sick.ready = !self.settings.may_probe;
+        e.probing = self.settings.may_probe;
+        out.extend(self.settings.may_probe.then_some(Action::Probe(engine)));
     }
 
     /// A sick engine that a light, repeatable request may try as it arrives: at scale none waits in a line.
@@ -961,8 +953,7 @@
     /// An engine with room and nothing waiting takes over the most urgent request that waits elsewhere.
     fn fetch_work(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let Some(e) = self.engines.get(&engine) else { return };
-        let busy = !e.line.is_empty() || !self.fits(e, 1.0);
-        if busy || e.sick.is_some() || e.entry.listed != Listed::Up {
+        if !e.line.is_empty() || !self.fits(e, 1.0) || !e.is_well() {
             return;
         }
         let heads = self.engines.values().filter_map(|other| other.line.first().copied());
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Listed up and not left alone.
+    pub fn is_well(&self) -> bool {
+        self.sick.is_none() && self.entry.listed == Listed::Up
+    }
+
     pub fn total_debt(&self) -> f64 {
         self.debt.iter().sum()
     }
@@ -270,6 +275,9 @@
     }
 }
 
+/// The handle of the tick's timer.
+pub(crate) const TICK_HANDLE: u64 = 0;
+
 /// The turns of a key.
 #[derive(Default)]
 pub(crate) struct Turns {
@@ -522,6 +530,16 @@
         finite(sums.0 / sums.1, 1e-12, 1e12)
     }
 
+    /// The average worth of a request.
+    pub(crate) fn usual_worth(&self) -> f64 {
+        self.learned.iter().map(|l| l.worth).sum()
+    }
+
+    /// Every engine that is listed up and not left alone.
+    pub(crate) fn well(&self) -> Vec<EngineId> {
+        self.engines.iter().filter(|(_, e)| e.is_well()).map(|(&id, _)| id).collect()
+    }
+
     /// Nothing is open, out, ordered or left alone.
     pub(crate) fn is_still(&self) -> bool {
         let idle = self.open.is_empty() && self.flights.is_empty() && self.keys.is_empty();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -79,7 +79,11 @@
 
 impl Bed {
     pub fn new(settings: Settings, entries: Vec<EngineEntry>) -> Self {
-        let gateway = Gateway::new(settings, 1);
+        Bed::seeded(settings, 1, entries)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64, entries: Vec<EngineEntry>) -> Self {
+        let gateway = Gateway::new(settings, seed);
         let now = 100 * SECOND;
         let mut bed = Bed { gateway, now, all: vec![], timers: vec![], attempts: Default::default() };
         bed.feed(Event::Engines { kind: ListKind::WarmCopy, entries });
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -574,3 +574,21 @@
     let finite = |a: &Action| !matches!(a, Action::Terms { memory_mb, .. } if !memory_mb.is_finite());
     assert!(bed.all.iter().all(|(_, a)| finite(a)));
 }
+
+#[test]
+fn gateways_send_a_group_to_the_same_homes_unless_loads_or_blindness_forbid_it() {
+    let first = |me: u64, reports, waits| {
+        let mut s = settings(class(Effect::Repeatable));
+        (s.me, s.gateways, s.load_reports) = (PeerId(me), 200, reports);
+        s.classes[0].waits_for_loads = waits;
+        // Seeds differ, as between gateways.
+        let mut bed = Bed::seeded(s, me, (1..=20).map(entry).collect());
+        sent(&bed.ask_with(1, |r| r.group = GroupId(7)))[0].1
+    };
+    let engines = |reports, waits| {
+        (0..30).map(|me| first(me, reports, waits)).collect::<std::collections::BTreeSet<u64>>().len()
+    };
+    assert!(engines(LoadReports::WithAnswers, false) <= 2);
+    assert!(engines(LoadReports::None, false) > 5);
+    assert!(engines(LoadReports::WithAnswers, true) > 5);
+}
