--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -592,3 +592,41 @@
     assert!(engines(LoadReports::None, false) > 5);
     assert!(engines(LoadReports::WithAnswers, true) > 5);
 }
+
+#[test]
+fn late_load_reports_fade_instead_of_steering_for_long() {
+    // How many of forty gateways choose the engine that reported busy cores, so long after the report.
+    let at_the_busy_one = |after: Micros| {
+        let first = |seed: u64| {
+            let mut s = settings(class(Effect::Repeatable));
+            s.gateways = 100;
+            let mut bed = Bed::seeded(s, seed, vec![entry(1), entry(2)]);
+            for (engine, cores) in [(1, 1.0), (2, 0.1)] {
+                let load = Load { cores: Some(cores), ..Load::default() };
+                bed.feed(Event::Probed { engine: EngineId(engine), ok: true, load });
+            }
+            bed.now += after;
+            sent(&bed.ask(1))[0].1
+        };
+        (0..40).filter(|&seed| first(seed) == 1).count()
+    };
+    assert_eq!(at_the_busy_one(0), 0);
+    assert!((10..=30).contains(&at_the_busy_one(20 * SECOND)));
+}
+
+#[test]
+fn a_tenant_beyond_its_share_leaves_room_for_the_others() {
+    let served = |burst: u64| {
+        let mut s = settings(class(Effect::Repeatable));
+        s.tenants = vec![Tenant { quota_per_s: 5.0 }, Tenant { quota_per_s: 50.0 }];
+        let mut bed = Bed::new(s, vec![entry(1)]);
+        let taken = (0..burst)
+            .filter(|&id| !refused(&bed.ask_with(id, |r| (r.tenant, r.cost) = (TenantId(0), 400_000)), id))
+            .count();
+        let other = !refused(&bed.ask_with(999, |r| r.tenant = TenantId(1)), 999);
+        (taken, other)
+    };
+    let (taken, other) = served(80);
+    assert!(other, "within its share");
+    assert!((10..15).contains(&taken), "{taken} of 80 taken, the first ten are within the share");
+}
