--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,8 @@
 //! - **Timers**: each [`Action::Arm`] comes back once as [`Event::Elapsed`]; late is allowed, early is not.
 //! - **Over**: a request is over after [`Action::Refuse`], [`Action::Fail`], [`Event::Lapsed`] or an
 //!   [`Answer`] marked complete. Attempts still out get their [`Answer`] nonetheless.
+//! - **Notes and loads**: [`Event::Note`] tells of an attempt that is out, [`Load`] what an engine reports, as told
+//!   and however late; what is missing stays `None`, what is absurd or of an unknown attempt does no harm.
 //! - **Determinism**: the same settings, seed and events give the same actions.
 //! - Events that name something unknown, over or repeated are ignored.
 
