--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -630,3 +630,32 @@
     assert!(other, "within its share");
     assert!((10..15).contains(&taken), "{taken} of 80 taken, the first ten are within the share");
 }
+
+#[test]
+fn a_gateway_that_takes_over_the_traffic_of_dead_ones_outgrows_its_even_share() {
+    let mut bed = one_of_many(0, 100, (1..=10).map(entry).collect());
+    // How many of twenty that come at once are not refused; the engines serve all of them quickly.
+    let mut taken = |from: u64| {
+        let ids: Vec<u64> = (from..from + 20).collect();
+        let taken = ids.iter().filter(|&&id| !refused(&bed.ask_with(id, |r| r.cost = 400_000), id)).count();
+        for _ in 0..3 {
+            bed.pass(100_000);
+            for &id in &ids {
+                bed.feed(Event::Answer(Answer {
+                    id: RequestId(id),
+                    attempt: 0,
+                    outcome: Outcome::Ok,
+                    took: 400_000,
+                    complete: true,
+                    work: Some(400_000),
+                    memory_mb: None,
+                    load: Load::default(),
+                }));
+            }
+        }
+        taken
+    };
+    let first = taken(0);
+    let later = (1..60).map(|n| taken(100 * n)).last().expect("it runs");
+    assert!(later >= 2 * first.max(1), "{first} at first, {later} later");
+}
