--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -377,6 +377,7 @@
             group: vw::GroupId(source_set as u64),
             key: order_key.map(vw::OrderKey),
             is_retry,
+            marked: true,
             due: due_us,
         }),
         News::Lapsed { job } => vw::Event::Lapsed(request(&job)?),
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -96,6 +96,8 @@
     pub group_tag: String,
     /// See `key_tag`.
     pub tenant_tag: String,
+    /// Prefix of the client tag that marks a statement: a further try with the same mark is a repeat to the engines.
+    pub repeat_tag: String,
 }
 
 /// Conditions that must all hold; an empty list holds always.
@@ -165,7 +167,8 @@
         missing(c, name);
     }
     let (gateway, kinds, classes) = (section("gateway")?, section("kinds")?, section("classes")?);
-    let known = ["number", "of", "zone", "listen", "engines", "key-tag", "group-tag", "tenant-tag"];
+    let known =
+        ["number", "of", "zone", "listen", "engines", "key-tag", "group-tag", "tenant-tag", "repeat-tag"];
     let g = c.fields(gateway, 0, &known);
     let number = g.whole(c, "number", (0, 1 << 20), 0);
     let of = g.whole(c, "of", (1, 1 << 20), 1);
@@ -228,6 +231,7 @@
         key_tag: g.word(c, "key-tag", "key="),
         group_tag: g.word(c, "group-tag", "group="),
         tenant_tag: g.word(c, "tenant-tag", "tenant="),
+        repeat_tag: g.word(c, "repeat-tag", "repeat="),
     };
     for form in forms.iter().filter(|f| f.name == "select") {
         let Some(name) = c.name(form) else { continue };
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -174,9 +174,22 @@
     pub overdue: u64,
 }
 
+/// Who decides. In service that is the module's [`Gateway`] and nothing else; experiments put a baseline in its place,
+/// to run the same day through the same gateway.
+pub trait Decide {
+    /// Decides on one event; see [`Gateway::handle`].
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decide for Gateway {
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        Gateway::handle(self, now, event, out);
+    }
+}
+
 /// The state machine. See the module's documentation.
 pub struct Core {
-    gateway: Gateway,
+    gateway: Box<dyn Decide>,
     host: HostLimits,
     names: Names,
     selection: Selection,
@@ -201,12 +214,18 @@
 impl Core {
     /// A core without engines. `life` names this process and must differ at every start; `seed` feeds the module.
     pub fn new(config: &Config, life: &str, seed: u64) -> Self {
+        let module = Gateway::new(config.settings.clone(), seed);
+        Core::with(config, life, Box::new(module))
+    }
+
+    /// A core with another decider than the module, for experiments.
+    pub fn with(config: &Config, life: &str, gateway: Box<dyn Decide>) -> Self {
         let settings = config.settings.clone();
         Core {
             classes: settings.classes.clone(),
             grants: settings.grants,
             priorities: settings.priorities,
-            gateway: Gateway::new(settings, seed),
+            gateway,
             host: config.host.clone(),
             names: config.names.clone(),
             selection: config.selection.clone(),
@@ -403,6 +422,7 @@
             group: GroupId(hash(&group)),
             key: key.map(|k| OrderKey(k.to_owned())),
             is_retry: false,
+            marked: s.context.tagged(&self.selection.repeat_tag).is_some(),
             due: s.due.saturating_sub(margin),
         };
         self.inbox.push_back(Event::Request(request));
@@ -746,7 +766,10 @@
         set("query_max_run_time", format!("{}ms", until.saturating_sub(self.now) / 1000));
         let effect = self.classes[s.class].effect;
         if matches!(effect, violetward::Effect::Keyed { .. }) {
-            set(&self.host.repeat_property, format!("{}.{}", self.life, id.0));
+            // A client's own mark travels, so that its further tries are repeats too, whichever gateway they go through.
+            let mark =
+                s.context.tagged(&self.selection.repeat_tag).map(|m| format!("{}.{m}", s.context.user));
+            set(&self.host.repeat_property, mark.unwrap_or_else(|| format!("{}.{}", self.life, id.0)));
         }
         let launch = Launch {
             attempt,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -107,7 +107,7 @@
                     return;
                 }
             };
-            let keep_alive = message.keep_alive && !self.host.is_draining();
+            let keep_alive = message.keep_alive;
             let Some(reply) = self.answer(&message, &connection).await else { return };
             if !self.send(&mut connection, reply, keep_alive).await || !keep_alive {
                 return;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -72,9 +72,8 @@
 }
 
 impl Host {
-    /// A host with a core and no engines.
-    pub fn new(config: Config, life: String, seed: u64, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
-        let core = Core::new(&config, &life, seed);
+    /// A host for a core made from the same configuration.
+    pub fn new(config: Config, life: String, core: Core, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
         Rc::new(Host {
             core: RefCell::new(core),
             config,
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -8,8 +8,10 @@
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
+use violetward::Gateway;
 
 use crate::config::Config;
+use crate::core::{Core, Decide};
 use crate::front::Front;
 use crate::host::Host;
 use crate::watch;
@@ -20,17 +22,32 @@
 /// # Errors
 /// If it cannot listen.
 pub fn serve(config: Config, address_file: Option<&Path>) -> std::io::Result<()> {
+    let module = Gateway::new(config.settings.clone(), rand::random());
+    serve_with(config, address_file, Box::new(module))
+}
+
+/// The same with another decider than the module, for experiments.
+///
+/// # Errors
+/// If it cannot listen.
+pub fn serve_with(
+    config: Config,
+    address_file: Option<&Path>,
+    decider: Box<dyn Decide>,
+) -> std::io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let life = format!("g{}x{:08x}", config.settings.me.0, rand::random::<u32>());
+    let core = Core::with(&config, &life, decider);
     let drain_within = config.host.drain_within;
     let listener = Async::<std::net::TcpListener>::bind(config.listen)?;
     let address = listener.get_ref().local_addr()?;
-    let host = Host::new(config, life, rand::random(), executor.clone());
+    let host = Host::new(config, life, core, executor.clone());
     let front = Front::new(host.clone(), rand::random());
     executor.spawn(host.clone().run_timers()).detach();
     executor.spawn(host.clone().run_status()).detach();
     executor.spawn(watch::run(host.clone())).detach();
-    let accepting = executor.spawn(front.run(listener));
+    // Stays open while the gateway stops: polls may come on new connections.
+    executor.spawn(front.run(listener)).detach();
     if let Some(file) = address_file {
         let fresh = file.with_extension("new");
         std::fs::write(&fresh, address.to_string())?;
@@ -41,7 +58,6 @@
     future::block_on(executor.run(async move {
         signals.next().await;
         host.drain();
-        drop(accepting);
         let open = host.look(|core| core.open());
         tracing::info!(open, "stopping: no new statements; those taken get their answer");
         let until = Instant::now() + drain_within;
--- /dev/null
+++ b/crates/lab/src/client.rs
@@ -0,0 +1,190 @@
+//! One statement, as a client of the statement protocol sees it. Keeps to the protocol and to nothing else: it posts
+//! once, polls as told, and writes down what it was told and when.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use violetward_net::{timeout, Connection, NetError, Pool};
+use violetward_standin::server::clock;
+use violetward_statement::http::{Headers, Message};
+use violetward_statement::results::{QueryResults, FAILED, REFUSED, STATEMENT};
+use violetward_statement::session::Context;
+
+/// How a statement ended for its client.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Seen {
+    /// All rows came.
+    Served,
+    /// Refused, with advice in milliseconds.
+    Refused(u64),
+    /// Failed.
+    Failed,
+    /// An error of the engine about the statement itself.
+    Declined(String),
+    /// The gateway no longer answered, or no longer knew it.
+    Lost(String),
+    /// It was not taken: no connection, or turned away before.
+    NotTaken(String),
+    /// The client stopped waiting.
+    GaveUp,
+}
+
+/// What a client writes down of one statement. Times are microseconds since the Unix epoch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// Its mark, unlike any other.
+    pub trace: String,
+    /// Which gateway it went to.
+    pub gateway: usize,
+    /// Its class and its order key.
+    pub class: String,
+    /// See `class`.
+    pub key: String,
+    /// When it was posted, and when it was known to be taken.
+    pub posted: u64,
+    /// See `posted`.
+    pub taken: Option<u64>,
+    /// When its client stops waiting.
+    pub due: u64,
+    /// When it counts in full.
+    pub aim: u64,
+    /// What it is worth, and what it still is after the aim.
+    pub worth: f64,
+    /// See `worth`.
+    pub late_worth: f64,
+    /// The end, and when it was told.
+    pub seen: Seen,
+    /// See `seen`.
+    pub ended: u64,
+    /// Another asking for the last page gave something else.
+    pub contradicted: Option<String>,
+    /// Rows.
+    pub rows: usize,
+}
+
+/// What is to be asked.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The text.
+    pub sql: String,
+    /// What travels with it.
+    pub context: Context,
+    /// Half-filled: mark, gateway, class, key, worth; times are spans from the post.
+    pub record: Record,
+    /// How long the client waits.
+    pub patience: Duration,
+    /// Ask for the last page once more.
+    pub asks_again: bool,
+    /// Stop polling after so many pages.
+    pub leaves_after: Option<usize>,
+}
+
+fn headers(address: SocketAddr) -> Headers {
+    let mut headers = Headers::default();
+    headers.push("Host", address.to_string());
+    headers
+}
+
+fn path(uri: &str) -> &str {
+    let after = uri.find("://").map_or(uri, |at| &uri[at + 3..]);
+    after.find('/').map_or("/", |at| &after[at..])
+}
+
+/// Asks and waits for the end.
+pub async fn run(pool: Rc<Pool>, ask: Ask) -> Record {
+    let mut record = ask.record.clone();
+    record.posted = clock();
+    record.due = record.posted + ask.patience.as_micros() as u64;
+    record.aim += record.posted;
+    let end = timeout(ask.patience + Duration::from_millis(1500), follow(&pool, &ask, &mut record)).await;
+    let seen = end.unwrap_or(Seen::GaveUp);
+    record.seen = seen;
+    record.ended = clock();
+    record
+}
+
+async fn follow(pool: &Pool, ask: &Ask, record: &mut Record) -> Seen {
+    let mut head = headers(pool.address());
+    ask.context.write(&mut head);
+    let within = Duration::from_millis(500);
+    let mut connection = match pool.get(within).await {
+        Ok(connection) => connection,
+        Err(e) => return Seen::NotTaken(format!("no connection: {e}")),
+    };
+    let mut message = match connection.call("POST", STATEMENT, &head, ask.sql.as_bytes()).await {
+        Ok(message) => message,
+        Err(e) => return Seen::NotTaken(format!("no answer to the post: {e}")),
+    };
+    if message.status() != 200 {
+        return Seen::NotTaken(format!("{} to the post", message.status()));
+    }
+    record.taken = Some(clock());
+    let mut pages = 0;
+    let mut last: Option<String> = None;
+    loop {
+        let results: QueryResults = match serde_json::from_slice(&message.body) {
+            Ok(results) => results,
+            Err(e) => return Seen::Lost(format!("an answer that cannot be read: {e}")),
+        };
+        pages += 1;
+        if let Some(data) = &results.data {
+            record.rows += data.get().matches("],[").count() + 1;
+        }
+        let Some(next) = results.next_uri else {
+            record.ended = clock();
+            let seen = verdict(&results);
+            if let (true, Some(last)) = (ask.asks_again, &last) {
+                let again = poll(pool, &mut connection, path(last)).await;
+                let same = match &again {
+                    Ok(again) => again.body == message.body,
+                    // A gateway that has died meanwhile says nothing; that is no contradiction.
+                    Err(_) => true,
+                };
+                if !same {
+                    record.contradicted = again.ok().map(|m| String::from_utf8_lossy(&m.body).into_owned());
+                }
+            }
+            if message.keep_alive {
+                pool.put(connection);
+            }
+            return seen;
+        };
+        if ask.leaves_after.is_some_and(|n| pages >= n) {
+            return Seen::GaveUp;
+        }
+        message = match poll(pool, &mut connection, path(&next)).await {
+            Ok(message) if message.status() == 200 => message,
+            Ok(message) => return Seen::Lost(format!("{} to a poll", message.status())),
+            Err(e) => return Seen::Lost(format!("a poll broke: {e}")),
+        };
+        last = Some(next);
+    }
+}
+
+/// Polls; on a broken connection once more on a fresh one, as the public clients do.
+async fn poll(pool: &Pool, connection: &mut Connection, target: &str) -> Result<Message, NetError> {
+    let head = headers(pool.address());
+    match connection.call("GET", target, &head, b"").await {
+        Err(NetError::Io(_)) => {
+            pool.clear();
+            *connection = pool.get(Duration::from_millis(500)).await?;
+            connection.call("GET", target, &head, b"").await
+        }
+        other => other,
+    }
+}
+
+fn verdict(results: &QueryResults) -> Seen {
+    match &results.error {
+        None => Seen::Served,
+        Some(e) if e.error_name == REFUSED => {
+            let advice = e.failure_info.as_ref().and_then(|i| i.retry_after_millis).unwrap_or(0);
+            Seen::Refused(advice)
+        }
+        Some(e) if e.error_name == FAILED => Seen::Failed,
+        Some(e) => Seen::Declined(e.error_name.clone()),
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,19 @@
 //! Demo, scripted bad days, replays of troubles, and the rule checker.
 //!
-//! - [`fleet`]: engines and gateways of a day, with their files.
 //! - [`demo`]: one command that starts all and shows what happens.
+//! - [`fleet`]: the files of a fleet; [`process`]: its processes.
+//! - [`client`]: one statement, as a client sees it; [`load`]: many, drawn from a seed.
+//! - [`trouble`]: what goes wrong on a day; [`day`]: a day from start to end.
+//! - [`checker`]: the seven rules, from what passed on the sockets; [`report`]: a day in a table.
+//! - [`baseline`]: random choice and least in flight, to run the same day with.
 
+pub mod baseline;
+pub mod checker;
+pub mod client;
+pub mod day;
 pub mod demo;
 pub mod fleet;
+pub mod load;
+pub mod process;
+pub mod report;
+pub mod trouble;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,8 +4,17 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use async_executor::LocalExecutor;
 use clap::{Parser, Subcommand};
-use violetward_lab::demo;
+use futures_lite::future;
+use violetward::Gateway;
+use violetward_gateway::{config, service};
+use violetward_lab::baseline::{Baseline, Rule};
+use violetward_lab::day::{self, Plan, Policy};
+use violetward_lab::report::Report;
+use violetward_lab::{demo, trouble};
+use violetward_standin::model::Machine;
+use violetward_standin::server::{Engine, Setup};
 
 /// Tries violetward out on this machine, against stand-in engines.
 #[derive(Parser)]
@@ -29,6 +38,65 @@
         #[arg(long)]
         address_file: Option<PathBuf>,
     },
+    /// Run the scripted bad day with gateways and engines as processes of their own, and check the seven rules.
+    Badday {
+        /// Everything drawn is drawn from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Who decides; several are run one after the other on the same day.
+        #[arg(long, value_enum, default_values_t = [Policy::Module])]
+        policy: Vec<Policy>,
+        /// Leave the day's files in this folder.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
+    /// Replay kinds of trouble, one a day, and check the seven rules. Names: all, or see `troubles`.
+    Replay {
+        /// The troubles.
+        #[arg(required = true)]
+        troubles: Vec<String>,
+        /// Everything drawn is drawn from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Who decides.
+        #[arg(long, value_enum, default_values_t = [Policy::Module])]
+        policy: Vec<Policy>,
+        /// Days at once.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+        /// Leave the day's files in this folder (one trouble, one policy).
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
+    /// List the kinds of trouble.
+    Troubles,
+    /// An engine of a day, as a process of its own.
+    #[command(hide = true)]
+    Engine {
+        #[arg(long)]
+        name: String,
+        #[arg(long)]
+        kind: String,
+        #[arg(long)]
+        seed: u64,
+        #[arg(long)]
+        journal: PathBuf,
+        #[arg(long)]
+        storage: PathBuf,
+        #[arg(long)]
+        address_file: PathBuf,
+        #[arg(long)]
+        cold: bool,
+    },
+    /// A gateway of a day, as a process of its own.
+    #[command(hide = true)]
+    Gateway {
+        file: PathBuf,
+        #[arg(long)]
+        address_file: PathBuf,
+        #[arg(long, value_enum)]
+        policy: Policy,
+    },
 }
 
 fn main() -> ExitCode {
@@ -37,6 +105,31 @@
             tracing_subscriber::fmt().with_writer(std::io::stderr).init();
             demo::run(listen, engines, address_file)
         }
+        Command::Badday { seed, policy, keep } => {
+            let plans =
+                policy.into_iter().map(|p| Plan { keep: keep.clone(), ..Plan::bad_day(seed, p) }).collect();
+            days(plans, 1)
+        }
+        Command::Replay { troubles, seed, policy, jobs, keep } => replay(troubles, seed, &policy, jobs, keep),
+        Command::Troubles => {
+            trouble::ALL
+                .iter()
+                .chain([&trouble::SHIFT])
+                .for_each(|(name, what)| println!("{name:<16} {what}"));
+            Ok(())
+        }
+        Command::Engine { name, kind, seed, journal, storage, address_file, cold } => {
+            let cores = if kind == "m4" { 4.0 } else { 8.0 };
+            let (memory, disks) = (cores * 2048.0, cores * 0.75);
+            let machine = Machine { cores, disks, memory, cold_span: 8_000_000, ..Machine::default() };
+            let control = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+            let (journal, storage) = (Some(journal), Some(storage));
+            engine(
+                Setup { kind, machine, seed, control, journal, storage, cold, ..Setup::new(&name) },
+                &address_file,
+            )
+        }
+        Command::Gateway { file, address_file, policy } => gateway(&file, &address_file, policy),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -46,3 +139,101 @@
         }
     }
 }
+
+fn replay(
+    names: Vec<String>,
+    seed: u64,
+    policies: &[Policy],
+    jobs: usize,
+    keep: Option<PathBuf>,
+) -> std::io::Result<()> {
+    let all = names.iter().any(|n| n == "all");
+    let names: Vec<String> = match all {
+        true => trouble::ALL.iter().chain([&trouble::SHIFT]).map(|t| t.0.to_owned()).collect(),
+        false => names,
+    };
+    if let Some(unknown) = names.iter().find(|n| !trouble::is_known(n)) {
+        return Err(std::io::Error::other(format!(
+            "there is no trouble {unknown}; see `violetward-lab troubles`"
+        )));
+    }
+    let mut plans = Vec::new();
+    for name in &names {
+        for &policy in policies {
+            plans.push(Plan { keep: keep.clone(), ..Plan::replay(name, seed, policy) });
+        }
+    }
+    days(plans, jobs.max(1))
+}
+
+/// Runs days, some at once, and prints them in order.
+fn days(plans: Vec<Plan>, jobs: usize) -> std::io::Result<()> {
+    println!("{}", Report::head());
+    let mut broken = false;
+    let mut reports = Vec::new();
+    for some in plans.chunks(jobs) {
+        let running: Vec<_> = some
+            .iter()
+            .map(|plan| {
+                let plan = plan.clone();
+                std::thread::spawn(move || day::run(&plan))
+            })
+            .collect();
+        for day in running {
+            let report =
+                day.join().map_err(|_| std::io::Error::other("a day ended in a fault of the lab"))??;
+            println!("{}", report.line());
+            broken |= report.policy == "module" && !report.broken.is_empty();
+            reports.push(report);
+        }
+    }
+    for report in
+        reports.iter().filter(|r| reports.len() == 1 || r.policy == "module" && !r.broken.is_empty())
+    {
+        println!("\n{} ({}):\n{report}", report.name, report.policy);
+    }
+    if broken {
+        return Err(std::io::Error::other("a rule was broken"));
+    }
+    Ok(())
+}
+
+fn write_address(file: &std::path::Path, address: SocketAddr) -> std::io::Result<()> {
+    let fresh = file.with_extension("new");
+    std::fs::write(&fresh, address.to_string())?;
+    std::fs::rename(&fresh, file)
+}
+
+fn engine(setup: Setup, file: &std::path::Path) -> std::io::Result<()> {
+    let executor = std::rc::Rc::new(LocalExecutor::new());
+    let engine = Engine::start(setup, executor.clone())?;
+    if let Some(control) = engine.control_address() {
+        write_address(&file.with_extension("control"), control)?;
+    }
+    write_address(file, engine.address())?;
+    future::block_on(executor.run(future::pending::<()>()));
+    Ok(())
+}
+
+fn gateway(file: &std::path::Path, address_file: &std::path::Path, policy: Policy) -> std::io::Result<()> {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
+    let config = config::load(file).map_err(|m| std::io::Error::other(m.join("\n")))?;
+    let settings = config.settings.clone();
+    let seed = violetward_standin::server::clock();
+    match policy {
+        Policy::Module => {
+            let module = Gateway::new(settings, seed);
+            service::serve_with(config, Some(address_file), Box::new(module))
+        }
+        Policy::Random => service::serve_with(
+            config,
+            Some(address_file),
+            Box::new(Baseline::new(Rule::Random, settings, seed)),
+        ),
+        Policy::LeastInFlight => service::serve_with(
+            config,
+            Some(address_file),
+            Box::new(Baseline::new(Rule::LeastInFlight, settings, seed)),
+        ),
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -276,6 +276,9 @@
     pub key: Option<OrderKey>,
     /// The client marked it as another try.
     pub is_retry: bool,
+    /// A further try by its client would carry the same mark, so that engines drop it as a repeat of this one. Without
+    /// it a keyed request that may have run can't be refused: the client's next try would take effect again.
+    pub marked: bool,
     /// The client stops waiting at this time.
     pub due: Micros,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 //!     group: GroupId(3),
 //!     key: None,
 //!     is_retry: false,
+//!     marked: true,
 //!     due: 5_000_000,
 //! };
 //! gateway.handle(10, Event::Request(request), &mut actions);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -711,7 +711,10 @@
     /// The one place that ends requests: refused where a further try is harmless, else failed.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        if self.class(&open.request).effect.repeats_anywhere() || open.maybe.is_none() {
+        let effect = self.class(&open.request).effect;
+        // A client's next try is a repeat to the engines only if it carries the same mark.
+        let harmless = effect == Effect::Repeatable || effect.repeats_anywhere() && open.request.marked;
+        if harmless || open.maybe.is_none() {
             // When the debt of now has drained, spread by half so that clients don't return together.
             let wait = self.fleet_debt() / self.fleet_rate() * (0.5 + unit(self.draw()));
             let retry_after = (wait as Micros).min(self.settings.retry_advice.unwrap_or(0));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -137,6 +137,7 @@
             group: GroupId(id % 3),
             key: None,
             is_retry: false,
+            marked: true,
             due: self.now + 5 * SECOND,
         };
         change(&mut request);
