--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -1,5 +1,6 @@
 //! A whole gateway: its tasks on one thread, from the first connection to the last answer.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -36,18 +37,8 @@
     decider: Box<dyn Decide>,
 ) -> std::io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    let life = format!("g{}x{:08x}", config.settings.me.0, rand::random::<u32>());
-    let core = Core::with(&config, &life, decider);
     let drain_within = config.host.drain_within;
-    let listener = Async::<std::net::TcpListener>::bind(config.listen)?;
-    let address = listener.get_ref().local_addr()?;
-    let host = Host::new(config, life, core, executor.clone());
-    let front = Front::new(host.clone(), rand::random());
-    executor.spawn(host.clone().run_timers()).detach();
-    executor.spawn(host.clone().run_status()).detach();
-    executor.spawn(watch::run(host.clone())).detach();
-    // Stays open while the gateway stops: polls may come on new connections.
-    executor.spawn(front.run(listener)).detach();
+    let (host, address) = start(config, decider, executor.clone())?;
     if let Some(file) = address_file {
         let fresh = file.with_extension("new");
         std::fs::write(&fresh, address.to_string())?;
@@ -57,23 +48,47 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     future::block_on(executor.run(async move {
         signals.next().await;
-        host.drain();
-        let open = host.look(|core| core.open());
-        tracing::info!(open, "stopping: no new statements; those taken get their answer");
-        let until = Instant::now() + drain_within;
         let second = async {
             signals.next().await;
         };
-        let done = async {
-            // A statement is done when its client has the end, or has stopped asking for it.
-            while host.look(|core| core.undelivered()) > 0 && Instant::now() < until {
-                violetward_net::sleep(Duration::from_millis(10)).await;
-            }
-            // The last answers are on their way out of this process.
-            violetward_net::sleep(Duration::from_millis(50)).await;
-        };
-        future::or(done, second).await;
+        future::or(stop(&host, drain_within), second).await;
         tracing::info!(undelivered = host.look(|core| core.undelivered()), "stopped");
     }));
     Ok(())
 }
+
+/// Starts a gateway's tasks on an executor; they run as long as that does. Gives the address that it listens on.
+///
+/// # Errors
+/// If it cannot listen.
+pub fn start(
+    config: Config,
+    decider: Box<dyn Decide>,
+    executor: Rc<LocalExecutor<'static>>,
+) -> std::io::Result<(Rc<Host>, SocketAddr)> {
+    let life = format!("g{}x{:08x}", config.settings.me.0, rand::random::<u32>());
+    let core = Core::with(&config, &life, decider);
+    let listener = Async::<std::net::TcpListener>::bind(config.listen)?;
+    let address = listener.get_ref().local_addr()?;
+    let host = Host::new(config, life, core, executor.clone());
+    let front = Front::new(host.clone(), rand::random());
+    executor.spawn(host.clone().run_timers()).detach();
+    executor.spawn(host.clone().run_status()).detach();
+    executor.spawn(watch::run(host.clone())).detach();
+    // Stays open while the gateway stops: polls may come on new connections.
+    executor.spawn(front.run(listener)).detach();
+    Ok((host, address))
+}
+
+/// Takes nothing new, and returns once every client has its answer, or has stopped asking, or the time is up.
+pub async fn stop(host: &Host, within: Duration) {
+    host.drain();
+    let open = host.look(|core| core.open());
+    tracing::info!(open, "stopping: no new statements; those taken get their answer");
+    let until = Instant::now() + within;
+    while host.look(|core| core.undelivered()) > 0 && Instant::now() < until {
+        violetward_net::sleep(Duration::from_millis(10)).await;
+    }
+    // The last answers are on their way out of this process.
+    violetward_net::sleep(Duration::from_millis(50)).await;
+}
--- /dev/null
+++ b/crates/lab/tests/sockets.rs
@@ -0,0 +1,471 @@
+//! The whole path over sockets: a gateway, stand-in engines and clients on one thread of each test.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use violetward::Gateway;
+use violetward_gateway::host::Host;
+use violetward_gateway::{config, service};
+use violetward_lab::fleet::{self, GatewayPlan, Listed};
+use violetward_net::{sleep, timeout, Connection};
+use violetward_standin::fault::Fault;
+use violetward_standin::journal::{self, What};
+use violetward_standin::server::{clock, Engine, Setup};
+use violetward_statement::http::{Headers, Limits, Message};
+use violetward_statement::results::{QueryResults, STATEMENT};
+
+/// A gateway and its engines.
+struct Bed {
+    executor: Rc<LocalExecutor<'static>>,
+    folder: PathBuf,
+    engines: RefCell<Vec<Rc<Engine>>>,
+    address: SocketAddr,
+    host: Rc<Host>,
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.folder).ok();
+    }
+}
+
+/// Runs a test on a bed with so many engines; `more` is added to the configuration.
+fn with<F: Future<Output = ()>>(engines: usize, more: &str, test: impl FnOnce(Rc<Bed>) -> F) {
+    let executor = Rc::new(LocalExecutor::new());
+    static BEDS: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    let n = BEDS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("violetward-test-{}-{n}", std::process::id()));
+    std::fs::create_dir_all(folder.join("storage")).unwrap();
+    let start = |n: usize| {
+        let name = format!("e{n}");
+        let journal = Some(folder.join(format!("{name}.jsonl")));
+        let storage = Some(folder.join("storage"));
+        Engine::start(Setup { journal, storage, rows_a_page: 100, ..Setup::new(&name) }, executor.clone())
+            .unwrap()
+    };
+    let engines: Vec<Rc<Engine>> = (0..engines).map(start).collect();
+    let list = folder.join("engines.lisp");
+    fleet::write_list(&list, &engines.iter().map(|e| listed(e)).collect::<Vec<_>>()).unwrap();
+    let plan =
+        GatewayPlan { number: 0, of: 1, listen: "127.0.0.1:0".into(), engines: list, more: more.into() };
+    let config = config::parse(&fleet::configuration(&plan), &folder).expect("good");
+    let module = Gateway::new(config.settings.clone(), 5);
+    let (host, address) = service::start(config, Box::new(module), executor.clone()).unwrap();
+    let bed =
+        Rc::new(Bed { executor: executor.clone(), folder, engines: RefCell::new(engines), address, host });
+    future::block_on(executor.run(async {
+        while bed.host.look(|core| core.engines().count()) < bed.engines.borrow().len() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        timeout(Duration::from_secs(60), test(bed.clone())).await.expect("the test hangs");
+    }));
+}
+
+fn listed(engine: &Engine) -> Listed {
+    Listed {
+        name: engine.name().into(),
+        address: engine.address(),
+        kind: "m8".into(),
+        came_up: 0,
+        state: "up",
+    }
+}
+
+impl Bed {
+    fn engine(&self, n: usize) -> Rc<Engine> {
+        self.engines.borrow()[n].clone()
+    }
+
+    fn write_list(&self, change: impl Fn(&mut Vec<Listed>)) {
+        let mut list: Vec<Listed> = self.engines.borrow().iter().map(|e| listed(e)).collect();
+        change(&mut list);
+        fleet::write_list(&self.folder.join("engines.lisp"), &list).unwrap();
+    }
+
+    async fn connect(&self) -> Connection {
+        let limits = Limits { body: 64 << 20, ..Limits::default() };
+        Connection::connect(self.address, limits).await.unwrap()
+    }
+
+    async fn post(&self, connection: &mut Connection, sql: &str, tags: &str) -> QueryResults {
+        let mut headers = Headers::default();
+        headers.push("Host", "gateway");
+        headers.push("X-Trino-User", "tester");
+        headers.push("X-Trino-Client-Tags", tags);
+        headers.push("X-Trino-Trace-Token", sql.rsplit("--").next().unwrap_or(sql).trim());
+        let message = connection.call("POST", STATEMENT, &headers, sql.as_bytes()).await.unwrap();
+        assert_eq!(message.status(), 200, "{}", String::from_utf8_lossy(&message.body));
+        serde_json::from_slice(&message.body).unwrap()
+    }
+
+    async fn get(&self, connection: &mut Connection, uri: &str) -> Message {
+        self.ask(connection, "GET", uri).await
+    }
+
+    async fn ask(&self, connection: &mut Connection, method: &str, uri: &str) -> Message {
+        let mut headers = Headers::default();
+        headers.push("Host", "gateway");
+        let path = uri.strip_prefix("http://gateway").unwrap_or(uri);
+        connection.call(method, path, &headers, b"").await.unwrap()
+    }
+
+    /// Polls to the end: the name of the error, if any, and all rows.
+    async fn finish(&self, mut results: QueryResults) -> (Option<String>, usize) {
+        let mut connection = self.connect().await;
+        let mut rows = 0;
+        loop {
+            rows += results
+                .data
+                .as_ref()
+                .map_or(0, |d| serde_json::from_str::<Vec<serde_json::Value>>(d.get()).unwrap().len());
+            let Some(next) = results.next_uri else { return (results.error.map(|e| e.error_name), rows) };
+            let message = self.get(&mut connection, &next).await;
+            assert_eq!(message.status(), 200, "{}", String::from_utf8_lossy(&message.body));
+            results = serde_json::from_slice(&message.body).unwrap();
+        }
+    }
+
+    async fn run(&self, sql: &str, tags: &str) -> (Option<String>, usize) {
+        let mut connection = self.connect().await;
+        let results = self.post(&mut connection, sql, tags).await;
+        self.finish(results).await
+    }
+
+    fn lines(&self) -> Vec<journal::Line> {
+        let mut all = Vec::new();
+        for engine in self.engines.borrow().iter() {
+            all.extend(journal::read(&self.folder.join(format!("{}.jsonl", engine.name()))).unwrap());
+        }
+        all.sort_by_key(|l| l.at);
+        all
+    }
+
+    fn effects(&self) -> usize {
+        self.lines().iter().filter(|l| matches!(l.what, What::Effect { .. })).count()
+    }
+
+    fn got(&self) -> usize {
+        self.lines().iter().filter(|l| matches!(l.what, What::Got { .. })).count()
+    }
+}
+
+fn next(message: &Message) -> String {
+    let results: QueryResults = serde_json::from_slice(&message.body).unwrap();
+    results.next_uri.expect("a next page")
+}
+
+#[test]
+fn pages_can_be_asked_for_twice_older_ones_are_gone_and_guessed_ones_unknown() {
+    with(1, "", |bed| async move {
+        let mut c = bed.connect().await;
+        let posted = bed.post(&mut c, "SELECT * FROM points LIMIT 350", "lookup").await;
+        let zero = posted.next_uri.unwrap();
+        let first = bed.get(&mut c, &zero).await;
+        assert_eq!(bed.get(&mut c, &zero).await.body, first.body);
+        // On two connections at once.
+        let one = next(&first);
+        let (mut a, mut b) = (bed.connect().await, bed.connect().await);
+        let (x, y) = future::zip(bed.get(&mut a, &one), bed.get(&mut b, &one)).await;
+        assert_eq!((x.status(), &x.body), (200, &y.body));
+        assert_eq!(bed.get(&mut c, &zero).await.status(), 410);
+        let far = one.replace("/1", "/9");
+        assert_eq!(bed.get(&mut c, &far).await.status(), 404);
+        let at = zero.len() - 4;
+        let mut guessed = zero.clone();
+        let other = if &zero[at..=at] == "0" { "1" } else { "0" };
+        guessed.replace_range(at..=at, other);
+        assert_eq!(bed.get(&mut c, &guessed).await.status(), 404, "a slug that is one digit off");
+        assert_eq!(bed.get(&mut c, "/v1/statement/executing/x/y/0").await.status(), 404);
+        let (error, rows) = bed.run("SELECT * FROM points LIMIT 350", "lookup").await;
+        assert_eq!((error, rows), (None, 350));
+    });
+}
+
+#[test]
+fn a_poll_after_its_engine_fell_silent_gets_one_end_in_time() {
+    with(1, "(limits (long-poll \"300ms\"))", |bed| async move {
+        let mut c = bed.connect().await;
+        let start = Instant::now();
+        let posted = bed.post(&mut c, "SELECT 1 /*sim work=300*/", "lookup").await;
+        sleep(Duration::from_millis(50)).await;
+        bed.engine(0).fault(&Fault::Vanish { for_ms: 20_000 });
+        let (error, rows) = bed.finish(posted).await;
+        assert_eq!((error.as_deref(), rows), (Some("STATEMENT_REFUSED"), 0));
+        assert!(start.elapsed() < Duration::from_millis(4500), "its client gives up after 4 s");
+    });
+}
+
+#[test]
+fn an_engine_that_stops_after_half_of_the_rows_means_one_failure() {
+    with(2, "(limits (stream-idle \"700ms\") (buffer \"1B\") (long-poll \"200ms\"))", |bed| async move {
+        for n in 0..2 {
+            bed.engine(n).fault(&Fault::StopAfterPages { pages: 1, for_ms: 30_000 });
+        }
+        let (error, rows) = bed.run("SELECT * FROM points LIMIT 1000", "lookup").await;
+        assert_eq!(error.as_deref(), Some("STATEMENT_FAILED"));
+        assert!((100..1000).contains(&rows), "{rows} rows, and never a second beginning");
+        assert_eq!(bed.got(), 1);
+    });
+}
+
+#[test]
+fn a_keyed_load_whose_answers_are_lost_takes_effect_once() {
+    with(2, "", |bed| async move {
+        for n in 0..2 {
+            bed.engine(n).fault(&Fault::LostAnswers { share: 1.0, for_ms: 1500 });
+        }
+        let (error, _) = bed.run("INSERT INTO loads VALUES (1, 'x')", "load,key=m1,repeat=r1").await;
+        assert!(bed.got() >= 2, "it was tried again");
+        assert_eq!(bed.effects(), 1);
+        // Refused is honest too: its mark makes a further try a repeat.
+        assert!(error.is_none() || error.as_deref() == Some("STATEMENT_REFUSED"), "{error:?}");
+        // Look-ups try the engines that were left alone.
+        while bed.run("SELECT 1", "lookup").await.0.is_some()
+            || bed.run("SELECT 1", "lookup").await.0.is_some()
+        {
+            sleep(Duration::from_millis(100)).await;
+        }
+        // The client's own retry with the same mark is dropped too; with another mark it is another load.
+        assert_eq!(bed.run("INSERT INTO loads VALUES (1, 'x')", "load,key=m1,repeat=r1").await.0, None);
+        assert_eq!(bed.effects(), 1);
+        assert_eq!(bed.run("INSERT INTO loads VALUES (1, 'x')", "load,key=m1,repeat=r2").await.0, None);
+        assert_eq!(bed.effects(), 2);
+    });
+}
+
+#[test]
+fn an_unsafe_statement_goes_elsewhere_only_if_nothing_was_written() {
+    with(2, "", |bed| async move {
+        bed.engine(0).fault(&Fault::Refuse { for_ms: 30_000 });
+        sleep(Duration::from_millis(30)).await;
+        for n in 0..6 {
+            let (error, _) = bed.run(&format!("INSERT INTO loads VALUES ({n}, 'n')"), "notice").await;
+            assert_eq!(error, None, "a refused connection proves that it has not run");
+        }
+        assert_eq!(bed.effects(), 6);
+    });
+    with(1, "", |bed| async move {
+        bed.engine(0).fault(&Fault::LostAnswers { share: 1.0, for_ms: 30_000 });
+        let (error, _) = bed.run("INSERT INTO loads VALUES (1, 'n')", "notice").await;
+        assert_eq!(error.as_deref(), Some("STATEMENT_FAILED"), "it may have run");
+        assert_eq!(bed.got(), 1);
+    });
+}
+
+#[test]
+fn a_removed_engine_gets_nothing_after_the_grace() {
+    with(2, "", |bed| async move {
+        let stop = Rc::new(std::cell::Cell::new(false));
+        let mut clients = Vec::new();
+        for _ in 0..12 {
+            let (bed, stop) = (bed.clone(), stop.clone());
+            clients.push(bed.clone().executor.spawn(async move {
+                let mut ends = 0;
+                while !stop.get() {
+                    bed.run("SELECT 1 /*sim work=40*/", "lookup").await;
+                    ends += 1;
+                }
+                ends
+            }));
+        }
+        sleep(Duration::from_millis(500)).await;
+        let at = clock();
+        bed.write_list(|list| list.retain(|e| e.name != "e0"));
+        sleep(Duration::from_millis(1500)).await;
+        let at_removal = |name: &str, from: u64, to: u64| {
+            let lines = bed.lines();
+            lines
+                .iter()
+                .filter(|l| {
+                    l.engine == name && matches!(l.what, What::Got { .. }) && l.at > from && l.at < to
+                })
+                .count()
+        };
+        assert!(at_removal("e0", 0, at) > 0 && at_removal("e1", at + 500_000, u64::MAX) > 0);
+        assert_eq!(at_removal("e0", at + 500_000, u64::MAX), 0);
+        // All engines at once: everything still ends, and nothing goes out.
+        let at = clock();
+        bed.write_list(|list| list.clear());
+        sleep(Duration::from_millis(700)).await;
+        let (error, _) = bed.run("SELECT 2", "lookup").await;
+        assert_eq!(error.as_deref(), Some("STATEMENT_REFUSED"));
+        stop.set(true);
+        for client in clients {
+            assert!(client.await > 0);
+        }
+        assert_eq!(at_removal("e1", at + 500_000, u64::MAX), 0);
+    });
+}
+
+#[test]
+fn a_client_that_leaves_frees_its_engine() {
+    with(1, "(limits (abandon-after \"400ms\") (long-poll \"100ms\"))", |bed| async move {
+        let mut c = bed.connect().await;
+        let posted = bed.post(&mut c, "SELECT 1 /*sim work=2500*/", "lookup").await;
+        bed.get(&mut c, &posted.next_uri.unwrap()).await;
+        drop(c);
+        while bed.host.look(|core| core.counts.abandoned) == 0 {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let cancelled = |l: &journal::Line| matches!(&l.what, What::Over { how, .. } if how == "cancelled");
+        for _ in 0..40 {
+            if bed.lines().iter().any(cancelled) {
+                break;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert!(bed.lines().iter().any(cancelled), "its work is ended before it is done");
+    });
+}
+
+#[test]
+fn a_cancel_reaches_the_engine_and_the_end_stays() {
+    with(1, "", |bed| async move {
+        let mut c = bed.connect().await;
+        let posted = bed.post(&mut c, "SELECT 1 /*sim work=1500*/", "lookup").await;
+        let uri = posted.next_uri.unwrap();
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(bed.ask(&mut c, "DELETE", &uri).await.status(), 204);
+        let page = bed.get(&mut c, &uri).await;
+        let results: QueryResults = serde_json::from_slice(&page.body).unwrap();
+        assert_eq!(results.error.unwrap().error_name, "USER_CANCELED");
+        sleep(Duration::from_millis(100)).await;
+        assert!(bed.lines().iter().any(|l| matches!(&l.what, What::Over { how, .. } if how == "cancelled")));
+        assert_eq!(bed.get(&mut c, &uri).await.body, page.body);
+    });
+}
+
+#[test]
+fn a_gateway_that_stops_takes_nothing_new_and_answers_what_it_took() {
+    with(1, "", |bed| async move {
+        let mut c = bed.connect().await;
+        let posted = bed.post(&mut c, "SELECT 1 /*sim work=400*/", "lookup").await;
+        let host = bed.host.clone();
+        let stopping = bed.executor.spawn(async move { service::stop(&host, Duration::from_secs(20)).await });
+        sleep(Duration::from_millis(50)).await;
+        let mut headers = Headers::default();
+        headers.push("Host", "gateway");
+        headers.push("X-Trino-User", "late");
+        let late = c.call("POST", STATEMENT, &headers, b"SELECT 1").await.unwrap();
+        assert_eq!(late.status(), 503, "not taken: it may be sent to another gateway");
+        assert_eq!(bed.finish(posted).await, (None, 1));
+        stopping.await;
+        assert_eq!(bed.got(), 1);
+    });
+}
+
+/// Sends bytes as they are; what comes back until the peer closes or is quiet.
+async fn raw(address: SocketAddr, bytes: &[u8], quiet: Duration) -> String {
+    let mut socket = Async::<TcpStream>::connect(address).await.unwrap();
+    socket.write_all(bytes).await.ok();
+    let mut answer = Vec::new();
+    let mut chunk = [0; 4096];
+    while let Some(Ok(n)) = timeout(quiet, socket.read(&mut chunk)).await {
+        if n == 0 {
+            break;
+        }
+        answer.extend_from_slice(&chunk[..n]);
+    }
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn bad_clients_get_a_clear_error_and_cost_nobody_else_anything() {
+    with(1, "(limits (request-within \"400ms\") (statement \"10kB\"))", |bed| async move {
+        let stop = Rc::new(std::cell::Cell::new(false));
+        let (good, halt) = (bed.clone(), stop.clone());
+        let good = bed.executor.spawn(async move {
+            let mut served = 0;
+            while !halt.get() {
+                assert_eq!(good.run("SELECT 1", "lookup").await, (None, 1));
+                served += 1;
+            }
+            served
+        });
+        let quiet = Duration::from_millis(1500);
+        let long = "a".repeat(100_000);
+        let cases = [
+            ("\x16\x03\x01\x02\x00 hello\r\n\r\n".to_owned(), "400"),
+            ("GET / HTTP/3.0\r\nHost: a\r\n\r\n".to_owned(), "505"),
+            (format!("GET /{long} HTTP/1.1\r\n"), "414"),
+            (format!("GET / HTTP/1.1\r\nHost: a\r\nX: {long}\r\n\r\n"), "431"),
+            ("POST /v1/statement HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n".to_owned(), "413"),
+            ("POST /v1/statement HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".to_owned(), "400"),
+            ("POST /v1/statement HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\nslow".to_owned(), "408"),
+            ("GET /v1/in".to_owned(), "408"),
+            ("POST /v1/statement HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\nConnection: close\r\n\r\nSELECT 1".to_owned(), "400"),
+            ("POST /v1/statement HTTP/1.1\r\nHost: a\r\nX-Trino-User: u\r\nContent-Length: 2\r\nConnection: close\r\n\r\n\u{7f}\n".replace('\u{7f}', " "), "400"),
+            ("PATCH /v1/info HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".to_owned(), "405"),
+            ("HEAD /v1/statement/executing/a/b/0 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".to_owned(), "405"),
+        ];
+        for (bytes, status) in &cases {
+            let answer = raw(bed.address, bytes.as_bytes(), quiet).await;
+            let shown: String = bytes.chars().take(60).collect();
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{shown:?} got {answer:?}");
+        }
+        // Pipelined: both get their answers, in order.
+        let two = "GET /v1/info HTTP/1.1\r\nHost: a\r\n\r\nGET /v1/status HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        let answer = raw(bed.address, two.as_bytes(), quiet).await;
+        assert_eq!(answer.matches("HTTP/1.1 200 OK").count(), 2);
+        let asks = "POST /v1/statement HTTP/1.1\r\nHost: a\r\nX-Trino-User: u\r\nExpect: 100-continue\r\nContent-Length: 8\r\n\r\n";
+        assert!(raw(bed.address, asks.as_bytes(), Duration::from_millis(200))
+            .await
+            .starts_with("HTTP/1.1 100 "));
+        stop.set(true);
+        assert!(good.await > 10, "meanwhile everyone else was served");
+    });
+}
+
+#[test]
+fn bad_engines_are_told_from_good_ones_and_clients_are_served() {
+    for bad in [
+        Fault::Garbage { share: 1.0, for_ms: 60_000 },
+        Fault::HalfAnswers { share: 1.0, for_ms: 60_000 },
+        Fault::FastErrors { share: 1.0, for_ms: 60_000 },
+    ] {
+        with(3, "", |bed| async move {
+            bed.engine(0).fault(&bad);
+            for n in 0..30 {
+                assert_eq!(bed.run("SELECT 1", "lookup").await, (None, 1), "statement {n} with {bad:?}");
+            }
+        });
+    }
+    with(1, "", |bed| async move {
+        bed.engine(0).fault(&Fault::Split { for_ms: 60_000 });
+        assert_eq!(bed.run("SELECT * FROM players LIMIT 250", "lookup").await, (None, 250), "byte by byte");
+    });
+    with(2, "(limits (page \"20kB\"))", |bed| async move {
+        let (error, rows) = bed.run("SELECT hex(zeroblob(100000))", "lookup").await;
+        assert_eq!(rows, 0);
+        assert_eq!(error.as_deref(), Some("STATEMENT_REFUSED"), "a page over the bound is not held");
+        assert_eq!(bed.run("SELECT 1", "lookup").await, (None, 1));
+    });
+}
+
+#[test]
+fn grants_priorities_and_deadlines_reach_the_engine_as_session_properties() {
+    with(1, "", |bed| async move {
+        let mut c = bed.connect().await;
+        let posted = bed.post(&mut c, "SELECT 1 /*sim work=200*/ -- mark", "lookup").await;
+        sleep(Duration::from_millis(50)).await;
+        assert!(bed.engine(0).priority_of("mark").is_some_and(|p| p > 0));
+        assert_eq!(bed.finish(posted).await, (None, 1));
+        // A deadline of the client's own travels too.
+        let mut headers = Headers::default();
+        headers.push("Host", "gateway");
+        headers.push("X-Trino-User", "hasty");
+        headers.push("X-Trino-Session", "query_max_run_time=300ms");
+        let message = c.call("POST", STATEMENT, &headers, b"SELECT 1 /*sim work=3000*/").await.unwrap();
+        let start = Instant::now();
+        let posted: QueryResults = serde_json::from_slice(&message.body).unwrap();
+        assert_eq!(bed.finish(posted).await.0.as_deref(), Some("STATEMENT_REFUSED"));
+        assert!(start.elapsed() < Duration::from_millis(1500));
+    });
+}
--- a/crates/statement/src/text.rs
+++ b/crates/statement/src/text.rs
@@ -12,7 +12,7 @@
             '/' if chars.peek() == Some(&'*') => {
                 let mut last = ' ';
                 chars.next();
-                chars.by_ref().find(|&c| c == '/' && std::mem::replace(&mut last, c) == '*');
+                chars.by_ref().find(|&c| std::mem::replace(&mut last, c) == '*' && c == '/');
             }
             '\'' => {
                 chars.by_ref().find(|&c| c == '\'');
@@ -23,7 +23,11 @@
                 while let Some(c) = chars.next_if(|&c| c.is_alphanumeric() || c == '_' || c == '.') {
                     word.push(c);
                 }
-                return Some(word.to_lowercase());
+                let mut word = word.to_lowercase();
+                if word.ends_with('.') && chars.next_if(|&c| c == '"').is_some() {
+                    word.extend(chars.by_ref().take_while(|&c| c != '"'));
+                }
+                return Some(word);
             }
             _ => {}
         }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -873,6 +873,11 @@
     fn trial(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let Some(e) = self.engines.get_mut(&engine) else { return };
         let Some(sick) = &mut e.sick else { return };
+        // Where no light request comes to try it, it would be left alone for ever: its good probe has to do.
+        if self.settings.may_probe && sick.ready && self.now > sick.next + TRIAL_LONGEST {
+            sick.ready = false;
+            return self.trial_done(engine, true, out);
+        }
         if self.now < sick.next || sick.ready || sick.trial.is_some() || e.entry.listed != Listed::Up {
             return;
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -659,3 +659,23 @@
     let later = (1..60).map(|n| taken(100 * n)).last().expect("it runs");
     assert!(later >= 2 * first.max(1), "{first} at first, {later} later");
 }
+
+#[test]
+fn an_engine_left_alone_comes_back_by_its_probes_where_no_light_request_comes() {
+    let mut s = settings(class(Effect::Once));
+    s.may_probe = true;
+    let mut bed = Bed::new(s, vec![entry(1)]);
+    for id in 0..6 {
+        if !sent(&bed.ask(id)).is_empty() {
+            bed.answer(id, Outcome::Error);
+        }
+    }
+    assert!(sent(&bed.ask(50)).is_empty(), "it is left alone");
+    for _ in 0..300 {
+        let actions = bed.pass(100_000);
+        if actions.contains(&Action::Probe(EngineId(1))) {
+            bed.feed(Event::Probed { engine: EngineId(1), ok: true, load: Load::default() });
+        }
+    }
+    assert_eq!(sent(&bed.ask(99)), [(99, 1)]);
+}
