Overhead measured against a bare relay; reactor driven on the gateway's own thread; no leaked processes

Need: what the gateway costs was not known. violetward-lab overhead asks the same statements straight, through a byte relay and through the gateway, and reads processor time per process.

--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -46,7 +46,7 @@
     }
     tracing::info!(%address, "taking statements");
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    future::block_on(executor.run(async move {
+    async_io::block_on(executor.run(async move {
         signals.next().await;
         let second = async {
             signals.next().await;
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
-use futures_lite::future;
 use rustix::process::Signal;
 use violetward_net::{sleep, Pool};
 use violetward_standin::journal;
@@ -421,14 +420,16 @@
         let slot = world.spawn_gateway(number, None)?;
         world.gateways.borrow_mut().push(slot);
     }
-    let records = future::block_on(executor.run(live(world.clone())));
+    let records = async_io::block_on(executor.run(live(world.clone())));
     // Engines write down what still ends after the last client has its answer.
     std::thread::sleep(Duration::from_millis(200));
     let report = check(&world, plan, records);
     if let Ok(report) = &report {
         std::fs::write(folder.join("report.txt"), report.to_string()).ok();
     }
-    drop(world);
+    // Tasks that still run hold the day: its processes are ended by hand.
+    world.engines.borrow_mut().clear();
+    world.gateways.borrow_mut().clear();
     if plan.keep.is_none() {
         std::fs::remove_dir_all(&folder).ok();
     }
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -48,7 +48,7 @@
             }
         }
         sender.send(Ok(started)).ok();
-        future::block_on(executor.run(future::pending::<()>()));
+        async_io::block_on(executor.run(future::pending::<()>()));
     });
     receiver.recv().map_err(std::io::Error::other)?
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,7 +13,7 @@
 use violetward_lab::baseline::{Baseline, Rule};
 use violetward_lab::day::{self, Plan, Policy};
 use violetward_lab::report::Report;
-use violetward_lab::{demo, trouble};
+use violetward_lab::{demo, overhead, trouble};
 use violetward_standin::model::Machine;
 use violetward_standin::server::{Engine, Setup};
 
@@ -75,6 +75,18 @@
         #[arg(long, default_value_t = 250)]
         slack_ms: u64,
     },
+    /// Measure what the gateway costs: against the engine itself and a bare byte relay, in one run.
+    Overhead {
+        /// Rounds; medians are told.
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Statements in a round.
+        #[arg(long, default_value_t = 8000)]
+        count: usize,
+    },
+    /// A bare byte relay, as a process of its own.
+    #[command(hide = true)]
+    Relay { to: SocketAddr, address_file: PathBuf },
     /// List the kinds of trouble.
     Troubles,
     /// An engine of a day, as a process of its own.
@@ -103,11 +115,18 @@
         address_file: PathBuf,
         #[arg(long, value_enum)]
         policy: Policy,
+        #[arg(long, default_value = "info")]
+        log_level: String,
     },
 }
 
 fn main() -> ExitCode {
-    let result = match Cli::parse().command {
+    let command = Cli::parse().command;
+    if matches!(command, Command::Engine { .. } | Command::Gateway { .. } | Command::Relay { .. }) {
+        // A process of a day ends with its owner, even if that is killed outright.
+        rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL)).ok();
+    }
+    let result = match command {
         Command::Demo { listen, engines, address_file } => {
             tracing_subscriber::fmt().with_writer(std::io::stderr).init();
             demo::run(listen, engines, address_file)
@@ -135,9 +154,10 @@
             Ok(())
         }
         Command::Engine { name, kind, seed, journal, storage, address_file, cold } => {
-            let cores = if kind == "m4" { 4.0 } else { 8.0 };
+            let cores = kind.strip_prefix('m').and_then(|c| c.parse().ok()).unwrap_or(8.0);
             let (memory, disks) = (cores * 2048.0, cores * 0.75);
-            let machine = Machine { cores, disks, memory, cold_span: 8_000_000, ..Machine::default() };
+            let sessions = (cores * 8.0) as usize;
+            let machine = Machine { cores, disks, memory, sessions, cold_span: 8_000_000, ..Machine::default() };
             let control = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
             let (journal, storage) = (Some(journal), Some(storage));
             engine(
@@ -145,7 +165,13 @@
                 &address_file,
             )
         }
-        Command::Gateway { file, address_file, policy } => gateway(&file, &address_file, policy),
+        Command::Gateway { file, address_file, policy, log_level } => {
+            let filter = tracing_subscriber::EnvFilter::new(log_level);
+            tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+            gateway(&file, &address_file, policy)
+        }
+        Command::Overhead { rounds, count } => overhead::run(rounds.max(1), count.max(100)).map(|o| println!("{o}")),
+        Command::Relay { to, address_file } => overhead::relay(to, &address_file),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -226,12 +252,11 @@
         write_address(&file.with_extension("control"), control)?;
     }
     write_address(file, engine.address())?;
-    future::block_on(executor.run(future::pending::<()>()));
+    async_io::block_on(executor.run(future::pending::<()>()));
     Ok(())
 }
 
 fn gateway(file: &std::path::Path, address_file: &std::path::Path, policy: Policy) -> std::io::Result<()> {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     let config = config::load(file).map_err(|m| std::io::Error::other(m.join("\n")))?;
     let settings = config.settings.clone();
     let seed = violetward_standin::server::clock();
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -33,6 +33,11 @@
         Ok(Process { child })
     }
 
+    /// Its number in the system.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         if let Some(pid) = Pid::from_raw(self.child.id() as i32) {
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -60,7 +60,7 @@
     let (host, address) = service::start(config, Box::new(module), executor.clone()).unwrap();
     let bed =
         Rc::new(Bed { executor: executor.clone(), folder, engines: RefCell::new(engines), address, host });
-    future::block_on(executor.run(async {
+    async_io::block_on(executor.run(async {
         while bed.host.look(|core| core.engines().count()) < bed.engines.borrow().len() {
             sleep(Duration::from_millis(5)).await;
         }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -62,7 +62,7 @@
     match Engine::start(setup, executor.clone()) {
         Ok(engine) => {
             println!("{}", engine.address());
-            future::block_on(executor.run(future::pending::<()>()));
+            async_io::block_on(executor.run(future::pending::<()>()));
             ExitCode::SUCCESS
         }
         Err(e) => {
