--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -58,6 +58,11 @@
 /// # Errors
 /// If something cannot listen or be written.
 pub fn run(listen: SocketAddr, count: usize, address_file: Option<PathBuf>) -> std::io::Result<()> {
+    // With port 0 the system's choice is settled first, so that it can be told.
+    let listen = match listen.port() {
+        0 => std::net::TcpListener::bind(listen)?.local_addr()?,
+        _ => listen,
+    };
     let folder = scratch("demo")?;
     let storage = folder.join("storage");
     std::fs::create_dir_all(&storage)?;
--- a/crates/statement/tests/http.rs
+++ b/crates/statement/tests/http.rs
@@ -151,8 +151,13 @@
     prop_oneof!["GET", "POST", "DELETE"].prop_map(String::from)
 }
 
+/// Few in CI; more with VIOLETWARD_CASES.
+fn cases() -> u32 {
+    std::env::var("VIOLETWARD_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(400)
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: cases(), failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     #[test]
     fn what_is_written_is_read_back_in_any_portions(
--- a/crates/statement/tests/protocol.rs
+++ b/crates/statement/tests/protocol.rs
@@ -85,8 +85,13 @@
     assert_eq!(failed.failure_info.unwrap().retry_is_harmless, Some(false));
 }
 
+/// Few in CI; more with VIOLETWARD_CASES.
+fn cases() -> u32 {
+    std::env::var("VIOLETWARD_CASES").ok().and_then(|n| n.parse().ok()).unwrap_or(400)
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: cases(), failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
     #[test]
     fn encoding_leads_back(text in any::<String>()) {
