--- a/crates/statement/src/session.rs
+++ b/crates/statement/src/session.rs
@@ -31,8 +31,20 @@
     pub estimated_cpu: Option<Duration>,
     /// Estimated peak memory, bytes.
     pub estimated_memory: Option<u64>,
+    /// Headers that only engines care about, as they came: names (see [`PASSED`]) and values.
+    pub passed: Vec<(String, String)>,
 }
 
+/// Headers of clients that are passed on to engines unread.
+pub const PASSED: [&str; 6] = [
+    "X-Trino-Time-Zone",
+    "X-Trino-Language",
+    "X-Trino-Client-Capabilities",
+    "X-Trino-Role",
+    "X-Trino-Original-User",
+    "X-Trino-Extra-Credential",
+];
+
 /// Headers of an engine's answer that change the client's session; they are passed on.
 pub const SESSION_CHANGES: [&str; 8] = [
     "X-Trino-Set-Session",
@@ -62,6 +74,11 @@
             client_info: text("Client-Info"),
             ..Context::default()
         };
+        for (name, value) in headers.iter() {
+            if let Some(known) = PASSED.iter().find(|p| p.eq_ignore_ascii_case(name)) {
+                context.passed.push((known.to_string(), value.to_owned()));
+            }
+        }
         for pair in list(headers, "Session") {
             let (name, value) = pair.split_once('=').ok_or("X-Trino-Session: expected name=value")?;
             let value = decode(value).ok_or("X-Trino-Session: a value is not well encoded")?;
@@ -121,6 +138,9 @@
             self.estimated_memory.map(|b| format!("PEAK_MEMORY={b}B")),
         ];
         put("Resource-Estimate", &estimates.into_iter().flatten().collect::<Vec<_>>().join(","));
+        for (name, value) in &self.passed {
+            headers.push(name, value);
+        }
     }
 }
 
--- a/crates/statement/tests/protocol.rs
+++ b/crates/statement/tests/protocol.rs
@@ -26,6 +26,7 @@
         trace_token: Some("t".into()),
         estimated_cpu: Some(Duration::from_millis(1500)),
         estimated_memory: Some(1 << 30),
+        passed: vec![("X-Trino-Time-Zone".into(), "Europe/Warsaw".into())],
         ..Context::default()
     };
     let mut written = Headers::default();
