--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -7,6 +7,7 @@
 use violetward::*;
 
 use crate::forms::{self, Checker, Form, Mistake};
+use crate::notebook::KernelConfig;
 
 /// All that `violetward serve` needs to know.
 #[derive(Debug, Clone, PartialEq)]
@@ -15,6 +16,8 @@
     pub listen: SocketAddr,
     /// The file that lists the engines.
     pub engines: PathBuf,
+    /// A notebook kernel beside the statement API, if one is wanted.
+    pub kernel: Option<KernelConfig>,
     /// How the host carries things out.
     pub host: HostLimits,
     /// How a statement's class and estimates are read.
@@ -115,8 +118,8 @@
     pub first_words: Vec<String>,
 }
 
-const SECTIONS: [&str; 7] =
-    ["gateway", "limits", "engine-properties", "policy", "kinds", "tenants", "classes"];
+const SECTIONS: [&str; 8] =
+    ["gateway", "kernel", "limits", "engine-properties", "policy", "kinds", "tenants", "classes"];
 
 /// Reads a configuration. Relative paths in it are relative to `folder`.
 ///
@@ -188,6 +191,13 @@
     });
     let engines = g.need(c, "engines").cloned().and_then(|f| c.word(&f, "the path of the engine list"));
 
+    let kernel = section("kernel").and_then(|form| {
+        let f = c.fields(form, 0, &["connection-file", "user", "rows"]);
+        let file = f.need(c, "connection-file").cloned().and_then(|f| c.word(&f, "a path"))?;
+        let user = f.word(c, "user", "notebook");
+        let rows = f.whole(c, "rows", (1, 1_000_000), 1000) as usize;
+        Some(KernelConfig { connection_file: folder.join(file), user, rows })
+    });
     let limits = section("limits");
     let host = host_limits(c, limits, section("engine-properties"));
     let (mut settings, drain_grace) = policy(c, section("policy"));
@@ -248,6 +258,7 @@
     Some(Config {
         listen: listen?,
         engines: folder.join(engines?),
+        kernel,
         host,
         selection,
         settings,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -97,6 +97,18 @@
 
     /// Date and time (UTC) as the protocol's statement ids begin with them: `20261201_122130`.
     pub fn stamp(&self) -> String {
+        let [year, month, day, hour, minute, second] = self.calendar();
+        format!("{year:04}{month:02}{day:02}_{hour:02}{minute:02}{second:02}")
+    }
+
+    /// Date and time (UTC) in ISO 8601.
+    pub fn date(&self) -> String {
+        let [year, month, day, hour, minute, second] = self.calendar();
+        let micros = self.clock.now() % 1_000_000;
+        format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{micros:06}Z")
+    }
+
+    fn calendar(&self) -> [u64; 6] {
         let seconds = self.clock.now() / 1_000_000;
         let (days, rest) = (seconds / 86_400, seconds % 86_400);
         // Days to a date in the Gregorian calendar, counted from a March (H. Hinnant, "chrono-compatible dates").
@@ -107,7 +119,7 @@
         let mp = (5 * doy + 2) / 153;
         let (day, month) = (doy - (153 * mp + 2) / 5 + 1, if mp < 10 { mp + 3 } else { mp - 9 });
         let year = yoe + era * 400 + u64::from(month <= 2);
-        format!("{year:04}{month:02}{day:02}_{:02}{:02}{:02}", rest / 3600, rest / 60 % 60, rest % 60)
+        [year, month, day, rest / 3600, rest / 60 % 60, rest % 60]
     }
 
     /// Runs a task on the gateway's thread.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,8 @@
 //! The query gateway: fronts that clients speak to, the core that owns the decisions, and engine connections.
 //!
 //! Free of I/O and clock: [`core`], [`config`], [`list`], [`forms`]. What moves bytes: [`host`] (the core's
-//! effects, timers, probes), [`engine`] (one attempt on one engine), [`front`] (the statement API), [`watch`] (the
+//! effects, timers, probes), [`engine`] (one attempt on one engine), [`front`] (the statement API), [`notebook`]
+//! (a notebook kernel), [`watch`] (the
 //! engine list's file); [`service`] ties them together.
 
 pub mod config;
@@ -11,5 +12,6 @@
 pub mod front;
 pub mod host;
 pub mod list;
+pub mod notebook;
 pub mod service;
 pub mod watch;
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -15,6 +15,7 @@
 use crate::core::{Core, Decide};
 use crate::front::Front;
 use crate::host::Host;
+use crate::notebook::Notebook;
 use crate::watch;
 
 /// Runs a gateway until SIGTERM or SIGINT; then takes nothing new and ends once what was taken has its answer. The
@@ -75,6 +76,9 @@
     executor.spawn(host.clone().run_timers()).detach();
     executor.spawn(host.clone().run_status()).detach();
     executor.spawn(watch::run(host.clone())).detach();
+    if let Some(kernel) = host.config.kernel.clone() {
+        Notebook::start(host.clone(), address.ip(), kernel)?;
+    }
     // Stays open while the gateway stops: polls may come on new connections.
     executor.spawn(front.run(listener)).detach();
     Ok((host, address))
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -57,7 +57,12 @@
 ///
 /// # Errors
 /// If something cannot listen or be written.
-pub fn run(listen: SocketAddr, count: usize, address_file: Option<PathBuf>) -> std::io::Result<()> {
+pub fn run(
+    listen: SocketAddr,
+    count: usize,
+    address_file: Option<PathBuf>,
+    kernel: Option<PathBuf>,
+) -> std::io::Result<()> {
     // With port 0 the system's choice is settled first, so that it can be told.
     let listen = match listen.port() {
         0 => std::net::TcpListener::bind(listen)?.local_addr()?,
@@ -82,13 +87,13 @@
     let list = folder.join("engines.lisp");
     let listed: Vec<Listed> = started.iter().map(|s| s.0.clone()).collect();
     fleet::write_list(&list, &listed)?;
-    let plan = GatewayPlan {
-        number: 0,
-        of: 1,
-        listen: listen.to_string(),
-        engines: list.clone(),
-        more: String::new(),
+    let more = match &kernel {
+        Some(file) => {
+            format!("(kernel (connection-file {:?}))\n", std::path::absolute(file)?.display().to_string())
+        }
+        None => String::new(),
     };
+    let plan = GatewayPlan { number: 0, of: 1, listen: listen.to_string(), engines: list.clone(), more };
     let file = folder.join("gateway.lisp");
     std::fs::write(&file, fleet::configuration(&plan))?;
     println!("A gateway for {count} stand-in engines on {listen}. Its files are in {}.", folder.display());
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -38,6 +38,9 @@
         /// Write the gateway's address to this file once it listens.
         #[arg(long)]
         address_file: Option<PathBuf>,
+        /// Be a notebook kernel too, and write its connection file here.
+        #[arg(long)]
+        kernel: Option<PathBuf>,
     },
     /// Run the scripted bad day with gateways and engines as processes of their own, and check the seven rules.
     Badday {
@@ -129,9 +132,9 @@
         rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL)).ok();
     }
     let result = match command {
-        Command::Demo { listen, engines, address_file } => {
+        Command::Demo { listen, engines, address_file, kernel } => {
             tracing_subscriber::fmt().with_writer(std::io::stderr).init();
-            demo::run(listen, engines, address_file)
+            demo::run(listen, engines, address_file, kernel)
         }
         Command::Badday { seed, policy, keep, slack_ms } => {
             let slack = Duration::from_millis(slack_ms);
--- a/test.sh
+++ b/test.sh
@@ -7,13 +7,15 @@
 cargo test --workspace --locked
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
 cargo build --release --workspace --locked
-# An unmodified public client against the demo, where Python and the package registry are at hand.
+# Unmodified public clients against the demo, where Python and the package registry are at hand.
 clients=target/clients
 if [ -x "$clients/bin/python" ] || python3 -m venv "$clients" >/dev/null 2>&1; then
-  if "$clients/bin/python" -c 'import trino' 2>/dev/null || "$clients/bin/pip" install -q 'trino>=0.330,<1' >/dev/null 2>&1; then
-    timeout 120 "$clients/bin/python" tests/clients/trino_client.py target/release/violetward-lab
+  if "$clients/bin/python" -c 'import trino, jupyter_client' 2>/dev/null ||
+    "$clients/bin/pip" install -q 'trino>=0.330,<1' 'jupyter_client>=8,<9' >/dev/null 2>&1; then
+    timeout 120 "$clients/bin/python" tests/clients/statement.py target/release/violetward-lab
+    timeout 120 "$clients/bin/python" tests/clients/notebook.py target/release/violetward-lab
   else
-    echo "public clients: not run, the package trino is not to be had"
+    echo "public clients: not run, the packages are not to be had"
   fi
 else
   echo "public clients: not run, Python has no venv"
