--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -356,6 +356,16 @@
         turn
     }
 
+    /// For how long engines drop repeats of a statement that its client has marked.
+    pub fn repeat_window(&self, id: StatementId) -> Option<Duration> {
+        let s = self.statements.get(&id)?;
+        s.context.tagged(&self.selection.repeat_tag)?;
+        match self.classes[s.class].effect {
+            violetward::Effect::Keyed { window, .. } => Some(Duration::from_micros(window)),
+            _ => None,
+        }
+    }
+
     /// Whether a statement's end is fixed.
     pub fn has_ended(&self, id: StatementId) -> bool {
         self.statements.get(&id).is_some_and(|s| s.pages.end().is_some())
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -19,6 +19,10 @@
 use crate::core::{StatementId, Submission};
 use crate::host::Host;
 
+/// Header of the answer to a post: for how many milliseconds engines drop a repeat of this statement's mark, counted from
+/// its first sending. Absent where they drop none. Clients that don't know it pass it over.
+pub const REPEAT_WINDOW: &str = "X-Violetward-Repeat-Window-Millis";
+
 /// The front. One for each listening socket.
 pub struct Front {
     host: Rc<Host>,
@@ -170,7 +174,11 @@
                 return self.document(message, &page, &made);
             }
         }
-        Reply::document(pages::queued(&base(message), &page))
+        let mut reply = Reply::document(pages::queued(&base(message), &page));
+        if let Some(window) = self.host.look(|core| core.repeat_window(id)) {
+            reply.headers.push(REPEAT_WINDOW, window.as_millis().to_string());
+        }
+        reply
     }
 
     async fn poll(
--- a/crates/gateway/src/notebook.rs
+++ b/crates/gateway/src/notebook.rs
@@ -42,6 +42,9 @@
 
 type Peer = Sender<Vec<u8>>;
 
+/// Prefixes that a subscriber wants, and its way.
+type Subscriber = (Vec<Vec<u8>>, Peer);
+
 /// The front: one kernel that any number of clients share.
 pub struct Notebook {
     host: Rc<Host>,
@@ -51,7 +54,7 @@
     session: String,
     next: Cell<u64>,
     clients: RefCell<HashMap<u64, Peer>>,
-    subscribers: RefCell<HashMap<u64, (Vec<Vec<u8>>, Peer)>>,
+    subscribers: RefCell<HashMap<u64, Subscriber>>,
     runs: RefCell<HashMap<u64, StatementId>>,
     /// Counts kernels: cells of one that was shut down end nowhere.
     life: Cell<u64>,
@@ -255,7 +258,7 @@
 
     fn publish(&self, parent: &Value, kind: &str, content: &Value) {
         let topic = format!("kernel.{}.{kind}", self.session).into_bytes();
-        let bytes = zmtp::message(&self.write(&[topic.clone()], parent, kind, content));
+        let bytes = zmtp::message(&self.write(std::slice::from_ref(&topic), parent, kind, content));
         for (prefixes, peer) in self.subscribers.borrow().values() {
             let wanted = prefixes.iter().any(|p| topic.starts_with(p));
             if wanted && peer.try_send(bytes.clone()).is_err() {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -380,11 +380,11 @@
     }
 }
 
-/// Runs a day and checks it.
+/// Starts a day's engines and gateways.
 ///
 /// # Errors
 /// If a process does not start or a file cannot be written.
-pub fn run(plan: &Plan) -> std::io::Result<Report> {
+pub fn start(plan: &Plan) -> std::io::Result<Rc<World>> {
     let folder = match &plan.keep {
         Some(folder) => folder.clone(),
         None => {
@@ -395,11 +395,10 @@
         }
     };
     std::fs::create_dir_all(folder.join("storage"))?;
-    let executor = Rc::new(LocalExecutor::new());
     let world = Rc::new(World {
         plan: plan.clone(),
-        folder: folder.clone(),
-        executor: executor.clone(),
+        folder,
+        executor: Rc::new(LocalExecutor::new()),
         engines: RefCell::default(),
         gateways: RefCell::default(),
         shape: Cell::new(Shape::default()),
@@ -420,19 +419,48 @@
         let slot = world.spawn_gateway(number, None)?;
         world.gateways.borrow_mut().push(slot);
     }
-    let records = async_io::block_on(executor.run(live(world.clone())));
+    Ok(world)
+}
+
+impl World {
+    /// Ends all processes, and removes the files unless they are to be kept. Tasks that still run hold the day, so that
+    /// this is done by hand.
+    pub fn end(&self) {
+        self.engines.borrow_mut().clear();
+        self.gateways.borrow_mut().clear();
+        if self.plan.keep.is_none() {
+            std::fs::remove_dir_all(&self.folder).ok();
+        }
+    }
+
+    /// What all engines wrote down, by time.
+    ///
+    /// # Errors
+    /// If a file cannot be read.
+    pub fn lines(&self) -> std::io::Result<Vec<journal::Line>> {
+        let mut lines = Vec::new();
+        for n in 1..=self.next_engine.get() {
+            lines.extend(journal::read(&self.folder.join(format!("e{n}.jsonl")))?);
+        }
+        lines.sort_by_key(|l| l.at);
+        Ok(lines)
+    }
+}
+
+/// Runs a day and checks it.
+///
+/// # Errors
+/// If a process does not start or a file cannot be written.
+pub fn run(plan: &Plan) -> std::io::Result<Report> {
+    let world = start(plan)?;
+    let records = async_io::block_on(world.executor.run(live(world.clone())));
     // Engines write down what still ends after the last client has its answer.
     std::thread::sleep(Duration::from_millis(200));
     let report = check(&world, plan, records);
     if let Ok(report) = &report {
-        std::fs::write(folder.join("report.txt"), report.to_string()).ok();
-    }
-    // Tasks that still run hold the day: its processes are ended by hand.
-    world.engines.borrow_mut().clear();
-    world.gateways.borrow_mut().clear();
-    if plan.keep.is_none() {
-        std::fs::remove_dir_all(&folder).ok();
+        std::fs::write(world.folder.join("report.txt"), report.to_string()).ok();
     }
+    world.end();
     report
 }
 
@@ -472,11 +500,7 @@
 }
 
 fn check(world: &World, plan: &Plan, records: Vec<Record>) -> std::io::Result<Report> {
-    let mut lines = Vec::new();
-    for n in 1..=world.next_engine.get() {
-        lines.extend(journal::read(&world.folder.join(format!("e{n}.jsonl")))?);
-    }
-    lines.sort_by_key(|l| l.at);
+    let lines = world.lines()?;
     let evidence = Evidence {
         records,
         lines,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`trouble`]: what goes wrong on a day; [`day`]: a day from start to end.
 //! - [`checker`]: the seven rules, from what passed on the sockets; [`report`]: a day in a table.
 //! - [`overhead`]: what the gateway costs against a bare relay; [`speed`]: speeds of its parts.
+//! - [`storm`]: a thousand library clients while gateways restart.
 //! - [`baseline`]: random choice and least in flight, to run the same day with.
 
 pub mod baseline;
@@ -19,4 +20,5 @@
 pub mod process;
 pub mod report;
 pub mod speed;
+pub mod storm;
 pub mod trouble;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,7 +13,7 @@
 use violetward_lab::baseline::{Baseline, Rule};
 use violetward_lab::day::{self, Plan, Policy};
 use violetward_lab::report::Report;
-use violetward_lab::{demo, overhead, speed, trouble};
+use violetward_lab::{demo, overhead, speed, storm, trouble};
 use violetward_standin::model::Machine;
 use violetward_standin::server::{Engine, Setup};
 
@@ -87,6 +87,15 @@
         #[arg(long, default_value_t = 8000)]
         count: usize,
     },
+    /// Let library clients that send again storm gateways that restart, and hold what engines saw against the budgets.
+    Storm {
+        /// Clients.
+        #[arg(long, default_value_t = 1000)]
+        clients: usize,
+        /// Seconds.
+        #[arg(long, default_value_t = 12)]
+        seconds: u64,
+    },
     /// Measure parts of the program, each beside a plain one: parsers, the module's events, timers.
     Speed,
     /// A bare byte relay, as a process of its own.
@@ -183,6 +192,16 @@
         Command::Overhead { rounds, count } => {
             overhead::run(rounds.max(1), count.max(100)).map(|o| println!("{o}"))
         }
+        Command::Storm { clients, seconds } => {
+            storm::run(clients, Duration::from_secs(seconds)).and_then(|storm| {
+                println!("{storm}");
+                if storm.is_bounded() {
+                    Ok(())
+                } else {
+                    Err(std::io::Error::other("more was sent than the budgets allow"))
+                }
+            })
+        }
         Command::Speed => speed::run(),
         Command::Relay { to, address_file } => overhead::relay(to, &address_file),
     };
--- a/test.sh
+++ b/test.sh
@@ -5,6 +5,7 @@
 cargo fmt --all -- --check
 cargo clippy --workspace --all-targets --locked -- -D warnings
 cargo test --workspace --locked
+cargo build --workspace --examples --locked
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
 cargo build --release --workspace --locked
 # Unmodified public clients against the demo, where Python and the package registry are at hand.
@@ -14,6 +15,7 @@
     "$clients/bin/pip" install -q 'trino>=0.330,<1' 'jupyter_client>=8,<9' >/dev/null 2>&1; then
     timeout 120 "$clients/bin/python" tests/clients/statement.py target/release/violetward-lab
     timeout 120 "$clients/bin/python" tests/clients/notebook.py target/release/violetward-lab
+    timeout 120 "$clients/bin/python" tests/clients/libraries.py target/release/violetward-lab target/debug/examples/outcomes
   else
     echo "public clients: not run, the packages are not to be had"
   fi
