--- a/crates/lab/src/storm.rs
+++ b/crates/lab/src/storm.rs
@@ -87,10 +87,11 @@
                 while start.elapsed() < span {
                     let id = ids.replace(ids.get() + 1);
                     let ending = one(&client, id).await;
-                    let mut storm = storm.borrow_mut();
-                    storm.begun += 1;
-                    *storm.endings.entry(ending).or_default() += 1;
-                    drop(storm);
+                    {
+                        let mut storm = storm.borrow_mut();
+                        storm.begun += 1;
+                        *storm.endings.entry(ending).or_default() += 1;
+                    }
                     sleep(Duration::from_millis(3000 + id * 37 % 1000)).await;
                 }
             }));
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -13,6 +13,8 @@
 use violetward::Gateway;
 use violetward_gateway::host::Host;
 use violetward_gateway::{config, service};
+use violetward_kernel::message::Signer;
+use violetward_kernel::zmtp;
 use violetward_lab::fleet::{self, GatewayPlan, Listed};
 use violetward_net::{sleep, timeout, Connection};
 use violetward_standin::fault::Fault;
@@ -476,3 +478,55 @@
         assert!(start.elapsed() < Duration::from_millis(1500));
     });
 }
+
+/// A peer of the notebook front that sends ZMTP by hand.
+async fn zmtp_peer(port: u64, kind: &str) -> Async<TcpStream> {
+    let mut body = b"\x05READY\x0bSocket-Type".to_vec();
+    body.extend((kind.len() as u32).to_be_bytes());
+    body.extend(kind.as_bytes());
+    let mut out = zmtp::greeting();
+    out.extend([4, body.len() as u8]);
+    out.extend(body);
+    let mut socket = Async::<TcpStream>::connect(([127, 0, 0, 1], port as u16)).await.unwrap();
+    socket.write_all(&out).await.unwrap();
+    socket
+}
+
+#[test]
+fn a_subscriber_that_does_not_read_and_a_forger_hold_up_no_cell() {
+    let file = std::env::temp_dir().join(format!("violetward-kernel-{}.json", std::process::id()));
+    let more = format!("(kernel (connection-file {:?}))", file.display().to_string());
+    with(1, &more, |bed| async move {
+        let told: serde_json::Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
+        std::fs::remove_file(&file).ok();
+        let port = |name: &str| told[name].as_u64().unwrap();
+        let mut deaf = zmtp_peer(port("iopub_port"), "SUB").await;
+        deaf.write_all(&zmtp::message(&[b"\x01"])).await.unwrap();
+        let mut noise =
+            Async::<TcpStream>::connect(([127, 0, 0, 1], port("shell_port") as u16)).await.unwrap();
+        noise.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+        let mut shell = zmtp_peer(port("shell_port"), "DEALER").await;
+        let signer = Signer::new(told["key"].as_str().unwrap().as_bytes(), 1);
+        let forger = Signer::new(b"another key", 1);
+        let cells = 150;
+        for n in 0..cells {
+            let header =
+                violetward_kernel::kernel::header(format!("m{n}"), "s", "execute_request", "now".into());
+            let content = serde_json::json!({ "code": "SELECT * FROM points LIMIT 900" });
+            for signer in [&forger, &signer] {
+                let parts = signer.write(&[], &header, &serde_json::json!({}), &content);
+                shell.write_all(&zmtp::message(&parts)).await.unwrap();
+            }
+        }
+        let (mut seen, mut chunk) = (Vec::new(), vec![0; 65536]);
+        let replies =
+            |seen: &[u8]| String::from_utf8_lossy(seen).matches("\"msg_type\":\"execute_reply\"").count();
+        while replies(&seen) < cells {
+            let n = shell.read(&mut chunk).await.unwrap();
+            assert!(n > 0, "the front has cut the client off");
+            seen.extend_from_slice(&chunk[..n]);
+        }
+        assert_eq!(bed.got(), cells, "forged cells were not run");
+        assert_eq!(String::from_utf8_lossy(&seen).matches("\"status\":\"ok\"").count(), cells);
+    });
+}
