--- /dev/null
+++ b/crates/gateway/tests/config.rs
@@ -0,0 +1,83 @@
+//! Configuration: every mistake with its place, and settings that break the rules' own figures.
+
+use std::path::Path;
+
+use violetward::{Effect, KeyScope};
+use violetward_gateway::config::{cross_checks, parse, Config};
+
+const GOOD: &str = r#"(gateway (number 1) (of 3) (zone a) (listen "127.0.0.1:0") (engines "list"))
+(kinds (kind m8 (cores 8) (memory "16GB")))
+(classes
+  (class lookup (aim "1s") (give-up "4s") (effect repeatable))
+  (class load (aim "3s") (give-up "10s") (effect (keyed (scope zone) (window "25s"))) (in-order yes) (kinds m8)))
+(select load (tag load) (first-word insert merge))
+(select lookup)
+"#;
+
+fn read(text: &str) -> Result<Config, Vec<String>> {
+    parse(text, Path::new("/etc/v")).map_err(|all| all.iter().map(|m| m.to_string()).collect())
+}
+
+fn mistakes(from: &str, to: &str) -> Vec<String> {
+    assert!(GOOD.contains(from), "{from}");
+    read(&GOOD.replacen(from, to, 1)).unwrap_err()
+}
+
+#[test]
+fn a_good_file_is_read() {
+    let config = read(GOOD).unwrap();
+    assert_eq!((config.settings.me.0, config.settings.gateways), (1, 3));
+    assert_eq!(config.engines, Path::new("/etc/v/list"));
+    let window = 25_000_000;
+    assert_eq!(config.settings.classes[1].effect, Effect::Keyed { scope: KeyScope::Zone, window });
+    assert_eq!(config.selection.selectors[0].first_words, ["insert", "merge"]);
+    assert!(cross_checks(&config).is_empty());
+}
+
+#[test]
+fn each_mistake_is_told_with_line_column_and_what_was_expected() {
+    let cases = [
+        ("(cores 8)", "(cores many)", "2:24: cores: expected a number from 0.1 to 4096, found many"),
+        ("(cores 8)", "(cors 8)", "2:17: cors is not known in kind; known: cores, memory"),
+        ("\"16GB\"", "\"16 apples\"", "2:35: memory: expected a size such as \"512kB\" or \"16GB\""),
+        ("\"4s\"", "\"4 bananas\"", "4:37: give-up: expected a span"),
+        ("repeatable", "sometimes", "4:51: effect: expected one of repeatable, once, found sometimes"),
+        ("(scope zone)", "(scope moon)", "scope: expected one of all, zone, cell, found moon"),
+        ("(kinds m8)", "(kinds m9)", "kinds: there is no m9; known: m8"),
+        (
+            "(select lookup)",
+            "(select reports)",
+            "7:1: select: there is no class reports; classes: lookup, load",
+        ),
+        ("(number 1)", "(number 3)", "number 3 must be under (of 3)"),
+        ("127.0.0.1:0", "somewhere", "1:45: listen: expected an address and port"),
+        ("\"4s\"", "\"900ms\"", "give-up must be over aim"),
+        ("(aim \"1s\")", "(aim \"1s\") (aim \"2s\")", "aim stands twice in class"),
+        ("(class load", "(class lookup", "5:3: class lookup stands twice"),
+        ("(kinds (kind", "(beds (kind", "(kinds ...) is missing"),
+        ("(select lookup)", "(select lookup", "not an S-expression"),
+        ("(select lookup)", "select", "expected a form like (name value), found select"),
+    ];
+    for (from, to, expected) in cases {
+        let found = mistakes(from, to);
+        assert!(found.iter().any(|m| m.contains(expected)), "{to}: {found:?}");
+    }
+    // All of them at once, in the order of their places.
+    let two = GOOD.replace("(cores 8)", "(cores 0)").replace("(tag load)", "(tags load)");
+    let found = read(&two).unwrap_err();
+    assert_eq!(found.len(), 2);
+    assert!(found[0].starts_with("2:") && found[1].starts_with("6:"));
+}
+
+#[test]
+fn settings_that_break_the_rules_are_refused() {
+    let crossed = |more: &str| cross_checks(&read(&format!("{GOOD}{more}")).unwrap());
+    assert!(crossed("(limits (list-every \"200ms\"))")[0].contains("a drain seen late is not kept"));
+    assert!(crossed("(engine-properties (repeat \"\"))")[0].contains("engines could drop no repeat"));
+    let found = read(&format!("{GOOD}(policy (key-rest \"0ms\"))")).unwrap_err();
+    assert!(found[0].contains("in-order needs policy/key-rest over 0"));
+    let found = read(&format!("{GOOD}(limits (long-poll \"60s\"))")).unwrap_err();
+    assert!(found[0].contains("long-poll must be under abandon-after"));
+    let found = read(&format!("{GOOD}(policy (budget (free 5) (share 2) (window \"5s\")))")).unwrap_err();
+    assert!(found[0].contains("share: expected a number from 0 to 1"));
+}
