--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -50,7 +50,7 @@
             "7:1: select: there is no class reports; classes: lookup, load",
         ),
         ("(number 1)", "(number 3)", "number 3 must be under (of 3)"),
-        ("127.0.0.1:0", "somewhere", "1:45: listen: expected an address and port"),
+        ("127.0.0.1:0", "somewhere", "1:37: listen: expected an address and port"),
         ("\"4s\"", "\"900ms\"", "give-up must be over aim"),
         ("(aim \"1s\")", "(aim \"1s\") (aim \"2s\")", "aim stands twice in class"),
         ("(class load", "(class lookup", "5:3: class lookup stands twice"),
