Both libraries speak both protocols; results over the kernel carry their values

The Rust library gets a kernel client over our own ZMTP; a result carries its columns and rows beside text and HTML, so that libraries need not read a table back.

--- a/clients/python/violetward_client/kernel.py
+++ b/clients/python/violetward_client/kernel.py
@@ -40,7 +40,9 @@
                 break
         content, rows = reply["content"], Rows(sends=1)
         if content["status"] == "ok":
-            rows.rows, rows.text = [], self._text(message["header"]["msg_id"])
+            data = self._result(message["header"]["msg_id"])
+            table = data.get("application/vnd.violetward.table+json") or {}
+            rows.columns, rows.rows, rows.text = table.get("columns", []), table.get("rows", []), data.get("text/plain", "")
             return rows
         name, text = content.get("ename", ""), content.get("evalue", "")
         if name == "STATEMENT_REFUSED":
@@ -49,20 +51,20 @@
             raise Failed(text)
         raise Declined(name or content["status"], text)
 
-    def _text(self, msg_id):
-        """The result as text, from iopub."""
-        text = ""
+    def _result(self, msg_id):
+        """The result's data by type, from iopub."""
+        data = {}
         while True:
             try:
                 message = self.client.get_iopub_msg(timeout=2)
             except Exception:
-                return text
+                return data
             if message["parent_header"].get("msg_id") != msg_id:
                 continue
             if message["msg_type"] == "execute_result":
-                text = message["content"]["data"]["text/plain"]
+                data = message["content"]["data"]
             if message["msg_type"] == "status" and message["content"]["execution_state"] == "idle":
-                return text
+                return data
 
     def close(self):
         self.client.stop_channels()
--- a/crates/client/examples/outcomes.rs
+++ b/crates/client/examples/outcomes.rs
@@ -1,13 +1,19 @@
-//! Runs the script that both libraries run, and prints how each statement ended: `outcomes ADDRESS`.
+//! Runs the script that both libraries run, and prints how each statement ended: `outcomes ADDRESS` over the statement
+//! protocol, `outcomes --kernel FILE` over the kernel protocol.
 
 use std::time::Duration;
 
 use violetward_client::resend::{Budget, Effect};
-use violetward_client::{Client, Ending, Options, Query};
+use violetward_client::{Client, Ending, KernelClient, Options, Query};
 
 fn main() {
-    let address = std::env::args().nth(1).and_then(|a| a.parse().ok()).expect("outcomes ADDRESS:PORT");
-    let client = Client::new(&[address], Options::default(), Budget::default());
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let kernel = match arguments.first().map(String::as_str) {
+        Some("--kernel") => arguments.get(1).map(std::path::PathBuf::from),
+        _ => None,
+    };
+    let address = arguments.first().and_then(|a| a.parse().ok());
+    let client = Client::new(&address.into_iter().collect::<Vec<_>>(), Options::default(), Budget::default());
     let load = |mark: &str| Query {
         effect: Effect::Keyed,
         class: Some("load".into()),
@@ -31,8 +37,16 @@
         Query { class: Some("notice".into()), ..Query::new("INSERT INTO loads VALUES (2, 'once')") },
     ];
     async_io::block_on(async {
+        let mut cells = match &kernel {
+            Some(file) => Some(KernelClient::connect(file).await.expect("a kernel that answers")),
+            None => None,
+        };
         for query in script {
-            let word = match client.run(&query).await {
+            let end = match &mut cells {
+                Some(cells) => cells.run(&query).await,
+                None => client.run(&query).await,
+            };
+            let word = match end {
                 Ok(_) => "served".to_owned(),
                 Err(Ending::Refused { .. }) => "refused".into(),
                 Err(Ending::Failed { .. }) => "failed".into(),
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,9 +8,12 @@
 //! - [`resend`]: the decision to send again, and its budget over the process. Free of I/O and clock.
 //! - [`choice`]: which gateway: power of two choices, ejection, slow return. Free of I/O and clock.
 //! - [`client`]: carries both out over the statement protocol.
+//! - [`kernel`]: the same endings over the notebook kernel protocol.
 
 pub mod choice;
 pub mod client;
+pub mod kernel;
 pub mod resend;
 
 pub use client::{Client, Ending, Options, Query, Rows};
+pub use kernel::KernelClient;
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -159,6 +159,9 @@
     ended: bool,
 }
 
+/// The type under which a result's values stand beside its text and HTML, for libraries.
+pub const TABLE: &str = "application/vnd.violetward.table+json";
+
 /// Cells that may wait; a further one is answered with an error.
 const MOST_WAITING: usize = 256;
 /// Cells remembered for `history_request`.
@@ -322,6 +325,8 @@
                     let mut data = json!({ "text/plain": table.text() });
                     if !table.columns.is_empty() {
                         data["text/html"] = table.html().into();
+                        data[TABLE] =
+                            json!({ "columns": table.columns, "rows": table.rows, "hidden": table.hidden });
                     }
                     let content = json!({ "data": data, "metadata": {}, "execution_count": self.count });
                     out.push(publish(&cell, "execute_result", content));
--- a/crates/kernel/src/message.rs
+++ b/crates/kernel/src/message.rs
@@ -40,6 +40,8 @@
     pub header: Header,
     /// The header as it came, to be given back as the parent.
     pub raw_header: Value,
+    /// The header of what it answers, if it answers anything.
+    pub parent: Value,
     /// Its metadata, free for extensions.
     pub metadata: Value,
     /// Its content.
@@ -131,7 +133,9 @@
         let raw_header = read(header).ok_or(MessageError::Json)?;
         let header = serde_json::from_value(raw_header.clone()).map_err(|_| MessageError::Json)?;
         let (metadata, content) = read(metadata).zip(read(content)).ok_or(MessageError::Json)?;
-        Ok(Message { identities: parts[..at].to_vec(), header, raw_header, metadata, content })
+        let parent = read(parent).ok_or(MessageError::Json)?;
+        let identities = parts[..at].to_vec();
+        Ok(Message { identities, header, raw_header, parent, metadata, content })
     }
 
     /// Writes a message as the parts of a ZMTP message.
--- a/crates/kernel/src/zmtp.rs
+++ b/crates/kernel/src/zmtp.rs
@@ -13,6 +13,10 @@
     Pub,
     /// Heartbeat.
     Rep,
+    /// A client's shell, control or stdin.
+    Dealer,
+    /// A client's iopub.
+    Sub,
 }
 
 impl Socket {
@@ -21,6 +25,8 @@
             Socket::Router => "ROUTER",
             Socket::Pub => "PUB",
             Socket::Rep => "REP",
+            Socket::Dealer => "DEALER",
+            Socket::Sub => "SUB",
         }
     }
 
@@ -29,6 +35,8 @@
             Socket::Router => &[b"DEALER", b"REQ", b"ROUTER"],
             Socket::Pub => &[b"SUB", b"XSUB"],
             Socket::Rep => &[b"REQ", b"DEALER"],
+            Socket::Dealer => &[b"ROUTER", b"REP"],
+            Socket::Sub => &[b"PUB", b"XPUB"],
         };
         known.contains(&peer)
     }
--- a/tests/clients/libraries.py
+++ b/tests/clients/libraries.py
@@ -62,18 +62,24 @@
         time.sleep(0.3)
         where = open(address).read()
         host, port = where.split(":")
-        rust = subprocess.run([OUTCOMES, where], capture_output=True, text=True, timeout=60).stdout.split("\n")[:-1]
+        def rust_run(*arguments):
+            return subprocess.run([OUTCOMES, *arguments], capture_output=True, text=True, timeout=60).stdout.split("\n")[:-1]
+
+        rust, rust_cells = rust_run(where), rust_run("--kernel", file)
         client, kernel = Client([(host, int(port))]), KernelClient(file)
         statement = [word(client.run, q) for q in script()]
         cells = [word(kernel.run, q) for q in script()]
+        table = kernel.run(script()[0])
+        assert (table.columns, table.rows) == (["id"], [[1], [2], [3]]), table
         kernel.close()
         expected = ["served", "declined TABLE_NOT_FOUND", "declined SYNTAX_ERROR", "refused", "served", "served", "served"]
         assert rust == expected, rust
         assert statement == expected, statement
         assert cells == expected, cells
+        assert rust_cells == expected, rust_cells
         rows = client.run(script()[0])
         assert rows.rows == [[1], [2], [3]] and rows.columns == ["id"] and rows.sends == 1
-        passed += 3
+        passed += 4
     finally:
         process.terminate()
         process.wait(30)
