--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -150,7 +150,7 @@
 }
 
 impl Engine {
-    /// Binds an engine's sockets; [`Engine::run`] makes it answer.
+    /// Binds an engine's sockets; it answers as long as the executor runs.
     ///
     /// # Errors
     /// If it cannot listen, or cannot make its rows.
