The storm counts what the library sends, and shows what its budget is for

Need: the first storm did not strain the budgets. It now counts sends to gateways and can take the budget away. A small storm runs in the tests.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -1,6 +1,6 @@
 //! The client: carries out what [`crate::resend`] and [`crate::choice`] decide, over the statement protocol.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -127,6 +127,7 @@
     budget: RefCell<Budget>,
     choice: RefCell<Choice>,
     start: Instant,
+    sent: Cell<u64>,
 }
 
 /// How a try stopped, and what was told.
@@ -148,9 +149,15 @@
             budget: RefCell::new(budget),
             choice: RefCell::new(Choice::new(gateways.len())),
             start: Instant::now(),
+            sent: Cell::new(0),
         }
     }
 
+    /// Tries of all statements so far, first ones included.
+    pub fn sent(&self) -> u64 {
+        self.sent.get()
+    }
+
     fn now(&self) -> Micros {
         self.start.elapsed().as_micros() as Micros
     }
@@ -181,6 +188,7 @@
             })?;
             last = Some(which);
             case.sends += 1;
+            self.sent.set(self.sent.get() + 1);
             let begun = Instant::now();
             let left = Duration::from_micros(case.due.saturating_sub(self.now()));
             let tried =
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -95,6 +95,9 @@
         /// Seconds.
         #[arg(long, default_value_t = 12)]
         seconds: u64,
+        /// Take the library's budget away, to see what it is for.
+        #[arg(long)]
+        unbounded: bool,
     },
     /// Measure parts of the program, each beside a plain one: parsers, the module's events, timers.
     Speed,
@@ -192,8 +195,8 @@
         Command::Overhead { rounds, count } => {
             overhead::run(rounds.max(1), count.max(100)).map(|o| println!("{o}"))
         }
-        Command::Storm { clients, seconds } => {
-            storm::run(clients, Duration::from_secs(seconds)).and_then(|storm| {
+        Command::Storm { clients, seconds, unbounded } => {
+            storm::run(clients, Duration::from_secs(seconds), unbounded).and_then(|storm| {
                 println!("{storm}");
                 if storm.is_bounded() {
                     Ok(())
--- a/crates/lab/src/storm.rs
+++ b/crates/lab/src/storm.rs
@@ -22,6 +22,10 @@
     pub begun: u64,
     /// Endings, by word.
     pub endings: BTreeMap<&'static str, u64>,
+    /// What the library sent to gateways, first tries included, and the most that its budget allows.
+    pub sent: u64,
+    /// See `sent`.
+    pub may_send: f64,
     /// Attempts that reached engines, in all.
     pub attempts: u64,
     /// The most that the budgets allow for the statements begun.
@@ -37,7 +41,7 @@
 impl Storm {
     /// Nothing beyond the budgets, and no effect twice.
     pub fn is_bounded(&self) -> bool {
-        self.attempts as f64 <= self.allowed && self.doubled == 0
+        self.sent as f64 <= self.may_send && self.attempts as f64 <= self.allowed && self.doubled == 0
     }
 }
 
@@ -48,6 +52,7 @@
         for (word, n) in &self.endings {
             writeln!(f, "  {word}: {n}")?;
         }
+        writeln!(f, "sent to gateways: {}, at most {:.0} allowed", self.sent, self.may_send)?;
         let each = self.attempts as f64 / self.begun.max(1) as f64;
         writeln!(
             f,
@@ -64,17 +69,19 @@
 const FREE: f64 = 5.0;
 const WINDOW: f64 = 5.0;
 
-/// Runs a storm.
+/// Runs a storm; `unbounded` takes the library's budget away.
 ///
 /// # Errors
 /// If a process does not start.
-pub fn run(clients: usize, span: Duration) -> std::io::Result<Storm> {
+pub fn run(clients: usize, span: Duration, unbounded: bool) -> std::io::Result<Storm> {
     let plan = Plan { name: "storm".into(), troubles: Vec::new(), ..Plan::replay("", 3, Policy::Module) };
     let world = day::start(&plan)?;
     let storm = Rc::new(RefCell::new(Storm::default()));
     let addresses: Vec<_> = world.gateways.borrow().iter().map(|g| g.address).collect();
+    // Without its budget the library shows what that is for.
+    let budget = if unbounded { Budget::new(1e9, 1.0, Duration::from_secs(5)) } else { Budget::default() };
     let options = Options { may_resend: true, ..Options::default() };
-    let client = Rc::new(Client::new(&addresses, options, Budget::default()));
+    let client = Rc::new(Client::new(&addresses, options, budget));
     let start = Instant::now();
     let ids = Rc::new(Cell::new(0u64));
     let work = async {
@@ -132,6 +139,7 @@
     // the two that a stretch of time may touch.
     let windows = (start.elapsed().as_secs_f64() / WINDOW).ceil() + 1.0;
     let sent = storm.begun as f64 * (1.0 + SHARE) + FREE * windows;
+    (storm.sent, storm.may_send) = (client.sent(), sent);
     storm.allowed = sent * (1.0 + SHARE) + FREE * windows * plan.gateways as f64;
     Ok(storm)
 }
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -20,3 +20,9 @@
         assert!(cells[11] == "kept" && number(10) > 0.8, "{row}");
     }
 }
+
+#[test]
+fn a_storm_of_library_clients_stays_within_the_budgets() {
+    let text = lab(&["storm", "--clients", "1000", "--seconds", "5"]);
+    assert!(text.contains("loads that took effect twice: 0"), "{text}");
+}
