Unsafe statements get a fresh connection in the Rust library too; dead code out

Need: a last reading found the Rust library reusing pooled connections for statements that are not safe to repeat, unlike the gateway and the Python library: a stale one turns into Unknown for nothing. Pool::fresh replaces the clearing of a whole pool, which cost other statements their connections. The public id is made in one place; unused methods are gone; a repeat that a stand-in has forgotten begins a new window.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -249,7 +249,9 @@
             window,
         };
         let mut headers = self.headers(pool, query, left);
-        let connection = pool.get(left.min(Duration::from_secs(2))).await;
+        let within = left.min(Duration::from_secs(2));
+        let repeatable = query.effect == Effect::Repeatable;
+        let connection = if repeatable { pool.get(within).await } else { pool.fresh(within).await };
         let mut connection =
             connection.map_err(|e| stop(Stop::NotWritten, format!("no connection: {e}"), window))?;
         let posted = connection.call("POST", STATEMENT, &headers, query.sql.as_bytes()).await;
@@ -331,7 +333,7 @@
                 };
                 case.broken_polls += 1;
                 sleep(after).await;
-                if let Ok(fresh) = pool.get(Duration::from_secs(1)).await {
+                if let Ok(fresh) = pool.fresh(Duration::from_secs(1)).await {
                     connection = fresh;
                     break;
                 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -73,12 +73,10 @@
     headers.push("Via", format!("1.1 violetward-{}", host.config.settings.me.0));
     headers.push("Content-Type", "text/plain; charset=utf-8");
     launch.context.write(&mut headers);
-    if launch.fresh {
-        pool.clear();
-    }
     let within = host.config.host.connect_within;
+    let connection = if launch.fresh { pool.fresh(within).await } else { pool.get(within).await };
     let mut connection =
-        pool.get(within).await.map_err(|e| Broken(Outcome::ConnectFailed, format!("no connection: {e}")))?;
+        connection.map_err(|e| Broken(Outcome::ConnectFailed, format!("no connection: {e}")))?;
     let answer = connection.call("POST", STATEMENT, &headers, launch.text.as_bytes()).await;
     let message = match answer {
         Ok(message) => message,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -164,8 +164,7 @@
             return Reply::text(400, "the statement is empty");
         }
         // Named after the number that the core gives next, so that a path leads back without a table.
-        let number = self.host.look(|core| core.next_number());
-        let public_id = format!("{}_{number:05}_{}", self.host.stamp(), self.host.life);
+        let public_id = self.host.next_public_id();
         let submission = Submission { public_id: public_id.clone(), text, context };
         let id = self.host.core(|core, now| core.submit(now, submission));
         let page = PageRef { slug: self.slug(&public_id), id: public_id, token: 0 };
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -101,6 +101,12 @@
         format!("{year:04}{month:02}{day:02}_{hour:02}{minute:02}{second:02}")
     }
 
+    /// The public id of the statement that is handed in next; its number leads back to it without a table.
+    pub fn next_public_id(&self) -> String {
+        let number = self.look(Core::next_number);
+        format!("{}_{number:05}_{}", self.stamp(), self.life)
+    }
+
     /// Date and time (UTC) in ISO 8601.
     pub fn date(&self) -> String {
         let [year, month, day, hour, minute, second] = self.calendar();
--- a/crates/gateway/src/notebook.rs
+++ b/crates/gateway/src/notebook.rs
@@ -269,8 +269,7 @@
 
     /// A cell is a statement like any other.
     fn run(self: &Rc<Self>, run: u64, code: String, terms: &Value) {
-        let number = self.host.look(|core| core.next_number());
-        let public_id = format!("{}_{number:05}_{}", self.host.stamp(), self.host.life);
+        let public_id = self.host.next_public_id();
         let context = self.context(terms);
         let id = self.host.core(|core, now| core.submit(now, Submission { public_id, text: code, context }));
         self.runs.borrow_mut().insert(run, id);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -92,16 +92,6 @@
         Connection { socket, reader: Reader::new(side, limits), ready: Cell::new(false), wrote: false }
     }
 
-    /// The peer's address.
-    pub fn peer(&self) -> Option<SocketAddr> {
-        self.socket.get_ref().peer_addr().ok()
-    }
-
-    /// The socket itself.
-    pub fn socket(&mut self) -> &mut Async<TcpStream> {
-        &mut self.socket
-    }
-
     /// A message has begun to come in and is not whole yet.
     pub fn is_within(&self) -> bool {
         self.reader.is_within()
@@ -233,6 +223,15 @@
                 None => break,
             }
         }
+        self.fresh(connect_within).await
+    }
+
+    /// A connection that has not been used before: one that has may be dead without our knowing, and then it can't be
+    /// told whether what was written into it was read.
+    ///
+    /// # Errors
+    /// The socket's, or a time-out.
+    pub async fn fresh(&self, connect_within: Duration) -> Result<Connection, NetError> {
         match timeout(connect_within, Connection::connect(self.address, self.limits)).await {
             Some(connection) => Ok(connection?),
             None => Err(NetError::TimedOut),
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -437,7 +437,9 @@
             Err(_) => {
                 let age =
                     std::fs::metadata(&path).and_then(|m| m.modified()).ok().and_then(|t| t.elapsed().ok());
-                age.is_some_and(|age| age > self.setup.window)
+                let forgotten = age.is_some_and(|age| age > self.setup.window);
+                // It takes effect again, and its window begins anew.
+                forgotten && std::fs::write(&path, b"again").is_ok()
             }
         }
     }
@@ -560,7 +562,7 @@
                 json(body)
             }
             ("GET", "/v1/status") => {
-                self.thaw(false).await;
+                self.thaw().await;
                 json(serde_json::to_vec(&self.status()).unwrap_or_default())
             }
             ("GET", "/v1/info") => {
@@ -595,8 +597,8 @@
         }
     }
 
-    /// Waits while the engine hangs; `statement` false: a probe, which a hung engine does not answer either.
-    async fn thaw(&self, _statement: bool) {
+    /// Waits while the engine hangs: it answers neither statements nor probes.
+    async fn thaw(&self) {
         loop {
             let until = self.state.borrow().faults.hang.until;
             let now = clock();
@@ -696,7 +698,7 @@
             state.statements.insert(n, statement);
         }
         self.changed.notify(usize::MAX);
-        self.thaw(true).await;
+        self.thaw().await;
         Some(pages::queued(base, &page))
     }
 
@@ -708,7 +710,7 @@
         let n = page.id.rsplit('_').next().and_then(|n| n.parse::<u64>().ok()).ok_or((404, "unknown"))?;
         let until = Instant::now() + HOLD;
         loop {
-            self.thaw(true).await;
+            self.thaw().await;
             let heard = self.changed.listen();
             let now = clock();
             {
--- a/crates/statement/src/http.rs
+++ b/crates/statement/src/http.rs
@@ -211,8 +211,6 @@
     minor: u8,
     headers: Headers,
     body: Vec<u8>,
-    /// The next response has no body, whatever its head says (an answer to HEAD).
-    bodiless: bool,
     expects: bool,
 }
 
@@ -232,7 +230,6 @@
             minor: 1,
             headers: Headers::default(),
             body: Vec::new(),
-            bodiless: false,
             expects: false,
         }
     }
@@ -263,11 +260,6 @@
         std::mem::take(&mut self.expects) && self.held() == 0
     }
 
-    /// Says that the next response answers a HEAD request and has no body.
-    pub fn expect_no_body(&mut self) {
-        self.bodiless = true;
-    }
-
     /// The next whole message, or `None` if more bytes are needed.
     ///
     /// # Errors
@@ -480,7 +472,7 @@
         if self.side == Side::Requests && self.minor == 1 && self.headers.all("host").count() != 1 {
             return Err(HttpError::Malformed("exactly one Host is needed"));
         }
-        let bodiless = std::mem::take(&mut self.bodiless) || status == 204 || status == 304;
+        let bodiless = status == 204 || status == 304;
         if let Some(coding) = codings.first() {
             if !coding.eq_ignore_ascii_case("chunked") {
                 return Err(HttpError::Coding);
