Rows as a stream and cancel in the Rust library; kernels of several gateways; lines a session

Need: a caller of a large result had to wait for all of it, nothing could be cancelled, and cells of clients that know nothing of each other waited in one line, where one client's interrupt stopped everybody's work.

Change: Running gives batches or a stream, cancels, and says whether that came too late; after the first rows nothing is sent again (a rule of the table, in both languages). Polls that the service does not hold are paced. Kernels chooses among connection files by the same table and budget. In the kernel each session has its own line, interrupts and failures stop that line alone, and what is published is led by the session, so that a client of a busy kernel reads only its own.

--- a/clients/python/violetward_client/resend.py
+++ b/clients/python/violetward_client/resend.py
@@ -23,6 +23,8 @@
     broken_polls: int = 0
     due: float = 0.0
     advice: float = 0.0
+    delivered: bool = False  # rows have been handed to the caller: a further try would give some of them twice
+    cancelled: bool = False
     may_resend: bool = False
 
 
@@ -74,6 +76,7 @@
         after = max(self._pause(max(case.sends - 1, 0), dice), case.advice)
         known = case.window is not None and now + after < case.first_sent + case.window
         allowed = verdict == "again" or case.marked and known
+        allowed = allowed and not case.delivered and not case.cancelled
         ours = case.may_resend or stop not in self.gateway_alone
         if allowed and ours and case.sends < self.sends_most and now + after < case.due and budget.take(now):
             return SEND, after
@@ -81,3 +84,22 @@
 
     def _pause(self, before, dice):
         return min(self.first * 2 ** min(before, 16), self.longest) * (0.5 + 0.5 * min(max(dice, 0.0), 1.0))
+
+
+class Pace:
+    """How long to wait before the next poll: not at all where the service holds polls or gives rows; where it answers empty
+    pages at once, a pause that doubles, with jitter."""
+
+    QUICK, FIRST, LONGEST = 0.02, 0.01, 0.5
+
+    def __init__(self):
+        self._idle = 0
+
+    def pause(self, took, rows, dice):
+        if rows or took >= self.QUICK:
+            self._idle = 0
+            return 0.0
+        self._idle += 1
+        if self._idle == 1:
+            return 0.0  # the first page is always empty: it says that the statement was taken
+        return min(self.FIRST * 2 ** min(self._idle - 2, 16), self.LONGEST) * (0.5 + 0.5 * min(max(dice, 0.0), 1.0))
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -1,9 +1,12 @@
 //! The client: carries out what [`crate::resend`] and [`crate::choice`] decide, over the statement protocol.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_lite::stream::{self, Stream};
 use serde_json::Value;
 use violetward_net::{sleep, timeout, Connection, Pool};
 use violetward_statement::http::{Headers, Limits, Message};
@@ -11,6 +14,7 @@
 use violetward_statement::session::Context;
 
 use crate::choice::Choice;
+use crate::pace::Pace;
 use crate::resend::{Budget, Case, Effect, Micros, Next, Stop, Table};
 
 /// How a statement ends without rows.
@@ -82,7 +86,7 @@
     }
 }
 
-/// Rows, page by page.
+/// All rows of a statement.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Rows {
     /// Names of columns.
@@ -135,210 +139,469 @@
     stop: Stop,
     ending: Ending,
     advice: Option<Duration>,
-    window: Option<Duration>,
 }
 
-impl Client {
-    /// A client of these gateways.
-    pub fn new(gateways: &[SocketAddr], options: Options, budget: Budget) -> Self {
-        let limits = Limits { body: 64 << 20, ..Limits::default() };
-        Client {
-            pools: gateways.iter().map(|&a| Pool::new(a, limits, 32)).collect(),
-            options,
-            table: Table::default(),
-            budget: RefCell::new(budget),
-            choice: RefCell::new(Choice::new(gateways.len())),
-            start: Instant::now(),
-            sent: Cell::new(0),
-        }
+impl Stopped {
+    fn new(stop: Stop, message: String) -> Stopped {
+        let ending = match stop {
+            Stop::NotWritten | Stop::TurnedAway => Ending::Refused { retry_after: Duration::ZERO, message },
+            _ => Ending::Unknown { message },
+        };
+        Stopped { stop, ending, advice: None }
     }
+}
 
-    /// Tries of all statements so far, first ones included.
-    pub fn sent(&self) -> u64 {
-        self.sent.get()
+/// Rows that came together.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Batch {
+    /// Names of columns; in the first batch that has any, and empty after that.
+    pub columns: Vec<String>,
+    /// Rows.
+    pub rows: Vec<Vec<Value>>,
+    /// See [`Rows::update`].
+    pub update: Option<(String, Option<i64>)>,
+}
+
+/// What came of a cancel.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Cancelled {
+    /// The service let go of it. Its effect, if it has one, may have taken place.
+    Stopped,
+    /// It had ended before: with rows, or so.
+    Late(Result<(), Ending>),
+    /// Nobody can say.
+    Unknown,
+}
+
+/// Where a statement is, for its cancellers.
+#[derive(Default)]
+struct Place {
+    wanted: Cell<bool>,
+    at: RefCell<Option<(usize, String)>>,
+}
+
+/// Cancels a statement that another task reads.
+#[derive(Clone)]
+pub struct Canceller<'a> {
+    client: &'a Client,
+    place: Rc<Place>,
+}
+
+impl Canceller<'_> {
+    /// Asks for the end; the reader then sees it. A statement that is not taken yet is cancelled as soon as it is, and not
+    /// sent again.
+    pub async fn cancel(&self) {
+        self.place.wanted.set(true);
+        let at = self.place.at.borrow().clone();
+        if let Some((which, path)) = at {
+            self.client.delete(which, &path).await;
+        }
     }
+}
 
-    fn now(&self) -> Micros {
-        self.start.elapsed().as_micros() as Micros
+enum State {
+    Fresh,
+    Open { which: usize, connection: Box<Connection>, next: Option<String>, begun: Instant },
+    Over,
+}
+
+/// A statement whose rows are read as they come.
+pub struct Running<'a> {
+    client: &'a Client,
+    query: Query,
+    case: Case,
+    state: State,
+    place: Rc<Place>,
+    last: Option<usize>,
+    pace: Pace,
+    named: bool,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        if let State::Open { which, begun, .. } = &self.state {
+            self.client.choice.borrow_mut().done(*which, self.client.now(), begun.elapsed(), true);
+        }
     }
+}
 
-    /// Runs a statement to its end.
+impl<'a> Running<'a> {
+    /// The next rows; `None` once it has ended well. The deadline is that of the first rows or of an ending without rows;
+    /// after that the next ones may take as long as the client's patience.
     ///
     /// # Errors
-    /// See [`Ending`].
-    pub async fn run(&self, query: &Query) -> Result<Rows, Ending> {
-        let wait = query.deadline.unwrap_or(self.options.patience);
-        let now = self.now();
-        self.budget.borrow_mut().begin(now);
-        let mut case = Case {
-            effect: query.effect,
-            marked: query.mark.is_some(),
-            first_sent: now,
-            due: now + wait.as_micros() as Micros,
-            may_resend: self.options.may_resend,
-            ..Case::default()
-        };
-        let mut last = None;
+    /// See [`Ending`]. Rows that came before an ending are not the whole result.
+    pub async fn batch(&mut self) -> Result<Option<Batch>, Ending> {
         loop {
-            let dice = [rand::random(), rand::random()];
-            let picked = self.choice.borrow_mut().pick(self.now(), dice, last);
-            let which = picked.ok_or_else(|| Ending::Refused {
-                retry_after: Duration::ZERO,
-                message: "no gateway is configured".into(),
-            })?;
-            last = Some(which);
-            case.sends += 1;
-            self.sent.set(self.sent.get() + 1);
-            let begun = Instant::now();
-            let left = Duration::from_micros(case.due.saturating_sub(self.now()));
-            let tried =
-                timeout(left + Duration::from_millis(500), self.send(which, query, left, &mut case)).await;
-            let tried = tried.unwrap_or_else(|| {
-                let message = "no answer by the deadline".to_owned();
-                Err(Stopped {
-                    stop: Stop::Lost,
-                    ending: Ending::Unknown { message },
-                    advice: None,
-                    window: None,
-                })
-            });
-            let sick = matches!(
-                tried.as_ref().err().map(|s| s.stop),
-                Some(Stop::NotWritten | Stop::TurnedAway | Stop::PostUnanswered | Stop::Lost)
-            );
-            self.choice.borrow_mut().done(which, self.now(), begun.elapsed(), !sick);
-            let stopped = match tried {
-                Ok(rows) => return Ok(Rows { sends: case.sends, ..rows }),
-                Err(stopped) => stopped,
-            };
-            case.window = stopped.window.or(case.window);
-            case.advice = stopped.advice;
-            let now = self.now();
-            let next =
-                self.table.decide(stopped.stop, &case, now, &mut self.budget.borrow_mut(), rand::random());
-            match next {
-                Next::Send { after } => sleep(after).await,
-                Next::End => return Err(stopped.ending),
-                Next::Poll { .. } | Next::Unknown => {
-                    let message = stopped.ending.to_string();
-                    return Err(Ending::Unknown { message });
+            let Some(batch) = self.page().await? else { return Ok(None) };
+            if !batch.columns.is_empty() || !batch.rows.is_empty() || batch.update.is_some() {
+                self.case.delivered |= !batch.rows.is_empty();
+                return Ok(Some(batch));
+            }
+        }
+    }
+
+    /// The rows one by one, as a stream.
+    pub fn rows(self) -> impl Stream<Item = Result<Vec<Value>, Ending>> + 'a {
+        stream::unfold((self, VecDeque::new()), |(mut running, mut ready)| async move {
+            loop {
+                if let Some(row) = ready.pop_front() {
+                    return Some((Ok(row), (running, ready)));
+                }
+                match running.batch().await {
+                    Ok(Some(batch)) => ready.extend(batch.rows),
+                    Ok(None) => return None,
+                    Err(ending) => return Some((Err(ending), (running, ready))),
                 }
             }
+        })
+    }
+
+    /// Tries so far.
+    pub fn sends(&self) -> u32 {
+        self.case.sends
+    }
+
+    /// For cancelling it from another task.
+    pub fn canceller(&self) -> Canceller<'a> {
+        Canceller { client: self.client, place: self.place.clone() }
+    }
+
+    /// Cancels it and learns what came of that: it may have ended first.
+    pub async fn cancel(mut self) -> Cancelled {
+        match self.state {
+            State::Fresh => return Cancelled::Stopped,
+            State::Over => return Cancelled::Late(Ok(())),
+            State::Open { .. } => self.canceller().cancel().await,
+        }
+        loop {
+            match self.page().await {
+                Ok(Some(_)) => {}
+                Ok(None) => return Cancelled::Late(Ok(())),
+                Err(Ending::Declined { name, .. }) if name == CANCELED => return Cancelled::Stopped,
+                Err(Ending::Unknown { .. }) => return Cancelled::Unknown,
+                Err(ending) => return Cancelled::Late(Err(ending)),
+            }
         }
     }
 
-    /// One try through one gateway, to its end.
-    async fn send(
-        &self,
-        which: usize,
-        query: &Query,
-        left: Duration,
-        case: &mut Case,
-    ) -> Result<Rows, Stopped> {
-        let pool = &self.pools[which];
-        let mut window = case.window;
-        let stop = |stop: Stop, message: String, window: Option<Duration>| Stopped {
-            stop,
-            ending: match stop {
-                Stop::NotWritten | Stop::TurnedAway => {
-                    Ending::Refused { retry_after: Duration::ZERO, message }
+    /// One page, empty ones too.
+    async fn page(&mut self) -> Result<Option<Batch>, Ending> {
+        loop {
+            let left = self.client.left(&self.case);
+            let limit = if self.case.delivered { self.client.options.patience } else { left };
+            let step = async {
+                match &self.state {
+                    State::Over => Ok(None),
+                    State::Fresh => self.begin(left).await.map(Some),
+                    State::Open { .. } => self.follow().await,
                 }
-                _ => Ending::Unknown { message },
-            },
-            advice: None,
-            window,
+            };
+            // On the heap: it holds whole requests, and is moved through several layers.
+            let step = timeout(limit + Duration::from_millis(500), Box::pin(step)).await;
+            let step =
+                step.unwrap_or_else(|| Err(Stopped::new(Stop::Lost, "no answer by the deadline".into())));
+            match step {
+                Ok(batch) => return Ok(batch),
+                Err(stopped) => self.judge(stopped).await?,
+            }
+        }
+    }
+
+    /// A try has stopped: returns if there is to be another one.
+    async fn judge(&mut self, stopped: Stopped) -> Result<(), Ending> {
+        let sick =
+            matches!(stopped.stop, Stop::NotWritten | Stop::TurnedAway | Stop::PostUnanswered | Stop::Lost);
+        self.close(!sick);
+        self.case.advice = stopped.advice;
+        self.case.cancelled = self.place.wanted.get();
+        let (table, now) = (&self.client.table, self.client.now());
+        let next = {
+            let mut budget = self.client.budget.borrow_mut();
+            table.decide(stopped.stop, &self.case, now, &mut budget, rand::random())
         };
-        let mut headers = self.headers(pool, query, left);
+        match next {
+            Next::Send { after } => {
+                (self.state, self.named) = (State::Fresh, false);
+                sleep(after).await;
+                Ok(())
+            }
+            Next::End => Err(stopped.ending),
+            Next::Poll { .. } | Next::Unknown => Err(Ending::Unknown { message: stopped.ending.to_string() }),
+        }
+    }
+
+    /// Ends the try, and says how its gateway did.
+    fn close(&mut self, good: bool) {
+        *self.place.at.borrow_mut() = None;
+        let client = self.client;
+        match std::mem::replace(&mut self.state, State::Over) {
+            State::Open { which, connection, next, begun } => {
+                client.choice.borrow_mut().done(which, client.now(), begun.elapsed(), good);
+                if next.is_none() && good {
+                    client.pools[which].put(*connection);
+                }
+            }
+            // It stopped before it was taken: `begin` has counted it.
+            State::Fresh | State::Over => {}
+        }
+    }
+
+    /// Posts it.
+    async fn begin(&mut self, left: Duration) -> Result<Batch, Stopped> {
+        let client = self.client;
+        let dice = [rand::random(), rand::random()];
+        let picked = client.choice.borrow_mut().pick(client.now(), dice, self.last);
+        let which = picked.ok_or_else(|| Stopped::new(Stop::Declined, "no gateway is configured".into()))?;
+        self.last = Some(which);
+        self.case.sends += 1;
+        client.sent.set(client.sent.get() + 1);
+        let begun = Instant::now();
+        // Counted out again however this ends, also if the caller gives up on us.
+        let mut counted = Counted { client, which, begun, good: Some(false) };
+        let pool = &client.pools[which];
+        let headers = client.headers(pool, &self.query, left);
         let within = left.min(Duration::from_secs(2));
-        let repeatable = query.effect == Effect::Repeatable;
+        let repeatable = self.query.effect == Effect::Repeatable;
         let connection = if repeatable { pool.get(within).await } else { pool.fresh(within).await };
         let mut connection =
-            connection.map_err(|e| stop(Stop::NotWritten, format!("no connection: {e}"), window))?;
-        let posted = connection.call("POST", STATEMENT, &headers, query.sql.as_bytes()).await;
-        let mut message = match posted {
+            connection.map_err(|e| Stopped::new(Stop::NotWritten, format!("no connection: {e}")))?;
+        let posted = connection.call("POST", STATEMENT, &headers, self.query.sql.as_bytes()).await;
+        let message = match posted {
             Ok(message) => message,
-            Err(e) if !connection.wrote => return Err(stop(Stop::NotWritten, e.to_string(), window)),
-            Err(e) => return Err(stop(Stop::PostUnanswered, e.to_string(), window)),
+            Err(e) if !connection.wrote => return Err(Stopped::new(Stop::NotWritten, e.to_string())),
+            Err(e) => return Err(Stopped::new(Stop::PostUnanswered, e.to_string())),
         };
         match message.status() {
             200 => {}
-            429 | 503 => return Err(stop(Stop::TurnedAway, body(&message), window)),
+            429 | 503 => return Err(Stopped::new(Stop::TurnedAway, body(&message))),
             _ => {
+                counted.good = Some(true);
                 let ending =
                     Ending::Declined { name: format!("HTTP {}", message.status()), message: body(&message) };
-                return Err(Stopped { stop: Stop::Declined, ending, advice: None, window });
+                return Err(Stopped { stop: Stop::Declined, ending, advice: None });
             }
         }
         let told = message.headers.get("X-Violetward-Repeat-Window-Millis").and_then(|w| w.parse().ok());
-        window = told.map(Duration::from_millis).or(window);
-        headers = Headers::default();
-        headers.push("Host", pool.address().to_string());
-        let mut rows = Rows::default();
-        loop {
-            let results: QueryResults = serde_json::from_slice(&message.body)
-                .map_err(|e| stop(Stop::Lost, format!("an answer that can't be read: {e}"), window))?;
-            if let Some(error) = &results.error {
-                let info = error.failure_info.as_deref();
-                let advice = info.and_then(|i| i.retry_after_millis).map(Duration::from_millis);
-                let message = error.message.clone();
-                let (stop, ending) = match error.error_name.as_str() {
-                    REFUSED => {
-                        (Stop::Refused, Ending::Refused { retry_after: advice.unwrap_or_default(), message })
-                    }
-                    FAILED => (Stop::Failed, Ending::Failed { message }),
-                    CANCELED => (Stop::Declined, Ending::Declined { name: CANCELED.into(), message }),
-                    name => (Stop::Declined, Ending::Declined { name: name.to_owned(), message }),
-                };
-                pool.put(connection);
-                return Err(Stopped { stop, ending, advice, window });
+        self.case.window = told.map(Duration::from_millis).or(self.case.window);
+        counted.good = None;
+        self.state = State::Open { which, connection: Box::new(connection), next: None, begun };
+        let batch = self.take(&message)?;
+        if self.place.wanted.get() {
+            // Cancelled before it had an address.
+            let at = self.place.at.borrow().clone();
+            if let Some((which, path)) = at {
+                client.delete(which, &path).await;
             }
-            add(&mut rows, &results);
-            let Some(next) = results.next_uri else {
-                if message.keep_alive {
-                    pool.put(connection);
-                }
-                return Ok(rows);
-            };
-            let path = next.find("/v1/").map_or("/", |at| &next[at..]);
-            (connection, message) = self
-                .poll(pool, connection, path, &headers, case)
-                .await
-                .map_err(|e| stop(Stop::Lost, e, window))?;
         }
+        Ok(batch)
     }
 
-    /// Asks for a page; the table says how often a broken poll is asked again.
-    async fn poll(
-        &self,
-        pool: &Pool,
-        mut connection: Connection,
-        path: &str,
-        headers: &Headers,
-        case: &mut Case,
-    ) -> Result<(Connection, Message), String> {
-        case.broken_polls = 0;
-        loop {
-            let why = match connection.call("GET", path, headers, b"").await {
-                Ok(message) if message.status() == 200 => return Ok((connection, message)),
-                Ok(message) => return Err(format!("{} to a poll: {}", message.status(), body(&message))),
+    /// Asks for the next page; the table says how often a broken poll is asked again.
+    async fn follow(&mut self) -> Result<Option<Batch>, Stopped> {
+        let client = self.client;
+        let State::Open { which, connection, next, .. } = &mut self.state else { return Ok(None) };
+        let Some(path) = next.clone() else {
+            self.close(true);
+            return Ok(None);
+        };
+        let pool = &client.pools[*which];
+        let mut headers = Headers::default();
+        headers.push("Host", pool.address().to_string());
+        self.case.broken_polls = 0;
+        let asked = Instant::now();
+        let message = loop {
+            let why = match connection.call("GET", &path, &headers, b"").await {
+                Ok(message) if message.status() == 200 => break message,
+                Ok(message) => {
+                    let why = format!("{} to a poll: {}", message.status(), body(&message));
+                    return Err(Stopped::new(Stop::Lost, why));
+                }
                 Err(e) => e.to_string(),
             };
             loop {
-                let now = self.now();
                 let mut none = Budget::new(0.0, 0.0, Duration::ZERO);
-                let Next::Poll { after } =
-                    self.table.decide(Stop::PollBroken, case, now, &mut none, rand::random())
-                else {
-                    return Err(format!("a poll broke: {why}"));
+                let next = client.table.decide(
+                    Stop::PollBroken,
+                    &self.case,
+                    client.now(),
+                    &mut none,
+                    rand::random(),
+                );
+                let Next::Poll { after } = next else {
+                    return Err(Stopped::new(Stop::Lost, format!("a poll broke: {why}")));
                 };
-                case.broken_polls += 1;
+                self.case.broken_polls += 1;
                 sleep(after).await;
                 if let Ok(fresh) = pool.fresh(Duration::from_secs(1)).await {
-                    connection = fresh;
+                    **connection = fresh;
                     break;
                 }
             }
+        };
+        let batch = self.take(&message)?;
+        let pause = self.pace.pause(asked.elapsed(), !batch.rows.is_empty(), rand::random());
+        let goes_on = matches!(&self.state, State::Open { next: Some(_), .. });
+        if goes_on && !pause.is_zero() {
+            sleep(pause).await;
         }
+        Ok(Some(batch))
+    }
+
+    /// Reads a page.
+    fn take(&mut self, message: &Message) -> Result<Batch, Stopped> {
+        let results: QueryResults = serde_json::from_slice(&message.body)
+            .map_err(|e| Stopped::new(Stop::Lost, format!("an answer that can't be read: {e}")))?;
+        let State::Open { which, next, .. } = &mut self.state else {
+            return Err(Stopped::new(Stop::Lost, "a page of nothing".into()));
+        };
+        *next = None;
+        if let Some(error) = &results.error {
+            let info = error.failure_info.as_deref();
+            let advice = info.and_then(|i| i.retry_after_millis).map(Duration::from_millis);
+            let message = error.message.clone();
+            let (stop, ending) = match error.error_name.as_str() {
+                REFUSED => {
+                    (Stop::Refused, Ending::Refused { retry_after: advice.unwrap_or_default(), message })
+                }
+                FAILED => (Stop::Failed, Ending::Failed { message }),
+                name => (Stop::Declined, Ending::Declined { name: name.to_owned(), message }),
+            };
+            return Err(Stopped { stop, ending, advice });
+        }
+        *next = results.next_uri.as_ref().map(|uri| uri.find("/v1/").map_or("/", |at| &uri[at..]).to_owned());
+        *self.place.at.borrow_mut() = next.clone().map(|path| (*which, path));
+        let mut batch = Batch::default();
+        if let (false, Some(columns)) = (self.named, &results.columns) {
+            self.named = true;
+            let columns: Vec<Value> = serde_json::from_str(columns.get()).unwrap_or_default();
+            batch.columns =
+                columns.iter().map(|c| c["name"].as_str().unwrap_or_default().to_owned()).collect();
+        }
+        if let Some(data) = &results.data {
+            batch.rows = serde_json::from_str::<Vec<Vec<Value>>>(data.get())
+                .map_err(|e| Stopped::new(Stop::Lost, format!("rows that can't be read: {e}")))?;
+        }
+        if let Some(update) = &results.update_type {
+            batch.update = Some((update.clone(), results.update_count));
+        }
+        Ok(batch)
+    }
+}
+
+/// Counts a try out of its gateway's in-flight if it goes no further.
+struct Counted<'a> {
+    client: &'a Client,
+    which: usize,
+    begun: Instant,
+    good: Option<bool>,
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        if let Some(good) = self.good {
+            let mut choice = self.client.choice.borrow_mut();
+            choice.done(self.which, self.client.now(), self.begun.elapsed(), good);
+        }
+    }
+}
+
+impl Client {
+    /// A client of these gateways.
+    pub fn new(gateways: &[SocketAddr], options: Options, budget: Budget) -> Self {
+        let limits = Limits { body: 64 << 20, ..Limits::default() };
+        Client {
+            pools: gateways.iter().map(|&a| Pool::new(a, limits, 32)).collect(),
+            options,
+            table: Table::default(),
+            budget: RefCell::new(budget),
+            choice: RefCell::new(Choice::new(gateways.len())),
+            start: Instant::now(),
+            sent: Cell::new(0),
+        }
+    }
+
+    /// Tries of all statements so far, first ones included.
+    pub fn sent(&self) -> u64 {
+        self.sent.get()
+    }
+
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    /// Begins a statement whose rows are read as they come. Nothing is sent before they are asked for.
+    pub fn open(&self, query: Query) -> Running<'_> {
+        let wait = query.deadline.unwrap_or(self.options.patience);
+        let now = self.now();
+        self.budget.borrow_mut().begin(now);
+        let case = Case {
+            effect: query.effect,
+            marked: query.mark.is_some(),
+            first_sent: now,
+            due: now + wait.as_micros() as Micros,
+            may_resend: self.options.may_resend,
+            ..Case::default()
+        };
+        Running {
+            client: self,
+            query,
+            case,
+            state: State::Fresh,
+            place: Rc::default(),
+            last: None,
+            pace: Pace::default(),
+            named: false,
+        }
+    }
+
+    /// Runs a statement to its end, all rows before its deadline.
+    ///
+    /// # Errors
+    /// See [`Ending`].
+    pub async fn run(&self, query: &Query) -> Result<Rows, Ending> {
+        let mut running = self.open(query.clone());
+        let mut rows = Rows::default();
+        let left = self.left(&running.case) + Duration::from_secs(1);
+        let all = async {
+            while let Some(mut batch) = running.page().await? {
+                if rows.sends != running.sends() {
+                    // What came of an earlier try is not part of this one's result.
+                    rows = Rows { sends: running.sends(), ..Rows::default() };
+                }
+                rows.columns.append(&mut batch.columns);
+                rows.rows.append(&mut batch.rows);
+                rows.update = batch.update.or(rows.update.take());
+            }
+            Ok(())
+        };
+        match timeout(left, all).await {
+            Some(ended) => ended?,
+            None => {
+                return Err(Ending::Unknown { message: "its rows were not all there by the deadline".into() })
+            }
+        }
+        Ok(rows)
+    }
+
+    fn left(&self, case: &Case) -> Duration {
+        Duration::from_micros(case.due.saturating_sub(self.now()))
+    }
+
+    /// Tells a gateway that a statement is not wanted any more.
+    async fn delete(&self, which: usize, path: &str) {
+        let pool = &self.pools[which];
+        let mut headers = Headers::default();
+        headers.push("Host", pool.address().to_string());
+        let told = async {
+            let mut connection = pool.get(Duration::from_secs(1)).await.ok()?;
+            let message = connection.call("DELETE", path, &headers, b"").await.ok()?;
+            if message.keep_alive {
+                pool.put(connection);
+            }
+            Some(())
+        };
+        timeout(Duration::from_secs(2), told).await;
     }
 
     fn headers(&self, pool: &Pool, query: &Query, left: Duration) -> Headers {
@@ -362,19 +625,6 @@
     }
 }
 
-fn add(rows: &mut Rows, results: &QueryResults) {
-    if let (true, Some(columns)) = (rows.columns.is_empty(), &results.columns) {
-        let columns: Vec<Value> = serde_json::from_str(columns.get()).unwrap_or_default();
-        rows.columns = columns.iter().map(|c| c["name"].as_str().unwrap_or_default().to_owned()).collect();
-    }
-    if let Some(data) = &results.data {
-        rows.rows.extend(serde_json::from_str::<Vec<Vec<Value>>>(data.get()).unwrap_or_default());
-    }
-    if let Some(update) = &results.update_type {
-        rows.update = Some((update.clone(), results.update_count));
-    }
-}
-
 fn body(message: &Message) -> String {
     String::from_utf8_lossy(&message.body).trim().to_owned()
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -7,13 +7,15 @@
 //!
 //! - [`resend`]: the decision to send again, and its budget over the process. Free of I/O and clock.
 //! - [`choice`]: which gateway: power of two choices, ejection, slow return. Free of I/O and clock.
+//! - [`pace`]: how fast pages are asked for. Free of I/O and clock.
 //! - [`client`]: carries both out over the statement protocol.
 //! - [`kernel`]: the same endings over the notebook kernel protocol.
 
 pub mod choice;
 pub mod client;
 pub mod kernel;
+pub mod pace;
 pub mod resend;
 
-pub use client::{Client, Ending, Options, Query, Rows};
-pub use kernel::KernelClient;
+pub use client::{Batch, Cancelled, Canceller, Client, Ending, Options, Query, Rows, Running};
+pub use kernel::{Interrupter, KernelClient, Kernels};
--- a/crates/client/src/resend.rs
+++ b/crates/client/src/resend.rs
@@ -97,6 +97,10 @@
     pub due: Micros,
     /// The service's advice when to come back.
     pub advice: Option<Duration>,
+    /// Rows have been handed to the caller: a further try would give some of them twice.
+    pub delivered: bool,
+    /// The caller wants no more.
+    pub cancelled: bool,
     /// The caller lets the library make attempts of its own; else the gateway alone makes them.
     pub may_resend: bool,
 }
@@ -153,6 +157,7 @@
                 let known = case.window.is_some_and(|w| at < case.first_sent + micros(w));
                 let allowed = verdict == Verdict::Again || case.marked && known;
                 let ours = case.may_resend || !self.gateway_alone.contains(&stop);
+                let allowed = allowed && !case.delivered && !case.cancelled;
                 if allowed && ours && case.sends < self.sends_most && at < case.due && budget.take(now) {
                     Next::Send { after }
                 } else {
--- a/crates/gateway/src/notebook.rs
+++ b/crates/gateway/src/notebook.rs
@@ -257,7 +257,9 @@
     }
 
     fn publish(&self, parent: &Value, kind: &str, content: &Value) {
-        let topic = format!("kernel.{}.{kind}", self.session).into_bytes();
+        // Led by the session that asked, so that a client of a busy kernel can subscribe to what is its own.
+        let asked = parent["session"].as_str().unwrap_or_default();
+        let topic = format!("{asked}.kernel.{}.{kind}", self.session).into_bytes();
         let bytes = zmtp::message(&self.write(std::slice::from_ref(&topic), parent, kind, content));
         for (prefixes, peer) in self.subscribers.borrow().values() {
             let wanted = prefixes.iter().any(|p| topic.starts_with(p));
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -1,9 +1,11 @@
 //! What a kernel answers, as a state machine: messages in, messages and requests to its host out. Free of I/O.
 //!
-//! A cell is a statement. Cells of one kernel run one at a time, in the order in which they came, as notebooks expect;
-//! after a failed one those that came before its end are aborted, if it said `stop_on_error`.
+//! A cell is a statement. Cells of one session (the header's `session`) run one at a time, in the order in which they came,
+//! as a notebook expects; after a failed one those that came before its end are aborted, if it said `stop_on_error`.
+//! Sessions don't wait for each other, and an interrupt stops the cells of its own session alone: this kernel is shared by
+//! clients that know nothing of each other. Count and history are the kernel's.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use serde_json::{json, Value};
 
@@ -138,6 +140,7 @@
 }
 
 struct Cell {
+    session: String,
     channel: Channel,
     identities: Vec<Vec<u8>>,
     parent: Value,
@@ -146,6 +149,15 @@
     silent: bool,
     store: bool,
     stop_on_error: bool,
+    /// The kernel's count when it began.
+    count: u64,
+}
+
+/// The cells of one session: at most one runs, the rest wait for it.
+#[derive(Default)]
+struct Line {
+    waiting: VecDeque<Cell>,
+    running: Option<(u64, Cell)>,
 }
 
 /// A kernel.
@@ -153,8 +165,11 @@
 pub struct Kernel {
     count: u64,
     runs: u64,
-    waiting: VecDeque<Cell>,
-    running: Option<(u64, Cell)>,
+    /// Cells of sessions that have any. A session without one costs nothing.
+    lines: HashMap<String, Line>,
+    /// Whose the runs are.
+    running: HashMap<u64, String>,
+    waiting: usize,
     history: VecDeque<(u64, String)>,
     ended: bool,
 }
@@ -162,8 +177,10 @@
 /// The type under which a result's values stand beside its text and HTML, for libraries.
 pub const TABLE: &str = "application/vnd.violetward.table+json";
 
-/// Cells that may wait; a further one is answered with an error.
+/// Cells that may wait in one session; a further one is answered with an error.
 const MOST_WAITING: usize = 256;
+/// Cells that may wait in all sessions together.
+const MOST_WAITING_IN_ALL: usize = 65_536;
 /// Cells remembered for `history_request`.
 const HISTORY: usize = 1000;
 
@@ -215,6 +232,7 @@
             "execute_request" => {
                 let silent = flag("silent", false);
                 let cell = Cell {
+                    session: message.header.session.clone(),
                     channel,
                     identities: message.identities,
                     parent,
@@ -223,6 +241,7 @@
                     silent,
                     store: flag("store_history", !silent) && !silent,
                     stop_on_error: flag("stop_on_error", true),
+                    count: 0,
                 };
                 self.take(cell, &mut out);
                 return out;
@@ -236,11 +255,12 @@
             "history_request" => ("history_reply", self.history(number("n"))),
             "comm_info_request" => ("comm_info_reply", json!({ "status": "ok", "comms": {} })),
             "interrupt_request" => {
-                self.interrupt(&mut out);
+                self.interrupt(&message.header.session, &mut out);
                 ("interrupt_reply", json!({ "status": "ok" }))
             }
             "shutdown_request" => {
-                self.interrupt(&mut out);
+                let sessions: Vec<String> = self.lines.keys().cloned().collect();
+                sessions.iter().for_each(|s| self.interrupt(s, &mut out));
                 ("shutdown_reply", json!({ "status": "ok", "restart": flag("restart", false) }))
             }
             // Comms and answers to input that was never asked for need no answer.
@@ -269,20 +289,31 @@
     }
 
     fn take(&mut self, cell: Cell, out: &mut Vec<Out>) {
-        if self.waiting.len() >= MOST_WAITING {
+        let before = self.lines.get(&cell.session).map_or(0, |l| l.waiting.len());
+        if before >= MOST_WAITING || self.waiting >= MOST_WAITING_IN_ALL {
             let content =
                 error("TooManyCells", "too many cells wait in this kernel; nothing ran", self.count);
             let Cell { channel, identities, parent, .. } = cell;
             return out.push(Out::Reply { channel, identities, parent, kind: "execute_reply", content });
         }
-        self.waiting.push_back(cell);
-        self.begin(out);
+        let session = cell.session.clone();
+        self.waiting += 1;
+        self.lines.entry(session.clone()).or_default().waiting.push_back(cell);
+        self.begin(&session, out);
     }
 
-    /// Begins the next cell, if none runs.
-    fn begin(&mut self, out: &mut Vec<Out>) {
-        while self.running.is_none() {
-            let Some(cell) = self.waiting.pop_front() else { return };
+    /// Begins the next cell of a session, if none of it runs.
+    fn begin(&mut self, session: &str, out: &mut Vec<Out>) {
+        loop {
+            let Some(line) = self.lines.get_mut(session) else { return };
+            if line.running.is_some() {
+                return;
+            }
+            let Some(mut cell) = line.waiting.pop_front() else {
+                self.lines.remove(session);
+                return;
+            };
+            self.waiting -= 1;
             out.push(publish(&cell, "status", json!({ "execution_state": "busy" })));
             if cell.store {
                 self.count += 1;
@@ -291,6 +322,7 @@
                     self.history.pop_front();
                 }
             }
+            cell.count = self.count;
             if !cell.silent {
                 let content = json!({ "code": cell.code, "execution_count": self.count });
                 out.push(publish(&cell, "execute_input", content));
@@ -301,17 +333,21 @@
             }
             self.runs += 1;
             out.push(Out::Run { run: self.runs, code: cell.code.clone(), terms: cell.terms.clone() });
-            self.running = Some((self.runs, cell));
+            self.running.insert(self.runs, session.to_owned());
+            if let Some(line) = self.lines.get_mut(session) {
+                line.running = Some((self.runs, cell));
+            }
+            return;
         }
     }
 
-    /// A cell has ended; an end that is not that of the running cell counts for nothing.
+    /// A cell has ended; an end of none that runs counts for nothing.
     pub fn ended(&mut self, run: u64, end: CellEnd) -> Vec<Out> {
         let mut out = Vec::new();
-        if self.running.as_ref().is_some_and(|r| r.0 == run) {
-            let (_, cell) = self.running.take().expect("just looked at");
+        let Some(session) = self.running.remove(&run) else { return out };
+        if let Some((_, cell)) = self.lines.get_mut(&session).and_then(|l| l.running.take()) {
             self.finish(cell, Some(end), &mut out);
-            self.begin(&mut out);
+            self.begin(&session, &mut out);
         }
         out
     }
@@ -319,7 +355,7 @@
     fn finish(&mut self, cell: Cell, end: Option<CellEnd>, out: &mut Vec<Out>) {
         let mut failed = false;
         let content = match end {
-            None => ok(self.count),
+            None => ok(cell.count),
             Some(CellEnd::Table(table)) => {
                 if !cell.silent {
                     let mut data = json!({ "text/plain": table.text() });
@@ -328,14 +364,14 @@
                         data[TABLE] =
                             json!({ "columns": table.columns, "rows": table.rows, "hidden": table.hidden });
                     }
-                    let content = json!({ "data": data, "metadata": {}, "execution_count": self.count });
+                    let content = json!({ "data": data, "metadata": {}, "execution_count": cell.count });
                     out.push(publish(&cell, "execute_result", content));
                 }
-                ok(self.count)
+                ok(cell.count)
             }
             Some(CellEnd::Error { name, text, harmless, retry_after }) => {
                 failed = true;
-                let mut content = error(&name, &text, self.count);
+                let mut content = error(&name, &text, cell.count);
                 // Beyond what the protocol names, so that a library need not read the text.
                 if let Some(harmless) = harmless {
                     content["retry_is_harmless"] = harmless.into();
@@ -350,16 +386,18 @@
             }
         };
         let idle = publish(&cell, "status", json!({ "execution_state": "idle" }));
-        let Cell { channel, identities, parent, stop_on_error, .. } = cell;
+        let Cell { session, channel, identities, parent, stop_on_error, .. } = cell;
         out.push(Out::Reply { channel, identities, parent, kind: "execute_reply", content });
         out.push(idle);
         if failed && stop_on_error {
-            self.abort_waiting(out);
+            self.abort_waiting(&session, out);
         }
     }
 
-    fn abort_waiting(&mut self, out: &mut Vec<Out>) {
-        for cell in std::mem::take(&mut self.waiting) {
+    fn abort_waiting(&mut self, session: &str, out: &mut Vec<Out>) {
+        let waiting = self.lines.get_mut(session).map(|l| std::mem::take(&mut l.waiting)).unwrap_or_default();
+        self.waiting -= waiting.len();
+        for cell in waiting {
             out.push(publish(&cell, "status", json!({ "execution_state": "busy" })));
             let idle = publish(&cell, "status", json!({ "execution_state": "idle" }));
             let Cell { channel, identities, parent, .. } = cell;
@@ -369,11 +407,12 @@
         }
     }
 
-    fn interrupt(&mut self, out: &mut Vec<Out>) {
-        if let Some((run, _)) = &self.running {
+    /// Stops what runs in a session and aborts what waits there.
+    fn interrupt(&mut self, session: &str, out: &mut Vec<Out>) {
+        if let Some((run, _)) = self.lines.get(session).and_then(|l| l.running.as_ref()) {
             out.push(Out::Stop(*run));
         }
-        self.abort_waiting(out);
+        self.abort_waiting(session, out);
     }
 
     fn history(&self, most: Option<u64>) -> Value {
--- a/crates/kernel/tests/protocol.rs
+++ b/crates/kernel/tests/protocol.rs
@@ -114,8 +114,13 @@
     }
 
     fn ask(&mut self, kind: &str, content: serde_json::Value) -> Vec<Out> {
+        self.ask_in("s", kind, content)
+    }
+
+    fn ask_in(&mut self, session: &str, kind: &str, content: serde_json::Value) -> Vec<Out> {
         self.n += 1;
-        let parts = request(&self.client, &self.n.to_string(), kind, content);
+        let header = header(self.n.to_string(), session, kind, "now".into());
+        let parts = self.client.write(&[], &header, &json!({}), &content);
         let message = self.signer.read(&parts).unwrap();
         self.kernel.handle(Channel::Shell, message)
     }
@@ -193,6 +198,32 @@
     assert!(bed.cell("late").is_empty());
 }
 
+#[test]
+fn sessions_do_not_wait_for_each_other_and_two_clients_with_one_session_id_share_its_line() {
+    let mut bed = Bed::new();
+    let code = |c: &str| json!({ "code": c });
+    bed.ask_in("a", "execute_request", code("1"));
+    let other = bed.ask_in("b", "execute_request", code("2"));
+    assert_eq!(kinds(&other).last().unwrap(), "run2", "another session runs beside it");
+    // A second client under the same id: its cell waits for the first one's, and gets an answer of its own.
+    assert!(bed.ask_in("a", "execute_request", code("3")).is_empty());
+    // A failure and an interrupt stop what waits in their own session alone.
+    assert!(bed.ask_in("b", "execute_request", code("4")).is_empty());
+    let out = kinds(&bed.ask_in("b", "interrupt_request", json!({})));
+    assert_eq!(out.iter().filter(|k| k.starts_with("stop")).collect::<Vec<_>>(), ["stop2"]);
+    assert_eq!(out.iter().filter(|k| *k == "execute_reply:aborted").count(), 1);
+    let out = bed.kernel.ended(1, table());
+    let Out::Reply { content, .. } = &out[1] else { panic!("{out:?}") };
+    assert_eq!(content["execution_count"], 1, "its own count, although others began since");
+    assert_eq!(kinds(&out).last().unwrap(), "run3");
+    assert_eq!(
+        kinds(&bed.ask_in("c", "interrupt_request", json!({}))),
+        ["busy", "interrupt_reply:ok", "idle"]
+    );
+    let out = kinds(&bed.ask_in("c", "shutdown_request", json!({})));
+    assert!(out.contains(&"stop2".into()) && out.contains(&"stop3".into()), "a shutdown ends all: {out:?}");
+}
+
 #[test]
 fn cells_that_wait_are_bounded() {
     let mut bed = Bed::new();
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -9,8 +9,10 @@
 
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
 use violetward::Gateway;
+use violetward_client::resend::{Budget, Effect};
+use violetward_client::{Cancelled, Client, Ending, KernelClient, Kernels, Options, Query};
 use violetward_gateway::host::Host;
 use violetward_gateway::{config, service};
 use violetward_kernel::message::Signer;
@@ -530,3 +532,202 @@
         assert_eq!(String::from_utf8_lossy(&seen).matches("\"status\":\"ok\"").count(), cells);
     });
 }
+
+fn library(addresses: &[SocketAddr], may_resend: bool) -> Client {
+    Client::new(addresses, Options { may_resend, ..Options::default() }, Budget::default())
+}
+
+fn lookup(sql: &str) -> Query {
+    Query { effect: Effect::Repeatable, class: Some("lookup".into()), ..Query::new(sql) }
+}
+
+#[test]
+fn rows_come_as_a_stream_and_a_cancel_says_what_came_of_it() {
+    with(1, "(limits (buffer \"1B\"))", |bed| async move {
+        let client = library(&[bed.address], false);
+        let many = "SELECT * FROM points LIMIT 950";
+        let rows: Vec<_> = client.open(lookup(many)).rows().collect().await;
+        assert_eq!((rows.len(), rows.iter().filter(|r| r.is_err()).count()), (950, 0));
+        let mut running = client.open(lookup(many));
+        let first = running.batch().await.unwrap().unwrap();
+        assert!(
+            !first.columns.is_empty() && first.rows.len() < 950,
+            "rows come before all of them are there"
+        );
+        assert_eq!(running.cancel().await, Cancelled::Stopped);
+        // After the last row there is nothing to stop, and that is said.
+        let mut running = client.open(lookup("SELECT 1"));
+        while running.batch().await.unwrap().is_some() {}
+        assert_eq!(running.cancel().await, Cancelled::Late(Ok(())));
+        // From another task, while it is held by the service.
+        let mut running = client.open(lookup("SELECT 1 /*sim work=60000*/"));
+        let canceller = running.canceller();
+        let (ended, ()) = future::zip(running.batch(), async {
+            sleep(Duration::from_millis(60)).await;
+            canceller.cancel().await;
+        })
+        .await;
+        assert!(matches!(ended, Err(Ending::Declined { name, .. }) if name == "USER_CANCELED"));
+        while !bed.lines().iter().any(|l| matches!(&l.what, What::Over { how, .. } if how == "cancelled")) {
+            sleep(Duration::from_millis(10)).await;
+        }
+        // Before it is sent: it is cancelled as soon as it has an address.
+        let mut running = client.open(lookup("SELECT 1 /*sim work=60000*/"));
+        running.canceller().cancel().await;
+        assert!(matches!(running.batch().await, Err(Ending::Declined { .. })));
+    });
+}
+
+#[test]
+fn a_stream_that_breaks_after_rows_is_not_begun_again() {
+    with(1, "(limits (stream-idle \"700ms\") (buffer \"1B\") (long-poll \"200ms\"))", |bed| async move {
+        bed.engine(0).fault(&Fault::StopAfterPages { pages: 1, for_ms: 30_000 });
+        let client = library(&[bed.address], true);
+        let mut running = client.open(lookup("SELECT * FROM points LIMIT 950"));
+        let mut rows = 0;
+        let ending = loop {
+            match running.batch().await {
+                Ok(Some(batch)) => rows += batch.rows.len(),
+                Ok(None) => panic!("half of the rows are not the result"),
+                Err(ending) => break ending,
+            }
+        };
+        assert!(rows > 0 && rows < 950 && matches!(ending, Ending::Failed { .. }), "{rows} {ending:?}");
+        assert_eq!(running.sends(), 1, "the caller has some of its rows");
+        assert_eq!(running.batch().await, Ok(None), "an ending stays");
+    });
+}
+
+/// A gateway of the test's own: answers the first request on each connection with a document that ends the statement, then
+/// counts what else comes and closes without an answer.
+async fn forgetful(
+    executor: Rc<LocalExecutor<'static>>,
+    listener: Async<std::net::TcpListener>,
+    posts: Rc<RefCell<usize>>,
+) {
+    while let Ok((mut peer, _)) = listener.accept().await {
+        let posts = posts.clone();
+        let one = async move {
+            let body = br#"{"id":"x","stats":{},"data":[[1]]}"#;
+            let mut chunk = [0; 4096];
+            for n in 0..2 {
+                if peer.read(&mut chunk).await.unwrap_or(0) == 0 {
+                    break;
+                }
+                *posts.borrow_mut() += 1;
+                if n == 0 {
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                    peer.write_all(&[head.as_bytes(), body].concat()).await.unwrap();
+                }
+            }
+        };
+        executor.spawn(one).detach();
+    }
+}
+
+#[test]
+fn the_library_sends_what_is_unsafe_on_a_fresh_connection_only() {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(async {
+        let listener = Async::<std::net::TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let address = listener.get_ref().local_addr().unwrap();
+        let posts = Rc::new(RefCell::new(0));
+        executor.spawn(forgetful(executor.clone(), listener, posts.clone())).detach();
+        let client = library(&[address], false);
+        for _ in 0..5 {
+            // On a kept connection the second one would be read, and its answer never come.
+            client.run(&Query::new("INSERT INTO loads VALUES (1, 'x')")).await.expect("a fresh connection");
+        }
+        assert_eq!(*posts.borrow(), 5);
+        // What is harmless to repeat takes a kept one, and here finds out what that may mean.
+        assert!(matches!(client.run(&lookup("SELECT 1")).await, Err(Ending::Unknown { .. })));
+        assert_eq!(*posts.borrow(), 6);
+    }));
+}
+
+#[test]
+fn the_post_of_an_unsafe_load_that_breaks_at_any_byte_is_not_sent_again() {
+    let executor = LocalExecutor::new();
+    async_io::block_on(executor.run(async {
+        let mut cut = 0;
+        loop {
+            let listener = Async::<std::net::TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+            let address = listener.get_ref().local_addr().unwrap();
+            let posts = Rc::new(RefCell::new((0, 0)));
+            let seen = posts.clone();
+            executor
+                .spawn(async move {
+                    while let Ok((mut peer, _)) = listener.accept().await {
+                        seen.borrow_mut().0 += 1;
+                        let mut read = 0;
+                        while read < cut {
+                            let mut chunk = vec![0; cut - read];
+                            match peer.read(&mut chunk).await {
+                                Ok(n) if n > 0 => read += n,
+                                _ => break,
+                            }
+                        }
+                        seen.borrow_mut().1 = read;
+                    }
+                })
+                .detach();
+            let keyed = Query {
+                effect: Effect::Keyed,
+                mark: Some("m".into()),
+                deadline: Some(Duration::from_millis(1500)),
+                ..Query::new("INSERT INTO loads VALUES (1, 'x')")
+            };
+            let once = Query { effect: Effect::Once, mark: None, ..keyed.clone() };
+            for query in [keyed, once] {
+                *posts.borrow_mut() = (0, 0);
+                let ended = library(&[address], true).run(&query).await;
+                assert!(matches!(ended, Err(Ending::Unknown { .. })), "cut after {cut}: {ended:?}");
+                assert_eq!(posts.borrow().0, 1, "cut after {cut}: sent again");
+            }
+            // Read to its end and beyond: every cut has been tried.
+            if posts.borrow().1 < cut {
+                break;
+            }
+            cut += 7;
+            assert!(cut < 4096);
+        }
+    }));
+}
+
+#[test]
+fn cells_are_cancelled_by_session_and_kernels_of_several_gateways_stand_in_for_each_other() {
+    with(2, "(kernel (connection-file \"kernel.json\"))", |bed| async move {
+        let file = bed.folder.join("kernel.json");
+        let (mut one, mut two) =
+            (KernelClient::connect(&file).await.unwrap(), KernelClient::connect(&file).await.unwrap());
+        let interrupter = one.interrupter();
+        let long = lookup("SELECT 1 /*sim work=60000*/");
+        let other = lookup("SELECT id FROM players ORDER BY id LIMIT 2");
+        let (ended, beside) = future::zip(one.run(&long), async {
+            let beside = two.run(&other).await;
+            interrupter.interrupt().await.unwrap();
+            beside
+        })
+        .await;
+        assert_eq!(beside.unwrap().rows.len(), 2, "another session does not wait");
+        assert!(matches!(ended, Err(Ending::Declined { name, .. }) if name == "USER_CANCELED"));
+        assert_eq!(one.run(&other).await.unwrap().rows.len(), 2, "the session goes on");
+        // A kernel that cannot be reached costs nothing but the choice of another.
+        let gone = bed.folder.join("gone.json");
+        let mut told: serde_json::Value = serde_json::from_slice(&std::fs::read(&file).unwrap()).unwrap();
+        let closed = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap().local_addr().unwrap().port();
+        for name in ["shell_port", "iopub_port", "control_port"] {
+            told[name] = closed.into();
+        }
+        std::fs::write(&gone, serde_json::to_vec(&told).unwrap()).unwrap();
+        let kernels = Kernels::new(&[gone, file], Options::default(), Budget::default());
+        for n in 0..10 {
+            let load = Query {
+                class: Some("notice".into()),
+                ..Query::new(format!("INSERT INTO loads VALUES ({n}, 'k')"))
+            };
+            kernels.run(&load).await.unwrap();
+        }
+        assert_eq!((kernels.sent(), bed.effects()), (10, 10));
+    });
+}
