--- a/clients/python/violetward_client/__init__.py
+++ b/clients/python/violetward_client/__init__.py
@@ -8,20 +8,20 @@
 """
 
 from .endings import Declined, Ending, Failed, Refused, Unknown
-from .resend import KEYED, ONCE, REPEATABLE, Budget, Case, Table
+from .resend import KEYED, ONCE, REPEATABLE, Budget, Case, Pace, Table
 from .choice import Choice
-from .statement import Client, Query, Rows
+from .statement import LATE, STOPPED, Batch, Client, Query, Rows, Running
 
 __all__ = [
-    "Budget", "Case", "Choice", "Client", "Declined", "Ending", "Failed", "KEYED", "ONCE", "Query", "REPEATABLE", "Refused",
-    "Rows", "Table", "Unknown", "KernelClient",
+    "Batch", "Budget", "Case", "Choice", "Client", "Declined", "Ending", "Failed", "KEYED", "LATE", "ONCE", "Pace", "Query",
+    "REPEATABLE", "Refused", "Rows", "Running", "STOPPED", "Table", "Unknown", "KernelClient", "Kernels",
 ]
 
 
 def __getattr__(name):
     # The kernel protocol needs jupyter_client, which not everyone has.
-    if name == "KernelClient":
-        from .kernel import KernelClient
+    if name in ("KernelClient", "Kernels"):
+        from . import kernel
 
-        return KernelClient
+        return getattr(kernel, name)
     raise AttributeError(name)
--- a/crates/client/tests/decisions.rs
+++ b/crates/client/tests/decisions.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use violetward_client::choice::Choice;
+use violetward_client::pace::Pace;
 use violetward_client::resend::*;
 
 const S: Micros = 1_000_000;
@@ -134,3 +135,24 @@
     assert!(choice.pick(now, [0.5, 0.5], None).is_some());
     assert_eq!(Choice::new(0).pick(now, [0.0, 0.0], None), None);
 }
+
+#[test]
+fn after_rows_were_handed_out_or_a_cancel_nothing_goes_again() {
+    for stop in [Stop::NotWritten, Stop::Lost, Stop::Failed, Stop::Refused] {
+        let fresh = case(Effect::Repeatable);
+        assert!(sends(decide(stop, &fresh)));
+        assert!(!sends(decide(stop, &Case { delivered: true, ..fresh.clone() })));
+        assert!(!sends(decide(stop, &Case { cancelled: true, ..fresh })));
+    }
+}
+
+#[test]
+fn polls_that_the_service_does_not_hold_are_paced() {
+    let (mut pace, ms) = (Pace::default(), Duration::from_millis);
+    let pauses: Vec<_> = (0..9).map(|_| pace.pause(ms(1), false, 1.0)).collect();
+    assert_eq!(pauses[..4], [ms(0), ms(10), ms(20), ms(40)]);
+    assert_eq!(pauses[8], ms(500), "bounded");
+    assert_eq!(pace.pause(ms(1), true, 1.0), ms(0), "rows are fetched at once");
+    assert_eq!((pace.pause(ms(900), false, 1.0), pace.pause(ms(1), false, 0.0)), (ms(0), ms(0)));
+    assert_eq!(pace.pause(ms(1), false, 0.0), ms(5));
+}
--- a/tests/clients/libraries.py
+++ b/tests/clients/libraries.py
@@ -13,7 +13,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "clients", "python"))
 
-from violetward_client import KEYED, ONCE, REPEATABLE, Budget, Case, Client, Declined, Ending, KernelClient, Query, Table, Unknown
+from violetward_client import KEYED, ONCE, REPEATABLE, Budget, Case, Client, Declined, Ending, KernelClient, Kernels, LATE, Pace, Query, Table, Unknown
 
 PROGRAM, OUTCOMES = sys.argv[1], sys.argv[2]
 passed = 0
@@ -71,7 +71,32 @@
         cells = [word(kernel.run, q) for q in script()]
         table = kernel.run(script()[0])
         assert (table.columns, table.rows) == (["id"], [[1], [2], [3]]), table
+        beside = KernelClient(file)
+        stuck = threading.Thread(target=lambda: stops.append(word(kernel.run, Query("SELECT 1 /*sim work=60000*/", klass="lookup"))))
+        stops = []
+        stuck.start()
+        time.sleep(0.3)
+        assert beside.run(script()[0]).rows == [[1], [2], [3]], "another session does not wait"
+        kernel.interrupt()
+        stuck.join(10)
+        assert stops == ["declined USER_CANCELED"], stops
+        beside.close()
         kernel.close()
+        kernels = Kernels([os.path.join(folder, "none.json"), file])
+        words = [word(kernels.run, Query(f"INSERT INTO loads VALUES ({n}, 'k')", ONCE, klass="notice")) for n in range(4)]
+        assert words == ["served"] * 4 and kernels.sent == 4, words
+        kernels.close()
+        # Rows as they come; a cancel from another thread, and one that comes too late.
+        many = Query("SELECT * FROM points LIMIT 950", REPEATABLE, klass="lookup")
+        running = client.open(many)
+        first = running.batch()
+        assert first.columns and len(first.rows) < 950
+        assert len(first.rows) + len(list(running)) == 950
+        assert running.stop() == LATE
+        running = client.open(Query("SELECT 1 /*sim work=60000*/", REPEATABLE, klass="lookup"))
+        threading.Timer(0.2, running.cancel).start()
+        assert word(lambda _: list(running), None) == "declined USER_CANCELED"
+        passed += 3
         expected = ["served", "declined TABLE_NOT_FOUND", "declined SYNTAX_ERROR", "refused", "served", "served", "served"]
         assert rust == expected, rust
         assert statement == expected, statement
@@ -153,6 +178,12 @@
     assert Table().decide("lost", case, 1.0, Budget(), 0.5)[0] == "send"
     case.window = 1.01
     assert Table().decide("lost", case, 1.0, Budget(), 0.5)[0] == "unknown"
+    case.window, case.delivered = 25.0, True
+    assert Table().decide("lost", case, 1.0, Budget(), 0.5)[0] == "unknown", "the caller has some of its rows"
+    case.delivered, case.cancelled = False, True
+    assert Table().decide("lost", case, 1.0, Budget(), 0.5)[0] == "unknown"
+    pace = Pace()
+    assert [pace.pause(0.001, False, 1.0) for _ in range(4)] == [0.0, 0.01, 0.02, 0.04] and pace.pause(0.5, False, 1.0) == 0.0
     budget, made = Budget(2.0, 0.1, 5.0), 0
     for _ in range(20):
         budget.begin(1.0)
