--- a/clients/python/violetward_client/kernel.py
+++ b/clients/python/violetward_client/kernel.py
@@ -1,5 +1,6 @@
 """The same endings over the notebook kernel protocol, by connection files. Needs jupyter_client."""
 
+import queue
 import random
 import threading
 import time
@@ -20,11 +21,17 @@
         self.client = BlockingKernelClient(connection_file=connection_file)
         self.client.load_connection_file()
         self.client.start_channels()
+        # What is published for other sessions is not ours to read.
+        socket = self.client.iopub_channel.socket
+        socket.subscribe(self.client.session.session.encode())
+        socket.unsubscribe(b"")
         try:
             self.client.wait_for_ready(timeout=min(patience, 20))
         except Exception:
             self.close()
             raise
+        # A socket of this protocol reconnects without a word: only the heartbeat tells that the kernel is gone.
+        self.client.hb_channel.unpause()
 
     def run(self, query):
         try:
@@ -43,10 +50,17 @@
         return self._reply(message, time.monotonic() + within) is not None
 
     def _reply(self, message, until):
+        missed = 0
         while True:
+            left = until - time.monotonic()
             try:
-                reply = self.client.get_shell_msg(timeout=max(until - time.monotonic(), 0.001))
-            except Exception:  # queue.Empty, or a closed channel
+                reply = self.client.get_shell_msg(timeout=max(min(left, 0.5), 0.001))
+            except queue.Empty:
+                missed = 0 if self.client.hb_channel.is_beating() else missed + 1
+                if left <= 0.5 or missed >= 3:
+                    return None
+                continue
+            except Exception:  # a closed channel
                 return None
             if reply["parent_header"].get("msg_id") == message["header"]["msg_id"]:
                 return reply
--- a/crates/client/src/kernel.rs
+++ b/crates/client/src/kernel.rs
@@ -186,6 +186,9 @@
         if let Some(memory) = query.memory {
             terms["memory_bytes"] = memory.into();
         }
+        if let Some(mark) = &query.mark {
+            terms["trace"] = mark.as_str().into();
+        }
         let content =
             json!({ "code": query.sql, "silent": false, "store_history": true, "stop_on_error": false });
         let until = Instant::now() + wait + Duration::from_secs(1);
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -68,6 +68,8 @@
     pub slack: Duration,
     /// Where the day's files are left; a temporary folder, removed in the end, without it.
     pub keep: Option<PathBuf>,
+    /// Gateways are notebook kernels too.
+    pub kernels: bool,
 }
 
 impl Plan {
@@ -85,6 +87,7 @@
             policy,
             slack: Duration::from_millis(250),
             keep: None,
+            kernels: false,
         }
     }
 
@@ -181,12 +184,20 @@
         let quota = rate / 3.0 * 1.5;
         let tenants =
             ["north", "south", "east"].map(|t| format!("(tenant {t} (per-second {quota:.1}))")).join(" ");
+        let kernel = match self.plan.kernels {
+            true => {
+                format!("(kernel (connection-file {:?}))\n", self.kernel_file(number).display().to_string())
+            }
+            false => String::new(),
+        };
         let plan = GatewayPlan {
             number,
             of: self.plan.gateways,
             listen,
             engines: self.folder.join("engines.lisp"),
-            more: format!("(tenants {tenants})\n(limits (abandon-after \"15s\") (keep-ended \"10s\"))\n"),
+            more: format!(
+                "(tenants {tenants})\n(limits (abandon-after \"15s\") (keep-ended \"10s\"))\n{kernel}"
+            ),
         };
         let file = self.folder.join(format!("g{number}.lisp"));
         std::fs::write(&file, fleet::configuration(&plan))?;
@@ -211,6 +222,11 @@
         Ok(GatewaySlot { address, process })
     }
 
+    /// A gateway's connection file.
+    pub fn kernel_file(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("kernel{number}.json"))
+    }
+
     /// Statements a second at the usual rate.
     pub fn rate(&self) -> f64 {
         let cores: f64 = (1..=self.plan.engines).map(|n| if n % 3 == 0 { 4.0 } else { 8.0 }).sum();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod overhead;
 pub mod process;
 pub mod report;
+pub mod script;
 pub mod speed;
 pub mod storm;
 pub mod trouble;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,7 +13,7 @@
 use violetward_lab::baseline::{Baseline, Rule};
 use violetward_lab::day::{self, Plan, Policy};
 use violetward_lab::report::Report;
-use violetward_lab::{demo, overhead, speed, storm, trouble};
+use violetward_lab::{demo, overhead, script, speed, storm, trouble};
 use violetward_standin::model::Machine;
 use violetward_standin::server::{Engine, Setup};
 
@@ -98,6 +98,42 @@
         /// Take the library's budget away, to see what it is for.
         #[arg(long)]
         unbounded: bool,
+        /// Over the kernel protocol.
+        #[arg(long)]
+        kernel: bool,
+    },
+    /// Run one script through every client library and both protocols on a bad day, and hold what callers were told
+    /// against what the engines did.
+    Libraries {
+        /// Statements for each.
+        #[arg(long, default_value_t = 10_000)]
+        count: usize,
+        /// Statements at once.
+        #[arg(long, default_value_t = 32)]
+        workers: usize,
+        /// A Python that has jupyter_client; without it the Rust library alone.
+        #[arg(long)]
+        python: Option<PathBuf>,
+        /// The runner for Python.
+        #[arg(long, default_value = "tests/clients/script.py")]
+        runner: PathBuf,
+        /// Without troubles.
+        #[arg(long)]
+        calm: bool,
+        /// Everything drawn is drawn from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// A script through the library for Rust, as a process of its own.
+    #[command(hide = true)]
+    RunScript {
+        #[arg(long)]
+        script: PathBuf,
+        #[arg(long)]
+        workers: usize,
+        #[arg(long)]
+        kernel: bool,
+        to: Vec<String>,
     },
     /// Measure parts of the program, each beside a plain one: parsers, the module's events, timers.
     Speed,
@@ -139,7 +175,10 @@
 
 fn main() -> ExitCode {
     let command = Cli::parse().command;
-    if matches!(command, Command::Engine { .. } | Command::Gateway { .. } | Command::Relay { .. }) {
+    if matches!(
+        command,
+        Command::Engine { .. } | Command::Gateway { .. } | Command::Relay { .. } | Command::RunScript { .. }
+    ) {
         // A process of a day ends with its owner, even if that is killed outright.
         rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL)).ok();
     }
@@ -195,8 +234,24 @@
         Command::Overhead { rounds, count } => {
             overhead::run(rounds.max(1), count.max(100)).map(|o| println!("{o}"))
         }
-        Command::Storm { clients, seconds, unbounded } => {
-            storm::run(clients, Duration::from_secs(seconds), unbounded).and_then(|storm| {
+        Command::Libraries { count, workers, python, runner, calm, seed } => {
+            let setup = script::Setup { count, workers, python, runner, calm, seed };
+            script::compare(&setup).and_then(|comparison| {
+                print!("{comparison}");
+                if comparison.is_honest() {
+                    Ok(())
+                } else {
+                    Err(std::io::Error::other("a caller was told what is not so"))
+                }
+            })
+        }
+        Command::RunScript { script, workers, kernel, to } => script::run_rust(&script, &to, kernel, workers)
+            .and_then(|told| {
+                println!("{}", serde_json::to_string(&told)?);
+                Ok(())
+            }),
+        Command::Storm { clients, seconds, unbounded, kernel } => {
+            storm::run(clients, Duration::from_secs(seconds), unbounded, kernel).and_then(|storm| {
                 println!("{storm}");
                 if storm.is_bounded() {
                     Ok(())
--- a/crates/lab/src/storm.rs
+++ b/crates/lab/src/storm.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use violetward_client::resend::{Budget, Effect};
-use violetward_client::{Client, Ending, Options, Query};
+use violetward_client::{Client, Ending, Kernels, Options, Query, Rows};
 use violetward_net::sleep;
 use violetward_standin::hint::Hint;
 use violetward_standin::journal::What;
@@ -36,6 +36,8 @@
     pub doubled: u64,
     /// Gateways killed.
     pub kills: u64,
+    /// Second by second: begun, sent, served, ended otherwise, all counted at their end but what is sent.
+    pub seconds: Vec<[u64; 4]>,
 }
 
 impl Storm {
@@ -60,7 +62,12 @@
             self.attempts, self.most
         )?;
         writeln!(f, "allowed by the budgets of library and gateways: {:.0}", self.allowed)?;
-        write!(f, "loads that took effect twice: {}", self.doubled)
+        writeln!(f, "loads that took effect twice: {}", self.doubled)?;
+        write!(f, "second by second: ended, sent, served, otherwise")?;
+        for (n, [ended, sent, served, other]) in self.seconds.iter().enumerate() {
+            write!(f, "\n  {:>2}  {ended:>5} {sent:>5} {served:>5} {other:>5}", n + 1)?;
+        }
+        Ok(())
     }
 }
 
@@ -69,19 +76,50 @@
 const FREE: f64 = 5.0;
 const WINDOW: f64 = 5.0;
 
-/// Runs a storm; `unbounded` takes the library's budget away.
+/// The library, over either protocol.
+enum Library {
+    Statement(Client),
+    Kernel(Kernels),
+}
+
+impl Library {
+    async fn run(&self, query: &Query) -> Result<Rows, Ending> {
+        match self {
+            Library::Statement(client) => client.run(query).await,
+            Library::Kernel(kernels) => kernels.run(query).await,
+        }
+    }
+
+    fn sent(&self) -> u64 {
+        match self {
+            Library::Statement(client) => client.sent(),
+            Library::Kernel(kernels) => kernels.sent(),
+        }
+    }
+}
+
+/// Runs a storm, over the kernel protocol if `kernel`; `unbounded` takes the library's budget away.
 ///
 /// # Errors
 /// If a process does not start.
-pub fn run(clients: usize, span: Duration, unbounded: bool) -> std::io::Result<Storm> {
-    let plan = Plan { name: "storm".into(), troubles: Vec::new(), ..Plan::replay("", 3, Policy::Module) };
+pub fn run(clients: usize, span: Duration, unbounded: bool, kernel: bool) -> std::io::Result<Storm> {
+    let plan = Plan {
+        name: "storm".into(),
+        troubles: Vec::new(),
+        kernels: kernel,
+        ..Plan::replay("", 3, Policy::Module)
+    };
     let world = day::start(&plan)?;
     let storm = Rc::new(RefCell::new(Storm::default()));
     let addresses: Vec<_> = world.gateways.borrow().iter().map(|g| g.address).collect();
     // Without its budget the library shows what that is for.
     let budget = if unbounded { Budget::new(1e9, 1.0, Duration::from_secs(5)) } else { Budget::default() };
     let options = Options { may_resend: true, ..Options::default() };
-    let client = Rc::new(Client::new(&addresses, options, budget));
+    let files: Vec<_> = (0..addresses.len()).map(|n| world.kernel_file(n)).collect();
+    let client = Rc::new(match kernel {
+        true => Library::Kernel(Kernels::new(&files, options, budget)),
+        false => Library::Statement(Client::new(&addresses, options, budget)),
+    });
     let start = Instant::now();
     let ids = Rc::new(Cell::new(0u64));
     let work = async {
@@ -115,6 +153,18 @@
                 both.await;
             }
         }));
+        let (watched, sender) = (storm.clone(), client.clone());
+        let _watch = world.executor.spawn(async move {
+            let mut last = [0; 4];
+            loop {
+                sleep(Duration::from_secs(1)).await;
+                let mut storm = watched.borrow_mut();
+                let served = storm.endings.get("served").copied().unwrap_or(0);
+                let now = [storm.begun, sender.sent(), served, storm.begun - served];
+                storm.seconds.push(std::array::from_fn(|i| now[i] - last[i]));
+                last = now;
+            }
+        });
         for task in tasks {
             task.await;
         }
@@ -144,7 +194,7 @@
     Ok(storm)
 }
 
-async fn one(client: &Client, id: u64) -> &'static str {
+async fn one(client: &Library, id: u64) -> &'static str {
     let load = id % 20 == 0;
     let (class, work) = if load { ("load", 100.0) } else { ("lookup", 60.0) };
     let hint =
