--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -378,6 +378,7 @@
             key: order_key.map(vw::OrderKey),
             is_retry,
             marked: true,
+            pin: None,
             due: due_us,
         }),
         News::Lapsed { job } => vw::Event::Lapsed(request(&job)?),
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -20,6 +20,8 @@
     pub kernel: Option<KernelConfig>,
     /// How the host carries things out.
     pub host: HostLimits,
+    /// Sessions that live on one engine.
+    pub sessions: SessionTerms,
     /// How a statement's class and estimates are read.
     pub selection: Selection,
     /// What the decision module is told.
@@ -30,6 +32,77 @@
     pub drain_grace: Duration,
 }
 
+/// Sessions that live on one engine.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct SessionTerms {
+    /// Bounds.
+    pub limits: violetward_session::table::Limits,
+    /// Statements of open transactions that go before new work, for one engine at once; what ends a transaction always does.
+    pub reserve: u32,
+    /// Keys that sign what clients carry; without them sessions end with this process.
+    pub keys: Option<violetward_session::token::Keys>,
+    /// The file that the keys came from; it is watched.
+    pub key_file: Option<PathBuf>,
+}
+
+/// Reads a file of keys: `(key NAME "secret")`, the first signs, all are believed.
+///
+/// # Errors
+/// What is wrong, with its place.
+pub fn read_keys(text: &str) -> Result<violetward_session::token::Keys, String> {
+    let data = forms::read(text).map_err(|m| m.to_string())?;
+    let mut c = Checker::default();
+    let mut keys = Vec::new();
+    for datum in &data {
+        let Some(form) = c.form(datum.as_ref()).filter(|f| f.name == "key") else {
+            return Err("expected (key NAME \"secret\")".into());
+        };
+        let words = c.words(&form);
+        let [name, secret] = words.as_slice() else {
+            return Err("expected (key NAME \"secret\")".into());
+        };
+        keys.push(violetward_session::token::Key { name: name.clone(), secret: secret.clone().into_bytes() });
+    }
+    violetward_session::token::Keys::new(keys)
+}
+
+fn session_terms(c: &mut Checker, form: Option<&Form<'_>>, folder: &Path) -> SessionTerms {
+    let empty = Form::made("sessions");
+    let known = [
+        "idle",
+        "locks-idle",
+        "absolute",
+        "finish-within",
+        "most",
+        "most-a-user",
+        "most-an-engine",
+        "reserve",
+        "key-file",
+    ];
+    let f = c.fields(form.unwrap_or(&empty), 0, &known);
+    let usual = violetward_session::table::Limits::default();
+    let limits = violetward_session::table::Limits {
+        idle: f.span(c, "idle", usual.idle),
+        locks_idle: f.span(c, "locks-idle", usual.locks_idle),
+        absolute: f.span(c, "absolute", usual.absolute),
+        finish_within: f.span(c, "finish-within", usual.finish_within),
+        most: f.whole(c, "most", (0, 100_000_000), usual.most as u64) as usize,
+        most_a_user: f.whole(c, "most-a-user", (0, 100_000_000), usual.most_a_user as u64) as usize,
+        most_an_engine: f.whole(c, "most-an-engine", (0, 100_000_000), usual.most_an_engine as u64) as usize,
+    };
+    if limits.idle > limits.absolute || limits.locks_idle > limits.idle {
+        c.at(&f.owner, "sessions: expected locks-idle <= idle <= absolute");
+    }
+    let file = f.get("key-file").cloned().and_then(|form| Some((c.word(&form, "a path")?, form)));
+    let key_file = file.map(|(file, form)| (folder.join(file), form));
+    let keys = key_file.as_ref().and_then(|(path, form)| {
+        let read = std::fs::read_to_string(path).map_err(|e| e.to_string()).and_then(|t| read_keys(&t));
+        read.map_err(|why| c.at(form, format!("key-file {}: {why}", path.display()))).ok()
+    });
+    let reserve = f.whole(c, "reserve", (0, 1_000_000), 4) as u32;
+    SessionTerms { limits, reserve, keys, key_file: key_file.map(|k| k.0) }
+}
+
 /// Names behind the module's numbers.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Names {
@@ -118,8 +191,8 @@
     pub first_words: Vec<String>,
 }
 
-const SECTIONS: [&str; 8] =
-    ["gateway", "kernel", "limits", "engine-properties", "policy", "kinds", "tenants", "classes"];
+const SECTIONS: [&str; 9] =
+    ["gateway", "kernel", "sessions", "limits", "engine-properties", "policy", "kinds", "tenants", "classes"];
 
 /// Reads a configuration. Relative paths in it are relative to `folder`.
 ///
@@ -198,6 +271,7 @@
         let rows = f.whole(c, "rows", (1, 1_000_000), 1000) as usize;
         Some(KernelConfig { connection_file: folder.join(file), user, rows })
     });
+    let sessions = session_terms(c, section("sessions"), folder);
     let limits = section("limits");
     let host = host_limits(c, limits, section("engine-properties"));
     let (mut settings, drain_grace) = policy(c, section("policy"));
@@ -259,6 +333,7 @@
         listen: listen?,
         engines: folder.join(engines?),
         kernel,
+        sessions,
         host,
         selection,
         settings,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -14,6 +14,9 @@
     Action, Answer, Class, ClassId, EngineId, Event, Gateway, GroupId, ListKind, Load, Micros, Note,
     OrderKey, Outcome, Request, RequestId, TenantId,
 };
+use violetward_session::kind::PROPERTY;
+use violetward_session::table::{Loss, Why};
+use violetward_session::token::{Key, Keys};
 use violetward_statement::pages::{Ending, Pages, Part, Turn};
 use violetward_statement::results::{ErrorType, QueryError, Stats, CANCELED, FAILED, QUEUE_FULL};
 use violetward_statement::session::Context;
@@ -21,6 +24,7 @@
 
 use crate::config::{Config, HostLimits, Names, Selection};
 use crate::list::{hash, Record};
+use crate::sessions::{self, Admit, Member, Sessions};
 
 /// A statement in this gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -70,6 +74,15 @@
     Withdraw(AttemptId),
     /// Ask an engine for its status.
     Probe(EngineId, SocketAddr),
+    /// An engine holds what nobody will come back for: a transaction to be rolled back, or temporary tables to be dropped.
+    Release {
+        /// Where.
+        address: SocketAddr,
+        /// Its name there.
+        inner: String,
+        /// It holds a transaction.
+        transaction: bool,
+    },
     /// Pollers of the statement should look again.
     Wake(StatementId),
     /// The module has something to say.
@@ -106,6 +119,8 @@
     pub update: Option<(String, Option<i64>)>,
     /// Changes of the client's session.
     pub session: Vec<(String, String)>,
+    /// The life of the engine's process, where it tells that.
+    pub epoch: Option<String>,
 }
 
 #[derive(Debug)]
@@ -140,6 +155,8 @@
     trouble: Option<String>,
     /// Begun on the client's first poll, not when posted.
     pending: bool,
+    /// What it has to do with a session that lives on one engine.
+    member: Option<Box<Member>>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -190,6 +207,7 @@
 /// The state machine. See the module's documentation.
 pub struct Core {
     gateway: Box<dyn Decide>,
+    sessions: Sessions,
     host: HostLimits,
     names: Names,
     selection: Selection,
@@ -221,7 +239,15 @@
     /// A core with another decider than the module, for experiments.
     pub fn with(config: &Config, life: &str, gateway: Box<dyn Decide>) -> Self {
         let settings = config.settings.clone();
+        let terms = &config.sessions;
+        let keys = terms.keys.clone().unwrap_or_else(|| {
+            // Of this process alone: its sessions end with it.
+            let mut secret = life.as_bytes().to_vec();
+            secret.resize(secret.len().max(16), b'.');
+            Keys::new(vec![Key { name: "process".into(), secret }]).expect("a word and sixteen bytes")
+        });
         Core {
+            sessions: Sessions::new(terms.limits.clone(), terms.reserve, keys, life, 0),
             classes: settings.classes.clone(),
             grants: settings.grants,
             priorities: settings.priorities,
@@ -250,7 +276,18 @@
 
     /// When [`Core::wake`] should be called next.
     pub fn next_wake(&self) -> Option<Micros> {
-        self.timers.first().map(|t| t.0)
+        let own = self.timers.first().map(|t| t.0);
+        own.into_iter().chain(self.sessions.next_wake()).min()
+    }
+
+    /// Sessions that live on engines, and how many were lost so far.
+    pub fn sessions(&self) -> (usize, u64) {
+        (self.sessions.len(), self.sessions.lost)
+    }
+
+    /// Signs and believes tokens of sessions by these keys from now on.
+    pub fn set_keys(&mut self, keys: Keys) {
+        self.sessions.set_keys(keys);
     }
 
     /// The number that the next statement gets.
@@ -292,8 +329,18 @@
         let wanted =
             wanted.and_then(violetward_statement::session::duration).map(|d| d.as_micros() as Micros);
         let due = now.saturating_add(wanted.map_or(give_up, |w| w.min(give_up)));
-        let pending = self.classes[class].effect != violetward::Effect::Repeatable;
+        let records = &self.records;
+        let named = |name: &str| records.values().find(|r| r.name == name).map(|r| r.entry.engine);
+        let admit = self.sessions.admit(now, id.0, &submission.context, &submission.text, named);
+        let (member, ended) = match admit {
+            Admit::Plain => (None, None),
+            Admit::Member(member) => (Some(member), None),
+            Admit::Ended(ending, headers) => (None, Some((ending, headers))),
+        };
+        // What belongs to a session is never repeated behind its client's back.
+        let pending = self.classes[class].effect != violetward::Effect::Repeatable || member.is_some();
         let statement = Statement {
+            member,
             public_id: submission.public_id,
             text: submission.text.into(),
             context: submission.context,
@@ -317,6 +364,14 @@
         self.arm(now + self.abandon_after(), Timer::Client(id));
         if full {
             self.finish(id, Ending::Refused(QueryError::refused("too many statements are open here", 1000)));
+        } else if let Some((ending, headers)) = ended {
+            if let Some(s) = self.statements.get_mut(&id) {
+                s.pages.session = headers;
+                if ending == Ending::Served {
+                    s.pages.update = Some((text::first_word(&s.text).to_uppercase(), None));
+                }
+            }
+            self.finish(id, ending);
         } else {
             self.arm(due, Timer::Overdue(id));
             if !pending {
@@ -433,6 +488,7 @@
             key: key.map(|k| OrderKey(k.to_owned())),
             is_retry: false,
             marked: s.context.tagged(&self.selection.repeat_tag).is_some(),
+            pin: s.member.as_ref().and_then(|m| m.pin()),
             due: s.due.saturating_sub(margin),
         };
         self.inbox.push_back(Event::Request(request));
@@ -441,14 +497,23 @@
     // ---- Engine connections ----------------------------------------------------------------------------
 
     /// A page of an engine has come.
-    pub fn arrived(&mut self, now: Micros, id: AttemptId, arrived: Arrived) {
+    pub fn arrived(&mut self, now: Micros, id: AttemptId, mut arrived: Arrived) {
         self.pass(now);
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         attempt.heard = now;
         attempt.paused = !arrived.last;
         let engine = attempt.engine;
+        if let Some(epoch) = &arrived.epoch {
+            self.epoch(now, engine, epoch);
+        }
         let Some(s) = self.statements.get_mut(&id.0).filter(|s| s.current == Some(id.1)) else { return };
         s.pages.stats = arrived.stats.clone();
+        if let Some(why) = self.read_session(id.0, engine, &mut arrived) {
+            self.finish(id.0, why);
+            self.effects.push_back(Effect::Withdraw(id));
+            return self.close(id, Outcome::Cancelled, true, None);
+        }
+        let Some(s) = self.statements.get_mut(&id.0) else { return };
         if let Some(error) = arrived.error {
             let (outcome, what) = verdict(&error);
             if outcome == Outcome::Declined {
@@ -473,6 +538,69 @@
         self.run();
     }
 
+    /// Reads what an engine says of a session. An ending if that could not be kept.
+    fn read_session(&mut self, id: StatementId, engine: EngineId, arrived: &mut Arrived) -> Option<Ending> {
+        if arrived.session.is_empty() {
+            return None;
+        }
+        let s = self.statements.get_mut(&id)?;
+        let record = self.records.get(&engine);
+        let name = record.map_or("", |r| r.name.as_str());
+        let epoch = arrived.epoch.clone().unwrap_or_default();
+        let (user, headers) = (s.context.user.clone(), &mut arrived.session);
+        let read =
+            self.sessions.answered(self.now, id.0, &mut s.member, &user, (engine, name), &epoch, headers);
+        let (full, binding) = read.err()?;
+        let address = record?.address;
+        let transaction = binding.holds.transaction;
+        self.effects.push_back(Effect::Release { address, inner: binding.inner, transaction });
+        Some(Ending::Failed(QueryError::failed(
+            FAILED,
+            &format!("its session is not kept: {}", full.words()),
+        )))
+    }
+
+    /// An engine tells the life of its process; what its former one held is lost.
+    pub fn epoch(&mut self, now: Micros, engine: EngineId, epoch: &str) {
+        self.pass(now);
+        let lost = self.sessions.epoch(self.now, engine, epoch);
+        self.lose(lost);
+    }
+
+    /// A client that carried these tokens has left for good: its session ends, and the engine is told.
+    pub fn let_go(&mut self, now: Micros, user: &str, tokens: &[&str]) {
+        self.pass(now);
+        for token in tokens {
+            if let Some(loss) = self.sessions.let_go(self.now, user, token) {
+                self.lose(vec![loss]);
+            }
+        }
+    }
+
+    /// Sessions are lost: statements of them that run end now, and what engines may still hold is freed.
+    fn lose(&mut self, lost: Vec<Loss>) {
+        for loss in lost {
+            let engine = EngineId(loss.binding.engine);
+            if let Some(record) = self.records.get(&engine) {
+                if matches!(loss.why, Why::Idle | Why::Absolute | Why::Drained | Why::Ended) {
+                    let (address, inner) = (record.address, loss.binding.inner.clone());
+                    let transaction = loss.binding.holds.transaction;
+                    self.effects.push_back(Effect::Release { address, inner, transaction });
+                }
+            }
+            let Some(id) = loss.running.map(StatementId) else { continue };
+            let told = self
+                .statements
+                .get(&id)
+                .and_then(|s| Some(sessions::loss(s.member.as_ref()?, &loss, s.attempts)));
+            if let Some(ending) = told {
+                self.finish(id, ending);
+                self.inbox.push_back(Event::Lapsed(RequestId(id.0)));
+            }
+        }
+        self.run();
+    }
+
     /// An attempt has ended without an answer.
     pub fn ended(&mut self, now: Micros, id: AttemptId, outcome: Outcome, why: &str) {
         self.pass(now);
@@ -567,6 +695,20 @@
             self.records.insert(record.entry.engine, record.clone());
         }
         let listed: BTreeSet<EngineId> = records.values().map(|r| r.entry.engine).collect();
+        let gone: Vec<EngineId> = self.records.keys().filter(|id| !listed.contains(id)).copied().collect();
+        let mut lost: Vec<Loss> = Vec::new();
+        for &engine in &gone {
+            lost.extend(self.sessions.listed(self.now, engine, None));
+        }
+        for record in records.values() {
+            let drains = match record.entry.listed {
+                violetward::Listed::Up => Some(false),
+                violetward::Listed::Draining => Some(true),
+                violetward::Listed::Removed => None,
+            };
+            lost.extend(self.sessions.listed(self.now, record.entry.engine, drains));
+        }
+        self.lose(lost);
         self.records.retain(|id, _| listed.contains(id));
         self.inbox.push_back(Event::Engines { kind: ListKind::Whole, entries });
         self.run();
@@ -585,6 +727,10 @@
     /// Time has passed.
     pub fn wake(&mut self, now: Micros) {
         self.pass(now);
+        let lost = self.sessions.advance(self.now);
+        if !lost.is_empty() {
+            self.lose(lost);
+        }
         while let Some(&(at, timer)) = self.timers.first().filter(|t| t.0 <= self.now) {
             self.timers.remove(&(at, timer));
             match timer {
@@ -758,6 +904,14 @@
         s.pages.restart();
         let attempt = AttemptId(id, number);
         let mut context = s.context.clone();
+        let is_member = s.member.is_some();
+        if let Some(binding) = s.member.as_ref().and_then(|m| m.binding.as_ref()) {
+            // The engine knows its own name for the session, and only that of the life that it was opened in.
+            let named = format!("{}@{}", binding.inner, binding.epoch);
+            context.transaction = context.transaction.filter(|t| !t.eq_ignore_ascii_case("none"));
+            context.transaction = context.transaction.map(|_| named.clone());
+            context.session.iter_mut().filter(|(n, _)| n == PROPERTY).for_each(|(_, v)| *v = named.clone());
+        }
         if context.trace_token.is_none() {
             context.trace_token = Some(s.public_id.clone());
         }
@@ -787,7 +941,7 @@
             address: record.address,
             text: s.text.clone(),
             context,
-            fresh: effect != violetward::Effect::Repeatable,
+            fresh: effect != violetward::Effect::Repeatable || is_member,
         };
         self.counts.attempts += 1;
         let (sent, heard) = (self.now, self.now);
@@ -800,6 +954,15 @@
     /// Fixes a statement's end, once.
     fn finish(&mut self, id: StatementId, ending: Ending) {
         let Some(s) = self.statements.get_mut(&id) else { return };
+        let mut ending = ending;
+        if let (Some(member), None) = (&s.member, s.pages.end()) {
+            let (told, left) = self.sessions.ended(self.now, id.0, member, ending, s.attempts);
+            ending = told;
+            if let Some(record) = left.as_ref().and_then(|l| self.records.get(&EngineId(l.binding.engine))) {
+                let inner = left.map_or_else(String::new, |l| l.binding.inner);
+                self.effects.push_back(Effect::Release { address: record.address, inner, transaction: true });
+            }
+        }
         let word = ending.word();
         if !s.pages.finish(ending) {
             return;
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -12,7 +12,9 @@
 use violetward_statement::http::{Headers, Message};
 use violetward_statement::pages::Part;
 use violetward_statement::results::{NodeStatus, QueryResults, STATEMENT};
-use violetward_statement::session::SESSION_CHANGES;
+use violetward_statement::session::{Context, EPOCH, SESSION_CHANGES};
+
+use violetward_session::kind::PROPERTY;
 
 use crate::core::{Arrived, AttemptId, Launch};
 use crate::host::Host;
@@ -20,6 +22,13 @@
 /// How long a withdrawn attempt's first answer is awaited, so that its work can still be cancelled.
 const CLEAN_UP: Duration = Duration::from_secs(10);
 
+/// What an answer's headers say: changes of the session, and the life of the engine's process.
+#[derive(Default)]
+struct Session {
+    changes: Vec<(String, String)>,
+    epoch: Option<String>,
+}
+
 /// How an attempt ends without an answer.
 struct Broken(Outcome, String);
 
@@ -64,11 +73,7 @@
     }
 }
 
-async fn post(
-    host: &Host,
-    pool: &Pool,
-    launch: &Launch,
-) -> Result<(QueryResults, Vec<(String, String)>), Broken> {
+async fn post(host: &Host, pool: &Pool, launch: &Launch) -> Result<(QueryResults, Session), Broken> {
     let mut headers = host_header(launch.address);
     headers.push("Via", format!("1.1 violetward-{}", host.config.settings.me.0));
     headers.push("Content-Type", "text/plain; charset=utf-8");
@@ -107,17 +112,13 @@
     }
 }
 
-fn read(
-    pool: &Pool,
-    connection: Connection,
-    message: Message,
-) -> Result<(QueryResults, Vec<(String, String)>), Broken> {
+fn read(pool: &Pool, connection: Connection, message: Message) -> Result<(QueryResults, Session), Broken> {
     let results = serde_json::from_slice::<QueryResults>(&message.body);
     let results = results.map_err(|e| Broken(Outcome::Error, format!("its answer cannot be read: {e}")))?;
-    let mut session = Vec::new();
+    let mut session = Session { epoch: message.headers.get(EPOCH).map(str::to_owned), ..Session::default() };
     for (name, value) in message.headers.iter() {
         if SESSION_CHANGES.iter().any(|s| s.eq_ignore_ascii_case(name)) {
-            session.push((name.to_owned(), value.to_owned()));
+            session.changes.push((name.to_owned(), value.to_owned()));
         }
     }
     if message.keep_alive {
@@ -126,7 +127,7 @@
     Ok((results, session))
 }
 
-fn arrived(results: QueryResults, session: Vec<(String, String)>) -> Arrived {
+fn arrived(results: QueryResults, session: Session) -> Arrived {
     let bytes = results.data.as_ref().map_or(0, |d| d.get().len());
     Arrived {
         part: Part { columns: results.columns.map(Into::into), data: results.data.map(Into::into), bytes },
@@ -134,7 +135,8 @@
         last: results.next_uri.is_none(),
         error: results.error,
         update: results.update_type.map(|u| (u, results.update_count)),
-        session,
+        session: session.changes,
+        epoch: session.epoch,
     }
 }
 
@@ -166,7 +168,7 @@
 }
 
 /// Asks for a page; asking twice gives the same page, so that a broken connection is tried once more.
-async fn poll(host: &Host, pool: &Pool, uri: &str) -> Result<(QueryResults, Vec<(String, String)>), Broken> {
+async fn poll(host: &Host, pool: &Pool, uri: &str) -> Result<(QueryResults, Session), Broken> {
     let target = path(uri);
     let mut tries = 0;
     loop {
@@ -213,25 +215,47 @@
     timeout(CLEAN_UP, work).await;
 }
 
-/// Asks an engine how it is; `None` without a good answer in time.
-pub(crate) async fn status(host: &Host, address: SocketAddr) -> Option<Load> {
+/// Frees what a lost session holds on its engine. Best effort: the engine's own idle limit stands behind it.
+pub(crate) async fn release(host: &Host, address: SocketAddr, inner: &str, transaction: bool) {
+    let pool = host.pool(address);
+    let session = vec![(PROPERTY.to_owned(), inner.to_owned())];
+    let transaction_id = transaction.then(|| inner.to_owned());
+    let context =
+        Context { user: "violetward".into(), session, transaction: transaction_id, ..Context::default() };
+    let text = format!("RESET SESSION {PROPERTY}");
+    let mut headers = host_header(address);
+    context.write(&mut headers);
+    let work = async {
+        let mut connection = pool.get(host.config.host.connect_within).await.ok()?;
+        let message = connection.call("POST", STATEMENT, &headers, text.as_bytes()).await.ok()?;
+        let (results, _) = read(&pool, connection, message).ok()?;
+        let uri = results.next_uri?;
+        poll(host, &pool, &uri).await.ok()
+    };
+    timeout(CLEAN_UP, work).await;
+}
+
+/// Asks an engine how it is; `None` without a good answer in time. The life of its process comes with the load.
+pub(crate) async fn status(host: &Host, address: SocketAddr) -> Option<(Load, Option<String>)> {
     let pool = host.pool(address);
     let work = async {
         let mut connection = pool.get(host.config.host.connect_within).await.ok()?;
         let message = connection.call("GET", "/v1/status", &host_header(address), b"").await.ok()?;
+        let epoch = message.headers.get(EPOCH).map(str::to_owned);
         let status =
             serde_json::from_slice::<NodeStatus>(&message.body).ok().filter(|_| message.status() == 200);
         if message.keep_alive {
             pool.put(connection);
         }
-        status
+        status.map(|status| (status, epoch))
     };
-    let status = timeout(host.config.host.probe_within, work).await??;
+    let (status, epoch) = timeout(host.config.host.probe_within, work).await??;
     let memory = (status.heap_available > 0).then(|| status.heap_used as f64 / status.heap_available as f64);
-    Some(Load {
+    let load = Load {
         in_flight: status.running_statements.map(f64::from),
         cores: Some(status.process_cpu_load),
         memory,
         disks: status.disk_load,
-    })
+    };
+    Some((load, epoch))
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// Sessions that may wait to be freed.
+const RELEASES_WAITING: usize = 10_000;
+
 /// What an attempt's task is told.
 pub(crate) struct Reins {
     pub pull: async_channel::Sender<()>,
@@ -65,6 +68,8 @@
     attempts: RefCell<HashMap<AttemptId, Reins>>,
     pollers: RefCell<HashMap<StatementId, Rc<Event>>>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    releases: async_channel::Sender<(SocketAddr, String, bool)>,
+    to_release: async_channel::Receiver<(SocketAddr, String, bool)>,
     alarm: Event,
     alarm_at: Cell<Micros>,
     draining: Cell<bool>,
@@ -74,7 +79,10 @@
 impl Host {
     /// A host for a core made from the same configuration.
     pub fn new(config: Config, life: String, core: Core, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+        let (releases, to_release) = async_channel::bounded(RELEASES_WAITING);
         Rc::new(Host {
+            releases,
+            to_release,
             core: RefCell::new(core),
             config,
             life,
@@ -151,6 +159,27 @@
         result
     }
 
+    fn told(self: &Rc<Self>, engine: EngineId, told: Option<(Load, Option<String>)>) {
+        let (load, epoch) = told.map_or((None, None), |(load, epoch)| (Some(load), epoch));
+        self.core(|core, now| {
+            if let Some(epoch) = epoch {
+                core.epoch(now, engine, &epoch);
+            }
+            core.status(now, engine, load);
+        });
+    }
+
+    /// Frees what lost sessions hold, eight at a time. Never ends.
+    pub async fn run_releases(self: Rc<Self>) {
+        let worker = || async {
+            while let Ok((address, inner, transaction)) = self.to_release.recv().await {
+                engine::release(&self, address, &inner, transaction).await;
+            }
+        };
+        let pairs = || future::zip(future::zip(worker(), worker()), future::zip(worker(), worker()));
+        future::zip(pairs(), pairs()).await;
+    }
+
     /// Looks at the core.
     pub fn look<T>(&self, look: impl FnOnce(&Core) -> T) -> T {
         look(&self.core.borrow())
@@ -211,10 +240,16 @@
             Effect::Probe(engine, address) => {
                 let host = self.clone();
                 self.spawn(async move {
-                    let load = engine::status(&host, address).await;
-                    host.core(|core, now| core.status(now, engine, load));
+                    let told = engine::status(&host, address).await;
+                    host.told(engine, told);
                 });
             }
+            Effect::Release { address, inner, transaction } => {
+                // A wave of them goes out a few at a time; what is dropped is left to the engine's own limits.
+                if self.releases.try_send((address, inner, transaction)).is_err() {
+                    tracing::warn!("too many sessions to be freed at once; the rest is left to the engines");
+                }
+            }
             Effect::Wake(id) => {
                 let event = self.pollers.borrow().get(&id).cloned();
                 event.into_iter().for_each(|e| {
@@ -270,11 +305,11 @@
                 }
                 let (host, asked) = (self.clone(), asked.clone());
                 self.spawn(async move {
-                    let load: Option<Load> = engine::status(&host, address).await;
+                    let told = engine::status(&host, address).await;
                     asked.borrow_mut().remove(&engine);
                     // Only good news count here: whether silence means sickness is for the module's own probes.
-                    if load.is_some() {
-                        host.core(|core, now| core.status(now, engine, load));
+                    if told.is_some() {
+                        host.told(engine, told);
                     }
                 });
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod list;
 pub mod notebook;
 pub mod service;
+pub mod sessions;
 pub mod watch;
--- a/crates/gateway/src/notebook.rs
+++ b/crates/gateway/src/notebook.rs
@@ -2,7 +2,7 @@
 //! a statement. Knows nothing of engines.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -15,6 +15,8 @@
 use violetward_kernel::message::Signer;
 use violetward_kernel::zmtp::{self, Got, Limits, Reader, Socket};
 use violetward_net::{sleep, timeout};
+use violetward_session::kind::PROPERTY;
+use violetward_statement::carried::Carried;
 use violetward_statement::pages::{Page, Turn};
 use violetward_statement::results::QueryError;
 use violetward_statement::session::Context;
@@ -26,6 +28,8 @@
 const IOPUB_WAITING: usize = 512;
 /// Replies that wait for one client; a client that lets more pile up is cut off.
 const REPLIES_WAITING: usize = 512;
+/// Sessions that carry something from one cell to the next.
+const MOST_CARRIED: usize = 65_536;
 /// Signatures remembered against replays.
 const SIGNATURES: usize = 65_536;
 
@@ -56,6 +60,10 @@
     clients: RefCell<HashMap<u64, Peer>>,
     subscribers: RefCell<HashMap<u64, Subscriber>>,
     runs: RefCell<HashMap<u64, StatementId>>,
+    /// What sessions carry, for as long as a connection of theirs lives.
+    carried: RefCell<HashMap<String, Carried>>,
+    /// Sessions of each connection.
+    sessions_of: RefCell<HashMap<u64, HashSet<String>>>,
     /// Counts kernels: cells of one that was shut down end nowhere.
     life: Cell<u64>,
     /// Messages that were dropped for slow subscribers.
@@ -91,6 +99,8 @@
             clients: RefCell::default(),
             subscribers: RefCell::default(),
             runs: RefCell::default(),
+            carried: RefCell::default(),
+            sessions_of: RefCell::default(),
             life: Cell::new(0),
             dropped: Cell::new(0),
             refused: Cell::new(0),
@@ -116,6 +126,7 @@
                         }
                         notebook.clients.borrow_mut().remove(&n);
                         notebook.subscribers.borrow_mut().remove(&n);
+                        notebook.left(n);
                     });
                 }
                 Err(_) => sleep(std::time::Duration::from_millis(20)).await,
@@ -207,6 +218,10 @@
         let message = self.signer.borrow_mut().read(parts);
         match message {
             Ok(mut message) => {
+                if channel == Channel::Shell && message.header.msg_type == "execute_request" {
+                    let session = message.header.session.clone();
+                    self.sessions_of.borrow_mut().entry(n).or_default().insert(session);
+                }
                 // The way back begins with the connection.
                 message.identities.insert(0, n.to_be_bytes().to_vec());
                 let out = self.kernel.borrow_mut().handle(channel, message);
@@ -235,7 +250,7 @@
                     }
                 }
                 Out::Publish { parent, kind, content } => self.publish(&parent, kind, &content),
-                Out::Run { run, code, terms } => self.run(run, code, &terms),
+                Out::Run { run, session, code, terms } => self.run(run, session, code, &terms),
                 Out::Stop(run) => {
                     if let Some(&id) = self.runs.borrow().get(&run) {
                         self.host.core(|core, now| core.cancel(now, id));
@@ -244,6 +259,8 @@
                 Out::Shutdown => {
                     // The kernel's state ends; the gateway stays, and a new kernel takes its place.
                     self.life.set(self.life.get() + 1);
+                    let all: Vec<String> = self.carried.borrow().keys().cloned().collect();
+                    all.iter().for_each(|session| self.let_go(session));
                     *self.kernel.borrow_mut() = Kernel::new();
                 }
             }
@@ -270,14 +287,15 @@
     }
 
     /// A cell is a statement like any other.
-    fn run(self: &Rc<Self>, run: u64, code: String, terms: &Value) {
+    fn run(self: &Rc<Self>, run: u64, session: String, code: String, terms: &Value) {
         let public_id = self.host.next_public_id();
-        let context = self.context(terms);
+        let mut context = self.context(terms);
+        self.carried.borrow().get(&session).cloned().unwrap_or_default().put(&mut context);
         let id = self.host.core(|core, now| core.submit(now, Submission { public_id, text: code, context }));
         self.runs.borrow_mut().insert(run, id);
         let (notebook, life) = (self.clone(), self.life.get());
         self.host.spawn(async move {
-            let end = notebook.collect(id).await;
+            let end = notebook.collect(id, &session).await;
             notebook.runs.borrow_mut().remove(&run);
             if notebook.life.get() == life {
                 let out = notebook.kernel.borrow_mut().ended(run, end);
@@ -304,8 +322,42 @@
         }
     }
 
+    /// Keeps what an answer says of the session for its next cell.
+    fn carry(&self, session: &str, changes: &[(String, String)]) {
+        if changes.is_empty() {
+            return;
+        }
+        let mut all = self.carried.borrow_mut();
+        if all.len() >= MOST_CARRIED && !all.contains_key(session) {
+            tracing::warn!("too many sessions carry something; one of a notebook is forgotten");
+            return;
+        }
+        let carried = all.entry(session.to_owned()).or_default();
+        changes.iter().for_each(|(name, value)| carried.take(name, value));
+        if carried.is_empty() {
+            all.remove(session);
+        }
+    }
+
+    /// A connection has ended: sessions without another one end with it.
+    fn left(&self, n: u64) {
+        let Some(sessions) = self.sessions_of.borrow_mut().remove(&n) else { return };
+        for session in sessions {
+            if !self.sessions_of.borrow().values().any(|s| s.contains(&session)) {
+                self.let_go(&session);
+            }
+        }
+    }
+
+    fn let_go(&self, session: &str) {
+        let Some(carried) = self.carried.borrow_mut().remove(session) else { return };
+        let property = carried.session.iter().find(|(n, _)| n == PROPERTY).map(|(_, v)| v.as_str());
+        let tokens: Vec<&str> = carried.transaction.as_deref().into_iter().chain(property).collect();
+        self.host.core(|core, now| core.let_go(now, &self.config.user, &tokens));
+    }
+
     /// Takes the pages of a statement to its end.
-    async fn collect(&self, id: StatementId) -> CellEnd {
+    async fn collect(&self, id: StatementId, session: &str) -> CellEnd {
         let mut table = Table::default();
         let mut token = 0;
         self.host.core(|core, now| core.waits(now, id, true));
@@ -316,6 +368,7 @@
                     add(&mut table, &page, self.config.rows);
                     token += 1;
                     if let Some(end) = &page.end {
+                        self.carry(session, &page.session);
                         break end.error().map_or(CellEnd::Table(table), cell_error);
                     }
                 }
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -75,7 +75,11 @@
     let front = Front::new(host.clone(), rand::random());
     executor.spawn(host.clone().run_timers()).detach();
     executor.spawn(host.clone().run_status()).detach();
+    executor.spawn(host.clone().run_releases()).detach();
     executor.spawn(watch::run(host.clone())).detach();
+    if let Some(path) = host.config.sessions.key_file.clone() {
+        executor.spawn(watch::keys(host.clone(), path)).detach();
+    }
     if let Some(kernel) = host.config.kernel.clone() {
         Notebook::start(host.clone(), address.ip(), kernel)?;
     }
--- /dev/null
+++ b/crates/gateway/src/sessions.rs
@@ -0,0 +1,449 @@
+//! Sessions that live on one engine, as the core meets them: what a statement's headers say of its session, what the engine's
+//! answer makes of it, and what its end means for it. Free of I/O and clock.
+
+use std::collections::HashMap;
+
+use violetward::{EngineId, Micros, Pin};
+use violetward_session::kind::{Kind, PROPERTY};
+use violetward_session::reserve;
+use violetward_session::table::{Binding, Denied, Full, Holds, Left, Limits, Loss, Table, Why};
+use violetward_session::token::{Keys, Token};
+use violetward_statement::pages::Ending;
+use violetward_statement::results::{ErrorType, QueryError};
+use violetward_statement::session::{decode, encode, Context};
+use violetward_statement::text;
+
+/// Name of the error of a statement whose session is lost.
+pub const LOST: &str = "SESSION_LOST";
+/// Of one whose token is not believed.
+pub const INVALID: &str = "SESSION_INVALID";
+/// Of one in a transaction that can only be rolled back.
+pub const ABORTED: &str = "TRANSACTION_ABORTED";
+/// What engines answer if they don't know a transaction or session, and if another statement of it runs.
+pub const UNKNOWN: [&str; 2] = ["UNKNOWN_TRANSACTION", "UNKNOWN_SESSION"];
+/// See [`UNKNOWN`].
+pub const BUSY: &str = "SESSION_BUSY";
+
+/// Headers by which engines and clients tell of transactions.
+pub const STARTED: &str = "X-Trino-Started-Transaction-Id";
+/// See [`STARTED`].
+pub const CLEARED: &str = "X-Trino-Clear-Transaction-Id";
+const SET: &str = "X-Trino-Set-Session";
+const CLEAR: &str = "X-Trino-Clear-Session";
+
+/// What a statement has to do with a session.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// What it is.
+    pub kind: Kind,
+    /// Its session, once there is one.
+    pub number: Option<u64>,
+    /// Where that lives.
+    pub binding: Option<Binding>,
+    /// It uses the reserve of its engine.
+    pub reserved: bool,
+    /// It may change something.
+    pub writes: bool,
+    /// What the session holds by the engine's last word.
+    pub holds: Holds,
+}
+
+impl Member {
+    /// What the module is told.
+    pub fn pin(&self) -> Option<Pin> {
+        let binding = self.binding.as_ref()?;
+        let engine = EngineId(binding.engine);
+        Some(Pin { engine, reserve: self.reserved, finishing: binding.finishing })
+    }
+}
+
+/// How a statement goes on once its session has been looked at.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Admit {
+    /// It has none and needs none.
+    Plain,
+    /// It opens one, or belongs to one.
+    Member(Box<Member>),
+    /// It has ended, with these headers for its client.
+    Ended(Ending, Vec<(String, String)>),
+}
+
+/// The sessions of a gateway.
+pub struct Sessions {
+    table: Table,
+    keys: Keys,
+    reserve: u32,
+    epochs: HashMap<EngineId, String>,
+    life: u64,
+    next: u64,
+    /// Sessions that were lost, for the operators.
+    pub lost: u64,
+}
+
+/// Spreads a number over 64 bits (the finalizer of SplitMix64).
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+fn user_error(name: &str, why: String) -> Ending {
+    Ending::Declined(QueryError::new(ErrorType::UserError, 0x7610, name, why))
+}
+
+fn lost(why: Why, holds: Holds) -> Ending {
+    let why = format!("the session is lost with {}: {}", holds.words(), why.words());
+    Ending::Failed(QueryError::new(ErrorType::External, 0x7611, LOST, why))
+}
+
+fn refused(why: &str, after_ms: u64) -> Ending {
+    Ending::Refused(QueryError::refused(why, after_ms))
+}
+
+impl Sessions {
+    /// None yet. `life` must differ at every start of every gateway.
+    pub fn new(limits: Limits, reserve: u32, keys: Keys, life: &str, now: Micros) -> Self {
+        let life = life.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| mix(h ^ u64::from(b)));
+        Sessions {
+            table: Table::new(limits, now),
+            keys,
+            reserve,
+            epochs: HashMap::new(),
+            life,
+            next: 0,
+            lost: 0,
+        }
+    }
+
+    /// Open sessions.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// None is open.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// Other keys from now on.
+    pub fn set_keys(&mut self, keys: Keys) {
+        self.keys = keys;
+    }
+
+    /// Looks at a statement's session. `engine` finds an engine that is listed, by its name.
+    pub fn admit(
+        &mut self,
+        now: Micros,
+        statement: u64,
+        context: &Context,
+        sql: &str,
+        engine: impl Fn(&str) -> Option<EngineId>,
+    ) -> Admit {
+        let kind = Kind::of(sql);
+        let transaction = context.transaction.as_deref().filter(|t| !t.eq_ignore_ascii_case("none"));
+        let carried: Vec<&str> = transaction.into_iter().chain(context.property(PROPERTY)).collect();
+        let word = text::first_word(sql);
+        let reads = [
+            "select",
+            "show",
+            "describe",
+            "explain",
+            "values",
+            "with",
+            "execute",
+            "prepare",
+            "deallocate",
+            "use",
+            "set",
+            "reset",
+        ];
+        let writes = !reads.contains(&word.as_str());
+        let mut member =
+            Member { kind, number: None, binding: None, reserved: false, writes, holds: Holds::default() };
+        if carried.is_empty() {
+            return match member.kind {
+                Kind::Other | Kind::Leave => Admit::Plain,
+                Kind::Commit | Kind::Rollback => Admit::Ended(
+                    user_error("NOT_IN_TRANSACTION", "there is no transaction to end".into()),
+                    Vec::new(),
+                ),
+                Kind::Start | Kind::Temporary => match self.table.may_open(&context.user) {
+                    Ok(()) => Admit::Member(Box::new(member)),
+                    Err(full) => Admit::Ended(refused(full.words(), 1000), Vec::new()),
+                },
+            };
+        }
+        // What the client asks for may be done already: then there is nothing to fail.
+        let over = |ending: Ending| match member.kind {
+            Kind::Rollback if transaction.is_some() => {
+                Admit::Ended(Ending::Served, vec![(CLEARED.to_owned(), "true".into())])
+            }
+            Kind::Leave => Admit::Ended(Ending::Served, vec![(CLEAR.to_owned(), PROPERTY.into())]),
+            _ => Admit::Ended(ending, Vec::new()),
+        };
+        let mut tokens = Vec::new();
+        for text in carried {
+            match self.keys.open(now, &context.user, text) {
+                Ok(token) => tokens.push(token),
+                Err(why) => {
+                    return over(user_error(INVALID, format!("the session's token is not accepted: {why}")))
+                }
+            }
+        }
+        if tokens.iter().any(|t| t.session != tokens[0].session) {
+            let why = "the transaction and the session that are named are not the same session";
+            return Admit::Ended(user_error(INVALID, why.into()), Vec::new());
+        }
+        if member.kind == Kind::Start && transaction.is_some() {
+            let why = "a transaction is open already";
+            return Admit::Ended(user_error("NOT_SUPPORTED", why.into()), Vec::new());
+        }
+        let token = &tokens[0];
+        let holds = Holds {
+            transaction: tokens.iter().any(|t| t.holds.transaction),
+            tables: tokens.iter().any(|t| t.holds.tables),
+        };
+        let rolls_back = matches!(member.kind, Kind::Rollback | Kind::Leave);
+        let mut entered = self.table.enter(now, token.session, &context.user, statement, rolls_back);
+        if entered == Err(Denied::Unknown) {
+            // Another gateway's: taken over if its engine still lives in the same epoch.
+            match self.take_over(now, token, holds, engine(&token.engine)) {
+                Ok(()) => {
+                    entered = self.table.enter(now, token.session, &context.user, statement, rolls_back);
+                }
+                Err(ending) => return over(ending),
+            }
+        }
+        let binding = match entered {
+            Ok(binding) => binding,
+            Err(Denied::Busy) => {
+                return Admit::Ended(refused("another statement of this session runs", 200), Vec::new())
+            }
+            Err(Denied::Aborted) => {
+                let why = "a statement of this transaction ended without its outcome being known; only ROLLBACK is heard";
+                return Admit::Ended(user_error(ABORTED, why.into()), Vec::new());
+            }
+            Err(Denied::Gone(Why::Ended, _)) => {
+                let why =
+                    "the session has been ended by its client: a COMMIT, ROLLBACK or RESET of it was taken";
+                return over(user_error(INVALID, why.into()));
+            }
+            Err(Denied::Gone(why, held)) => return over(lost(why, held)),
+            Err(Denied::NotYours) => {
+                return Admit::Ended(
+                    user_error(INVALID, "the session belongs to another user".into()),
+                    Vec::new(),
+                )
+            }
+            Err(Denied::Unknown) => return over(lost(Why::Forgotten, holds)),
+        };
+        let reserved = self.table.reserved(binding.engine, &binding.epoch);
+        member.reserved = reserve::applies(&member.kind, binding.holds, reserved, self.reserve);
+        if member.reserved {
+            self.table.reserve(binding.engine, &binding.epoch, true);
+        }
+        member.number = Some(token.session);
+        member.holds = binding.holds;
+        member.binding = Some(binding);
+        Admit::Member(Box::new(member))
+    }
+
+    fn take_over(
+        &mut self,
+        now: Micros,
+        token: &Token,
+        holds: Holds,
+        engine: Option<EngineId>,
+    ) -> Result<(), Ending> {
+        let engine = engine.ok_or_else(|| lost(Why::Removed, holds))?;
+        if self.epochs.get(&engine).is_some_and(|epoch| *epoch != token.epoch) {
+            return Err(lost(Why::Restarted, holds));
+        }
+        let binding = Binding {
+            engine: engine.0,
+            epoch: token.epoch.clone(),
+            inner: token.inner.clone(),
+            holds,
+            finishing: false,
+        };
+        self.table
+            .open(now, token.session, &token.user, &binding, token.until, None)
+            .map_err(|full| refused(full.words(), 1000))
+    }
+
+    /// Reads what an engine's answer says of the session, and puts this gateway's tokens in place of the engine's names.
+    ///
+    /// # Errors
+    /// The session could not be kept: what is full, and its name at the engine.
+    #[allow(clippy::too_many_arguments)]
+    pub fn answered(
+        &mut self,
+        now: Micros,
+        statement: u64,
+        member: &mut Option<Box<Member>>,
+        user: &str,
+        engine: (EngineId, &str),
+        epoch: &str,
+        headers: &mut [(String, String)],
+    ) -> Result<(), (Full, Binding)> {
+        for (name, value) in headers.iter_mut() {
+            let is = |known: &str| name.eq_ignore_ascii_case(known);
+            let property = value.split_once('=').filter(|(n, _)| n.trim() == PROPERTY);
+            let inner = match property {
+                Some((_, inner)) if is(SET) => decode(inner),
+                _ if is(STARTED) => Some(value.clone()),
+                _ => None,
+            };
+            if let (Some(member), true) = (member.as_mut(), is(CLEARED)) {
+                member.holds.transaction = false;
+            }
+            if let (Some(member), true) = (member.as_mut(), is(CLEAR) && value.trim() == PROPERTY) {
+                member.holds.tables = false;
+            }
+            let Some(inner) = inner else { continue };
+            let starts = is(STARTED);
+            let member = member.get_or_insert_with(|| {
+                let kind = if starts { Kind::Start } else { Kind::Temporary };
+                Box::new(Member {
+                    kind,
+                    number: None,
+                    binding: None,
+                    reserved: false,
+                    writes: true,
+                    holds: Holds::default(),
+                })
+            });
+            member.holds.transaction |= starts;
+            member.holds.tables |= !starts;
+            let until = now + self.table.limits().absolute.as_micros() as Micros;
+            let number = match member.number {
+                Some(number) => number,
+                None => {
+                    self.next += 1;
+                    let number = mix(self.life ^ mix(self.next));
+                    let binding = Binding {
+                        engine: engine.0 .0,
+                        epoch: epoch.to_owned(),
+                        inner: inner.clone(),
+                        holds: member.holds,
+                        finishing: false,
+                    };
+                    if let Err(full) = self.table.open(now, number, user, &binding, until, Some(statement)) {
+                        return Err((full, binding));
+                    }
+                    (member.number, member.binding) = (Some(number), Some(binding));
+                    number
+                }
+            };
+            let token = Token {
+                session: number,
+                user: user.to_owned(),
+                engine: engine.1.to_owned(),
+                epoch: epoch.to_owned(),
+                inner,
+                holds: member.holds,
+                until,
+            };
+            let signed = self.keys.sign(&token);
+            *value = if starts { signed } else { format!("{PROPERTY}={}", encode(&signed)) };
+        }
+        Ok(())
+    }
+
+    /// A statement of a session has ended: what its client is told in the end, and what is to be freed at the engine.
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        statement: u64,
+        member: &Member,
+        ending: Ending,
+        attempts: u32,
+    ) -> (Ending, Option<Loss>) {
+        if let (true, Some(binding)) = (member.reserved, &member.binding) {
+            self.table.reserve(binding.engine, &binding.epoch, false);
+        }
+        let Some(number) = member.number.filter(|&n| self.table.contains(n)) else { return (ending, None) };
+        let unknown = ending.error().is_some_and(|e| UNKNOWN.contains(&e.error_name.as_str()));
+        let mut ending = match ending {
+            Ending::Declined(_) if unknown => {
+                let held = member.binding.as_ref().map_or(member.holds, |b| b.holds);
+                self.table.end(now, number, Why::Forgotten);
+                self.lost += 1;
+                return (lost(Why::Forgotten, held), None);
+            }
+            Ending::Declined(e) if e.error_name == BUSY => {
+                refused("another statement of this session runs", 200)
+            }
+            other => other,
+        };
+        let may_have_run = attempts > 0 && matches!(ending, Ending::Failed(_) | Ending::Cancelled(_));
+        let left = match &ending {
+            Ending::Served | Ending::Declined(_) => Left::Holding(member.holds),
+            _ if may_have_run && member.writes => Left::Unsure,
+            _ => Left::Untouched,
+        };
+        if member.kind.ends() && left == Left::Unsure {
+            if let (Kind::Commit, Ending::Failed(e)) = (&member.kind, &mut ending) {
+                e.message = format!("it is not known whether the transaction was committed: {}", e.message);
+            }
+            // Either way the transaction is over; what is left of it at the engine is freed.
+            return (ending, self.table.end(now, number, Why::Ended));
+        }
+        self.table.leave(now, number, statement, left);
+        (ending, None)
+    }
+
+    /// Ends the session of a token, whose client has left.
+    pub fn let_go(&mut self, now: Micros, user: &str, token: &str) -> Option<Loss> {
+        let token = self.keys.open(now, user, token).ok()?;
+        self.table.end(now, token.session, Why::Ended)
+    }
+
+    /// An engine tells the life of its process.
+    pub fn epoch(&mut self, now: Micros, engine: EngineId, epoch: &str) -> Vec<Loss> {
+        if self.epochs.get(&engine).is_some_and(|known| known == epoch) {
+            return Vec::new();
+        }
+        self.epochs.insert(engine, epoch.to_owned());
+        self.count(|table| table.lose(now, engine.0, Some(epoch), Why::Restarted))
+    }
+
+    /// The list says of an engine that it is up, drains, or is gone (`None`).
+    pub fn listed(&mut self, now: Micros, engine: EngineId, drains: Option<bool>) -> Vec<Loss> {
+        match drains {
+            Some(drains) => self.count(|table| table.drains(now, engine.0, drains)),
+            None => {
+                self.epochs.remove(&engine);
+                self.count(|table| table.lose(now, engine.0, None, Why::Removed))
+            }
+        }
+    }
+
+    /// When something may be due.
+    pub fn next_wake(&self) -> Option<Micros> {
+        self.table.next_wake()
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, now: Micros) -> Vec<Loss> {
+        self.count(|table| table.advance(now))
+    }
+
+    fn count(&mut self, what: impl FnOnce(&mut Table) -> Vec<Loss>) -> Vec<Loss> {
+        let lost = what(&mut self.table);
+        self.lost += lost.len() as u64;
+        lost
+    }
+}
+
+/// What the running statement of a lost session is told.
+pub fn loss(member: &Member, loss: &Loss, attempts: u32) -> Ending {
+    match lost(loss.why, loss.binding.holds) {
+        Ending::Failed(mut error) if member.kind == Kind::Commit && attempts > 0 => {
+            error.message =
+                format!("it is not known whether the transaction was committed: {}", error.message);
+            Ending::Failed(error)
+        }
+        other => other,
+    }
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -37,6 +37,26 @@
     }
 }
 
+/// Reads the file of keys whenever it changes. A file that cannot be read or is wrong leaves the old keys. Never ends.
+pub async fn keys(host: Rc<Host>, path: std::path::PathBuf) {
+    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        violetward_net::sleep(host.config.host.list_every.max(std::time::Duration::from_millis(100))).await;
+        let Ok(new) = std::fs::read_to_string(&path) else { continue };
+        if new == text {
+            continue;
+        }
+        match crate::config::read_keys(&new) {
+            Ok(keys) => {
+                tracing::info!(file = %path.display(), "keys of sessions have changed");
+                host.core(|core, _| core.set_keys(keys));
+            }
+            Err(why) => tracing::warn!("{}: {why}; the old keys stand", path.display()),
+        }
+        text = new;
+    }
+}
+
 fn take(host: &Rc<Host>, text: &str, known: &mut BTreeMap<String, Record>) {
     let file = host.config.engines.display().to_string();
     let reading = match list::parse(text, &host.config.names) {
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -49,6 +49,8 @@
     Run {
         /// The cell's number among all that ever ran.
         run: u64,
+        /// The session that it belongs to.
+        session: String,
         /// Its text.
         code: String,
         /// What its message's metadata says under `violetward`: tags, estimates, a deadline.
@@ -332,7 +334,8 @@
                 continue;
             }
             self.runs += 1;
-            out.push(Out::Run { run: self.runs, code: cell.code.clone(), terms: cell.terms.clone() });
+            let (code, terms) = (cell.code.clone(), cell.terms.clone());
+            out.push(Out::Run { run: self.runs, session: session.to_owned(), code, terms });
             self.running.insert(self.runs, session.to_owned());
             if let Some(line) = self.lines.get_mut(session) {
                 line.running = Some((self.runs, cell));
--- a/crates/lab/src/speed.rs
+++ b/crates/lab/src/speed.rs
@@ -9,9 +9,9 @@
     Listed, Load, Outcome, Request, RequestId, TenantId, ZoneId,
 };
 use violetward_gateway::config;
-use violetward_net::wheel::Wheel;
 use violetward_statement::http::{self, Headers, Limits, Reader, Side};
 use violetward_statement::results::QueryResults;
+use violetward_wheel::Wheel;
 
 use crate::fleet::{self, GatewayPlan};
 
@@ -132,6 +132,7 @@
                 key: None,
                 is_retry: false,
                 marked: false,
+                pin: None,
                 due: now + 4_000_000,
             };
             out.clear();
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -1,176 +1,28 @@
 //! The whole path over sockets: a gateway, stand-in engines and clients on one thread of each test.
 
+mod bed;
+
 use std::cell::RefCell;
-use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::Async;
+use bed::with;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
-use violetward::Gateway;
 use violetward_client::resend::{Budget, Effect};
 use violetward_client::{Cancelled, Client, Ending, KernelClient, Kernels, Options, Query};
-use violetward_gateway::host::Host;
-use violetward_gateway::{config, service};
+use violetward_gateway::service;
 use violetward_kernel::message::Signer;
 use violetward_kernel::zmtp;
-use violetward_lab::fleet::{self, GatewayPlan, Listed};
-use violetward_net::{sleep, timeout, Connection};
+use violetward_net::{sleep, timeout};
 use violetward_standin::fault::Fault;
 use violetward_standin::journal::{self, What};
-use violetward_standin::server::{clock, Engine, Setup};
-use violetward_statement::http::{Headers, Limits, Message};
+use violetward_standin::server::clock;
+use violetward_statement::http::{Headers, Message};
 use violetward_statement::results::{QueryResults, STATEMENT};
 
-/// A gateway and its engines.
-struct Bed {
-    executor: Rc<LocalExecutor<'static>>,
-    folder: PathBuf,
-    engines: RefCell<Vec<Rc<Engine>>>,
-    address: SocketAddr,
-    host: Rc<Host>,
-}
-
-impl Drop for Bed {
-    fn drop(&mut self) {
-        std::fs::remove_dir_all(&self.folder).ok();
-    }
-}
-
-/// Runs a test on a bed with so many engines; `more` is added to the configuration.
-fn with<F: Future<Output = ()>>(engines: usize, more: &str, test: impl FnOnce(Rc<Bed>) -> F) {
-    let executor = Rc::new(LocalExecutor::new());
-    static BEDS: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
-    let n = BEDS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-    let folder = std::env::temp_dir().join(format!("violetward-test-{}-{n}", std::process::id()));
-    std::fs::create_dir_all(folder.join("storage")).unwrap();
-    let start = |n: usize| {
-        let name = format!("e{n}");
-        let journal = Some(folder.join(format!("{name}.jsonl")));
-        let storage = Some(folder.join("storage"));
-        Engine::start(Setup { journal, storage, rows_a_page: 100, ..Setup::new(&name) }, executor.clone())
-            .unwrap()
-    };
-    let engines: Vec<Rc<Engine>> = (0..engines).map(start).collect();
-    let list = folder.join("engines.lisp");
-    fleet::write_list(&list, &engines.iter().map(|e| listed(e)).collect::<Vec<_>>()).unwrap();
-    let plan =
-        GatewayPlan { number: 0, of: 1, listen: "127.0.0.1:0".into(), engines: list, more: more.into() };
-    let config = config::parse(&fleet::configuration(&plan), &folder).expect("good");
-    let module = Gateway::new(config.settings.clone(), 5);
-    let (host, address) = service::start(config, Box::new(module), executor.clone()).unwrap();
-    let bed =
-        Rc::new(Bed { executor: executor.clone(), folder, engines: RefCell::new(engines), address, host });
-    async_io::block_on(executor.run(async {
-        while bed.host.look(|core| core.engines().count()) < bed.engines.borrow().len() {
-            sleep(Duration::from_millis(5)).await;
-        }
-        timeout(Duration::from_secs(60), test(bed.clone())).await.expect("the test hangs");
-    }));
-}
-
-fn listed(engine: &Engine) -> Listed {
-    Listed {
-        name: engine.name().into(),
-        address: engine.address(),
-        kind: "m8".into(),
-        came_up: 0,
-        state: "up",
-    }
-}
-
-impl Bed {
-    fn engine(&self, n: usize) -> Rc<Engine> {
-        self.engines.borrow()[n].clone()
-    }
-
-    fn write_list(&self, change: impl Fn(&mut Vec<Listed>)) {
-        let mut list: Vec<Listed> = self.engines.borrow().iter().map(|e| listed(e)).collect();
-        change(&mut list);
-        fleet::write_list(&self.folder.join("engines.lisp"), &list).unwrap();
-    }
-
-    async fn connect(&self) -> Connection {
-        let limits = Limits { body: 64 << 20, ..Limits::default() };
-        Connection::connect(self.address, limits).await.unwrap()
-    }
-
-    async fn post(&self, connection: &mut Connection, sql: &str, tags: &str) -> QueryResults {
-        let mut headers = Headers::default();
-        headers.push("Host", "gateway");
-        headers.push("X-Trino-User", "tester");
-        headers.push("X-Trino-Client-Tags", tags);
-        headers.push("X-Trino-Trace-Token", sql.rsplit("--").next().unwrap_or(sql).trim());
-        let message = connection.call("POST", STATEMENT, &headers, sql.as_bytes()).await.unwrap();
-        assert_eq!(message.status(), 200, "{}", String::from_utf8_lossy(&message.body));
-        serde_json::from_slice(&message.body).unwrap()
-    }
-
-    async fn get(&self, connection: &mut Connection, uri: &str) -> Message {
-        self.ask(connection, "GET", uri).await
-    }
-
-    async fn ask(&self, connection: &mut Connection, method: &str, uri: &str) -> Message {
-        let mut headers = Headers::default();
-        headers.push("Host", "gateway");
-        let path = uri.strip_prefix("http://gateway").unwrap_or(uri);
-        connection.call(method, path, &headers, b"").await.unwrap()
-    }
-
-    /// Polls to the end: the name of the error, if any, and all rows.
-    async fn finish(&self, mut results: QueryResults) -> (Option<String>, usize) {
-        let mut connection = self.connect().await;
-        let mut rows = 0;
-        loop {
-            rows += results
-                .data
-                .as_ref()
-                .map_or(0, |d| serde_json::from_str::<Vec<serde_json::Value>>(d.get()).unwrap().len());
-            let Some(next) = results.next_uri else { return (results.error.map(|e| e.error_name), rows) };
-            let message = self.get(&mut connection, &next).await;
-            assert_eq!(message.status(), 200, "{}", String::from_utf8_lossy(&message.body));
-            results = serde_json::from_slice(&message.body).unwrap();
-        }
-    }
-
-    async fn run(&self, sql: &str, tags: &str) -> (Option<String>, usize) {
-        let mut connection = self.connect().await;
-        let results = self.post(&mut connection, sql, tags).await;
-        self.finish(results).await
-    }
-
-    /// Tries again while it is refused, as a refusal says that it may.
-    async fn insist(&self, sql: &str, tags: &str) {
-        loop {
-            match self.run(sql, tags).await.0.as_deref() {
-                None => return,
-                Some("STATEMENT_REFUSED") => sleep(Duration::from_millis(50)).await,
-                Some(other) => panic!("{other}"),
-            }
-        }
-    }
-
-    fn lines(&self) -> Vec<journal::Line> {
-        let mut all = Vec::new();
-        for engine in self.engines.borrow().iter() {
-            all.extend(journal::read(&self.folder.join(format!("{}.jsonl", engine.name()))).unwrap());
-        }
-        all.sort_by_key(|l| l.at);
-        all
-    }
-
-    fn effects(&self) -> usize {
-        self.lines().iter().filter(|l| matches!(l.what, What::Effect { .. })).count()
-    }
-
-    fn got(&self) -> usize {
-        self.lines().iter().filter(|l| matches!(l.what, What::Got { .. })).count()
-    }
-}
-
 fn next(message: &Message) -> String {
     let results: QueryResults = serde_json::from_slice(&message.body).unwrap();
     results.next_uri.expect("a next page")
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,10 +2,9 @@
 //!
 //! [`Connection`] joins a socket with the sans-I/O reader of `violetward-statement`; [`Pool`] keeps idle client
 //! connections to one address; [`sleep_until`] and [`timeout`] are the only timers, and cost next to nothing to set
-//! (see [`timer`] and [`wheel`]).
+//! (see [`timer`] and `violetward-wheel`).
 
 pub mod timer;
-pub mod wheel;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
--- a/crates/net/src/timer.rs
+++ b/crates/net/src/timer.rs
@@ -8,7 +8,7 @@
 use std::thread::Thread;
 use std::time::{Duration, Instant};
 
-use crate::wheel::{Key, Wheel};
+use violetward_wheel::{Key, Wheel};
 
 struct Shared {
     wheel: Wheel<Waker>,
--- a/crates/standin/src/data.rs
+++ b/crates/standin/src/data.rs
@@ -43,6 +43,33 @@
         Ok(Data { connection })
     }
 
+    /// A copy, without temporary tables.
+    ///
+    /// # Errors
+    /// The library's, as text.
+    pub fn copy(&self) -> Result<Data, String> {
+        let mut copy = Data { connection: Connection::open_in_memory().map_err(|e| e.to_string())? };
+        copy.copy_from(self)?;
+        Ok(copy)
+    }
+
+    /// Takes over all tables of another one; temporary ones stay. Not within a transaction.
+    ///
+    /// # Errors
+    /// The library's, as text.
+    pub fn copy_from(&mut self, from: &Data) -> Result<(), String> {
+        let backup = rusqlite::backup::Backup::new(&from.connection, &mut self.connection);
+        backup.and_then(|b| b.step(-1)).map(|_| ()).map_err(|e| e.to_string())
+    }
+
+    /// Runs statements that give nothing.
+    ///
+    /// # Errors
+    /// The library's, as text.
+    pub fn batch(&self, sql: &str) -> Result<(), String> {
+        self.connection.execute_batch(sql).map_err(|e| e.to_string())
+    }
+
     /// Whether a statement changes anything; what cannot be read does not.
     pub fn writes(&self, sql: &str, context: &Context) -> bool {
         match plain(sql, context) {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod journal;
 pub mod model;
 pub mod server;
+pub mod sessions;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -27,6 +27,7 @@
 use crate::hint::Hint;
 use crate::journal::{Journal, What};
 use crate::model::{Job, Machine, Model, Taken};
+use crate::sessions::{self, Sessions};
 
 /// How long a poll is held; after it the page is empty and tells of progress.
 const HOLD: Duration = Duration::from_millis(400);
@@ -64,6 +65,8 @@
     pub cold: bool,
     /// Rows on a page.
     pub rows_a_page: usize,
+    /// Sessions that nobody uses for so long are dropped.
+    pub session_idle: Duration,
 }
 
 impl Setup {
@@ -83,6 +86,7 @@
             cancels: true,
             cold: false,
             rows_a_page: 500,
+            session_idle: Duration::from_secs(120),
         }
     }
 }
@@ -122,6 +126,7 @@
     started: u64,
     dice: StdRng,
     reports: Vec<(u64, NodeStatus)>,
+    sessions: Sessions,
 }
 
 /// An engine.
@@ -129,7 +134,7 @@
     setup: Setup,
     address: SocketAddr,
     executor: Rc<LocalExecutor<'static>>,
-    data: Data,
+    data: RefCell<Data>,
     journal: Journal,
     state: RefCell<State>,
     /// Counts processes: connections of an earlier one are dead.
@@ -172,11 +177,12 @@
             started: now,
             dice: StdRng::seed_from_u64(setup.seed ^ 0x5eed),
             reports: Vec::new(),
+            sessions: Sessions::default(),
         };
         let engine = Rc::new(Engine {
             address,
             executor: executor.clone(),
-            data,
+            data: RefCell::new(data),
             journal,
             state: RefCell::new(state),
             generation: Cell::new(0),
@@ -211,6 +217,23 @@
         &self.setup.name
     }
 
+    /// Sessions that it holds, for tests.
+    pub fn sessions(&self) -> usize {
+        self.state.borrow().sessions.len()
+    }
+
+    /// Runs a statement on its rows directly, for tests.
+    pub fn execute(&self, sql: &str) {
+        self.data.borrow().batch(sql).unwrap_or_else(|e| panic!("{sql}: {e}"));
+    }
+
+    /// Rows of a table as they stand for all, for tests.
+    pub fn count(&self, table: &str) -> i64 {
+        let sql = format!("SELECT count(*) FROM {table}");
+        let rows = self.data.borrow().run(&sql, &Context::default());
+        rows.ok().and_then(|o| o.rows.first()?.trim_matches(['[', ']']).parse().ok()).unwrap_or(-1)
+    }
+
     /// When its process last started, microseconds since the Unix epoch.
     pub fn started(&self) -> u64 {
         self.state.borrow().started
@@ -236,6 +259,7 @@
             }
         }
         state.statements.clear();
+        state.sessions.clear();
         state.model = Model::new(self.setup.machine.clone(), now, now);
         self.journal.write(now, What::Gone);
         self.away.set(Some(silent));
@@ -371,7 +395,8 @@
     fn tidy(&self) {
         let now = clock();
         let mut state = self.state.borrow_mut();
-        let State { model, statements, .. } = &mut *state;
+        let State { model, statements, sessions, .. } = &mut *state;
+        sessions.tidy(now, self.setup.session_idle.as_micros() as u64);
         statements.retain(|&n, s| {
             let keep = now < s.asked + if s.pages.is_over() { FORGET_OVER } else { FORGET };
             if !keep {
@@ -385,17 +410,26 @@
     fn complete(&self, n: u64) {
         let now = clock();
         let mut state = self.state.borrow_mut();
-        let Some(s) = state.statements.get_mut(&n) else { return };
+        let State { statements, sessions, life, .. } = &mut *state;
+        let Some(s) = statements.get_mut(&n) else { return };
         s.over = true;
-        let writes = self.data.writes(&s.text, &s.context);
+        let mut data = self.data.borrow_mut();
+        let concerns = sessions::concerns(&s.text, &s.context);
+        let writes = !concerns && data.writes(&s.text, &s.context);
         let repeat = s.context.property("query_repeat_key").map(str::to_owned);
         let is_repeat = writes && !self.is_first(repeat.as_deref());
         let result = if is_repeat {
             self.journal.write(now, What::Dropped { trace: s.trace.clone(), n });
             let word = violetward_statement::text::first_word(&s.text).to_uppercase();
             Ok(crate::data::Outcome { update: Some((word, 0)), ..Default::default() })
+        } else if concerns {
+            let (result, effects) = sessions.run(now, life, &mut data, &s.trace, &s.text, &s.context);
+            for trace in effects {
+                self.journal.write(now, What::Effect { trace, n });
+            }
+            result
         } else {
-            let result = self.data.run(&s.text, &s.context);
+            let result = data.run(&s.text, &s.context);
             if writes && result.is_ok() {
                 self.journal.write(now, What::Effect { trace: s.trace.clone(), n });
             }
@@ -502,6 +536,8 @@
                 if self.away.get().is_some() {
                     future::pending::<()>().await;
                 }
+                let mut headers = headers;
+                headers.push(session::EPOCH, self.state.borrow().life.clone());
                 let mut out = Vec::new();
                 http::write_response(&mut out, status, &headers, &body, message.keep_alive);
                 if !self.send(&mut connection, &out, &message).await || !message.keep_alive {
@@ -638,6 +674,13 @@
         };
         {
             let mut state = self.state.borrow_mut();
+            let session = sessions::named(&context).map(str::to_owned);
+            let runs = |s: &Statement| !s.over && sessions::named(&s.context) == session.as_deref();
+            if session.is_some() && state.statements.values().any(runs) {
+                self.journal.write(now, What::Turned { n });
+                let why = "another statement of the session runs";
+                return refuse(QueryError::new(ErrorType::UserError, 0x61, "SESSION_BUSY", why));
+            }
             let share = state.faults.fast_errors.at(now, 0.0).clamp(0.0, 1.0);
             if state.dice.random_bool(share) {
                 self.journal.write(now, What::Over { n, how: "error".into() });
--- a/crates/statement/src/lib.rs
+++ b/crates/statement/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`session`]: the `X-Trino-*` headers that travel with a statement.
 //! - [`text`]: the little that is read of a statement's text.
 
+pub mod carried;
 pub mod http;
 pub mod pages;
 pub mod results;
--- a/crates/statement/src/session.rs
+++ b/crates/statement/src/session.rs
@@ -23,6 +23,8 @@
     pub prepared: Vec<(String, String)>,
     /// The client's mark for its traces.
     pub trace_token: Option<String>,
+    /// The transaction that it belongs to, or `NONE` from a client that can carry one.
+    pub transaction: Option<String>,
     /// Free text about the client.
     pub client_info: Option<String>,
     /// Estimated time to run.
@@ -46,7 +48,7 @@
 ];
 
 /// Headers of an engine's answer that change the client's session; they are passed on.
-pub const SESSION_CHANGES: [&str; 8] = [
+pub const SESSION_CHANGES: [&str; 9] = [
     "X-Trino-Set-Session",
     "X-Trino-Clear-Session",
     "X-Trino-Set-Catalog",
@@ -54,9 +56,14 @@
     "X-Trino-Set-Role",
     "X-Trino-Added-Prepare",
     "X-Trino-Deallocated-Prepare",
+    "X-Trino-Started-Transaction-Id",
     "X-Trino-Clear-Transaction-Id",
 ];
 
+/// Header of an engine's answers that tells the life of its process; of this repository's own making, for engines that hold
+/// sessions. Engines without it are known to have been restarted by the list alone, or by what they no longer know.
+pub const EPOCH: &str = "X-Engine-Epoch";
+
 impl Context {
     /// Reads the headers of a request.
     ///
@@ -71,6 +78,7 @@
             schema: text("Schema"),
             tags: list(headers, "Client-Tags").map(str::to_owned).collect(),
             trace_token: text("Trace-Token"),
+            transaction: text("Transaction-Id"),
             client_info: text("Client-Info"),
             ..Context::default()
         };
@@ -126,6 +134,7 @@
         put("Schema", self.schema.as_deref().unwrap_or_default());
         put("Client-Tags", &self.tags.join(","));
         put("Trace-Token", self.trace_token.as_deref().unwrap_or_default());
+        put("Transaction-Id", self.transaction.as_deref().unwrap_or_default());
         put("Client-Info", self.client_info.as_deref().unwrap_or_default());
         let session: Vec<String> = self.session.iter().map(|(n, v)| format!("{n}={}", encode(v))).collect();
         put("Session", &session.join(","));
--- a/crates/statement/src/text.rs
+++ b/crates/statement/src/text.rs
@@ -1,7 +1,7 @@
 //! The little that is read of a statement's text: its first word and the table that it names first.
 
 /// Words of a statement: comments and quoted text are passed over, quoted names are kept.
-fn words(sql: &str) -> impl Iterator<Item = String> + '_ {
+pub fn words(sql: &str) -> impl Iterator<Item = String> + '_ {
     let mut chars = sql.chars().peekable();
     std::iter::from_fn(move || loop {
         let c = chars.next()?;
--- a/src/api.rs
+++ b/src/api.rs
@@ -257,6 +257,17 @@
     pub listed: Listed,
 }
 
+/// A request of a session that lives on one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pin {
+    /// The only engine that can answer it.
+    pub engine: EngineId,
+    /// It helps to end what stands in others' way: it is admitted if it can be done by its deadline, whatever the debt.
+    pub reserve: bool,
+    /// It may still go there while the engine drains.
+    pub finishing: bool,
+}
+
 /// A request as a client sent it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Request {
@@ -279,6 +290,8 @@
     /// A further try by its client would carry the same mark, so that engines drop it as a repeat of this one. Without
     /// it a keyed request that may have run can't be refused: the client's next try would take effect again.
     pub marked: bool,
+    /// Its session's engine, if it has one. What may have run there is never sent again.
+    pub pin: Option<Pin>,
     /// The client stops waiting at this time.
     pub due: Micros,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 //!     key: None,
 //!     is_retry: false,
 //!     marked: true,
+//!     pin: None,
 //!     due: 5_000_000,
 //! };
 //! gateway.handle(10, Event::Request(request), &mut actions);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -306,7 +306,8 @@
         if fleet_wait == 0.0 && e.threads == 0.0 && e.line.is_empty() && e.debt.iter().all(|&d| d <= 0.0) {
             return run < request.due.saturating_sub(self.now) as f64;
         }
-        let goal = if self.now < open.goal { open.goal } else { request.due };
+        let reserve = request.pin.is_some_and(|p| p.reserve);
+        let goal = if self.now < open.goal && !reserve { open.goal } else { request.due };
         let slack = goal.saturating_sub(self.now) as f64;
         let rate = self.drain_rate(e);
         let free = self.fits(e, threads) && e.line.is_empty();
@@ -318,7 +319,7 @@
         let backlog = shared.max(e.total_debt() / rate);
         let pinch = (self.density(request) / self.usual_density()).powf(PINCH);
         let pinched = wait > 0.0 && pinch < 1.0 && backlog > slack * pinch;
-        e.debt[class] + cost <= depth && wait + run <= slack && !pinched
+        (reserve || e.debt[class] + cost <= depth && !pinched) && wait + run <= slack
     }
 
     /// Work before a request in an engine's line, and half of what runs there.
@@ -492,7 +493,10 @@
         let zone_ok = class.zones.as_ref().is_none_or(|z| z.contains(&e.entry.zone));
         let out_now = !open.waits() || self.is_out(id);
         let capped = open.attempts >= self.settings.attempts_cap;
-        let up = e.entry.listed == Listed::Up;
+        let pin = open.request.pin;
+        let elsewhere = pin.is_some_and(|p| p.engine != engine);
+        let finishing = pin.is_some_and(|p| p.finishing) && e.entry.listed == Listed::Draining;
+        let up = (e.entry.listed == Listed::Up || finishing) && !elsewhere;
         let barred = !kind_ok || !zone_ok || !up || out_now || capped || !self.effect_allows(open, e);
         let spent = open.attempts > 0 && self.budget_left() < 1.0;
         if barred || spent || !self.cold_allows(open, e, true) {
@@ -507,6 +511,9 @@
     /// A request that may have run goes out again only where that is harmless.
     fn effect_allows(&self, open: &Open, e: &Engine) -> bool {
         let Some((_, zone, cell, sent)) = open.maybe else { return true };
+        if open.request.pin.is_some() {
+            return false;
+        }
         match self.class(&open.request).effect {
             Effect::Repeatable => true,
             Effect::Once => false,
@@ -612,7 +619,7 @@
         let stubborn = if self.settings.may_cancel { 1.0 } else { STUBBORN };
         let patience = stubborn * (PATIENCE * usual + PATIENCE_SPAN as f64);
         let until = self.now.saturating_add(patience as Micros);
-        let again = !last && self.class(&open.request).effect != Effect::Once;
+        let again = !last && self.class(&open.request).effect != Effect::Once && open.request.pin.is_none();
         let in_time = again && until.saturating_add(usual as Micros) < due;
         [due, until][usize::from(in_time)]
     }
@@ -714,6 +721,7 @@
         let effect = self.class(&open.request).effect;
         // A client's next try is a repeat to the engines only if it carries the same mark.
         let harmless = effect == Effect::Repeatable || effect.repeats_anywhere() && open.request.marked;
+        let harmless = harmless && open.request.pin.is_none();
         if harmless || open.maybe.is_none() {
             // When the debt of now has drained, spread by half so that clients don't return together.
             let wait = self.fleet_debt() / self.fleet_rate() * (0.5 + unit(self.draw()));
@@ -763,6 +771,7 @@
         let fresh = self.cost(&open.request, None) / self.threads(&open.request) * slow;
         let rest = open.request.due.saturating_sub(self.now) as f64;
         let again = self.class(&open.request).effect == Effect::Repeatable
+            && open.request.pin.is_none()
             && open.attempts < self.settings.attempts_cap
             && self.budget_left() >= 1.0;
         let Some(f) = self.flights.get_mut(&(id, attempt)) else { return };
@@ -892,7 +901,7 @@
         let mut ready = self.engines.iter().filter(|(_, e)| e.sick.as_ref().is_some_and(|s| s.ready));
         let open = self.open.get(&id)?;
         let light = self.density(&open.request) >= self.usual_density();
-        let repeats = self.class(&open.request).effect == Effect::Repeatable;
+        let repeats = self.class(&open.request).effect == Effect::Repeatable && open.request.pin.is_none();
         let may = light && repeats && open.attempts + 1 < self.settings.attempts_cap;
         ready.find(|(&engine, _)| may && self.guard(id, engine) == Leave::Yes).map(|(&engine, _)| engine)
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -138,6 +138,7 @@
             key: None,
             is_retry: false,
             marked: true,
+            pin: None,
             due: self.now + 5 * SECOND,
         };
         change(&mut request);
