--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -412,6 +412,10 @@
     let ids: Vec<StatementId> = (0..60).map(|_| bed.submit(&["notice"])).collect();
     let refused = ids.iter().filter(|&&id| bed.endings(id) == ["refused"]).count();
     assert_eq!(refused, 10);
+    // What was refused before it began does not begin when its client asks for the page that says so.
+    let before = bed.launched.len();
+    assert!(matches!(bed.poll(ids[59], 0), Turn::Page(_)));
+    assert_eq!(bed.launched.len(), before);
     bed.poll(ids[0], 0);
     let attempt = bed.last();
     bed.arrive(attempt, None, true);
--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -389,6 +389,7 @@
             ended: 11 * S,
             contradicted: None,
             rows: 1,
+            session: None,
         }
     }
 
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -3,11 +3,13 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
-use violetward_net::{timeout, Connection, NetError, Pool};
+use violetward_net::{sleep, timeout, Connection, NetError, Pool};
+use violetward_standin::hint::Hint;
 use violetward_standin::server::clock;
+use violetward_statement::carried::Carried;
 use violetward_statement::http::{Headers, Message};
 use violetward_statement::results::{QueryResults, FAILED, REFUSED, STATEMENT};
 use violetward_statement::session::Context;
@@ -63,6 +65,9 @@
     pub contradicted: Option<String>,
     /// Rows.
     pub rows: usize,
+    /// How its session ended, if it ran in one.
+    #[serde(default)]
+    pub session: Option<String>,
 }
 
 /// What is to be asked.
@@ -80,6 +85,8 @@
     pub asks_again: bool,
     /// Stop polling after so many pages.
     pub leaves_after: Option<usize>,
+    /// Run it in a transaction of its own.
+    pub pinned: bool,
 }
 
 fn headers(address: SocketAddr) -> Headers {
@@ -93,20 +100,71 @@
     after.find('/').map_or("/", |at| &after[at..])
 }
 
+/// A statement of a transaction around another one.
+fn around(ask: &Ask, sql: &str, what: &str, carried: &Carried) -> Ask {
+    let hint = Hint { work: 1.0, weight: 1.0, class: "lookup".into(), ..Hint::default() };
+    let context = Context {
+        user: ask.context.user.clone(),
+        source: ask.context.source.clone(),
+        tags: vec!["lookup".into()],
+        trace_token: Some(format!("{}-{what}", ask.record.trace)),
+        estimated_cpu: Some(Duration::from_millis(1)),
+        transaction: Some(carried.transaction.clone().unwrap_or_else(|| "NONE".into())),
+        ..Context::default()
+    };
+    let sql = format!("{sql} {}", hint.comment());
+    Ask { sql, context, asks_again: false, leaves_after: None, pinned: false, ..ask.clone() }
+}
+
+/// Ends a transaction; a refusal is tried again for a while, as it says that it may.
+async fn commit(pool: &Pool, ask: &Ask, carried: &mut Carried) -> String {
+    let until = Instant::now() + Duration::from_secs(4);
+    loop {
+        let end = around(ask, "COMMIT", "commit", carried);
+        match follow(pool, &end, &mut ask.record.clone(), carried).await {
+            Seen::Served => return "committed".into(),
+            Seen::Refused(after) if Instant::now() < until => {
+                sleep(Duration::from_millis(after.clamp(20, 300))).await;
+            }
+            Seen::Refused(_) => return "refused to the end".into(),
+            Seen::Failed => return "failed, and told so".into(),
+            Seen::Declined(name) => return format!("declined: {name}"),
+            Seen::Lost(_) | Seen::NotTaken(_) | Seen::GaveUp => return "gateway lost".into(),
+        }
+    }
+}
+
 /// Asks and waits for the end.
 pub async fn run(pool: Rc<Pool>, ask: Ask) -> Record {
     let mut record = ask.record.clone();
     record.posted = clock();
     record.due = record.posted + ask.patience.as_micros() as u64;
     record.aim += record.posted;
-    let end = timeout(ask.patience + Duration::from_millis(1500), follow(&pool, &ask, &mut record)).await;
-    let seen = end.unwrap_or(Seen::GaveUp);
-    record.seen = seen;
-    record.ended = clock();
+    let mut carried = Carried::default();
+    let limit = ask.patience + Duration::from_millis(1500);
+    let main = async {
+        let mut ask = ask.clone();
+        if ask.pinned {
+            let start = around(&ask, "START TRANSACTION", "start", &carried);
+            let seen = follow(&pool, &start, &mut record, &mut carried).await;
+            if seen != Seen::Served {
+                record.session = Some("not opened".into());
+                return seen;
+            }
+            ask.context.transaction = carried.transaction.clone();
+        }
+        follow(&pool, &ask, &mut record, &mut carried).await
+    };
+    let seen = timeout(limit, main).await.unwrap_or(Seen::GaveUp);
+    (record.seen, record.ended) = (seen, clock());
+    if carried.transaction.is_some() {
+        record.session =
+            Some(timeout(limit, commit(&pool, &ask, &mut carried)).await.unwrap_or("gave up".into()));
+    }
     record
 }
 
-async fn follow(pool: &Pool, ask: &Ask, record: &mut Record) -> Seen {
+async fn follow(pool: &Pool, ask: &Ask, record: &mut Record, carried: &mut Carried) -> Seen {
     let mut head = headers(pool.address());
     ask.context.write(&mut head);
     let within = Duration::from_millis(500);
@@ -130,6 +188,7 @@
             Err(e) => return Seen::Lost(format!("an answer that cannot be read: {e}")),
         };
         pages += 1;
+        message.headers.iter().for_each(|(name, value)| carried.take(name, value));
         if let Some(data) = &results.data {
             record.rows += data.get().matches("],[").count() + 1;
         }
@@ -184,7 +243,7 @@
             let advice = e.failure_info.as_ref().and_then(|i| i.retry_after_millis).unwrap_or(0);
             Seen::Refused(advice)
         }
-        Some(e) if e.error_name == FAILED => Seen::Failed,
+        Some(e) if e.error_name == FAILED || e.error_name == "SESSION_LOST" => Seen::Failed,
         Some(e) => Seen::Declined(e.error_name.clone()),
     }
 }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -70,6 +70,8 @@
     pub keep: Option<PathBuf>,
     /// Gateways are notebook kernels too.
     pub kernels: bool,
+    /// Share of look-ups and reports that run in a transaction each.
+    pub pinned: f64,
 }
 
 impl Plan {
@@ -88,6 +90,7 @@
             slack: Duration::from_millis(250),
             keep: None,
             kernels: false,
+            pinned: 0.0,
         }
     }
 
@@ -495,6 +498,7 @@
     }
     let mut draw =
         Draw::new(world.plan.seed, world.rate(), world.plan.gateways, &format!("d{}", world.plan.seed));
+    draw.pinned = world.plan.pinned;
     let mut clients = Vec::new();
     let start = Instant::now();
     let mut next = Duration::ZERO;
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -137,12 +137,14 @@
     rate: f64,
     gateways: usize,
     mark: String,
+    /// Share of look-ups and reports that run in a transaction each.
+    pub pinned: f64,
 }
 
 impl Draw {
     /// Draws for a day with a seed.
     pub fn new(seed: u64, rate: f64, gateways: usize, mark: &str) -> Self {
-        Draw { dice: StdRng::seed_from_u64(seed), n: 0, rate, gateways, mark: mark.to_owned() }
+        Draw { dice: StdRng::seed_from_u64(seed), n: 0, rate, gateways, mark: mark.to_owned(), pinned: 0.0 }
     }
 
     /// Mean work of a statement in core seconds.
@@ -237,9 +239,14 @@
             ended: 0,
             contradicted: None,
             rows: 0,
+            session: None,
         };
+        let pinned = self.pinned > 0.0
+            && !kind.keyed
+            && kind.name != "notice"
+            && dice.random_bool(self.pinned.clamp(0.0, 1.0));
         let asks_again = dice.random_bool(0.2);
         let patience = Duration::from_millis(kind.give_up as u64);
-        Ask { sql, context, record, patience, asks_again, leaves_after: None }
+        Ask { sql, context, record, patience, asks_again, leaves_after: None, pinned }
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -53,6 +53,9 @@
         /// Leave the day's files in this folder.
         #[arg(long)]
         keep: Option<PathBuf>,
+        /// Share of look-ups and reports that run in a transaction of their own.
+        #[arg(long, default_value_t = 0.0)]
+        pinned: f64,
         /// What scheduling may cost in the checker's comparisons of times, milliseconds.
         #[arg(long, default_value_t = 250)]
         slack_ms: u64,
@@ -187,11 +190,11 @@
             tracing_subscriber::fmt().with_writer(std::io::stderr).init();
             demo::run(listen, engines, address_file, kernel)
         }
-        Command::Badday { seed, policy, keep, slack_ms } => {
+        Command::Badday { seed, policy, keep, pinned, slack_ms } => {
             let slack = Duration::from_millis(slack_ms);
             let plans = policy
                 .into_iter()
-                .map(|p| Plan { keep: keep.clone(), slack, ..Plan::bad_day(seed, p) })
+                .map(|p| Plan { keep: keep.clone(), slack, pinned, ..Plan::bad_day(seed, p) })
                 .collect();
             days(plans, 1)
         }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -47,6 +47,8 @@
     pub doubled: usize,
     /// Attempts that reached engines.
     pub attempts: usize,
+    /// How transactions ended for their clients.
+    pub sessions: BTreeMap<String, usize>,
     /// Broken rules.
     pub broken: Vec<Broken>,
 }
@@ -75,6 +77,10 @@
                 }
             }
         }
+        let mut sessions = BTreeMap::new();
+        for word in evidence.records.iter().filter_map(|r| r.session.clone()) {
+            *sessions.entry(word).or_default() += 1;
+        }
         let mut effects: BTreeMap<&str, usize> = BTreeMap::new();
         let mut attempts = 0;
         for line in &evidence.lines {
@@ -92,6 +98,7 @@
             all,
             doubled,
             attempts,
+            sessions,
             broken,
         }
     }
@@ -144,6 +151,9 @@
             )?;
         }
         writeln!(f, "\nattempts that reached engines: {}", self.attempts)?;
+        for (word, n) in &self.sessions {
+            writeln!(f, "transactions {word}: {n}")?;
+        }
         for (i, rule) in RULES.iter().enumerate() {
             let of: Vec<&Broken> = self.broken.iter().filter(|b| b.rule == i + 1).collect();
             if of.is_empty() {
--- a/tests/clients/statement.py
+++ b/tests/clients/statement.py
@@ -44,6 +44,30 @@
 
     passed = 0
     try:
+        # Transactions by the client's own means, and a temporary table that stays with its connection.
+        from trino.transaction import IsolationLevel
+        connection = trino.dbapi.connect(
+            host=host, port=port, user="tester", catalog="league", schema="public",
+            isolation_level=IsolationLevel.READ_COMMITTED,
+        )
+        c = connection.cursor()
+        c.execute("CREATE TEMPORARY TABLE mine AS SELECT 5 AS a")
+        c.fetchall()
+        for _ in range(5):
+            c.execute("SELECT a FROM mine")
+            assert c.fetchall() == [[5]]
+        connection.commit()
+        plain = trino.dbapi.connect(host=host, port=port, user="tester", catalog="league", schema="public")
+        c = plain.cursor()
+        c.execute("CREATE TEMPORARY TABLE other AS SELECT 6 AS a")
+        c.fetchall()
+        for _ in range(5):
+            c = plain.cursor()
+            c.execute("SELECT a FROM other")
+            assert c.fetchall() == [[6]]
+        assert error("SELECT a FROM other").error_name == "TABLE_NOT_FOUND", "another connection does not see it"
+        passed += 1
+
         c = cursor()
         c.execute("SELECT id, name, price FROM players ORDER BY id LIMIT 3")
         assert [d.name for d in c.description] == ["id", "name", "price"]
