Temporary tables are rebuilt elsewhere where their client allows it

Need: a session that holds only temporary tables need not be lost with its engine if its client says that statements make them.

Change: the session crate keeps a recipe of the statements that made and filled a session's tables (none that touched a real one; broken by a transaction, an unsure write or its bounds); the core runs them one by one through the module, each admitted and charged, then the statement itself, and gives the client the new token. What a session holds is read from what its tokens are carried as. speed compares the table with plain maps, and the ZMTP reader with that of HTTP.

Result: a test on sockets: an engine is removed, the rows are there again elsewhere, the real table is untouched, and after a transaction on the table the loss is told instead.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -157,6 +157,26 @@
     pending: bool,
     /// What it has to do with a session that lives on one engine.
     member: Option<Box<Member>>,
+    /// Its session is rebuilt first: what is left to do.
+    rebuild: Option<Box<Rebuild>>,
+    /// It is a step of the rebuilding for that statement.
+    step_for: Option<StatementId>,
+}
+
+/// A session that is rebuilt before a statement can run in it.
+#[derive(Debug, Default)]
+struct Rebuild {
+    left: VecDeque<String>,
+    done: u32,
+    token: Option<String>,
+}
+
+/// A step of a rebuilding that has ended.
+struct Step {
+    client: StatementId,
+    step: StatementId,
+    trouble: Option<String>,
+    token: Option<String>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -224,6 +244,7 @@
     open: usize,
     effects: VecDeque<Effect>,
     inbox: VecDeque<Event>,
+    steps: VecDeque<Step>,
     now: Micros,
     /// Counts since the start.
     pub counts: Counts,
@@ -264,6 +285,7 @@
             open: 0,
             effects: VecDeque::new(),
             inbox: VecDeque::new(),
+            steps: VecDeque::new(),
             now: 0,
             counts: Counts::default(),
         }
@@ -329,18 +351,24 @@
         let wanted =
             wanted.and_then(violetward_statement::session::duration).map(|d| d.as_micros() as Micros);
         let due = now.saturating_add(wanted.map_or(give_up, |w| w.min(give_up)));
-        let records = &self.records;
-        let named = |name: &str| records.values().find(|r| r.name == name).map(|r| r.entry.engine);
-        let admit = self.sessions.admit(now, id.0, &submission.context, &submission.text, named);
-        let (member, ended) = match admit {
-            Admit::Plain => (None, None),
-            Admit::Member(member) => (Some(member), None),
-            Admit::Ended(ending, headers) => (None, Some((ending, headers))),
-        };
+        let admit = self.admit(id, &submission.context, &submission.text);
+        let (mut member, mut ended, mut rebuild) = (None, None, None);
+        match admit {
+            Admit::Plain => {}
+            Admit::Member(its) => member = Some(its),
+            Admit::Ended(ending, headers) => ended = Some((ending, headers)),
+            Admit::Rebuild(left) => {
+                rebuild = Some(Box::new(Rebuild { left: left.into(), ..Rebuild::default() }))
+            }
+        }
+        let rebuilds = rebuild.is_some();
         // What belongs to a session is never repeated behind its client's back.
         let pending = self.classes[class].effect != violetward::Effect::Repeatable || member.is_some();
+        let pending = pending && !rebuilds;
         let statement = Statement {
             member,
+            rebuild,
+            step_for: None,
             public_id: submission.public_id,
             text: submission.text.into(),
             context: submission.context,
@@ -372,6 +400,9 @@
                 }
             }
             self.finish(id, ending);
+        } else if rebuilds {
+            self.arm(due, Timer::Overdue(id));
+            self.rebuild(id);
         } else {
             self.arm(due, Timer::Overdue(id));
             if !pending {
@@ -382,6 +413,119 @@
         id
     }
 
+    /// Begins the next step of rebuilding a statement's session, a statement of its own that is admitted and charged like any;
+    /// after the last one the statement itself begins.
+    fn rebuild(&mut self, client: StatementId) {
+        let id = StatementId(self.next_id);
+        let Some(s) = self.statements.get_mut(&client) else { return };
+        let Some(rebuild) = &mut s.rebuild else { return };
+        let mut context = s.context.clone();
+        context.transaction = Some("NONE".into());
+        context.session.retain(|(n, _)| n != PROPERTY);
+        if let Some(token) = &rebuild.token {
+            context.session.push((PROPERTY.to_owned(), token.clone()));
+        }
+        let Some(text) = rebuild.left.pop_front() else {
+            s.context.session = context.session.clone();
+            return self.rebuilt(client);
+        };
+        rebuild.done += 1;
+        let public_id = format!("{}_r{}", s.public_id, rebuild.done);
+        let (due, class) = (s.due, s.class);
+        self.next_id += 1;
+        let class = match self.selection.selectors.is_empty() {
+            true => class,
+            false => self.class_of(&Submission {
+                public_id: String::new(),
+                text: text.clone(),
+                context: context.clone(),
+            }),
+        };
+        let admit = self.admit(id, &context, &text);
+        let member = match admit {
+            Admit::Member(member) => Some(member),
+            Admit::Plain => None,
+            Admit::Rebuild(_) | Admit::Ended(..) => {
+                return self.not_rebuilt(client, "its session was lost again");
+            }
+        };
+        let statement = Statement {
+            public_id,
+            text: text.into(),
+            context,
+            class,
+            taken: self.now,
+            due,
+            terms: (0.0, 1),
+            attempts: 0,
+            current: None,
+            pages: Pages::default(),
+            polled: self.now,
+            waiting: 1,
+            bound: false,
+            trouble: None,
+            pending: false,
+            member,
+            rebuild: None,
+            step_for: Some(client),
+        };
+        self.open += 1;
+        self.statements.insert(id, statement);
+        self.arm(due, Timer::Overdue(id));
+        self.begin(id);
+    }
+
+    /// All steps are done: the statement runs in its new session.
+    fn rebuilt(&mut self, client: StatementId) {
+        let Some(s) = self.statements.get(&client) else { return };
+        let (context, text) = (s.context.clone(), s.text.clone());
+        match self.admit(client, &context, &text) {
+            Admit::Member(member) => {
+                if let Some(s) = self.statements.get_mut(&client) {
+                    s.member = Some(member);
+                }
+                self.begin(client);
+            }
+            _ => self.not_rebuilt(client, "its session was lost again"),
+        }
+    }
+
+    fn not_rebuilt(&mut self, client: StatementId, why: &str) {
+        let why = format!("its session could not be rebuilt: {why}");
+        self.finish(
+            client,
+            Ending::Failed(QueryError::new(ErrorType::External, 0x7611, sessions::LOST, why)),
+        );
+    }
+
+    /// A step has ended.
+    fn stepped(&mut self, step: Step) {
+        self.statements.remove(&step.step);
+        let wanted = self.statements.get(&step.client).is_some_and(|s| s.pages.end().is_none());
+        if !wanted {
+            // Its client has its end already: nobody will use what was built.
+            let user = self.statements.get(&step.client).map(|s| s.context.user.clone());
+            if let (Some(user), Some(token)) = (user, &step.token) {
+                let loss = self.sessions.let_go(self.now, &user, token);
+                self.lose(loss.into_iter().collect());
+            }
+            return;
+        }
+        if let Some(trouble) = step.trouble {
+            return self.not_rebuilt(step.client, &trouble);
+        }
+        if let Some(rebuild) = self.statements.get_mut(&step.client).and_then(|s| s.rebuild.as_mut()) {
+            rebuild.token = step.token.or(rebuild.token.take());
+        }
+        self.rebuild(step.client);
+    }
+
+    fn admit(&mut self, id: StatementId, context: &Context, text: &str) -> Admit {
+        let records = &self.records;
+        let named = |name: &str| records.values().find(|r| r.name == name).map(|r| r.entry.engine);
+        self.sessions.admit(self.now, id.0, context, text, named)
+    }
+
     /// Hands a page out; `patient` if the caller would rather wait than get an empty one.
     pub fn page(&mut self, now: Micros, id: StatementId, token: u64, patient: bool) -> Turn {
         self.pass(now);
@@ -827,10 +971,16 @@
     /// Passes what has happened to the module, and carries its actions over into effects, until nothing is left.
     fn run(&mut self) {
         let mut actions = Vec::new();
-        while let Some(event) = self.inbox.pop_front() {
-            self.gateway.handle(self.now, event, &mut actions);
-            for action in std::mem::take(&mut actions) {
-                self.act(action);
+        loop {
+            if let Some(event) = self.inbox.pop_front() {
+                self.gateway.handle(self.now, event, &mut actions);
+                for action in std::mem::take(&mut actions) {
+                    self.act(action);
+                }
+            } else if let Some(step) = self.steps.pop_front() {
+                self.stepped(step);
+            } else {
+                return;
             }
         }
     }
@@ -956,7 +1106,8 @@
         let Some(s) = self.statements.get_mut(&id) else { return };
         let mut ending = ending;
         if let (Some(member), None) = (&s.member, s.pages.end()) {
-            let (told, left) = self.sessions.ended(self.now, id.0, member, ending, s.attempts);
+            let asked = (&s.context, &*s.text);
+            let (told, left) = self.sessions.ended(self.now, id.0, member, asked, ending, s.attempts);
             ending = told;
             if let Some(record) = left.as_ref().and_then(|l| self.records.get(&EngineId(l.binding.engine))) {
                 let inner = left.map_or_else(String::new, |l| l.binding.inner);
@@ -969,6 +1120,14 @@
         }
         // What has ended before it began does not begin.
         s.pending = false;
+        if let Some(token) = s.rebuild.as_ref().and_then(|r| r.token.as_ref()) {
+            s.pages.session.push(sessions::carry(token));
+        }
+        if let Some(client) = s.step_for {
+            let trouble = s.pages.end().and_then(|e| e.error()).map(|e| e.message.clone());
+            let token = sessions::opened(&s.pages.session);
+            self.steps.push_back(Step { client, step: id, trouble, token });
+        }
         self.open -= 1;
         self.timers.remove(&(s.due, Timer::Overdue(id)));
         let counts = &mut self.counts;
--- a/crates/gateway/src/sessions.rs
+++ b/crates/gateway/src/sessions.rs
@@ -1,10 +1,11 @@
 //! Sessions that live on one engine, as the core meets them: what a statement's headers say of its session, what the engine's
 //! answer makes of it, and what its end means for it. Free of I/O and clock.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use violetward::{EngineId, Micros, Pin};
 use violetward_session::kind::{Kind, PROPERTY};
+use violetward_session::recipe::{Recipe, REBUILD};
 use violetward_session::reserve;
 use violetward_session::table::{Binding, Denied, Full, Holds, Left, Limits, Loss, Table, Why};
 use violetward_session::token::{Keys, Token};
@@ -64,6 +65,8 @@
     Plain,
     /// It opens one, or belongs to one.
     Member(Box<Member>),
+    /// Its session is lost, and its client lets its tables be rebuilt by these statements, one after the other.
+    Rebuild(Vec<String>),
     /// It has ended, with these headers for its client.
     Ended(Ending, Vec<(String, String)>),
 }
@@ -75,12 +78,18 @@
     reserve: u32,
     /// Lives of each engine's process that are known, the present one last.
     epochs: HashMap<EngineId, Vec<String>>,
+    /// How the tables of sessions were made whose clients let them be rebuilt; oldest first.
+    recipes: HashMap<u64, Recipe>,
+    recipes_in_order: VecDeque<u64>,
     life: u64,
     next: u64,
     /// Sessions that were lost, for the operators.
     pub lost: u64,
 }
 
+/// Recipes kept at most.
+const RECIPES: usize = 10_000;
+
 /// Lives of an engine's process that are remembered.
 const EPOCHS: usize = 16;
 
@@ -91,6 +100,25 @@
     x ^ (x >> 31)
 }
 
+/// The client lets its tables be rebuilt.
+fn rebuilds(context: &Context) -> bool {
+    context.property(REBUILD).is_some_and(|v| v.eq_ignore_ascii_case("true"))
+}
+
+/// The token in an answer's headers, where it opens a session.
+pub fn opened(headers: &[(String, String)]) -> Option<String> {
+    let value = |(name, value): &(String, String)| {
+        let (property, token) = value.split_once('=').filter(|_| name.eq_ignore_ascii_case(SET))?;
+        decode(token).filter(|_| property.trim() == PROPERTY)
+    };
+    headers.iter().find_map(value)
+}
+
+/// The header that gives a token to a client.
+pub fn carry(token: &str) -> (String, String) {
+    (SET.to_owned(), format!("{PROPERTY}={}", encode(token)))
+}
+
 fn user_error(name: &str, why: String) -> Ending {
     Ending::Declined(QueryError::new(ErrorType::UserError, 0x7610, name, why))
 }
@@ -113,6 +141,8 @@
             keys,
             reserve,
             epochs: HashMap::new(),
+            recipes: HashMap::new(),
+            recipes_in_order: VecDeque::new(),
             life,
             next: 0,
             lost: 0,
@@ -203,10 +233,9 @@
             return Admit::Ended(user_error("NOT_SUPPORTED", why.into()), Vec::new());
         }
         let token = &tokens[0];
-        let holds = Holds {
-            transaction: tokens.iter().any(|t| t.holds.transaction),
-            tables: tokens.iter().any(|t| t.holds.tables),
-        };
+        // By what it is carried as, not by what it held when the token was made.
+        let holds =
+            Holds { transaction: transaction.is_some(), tables: context.property(PROPERTY).is_some() };
         // Each transaction has a token of its own, also in one session.
         let open = transaction.map_or(0, |t| t.bytes().fold(1, |h: u64, b| mix(h ^ u64::from(b))).max(1));
         let rolls_back = matches!(member.kind, Kind::Rollback | Kind::Leave);
@@ -243,7 +272,16 @@
                     "the session has been ended by its client: a COMMIT, ROLLBACK or RESET of it was taken";
                 return over(user_error(INVALID, why.into()));
             }
-            Err(Denied::Gone(why, held)) => return over(lost(why, held)),
+            Err(Denied::Gone(why, held)) => {
+                let recipe = self.recipes.get(&token.session).and_then(Recipe::statements);
+                let may = rebuilds(context) && !held.transaction && transaction.is_none() && !rolls_back;
+                // What its own limits ended is over; what an engine lost can be had again.
+                let by_engine = matches!(why, Why::Removed | Why::Drained | Why::Restarted | Why::Forgotten);
+                return match recipe.filter(|_| may && by_engine) {
+                    Some(statements) => Admit::Rebuild(statements.to_vec()),
+                    None => over(lost(why, held)),
+                };
+            }
             Err(Denied::NotYours) => {
                 return Admit::Ended(
                     user_error(INVALID, "the session belongs to another user".into()),
@@ -367,12 +405,34 @@
         Ok(())
     }
 
+    /// Keeps how a session's tables are made.
+    fn record(&mut self, number: u64, context: &Context, sql: &str, left: Left) {
+        if !rebuilds(context) && !self.recipes.contains_key(&number) {
+            return;
+        }
+        if !self.recipes.contains_key(&number) {
+            self.recipes_in_order.push_back(number);
+            if self.recipes_in_order.len() > RECIPES {
+                let oldest = self.recipes_in_order.pop_front();
+                oldest.map(|number| self.recipes.remove(&number));
+            }
+        }
+        let within = context.transaction.as_deref().is_some_and(|t| !t.eq_ignore_ascii_case("none"));
+        let recipe = self.recipes.entry(number).or_default();
+        match left {
+            Left::Holding(_) => recipe.served(sql, within),
+            Left::Unsure => recipe.unsure(),
+            Left::Untouched => {}
+        }
+    }
+
     /// A statement of a session has ended: what its client is told in the end, and what is to be freed at the engine.
     pub fn ended(
         &mut self,
         now: Micros,
         statement: u64,
         member: &Member,
+        (context, sql): (&Context, &str),
         ending: Ending,
         attempts: u32,
     ) -> (Ending, Option<Loss>) {
@@ -399,6 +459,9 @@
             _ if may_have_run && member.writes => Left::Unsure,
             _ => Left::Untouched,
         };
+        if ending == Ending::Served || left == Left::Unsure {
+            self.record(number, context, sql, left);
+        }
         if member.kind.ends() && left == Left::Unsure {
             if let (Kind::Commit, Ending::Failed(e)) = (&member.kind, &mut ending) {
                 e.message = format!("it is not known whether the transaction was committed: {}", e.message);
--- a/crates/lab/src/speed.rs
+++ b/crates/lab/src/speed.rs
@@ -21,8 +21,10 @@
 /// If the lab's own configuration is not good.
 pub fn run() -> std::io::Result<()> {
     parsers();
+    zmtp_parser();
     module()?;
     timers();
+    sessions();
     Ok(())
 }
 
@@ -90,6 +92,117 @@
     });
 }
 
+fn zmtp_parser() {
+    use violetward_kernel::zmtp::{self, Got, Socket};
+    let frames = |n: usize, size: usize| {
+        let body = vec![b'x'; size];
+        let mut bytes = [zmtp::greeting(), zmtp::ready(Socket::Dealer)].concat();
+        for _ in 0..n {
+            let hash = [b'0'; 64];
+            let parts: [&[u8]; 7] = [b"", b"<IDS|MSG>", &hash, b"{}", b"{}", b"{}", &body];
+            bytes.extend(zmtp::message(&parts));
+        }
+        bytes
+    };
+    let read = |bytes: &[u8]| {
+        let mut reader =
+            zmtp::Reader::new(Socket::Router, zmtp::Limits { message: 1 << 30, ..Default::default() });
+        let mut read = 0;
+        for portion in bytes.chunks(16 << 10) {
+            reader.feed(portion);
+            while let Ok(Some(got)) = reader.next() {
+                if let Got::Message(parts) = black_box(got) {
+                    read += parts.iter().map(Vec::len).sum::<usize>();
+                }
+            }
+        }
+        assert!(read > 3000, "the bytes are not read");
+    };
+    let (small, large) = (frames(100, 60), frames(1, 1 << 20));
+    mb_per_s("ZMTP: short messages of seven frames", small.len(), || read(&small));
+    mb_per_s("ZMTP: a message of 1 MB", large.len(), || read(&large));
+}
+
+/// The table of sessions against plain maps: open, enter, leave and end one of many.
+fn sessions() {
+    use std::collections::{BinaryHeap, HashMap};
+    use violetward_session::table::{Binding, Holds, Left, Limits, Table};
+    let limits = Limits { most: 1 << 24, most_a_user: 1 << 24, most_an_engine: 1 << 24, ..Limits::default() };
+    let holds = Holds { transaction: true, tables: false };
+    let binding =
+        Binding { engine: 1, epoch: "life".into(), inner: "s12345".into(), holds, finishing: false };
+    let name = |n: u64| n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    for count in [1_000u64, 10_000, 100_000, 1_000_000] {
+        let mut table = Table::new(limits.clone(), 0);
+        let mut now = 1_000_000_000;
+        for n in 0..count {
+            table.open(now, name(n), "user", &binding, u64::MAX, None).ok();
+        }
+        let rounds = 300_000;
+        let start = Instant::now();
+        for n in 0..rounds {
+            now += 1;
+            let old = name(n);
+            if table.enter(now, old, "user", n, holds, 7, false).is_ok() {
+                table.leave(now, old, n, Left::Holding(holds));
+                table.leave(now, old, n, Left::Untouched);
+            }
+            table.end(now, old, violetward_session::table::Why::Ended);
+            table.open(now, name(count + n), "user", &binding, u64::MAX, None).ok();
+        }
+        let ours = start.elapsed().as_secs_f64() * 1e9 / rounds as f64;
+        let bytes = table.bytes() as f64 / count as f64;
+        // Plain: sessions by number in a map, names as text, limits in a heap of times, engines as sets.
+        struct Plain {
+            _user: String,
+            _epoch: String,
+            _inner: String,
+            used: u64,
+            running: Option<u64>,
+        }
+        let plain = |now| Plain {
+            _user: "user".into(),
+            _epoch: "life".into(),
+            _inner: "s12345".into(),
+            used: now,
+            running: None,
+        };
+        let mut map: HashMap<u64, Plain> = HashMap::new();
+        let mut heap = BinaryHeap::new();
+        let mut of_engine: BTreeMap<u64, std::collections::BTreeSet<u64>> = BTreeMap::new();
+        for n in 0..count {
+            map.insert(name(n), plain(now));
+            heap.push(std::cmp::Reverse((now + 30_000_000, name(n))));
+            of_engine.entry(1).or_default().insert(name(n));
+        }
+        let start = Instant::now();
+        for n in 0..rounds {
+            now += 1;
+            let old = name(n);
+            if let Some(s) = map.get_mut(&old) {
+                (s.running, s.used) = (Some(n), now);
+                (s.running, s.used) = (None, now);
+                heap.push(std::cmp::Reverse((now + 30_000_000, old)));
+            }
+            map.remove(&old);
+            of_engine.entry(1).or_default().remove(&old);
+            map.insert(name(count + n), plain(now));
+            of_engine.entry(1).or_default().insert(name(count + n));
+            heap.push(std::cmp::Reverse((now + 30_000_000, name(count + n))));
+        }
+        let theirs = start.elapsed().as_secs_f64() * 1e9 / rounds as f64;
+        println!(
+            "{:<52} {ours:>9.0} ns, {bytes:.0} bytes each",
+            format!("sessions: enter, leave, end, open; {count} open")
+        );
+        println!(
+            "{:<52} {theirs:>9.0} ns ({:.1} times)",
+            "the same, HashMap, BTreeSet and BinaryHeap",
+            theirs / ours
+        );
+    }
+}
+
 fn module() -> std::io::Result<()> {
     for engines in [8u64, 32] {
         let plan = GatewayPlan {
--- a/crates/lab/tests/sessions.rs
+++ b/crates/lab/tests/sessions.rs
@@ -86,6 +86,37 @@
     });
 }
 
+#[test]
+fn tables_are_rebuilt_elsewhere_only_if_their_client_lets_that_happen() {
+    with(2, "", |bed| async move {
+        let mut caller = Caller::new(bed.address);
+        caller.run("SET SESSION rebuild_tables = 'true'").await.unwrap();
+        caller.run("CREATE TEMPORARY TABLE t AS SELECT id FROM players WHERE id < 4").await.unwrap();
+        caller.run("INSERT INTO t VALUES (50)").await.unwrap();
+        caller.run("INSERT INTO loads VALUES (9, 'real')").await.unwrap();
+        let loads = |bed: &Bed| bed.engines.borrow().iter().map(|e| e.count("loads")).sum::<i64>();
+        let before = loads(&bed);
+        let held: Vec<usize> = bed.engines.borrow().iter().map(|e| e.sessions()).collect();
+        let n = held.iter().position(|&h| h == 1).unwrap();
+        let token = caller.token();
+        bed.write_list(|list| drop(list.remove(n)));
+        sleep(MS(200)).await;
+        let rows = caller.run("SELECT id FROM t ORDER BY id").await.unwrap();
+        assert_eq!(rows, [[1], [2], [3], [50]]);
+        assert_ne!(caller.token(), token, "it carries the new one");
+        assert_eq!(bed.engine(1 - n).sessions(), 1);
+        assert_eq!(loads(&bed), before, "what was done to a real table is not done again");
+        assert_eq!(count(&mut caller, "t").await, 4, "and goes on there");
+        // What a transaction did to them is not known by statements alone.
+        caller.run("START TRANSACTION").await.unwrap();
+        caller.run("INSERT INTO t VALUES (51)").await.unwrap();
+        caller.run("ROLLBACK").await.unwrap();
+        bed.write_list(|list| drop(list.remove(1 - n)));
+        sleep(MS(200)).await;
+        assert_eq!(caller.error("SELECT id FROM t").await, "SESSION_LOST");
+    });
+}
+
 #[test]
 fn an_engine_that_dies_takes_its_transactions_along_and_every_client_is_told() {
     with(1, "", |bed| async move {
@@ -405,6 +436,6 @@
             }
             sleep(MS(20)).await;
         }
-        panic!("what the connections held is still there");
+        panic!("what the connections held is still there: {}", held(&bed));
     });
 }
--- a/crates/session/tests/table.rs
+++ b/crates/session/tests/table.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use violetward_session::index::Index;
 use violetward_session::kind::Kind;
+use violetward_session::recipe::Recipe;
 use violetward_session::reserve;
 use violetward_session::table::*;
 use violetward_session::token::{Key, Keys, Token, TokenError};
@@ -353,3 +354,28 @@
     }
     assert_eq!(table.bytes(), bytes);
 }
+
+#[test]
+fn a_recipe_holds_what_made_the_tables_and_nothing_else_or_nothing() {
+    let mut recipe = Recipe::default();
+    let make = "CREATE TEMPORARY TABLE t AS SELECT 1 AS a";
+    recipe.served(make, false);
+    recipe.served("SELECT * FROM t", false);
+    recipe.served("INSERT INTO loads SELECT a FROM t", false);
+    recipe.served("INSERT INTO t VALUES (2)", false);
+    assert_eq!(recipe.statements().unwrap(), [make, "INSERT INTO t VALUES (2)"]);
+    let mut rolled_back = recipe.clone();
+    rolled_back.served("INSERT INTO loads VALUES (1)", true);
+    assert!(rolled_back.statements().is_some(), "a real table's is not its affair");
+    rolled_back.served("DELETE FROM t", true);
+    assert_eq!(rolled_back.statements(), None);
+    let mut unsure = recipe.clone();
+    unsure.unsure();
+    unsure.served(make, false);
+    assert_eq!(unsure.statements(), None);
+    for n in 0..100 {
+        recipe.served(&format!("INSERT INTO t VALUES ({n})"), false);
+    }
+    assert_eq!(recipe.statements(), None, "bounded: a part would be a wrong table");
+    assert_eq!(Recipe::default().statements(), None);
+}
