--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -220,10 +220,17 @@
     let pool = host.pool(address);
     let session = vec![(PROPERTY.to_owned(), inner.to_owned())];
     let transaction_id = transaction.then(|| inner.to_owned());
-    let context =
-        Context { user: "violetward".into(), session, transaction: transaction_id, ..Context::default() };
+    let context = Context {
+        user: "violetward".into(),
+        session,
+        transaction: transaction_id,
+        // Not an attempt of any request, and told apart from those.
+        trace_token: Some(format!("release-{address}-{inner}")),
+        ..Context::default()
+    };
     let text = format!("RESET SESSION {PROPERTY}");
     let mut headers = host_header(address);
+    headers.push("Via", format!("1.1 violetward-{}", host.config.settings.me.0));
     context.write(&mut headers);
     let work = async {
         let mut connection = pool.get(host.config.host.connect_within).await.ok()?;
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -422,6 +422,48 @@
     assert_eq!(bed.endings(ids[0]), ["served"]);
 }
 
+#[test]
+fn a_wave_of_sessions_of_a_dead_gateway_is_taken_over_at_once() {
+    use violetward_session::table::Holds;
+    use violetward_session::token::{Key, Keys, Token};
+    let keys =
+        Keys::new(vec![Key { name: "k".into(), secret: b"a secret of the core's tests".to_vec() }]).unwrap();
+    let mut bed = Bed::new(2);
+    bed.core.set_keys(keys.clone());
+    let submit = |bed: &mut Bed, n: u64, engine: &str, until: Micros| {
+        let token = Token {
+            session: n.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            user: "u".into(),
+            engine: engine.into(),
+            epoch: "x".into(),
+            inner: format!("s{n}"),
+            holds: Holds { transaction: true, tables: false },
+            until,
+        };
+        let context =
+            Context { user: "u".into(), transaction: Some(keys.sign(&token)), ..Context::default() };
+        let submission = Submission { public_id: "q".into(), text: "COMMIT".into(), context };
+        let id = bed.core.submit(bed.now, submission);
+        bed.collect();
+        id
+    };
+    let later = bed.now + 600 * S;
+    let ids: Vec<StatementId> = (0..40).map(|n| submit(&mut bed, n, "e1", later)).collect();
+    assert_eq!(bed.core.sessions().0, 40);
+    for &id in &ids {
+        bed.poll(id, 0);
+    }
+    assert!(bed.launched.iter().all(|l| l.engine == "e1"), "where they live");
+    let named = bed.launched[0].context.transaction.as_deref().unwrap();
+    assert!(named.starts_with('s') && named.ends_with("@x"), "the engine hears its own name for it: {named}");
+    // Of an engine that is not listed, and of a time that is over: told at once.
+    let gone = submit(&mut bed, 100, "e9", later);
+    assert_eq!(bed.endings(gone), ["failed"]);
+    let now = bed.now;
+    let stale = submit(&mut bed, 101, "e1", now);
+    assert_eq!(bed.endings(stale), ["declined"]);
+}
+
 #[test]
 fn a_cancel_is_one_end_and_stops_the_work() {
     let mut bed = Bed::new(1);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod load;
 pub mod overhead;
+pub mod pinned;
 pub mod process;
 pub mod report;
 pub mod script;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -13,7 +13,7 @@
 use violetward_lab::baseline::{Baseline, Rule};
 use violetward_lab::day::{self, Plan, Policy};
 use violetward_lab::report::Report;
-use violetward_lab::{demo, overhead, script, speed, storm, trouble};
+use violetward_lab::{demo, overhead, pinned, script, speed, storm, trouble};
 use violetward_standin::model::Machine;
 use violetward_standin::server::{Engine, Setup};
 
@@ -127,6 +127,12 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Measure how long after its engine is gone a client knows that its transaction is lost.
+    Pinned {
+        /// Rounds for each event.
+        #[arg(long, default_value_t = 20)]
+        rounds: usize,
+    },
     /// A script through the library for Rust, as a process of its own.
     #[command(hide = true)]
     RunScript {
@@ -248,6 +254,9 @@
                 }
             })
         }
+        Command::Pinned { rounds } => {
+            pinned::measure(rounds.max(1)).map(|all| all.iter().for_each(|k| println!("{k}")))
+        }
         Command::RunScript { script, workers, kernel, to } => script::run_rust(&script, &to, kernel, workers)
             .and_then(|told| {
                 println!("{}", serde_json::to_string(&told)?);
--- a/crates/lab/tests/sessions.rs
+++ b/crates/lab/tests/sessions.rs
@@ -276,6 +276,36 @@
     });
 }
 
+#[test]
+fn a_pinned_engine_that_hangs_costs_its_sessions_and_nobody_else() {
+    with(2, "", |bed| async move {
+        let mut caller = Caller::new(bed.address);
+        caller.run("START TRANSACTION").await.unwrap();
+        let held: Vec<usize> = bed.engines.borrow().iter().map(|e| e.sessions()).collect();
+        let n = held.iter().position(|&h| h == 1).unwrap();
+        bed.engine(n).fault(&Fault::Hang { for_ms: 4600 });
+        let start = std::time::Instant::now();
+        // No other engine can answer it: it ends by its deadline, and the session stands.
+        let name = caller.error("SELECT 1").await;
+        assert!(matches!(name.as_str(), "STATEMENT_FAILED" | "STATEMENT_REFUSED"), "{name}");
+        assert!(start.elapsed() < Duration::from_secs(6));
+        for _ in 0..5 {
+            assert!(matches!(
+                bed.run("SELECT 1", "lookup").await.0.as_deref(),
+                None | Some("STATEMENT_REFUSED")
+            ));
+        }
+        for _ in 0..100 {
+            match caller.run("COMMIT").await {
+                Ok(_) => return,
+                Err((name, message)) => assert_eq!(name, "STATEMENT_REFUSED", "{message}"),
+            }
+            sleep(MS(50)).await;
+        }
+        panic!("the engine is back, and the commit is still refused");
+    });
+}
+
 #[test]
 fn idle_locks_are_let_go_and_a_running_statement_ends_with_the_longest_life() {
     with(1, "(sessions (locks-idle \"300ms\") (idle \"900ms\") (absolute \"1500ms\"))", |bed| async move {
--- a/crates/session/src/table.rs
+++ b/crates/session/src/table.rs
@@ -474,20 +474,22 @@
     pub fn leave(&mut self, now: Micros, number: u64, statement: u64, left: Left) {
         let Some(session) = self.session_mut(number).filter(|s| s.running == Some(statement)) else { return };
         (session.running, session.used) = (None, now);
+        let mut shorter = false;
         match left {
             Left::Untouched => {}
             Left::Unsure => session.aborted = Some(session.transaction),
             Left::Holding(holds) => {
                 // What ended the transaction ended its doubts too.
                 session.aborted = session.aborted.filter(|&within| within == 0 || holds.transaction);
+                shorter = holds.transaction && !session.holds.transaction;
                 session.holds = holds;
             }
         }
-        let (nothing, shorter) = (session.holds.is_nothing(), session.holds.transaction);
+        let nothing = session.holds.is_nothing();
         if nothing {
             self.end(now, number, Why::Ended);
         } else if let (true, Some(at)) = (shorter, self.index.get(number)) {
-            // It may have become a transaction, whose idle limit is the shorter one.
+            // It has become a transaction, whose idle limit is the shorter one.
             self.arm(now, at);
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -902,7 +902,9 @@
         let open = self.open.get(&id)?;
         let light = self.density(&open.request) >= self.usual_density();
         let repeats = self.class(&open.request).effect == Effect::Repeatable && open.request.pin.is_none();
-        let may = light && repeats && open.attempts + 1 < self.settings.attempts_cap;
+        // What ends a transaction has nowhere else to go, and locks to free.
+        let ends = open.request.pin.is_some_and(|p| p.reserve);
+        let may = (light && repeats || ends) && open.attempts + 1 < self.settings.attempts_cap;
         ready.find(|(&engine, _)| may && self.guard(id, engine) == Leave::Yes).map(|(&engine, _)| engine)
     }
 
