A watched zone file as the engine list, and what of a text is believed

Change: membership.rs turns a zone or S-expressions into the list and is the only one that does: a damaged record keeps what was known of its engine, a file that is cut off, has no SOA or is older than what was seen changes nothing. (origin NAME) in the configuration makes the list a zone file; includes stay in its folder. violetward zone check, show and diff.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -16,6 +16,8 @@
     pub listen: SocketAddr,
     /// The file that lists the engines.
     pub engines: PathBuf,
+    /// The name of the zone, if that file is a zone's master file; else it holds S-expressions.
+    pub origin: Option<violetward_dns::name::Name>,
     /// A notebook kernel beside the statement API, if one is wanted.
     pub kernel: Option<KernelConfig>,
     /// How the host carries things out.
@@ -243,8 +245,18 @@
         missing(c, name);
     }
     let (gateway, kinds, classes) = (section("gateway")?, section("kinds")?, section("classes")?);
-    let known =
-        ["number", "of", "zone", "listen", "engines", "key-tag", "group-tag", "tenant-tag", "repeat-tag"];
+    let known = [
+        "number",
+        "of",
+        "zone",
+        "listen",
+        "engines",
+        "origin",
+        "key-tag",
+        "group-tag",
+        "tenant-tag",
+        "repeat-tag",
+    ];
     let g = c.fields(gateway, 0, &known);
     let number = g.whole(c, "number", (0, 1 << 20), 0);
     let of = g.whole(c, "of", (1, 1 << 20), 1);
@@ -262,6 +274,11 @@
         }
         parsed
     });
+    let origin = g.get("origin").cloned().and_then(|f| {
+        let word = c.word(&f, "the name of a zone")?;
+        let name = violetward_dns::name::Name::parse(&word, &violetward_dns::name::Name::root());
+        name.map_err(|e| c.at(&f, format!("origin: {e}"))).ok()
+    });
     let engines = g.need(c, "engines").cloned().and_then(|f| c.word(&f, "the path of the engine list"));
 
     let kernel = section("kernel").and_then(|form| {
@@ -332,6 +349,7 @@
     Some(Config {
         listen: listen?,
         engines: folder.join(engines?),
+        origin,
         kernel,
         sessions,
         host,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod host;
 pub mod list;
+pub mod membership;
 pub mod notebook;
 pub mod service;
 pub mod sessions;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,7 +4,10 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use violetward_gateway::{config, service};
+use violetward_dns::master;
+use violetward_dns::name::Name;
+use violetward_dns::zone::{Change, Zone};
+use violetward_gateway::{config, service, watch};
 
 /// A workload manager for analytic engines: it admits statements, sends each to an engine that can answer it in time,
 /// and refuses at once what none could. Clients speak the public statement protocol of Trino to it.
@@ -44,6 +47,99 @@
         /// The configuration.
         file: PathBuf,
     },
+    /// Look at zone files that list engines.
+    Zone {
+        #[command(subcommand)]
+        what: ZoneCommand,
+    },
+}
+
+#[derive(Subcommand)]
+enum ZoneCommand {
+    /// Tell each mistake with its line and column.
+    Check {
+        /// The master file.
+        file: PathBuf,
+        /// The zone's name.
+        #[arg(long)]
+        origin: String,
+    },
+    /// Show its records, whole and in order.
+    Show {
+        /// The master file.
+        file: PathBuf,
+        /// The zone's name.
+        #[arg(long)]
+        origin: String,
+    },
+    /// Show what has changed from one file to another.
+    Diff {
+        /// The master file of before.
+        old: PathBuf,
+        /// That of after.
+        new: PathBuf,
+        /// The zone's name.
+        #[arg(long)]
+        origin: String,
+    },
+}
+
+/// Reads a zone, and tells what is wrong with it; `None` if nothing of it can be used.
+fn read_zone(file: &std::path::Path, origin: &str) -> Option<(Zone, bool)> {
+    let told = |why: String| eprintln!("{}:{why}", file.display());
+    let origin = match Name::parse(origin, &Name::root()) {
+        Ok(origin) => origin,
+        Err(e) => {
+            eprintln!("{origin}: {e}");
+            return None;
+        }
+    };
+    let text = std::fs::read_to_string(file).map_err(|e| told(format!(" {e}"))).ok()?;
+    let reading = master::read(&text, &origin, &mut |name| watch::include(file, name));
+    let (zone, wrong) = master::zone(&origin, &reading);
+    let mut good = reading.mistakes.is_empty() && wrong.is_empty();
+    reading.mistakes.iter().for_each(|m| told(m.to_string()));
+    wrong.into_iter().for_each(|w| told(format!(" {w}")));
+    if reading.cut {
+        told(" the file is cut off".into());
+        good = false;
+    }
+    if zone.serial().is_none() {
+        told(" there is no SOA record: no gateway would believe it".into());
+        good = false;
+    }
+    Some((zone, good))
+}
+
+fn zone(what: &ZoneCommand) -> ExitCode {
+    let done = match what {
+        ZoneCommand::Check { file, origin } => read_zone(file, origin).map(|(zone, good)| {
+            if good {
+                println!("{}: good, {} sets of records", file.display(), zone.len());
+            }
+            good
+        }),
+        ZoneCommand::Show { file, origin } => read_zone(file, origin).map(|(zone, good)| {
+            zone.records().for_each(|record| println!("{record}"));
+            good
+        }),
+        ZoneCommand::Diff { old, new, origin } => {
+            read_zone(old, origin).zip(read_zone(new, origin)).map(|((old, _), (new, good))| {
+                for change in new.diff(&old) {
+                    match change {
+                        Change::Added(record) => println!("+ {record}"),
+                        Change::Removed(record) => println!("- {record}"),
+                    }
+                }
+                good
+            })
+        }
+    };
+    if done == Some(true) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(2)
+    }
 }
 
 fn main() -> ExitCode {
@@ -56,6 +152,7 @@
     }
     let file = match &cli.command {
         Command::Serve { file, .. } | Command::Check { file } => file,
+        Command::Zone { what } => return zone(what),
     };
     let config = match config::load(file) {
         Ok(config) => config,
@@ -70,6 +167,7 @@
             println!("{}: good. Classes: {classes}. Kinds: {kinds}.", file.display());
             ExitCode::SUCCESS
         }
+        Command::Zone { what } => zone(&what),
         Command::Serve { address_file, .. } => match service::serve(config, address_file.as_deref()) {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,16 +1,15 @@
 //! Watches the file that lists the engines.
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Instant, SystemTime};
 
 use crate::host::Host;
-use crate::list::{self, Record};
+use crate::membership::{Membership, Verdict};
 
 /// Reads the list whenever it changes, and says when it learned what. Never ends.
 pub async fn run(host: Rc<Host>) {
     let path = host.config.engines.clone();
-    let mut known: BTreeMap<String, Record> = BTreeMap::new();
+    let mut membership = Membership::default();
     let mut seen: Option<(SystemTime, u64)> = None;
     let mut changed = Instant::now();
     let mut text = String::new();
@@ -26,7 +25,7 @@
                 Ok(new) if new == text => {}
                 Ok(new) => {
                     text = new;
-                    take(&host, &text, &mut known);
+                    take(&host, &text, &mut membership);
                 }
                 Err(e) => {
                     tracing::warn!(file = %path.display(), "the engine list cannot be read, the old one stands: {e}")
@@ -57,19 +56,21 @@
     }
 }
 
-fn take(host: &Rc<Host>, text: &str, known: &mut BTreeMap<String, Record>) {
-    let file = host.config.engines.display().to_string();
-    let reading = match list::parse(text, &host.config.names) {
-        Ok(reading) => reading,
-        Err(mistake) => {
-            tracing::warn!("{file}:{mistake}; the old list stands");
+fn take(host: &Rc<Host>, text: &str, membership: &mut Membership) {
+    let (file, names) = (host.config.engines.display().to_string(), &host.config.names);
+    let known = membership.list().clone();
+    let (verdict, told) = match &host.config.origin {
+        Some(origin) => membership.zone(text, origin, names, &mut |name| include(&host.config.engines, name)),
+        None => membership.forms(text, names),
+    };
+    told.iter().for_each(|mistake| tracing::warn!("{file}:{mistake}"));
+    let new = match verdict {
+        Verdict::Holds(new) => new,
+        Verdict::Stands(why) => {
+            tracing::warn!("{file}: {why}; the old list stands");
             return;
         }
     };
-    for mistake in &reading.mistakes {
-        tracing::warn!("{file}:{mistake}");
-    }
-    let new = list::merge(known, &reading);
     for (name, record) in &new {
         if known.get(name) != Some(record) {
             tracing::info!(engine = name, state = ?record.entry.listed, at = host.now(), "learned of an engine");
@@ -79,5 +80,15 @@
         tracing::info!(engine = name, at = host.now(), "learned that an engine is gone");
     }
     host.core(|core, now| core.listed(now, &new));
-    *known = new;
+}
+
+/// Reads a file that a zone includes: only from the folder of the zone's own file, and below.
+pub fn include(zone: &std::path::Path, name: &str) -> Result<String, String> {
+    let path = std::path::Path::new(name);
+    let plain = path.components().all(|c| matches!(c, std::path::Component::Normal(_)));
+    if !plain {
+        return Err("it is not within the folder of the zone".into());
+    }
+    let folder = zone.parent().unwrap_or(std::path::Path::new("."));
+    std::fs::read_to_string(folder.join(path)).map_err(|e| e.to_string())
 }
--- a/crates/lab/src/pinned.rs
+++ b/crates/lab/src/pinned.rs
@@ -32,8 +32,12 @@
 
 impl fmt::Display for Knowledge {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.millis.is_empty() {
+            return write!(f, "{:<42} no round", self.event);
+        }
         let at = |q: f64| self.millis[((self.millis.len() - 1) as f64 * q) as usize];
-        write!(f, "{:<42} median {:>6.1} ms, longest {:>6.1} ms", self.event, at(0.5), at(1.0))
+        let n = self.millis.len();
+        write!(f, "{:<42} median {:>6.1} ms, longest {:>6.1} ms of {n}", self.event, at(0.5), at(1.0))
     }
 }
 
@@ -140,6 +144,8 @@
                 Some("SESSION_LOST" | "STATEMENT_FAILED") => {
                     all[which].millis.push(took.as_secs_f64() * 1e3);
                 }
+                // An engine that has just come back takes little; then this round tells nothing.
+                Some("STATEMENT_REFUSED") => {}
                 told => return Err(std::io::Error::other(format!("{}: told {told:?}", events[which]))),
             }
             list(None, None, &up)?;
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -16,6 +16,7 @@
 use violetward_gateway::service;
 use violetward_kernel::message::Signer;
 use violetward_kernel::zmtp;
+use violetward_lab::fleet;
 use violetward_net::{sleep, timeout};
 use violetward_standin::fault::Fault;
 use violetward_standin::journal::{self, What};
@@ -583,3 +584,69 @@
         assert_eq!((kernels.sent(), bed.effects()), (10, 10));
     });
 }
+
+#[test]
+fn a_gateway_follows_a_zone_file_and_a_damaged_one_costs_nothing() {
+    with(2, "", |bed| async move {
+        let file = bed.folder.join("fleet.zone");
+        let write = |serial: u32, engines: &[usize], more: &str| {
+            let mut text = format!("$TTL 5\n@ SOA ns h {serial} 1 1 1 1\nhost A 127.0.0.1\n");
+            for &n in engines {
+                let port = bed.engine(n).address().port();
+                text += &format!("e{n} SRV 0 0 {port} host\n   TXT \"kind=m8\"\n");
+            }
+            let fresh = file.with_extension("new");
+            std::fs::write(&fresh, text + more).unwrap();
+            std::fs::rename(&fresh, &file).unwrap();
+        };
+        write(1, &[0, 1], "");
+        let plan = fleet::GatewayPlan {
+            number: 0,
+            of: 1,
+            listen: "127.0.0.1:0".into(),
+            engines: file.clone(),
+            more: String::new(),
+        };
+        let text = fleet::configuration(&plan).replace("(listen", "(origin \"fleet.example.\")\n  (listen");
+        let config = violetward_gateway::config::parse(&text, &bed.folder).expect("good");
+        let module = violetward::Gateway::new(config.settings.clone(), 5);
+        let (host, address) = service::start(config, Box::new(module), bed.executor.clone()).unwrap();
+        let engines = || host.look(|core| core.engines().map(|r| r.name.clone()).collect::<Vec<_>>());
+        let until = |names: &'static [&'static str]| {
+            let engines = &engines;
+            async move {
+                for _ in 0..300 {
+                    let mut now = engines();
+                    now.sort();
+                    if now == names {
+                        return;
+                    }
+                    sleep(Duration::from_millis(10)).await;
+                }
+                panic!("{:?}, not {names:?}", engines());
+            }
+        };
+        until(&["e0", "e1"]).await;
+        library(&[address], false).run(&lookup("SELECT 1")).await.unwrap();
+        // Damaged, cut off and of an older version: nothing is lost by any of them.
+        write(2, &[1], "e0 SRV 0 x 1 host\n");
+        sleep(Duration::from_millis(200)).await;
+        until(&["e0", "e1"]).await;
+        write(3, &[], "e0 SRV ( 0 0");
+        sleep(Duration::from_millis(200)).await;
+        until(&["e0", "e1"]).await;
+        write(1, &[0], "");
+        sleep(Duration::from_millis(200)).await;
+        until(&["e0", "e1"]).await;
+        write(4, &[1], "");
+        until(&["e1"]).await;
+        let before =
+            bed.lines().iter().filter(|l| l.engine == "e0" && matches!(l.what, What::Got { .. })).count();
+        for _ in 0..5 {
+            library(&[address], false).run(&lookup("SELECT 1")).await.unwrap();
+        }
+        let after =
+            bed.lines().iter().filter(|l| l.engine == "e0" && matches!(l.what, What::Got { .. })).count();
+        assert_eq!(after, before, "what was told gone gets nothing new");
+    });
+}
