--- a/crates/dns/src/lib.rs
+++ b/crates/dns/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`message`]: messages, with compression both ways and the framing of TCP.
 //! - [`master`]: master files; a damaged record costs itself and nothing else.
 //! - [`serial`]: serial arithmetic (RFC 1982).
+//! - [`tsig`]: signed messages (RFC 8945).
 //! - [`zone`]: a zone as a persistent map: snapshots for nothing, differences in time that grows with the change.
 //! - [`update`]: dynamic updates with prerequisites (RFC 2136).
 
@@ -13,5 +14,6 @@
 pub mod name;
 pub mod record;
 pub mod serial;
+pub mod tsig;
 pub mod update;
 pub mod zone;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -18,6 +18,8 @@
     pub engines: PathBuf,
     /// The name of the zone, if that file is a zone's master file; else it holds S-expressions.
     pub origin: Option<violetward_dns::name::Name>,
+    /// Where that zone is served and updated by DNS messages, and the keys of updates.
+    pub zone_front: Option<(SocketAddr, Vec<violetward_dns::tsig::Key>)>,
     /// A notebook kernel beside the statement API, if one is wanted.
     pub kernel: Option<KernelConfig>,
     /// How the host carries things out.
@@ -193,8 +195,18 @@
     pub first_words: Vec<String>,
 }
 
-const SECTIONS: [&str; 9] =
-    ["gateway", "kernel", "sessions", "limits", "engine-properties", "policy", "kinds", "tenants", "classes"];
+const SECTIONS: [&str; 10] = [
+    "gateway",
+    "dns",
+    "kernel",
+    "sessions",
+    "limits",
+    "engine-properties",
+    "policy",
+    "kinds",
+    "tenants",
+    "classes",
+];
 
 /// Reads a configuration. Relative paths in it are relative to `folder`.
 ///
@@ -281,6 +293,7 @@
     });
     let engines = g.need(c, "engines").cloned().and_then(|f| c.word(&f, "the path of the engine list"));
 
+    let zone_front = section("dns").and_then(|form| zone_front(c, form, &origin));
     let kernel = section("kernel").and_then(|form| {
         let f = c.fields(form, 0, &["connection-file", "user", "rows"]);
         let file = f.need(c, "connection-file").cloned().and_then(|f| c.word(&f, "a path"))?;
@@ -350,6 +363,7 @@
         listen: listen?,
         engines: folder.join(engines?),
         origin,
+        zone_front,
         kernel,
         sessions,
         host,
@@ -360,6 +374,43 @@
     })
 }
 
+/// `(dns (listen ADDRESS) (key NAME "secret") ...)`.
+fn zone_front(
+    c: &mut Checker,
+    form: &Form<'_>,
+    origin: &Option<violetward_dns::name::Name>,
+) -> Option<(SocketAddr, Vec<violetward_dns::tsig::Key>)> {
+    use violetward_dns::name::Name;
+    if origin.is_none() {
+        c.at(form, "dns: gateway/origin must name the zone that is served");
+    }
+    let mut listen = None;
+    let mut keys = Vec::new();
+    for datum in &form.rest {
+        let Some(field) = c.form(*datum) else { continue };
+        let words = c.words(&field);
+        match (field.name.as_str(), words.as_slice()) {
+            ("listen", [address]) => match address.parse() {
+                Ok(address) => listen = Some(address),
+                Err(_) => c.at(&field, "listen: expected an address and port such as \"127.0.0.1:5300\""),
+            },
+            ("key", [name, secret]) => match Name::parse(name, &Name::root()) {
+                Ok(name) if secret.len() >= 16 => {
+                    let secret = secret.clone().into_bytes();
+                    keys.push(violetward_dns::tsig::Key { name, secret });
+                }
+                Ok(_) => c.at(&field, "key: the secret is under sixteen bytes"),
+                Err(e) => c.at(&field, format!("key: {e}")),
+            },
+            _ => c.at(&field, "expected (listen ADDRESS) or (key NAME \"secret\")"),
+        }
+    }
+    if listen.is_none() {
+        c.at(form, "dns: (listen ADDRESS) is missing");
+    }
+    Some((listen?, keys))
+}
+
 fn named(c: &mut Checker, form: &Form<'_>, what: &str, before: &[String]) -> Option<String> {
     if form.name != what {
         c.at(form, format!("expected ({what} NAME ...), found ({} ...)", form.name));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,4 +16,6 @@
 pub mod notebook;
 pub mod service;
 pub mod sessions;
+pub mod updates;
 pub mod watch;
+pub mod zonefront;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -10,9 +10,11 @@
 use std::net::{IpAddr, SocketAddr};
 
 use violetward_dns::master;
+use violetward_dns::message::{Message, Rcode};
 use violetward_dns::name::Name;
 use violetward_dns::record::{Data, Type};
 use violetward_dns::serial;
+use violetward_dns::update;
 use violetward_dns::zone::Zone;
 
 use crate::config::Names;
@@ -36,6 +38,7 @@
 pub struct Membership {
     known: BTreeMap<String, Record>,
     serial: Option<u32>,
+    zone: Option<Zone>,
 }
 
 impl Membership {
@@ -44,6 +47,25 @@
         &self.known
     }
 
+    /// The zone that holds, where the list is one.
+    pub fn served(&self) -> Option<&Zone> {
+        self.zone.as_ref()
+    }
+
+    /// Changes the zone by an update that is believed; what is wrong with its engines is told.
+    ///
+    /// # Errors
+    /// The code to answer with; nothing has changed.
+    pub fn update(&mut self, update: &Message, names: &Names) -> Result<Vec<String>, Rcode> {
+        let new = update::apply(self.zone.as_ref().ok_or(Rcode::NOTAUTH)?, update)?;
+        let mut told = Vec::new();
+        let engines = engines(&new, names, &mut told);
+        self.serial = new.serial();
+        self.zone = Some(new);
+        self.believe(&engines);
+        Ok(told)
+    }
+
     /// Reads S-expressions.
     pub fn forms(&mut self, text: &str, names: &Names) -> (Verdict, Vec<String>) {
         match list::parse(text, names) {
@@ -94,6 +116,7 @@
             }
         }
         self.serial = Some(serial);
+        self.zone = Some(zone);
         (self.believe(&engines), told)
     }
 
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -1,5 +1,6 @@
 //! A whole gateway: its tasks on one thread, from the first connection to the last answer.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -15,8 +16,11 @@
 use crate::core::{Core, Decide};
 use crate::front::Front;
 use crate::host::Host;
+use crate::membership::Membership;
 use crate::notebook::Notebook;
+use crate::updates::Updates;
 use crate::watch;
+use crate::zonefront::ZoneFront;
 
 /// Runs a gateway until SIGTERM or SIGINT; then takes nothing new and ends once what was taken has its answer. The
 /// address that it listens on is written to `address_file`.
@@ -76,7 +80,11 @@
     executor.spawn(host.clone().run_timers()).detach();
     executor.spawn(host.clone().run_status()).detach();
     executor.spawn(host.clone().run_releases()).detach();
-    executor.spawn(watch::run(host.clone())).detach();
+    let membership = Rc::new(RefCell::new(Membership::default()));
+    executor.spawn(watch::run(host.clone(), membership.clone())).detach();
+    if let Some((listen, keys)) = host.config.zone_front.clone() {
+        ZoneFront::start(host.clone(), membership, Updates::new(keys), listen)?;
+    }
     if let Some(path) = host.config.sessions.key_file.clone() {
         executor.spawn(watch::keys(host.clone(), path)).detach();
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,5 +1,6 @@
 //! Watches the file that lists the engines.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Instant, SystemTime};
 
@@ -7,9 +8,8 @@
 use crate::membership::{Membership, Verdict};
 
 /// Reads the list whenever it changes, and says when it learned what. Never ends.
-pub async fn run(host: Rc<Host>) {
+pub async fn run(host: Rc<Host>, membership: Rc<RefCell<Membership>>) {
     let path = host.config.engines.clone();
-    let mut membership = Membership::default();
     let mut seen: Option<(SystemTime, u64)> = None;
     let mut changed = Instant::now();
     let mut text = String::new();
@@ -25,7 +25,7 @@
                 Ok(new) if new == text => {}
                 Ok(new) => {
                     text = new;
-                    take(&host, &text, &mut membership);
+                    take(&host, &text, &mut membership.borrow_mut());
                 }
                 Err(e) => {
                     tracing::warn!(file = %path.display(), "the engine list cannot be read, the old one stands: {e}")
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -53,6 +53,20 @@
     receiver.recv().map_err(std::io::Error::other)?
 }
 
+/// The key of the demo's updates: not a secret.
+const DEMO_KEY: &str = "sixteen bytes and more";
+
+/// The demo's engines as a zone.
+fn zone(engines: &[Listed]) -> String {
+    let mut text =
+        "$TTL 5\n@ SOA ns hostmaster 1 1h 15m 1w 5\n  NS ns\nns A 127.0.0.1\nhost A 127.0.0.1\n".to_owned();
+    for engine in engines {
+        let (name, port, kind) = (&engine.name, engine.address.port(), &engine.kind);
+        text += &format!("{name} SRV 0 0 {port} host\n  TXT \"kind={kind}\"\n");
+    }
+    text
+}
+
 /// Runs the demo until it is stopped.
 ///
 /// # Errors
@@ -62,6 +76,7 @@
     count: usize,
     address_file: Option<PathBuf>,
     kernel: Option<PathBuf>,
+    dns: Option<SocketAddr>,
 ) -> std::io::Result<()> {
     // With port 0 the system's choice is settled first, so that it can be told.
     let listen = match listen.port() {
@@ -84,18 +99,33 @@
         }
     };
     let started = engines((0..count).map(setup).collect())?;
-    let list = folder.join("engines.lisp");
+    let list = folder.join(if dns.is_some() { "fleet.zone" } else { "engines.lisp" });
     let listed: Vec<Listed> = started.iter().map(|s| s.0.clone()).collect();
-    fleet::write_list(&list, &listed)?;
-    let more = match &kernel {
+    match dns {
+        Some(_) => std::fs::write(&list, zone(&listed))?,
+        None => fleet::write_list(&list, &listed)?,
+    }
+    let mut more = match &kernel {
         Some(file) => {
             format!("(kernel (connection-file {:?}))\n", std::path::absolute(file)?.display().to_string())
         }
         None => String::new(),
     };
+    if let Some(dns) = dns {
+        more += &format!("(dns (listen \"{dns}\") (key ops. \"{DEMO_KEY}\"))\n");
+    }
     let plan = GatewayPlan { number: 0, of: 1, listen: listen.to_string(), engines: list.clone(), more };
     let file = folder.join("gateway.lisp");
-    std::fs::write(&file, fleet::configuration(&plan))?;
+    let mut text = fleet::configuration(&plan);
+    if dns.is_some() {
+        text = text.replacen("(listen", "(origin \"fleet.example.\")\n  (listen", 1);
+    }
+    std::fs::write(&file, text)?;
+    if let Some(dns) = dns {
+        println!(
+            "The zone fleet.example. is served on {dns}; updates are signed by ops., secret {DEMO_KEY:?}."
+        );
+    }
     println!("A gateway for {count} stand-in engines on {listen}. Its files are in {}.", folder.display());
     println!("The list of engines is {}: change it while this runs.", list.display());
     for (engine, control) in &started {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -41,6 +41,9 @@
         /// Be a notebook kernel too, and write its connection file here.
         #[arg(long)]
         kernel: Option<PathBuf>,
+        /// List the engines by a zone, and serve it here over DNS, for queries, transfers and signed updates.
+        #[arg(long)]
+        dns: Option<SocketAddr>,
     },
     /// Run the scripted bad day with gateways and engines as processes of their own, and check the seven rules.
     Badday {
@@ -192,9 +195,9 @@
         rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL)).ok();
     }
     let result = match command {
-        Command::Demo { listen, engines, address_file, kernel } => {
+        Command::Demo { listen, engines, address_file, kernel, dns } => {
             tracing_subscriber::fmt().with_writer(std::io::stderr).init();
-            demo::run(listen, engines, address_file, kernel)
+            demo::run(listen, engines, address_file, kernel, dns)
         }
         Command::Badday { seed, policy, keep, pinned, slack_ms } => {
             let slack = Duration::from_millis(slack_ms);
--- a/test.sh
+++ b/test.sh
@@ -11,10 +11,11 @@
 # Unmodified public clients against the demo, where Python and the package registry are at hand.
 clients=target/clients
 if [ -x "$clients/bin/python" ] || python3 -m venv "$clients" >/dev/null 2>&1; then
-  if "$clients/bin/python" -c 'import trino, jupyter_client' 2>/dev/null ||
-    "$clients/bin/pip" install -q 'trino>=0.330,<1' 'jupyter_client>=8,<9' >/dev/null 2>&1; then
+  if "$clients/bin/python" -c 'import trino, jupyter_client, dns' 2>/dev/null ||
+    "$clients/bin/pip" install -q 'trino>=0.330,<1' 'jupyter_client>=8,<9' 'dnspython>=2.4,<3' >/dev/null 2>&1; then
     timeout 120 "$clients/bin/python" tests/clients/statement.py target/release/violetward-lab
     timeout 120 "$clients/bin/python" tests/clients/notebook.py target/release/violetward-lab
+    timeout 120 "$clients/bin/python" tests/clients/zone.py target/release/violetward-lab
     timeout 120 "$clients/bin/python" tests/clients/libraries.py target/release/violetward-lab target/debug/examples/outcomes
   else
     echo "public clients: not run, the packages are not to be had"
