Tests: a post cut at every byte, a lost page, a client gone with its cell running

Result: three tests on sockets; the post of a keyed and of an unsafe load is cut after every byte and never sent again.

--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -541,7 +541,7 @@
             if posts.borrow().1 < cut {
                 break;
             }
-            cut += 7;
+            cut += 1;
             assert!(cut < 4096);
         }
     }));
@@ -650,3 +650,75 @@
         assert_eq!(after, before, "what was told gone gets nothing new");
     });
 }
+
+#[test]
+fn a_page_that_is_lost_is_asked_for_again_and_a_refusal_that_is_lost_is_not_known() {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(async {
+        // Each connection gets one request answered by the next of these, or none at all.
+        let taken = r#"{"id":"x","stats":{},"nextUri":"http://g/v1/statement/executing/x/y/0"}"#;
+        let last = r#"{"id":"x","stats":{},"columns":[{"name":"a"}],"data":[[1]]}"#;
+        for (script, served) in
+            [(vec![taken, "", "", last], true), (vec![taken, "", "", "", "", "", ""], false)]
+        {
+            let listener = Async::<std::net::TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+            let address = listener.get_ref().local_addr().unwrap();
+            let asked = Rc::new(RefCell::new(Vec::new()));
+            let seen = asked.clone();
+            executor
+                .spawn(async move {
+                    for body in script {
+                        let (mut peer, _) = listener.accept().await.unwrap();
+                        let mut chunk = [0; 4096];
+                        let size = peer.read(&mut chunk).await.unwrap();
+                        seen.borrow_mut().push(String::from_utf8_lossy(&chunk[..size.min(4)]).into_owned());
+                        if !body.is_empty() {
+                            let head = format!(
+                                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+                                body.len()
+                            );
+                            peer.write_all(&[head.as_bytes(), body.as_bytes()].concat()).await.unwrap();
+                        }
+                    }
+                })
+                .detach();
+            let query = Query {
+                deadline: Some(Duration::from_secs(4)),
+                ..Query::new("INSERT INTO loads VALUES (1, 'x')")
+            };
+            let ended = library(&[address], true).run(&query).await;
+            let posts = asked.borrow().iter().filter(|a| *a == "POST").count();
+            assert_eq!(posts, 1, "it is never posted again");
+            match served {
+                true => assert_eq!(ended.unwrap().rows, [[1]]),
+                // Whatever the lost page said, a refusal too: nobody knows.
+                false => assert!(matches!(ended, Err(Ending::Unknown { .. })), "{ended:?}"),
+            }
+        }
+    }));
+}
+
+#[test]
+fn a_client_gone_with_its_cell_running_costs_the_kernel_nothing() {
+    with(1, "(kernel (connection-file \"kernel.json\"))", |bed| async move {
+        let file = bed.folder.join("kernel.json");
+        let mut gone = KernelClient::connect(&file).await.unwrap();
+        let load = Query {
+            class: Some("notice".into()),
+            ..Query::new("INSERT INTO loads VALUES (1, 'x') /*sim work=400*/")
+        };
+        // It leaves while its cell runs.
+        assert!(timeout(Duration::from_millis(150), gone.run(&load)).await.is_none());
+        drop(gone);
+        let mut other = KernelClient::connect(&file).await.unwrap();
+        assert_eq!(other.run(&lookup("SELECT id FROM players LIMIT 2")).await.unwrap().rows.len(), 2);
+        for _ in 0..300 {
+            if bed.effects() > 0 {
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!((bed.effects(), bed.got()), (1, 2), "the cell ran to its end, once");
+        assert_eq!(bed.host.look(|core| core.open()), 0);
+    });
+}
