Tests notice an engine's name for a session without its epoch, and a used connection

Result: a foreign session of the same name in a new life, asked for through a gateway that never knew the old one; pinned statements go on fresh connections.

--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -454,6 +454,7 @@
         bed.poll(id, 0);
     }
     assert!(bed.launched.iter().all(|l| l.engine == "e1"), "where they live");
+    assert!(bed.launched.iter().all(|l| l.fresh), "a used connection may be dead without our knowing");
     let named = bed.launched[0].context.transaction.as_deref().unwrap();
     assert!(named.starts_with('s') && named.ends_with("@x"), "the engine hears its own name for it: {named}");
     // Of an engine that is not listed, and of a time that is over: told at once.
--- a/crates/lab/tests/sessions.rs
+++ b/crates/lab/tests/sessions.rs
@@ -421,7 +421,22 @@
             sleep(MS(50)).await;
         }
         assert_eq!(caller.error("SELECT count(*) FROM players").await, "SESSION_LOST");
-        std::fs::remove_file(&keys).ok();
+        // Somebody else's session has the same name in the new life, and a gateway that never knew the old one is asked.
+        let mut stranger = Caller::new(bed.address);
+        while stranger.run("CREATE TEMPORARY TABLE players AS SELECT 99 AS id").await.is_err() {
+            sleep(MS(50)).await;
+        }
+        caller.address = second(&bed, &more);
+        sleep(MS(300)).await;
+        for _ in 0..60 {
+            match caller.run("SELECT count(*) FROM players").await {
+                Ok(rows) => panic!("it read another's table: {rows:?}"),
+                Err((name, _)) if name == "SESSION_LOST" => return drop(std::fs::remove_file(&keys)),
+                Err((name, message)) => assert_eq!(name, "STATEMENT_REFUSED", "{message}"),
+            }
+            sleep(MS(100)).await;
+        }
+        panic!("the loss is not told");
     });
 }
 
