Stand-in engines name sessions anew in each life

Need: a new process of an engine counts from the beginning; with names that went on, the test of a foreign session of the same name proved nothing (its guard taken out was not noticed). Result: with the epoch left out of the engine's name for a session that test fails now.

--- a/crates/standin/src/sessions.rs
+++ b/crates/standin/src/sessions.rs
@@ -62,9 +62,9 @@
         self.open.retain(|_, s| now < s.used + idle);
     }
 
-    /// Forgets everything: the process is gone.
+    /// Forgets everything: the process is gone, and the next one counts from the beginning.
     pub fn clear(&mut self) {
-        self.open.clear();
+        *self = Sessions::default();
     }
 
     /// Runs a statement that concerns a session.
