Both protocols behind one interface in the Rust library, with one way to cancel

Need: an import job should not care which protocol its gateway is reached by. Change: Service runs, streams and cancels over gateways or kernels; the storm uses it. Result: a test that runs both through the same steps.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -241,6 +241,34 @@
         }
     }
 
+    /// All rows, before the deadline.
+    ///
+    /// # Errors
+    /// See [`Ending`].
+    pub async fn collect(&mut self) -> Result<Rows, Ending> {
+        let mut rows = Rows::default();
+        let left = self.client.left(&self.case) + Duration::from_secs(1);
+        let all = async {
+            while let Some(mut batch) = self.page().await? {
+                if rows.sends != self.sends() {
+                    // What came of an earlier try is not part of this one's result.
+                    rows = Rows { sends: self.sends(), ..Rows::default() };
+                }
+                rows.columns.append(&mut batch.columns);
+                rows.rows.append(&mut batch.rows);
+                rows.update = batch.update.or(rows.update.take());
+            }
+            Ok(())
+        };
+        match timeout(left, all).await {
+            Some(ended) => ended?,
+            None => {
+                return Err(Ending::Unknown { message: "its rows were not all there by the deadline".into() })
+            }
+        }
+        Ok(rows)
+    }
+
     /// The rows one by one, as a stream.
     pub fn rows(self) -> impl Stream<Item = Result<Vec<Value>, Ending>> + 'a {
         stream::unfold((self, VecDeque::new()), |(mut running, mut ready)| async move {
@@ -560,28 +588,7 @@
     /// # Errors
     /// See [`Ending`].
     pub async fn run(&self, query: &Query) -> Result<Rows, Ending> {
-        let mut running = self.open(query.clone());
-        let mut rows = Rows::default();
-        let left = self.left(&running.case) + Duration::from_secs(1);
-        let all = async {
-            while let Some(mut batch) = running.page().await? {
-                if rows.sends != running.sends() {
-                    // What came of an earlier try is not part of this one's result.
-                    rows = Rows { sends: running.sends(), ..Rows::default() };
-                }
-                rows.columns.append(&mut batch.columns);
-                rows.rows.append(&mut batch.rows);
-                rows.update = batch.update.or(rows.update.take());
-            }
-            Ok(())
-        };
-        match timeout(left, all).await {
-            Some(ended) => ended?,
-            None => {
-                return Err(Ending::Unknown { message: "its rows were not all there by the deadline".into() })
-            }
-        }
-        Ok(rows)
+        self.open(query.clone()).collect().await
     }
 
     fn left(&self, case: &Case) -> Duration {
--- a/crates/client/src/kernel.rs
+++ b/crates/client/src/kernel.rs
@@ -309,6 +309,20 @@
     /// # Errors
     /// See [`Ending`].
     pub async fn run(&self, query: &Query) -> Result<Rows, Ending> {
+        self.run_until(query, std::future::pending()).await
+    }
+
+    /// Runs a statement to its end, and interrupts its cell once `stop` completes; nothing is sent again after that.
+    ///
+    /// # Errors
+    /// See [`Ending`].
+    pub async fn run_until(
+        &self,
+        query: &Query,
+        stop: impl std::future::Future<Output = ()>,
+    ) -> Result<Rows, Ending> {
+        let mut stop = Box::pin(stop);
+        let stopped = Cell::new(false);
         let now = self.now();
         self.budget.borrow_mut().begin(now);
         let wait = query.deadline.unwrap_or(self.options.patience);
@@ -331,7 +345,23 @@
             case.sends += 1;
             let begun = Instant::now();
             let left = Duration::from_micros(case.due.saturating_sub(self.now()));
-            let tried = self.attempt(which, query, left).await;
+            let interrupter = RefCell::new(None);
+            let tried = {
+                let stopping = async {
+                    if stopped.get() {
+                        std::future::pending::<()>().await;
+                    }
+                    stop.as_mut().await;
+                    stopped.set(true);
+                    let found: Option<Interrupter> = interrupter.borrow().clone();
+                    if let Some(found) = found {
+                        found.interrupt().await.ok();
+                    }
+                    std::future::pending().await
+                };
+                futures_lite::future::or(self.attempt(which, query, left, &interrupter), stopping).await
+            };
+            case.cancelled = stopped.get();
             let now = self.now();
             let good = !matches!(tried, Err((Stop::NotWritten | Stop::PostUnanswered, _)));
             self.choice.borrow_mut().done(which, now, begun.elapsed(), good);
@@ -354,7 +384,13 @@
         }
     }
 
-    async fn attempt(&self, which: usize, query: &Query, left: Duration) -> Result<Rows, (Stop, Ending)> {
+    async fn attempt(
+        &self,
+        which: usize,
+        query: &Query,
+        left: Duration,
+        interrupter: &RefCell<Option<Interrupter>>,
+    ) -> Result<Rows, (Stop, Ending)> {
         let not_written = |why: String| {
             let message = format!("no kernel to talk to: {why}");
             (Stop::NotWritten, Ending::Refused { retry_after: Duration::ZERO, message })
@@ -376,6 +412,7 @@
                 .map_err(|e| not_written(e.to_string()))?,
         };
         self.sent.set(self.sent.get() + 1);
+        *interrupter.borrow_mut() = Some(client.interrupter());
         let tried = client.attempt(query, left).await;
         // One whose reply is missing may still get it; it is not used again.
         if !matches!(tried, Err((Stop::PostUnanswered, _))) {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`choice`]: which gateway: power of two choices, ejection, slow return. Free of I/O and clock.
 //! - [`pace`]: how fast pages are asked for. Free of I/O and clock.
 //! - [`client`]: carries both out over the statement protocol.
+//! - [`service`]: both protocols behind one interface.
 //! - [`kernel`]: the same endings over the notebook kernel protocol.
 
 pub mod choice;
@@ -16,6 +17,9 @@
 pub mod kernel;
 pub mod pace;
 pub mod resend;
+pub mod service;
 
 pub use client::{Batch, Cancelled, Canceller, Client, Ending, Options, Query, Rows, Running};
+pub use service::Service;
+
 pub use kernel::{Interrupter, KernelClient, Kernels};
--- a/crates/lab/src/storm.rs
+++ b/crates/lab/src/storm.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use violetward_client::resend::{Budget, Effect};
-use violetward_client::{Client, Ending, Kernels, Options, Query, Rows};
+use violetward_client::{Client, Ending, Kernels, Options, Query, Service};
 use violetward_net::sleep;
 use violetward_standin::hint::Hint;
 use violetward_standin::journal::What;
@@ -76,28 +76,6 @@
 const FREE: f64 = 5.0;
 const WINDOW: f64 = 5.0;
 
-/// The library, over either protocol.
-enum Library {
-    Statement(Client),
-    Kernel(Kernels),
-}
-
-impl Library {
-    async fn run(&self, query: &Query) -> Result<Rows, Ending> {
-        match self {
-            Library::Statement(client) => client.run(query).await,
-            Library::Kernel(kernels) => kernels.run(query).await,
-        }
-    }
-
-    fn sent(&self) -> u64 {
-        match self {
-            Library::Statement(client) => client.sent(),
-            Library::Kernel(kernels) => kernels.sent(),
-        }
-    }
-}
-
 /// Runs a storm, over the kernel protocol if `kernel`; `unbounded` takes the library's budget away.
 ///
 /// # Errors
@@ -117,8 +95,8 @@
     let options = Options { may_resend: true, ..Options::default() };
     let files: Vec<_> = (0..addresses.len()).map(|n| world.kernel_file(n)).collect();
     let client = Rc::new(match kernel {
-        true => Library::Kernel(Kernels::new(&files, options, budget)),
-        false => Library::Statement(Client::new(&addresses, options, budget)),
+        true => Service::Kernels(Kernels::new(&files, options, budget)),
+        false => Service::Gateways(Client::new(&addresses, options, budget)),
     });
     let start = Instant::now();
     let ids = Rc::new(Cell::new(0u64));
@@ -194,7 +172,7 @@
     Ok(storm)
 }
 
-async fn one(client: &Library, id: u64) -> &'static str {
+async fn one(client: &Service, id: u64) -> &'static str {
     let load = id % 20 == 0;
     let (class, work) = if load { ("load", 100.0) } else { ("lookup", 60.0) };
     let hint =
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -12,7 +12,7 @@
 use bed::with;
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, StreamExt};
 use violetward_client::resend::{Budget, Effect};
-use violetward_client::{Cancelled, Client, Ending, KernelClient, Kernels, Options, Query};
+use violetward_client::{Cancelled, Client, Ending, KernelClient, Kernels, Options, Query, Service};
 use violetward_gateway::service;
 use violetward_kernel::message::Signer;
 use violetward_kernel::zmtp;
@@ -722,3 +722,26 @@
         assert_eq!(bed.host.look(|core| core.open()), 0);
     });
 }
+
+#[test]
+fn both_protocols_are_one_interface() {
+    with(1, "(kernel (connection-file \"kernel.json\"))", |bed| async move {
+        let kernels = Kernels::new(&[bed.folder.join("kernel.json")], Options::default(), Budget::default());
+        for service in [Service::Gateways(library(&[bed.address], false)), Service::Kernels(kernels)] {
+            let few = lookup("SELECT id FROM players ORDER BY id LIMIT 3");
+            assert_eq!(service.run(&few).await.unwrap().rows, [[1], [2], [3]]);
+            let rows: Vec<_> = service.rows(few.clone()).collect().await;
+            assert_eq!(rows.into_iter().map(Result::unwrap).collect::<Vec<_>>(), [[1], [2], [3]]);
+            let failed: Vec<_> = service.rows(lookup("SELECT * FROM nowhere")).collect().await;
+            assert!(matches!(failed[..], [Err(Ending::Declined { .. })]));
+            let long = lookup("SELECT 1 /*sim work=3000*/");
+            let ended = service.run_until(&long, sleep(Duration::from_millis(200))).await;
+            assert!(
+                matches!(&ended, Err(Ending::Declined { name, .. }) if name == "USER_CANCELED"),
+                "{ended:?}"
+            );
+            assert!(service.run_until(&few, std::future::pending()).await.is_ok(), "and goes on");
+            assert_eq!(service.sent(), 5);
+        }
+    });
+}
