Client: tags and the first case of a statement are made in one place

Need: both protocols' clients built them anew, line by line. Change: Query::tags and Query::case; a comment on transfers of the zone told something that is not so.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -84,6 +84,27 @@
     pub fn new(sql: impl Into<String>) -> Self {
         Query { sql: sql.into(), ..Query::default() }
     }
+
+    /// Its client tags, as both protocols carry them.
+    pub(crate) fn tags(&self) -> Vec<String> {
+        let mut tags: Vec<String> = self.class.iter().cloned().collect();
+        tags.extend(self.key.iter().map(|k| format!("key={k}")));
+        tags.extend(self.mark.iter().map(|m| format!("repeat={m}")));
+        tags
+    }
+
+    /// What is known of it before its first try.
+    pub(crate) fn case(&self, now: Micros, options: &Options) -> Case {
+        let wait = self.deadline.unwrap_or(options.patience);
+        Case {
+            effect: self.effect,
+            marked: self.mark.is_some(),
+            first_sent: now,
+            due: now + wait.as_micros() as Micros,
+            may_resend: options.may_resend,
+            ..Case::default()
+        }
+    }
 }
 
 /// All rows of a statement.
@@ -560,17 +581,9 @@
 
     /// Begins a statement whose rows are read as they come. Nothing is sent before they are asked for.
     pub fn open(&self, query: Query) -> Running<'_> {
-        let wait = query.deadline.unwrap_or(self.options.patience);
         let now = self.now();
         self.budget.borrow_mut().begin(now);
-        let case = Case {
-            effect: query.effect,
-            marked: query.mark.is_some(),
-            first_sent: now,
-            due: now + wait.as_micros() as Micros,
-            may_resend: self.options.may_resend,
-            ..Case::default()
-        };
+        let case = query.case(now, &self.options);
         Running {
             client: self,
             query,
@@ -612,13 +625,10 @@
     }
 
     fn headers(&self, pool: &Pool, query: &Query, left: Duration) -> Headers {
-        let mut tags: Vec<String> = query.class.iter().cloned().collect();
-        tags.extend(query.key.iter().map(|k| format!("key={k}")));
-        tags.extend(query.mark.iter().map(|m| format!("repeat={m}")));
         let context = Context {
             user: self.options.user.clone(),
             source: self.options.source.clone(),
-            tags,
+            tags: query.tags(),
             session: vec![("query_max_run_time".into(), format!("{}ms", left.as_millis().max(1)))],
             trace_token: query.mark.clone(),
             estimated_cpu: query.cpu,
--- a/crates/client/src/kernel.rs
+++ b/crates/client/src/kernel.rs
@@ -20,7 +20,7 @@
 
 use crate::choice::Choice;
 use crate::client::{Ending, Options, Query, Rows};
-use crate::resend::{Budget, Case, Effect, Micros, Next, Stop, Table};
+use crate::resend::{Budget, Effect, Micros, Next, Stop, Table};
 
 /// How long the result may come after the reply: they travel on two sockets.
 const RESULT_WITHIN: Duration = Duration::from_secs(2);
@@ -176,10 +176,7 @@
 
     /// Runs a cell, and says how it stopped.
     async fn attempt(&mut self, query: &Query, wait: Duration) -> Result<Rows, (Stop, Ending)> {
-        let mut tags: Vec<String> = query.class.iter().cloned().collect();
-        tags.extend(query.key.iter().map(|k| format!("key={k}")));
-        tags.extend(query.mark.iter().map(|m| format!("repeat={m}")));
-        let mut terms = json!({ "tags": tags, "max_run_millis": wait.as_millis().max(1) as u64 });
+        let mut terms = json!({ "tags": query.tags(), "max_run_millis": wait.as_millis().max(1) as u64 });
         if let Some(cpu) = query.cpu {
             terms["cpu_millis"] = (cpu.as_millis() as u64).into();
         }
@@ -325,15 +322,7 @@
         let stopped = Cell::new(false);
         let now = self.now();
         self.budget.borrow_mut().begin(now);
-        let wait = query.deadline.unwrap_or(self.options.patience);
-        let mut case = Case {
-            effect: query.effect,
-            marked: query.mark.is_some(),
-            first_sent: now,
-            due: now + wait.as_micros() as Micros,
-            may_resend: self.options.may_resend,
-            ..Case::default()
-        };
+        let mut case = query.case(now, &self.options);
         let mut last = None;
         loop {
             let dice = [rand::random(), rand::random()];
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -80,7 +80,7 @@
             return refused(Rcode::REFUSED);
         }
         if question.kind == Type::AXFR {
-            // Whom updates are believed from is told the zone too; others see it name by name.
+            // A datagram has no room for it; who may ask is restricted by the listening address alone.
             return if stream { transfer(message, zone) } else { refused(Rcode::REFUSED) };
         }
         vec![lookup(message, question, zone).write()]
