--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,10 +1,11 @@
 //! The wire's messages and their translation to and from the interface.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
 use violetward as vw;
+pub use violetward_settings::engine;
+use violetward_settings::{load, BootInfo};
 
 #[derive(Deserialize)]
 pub struct Batch {
@@ -152,132 +153,6 @@
     health: Health,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-pub struct BootInfo {
-    #[serde(default)]
-    me: u64,
-    n_instances: u32,
-    classes: Vec<Class>,
-    #[serde(default)]
-    tenants: Vec<Tenant>,
-    over_share_worth: Option<f64>,
-    #[serde(default)]
-    family_info: FamilyInfo,
-    #[serde(default)]
-    discovery: String,
-    contract: Contract,
-    limits: Limits,
-    #[serde(default)]
-    quantum_us: u64,
-    #[serde(default)]
-    zone: usize,
-    #[serde(default)]
-    report: Report,
-    #[serde(default)]
-    prices: Prices,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Report {
-    how: String,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct Prices {
-    cross_zone: f64,
-    late_fail: f64,
-    probe: f64,
-    waste: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Class {
-    aim_us: u64,
-    #[serde(default)]
-    aim_stretch: f64,
-    #[serde(default)]
-    hard_limit_us: u64,
-    #[serde(default)]
-    worth: f64,
-    #[serde(default)]
-    late_worth: f64,
-    effect: String,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    window_us: u64,
-    #[serde(default)]
-    fifo_by_key: bool,
-    allowed_on: Option<Vec<usize>>,
-    zones_allowed: Option<Vec<usize>>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Tenant {
-    #[serde(default)]
-    quota_per_s: f64,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-struct FamilyInfo {
-    grant_cap: f64,
-    grants_count: bool,
-    lanes_count: bool,
-    loads: Vec<bool>,
-    memory_by_kind_mb: Vec<f64>,
-    note_period_us: u64,
-    size_cores: Vec<f64>,
-    tells_cost: bool,
-    waits_for_loads: Vec<bool>,
-    when_short: String,
-    width_by_class: Vec<u32>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Contract {
-    #[serde(default)]
-    ask_within_us: u64,
-    #[serde(default)]
-    cold_from: f64,
-    #[serde(default)]
-    cold_us: u64,
-    #[serde(default)]
-    extra_free: Option<f64>,
-    extra_per_request: Option<f64>,
-    look_back_us: Option<u64>,
-    #[serde(default)]
-    fall_multiple: f64,
-    #[serde(default)]
-    tip_after_us: u64,
-    #[serde(default)]
-    turn_gap_us: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Limits {
-    attempts_cap: u32,
-    #[serde(default)]
-    max_retry_after_us: u64,
-    #[serde(default)]
-    may_cancel: bool,
-    #[serde(default)]
-    may_duplicate: bool,
-    #[serde(default)]
-    peer_messages: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-}
-
 #[derive(Serialize)]
 pub struct Reply {
     pub gateways: Vec<ReplyOf>,
@@ -307,17 +182,6 @@
     Crash { reason_text: String },
 }
 
-/// The wire's address as a number that is the same at every gateway.
-pub fn engine(node: &str) -> vw::EngineId {
-    let packed =
-        node.parse::<SocketAddrV4>().map(|a| u64::from(u32::from(*a.ip())) << 16 | u64::from(a.port()));
-    let hashed = || {
-        let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3);
-        node.bytes().fold(0xcbf2_9ce4_8422_2325, step) | 1 << 63
-    };
-    vw::EngineId(packed.unwrap_or_else(|_| hashed()))
-}
-
 fn request(job: &str) -> Result<vw::RequestId, String> {
     let id = u64::from_str_radix(job, 16).ok().filter(|&n| format!("{n:016x}") == job);
     id.map(vw::RequestId).ok_or_else(|| format!("Job: {job:?} is not 16 hex digits"))
@@ -327,11 +191,6 @@
     format!("{:016x}", id.0)
 }
 
-fn load(stats: &BTreeMap<String, f64>) -> vw::Load {
-    let get = |name: &str| stats.get(name).copied();
-    vw::Load { in_flight: get("concurrent"), cores: get("load_share"), memory: get("x0"), disks: get("x1") }
-}
-
 pub fn engines(kind: ListKind, lines: &[Line]) -> vw::Event {
     let kind = match kind {
         ListKind::Incr => vw::ListKind::Changes,
@@ -451,95 +310,3 @@
         vw::Action::Log(text) => Output::NoteDown { reason_text: text },
     })
 }
-
-impl BootInfo {
-    pub fn settings(&self) -> Result<vw::Settings, String> {
-        let family = &self.family_info;
-        let (contract, limits) = (&self.contract, &self.limits);
-        let cores = family.size_cores.iter().enumerate();
-        let memory = |i: usize| family.memory_by_kind_mb.get(i).copied().unwrap_or(0.0);
-        let classes = self.classes.iter().enumerate().map(|(i, class)| class.settings(i, family));
-        let budget = |per_request: f64| vw::AttemptBudget {
-            free: contract.extra_free.unwrap_or(0.0),
-            per_request,
-            window: contract.look_back_us.unwrap_or(0),
-        };
-        Ok(vw::Settings {
-            me: vw::PeerId(self.me),
-            gateways: self.n_instances,
-            classes: classes.collect::<Result<_, _>>()?,
-            kinds: cores.map(|(i, &cores)| vw::Kind { cores, memory_mb: memory(i) }).collect(),
-            tenants: self.tenants.iter().map(|t| vw::Tenant { quota_per_s: t.quota_per_s }).collect(),
-            over_share_worth: self.over_share_worth.unwrap_or(1.0),
-            grants: family.grants_count,
-            priorities: family.lanes_count,
-            grant_cap: family.grant_cap,
-            when_short: match family.when_short.as_str() {
-                "cut" => vw::WhenShort::Cut,
-                "overcommit" => vw::WhenShort::Overcommit,
-                _ => vw::WhenShort::LineUp,
-            },
-            tells_cost: family.tells_cost,
-            ask_within: (self.discovery == "on_request").then_some(contract.ask_within_us),
-            cold_from: contract.cold_from,
-            cold_span: contract.cold_us,
-            fall_multiple: contract.fall_multiple,
-            fall_span: contract.tip_after_us,
-            key_rest: contract.turn_gap_us,
-            budget: contract.extra_per_request.or(contract.extra_free.map(|_| 0.0)).map(budget),
-            attempts_cap: limits.attempts_cap,
-            may_cancel: limits.may_cancel,
-            may_duplicate: limits.may_duplicate,
-            may_probe: limits.probes,
-            peer_messages: limits.peer_messages,
-            retry_advice: limits.retry_after.then_some(limits.max_retry_after_us),
-            quantum: self.quantum_us,
-            zone: vw::ZoneId(self.zone),
-            note_period: Some(family.note_period_us).filter(|&period| period > 0),
-            load_reports: match self.report.how.as_str() {
-                "answers" => vw::LoadReports::WithAnswers,
-                "probe" => vw::LoadReports::WithProbes,
-                _ => vw::LoadReports::None,
-            },
-            prices: vw::Prices {
-                cross_zone: self.prices.cross_zone,
-                waste: self.prices.waste,
-                late_fail: self.prices.late_fail,
-                probe: self.prices.probe,
-            },
-        })
-    }
-}
-
-impl Class {
-    fn settings(&self, place: usize, family: &FamilyInfo) -> Result<vw::Class, String> {
-        let scope = match self.group.as_str() {
-            "zone" => vw::KeyScope::Zone,
-            "cell" => vw::KeyScope::Cell,
-            _ => vw::KeyScope::All,
-        };
-        let effect = match self.effect.as_str() {
-            "repeatable" => vw::Effect::Repeatable,
-            "by_key" => vw::Effect::Keyed { scope, window: self.window_us },
-            "once" => vw::Effect::Once,
-            other => return Err(format!("Effect: {other:?} is not known")),
-        };
-        let flag = |flags: &[bool]| flags.get(place).copied().unwrap_or(false);
-        let kinds = self.allowed_on.as_ref();
-        let zones = self.zones_allowed.as_ref();
-        Ok(vw::Class {
-            aim: self.aim_us,
-            aim_stretch: self.aim_stretch,
-            give_up: self.hard_limit_us,
-            worth: self.worth,
-            late_worth: self.late_worth,
-            effect,
-            in_order: self.fifo_by_key,
-            kinds: kinds.map(|k| k.iter().copied().map(vw::KindId).collect()),
-            zones: zones.map(|z| z.iter().copied().map(vw::ZoneId).collect()),
-            threads: family.width_by_class.get(place).copied().unwrap_or(1),
-            is_load: flag(&family.loads),
-            waits_for_loads: flag(&family.waits_for_loads),
-        })
-    }
-}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -26,6 +26,8 @@
 use crate::list::{hash, Record};
 use crate::sessions::{self, Admit, Member, Sessions};
 
+pub use violetward::Decide;
+
 /// A statement in this gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StatementId(pub u64);
@@ -211,19 +213,6 @@
     pub overdue: u64,
 }
 
-/// Who decides. In service that is the module's [`Gateway`] and nothing else; experiments put a baseline in its place,
-/// to run the same day through the same gateway.
-pub trait Decide {
-    /// Decides on one event; see [`Gateway::handle`].
-    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
-}
-
-impl Decide for Gateway {
-    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
-        Gateway::handle(self, now, event, out);
-    }
-}
-
 /// The state machine. See the module's documentation.
 pub struct Core {
     gateway: Box<dyn Decide>,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -4,49 +4,19 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use violetward::{EngineId, Load, Micros};
-use violetward_net::{sleep_until, Pool};
+use violetward_net::{sleep_until, Clock, Pool};
 use violetward_statement::http::Limits;
 
 use crate::config::Config;
 use crate::core::{AttemptId, Core, Effect, StatementId};
 use crate::engine;
 
-/// Microseconds since the Unix epoch that never go back: `came-up` times of the list are on the same clock.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    base: Micros,
-}
-
-impl Clock {
-    /// A clock that goes on from the system's time of now.
-    pub fn new() -> Self {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as Micros;
-        Clock { start: Instant::now(), base }
-    }
-
-    /// The time.
-    pub fn now(&self) -> Micros {
-        self.base + self.start.elapsed().as_micros() as Micros
-    }
-
-    fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at.saturating_sub(self.base))
-    }
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Clock::new()
-    }
-}
-
 /// Sessions that may wait to be freed.
 const RELEASES_WAITING: usize = 10_000;
 
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -47,6 +47,15 @@
         /// The configuration.
         file: PathBuf,
     },
+    /// Run the query gateway of a platform that tells its configuration by PROXY_CONFIG and PROXY_LISTEN.
+    Platform {
+        /// The configuration (JSON; see docs/operators.md).
+        #[arg(long, env = "PROXY_CONFIG")]
+        config: PathBuf,
+        /// The address that clients connect to, if not that of the configuration.
+        #[arg(long, env = "PROXY_LISTEN")]
+        listen: Option<std::net::SocketAddr>,
+    },
     /// Look at zone files that list engines.
     Zone {
         #[command(subcommand)]
@@ -142,6 +151,24 @@
     }
 }
 
+fn platform(file: &std::path::Path, listen: Option<std::net::SocketAddr>) -> ExitCode {
+    let mut config = match violetward_platform::config::load(file) {
+        Ok(config) => config,
+        Err(why) => {
+            eprintln!("violetward: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    config.listen = listen.unwrap_or(config.listen);
+    match violetward_platform::service::serve(config, file) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("violetward: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let filter = tracing_subscriber::EnvFilter::new(&cli.log_level);
@@ -152,6 +179,7 @@
     }
     let file = match &cli.command {
         Command::Serve { file, .. } | Command::Check { file } => file,
+        Command::Platform { config, listen } => return platform(config, *listen),
         Command::Zone { what } => return zone(what),
     };
     let config = match config::load(file) {
@@ -167,6 +195,7 @@
             println!("{}: good. Classes: {classes}. Kinds: {kinds}.", file.display());
             ExitCode::SUCCESS
         }
+        Command::Platform { config, listen } => platform(&config, listen),
         Command::Zone { what } => zone(&what),
         Command::Serve { address_file, .. } => match service::serve(config, address_file.as_deref()) {
             Ok(()) => ExitCode::SUCCESS,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,9 +1,11 @@
-//! Moves HTTP messages over TCP sockets on async-io. It decides nothing.
+//! Moves messages over TCP sockets on async-io. It decides nothing.
 //!
-//! [`Connection`] joins a socket with the sans-I/O reader of `violetward-statement`; [`Pool`] keeps idle client
+//! [`Duplex`] is a socket that is read and written at once, whatever its protocol. [`Connection`] joins a socket with the sans-I/O reader of `violetward-statement`; [`Pool`] keeps idle client
 //! connections to one address; [`sleep_until`] and [`timeout`] are the only timers, and cost next to nothing to set
 //! (see [`timer`] and `violetward-wheel`).
 
+mod clock;
+mod duplex;
 pub mod timer;
 
 use std::cell::{Cell, RefCell};
@@ -14,6 +16,8 @@
 use std::time::{Duration, Instant};
 
 use async_io::Async;
+pub use clock::Clock;
+pub use duplex::Duplex;
 use futures_lite::{future, AsyncWriteExt};
 pub use timer::{sleep, sleep_until};
 use violetward_statement::http::{self, Headers, HttpError, Limits, Message, Reader, Side};
@@ -60,6 +64,16 @@
     static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; 64 << 10]);
 }
 
+/// Reads through the one buffer that all connections of a thread share, so that an idle one holds none.
+pub(crate) fn with_scratch<T>(read: impl FnOnce(&mut [u8]) -> T) -> T {
+    SCRATCH.with_borrow_mut(|scratch| read(scratch))
+}
+
+/// The socket has nothing now, and is good.
+pub(crate) fn is_passing(e: &io::Error) -> bool {
+    matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// A socket with a reader of messages.
 #[derive(Debug)]
 pub struct Connection {
@@ -115,21 +129,20 @@
         }
     }
 
-    /// Reads once; false at the end of the stream. All connections of a thread read through one buffer, so that an idle
-    /// one holds none.
+    /// Reads once; false at the end of the stream.
     async fn fill(&mut self) -> io::Result<bool> {
         loop {
             if !self.ready.take() {
                 self.socket.readable().await?;
             }
-            let read: io::Result<usize> = SCRATCH.with_borrow_mut(|scratch| {
+            let read: io::Result<usize> = with_scratch(|scratch| {
                 let read = (&mut self.socket.get_ref()).read(scratch)?;
                 self.reader.feed(&scratch[..read]);
                 Ok(read)
             });
             match read {
                 Ok(read) => return Ok(read > 0),
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+                Err(e) if is_passing(&e) => {}
                 Err(e) => return Err(e),
             }
         }
--- /dev/null
+++ b/crates/platform/src/call.rs
@@ -0,0 +1,122 @@
+//! What a client asks for: its fields, checked before anything is done for it.
+
+use std::rc::Rc;
+
+use violetward::{Class, GroupId, Micros, OrderKey, RequestId};
+use violetward_settings::Names;
+
+use crate::group::group;
+
+/// Longest text of a key or of a client's mark for repeats.
+const MARK: usize = 128;
+/// Work beyond any estimate, in milliseconds on one core: about a day.
+const COST_MOST: f64 = 1e8;
+/// Memory beyond any machine, in megabytes: a hundred terabytes.
+const MEMORY_MOST: f64 = 1e8;
+/// How far a client's wait may go beyond its class's, in milliseconds.
+const WAIT_OVER: f64 = 1_000.0;
+
+/// A request as a client sent it, in the module's units.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Call {
+    /// Its id.
+    pub id: RequestId,
+    /// Place of its class.
+    pub class: usize,
+    /// How long its client waits.
+    pub wait: Micros,
+    /// It is marked as another try.
+    pub retry: bool,
+    /// The same for all tries of one request, where its class has that.
+    pub once: Option<String>,
+    /// Estimated work; 0 if not told.
+    pub cost: Micros,
+    /// Estimated memory in megabytes; 0 if not told.
+    pub memory_mb: f64,
+    /// Its key of order.
+    pub key: Option<OrderKey>,
+    /// The group of its tables.
+    pub group: GroupId,
+    /// The statement.
+    pub body: Rc<[u8]>,
+}
+
+fn figure(name: &str, text: &str, most: f64) -> Result<f64, String> {
+    // The standard parser takes "inf" and "nan" too: the range leaves them out.
+    let value: f64 = text.parse().map_err(|_| format!("{name}: not a number"))?;
+    if (0.0..=most).contains(&value) {
+        Ok(value)
+    } else {
+        Err(format!("{name}: out of range"))
+    }
+}
+
+/// A mark travels on as a value in a list of fields, so that nothing may stand in it that ends one.
+fn mark(name: &str, text: &str) -> Result<String, String> {
+    let good = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':' | b'/' | b'+');
+    if text.is_empty() || text.len() > MARK || !text.bytes().all(good) {
+        return Err(format!("{name}: not a word of 1 to {MARK} characters"));
+    }
+    Ok(text.to_owned())
+}
+
+/// Reads a client's fields.
+///
+/// # Errors
+/// Says which field is missing or can't be used.
+pub fn read(fields: &[(&str, &str)], body: &[u8], names: &Names, classes: &[Class]) -> Result<Call, String> {
+    let find = |name: &str| {
+        let mut found = fields.iter().filter(|(n, _)| *n == name).map(|(_, v)| *v);
+        match (found.next(), found.next()) {
+            (value, None) => Ok(value),
+            _ => Err(format!("{name}: given twice")),
+        }
+    };
+    let need = |name: &str| find(name)?.ok_or_else(|| format!("{name}: missing"));
+    let id = need("id")?;
+    let lower = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    let number =
+        (id.len() == 16 && id.bytes().all(lower)).then(|| u64::from_str_radix(id, 16).ok()).flatten();
+    let id = number.ok_or("id: not 16 hex digits")?;
+    let named = need("class")?;
+    let place = names.classes.iter().position(|n| n == named);
+    let (place, class) = place.and_then(|p| Some((p, classes.get(p)?))).ok_or("class: not known")?;
+    let wait = figure("wait", need("wait")?, class.give_up as f64 / 1e3 + WAIT_OVER)?;
+    if wait < 1.0 {
+        return Err("wait: out of range".into());
+    }
+    let retry = match find("retry")? {
+        None => false,
+        Some("1") => true,
+        Some(_) => return Err("retry: neither absent nor 1".into()),
+    };
+    let cost = find("cost")?.map_or(Ok(0.0), |text| figure("cost", text, COST_MOST))?;
+    let memory_mb = find("heap_mb")?.map_or(Ok(0.0), |text| figure("heap_mb", text, MEMORY_MOST))?;
+    let keyed = matches!(class.effect, violetward::Effect::Keyed { .. });
+    let once = match find("once")? {
+        Some(text) if keyed => Some(mark("once", text)?),
+        None if keyed => return Err("once: missing".into()),
+        _ => None,
+    };
+    let key = match find("key")? {
+        Some(text) if class.in_order => Some(OrderKey(mark("key", text)?)),
+        None if class.in_order => return Err("key: missing".into()),
+        _ => None,
+    };
+    if body.is_empty() {
+        return Err("body: empty".into());
+    }
+    let statement = std::str::from_utf8(body).map_err(|_| "body: not UTF-8")?;
+    Ok(Call {
+        id: RequestId(id),
+        class: place,
+        wait: (wait * 1e3) as Micros,
+        retry,
+        once,
+        cost: (cost * 1e3) as Micros,
+        memory_mb,
+        key,
+        group: GroupId(group(statement).unwrap_or(0)),
+        body: body.into(),
+    })
+}
--- /dev/null
+++ b/crates/platform/src/config.rs
@@ -0,0 +1,124 @@
+//! The configuration: what the platform tells a gateway at its start.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::Deserialize;
+use violetward::Settings;
+use violetward_settings::{BootInfo, Connections, Names};
+
+use crate::list::Known;
+
+/// What the file holds.
+#[derive(Debug, Deserialize)]
+struct File {
+    name: String,
+    listen: String,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    dns: String,
+    known: Known,
+    settings: BootInfo,
+}
+
+/// Limits of the machine that a gateway has to itself.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+pub struct Limits {
+    /// Part of a core.
+    pub cores: f64,
+    /// Memory in megabytes, files included.
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+/// The configuration, checked.
+#[derive(Debug)]
+pub struct Config {
+    /// This gateway's name, the same after a restart.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// The machine's limits.
+    pub limits: Limits,
+    /// The resolver.
+    pub resolver: SocketAddr,
+    /// The list of engines at the start.
+    pub known: Known,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The names behind the settings' numbers.
+    pub names: Names,
+    /// What the settings say of connections.
+    pub connections: Connections,
+}
+
+fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{what}: {text:?} is not address:port"))
+}
+
+/// Reads a configuration from its text.
+///
+/// # Errors
+/// Says where it is wrong, in one line.
+pub fn parse(text: &str) -> Result<Config, String> {
+    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let listen = address("listen", &file.listen)?;
+    let resolver = address("dns", &file.dns)?;
+    // A seed is random digits; whatever its form, it feeds the generator.
+    let seed =
+        u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| violetward_settings::engine(&file.seed).0);
+    if file.limits.sockets < LEAST_SOCKETS {
+        return Err(format!("limits.sockets: {} are fewer than {LEAST_SOCKETS}", file.limits.sockets));
+    }
+    Ok(Config {
+        name: file.name,
+        listen,
+        seed,
+        limits: file.limits,
+        resolver,
+        settings: file.settings.settings().map_err(|e| format!("settings: {e}"))?,
+        names: file.settings.names(),
+        connections: file.settings.connections(),
+        known: file.known,
+    })
+}
+
+/// Descriptors without which there is no service.
+const LEAST_SOCKETS: usize = 48;
+
+/// Reads the configuration from its file.
+///
+/// # Errors
+/// One line that names the file and what is wrong.
+pub fn load(path: &Path) -> Result<Config, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// How the descriptors are shared out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Descriptors {
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections to engines.
+    pub engines: usize,
+}
+
+impl Limits {
+    /// The budget: a reserve for the listener, the resolver's sockets, the runtime, the log and files read; of the rest
+    /// a third goes to engines, since clients of the platform hold a third of all and those of bad will come on top.
+    pub fn descriptors(&self) -> Descriptors {
+        const RESERVE: usize = 24;
+        let rest = self.sockets.saturating_sub(RESERVE);
+        Descriptors { clients: rest - rest / 3, engines: rest / 3 }
+    }
+
+    /// Bytes that requests and answers may hold in all: an eighth of the memory each.
+    pub fn held_bytes(&self) -> usize {
+        usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20) / 8
+    }
+}
--- /dev/null
+++ b/crates/platform/src/engine.rs
@@ -0,0 +1,421 @@
+//! Connections to engines, kept by engine and not by address: a new engine may have a gone one's.
+//!
+//! A request has a connection to itself where descriptors allow it, since what is spoilt on one ends all that is open
+//! there; where they do not, up to the settings' streams share one.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Async;
+use futures_lite::future;
+use violetward::{EngineId, Listed, Load, Outcome};
+use violetward_net::Duplex;
+use violetward_settings::Connections;
+
+use crate::core::{AttemptId, Ending, Launch};
+use crate::host::Host;
+use crate::link::{Link, Told};
+use crate::list::List;
+
+/// Bytes kept for an engine that does not read; statements are bounded far below.
+const KEPT: usize = 4 << 20;
+
+enum Waiting {
+    Launch(Launch),
+    Probe,
+}
+
+/// A connection, or one that is coming up.
+struct Line {
+    duplex: RefCell<Option<Rc<Duplex>>>,
+    link: RefCell<Link>,
+    waiting: RefCell<Vec<Waiting>>,
+    /// Something was last read from it.
+    heard: Cell<Instant>,
+    /// Since when nothing is open on it.
+    idle: Cell<Instant>,
+    /// Nothing new goes on it: it was silent to a request given up, or its engine has another address now.
+    spent: Cell<bool>,
+}
+
+impl Line {
+    fn load(&self) -> usize {
+        self.link.borrow().load() + self.waiting.borrow().len()
+    }
+
+    fn send(&self, bytes: &[u8]) -> bool {
+        bytes.is_empty() || self.duplex.borrow().as_ref().is_some_and(|d| d.send(bytes))
+    }
+
+    fn close(&self) {
+        self.spent.set(true);
+        if let Some(duplex) = &*self.duplex.borrow() {
+            duplex.close();
+        }
+    }
+
+    fn takes(&self, attempt: AttemptId) -> bool {
+        let waits = |w: &Waiting| matches!(w, Waiting::Launch(l) if l.attempt.0 == attempt.0);
+        !self.spent.get() && self.link.borrow().takes(attempt) && !self.waiting.borrow().iter().any(waits)
+    }
+
+    fn is_up(&self) -> bool {
+        self.duplex.borrow().is_some()
+    }
+}
+
+struct Engine {
+    id: EngineId,
+    address: Cell<SocketAddr>,
+    listed: Cell<Listed>,
+    lines: RefCell<Vec<Rc<Line>>>,
+    /// Where each attempt went, and when.
+    places: RefCell<HashMap<AttemptId, (Rc<Line>, Instant)>>,
+}
+
+/// All engines that are listed or still owe an answer.
+pub struct Engines {
+    most: usize,
+    terms: Connections,
+    engines: RefCell<HashMap<EngineId, Rc<Engine>>>,
+}
+
+impl Engines {
+    /// None yet; up to `most` connections in all.
+    pub fn new(most: usize, terms: Connections) -> Self {
+        Engines { most, terms, engines: RefCell::default() }
+    }
+
+    /// Connections there are.
+    pub fn connections(&self) -> usize {
+        self.engines.borrow().values().map(|e| e.lines.borrow().len()).sum()
+    }
+
+    /// Engines of which something is kept.
+    pub fn len(&self) -> usize {
+        self.engines.borrow().len()
+    }
+
+    /// Nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.engines.borrow().is_empty()
+    }
+
+    /// Takes a new list. Attempts that wait for a connection to an engine that drains or has left end here: what is
+    /// sent once it comes up would come too late for the rule on drains.
+    pub fn listed(&self, list: &List) -> Vec<(AttemptId, Ending)> {
+        let mut unsent = Vec::new();
+        let mut engines = self.engines.borrow_mut();
+        for engine in engines.values() {
+            if !list.engines.values().any(|l| l.entry.engine == engine.id) {
+                engine.listed.set(Listed::Removed);
+            }
+        }
+        for listing in list.engines.values() {
+            let engine = engines.entry(listing.entry.engine).or_insert_with(|| {
+                Rc::new(Engine {
+                    id: listing.entry.engine,
+                    address: Cell::new(listing.address),
+                    listed: Cell::new(Listed::Up),
+                    lines: RefCell::default(),
+                    places: RefCell::default(),
+                })
+            });
+            engine.listed.set(listing.entry.listed);
+            if engine.address.replace(listing.address) != listing.address {
+                engine.lines.borrow().iter().for_each(|line| line.spent.set(true));
+            }
+        }
+        for engine in engines.values().filter(|e| e.listed.get() != Listed::Up) {
+            for line in engine.lines.borrow().iter() {
+                for waiting in line.waiting.take() {
+                    if let Waiting::Launch(launch) = waiting {
+                        engine.places.borrow_mut().remove(&launch.attempt);
+                        unsent.push((launch.attempt, Ending::of(Outcome::ConnectFailed)));
+                    }
+                }
+                line.spent.set(true);
+            }
+        }
+        drop(engines);
+        self.sweep(Instant::now());
+        unsent
+    }
+
+    /// Begins an attempt; its end, if it has ended already.
+    pub fn launch(&self, host: &Rc<Host>, launch: Launch) -> Option<Ending> {
+        let engine = self.engines.borrow().get(&launch.engine).cloned();
+        let failed = || Some(Ending::of(Outcome::ConnectFailed));
+        let Some(engine) = engine.filter(|e| e.listed.get() == Listed::Up) else { return failed() };
+        // A connection that turns out to be dead before anything was written proves nothing of the engine.
+        while let Some(line) = self.line(host, &engine, Some(launch.attempt)) {
+            engine.places.borrow_mut().insert(launch.attempt, (line.clone(), Instant::now()));
+            if !line.is_up() {
+                line.waiting.borrow_mut().push(Waiting::Launch(launch));
+                return None;
+            }
+            let was_idle = line.load() == 0;
+            if was_idle && !line.duplex.borrow().as_ref().is_some_and(|d| d.is_quiet()) {
+                line.close();
+                continue;
+            }
+            if write(host, &line, &launch) {
+                return None;
+            }
+            line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
+            line.close();
+        }
+        engine.places.borrow_mut().remove(&launch.attempt);
+        failed()
+    }
+
+    /// The best connection for an attempt or a probe, a new one if need be.
+    fn line(&self, host: &Rc<Host>, engine: &Rc<Engine>, attempt: Option<AttemptId>) -> Option<Rc<Line>> {
+        let lines = engine.lines.borrow();
+        let fits = |line: &&Rc<Line>| match attempt {
+            Some(attempt) => line.takes(attempt) && line.load() < self.terms.streams,
+            None => !line.spent.get() && line.load() < self.terms.streams,
+        };
+        // The one used last is the least likely to have been closed by its engine.
+        let idle =
+            lines.iter().filter(fits).filter(|l| l.is_up() && l.load() == 0).max_by_key(|l| l.idle.get());
+        if let Some(line) = idle {
+            return Some(line.clone());
+        }
+        let each = (self.most / self.engines.borrow().len().max(1)).max(1);
+        let least = lines.iter().filter(fits).min_by_key(|l| (l.load(), !l.is_up())).cloned();
+        let count = lines.len();
+        drop(lines);
+        if (count >= each && least.is_some()) || (self.connections() >= self.most && !self.make_room()) {
+            return least;
+        }
+        Some(connect(host, engine))
+    }
+
+    /// Closes the connection that has been idle for longest; false if there is none.
+    fn make_room(&self) -> bool {
+        let engines = self.engines.borrow();
+        let idle = |line: &Rc<Line>| line.is_up() && line.load() == 0;
+        let all = engines.values().flat_map(|e| e.lines.borrow().iter().cloned().collect::<Vec<_>>());
+        match all.filter(idle).min_by_key(|l| l.idle.get()) {
+            Some(line) => {
+                line.close();
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Gives an attempt up.
+    pub fn withdraw(&self, engine: EngineId, attempt: AttemptId) {
+        let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
+        let Some((line, since)) = engine.places.borrow_mut().remove(&attempt) else { return };
+        line.waiting.borrow_mut().retain(|w| !matches!(w, Waiting::Launch(l) if l.attempt == attempt));
+        let mut out = Vec::new();
+        line.link.borrow_mut().withdraw(attempt, &mut out);
+        line.send(&out);
+        if line.is_up() && line.heard.get() < since {
+            // Not a word since it was asked: the peer may be gone without a trace, and this connection with it.
+            line.spent.set(true);
+        }
+        line.idle.set(Instant::now());
+    }
+
+    /// Gives an attempt another priority.
+    pub fn renice(&self, engine: EngineId, attempt: AttemptId, rank: u8) {
+        let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
+        let Some((line, _)) = engine.places.borrow().get(&attempt).cloned() else { return };
+        for waiting in line.waiting.borrow_mut().iter_mut() {
+            if let Waiting::Launch(launch) = waiting {
+                launch.rank = if launch.attempt == attempt { rank } else { launch.rank };
+            }
+        }
+        let mut out = Vec::new();
+        line.link.borrow_mut().renice(attempt, rank, &mut out);
+        line.send(&out);
+    }
+
+    /// Checks an engine.
+    pub fn probe(&self, host: &Rc<Host>, id: EngineId) {
+        let engine = self.engines.borrow().get(&id).cloned();
+        let line = engine.as_ref().and_then(|e| self.line(host, e, None));
+        let Some((engine, line)) = engine.zip(line) else {
+            let host = host.clone();
+            return host.clone().spawn(async move {
+                host.core(|core, now| core.probed(now, id, false, Load::default()));
+            });
+        };
+        if line.is_up() {
+            ask(host, &engine, &line);
+        } else {
+            line.waiting.borrow_mut().push(Waiting::Probe);
+        }
+    }
+
+    /// Closes what is not needed: connections idle for so long that their engine would close them soon, spent ones
+    /// without requests, and all of engines that have left.
+    pub fn sweep(&self, now: Instant) {
+        // Ours close first: a request that crosses the engine's close may or may not have run.
+        let idle = Duration::from_micros(self.terms.idle) * 2 / 3;
+        let mut engines = self.engines.borrow_mut();
+        for engine in engines.values() {
+            for line in engine.lines.borrow().iter().filter(|l| l.is_up() && l.load() == 0) {
+                let old = !idle.is_zero() && now.saturating_duration_since(line.idle.get()) > idle;
+                if line.spent.get() || old {
+                    line.close();
+                }
+            }
+        }
+        engines.retain(|_, e| e.listed.get() != Listed::Removed || !e.lines.borrow().is_empty());
+    }
+}
+
+/// Writes an attempt on a connection that is up.
+fn write(host: &Host, line: &Line, launch: &Launch) -> bool {
+    let left = launch.until.saturating_sub(host.clock.now()) / 1000;
+    let mut out = Vec::with_capacity(launch.body.len() + 192);
+    let class = &host.config.names.classes[launch.class];
+    line.link.borrow_mut().fetch(launch, class, left, &mut out);
+    line.send(&out)
+}
+
+/// Sends a probe on a connection that is up, and sees to its time-out.
+fn ask(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+    let mut out = Vec::new();
+    let tag = line.link.borrow_mut().probe(&mut out);
+    line.send(&out);
+    let (host, id, line) = (host.clone(), engine.id, line.clone());
+    let within = Duration::from_micros(host.config.connections.probe_timeout);
+    host.clone().spawn(async move {
+        async_io::Timer::after(within).await;
+        if line.link.borrow_mut().forget_probe(&tag) {
+            line.spent.set(true);
+            host.core(|core, now| core.probed(now, id, false, Load::default()));
+        }
+    });
+}
+
+/// Begins a connection and the task that reads from it.
+fn connect(host: &Rc<Host>, engine: &Rc<Engine>) -> Rc<Line> {
+    let now = Instant::now();
+    let line = Rc::new(Line {
+        duplex: RefCell::new(None),
+        link: RefCell::new(Link::new()),
+        waiting: RefCell::default(),
+        heard: Cell::new(now),
+        idle: Cell::new(now),
+        spent: Cell::new(false),
+    });
+    engine.lines.borrow_mut().push(line.clone());
+    host.spawn(run(host.clone(), engine.clone(), line.clone()));
+    line
+}
+
+async fn run(host: Rc<Host>, engine: Rc<Engine>, line: Rc<Line>) {
+    let within = Duration::from_micros(host.config.connections.connect_timeout);
+    let connecting = async { Async::<TcpStream>::connect(engine.address.get()).await.ok() };
+    let socket = future::or(connecting, async {
+        async_io::Timer::after(within).await;
+        None
+    })
+    .await;
+    if let Some(socket) = socket {
+        let duplex = Rc::new(Duplex::new(socket, KEPT));
+        *line.duplex.borrow_mut() = Some(duplex.clone());
+        begin(&host, &engine, &line);
+        future::or(read(&host, &engine, &line, &duplex), async {
+            duplex.drain().await;
+        })
+        .await;
+        // Held by its state no longer: the socket closes with this task.
+        duplex.close();
+        line.duplex.borrow_mut().take();
+    }
+    end(&host, &engine, &line);
+}
+
+/// Writes what has waited for the connection to come up.
+fn begin(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+    let waiting = line.waiting.take();
+    line.heard.set(Instant::now());
+    for (at, what) in waiting.iter().enumerate() {
+        match what {
+            Waiting::Launch(launch) => {
+                if !write(host, line, launch) {
+                    // The rest was not written: it ends with the connection, as never sent.
+                    line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
+                    line.waiting.borrow_mut().extend(waiting.into_iter().skip(at));
+                    return;
+                }
+            }
+            Waiting::Probe => ask(host, engine, line),
+        }
+    }
+}
+
+async fn read(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, duplex: &Duplex) {
+    loop {
+        let (mut out, mut told, mut fault) = (Vec::new(), Vec::new(), None);
+        let read = duplex.read(|bytes| {
+            if !bytes.is_empty() {
+                fault = line.link.borrow_mut().feed(bytes, &mut out, &mut told).err();
+            }
+        });
+        let read = read.await.unwrap_or(0);
+        if read == 0 {
+            return;
+        }
+        line.heard.set(Instant::now());
+        line.send(&out);
+        if let Some(why) = fault {
+            if host.quotas[1].allows(host.clock.now()) {
+                tracing::warn!(engine = engine.id.0, why, "an answer that can't be read: connection closed");
+            }
+            // Everything on it was sent and may have run; its engine stands, but nothing more is heard of it here.
+            line.link.borrow_mut().broken(Outcome::Error, &mut told);
+            line.spent.set(true);
+            tell(host, engine, line, told);
+            return;
+        }
+        tell(host, engine, line, told);
+    }
+}
+
+/// Passes on what an engine has told.
+fn tell(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, told: Vec<Told>) {
+    if told.is_empty() {
+        return;
+    }
+    line.idle.set(Instant::now());
+    for told in &told {
+        if let Told::Ended(attempt, _) = told {
+            engine.places.borrow_mut().remove(attempt);
+        }
+    }
+    host.core(|core, now| {
+        for told in told {
+            match told {
+                Told::Ended(attempt, ending) => core.ended(now, attempt, ending),
+                Told::Probed(ok, load) => core.probed(now, engine.id, ok, load),
+            }
+        }
+    });
+}
+
+/// Ends what is left on a connection that is gone, and forgets it.
+fn end(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+    line.spent.set(true);
+    engine.lines.borrow_mut().retain(|l| !Rc::ptr_eq(l, line));
+    let mut told = Vec::new();
+    line.link.borrow_mut().broken(Outcome::Reset, &mut told);
+    for waiting in line.waiting.take() {
+        told.push(match waiting {
+            Waiting::Launch(launch) => Told::Ended(launch.attempt, Ending::of(Outcome::ConnectFailed)),
+            Waiting::Probe => Told::Probed(false, Load::default()),
+        });
+    }
+    tell(host, engine, line, told);
+}
--- /dev/null
+++ b/crates/platform/src/front.rs
@@ -0,0 +1,324 @@
+//! Connections of clients: frames in, answers out, and what a bad client gets.
+
+use std::cell::{Cell, RefCell};
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Async;
+use futures_lite::future;
+use violetward_net::Duplex;
+use violetward_thrift::{Cursor, Frames, Head, Kind, ThriftError, Writer};
+
+use crate::call;
+use crate::core::{ClientId, Taken, Verdict};
+use crate::host::Host;
+
+/// Bytes of a frame. Statements are far shorter; nothing is kept of what is longer.
+const FRAME_BYTES: usize = 256 << 10;
+/// Requests that may be open on one connection.
+const OPEN: usize = 32;
+/// How long a connection may be silent before its first whole frame, and a frame may take to come in whole. Bad clients
+/// are owed an end within three seconds of connecting.
+const SILENT: Duration = Duration::from_millis(2_000);
+/// How long a connection may stay idle between requests; clients close theirs after four seconds.
+const IDLE: Duration = Duration::from_millis(6_000);
+/// How long a client may leave an answer unread.
+const UNREAD: Duration = Duration::from_millis(2_500);
+/// Bytes kept for a client that does not read: some of the largest results.
+const KEPT: usize = 256 << 10;
+
+/// Codes of application exceptions.
+const UNKNOWN_METHOD: i32 = 1;
+const INVALID_MESSAGE_TYPE: i32 = 2;
+const PROTOCOL_ERROR: i32 = 7;
+
+/// A connection of a client.
+pub struct Client {
+    id: ClientId,
+    duplex: Duplex,
+    frames: RefCell<Frames>,
+    opened: Instant,
+    /// Since when a frame has been coming in.
+    within: Cell<Option<Instant>>,
+    /// Its last frame or answer; `None` before the first frame.
+    last: Cell<Option<Instant>>,
+}
+
+/// Why a connection is closed.
+struct Unfit(&'static str);
+
+fn answer(writer: &mut Writer, body: &[u8], good: bool) {
+    writer.begin(0);
+    writer.bytes(1, body);
+    writer.texts(2, std::iter::empty());
+    writer.bool(3, good);
+    writer.stop();
+    writer.stop();
+}
+
+fn thrown(writer: &mut Writer, number: i16, fields: &[(&str, &str)]) {
+    writer.begin(number);
+    writer.texts(1, fields.iter().copied());
+    writer.stop();
+    writer.stop();
+}
+
+impl Client {
+    /// Writes the final answer to a request.
+    pub(crate) fn answer(&self, seqid: i32, verdict: &Verdict) {
+        let mut writer = Writer::message("dispatch", Kind::Reply, seqid);
+        match verdict {
+            Verdict::Served(result) => answer(&mut writer, result, true),
+            Verdict::Refused(0) => thrown(&mut writer, 1, &[]),
+            Verdict::Refused(after) => {
+                thrown(&mut writer, 1, &[("after", &after.div_ceil(1000).to_string())]);
+            }
+            Verdict::Failed => thrown(&mut writer, 2, &[]),
+        }
+        self.last.set(Some(Instant::now()));
+        self.duplex.send(&writer.frame());
+    }
+
+    fn exception(&self, head: &Head, code: i32, why: &str) {
+        // Nobody waits for an answer to what is no call.
+        if head.kind == Kind::Oneway {
+            return;
+        }
+        let mut writer = Writer::message(&head.name, Kind::Exception, head.seqid);
+        writer.bytes(1, why.as_bytes());
+        writer.i32(2, code);
+        writer.stop();
+        self.duplex.send(&writer.frame());
+    }
+
+    /// Closes it if it has been silent, idle or unread for too long.
+    pub(crate) fn sweep(&self, host: &Host, now: Instant) {
+        let over = |since: Instant, span: Duration| now.saturating_duration_since(since) > span;
+        let (kept, moved) = self.duplex.kept();
+        let unread = kept > 0 && over(moved, UNREAD);
+        let stalled = self.within.get().is_some_and(|since| over(since, SILENT));
+        let idle = match self.last.get() {
+            None => over(self.opened, SILENT),
+            Some(last) => over(last, IDLE) && host.look(|core| core.open_of(self.id)) == 0,
+        };
+        if unread || stalled || idle {
+            self.duplex.close();
+        }
+    }
+
+    /// No request is open, none is coming in and no answer is unread.
+    fn is_idle(&self, host: &Host) -> bool {
+        self.within.get().is_none()
+            && self.duplex.kept().0 == 0
+            && self.duplex.is_quiet()
+            && host.look(|core| core.open_of(self.id)) == 0
+    }
+
+    /// What makes it the first to go when there is no room: never having asked, then idleness.
+    fn rank(&self) -> (bool, Instant) {
+        (self.last.get().is_some(), self.last.get().unwrap_or(self.opened))
+    }
+}
+
+/// Takes connections. Never ends.
+pub async fn accept(host: Rc<Host>, listener: Async<TcpListener>) {
+    let most = host.config.limits.descriptors().clients;
+    let mut next = 0;
+    loop {
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => socket,
+            Err(e) => {
+                // Out of descriptors in spite of the budget, or a connection that broke in the queue: neither spins.
+                if host.quotas[0].allows(host.clock.now()) {
+                    tracing::warn!(%e, "a connection could not be taken");
+                }
+                async_io::Timer::after(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        next += 1;
+        let now = Instant::now();
+        let client = Rc::new(Client {
+            id: ClientId(next),
+            duplex: Duplex::new(socket, KEPT),
+            frames: RefCell::new(Frames::new(FRAME_BYTES)),
+            opened: now,
+            within: Cell::new(None),
+            last: Cell::new(None),
+        });
+        let full = host.clients.borrow().len() >= most;
+        if full && !make_room(&host) {
+            if host.quotas[0].allows(host.clock.now()) {
+                tracing::warn!(most, "no room for one more connection");
+            }
+            continue;
+        }
+        host.clients.borrow_mut().insert(client.id, client.clone());
+        host.spawn(serve(host.clone(), client));
+        if next % 16 == 0 {
+            // A wave of connections must not keep those from being read that are there.
+            future::yield_now().await;
+        }
+    }
+}
+
+/// Ends the connection that is missed least; false if all are in use.
+fn make_room(host: &Host) -> bool {
+    let clients: Vec<_> = host.clients.borrow().values().cloned().collect();
+    let idle = clients.into_iter().filter(|c| c.is_idle(host));
+    let Some(client) = idle.min_by_key(|c| c.rank()) else { return false };
+    client.duplex.close();
+    // Its task ends with the next turn; it is not counted any more.
+    host.clients.borrow_mut().remove(&client.id);
+    true
+}
+
+/// Closes connections without open requests; used at the end of service.
+pub fn close_idle(host: &Host) {
+    let clients: Vec<_> = host.clients.borrow().values().cloned().collect();
+    clients.iter().filter(|c| c.is_idle(host)).for_each(|c| c.duplex.close());
+}
+
+async fn serve(host: Rc<Host>, client: Rc<Client>) {
+    let reading = async {
+        loop {
+            let mut unfit = None;
+            let read = client.duplex.read(|bytes| client.frames.borrow_mut().feed(bytes)).await;
+            if read.unwrap_or(0) == 0 {
+                return;
+            }
+            while unfit.is_none() {
+                let frame = client.frames.borrow_mut().next();
+                match frame {
+                    Ok(Some(frame)) => unfit = take(&host, &client, &frame).err(),
+                    Ok(None) => break,
+                    Err(ThriftError::Negative) => unfit = Some(Unfit("a frame of negative length")),
+                    Err(_) => unfit = Some(Unfit("a frame that is too long")),
+                }
+            }
+            if let Some(Unfit(why)) = unfit {
+                if host.quotas[0].allows(host.clock.now()) {
+                    tracing::warn!(why, "connection closed");
+                }
+                return;
+            }
+            let within = client.frames.borrow().is_within();
+            client.within.set(within.then(|| client.within.get().unwrap_or_else(Instant::now)));
+            if client.duplex.is_closed() {
+                return;
+            }
+            // One that sends without pause must not keep others waiting.
+            future::yield_now().await;
+        }
+    };
+    future::or(reading, async {
+        client.duplex.drain().await;
+    })
+    .await;
+    client.duplex.close();
+    host.clients.borrow_mut().remove(&client.id);
+    host.core(|core, now| core.client_gone(now, client.id));
+}
+
+/// Takes one frame.
+fn take(host: &Rc<Host>, client: &Rc<Client>, frame: &[u8]) -> Result<(), Unfit> {
+    client.last.set(Some(Instant::now()));
+    // A frame has been read whole; the next one's time begins anew.
+    client.within.set(None);
+    let mut cursor = Cursor::new(frame);
+    let head = cursor.message().map_err(|_| Unfit("a message that can't be read"))?;
+    if matches!(head.kind, Kind::Reply | Kind::Exception) {
+        client.exception(&head, INVALID_MESSAGE_TYPE, "not a call");
+        return Ok(());
+    }
+    match head.name.as_str() {
+        "dispatch" if head.kind == Kind::Call => dispatch(host, client, &head, cursor),
+        "cancelRequest" => {
+            match number(cursor) {
+                Ok(seqid) => host.core(|core, now| core.lapse(now, client.id, seqid)),
+                Err(e) => client.exception(&head, PROTOCOL_ERROR, &e.to_string()),
+            }
+            Ok(())
+        }
+        "alive" if head.kind == Kind::Call => {
+            let mut writer = Writer::message("alive", Kind::Reply, head.seqid);
+            answer(&mut writer, b"", !host.stopping.get());
+            client.duplex.send(&writer.frame());
+            Ok(())
+        }
+        _ => {
+            client.exception(&head, UNKNOWN_METHOD, "no such method");
+            Ok(())
+        }
+    }
+}
+
+/// The number that a `cancelRequest` names.
+fn number(mut cursor: Cursor<'_>) -> Result<i32, ThriftError> {
+    let mut seqid = None;
+    while let Some((kind, field)) = cursor.field()? {
+        match (kind, field) {
+            (Cursor::I32, 1) => seqid = Some(cursor.i32()?),
+            _ => cursor.skip(kind)?,
+        }
+    }
+    seqid.ok_or(ThriftError::Short)
+}
+
+type Arguments<'a> = (Vec<(&'a str, &'a str)>, &'a [u8]);
+
+fn arguments<'a>(mut cursor: Cursor<'a>) -> Result<Arguments<'a>, ThriftError> {
+    let (mut fields, mut body) = (None, None);
+    while let Some((kind, field)) = cursor.field()? {
+        match (kind, field) {
+            (Cursor::MAP, 1) => fields = Some(cursor.texts()?),
+            (Cursor::STRING, 2) => body = Some(cursor.bytes()?),
+            (_, 1 | 2) => return Err(ThriftError::Type),
+            _ => cursor.skip(kind)?,
+        }
+    }
+    if !cursor.rest().is_empty() {
+        return Err(ThriftError::Short);
+    }
+    fields.zip(body).ok_or(ThriftError::Short)
+}
+
+fn dispatch(host: &Rc<Host>, client: &Rc<Client>, head: &Head, cursor: Cursor<'_>) -> Result<(), Unfit> {
+    // An answer under a number that is open twice could be taken for the other's.
+    let (has, open) = host.look(|core| (core.has(client.id, head.seqid), core.open_of(client.id)));
+    if has {
+        return Err(Unfit("two requests under one number"));
+    }
+    if open >= OPEN {
+        return Err(Unfit("more open requests than a connection may have"));
+    }
+    let read = arguments(cursor).map_err(|e| e.to_string()).and_then(|(fields, body)| {
+        call::read(&fields, body, &host.config.names, &host.config.settings.classes)
+    });
+    let call = match read {
+        Ok(call) => call,
+        Err(why) => {
+            if host.quotas[0].allows(host.clock.now()) {
+                tracing::info!(why, "a request that can't be used");
+            }
+            client.exception(head, PROTOCOL_ERROR, &why);
+            return Ok(());
+        }
+    };
+    match host.core(|core, now| core.request(now, client.id, head.seqid, call)) {
+        Taken::Yes => {}
+        Taken::Full => client.answer(head.seqid, &Verdict::Refused(0)),
+        Taken::OwnId => return Err(Unfit("the id of an open request again")),
+        Taken::OthersId => client.exception(head, PROTOCOL_ERROR, "id: in use"),
+    }
+    Ok(())
+}
+
+/// Listens on the address of the configuration alone.
+///
+/// # Errors
+/// The socket's.
+pub fn listen(host: &Host) -> std::io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(host.config.listen)
+}
--- /dev/null
+++ b/crates/platform/src/host.rs
@@ -0,0 +1,186 @@
+//! Carries out the core's effects. Everything runs on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use event_listener::Event;
+use futures_lite::future;
+use violetward::Micros;
+use violetward_net::Clock;
+
+use crate::config::Config;
+use crate::core::{ClientId, Core, Effect};
+use crate::engine::Engines;
+use crate::front::Client;
+use crate::list::List;
+
+/// Lines of one kind that the log takes in a minute; the rest is counted.
+const LINES: u32 = 30;
+
+/// Bounds the log: what happens with every request of a bad day must not fill it.
+#[derive(Debug, Default)]
+pub struct Quota {
+    minute: Cell<u64>,
+    lines: Cell<u32>,
+}
+
+impl Quota {
+    /// Whether one more line may be written now.
+    pub fn allows(&self, now: Micros) -> bool {
+        let minute = now / 60_000_000;
+        if self.minute.replace(minute) != minute {
+            self.lines.set(0);
+        }
+        self.lines.set(self.lines.get().saturating_add(1));
+        self.lines.get() <= LINES
+    }
+}
+
+/// The host. The front, the engines and the resolver share it.
+pub struct Host {
+    /// The configuration of the start.
+    pub config: Config,
+    /// The time of the core.
+    pub clock: Clock,
+    core: RefCell<Core>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Connections of clients.
+    pub(crate) clients: RefCell<HashMap<ClientId, Rc<Client>>>,
+    /// Connections to engines.
+    pub engines: Engines,
+    /// Bounds the log's lines on clients, on engines and of the module.
+    pub quotas: [Quota; 3],
+    alarm: Event,
+    alarm_at: Cell<Micros>,
+    /// SIGTERM has come.
+    pub(crate) stopping: Cell<bool>,
+}
+
+impl Host {
+    /// A host for a core made from the same configuration.
+    pub fn new(config: Config, clock: Clock, core: Core, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+        Rc::new(Host {
+            engines: Engines::new(config.limits.descriptors().engines, config.connections.clone()),
+            config,
+            clock,
+            core: RefCell::new(core),
+            executor,
+            clients: RefCell::default(),
+            quotas: Default::default(),
+            alarm: Event::new(),
+            alarm_at: Cell::new(Micros::MAX),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Runs a task on the gateway's thread.
+    pub fn spawn(&self, task: impl std::future::Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+
+    /// Passes something to the core and carries out what follows.
+    pub fn core<T>(self: &Rc<Self>, act: impl FnOnce(&mut Core, Micros) -> T) -> T {
+        let now = self.clock.now();
+        let result = act(&mut self.core.borrow_mut(), now);
+        loop {
+            let effect = self.core.borrow_mut().effect();
+            match effect {
+                Some(effect) => self.carry_out(effect),
+                None => break,
+            }
+        }
+        let next = self.core.borrow().next_wake().unwrap_or(Micros::MAX);
+        if next < self.alarm_at.get() {
+            self.alarm.notify(1);
+        }
+        result
+    }
+
+    /// Looks at the core.
+    pub fn look<T>(&self, look: impl FnOnce(&Core) -> T) -> T {
+        look(&self.core.borrow())
+    }
+
+    /// A new list: connections first, so that nothing goes to an engine that has left.
+    pub fn listed(self: &Rc<Self>, list: &List, known: bool) {
+        let unsent = self.engines.listed(list);
+        self.core(|core, now| {
+            core.engines(now, list, known);
+            for (attempt, ending) in unsent {
+                core.ended(now, attempt, ending);
+            }
+        });
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Launch(launch) => {
+                let attempt = launch.attempt;
+                if let Some(ending) = self.engines.launch(self, launch) {
+                    let now = self.clock.now();
+                    // Its effects come behind those that are queued: the caller's loop carries them out.
+                    self.core.borrow_mut().ended(now, attempt, ending);
+                }
+            }
+            Effect::Withdraw(engine, attempt) => self.engines.withdraw(engine, attempt),
+            Effect::Renice(engine, attempt, rank) => self.engines.renice(engine, attempt, rank),
+            Effect::Probe(engine) => self.engines.probe(self, engine),
+            Effect::Answer(client, seqid, verdict) => {
+                let client = self.clients.borrow().get(&client).cloned();
+                if let Some(client) = client {
+                    client.answer(seqid, &verdict);
+                }
+            }
+            Effect::Say(text) => {
+                if self.quotas[2].allows(self.clock.now()) {
+                    tracing::info!(target: "violetward::module", "{text}");
+                }
+            }
+        }
+    }
+
+    /// Wakes the core when it asks for it. Never ends.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let heard = self.alarm.listen();
+            let next = self.core.borrow().next_wake();
+            self.alarm_at.set(next.unwrap_or(Micros::MAX));
+            match next {
+                Some(at) if at <= self.clock.now() => {
+                    self.core(|core, now| core.wake(now));
+                    // Gives the tasks that this has woken their turn.
+                    future::yield_now().await;
+                }
+                Some(at) => {
+                    let until = self.clock.instant(at);
+                    future::or(heard, async {
+                        async_io::Timer::at(until).await;
+                    })
+                    .await;
+                }
+                None => heard.await,
+            }
+        }
+    }
+
+    /// Looks after what ends by itself: idle and silent connections. Never ends.
+    pub async fn run_sweeps(self: Rc<Self>) {
+        let mut told = Instant::now();
+        loop {
+            async_io::Timer::after(Duration::from_millis(200)).await;
+            let now = Instant::now();
+            let clients: Vec<_> = self.clients.borrow().values().cloned().collect();
+            clients.iter().for_each(|client| client.sweep(&self, now));
+            self.engines.sweep(now);
+            if now.duration_since(told) >= Duration::from_secs(10) {
+                told = now;
+                let (counts, held) = self.look(|core| (core.counts, core.held()));
+                let (clients, engines) = (clients.len(), self.engines.connections());
+                tracing::info!(?counts, ?held, clients, engines, "so far");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/service.rs
@@ -0,0 +1,125 @@
+//! A whole gateway: its tasks on one thread, from the first connection to the last answer.
+
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_signal::{Signal, Signals};
+use futures_lite::{future, StreamExt};
+use violetward::{Gateway, Micros};
+use violetward_net::Clock;
+
+use crate::config::{self, Config};
+use crate::core::{Core, Terms};
+use crate::front;
+use crate::host::Host;
+use crate::resolver::Resolver;
+
+/// What is kept of a client's wait for the way of the answer. See docs/platform.md for the figures behind it.
+const MARGIN: Micros = 15_000;
+/// How long after SIGTERM requests may still come.
+const STILL_COMING: Duration = Duration::from_millis(800);
+/// How long after that the last answers may take to leave this process.
+const LEAVING: Duration = Duration::from_millis(100);
+/// How often a configuration that can't be used is looked at again, and for how long.
+const LOOK_AGAIN: (Duration, u32) = (Duration::from_millis(100), 100);
+
+/// Runs a gateway until SIGTERM or SIGINT, and until everything that was taken has its answer.
+///
+/// # Errors
+/// If it cannot listen or handle signals.
+pub fn serve(config: Config, file: &Path) -> std::io::Result<()> {
+    // Before anything can be reached from outside: a signal that comes early must not end the process.
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let executor = Rc::new(LocalExecutor::new());
+    let resolver = Resolver::new(config.resolver);
+    let name = config.name.clone();
+    let host = start(config, &executor, &resolver)?;
+    tracing::info!(name, listen = %host.config.listen, "taking requests");
+    let file = file.to_owned();
+    let reloads = executor.clone();
+    async_io::block_on(executor.run(async move {
+        let mut reload = None;
+        loop {
+            match signals.next().await {
+                Some(Ok(Signal::Hup)) => {
+                    let task = reloaded(resolver.clone(), file.clone());
+                    // One that still looks at an older file is dropped with its task.
+                    reload = Some(reloads.spawn(task));
+                }
+                Some(Ok(_)) | None => break,
+                Some(Err(_)) => {}
+            }
+        }
+        drop(reload);
+        stop(&host).await;
+        tracing::info!(counts = ?host.look(|core| core.counts), "stopped");
+    }));
+    Ok(())
+}
+
+/// Starts a gateway's tasks on an executor; they run as long as that does.
+///
+/// # Errors
+/// If it cannot listen, or the list of the start can't be used.
+pub fn start(
+    config: Config,
+    executor: &Rc<LocalExecutor<'static>>,
+    resolver: &Rc<Resolver>,
+) -> std::io::Result<Rc<Host>> {
+    let clock = Clock::new();
+    let known = config.known.list(&config.names).map_err(std::io::Error::other)?;
+    let gateway = Gateway::new(config.settings.clone(), config.seed);
+    let open_cap = config.connections.open_cap;
+    let terms = Terms {
+        attempts_cap: config.settings.attempts_cap,
+        open_cap: if open_cap == 0 { usize::MAX } else { open_cap },
+        body_bytes: config.limits.held_bytes(),
+        margin: MARGIN,
+    };
+    let core = Core::new(Box::new(gateway), terms, clock.now());
+    let host = Host::new(config, clock, core, executor.clone());
+    host.listed(&known, true);
+    let listener = front::listen(&host)?;
+    executor.spawn(host.clone().run_timers()).detach();
+    executor.spawn(host.clone().run_sweeps()).detach();
+    executor.spawn(resolver.clone().follow(host.clone(), known.number)).detach();
+    executor.spawn(front::accept(host.clone(), listener)).detach();
+    Ok(host)
+}
+
+/// Reads the configuration again and goes to the resolver that it names. What is half written is looked at again.
+async fn reloaded(resolver: Rc<Resolver>, file: PathBuf) {
+    for turn in 0..LOOK_AGAIN.1 {
+        match config::load(&file) {
+            Ok(config) => {
+                tracing::info!(resolver = %config.resolver, "configuration read again");
+                if config.resolver != resolver.address() {
+                    resolver.moved_to(config.resolver);
+                }
+                return;
+            }
+            Err(why) if turn == 0 => tracing::warn!(why, "the old configuration stands; looking again"),
+            Err(_) => {}
+        }
+        async_io::Timer::after(LOOK_AGAIN.0).await;
+    }
+    tracing::error!("the configuration can't be used; the old one stands");
+}
+
+/// Goes on until everything has its answer and the time in which more may come is over.
+async fn stop(host: &Rc<Host>) {
+    let began = Instant::now();
+    host.stopping.set(true);
+    tracing::info!(open = host.look(Core::open), "stopping: what comes still gets its answer");
+    while began.elapsed() < STILL_COMING || host.look(Core::open) > 0 {
+        async_io::Timer::after(Duration::from_millis(10)).await;
+        if began.elapsed() >= STILL_COMING {
+            front::close_idle(host);
+        }
+    }
+    // The last answers are on their way out of this process.
+    async_io::Timer::after(LEAVING).await;
+    future::yield_now().await;
+}
--- /dev/null
+++ b/crates/resp/src/lib.rs
@@ -0,0 +1,201 @@
+//! RESP arrays of bulk strings (the Redis serialization protocol, version 2), both ways, free of I/O.
+//!
+//! [`Reader`] takes bytes in any portions and gives whole arrays. Its bounds are checked on what the peer announces,
+//! before anything is kept for it: a bulk string that is said to have gigabytes costs its connection at once.
+//!
+//! ```
+//! use violetward_resp::{write, Limits, Reader};
+//!
+//! let mut bytes = Vec::new();
+//! write(&mut bytes, &[b"alive", b"t1"]);
+//! assert_eq!(bytes, b"*2\r\n$5\r\nalive\r\n$2\r\nt1\r\n");
+//! let mut reader = Reader::new(Limits::default());
+//! reader.feed(&bytes[..9]);
+//! assert_eq!(reader.next(), Ok(None));
+//! reader.feed(&bytes[9..]);
+//! assert_eq!(reader.next(), Ok(Some(vec![b"alive".to_vec(), b"t1".to_vec()])));
+//! ```
+
+use std::fmt;
+
+/// Bounds of what a peer may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Strings of an array.
+    pub strings: usize,
+    /// Bytes of a string.
+    pub string: usize,
+    /// Bytes of an array's strings together.
+    pub total: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { strings: 16, string: 64 << 10, total: 96 << 10 }
+    }
+}
+
+/// Why bytes are no array of bulk strings. Nothing after them on the connection can be trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RespError {
+    /// Something else than an array or a bulk string.
+    Kind,
+    /// A length that is no number, or is negative.
+    Length,
+    /// A line for a length that does not end.
+    Line,
+    /// More than the bounds allow.
+    TooLarge,
+    /// A string that does not end where its length says.
+    End,
+}
+
+impl fmt::Display for RespError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            RespError::Kind => "neither an array nor a bulk string",
+            RespError::Length => "a length that is no number or negative",
+            RespError::Line => "a line that does not end",
+            RespError::TooLarge => "more than is allowed",
+            RespError::End => "a string that does not end where its length says",
+        })
+    }
+}
+
+impl std::error::Error for RespError {}
+
+/// Bytes of the line that holds a length, its mark and end included. Guards against lines without end.
+const LINE: usize = 16;
+
+/// Reads arrays from a stream of bytes.
+#[derive(Debug)]
+pub struct Reader {
+    limits: Limits,
+    bytes: Vec<u8>,
+    at: usize,
+    /// Strings of the array that has begun, and how many it has; `None` between two.
+    begun: Option<(Vec<Vec<u8>>, usize)>,
+    /// Bytes of the strings so far.
+    held: usize,
+    broken: Option<RespError>,
+}
+
+impl Reader {
+    /// A reader with bounds.
+    pub fn new(limits: Limits) -> Self {
+        Reader { limits, bytes: Vec::new(), at: 0, begun: None, held: 0, broken: None }
+    }
+
+    /// Takes what has come in. To keep memory bounded, call [`Reader::next`] until it gives nothing before the next.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        if self.broken.is_none() {
+            self.bytes.extend_from_slice(bytes);
+        }
+    }
+
+    /// Nothing has come in that is not part of an array already given.
+    pub fn is_between(&self) -> bool {
+        self.begun.is_none() && self.at == self.bytes.len()
+    }
+
+    /// The next whole array; `None` until more comes in.
+    ///
+    /// # Errors
+    /// See [`RespError`]; the same again from then on.
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Result<Option<Vec<Vec<u8>>>, RespError> {
+        if let Some(error) = self.broken {
+            return Err(error);
+        }
+        let result = self.step();
+        if let Err(error) = result {
+            (self.bytes, self.at, self.begun) = (Vec::new(), 0, None);
+            self.broken = Some(error);
+        } else if matches!(result, Ok(None)) {
+            // What is left is less than a string; an idle connection holds no buffer.
+            if self.at == self.bytes.len() {
+                (self.bytes, self.at) = (Vec::new(), 0);
+            } else if self.at > 0 {
+                self.bytes.drain(..self.at);
+                self.at = 0;
+            }
+        }
+        result
+    }
+
+    fn step(&mut self) -> Result<Option<Vec<Vec<u8>>>, RespError> {
+        loop {
+            let Some((strings, wanted)) = &mut self.begun else {
+                let Some((count, after)) = length(&self.bytes[self.at..], b'*')? else { return Ok(None) };
+                if count > self.limits.strings {
+                    return Err(RespError::TooLarge);
+                }
+                self.at += after;
+                if count == 0 {
+                    return Ok(Some(Vec::new()));
+                }
+                (self.begun, self.held) = (Some((Vec::with_capacity(count), count)), 0);
+                continue;
+            };
+            let rest = &self.bytes[self.at..];
+            let Some((size, start)) = length(rest, b'$')? else { return Ok(None) };
+            if size > self.limits.string || self.held + size > self.limits.total {
+                return Err(RespError::TooLarge);
+            }
+            let end = start + size;
+            if rest.get(end).is_some_and(|&b| b != b'\r') || rest.get(end + 1).is_some_and(|&b| b != b'\n') {
+                return Err(RespError::End);
+            }
+            if rest.len() < end + 2 {
+                return Ok(None);
+            }
+            strings.push(rest[start..end].to_vec());
+            self.held += size;
+            self.at += end + 2;
+            if strings.len() == *wanted {
+                return Ok(self.begun.take().map(|(strings, _)| strings));
+            }
+        }
+    }
+}
+
+/// The length in a line that begins with `mark`, and where the line ends; `None` if it has not come in whole.
+fn length(bytes: &[u8], mark: u8) -> Result<Option<(usize, usize)>, RespError> {
+    match bytes.first() {
+        None => return Ok(None),
+        Some(&first) if first != mark => return Err(RespError::Kind),
+        Some(_) => {}
+    }
+    let line = &bytes[..bytes.len().min(LINE)];
+    let Some(end) = line.iter().position(|&b| b == b'\r') else {
+        let digits = line[1..].iter().all(u8::is_ascii_digit);
+        return match (digits, line.len() < LINE) {
+            (false, _) => Err(RespError::Length),
+            (true, false) => Err(RespError::Line),
+            (true, true) => Ok(None),
+        };
+    };
+    let digits = &line[1..end];
+    let number = std::str::from_utf8(digits).ok().filter(|d| d.bytes().all(|b| b.is_ascii_digit()));
+    let number = number.and_then(|d| d.parse().ok()).ok_or(RespError::Length)?;
+    match bytes.get(end + 1) {
+        None => Ok(None),
+        Some(b'\n') => Ok(Some((number, end + 2))),
+        Some(_) => Err(RespError::Line),
+    }
+}
+
+/// Writes an array of bulk strings behind what `out` holds.
+pub fn write(out: &mut Vec<u8>, strings: &[&[u8]]) {
+    let number = |out: &mut Vec<u8>, mark: u8, n: usize| {
+        out.push(mark);
+        out.extend_from_slice(n.to_string().as_bytes());
+        out.extend_from_slice(b"\r\n");
+    };
+    number(out, b'*', strings.len());
+    for string in strings {
+        number(out, b'$', string.len());
+        out.extend_from_slice(string);
+        out.extend_from_slice(b"\r\n");
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -97,3 +97,16 @@
 
 pub use api::*;
 pub use state::Gateway;
+
+/// Who decides. In service that is the module's [`Gateway`] and nothing else; experiments put a baseline in its place,
+/// to run the same day through the same gateway.
+pub trait Decide {
+    /// Decides on one event; see [`Gateway::handle`].
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+}
+
+impl Decide for Gateway {
+    fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        Gateway::handle(self, now, event, out);
+    }
+}
