Requests taken back in the same read are not handed to the module

Log: bad clients send 200 requests, each followed by its cancelRequest, in one stream; each was handed in, sent to an engine and given up, 1,710 in all, and their debt kept the usual clients out.

Ruled out: descriptors (340 of 384, none turned away), processor time (0.06 s a second), errors of requests that engines don't know (81 in the log, few engines left alone).

At fault: front.rs passed each frame on by itself. Now what came with one read is looked at whole; a request whose cancelRequest came with it was never wanted and is not handed in.

--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -1,5 +1,6 @@
 //! What a client asks for: its fields, checked before anything is done for it.
 
+use std::fmt;
 use std::rc::Rc;
 
 use violetward::{Class, GroupId, Micros, OrderKey, RequestId};
@@ -17,7 +18,7 @@
 const WAIT_OVER: f64 = 1_000.0;
 
 /// A request as a client sent it, in the module's units.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Clone, PartialEq)]
 pub struct Call {
     /// Its id.
     pub id: RequestId,
@@ -41,6 +42,17 @@
     pub body: Rc<[u8]>,
 }
 
+impl fmt::Debug for Call {
+    /// Without the statement: it may hold what no log should.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut call = f.debug_struct("Call");
+        call.field("id", &format_args!("{:016x}", self.id.0)).field("class", &self.class);
+        call.field("wait", &self.wait).field("retry", &self.retry).field("once", &self.once);
+        call.field("cost", &self.cost).field("memory_mb", &self.memory_mb).field("key", &self.key);
+        call.field("group", &self.group).field("body", &self.body.len()).finish()
+    }
+}
+
 fn figure(name: &str, text: &str, most: f64) -> Result<f64, String> {
     // The standard parser takes "inf" and "nan" too: the range leaves them out.
     let value: f64 = text.parse().map_err(|_| format!("{name}: not a number"))?;
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -54,6 +54,17 @@
     Failed,
 }
 
+impl Verdict {
+    /// A word for the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Verdict::Served(_) => "served",
+            Verdict::Refused(_) => "refused",
+            Verdict::Failed => "failed",
+        }
+    }
+}
+
 /// Something for the host to carry out, in order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -147,6 +147,8 @@
 
     /// Begins an attempt; its end, if it has ended already.
     pub fn launch(&self, host: &Rc<Host>, launch: Launch) -> Option<Ending> {
+        tracing::debug!(engine = launch.engine.0, id = %crate::link::id_text(launch.attempt),
+            attempt = launch.attempt.1, memory = launch.memory_mb, rank = launch.rank, "launch");
         let engine = self.engines.borrow().get(&launch.engine).cloned();
         let failed = || Some(Ending::of(Outcome::ConnectFailed));
         let Some(engine) = engine.filter(|e| e.listed.get() == Listed::Up) else { return failed() };
@@ -391,7 +393,9 @@
     }
     line.idle.set(Instant::now());
     for told in &told {
-        if let Told::Ended(attempt, _) = told {
+        if let Told::Ended(attempt, ending) = told {
+            tracing::debug!(engine = engine.id.0, id = %crate::link::id_text(*attempt), attempt = attempt.1,
+                outcome = ?ending.outcome, work = ?ending.work, load = ?ending.load, "ended");
             engine.places.borrow_mut().remove(attempt);
         }
     }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -10,7 +10,7 @@
 use violetward_net::Duplex;
 use violetward_thrift::{Cursor, Frames, Head, Kind, ThriftError, Writer};
 
-use crate::call;
+use crate::call::{self, Call};
 use crate::core::{ClientId, Taken, Verdict};
 use crate::host::Host;
 
@@ -67,6 +67,7 @@
 impl Client {
     /// Writes the final answer to a request.
     pub(crate) fn answer(&self, seqid: i32, verdict: &Verdict) {
+        tracing::debug!(client = self.id.0, seqid, what = verdict.name(), "answer");
         let mut writer = Writer::message("dispatch", Kind::Reply, seqid);
         match verdict {
             Verdict::Served(result) => answer(&mut writer, result, true),
@@ -188,15 +189,19 @@
             if read.unwrap_or(0) == 0 {
                 return;
             }
+            let mut fresh = Vec::new();
             while unfit.is_none() {
                 let frame = client.frames.borrow_mut().next();
                 match frame {
-                    Ok(Some(frame)) => unfit = take(&host, &client, &frame).err(),
+                    Ok(Some(frame)) => unfit = take(&host, &client, &frame, &mut fresh).err(),
                     Ok(None) => break,
                     Err(ThriftError::Negative) => unfit = Some(Unfit("a frame of negative length")),
                     Err(_) => unfit = Some(Unfit("a frame that is too long")),
                 }
             }
+            if unfit.is_none() {
+                unfit = hand_in(&host, &client, fresh).err();
+            }
             if let Some(Unfit(why)) = unfit {
                 if host.quotas[0].allows(host.clock.now()) {
                     tracing::warn!(why, "connection closed");
@@ -216,13 +221,17 @@
         client.duplex.drain().await;
     })
     .await;
+    tracing::debug!(client = client.id.0, "gone");
     client.duplex.close();
     host.clients.borrow_mut().remove(&client.id);
     host.core(|core, now| core.client_gone(now, client.id));
 }
 
+/// Requests that came with one read, by their numbers, still to be handed in.
+type Fresh = Vec<(i32, Call)>;
+
 /// Takes one frame.
-fn take(host: &Rc<Host>, client: &Rc<Client>, frame: &[u8]) -> Result<(), Unfit> {
+fn take(host: &Rc<Host>, client: &Rc<Client>, frame: &[u8], fresh: &mut Fresh) -> Result<(), Unfit> {
     client.last.set(Some(Instant::now()));
     // A frame has been read whole; the next one's time begins anew.
     client.within.set(None);
@@ -233,10 +242,18 @@
         return Ok(());
     }
     match head.name.as_str() {
-        "dispatch" if head.kind == Kind::Call => dispatch(host, client, &head, cursor),
+        "dispatch" if head.kind == Kind::Call => dispatch(host, client, &head, cursor, fresh),
         "cancelRequest" => {
             match number(cursor) {
-                Ok(seqid) => host.core(|core, now| core.lapse(now, client.id, seqid)),
+                Ok(seqid) => {
+                    // What is taken back in the same breath was never wanted: it must cost neither the module's room
+                    // nor the engines' work, or a client that does it by the hundred keeps all others out.
+                    let before = fresh.len();
+                    fresh.retain(|(number, _)| *number != seqid);
+                    if fresh.len() == before {
+                        host.core(|core, now| core.lapse(now, client.id, seqid));
+                    }
+                }
                 Err(e) => client.exception(&head, PROTOCOL_ERROR, &e.to_string()),
             }
             Ok(())
@@ -284,33 +301,49 @@
     fields.zip(body).ok_or(ThriftError::Short)
 }
 
-fn dispatch(host: &Rc<Host>, client: &Rc<Client>, head: &Head, cursor: Cursor<'_>) -> Result<(), Unfit> {
+fn dispatch(
+    host: &Rc<Host>,
+    client: &Rc<Client>,
+    head: &Head,
+    cursor: Cursor<'_>,
+    fresh: &mut Fresh,
+) -> Result<(), Unfit> {
     // An answer under a number that is open twice could be taken for the other's.
     let (has, open) = host.look(|core| (core.has(client.id, head.seqid), core.open_of(client.id)));
-    if has {
+    if has || fresh.iter().any(|(number, _)| *number == head.seqid) {
         return Err(Unfit("two requests under one number"));
     }
-    if open >= OPEN {
+    if open + fresh.len() >= OPEN {
         return Err(Unfit("more open requests than a connection may have"));
     }
     let read = arguments(cursor).map_err(|e| e.to_string()).and_then(|(fields, body)| {
         call::read(&fields, body, &host.config.names, &host.config.settings.classes)
     });
-    let call = match read {
-        Ok(call) => call,
+    match read {
+        Ok(call) => fresh.push((head.seqid, call)),
         Err(why) => {
             if host.quotas[0].allows(host.clock.now()) {
                 tracing::info!(why, "a request that can't be used");
             }
             client.exception(head, PROTOCOL_ERROR, &why);
-            return Ok(());
         }
-    };
-    match host.core(|core, now| core.request(now, client.id, head.seqid, call)) {
-        Taken::Yes => {}
-        Taken::Full => client.answer(head.seqid, &Verdict::Refused(0)),
-        Taken::OwnId => return Err(Unfit("the id of an open request again")),
-        Taken::OthersId => client.exception(head, PROTOCOL_ERROR, "id: in use"),
+    }
+    Ok(())
+}
+
+/// Hands requests in, in the order in which they came.
+fn hand_in(host: &Rc<Host>, client: &Rc<Client>, fresh: Fresh) -> Result<(), Unfit> {
+    for (seqid, call) in fresh {
+        tracing::debug!(client = client.id.0, seqid, ?call, "request");
+        match host.core(|core, now| core.request(now, client.id, seqid, call)) {
+            Taken::Yes => {}
+            Taken::Full => client.answer(seqid, &Verdict::Refused(0)),
+            Taken::OwnId => return Err(Unfit("the id of an open request again")),
+            Taken::OthersId => {
+                let head = Head { name: "dispatch".into(), kind: Kind::Call, seqid };
+                client.exception(&head, PROTOCOL_ERROR, "id: in use");
+            }
+        }
     }
     Ok(())
 }
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -195,6 +195,9 @@
             }
             return Ok(());
         };
+        if word == "error" {
+            tracing::debug!(id, fields = ?fields.0, body = %String::from_utf8_lossy(body), "error");
+        }
         let end = |outcome| Ending { load: fields.load(), ..Ending::of(outcome) };
         let ending = match word {
             "ok" if asked.gather.is_some() => return Ok(()),
