A broken connection whose engine's process stands no longer makes it cold

Log: 80 attempts a gateway ended as reset, 13 found no connection; after each the module took its engine for restarted and cold.

Checked: trace of each connection's age and requests. The resets hit single connections, new (21 us), idle or under a request, while five to twelve others to the same engine went on: no process had ended. Ruled out: processor time (0.04 s a second), descriptors (90 of 384), the settings' idle time (ours close first).

At fault: engine.rs told every broken connection as a reset, which on the wire means that the process died; logic.rs (symptom) takes that for a start. A connection reset while it came up, or before anything was written, ended the attempt as connect_failed, which weighs half of an engine's health and makes it cold too.

Change: outcome Broken for the module (may have run, keys rest as after a reset, not cold, a twentieth in its health); the host tells it if another connection is still quiet 2 ms later or a new one comes up; what can't be read ends so too. A connection that is reset before anything was asked on it is dialled again, and what was not written goes to another, four times at most: nothing had reached the engine.

--- a/crates/net/src/duplex.rs
+++ b/crates/net/src/duplex.rs
@@ -127,6 +127,13 @@
         !self.closed.get() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// The peer has not closed or reset it, as far as can be seen.
+    pub fn is_alive(&self) -> bool {
+        let mut byte = [0];
+        let peeked = self.socket.get_ref().peek(&mut byte);
+        !self.closed.get() && peeked.map_or_else(|e| e.kind() == io::ErrorKind::WouldBlock, |n| n > 0)
+    }
+
     /// Ends the connection; a reader sees the end of the stream.
     pub fn close(&self) {
         self.closed.set(true);
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -5,6 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -23,8 +24,15 @@
 /// Bytes kept for an engine that does not read; statements are bounded far below.
 const KEPT: usize = 4 << 20;
 
+/// How often, and how many times, a witness is looked for after a connection broke.
+const WITNESS: (Duration, u32) = (Duration::from_millis(2), 8);
+
+/// How often a connection is dialled that is reset before anything could be asked on it.
+const DIALS: u32 = 4;
+
 enum Waiting {
-    Launch(Launch),
+    /// With the connections that it has found reset before anything of it was written.
+    Launch(Launch, u32),
     Probe,
 }
 
@@ -39,6 +47,9 @@
     idle: Cell<Instant>,
     /// Nothing new goes on it: it was silent to a request given up, or its engine has another address now.
     spent: Cell<bool>,
+    /// When it came up, and how many requests it has carried; for the log.
+    up: Cell<Instant>,
+    carried: Cell<u32>,
 }
 
 impl Line {
@@ -58,7 +69,7 @@
     }
 
     fn takes(&self, attempt: AttemptId) -> bool {
-        let waits = |w: &Waiting| matches!(w, Waiting::Launch(l) if l.attempt.0 == attempt.0);
+        let waits = |w: &Waiting| matches!(w, Waiting::Launch(l, _) if l.attempt.0 == attempt.0);
         !self.spent.get() && self.link.borrow().takes(attempt) && !self.waiting.borrow().iter().any(waits)
     }
 
@@ -132,7 +143,7 @@
         for engine in engines.values().filter(|e| e.listed.get() != Listed::Up) {
             for line in engine.lines.borrow().iter() {
                 for waiting in line.waiting.take() {
-                    if let Waiting::Launch(launch) = waiting {
+                    if let Waiting::Launch(launch, _) = waiting {
                         engine.places.borrow_mut().remove(&launch.attempt);
                         unsent.push((launch.attempt, Ending::of(Outcome::ConnectFailed)));
                     }
@@ -147,6 +158,10 @@
 
     /// Begins an attempt; its end, if it has ended already.
     pub fn launch(&self, host: &Rc<Host>, launch: Launch) -> Option<Ending> {
+        self.launch_again(host, launch, 0)
+    }
+
+    fn launch_again(&self, host: &Rc<Host>, launch: Launch, resets: u32) -> Option<Ending> {
         tracing::debug!(engine = launch.engine.0, id = %crate::link::id_text(launch.attempt),
             attempt = launch.attempt.1, memory = launch.memory_mb, rank = launch.rank, "launch");
         let engine = self.engines.borrow().get(&launch.engine).cloned();
@@ -156,7 +171,7 @@
         while let Some(line) = self.line(host, &engine, Some(launch.attempt)) {
             engine.places.borrow_mut().insert(launch.attempt, (line.clone(), Instant::now()));
             if !line.is_up() {
-                line.waiting.borrow_mut().push(Waiting::Launch(launch));
+                line.waiting.borrow_mut().push(Waiting::Launch(launch, resets));
                 return None;
             }
             let was_idle = line.load() == 0;
@@ -215,7 +230,7 @@
     pub fn withdraw(&self, engine: EngineId, attempt: AttemptId) {
         let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
         let Some((line, since)) = engine.places.borrow_mut().remove(&attempt) else { return };
-        line.waiting.borrow_mut().retain(|w| !matches!(w, Waiting::Launch(l) if l.attempt == attempt));
+        line.waiting.borrow_mut().retain(|w| !matches!(w, Waiting::Launch(l, _) if l.attempt == attempt));
         let mut out = Vec::new();
         line.link.borrow_mut().withdraw(attempt, &mut out);
         line.send(&out);
@@ -231,7 +246,7 @@
         let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
         let Some((line, _)) = engine.places.borrow().get(&attempt).cloned() else { return };
         for waiting in line.waiting.borrow_mut().iter_mut() {
-            if let Waiting::Launch(launch) = waiting {
+            if let Waiting::Launch(launch, _) = waiting {
                 launch.rank = if launch.attempt == attempt { rank } else { launch.rank };
             }
         }
@@ -281,6 +296,7 @@
     let mut out = Vec::with_capacity(launch.body.len() + 192);
     let class = &host.config.names.classes[launch.class];
     line.link.borrow_mut().fetch(launch, class, left, &mut out);
+    line.carried.set(line.carried.get() + 1);
     line.send(&out)
 }
 
@@ -310,6 +326,8 @@
         heard: Cell::new(now),
         idle: Cell::new(now),
         spent: Cell::new(false),
+        up: Cell::new(now),
+        carried: Cell::new(0),
     });
     engine.lines.borrow_mut().push(line.clone());
     host.spawn(run(host.clone(), engine.clone(), line.clone()));
@@ -318,12 +336,26 @@
 
 async fn run(host: Rc<Host>, engine: Rc<Engine>, line: Rc<Line>) {
     let within = Duration::from_micros(host.config.connections.connect_timeout);
-    let connecting = async { Async::<TcpStream>::connect(engine.address.get()).await.ok() };
+    let connecting = async {
+        let mut dials = 1;
+        loop {
+            match Async::<TcpStream>::connect(engine.address.get()).await {
+                Ok(socket) => break Some(socket),
+                // Reset while it came up: somebody is there, and nothing has been asked yet. A refusal is final.
+                Err(e) if e.kind() == ErrorKind::ConnectionReset && dials < DIALS => dials += 1,
+                Err(e) => {
+                    tracing::debug!(engine = engine.id.0, %e, dials, "no connection");
+                    break None;
+                }
+            }
+        }
+    };
     let socket = future::or(connecting, async {
         async_io::Timer::after(within).await;
         None
     })
     .await;
+    let came_up = socket.is_some();
     if let Some(socket) = socket {
         let duplex = Rc::new(Duplex::new(socket, KEPT));
         *line.duplex.borrow_mut() = Some(duplex.clone());
@@ -336,16 +368,17 @@
         duplex.close();
         line.duplex.borrow_mut().take();
     }
-    end(&host, &engine, &line);
+    end(&host, &engine, &line, came_up).await;
 }
 
 /// Writes what has waited for the connection to come up.
 fn begin(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
     let waiting = line.waiting.take();
     line.heard.set(Instant::now());
+    line.up.set(Instant::now());
     for (at, what) in waiting.iter().enumerate() {
         match what {
-            Waiting::Launch(launch) => {
+            Waiting::Launch(launch, _) => {
                 if !write(host, line, launch) {
                     // The rest was not written: it ends with the connection, as never sent.
                     line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
@@ -377,7 +410,7 @@
                 tracing::warn!(engine = engine.id.0, why, "an answer that can't be read: connection closed");
             }
             // Everything on it was sent and may have run; its engine stands, but nothing more is heard of it here.
-            line.link.borrow_mut().broken(Outcome::Error, &mut told);
+            line.link.borrow_mut().broken(Outcome::Broken, &mut told);
             line.spent.set(true);
             tell(host, engine, line, told);
             return;
@@ -410,16 +443,52 @@
 }
 
 /// Ends what is left on a connection that is gone, and forgets it.
-fn end(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+async fn end(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, came_up: bool) {
     line.spent.set(true);
     engine.lines.borrow_mut().retain(|l| !Rc::ptr_eq(l, line));
     let mut told = Vec::new();
-    line.link.borrow_mut().broken(Outcome::Reset, &mut told);
+    let (load, waiting) = (line.link.borrow().load(), line.waiting.borrow().len());
+    tracing::debug!(engine = engine.id.0, load, waiting, came_up, carried = line.carried.get(),
+        age = ?line.up.get().elapsed(), idle = ?line.idle.get().elapsed(), lines = engine.lines.borrow().len(), "connection over");
+    if load > 0 {
+        let outcome = if stands(host, engine).await { Outcome::Broken } else { Outcome::Reset };
+        line.link.borrow_mut().broken(outcome, &mut told);
+    }
     for waiting in line.waiting.take() {
-        told.push(match waiting {
-            Waiting::Launch(launch) => Told::Ended(launch.attempt, Ending::of(Outcome::ConnectFailed)),
-            Waiting::Probe => Told::Probed(false, Load::default()),
-        });
+        let (launch, resets) = match waiting {
+            Waiting::Launch(launch, resets) => (launch, resets + 1),
+            Waiting::Probe => {
+                told.push(Told::Probed(false, Load::default()));
+                continue;
+            }
+        };
+        // The connection was up and broke before anything of this was written: nothing of it has reached the engine,
+        // and somebody was there.
+        let attempt = launch.attempt;
+        let again = came_up && resets < DIALS && launch.until > host.clock.now();
+        let ending = if again {
+            host.engines.launch_again(host, launch, resets)
+        } else {
+            Some(Ending::of(Outcome::ConnectFailed))
+        };
+        told.extend(ending.map(|ending| Told::Ended(attempt, ending)));
     }
     tell(host, engine, line, told);
 }
+
+/// Whether an engine's process goes on after one of its connections broke. All connections of a process that dies are
+/// reset with it, and new ones are refused: another one that is still quiet a moment later, or a new one that comes up,
+/// proves that it stands.
+async fn stands(host: &Rc<Host>, engine: &Rc<Engine>) -> bool {
+    let witness = |line: &Rc<Line>| line.duplex.borrow().as_ref().is_some_and(|d| d.is_alive());
+    for turn in 0..WITNESS.1 {
+        async_io::Timer::after(WITNESS.0).await;
+        if engine.lines.borrow().iter().any(witness) {
+            return true;
+        }
+        if turn == 0 && engine.lines.borrow().is_empty() && engine.listed.get() == Listed::Up {
+            connect(host, engine);
+        }
+    }
+    false
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -313,6 +313,9 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// The connection broke, or what came on it can't be read; it may have run. The host has seen that the engine's
+    /// process goes on: it does not come back cold.
+    Broken,
     /// Withdrawn; it may have run.
     Cancelled,
     /// Never sent.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -77,6 +77,8 @@
 /// Weight of one outcome in an engine's share of failures, and the share over which it is sick.
 const FAIL_SAMPLE: f64 = 0.2;
 const NO_CONNECTION: f64 = 0.5;
+/// A connection that broke while its engine's process goes on tells more of the way there than of the engine.
+const BROKEN: f64 = 0.05;
 const FAIL_OVER: f64 = 0.35;
 /// How much of its peers' share of failures an engine is granted: what all share condemns none.
 const FLEET_FAILS: f64 = 2.0;
@@ -653,7 +655,8 @@
 
     /// Frees what the attempt held and learns from it.
     fn settle(&mut self, flight: &Flight, answer: &Answer) {
-        if matches!(answer.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+        let unsure = [Outcome::Timeout, Outcome::Reset, Outcome::Broken, Outcome::Cancelled];
+        if unsure.contains(&answer.outcome) {
             self.rest_key(flight.request.key.as_ref());
         }
         if let Some(e) = self.engines.get_mut(&flight.engine) {
@@ -817,7 +820,8 @@
         let now = self.now;
         // A wrong statement is the client's: its engine answered well, but its cost teaches nothing.
         let good = matches!(answer.outcome, Outcome::Ok | Outcome::Declined);
-        let bad = matches!(answer.outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
+        let broke = [Outcome::Error, Outcome::ConnectFailed, Outcome::Reset, Outcome::Broken];
+        let bad = broke.contains(&answer.outcome);
         let usual = self.fails_elsewhere(flight.engine);
         let Some(e) = self.engines.get_mut(&flight.engine) else { return };
         // The process is gone, and when it is back it is cold, seconds before the list says so: trials by all
@@ -827,7 +831,11 @@
             e.broke_off(now);
         }
         if good || bad {
-            let sample = if sure { NO_CONNECTION } else { FAIL_SAMPLE };
+            let sample = match answer.outcome {
+                Outcome::ConnectFailed => NO_CONNECTION,
+                Outcome::Broken => BROKEN,
+                _ => FAIL_SAMPLE,
+            };
             e.fails += sample * (if bad { 1.0 } else { 0.0 } - e.fails);
         }
         e.heard_at = if good { now } else { e.heard_at };
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -679,3 +679,26 @@
     }
     assert_eq!(sent(&bed.ask(99)), [(99, 1)]);
 }
+
+/// Queries that an engine is sent at once after three attempts on it have ended so.
+fn sent_after(outcome: Outcome) -> usize {
+    let mut bed = bed(1);
+    play(&mut bed, 0, 30, |_| Outcome::Ok);
+    for id in 100..103 {
+        bed.ask(id);
+        bed.answer(id, outcome);
+        bed.pass(50_000);
+        // Its further try, where it got one.
+        bed.answer(id, Outcome::Ok);
+        bed.pass(50_000);
+    }
+    (200..240).map(|id| sent(&bed.ask(id)).len()).sum()
+}
+
+#[test]
+fn a_broken_connection_does_not_make_a_standing_engine_cold_or_sick() {
+    let (calm, broken, reset) =
+        (sent_after(Outcome::Ok), sent_after(Outcome::Broken), sent_after(Outcome::Reset));
+    assert!(broken * 10 >= calm * 8, "{broken} after broken connections, {calm} without");
+    assert!(reset * 2 <= calm, "{reset} after resets, {calm} without: the test sees no coldness");
+}
