--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -304,6 +304,7 @@
     pub fn lapse(&mut self, now: Micros, client: ClientId, seqid: i32) {
         self.pass(now);
         if let Some(&id) = self.numbers.get(&(client, seqid)) {
+            tracing::debug!(client = client.0, seqid, id = %format_args!("{:016x}", id.0), "taken back");
             self.close(id);
             self.counts.lapsed += 1;
             self.tell(Event::Lapsed(id));
@@ -349,6 +350,8 @@
                 Timer::Module(handle) => self.tell(Event::Elapsed(handle)),
                 Timer::Attempt(attempt) => {
                     if let Some(out) = self.attempts.get(&attempt) {
+                        tracing::debug!(engine = out.engine.0, id = %format_args!("{:016x}", attempt.0 .0),
+                            attempt = attempt.1, outcome = "Timeout", "given up");
                         self.effects.push_back(Effect::Withdraw(out.engine, attempt));
                         self.finish(attempt, Ending::of(Outcome::Timeout));
                     }
@@ -445,6 +448,8 @@
             Action::Cancel { id, attempt } => {
                 let attempt = AttemptId(id, attempt);
                 if let Some(out) = self.attempts.remove(&attempt) {
+                    tracing::debug!(engine = out.engine.0, id = %format_args!("{:016x}", attempt.0 .0),
+                        attempt = attempt.1, outcome = "Cancelled", "given up");
                     self.timers.unset(out.timer);
                     self.effects.push_back(Effect::Withdraw(out.engine, attempt));
                     self.answer(attempt, Outcome::Cancelled, self.now.saturating_sub(out.sent));
