A share is lifted where engines report room: gateways with more traffic refuse less

At fault: logic.rs (look) bounds what runs by 1/N of the fleet, whatever part of the traffic comes here.

Change: the fleet's bounds are lifted by up to once their size while the reported load is under 0.9 (LIFT, ROOM); the cold budget, quotas and parts of an engine stay 1/N.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,6 +46,9 @@
 const CUT: f64 = 0.9;
 const CUT_MOST: f64 = 0.6;
 const STEP_EVERY: Micros = 150_000;
+/// How far this gateway's share of an idle fleet is lifted, and the reported load at which that ends.
+const LIFT: f64 = 1.0;
+const ROOM: f64 = 0.9;
 /// How far the bound may be cut under its start, and how far it may pass one gateway's whole engine.
 const NARROWEST: f64 = 1.0;
 const WIDEST: f64 = 1.8;
@@ -383,9 +386,17 @@
     fn look(&mut self) {
         self.usual_slow = median(self.engines.values().filter_map(|e| e.slow.get())).unwrap_or(1.0).max(0.1);
         let used = self.engines.values().filter(|e| e.is_well());
-        self.fleet_cores = used.map(|e| self.cores(e) * self.speed(e)).sum::<f64>() * self.share();
+        self.fleet_cores = used.map(|e| self.cores(e) * self.speed(e)).sum::<f64>() * self.share() * self.lift();
         let up = self.engines.values().filter(|e| e.entry.listed == Listed::Up);
-        self.fleet_memory = up.map(|e| self.memory(e)).sum::<f64>() * self.share();
+        self.fleet_memory = up.map(|e| self.memory(e)).sum::<f64>() * self.share() * self.lift();
+    }
+
+    /// Where engines report room, others leave a part of their shares: this gateway may take more than its own.
+    fn lift(&self) -> f64 {
+        if self.settings.load_reports == LoadReports::None || self.usual_load == 0.0 {
+            return 1.0;
+        }
+        1.0 + LIFT * (1.0 - self.usual_load / ROOM).max(0.0)
     }
 
     /// This gateway's part of an engine: at least the widest query, since the fleet's bound is the share.
