--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -1,5 +1,6 @@
 //! A whole gateway: its tasks on one thread, from the first connection to the last answer.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -35,8 +36,8 @@
     let executor = Rc::new(LocalExecutor::new());
     let resolver = Resolver::new(config.resolver);
     let name = config.name.clone();
-    let host = start(config, &executor, &resolver)?;
-    tracing::info!(name, listen = %host.config.listen, "taking requests");
+    let (host, address) = start(config, &executor, &resolver)?;
+    tracing::info!(name, listen = %address, "taking requests");
     let file = file.to_owned();
     let reloads = executor.clone();
     async_io::block_on(executor.run(async move {
@@ -59,7 +60,7 @@
     Ok(())
 }
 
-/// Starts a gateway's tasks on an executor; they run as long as that does.
+/// Starts a gateway's tasks on an executor; they run as long as that does. Gives the address that it listens on.
 ///
 /// # Errors
 /// If it cannot listen, or the list of the start can't be used.
@@ -67,7 +68,7 @@
     config: Config,
     executor: &Rc<LocalExecutor<'static>>,
     resolver: &Rc<Resolver>,
-) -> std::io::Result<Rc<Host>> {
+) -> std::io::Result<(Rc<Host>, SocketAddr)> {
     let clock = Clock::new();
     let known = config.known.list(&config.names).map_err(std::io::Error::other)?;
     let gateway = Gateway::new(config.settings.clone(), config.seed);
@@ -82,11 +83,12 @@
     let host = Host::new(config, clock, core, executor.clone());
     host.listed(&known, true);
     let listener = front::listen(&host)?;
+    let address = listener.get_ref().local_addr()?;
     executor.spawn(host.clone().run_timers()).detach();
     executor.spawn(host.clone().run_sweeps()).detach();
     executor.spawn(resolver.clone().follow(host.clone(), known.number)).detach();
     executor.spawn(front::accept(host.clone(), listener)).detach();
-    Ok(host)
+    Ok((host, address))
 }
 
 /// Reads the configuration again and goes to the resolver that it names. What is half written is looked at again.
--- /dev/null
+++ b/crates/platform/tests/core.rs
@@ -0,0 +1,253 @@
+//! Random histories of the core with the real module under a virtual clock: one answer each, in time, and nothing kept.
+
+mod bed;
+
+use std::collections::{BTreeMap, HashMap};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use violetward::{Gateway, GroupId, Load, Micros, OrderKey, Outcome, RequestId};
+use violetward_platform::call::Call;
+use violetward_platform::config::{self, Config};
+use violetward_platform::core::{AttemptId, ClientId, Core, Effect, Ending, Taken, Terms, Verdict};
+use violetward_platform::list::List;
+
+const MARGIN: Micros = 15_000;
+
+struct History {
+    seed: u64,
+    rng: StdRng,
+    core: Core,
+    config: Config,
+    now: Micros,
+    out: BTreeMap<AttemptId, Micros>,
+    owed: HashMap<(ClientId, i32), (RequestId, Micros)>,
+    next: u64,
+    answers: [u32; 3],
+}
+
+fn list(number: u64, from: u64, engines: u64) -> List {
+    let address = |n: u64| format!("10.0.{}.{}:4100", n / 250 % 250, n % 250 + 1);
+    let named: Vec<(String, String)> =
+        (from..from + engines).map(|n| (format!("e-{n:08x}"), address(n))).collect();
+    let named: Vec<(&str, String)> = named.iter().map(|(id, a)| (id.as_str(), a.clone())).collect();
+    let config = config::parse(&bed::config("127.0.0.1:1", &named)).expect("a good configuration");
+    let mut list = config.known.list(&config.names).expect("a good list");
+    list.number = number;
+    list
+}
+
+impl History {
+    fn new(seed: u64) -> History {
+        let config = config::parse(&bed::config("127.0.0.1:1", &[])).expect("a good configuration");
+        let gateway = Gateway::new(config.settings.clone(), seed);
+        let terms = Terms { attempts_cap: 3, open_cap: 1_000, body_bytes: 1 << 20, margin: MARGIN };
+        let now = 1_700_000_000_000_000;
+        let mut core = Core::new(Box::new(gateway), terms, now);
+        core.engines(now, &list(1, 0, 4), true);
+        let rng = StdRng::seed_from_u64(seed);
+        let (out, owed) = (BTreeMap::new(), HashMap::new());
+        History { seed, rng, core, config, now, out, owed, next: 1, answers: [0; 3] }
+    }
+
+    fn call(&mut self) -> Call {
+        let class = [0, 0, 0, 1, 2][self.rng.random_range(0..5)];
+        let give_up = self.config.settings.classes[class].give_up;
+        Call {
+            id: RequestId(self.next * 0x9e37_79b9),
+            class,
+            wait: self.rng.random_range(give_up / 20..give_up),
+            retry: self.rng.random_bool(0.1),
+            once: (class == 2).then(|| format!("{:032x}", self.next)),
+            cost: self.rng.random_range(1_000..400_000),
+            memory_mb: self.rng.random_range(0.0..500.0),
+            key: (class == 2).then(|| OrderKey(format!("k{}", self.rng.random_range(0..5)))),
+            group: GroupId(self.rng.random_range(0..6)),
+            body: b"select 1".as_slice().into(),
+        }
+    }
+
+    /// Carries out what the core asks for, and checks it.
+    fn effects(&mut self) {
+        while let Some(effect) = self.core.effect() {
+            match effect {
+                Effect::Launch(launch) => {
+                    assert!(launch.until > self.now, "seed {}: sent when its time was up", self.seed);
+                    assert!(launch.attempt.1 < 3, "seed {}: too many attempts", self.seed);
+                    self.out.insert(launch.attempt, launch.until);
+                }
+                Effect::Withdraw(_, attempt) => {
+                    let was = self.out.remove(&attempt);
+                    assert!(was.is_some(), "seed {}: {attempt:?} was not out", self.seed);
+                }
+                Effect::Renice(_, attempt, rank) => {
+                    assert!(rank <= 3 && self.out.contains_key(&attempt), "seed {}: {attempt:?}", self.seed);
+                }
+                Effect::Answer(client, seqid, verdict) => {
+                    let owed = self.owed.remove(&(client, seqid));
+                    let (_, due) = owed.unwrap_or_else(|| panic!("seed {}: an answer not owed", self.seed));
+                    assert!(self.now <= due, "seed {}: an answer too late", self.seed);
+                    let place = match verdict {
+                        Verdict::Served(result) => {
+                            assert_eq!(result, b"a\tb\tc\n", "seed {}", self.seed);
+                            0
+                        }
+                        Verdict::Refused(_) => 1,
+                        Verdict::Failed => 2,
+                    };
+                    self.answers[place] += 1;
+                }
+                Effect::Probe(engine) => {
+                    let ok = self.rng.random_bool(0.7);
+                    self.core.probed(self.now, engine, ok, Load::default());
+                }
+                Effect::Say(_) => {}
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += self.rng.random_range(0..8_000);
+        // The host wakes the core when it has asked for it.
+        while let Some(at) = self.core.next_wake().filter(|&at| at <= self.now) {
+            let now = self.now;
+            self.now = at;
+            self.core.wake(at);
+            self.effects();
+            self.now = now;
+        }
+        match self.rng.random_range(0..100) {
+            0..35 => {
+                let call = self.call();
+                let (client, seqid) = (ClientId(self.rng.random_range(0..4)), self.next as i32);
+                let owed = (call.id, self.now + call.wait);
+                self.next += 1;
+                self.owed.insert((client, seqid), owed);
+                assert_eq!(self.core.request(self.now, client, seqid, call.clone()), Taken::Yes);
+                if self.rng.random_bool(0.05) && self.core.has(client, seqid) {
+                    let again = self.core.request(self.now, ClientId(9), 1, call.clone());
+                    assert_eq!(again, Taken::OthersId, "seed {}", self.seed);
+                    assert_eq!(
+                        self.core.request(self.now, client, -1, call),
+                        Taken::OwnId,
+                        "seed {}",
+                        self.seed
+                    );
+                }
+            }
+            35..90 => {
+                let out: Vec<AttemptId> = self.out.keys().copied().collect();
+                if !out.is_empty() {
+                    let attempt = out[self.rng.random_range(0..out.len())];
+                    self.out.remove(&attempt);
+                    let outcome = match self.rng.random_range(0..20) {
+                        0 => Outcome::Error,
+                        1 => Outcome::Full,
+                        2 => Outcome::Reset,
+                        3 => Outcome::Broken,
+                        4 => Outcome::ConnectFailed,
+                        5 => Outcome::Moot,
+                        _ => Outcome::Ok,
+                    };
+                    let work = (outcome == Outcome::Ok).then_some(50_000);
+                    let result = b"a\tb\tc\n".to_vec();
+                    self.core.ended(self.now, attempt, Ending { work, result, ..Ending::of(outcome) });
+                }
+            }
+            90..96 => {
+                let keys: Vec<_> = self.owed.keys().copied().collect();
+                if let Some(&(client, seqid)) = keys.iter().min() {
+                    self.owed.remove(&(client, seqid));
+                    self.core.lapse(self.now, client, seqid);
+                }
+            }
+            96 => {
+                let client = ClientId(self.rng.random_range(0..4));
+                self.owed.retain(|key, _| key.0 != client);
+                self.core.client_gone(self.now, client);
+            }
+            _ => {
+                let from = self.rng.random_range(0..5);
+                let number = self.next + 1;
+                self.core.engines(self.now, &list(number, from, 4), false);
+            }
+        }
+        self.effects();
+    }
+}
+
+#[test]
+fn each_request_has_one_answer_in_time_and_nothing_stays() {
+    let mut all = [0; 3];
+    for seed in 0..60 {
+        let mut history = History::new(seed);
+        for _ in 0..1_200 {
+            history.step();
+        }
+        // Everything ends by itself: answers by their time, attempts by theirs.
+        let end = history.now + 30_000_000;
+        while let Some(at) = history.core.next_wake().filter(|&at| at <= end) {
+            history.now = history.now.max(at);
+            history.core.wake(at);
+            history.effects();
+        }
+        assert!(history.owed.is_empty(), "seed {seed}: {:?} without an answer", history.owed);
+        let [open, numbers, attempts, engines, _] = history.core.held();
+        assert_eq!((open, numbers, attempts, engines), (0, 0, 0, 4), "seed {seed}");
+        assert_eq!(history.core.counts.overdue, 0, "seed {seed}: the module forgot a request");
+        all.iter_mut().zip(history.answers).for_each(|(sum, n)| *sum += n);
+    }
+    // These classes can all be refused, whatever may have run: none has to fail.
+    assert!(all[0] > 1_000 && all[1] > 1_000 && all[2] == 0, "{all:?}");
+}
+
+#[test]
+fn thousands_of_engines_and_requests_come_and_go_and_nothing_stays() {
+    let mut history = History::new(7);
+    for turn in 0..2_000 {
+        history.now += 400_000;
+        history.core.engines(history.now, &list(turn + 2, turn, 4), false);
+        for _ in 0..5 {
+            let call = history.call();
+            let seqid = history.next as i32;
+            history.next += 1;
+            history.owed.insert((ClientId(turn), seqid), (call.id, history.now + call.wait));
+            history.core.request(history.now, ClientId(turn), seqid, call);
+            history.effects();
+        }
+        let out: Vec<AttemptId> = history.out.keys().copied().collect();
+        for attempt in out {
+            history.out.remove(&attempt);
+            let ending = Ending { result: b"a\tb\tc\n".to_vec(), ..Ending::of(Outcome::Ok) };
+            history.core.ended(history.now, attempt, ending);
+            history.effects();
+        }
+        history.owed.retain(|key, _| key.0 != ClientId(turn));
+        history.core.client_gone(history.now, ClientId(turn));
+        history.core.wake(history.now);
+        history.effects();
+    }
+    let [open, numbers, attempts, engines, timers] = history.core.held();
+    assert_eq!((open, numbers, attempts, engines), (0, 0, 0, 4));
+    assert!(timers <= 2, "{timers} timers are left");
+}
+
+/// The way of the answer to the client is kept free: the module is told less than the client's whole wait.
+#[test]
+fn a_request_that_no_engine_answers_is_ended_before_its_client_leaves() {
+    let mut history = History::new(3);
+    let call = Call { wait: 1_000_000, class: 0, once: None, key: None, ..history.call() };
+    let start = history.now;
+    history.core.request(start, ClientId(1), 1, call);
+    let mut ended = None;
+    while let (None, Some(at)) = (ended, history.core.next_wake()) {
+        history.core.wake(at);
+        while let Some(effect) = history.core.effect() {
+            if let Effect::Answer(..) = effect {
+                ended = Some(at);
+            }
+        }
+    }
+    let took = ended.expect("an answer") - start;
+    assert!(took <= 1_000_000 - MARGIN + 2_000, "{took}");
+}
--- /dev/null
+++ b/crates/platform/tests/sockets.rs
@@ -0,0 +1,447 @@
+//! The gateway on loopback, between clients and stand-ins that misbehave on order.
+
+mod bed;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use violetward_platform::config;
+use violetward_platform::resolver::Resolver;
+use violetward_platform::service;
+use violetward_standin::platform::{page, Fault, ListFault, Listed, PlatformEngine, PlatformResolver};
+use violetward_thrift::{Cursor, Frames, Kind, Writer};
+
+struct Bed {
+    address: SocketAddr,
+    engines: Vec<PlatformEngine>,
+    resolver: PlatformResolver,
+    moves: async_channel::Sender<SocketAddr>,
+}
+
+fn names(engines: &[PlatformEngine]) -> Vec<Listed> {
+    let listed = engines.iter().enumerate();
+    listed.map(|(n, e)| Listed { id: format!("e-{n}"), address: e.address, draining: false }).collect()
+}
+
+/// Starts a gateway and its surroundings; they end with the process.
+fn bed(engines: usize) -> Bed {
+    let engines: Vec<_> = (0..engines).map(|_| PlatformEngine::start().unwrap()).collect();
+    let resolver = PlatformResolver::start("east", "std").unwrap();
+    resolver.tell(1, names(&engines));
+    let listed = names(&engines);
+    let listed: Vec<_> = listed.iter().map(|l| (l.id.as_str(), l.address.to_string())).collect();
+    let text = bed::config(&resolver.address.to_string(), &listed);
+    let (tell, told) = std::sync::mpsc::channel();
+    let (moves, moved) = async_channel::unbounded();
+    std::thread::spawn(move || {
+        let config = config::parse(&text).unwrap();
+        let executor = Rc::new(LocalExecutor::new());
+        let follow = Resolver::new(config.resolver);
+        let (_host, address) = service::start(config, &executor, &follow).unwrap();
+        tell.send(address).unwrap();
+        async_io::block_on(executor.run(async {
+            while let Ok(address) = moved.recv().await {
+                follow.moved_to(address);
+            }
+        }));
+    });
+    Bed { address: told.recv().unwrap(), engines, resolver, moves }
+}
+
+struct Client {
+    socket: TcpStream,
+    frames: Frames,
+    seqid: i32,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+enum Got {
+    Served(String),
+    Refused,
+    Failed,
+    Exception,
+    Closed,
+}
+
+fn dispatch(seqid: i32, id: &str, class: &str, body: &str, more: &[(&str, &str)]) -> Vec<u8> {
+    let mut fields =
+        vec![("id", id), ("class", class), ("wait", "2500"), ("cost", "20.0"), ("heap_mb", "64")];
+    fields.retain(|(name, _)| !more.iter().any(|(n, _)| n == name));
+    fields.extend(more.iter().filter(|(_, value)| *value != "absent"));
+    let mut writer = Writer::message("dispatch", Kind::Call, seqid);
+    writer.texts(1, fields.iter().copied());
+    writer.bytes(2, body.as_bytes());
+    writer.stop();
+    writer.frame()
+}
+
+fn take_back(seqid: i32) -> Vec<u8> {
+    let mut writer = Writer::message("cancelRequest", Kind::Oneway, 0);
+    writer.i32(1, seqid);
+    writer.stop();
+    writer.frame()
+}
+
+fn id(n: u64) -> String {
+    format!("{:016x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+impl Client {
+    fn new(bed: &Bed) -> Client {
+        let socket = TcpStream::connect(bed.address).unwrap();
+        socket.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        Client { socket, frames: Frames::new(1 << 20), seqid: 0 }
+    }
+
+    fn send(&mut self, bytes: &[u8]) {
+        // A connection that was closed meanwhile shows when it is read.
+        self.socket.write_all(bytes).ok();
+    }
+
+    /// The next answer and its number.
+    fn read(&mut self) -> (i32, Got) {
+        let mut bytes = [0; 8 << 10];
+        let frame = loop {
+            if let Some(frame) = self.frames.next().unwrap() {
+                break frame;
+            }
+            match self.socket.read(&mut bytes) {
+                Ok(0) => return (0, Got::Closed),
+                Ok(n) => self.frames.feed(&bytes[..n]),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return (0, Got::Closed),
+                Err(e) => panic!("no answer: {e}"),
+            }
+        };
+        let mut cursor = Cursor::new(&frame);
+        let head = cursor.message().unwrap();
+        if head.kind == Kind::Exception {
+            return (head.seqid, Got::Exception);
+        }
+        let got = match cursor.field().unwrap() {
+            Some((Cursor::STRUCT, 0)) => {
+                assert_eq!(cursor.field().unwrap(), Some((Cursor::STRING, 1)));
+                Got::Served(cursor.text().unwrap().to_owned())
+            }
+            Some((Cursor::STRUCT, 1)) => Got::Refused,
+            Some((Cursor::STRUCT, 2)) => Got::Failed,
+            other => panic!("{other:?} is no answer"),
+        };
+        (head.seqid, got)
+    }
+
+    fn ask(&mut self, id: &str, class: &str, body: &str, more: &[(&str, &str)]) -> Got {
+        self.seqid += 1;
+        self.send(&dispatch(self.seqid, id, class, body, more));
+        let (seqid, got) = self.read();
+        assert!(seqid == self.seqid || got == Got::Closed);
+        got
+    }
+}
+
+fn result(id: &str, pages: usize) -> Got {
+    Got::Served((0..pages).map(|n| page(id, n)).collect())
+}
+
+fn commands(bed: &Bed, word: &str) -> Vec<Vec<String>> {
+    let all = bed.engines.iter().flat_map(PlatformEngine::journal);
+    all.filter(|c| c.first().is_some_and(|w| w == word)).collect()
+}
+
+fn wait_for(what: &str, done: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < Duration::from_secs(20), "{what}: not within 20 s");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn a_result_is_gathered_page_by_page_and_its_engine_told_when_it_is_whole() {
+    let bed = bed(1);
+    let mut client = Client::new(&bed);
+    let keyed = [("once", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"), ("key", "7f3a9c21e0b4d655")];
+    assert_eq!(client.ask(&id(1), "load", "pages 5", &keyed), result(&id(1), 5));
+    assert_eq!(client.ask(&id(2), "look", "pages 1", &[]), result(&id(2), 1));
+    wait_for("done", || commands(&bed, "done").len() == 2);
+    let fetches = commands(&bed, "fetch");
+    assert_eq!((fetches[0][1].as_str(), fetches[0][3].as_str()), (id(1).as_str(), "pages 5"));
+    let fields: Vec<_> = fetches[0][2].split(',').collect();
+    assert!(fields.contains(&"sort=load") && fields.contains(&"op=5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+    let patience = fields.iter().find_map(|f| f.strip_prefix("patience=")).unwrap();
+    assert!((1..=2_500).contains(&patience.parse::<u64>().unwrap()));
+}
+
+#[test]
+fn what_an_engine_spoils_is_never_passed_on_and_tried_elsewhere() {
+    use Fault::*;
+    let spoils = [
+        Noise,
+        EndlessLine,
+        HugeLength,
+        NegativeCount,
+        HalfRow,
+        TwoColumns,
+        NotText,
+        Reset,
+        Short,
+        Refused,
+        Error,
+    ];
+    let bed = bed(2);
+    let mut client = Client::new(&bed);
+    // Enough requests for the ration of further attempts.
+    for n in 0..60 {
+        assert_eq!(client.ask(&id(n), "look", "pages 1", &[]), result(&id(n), 1));
+    }
+    for (n, fault) in (100..).zip(spoils) {
+        bed.engines.iter().for_each(|engine| engine.order(fault));
+        // The request that meets the fault at one engine, and a second one that meets the other's.
+        for n in [n, n + 50] {
+            let got = client.ask(&id(n), "look", "pages 1", &[]);
+            let whole = got == result(&id(n), 1);
+            assert!(whole || matches!(got, Got::Refused | Got::Failed), "{fault:?}: {got:?}");
+        }
+        for m in 0..20 {
+            client.ask(&id(n * 1_000 + m), "look", "pages 1", &[]);
+        }
+        let served = client.ask(&id(n * 1_000 + 99), "look", "pages 1", &[]);
+        assert_eq!(served, result(&id(n * 1_000 + 99), 1), "after {fault:?}");
+    }
+}
+
+#[test]
+fn more_than_belongs_to_an_answer_costs_neither_it_nor_its_connection() {
+    let bed = bed(1);
+    let mut client = Client::new(&bed);
+    assert_eq!(client.ask(&id(1), "look", "pages 1", &[]), result(&id(1), 1));
+    let before = bed.engines[0].connections();
+    for (n, fault) in (10..).zip([Fault::Twice, Fault::StrangerAhead, Fault::Twice]) {
+        bed.engines[0].order(fault);
+        assert_eq!(client.ask(&id(n), "look", "pages 3", &[]), result(&id(n), 3), "{fault:?}");
+    }
+    assert_eq!(bed.engines[0].connections(), before);
+}
+
+#[test]
+fn a_connection_that_its_engine_closed_while_idle_costs_no_attempt() {
+    let bed = bed(1);
+    let mut client = Client::new(&bed);
+    for n in 0..30 {
+        bed.engines[0].order(Fault::CloseAfter);
+        assert_eq!(client.ask(&id(n), "look", "pages 1", &[]), result(&id(n), 1));
+    }
+    assert_eq!(commands(&bed, "fetch").len(), 30, "each was sent once");
+}
+
+#[test]
+fn a_broken_connection_leaves_its_engine_warm() {
+    let bed = bed(1);
+    // Two connections: the one that breaks, and one that shows that the process goes on.
+    let mut clients = [Client::new(&bed), Client::new(&bed)];
+    for round in 0..15 {
+        for (c, client) in (0..).zip(clients.iter_mut()) {
+            let n = id(round * 10 + c);
+            client.send(&dispatch(round as i32 + 1, &n, "look", "pages 1", &[]));
+        }
+        clients.iter_mut().for_each(|client| assert!(matches!(client.read().1, Got::Served(_))));
+    }
+    for n in 0..4 {
+        bed.engines[0].order(Fault::Reset);
+        clients[0].ask(&id(1_000 + n), "look", "pages 1", &[]);
+    }
+    // A cold engine would be sent a few of these at most; a warm one takes them all.
+    let reports = 1..=24;
+    let mut crowd = Client::new(&bed);
+    reports.clone().for_each(|n| crowd.send(&dispatch(n, &id(2_000 + n as u64), "look", "pages 1", &[])));
+    let served = reports.filter(|_| matches!(crowd.read().1, Got::Served(_))).count();
+    assert_eq!(served, 24);
+}
+
+#[test]
+fn requests_taken_back_in_the_same_breath_reach_no_engine() {
+    let bed = bed(1);
+    let mut client = Client::new(&bed);
+    let mut bytes = Vec::new();
+    for n in 1..=200 {
+        bytes.extend(dispatch(n, &id(n as u64), "look", "pages 1", &[]));
+        bytes.extend(take_back(n));
+    }
+    client.send(&bytes);
+    client.seqid = 1_000;
+    assert_eq!(client.ask(&id(999), "look", "pages 1", &[]), result(&id(999), 1));
+    // What came in two reads may be seen before it is taken back.
+    let fetched = commands(&bed, "fetch").len();
+    assert!(fetched <= 20, "{fetched} of 200 were sent");
+}
+
+#[test]
+fn bad_clients_get_an_end_soon_and_cost_the_others_nothing() {
+    let bed = bed(1);
+    let huge = |size: u32| size.to_be_bytes().to_vec();
+    let deep = {
+        let mut writer = Writer::message("dispatch", Kind::Call, 1);
+        (0..100).for_each(|_| writer.begin(9));
+        writer.frame()
+    };
+    let lying = [
+        &[0, 0, 0, 30, 0x80, 1, 0, 1, 0, 0, 0, 8][..],
+        b"dispatch",
+        &[0, 0, 0, 1, 13, 0, 1, 11, 11, 127, 255, 255, 255, 0],
+    ]
+    .concat();
+    let closes: Vec<(&str, Vec<u8>)> = vec![
+        ("a negative length", huge(u32::MAX)),
+        ("60 MB", [huge(60 << 20), vec![0; 1 << 20]].concat()),
+        ("noise", [huge(20), vec![0xaa; 20]].concat()),
+        (
+            "two under one number",
+            [
+                dispatch(1, &id(1), "load", "x", &[("once", "a"), ("key", "k")]),
+                dispatch(1, &id(2), "look", "x", &[]),
+            ]
+            .concat(),
+        ),
+        ("too many at once", (1..=40).flat_map(|n| dispatch(n, &id(n as u64), "look", "x", &[])).collect()),
+        ("half a request", dispatch(1, &id(1), "look", "x", &[])[..30].to_vec()),
+        ("nothing", Vec::new()),
+    ];
+    let long = "x".repeat(300);
+    let excepted: Vec<(&str, Vec<u8>)> = [
+        ("class", "nothing"),
+        ("id", "absent"),
+        ("id", "xyz"),
+        ("id", "00000000000000000"),
+        ("id", "ABCDEF0123456789"),
+        ("wait", "absent"),
+        ("wait", "-1"),
+        ("wait", "inf"),
+        ("wait", "nan"),
+        ("wait", "soon"),
+        ("wait", "999999999"),
+        ("cost", "-5"),
+        ("cost", "1e300"),
+        ("cost", "x"),
+        ("heap_mb", "-1"),
+        ("heap_mb", "inf"),
+        ("retry", "yes"),
+    ]
+    .into_iter()
+    .map(|(name, value)| (name, dispatch(1, &id(5), "look", "x", &[(name, value)])))
+    .chain([("once", "absent"), ("once", "a,mb=1"), ("key", "absent"), ("key", &long), ("once", "")].map(
+        |(name, value)| {
+            let other = if name == "once" { ("key", "k") } else { ("once", "a") };
+            (name, dispatch(1, &id(6), "load", "x", &[(name, value), other]))
+        },
+    ))
+    .chain([
+        ("nesting", deep),
+        ("a count that lies", lying),
+        ("a method", Writer::message("drop", Kind::Call, 1).frame()),
+    ])
+    .collect();
+    let (good_address, stop) = (bed.address, std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false)));
+    let stopped = stop.clone();
+    let engines = bed.engines.clone();
+    let resolver = bed.resolver.clone();
+    let moves = bed.moves.clone();
+    let good = std::thread::spawn(move || {
+        let bed = Bed { address: good_address, engines, resolver, moves };
+        let mut client = Client::new(&bed);
+        let (mut n, mut served) = (0, 0);
+        while !stopped.load(std::sync::atomic::Ordering::Relaxed) {
+            n += 1;
+            let got = client.ask(&id(1 << 40 | n), "look", "pages 1", &[]);
+            // Beside a flood the module may refuse one or another.
+            assert!(got == result(&id(1 << 40 | n), 1) || got == Got::Refused, "{got:?}");
+            served += u64::from(got != Got::Refused);
+            // Within what an engine of eight cores can do.
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        (n, served)
+    });
+    let check = |what: &str, bytes: &[u8], wanted: Got| {
+        let start = Instant::now();
+        let mut client = Client::new(&bed);
+        client.send(bytes);
+        assert_eq!(client.read().1, wanted, "{what}");
+        assert!(start.elapsed() < Duration::from_secs(3), "{what}: after {:?}", start.elapsed());
+    };
+    std::thread::scope(|scope| {
+        for (what, bytes) in closes {
+            scope.spawn(move || check(what, &bytes, Got::Closed));
+        }
+        for (what, bytes) in excepted {
+            scope.spawn(move || check(what, &bytes, Got::Exception));
+        }
+    });
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    let (asked, served) = good.join().unwrap();
+    assert!(asked > 10 && served * 10 >= asked * 9, "{served} of {asked} served");
+    assert!(commands(&bed, "fetch").iter().all(|c| c[3] == "pages 1"), "nothing bad was sent on");
+}
+
+#[test]
+fn silent_connections_by_the_hundred_end_and_leave_room() {
+    let bed = bed(1);
+    let start = Instant::now();
+    let silent: Vec<Client> = (0..300).map(|_| Client::new(&bed)).collect();
+    let mut client = Client::new(&bed);
+    assert_eq!(client.ask(&id(1), "look", "pages 1", &[]), result(&id(1), 1));
+    for mut silent in silent {
+        assert_eq!(silent.read().1, Got::Closed);
+    }
+    assert!(start.elapsed() < Duration::from_secs(6));
+}
+
+#[test]
+fn the_list_is_followed_through_bad_answers_and_to_another_resolver() {
+    let bed = bed(2);
+    let mut client = Client::new(&bed);
+    let faults = [
+        ListFault::Lost,
+        ListFault::OtherId,
+        ListFault::Failure,
+        ListFault::Truncated,
+        ListFault::Short,
+        ListFault::Empty,
+        ListFault::NoAddresses,
+        ListFault::Older,
+    ];
+    let mut n = 0;
+    let mut spread = |bed: &Bed, client: &mut Client| {
+        let before: Vec<usize> = bed.engines.iter().map(|e| e.journal().len()).collect();
+        for _ in 0..30 {
+            n += 1;
+            assert_eq!(client.ask(&id(n), "look", "pages 1", &[]), result(&id(n), 1));
+        }
+        let after = bed.engines.iter().map(|e| e.journal().len());
+        after.zip(before).map(|(a, b)| a - b).collect::<Vec<_>>()
+    };
+    for fault in faults {
+        let asked = bed.resolver.asked();
+        bed.resolver.order(fault);
+        bed.resolver.order(fault);
+        wait_for("questions", || bed.resolver.asked() >= asked + 4);
+        let got = spread(&bed, &mut client);
+        assert!(got.iter().all(|&n| n > 0), "{fault:?}: {got:?}");
+    }
+    // A change behind a loss.
+    let mut list = names(&bed.engines);
+    list[0].draining = true;
+    bed.resolver.order(ListFault::Lost);
+    bed.resolver.tell(9, list);
+    let asked = bed.resolver.asked();
+    wait_for("questions", || bed.resolver.asked() >= asked + 4);
+    assert_eq!(spread(&bed, &mut client)[0], 0, "a draining engine is sent nothing");
+    // The old resolver says nothing more of use; the new one has the next number.
+    let other = PlatformResolver::start("east", "std").unwrap();
+    let mut list = names(&bed.engines);
+    list.remove(1);
+    other.tell(10, list);
+    bed.moves.try_send(other.address.into()).unwrap();
+    wait_for("questions", || other.asked() >= 3);
+    assert_eq!(spread(&bed, &mut client)[1], 0, "an engine that has left is sent nothing");
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,11 +7,13 @@
 //! - [`hint`]: how a statement tells what it costs.
 //! - [`journal`]: what an engine writes down of what it was sent; the rule checker reads it.
 //! - [`server`]: the engine itself.
+//! - [`platform`]: an engine and a resolver of a platform that speaks RESP and DNS.
 
 pub mod data;
 pub mod fault;
 pub mod hint;
 pub mod journal;
 pub mod model;
+pub mod platform;
 pub mod server;
 pub mod sessions;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -386,7 +386,8 @@
     fn look(&mut self) {
         self.usual_slow = median(self.engines.values().filter_map(|e| e.slow.get())).unwrap_or(1.0).max(0.1);
         let used = self.engines.values().filter(|e| e.is_well());
-        self.fleet_cores = used.map(|e| self.cores(e) * self.speed(e)).sum::<f64>() * self.share() * self.lift();
+        self.fleet_cores =
+            used.map(|e| self.cores(e) * self.speed(e)).sum::<f64>() * self.share() * self.lift();
         let up = self.engines.values().filter(|e| e.entry.listed == Listed::Up);
         self.fleet_memory = up.map(|e| self.memory(e)).sum::<f64>() * self.share() * self.lift();
     }
