Requests get fresh connections while used ones break under them

Checked: breaks by the use of their connection, from a trace of three gateways: 43 of 1,877 first requests, 391 of 3,211 later ones. Ruled out: our own idle time (ours close first), the engines' processes (they stand).

Change: engine.rs keeps the share of used connections that broke under a request, fading in 10 s; over 3% idle ones are closed and requests get new ones, where the budget of descriptors allows.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -30,6 +30,10 @@
 /// How often a connection is dialled that is reset before anything could be asked on it.
 const DIALS: u32 = 4;
 
+/// Weight of one break of a used connection under a request in the share of such breaks, the share from which requests
+/// get fresh ones, and how fast what was seen fades.
+const WORN: (f64, f64, Duration) = (0.05, 0.03, Duration::from_secs(10));
+
 enum Waiting {
     /// With the connections that it has found reset before anything of it was written.
     Launch(Launch, u32),
@@ -47,7 +51,7 @@
     idle: Cell<Instant>,
     /// Nothing new goes on it: it was silent to a request given up, or its engine has another address now.
     spent: Cell<bool>,
-    /// When it came up, and how many requests it has carried; for the log.
+    /// When it came up, for the log, and how many requests it has carried.
     up: Cell<Instant>,
     carried: Cell<u32>,
 }
@@ -90,6 +94,8 @@
 /// All engines that are listed or still owe an answer.
 pub struct Engines {
     most: usize,
+    /// How often used connections broke under a request of late, and when that was last seen.
+    worn: Cell<(f64, Instant)>,
     terms: Connections,
     engines: RefCell<HashMap<EngineId, Rc<Engine>>>,
 }
@@ -97,7 +103,7 @@
 impl Engines {
     /// None yet; up to `most` connections in all.
     pub fn new(most: usize, terms: Connections) -> Self {
-        Engines { most, terms, engines: RefCell::default() }
+        Engines { most, worn: Cell::new((0.0, Instant::now())), terms, engines: RefCell::default() }
     }
 
     /// Connections there are.
@@ -189,6 +195,17 @@
         failed()
     }
 
+    fn worn(&self) -> f64 {
+        let (share, at) = self.worn.get();
+        share * (-at.elapsed().as_secs_f64() / WORN.2.as_secs_f64()).exp()
+    }
+
+    /// A request on a used connection has ended, or its connection has broken under it.
+    fn note_used(&self, broke: bool) {
+        let share = self.worn();
+        self.worn.set((share + WORN.0 * (f64::from(u8::from(broke)) - share), Instant::now()));
+    }
+
     /// The best connection for an attempt or a probe, a new one if need be.
     fn line(&self, host: &Rc<Host>, engine: &Rc<Engine>, attempt: Option<AttemptId>) -> Option<Rc<Line>> {
         let lines = engine.lines.borrow();
@@ -196,6 +213,14 @@
             Some(attempt) => line.takes(attempt) && line.load() < self.terms.streams,
             None => !line.spent.get() && line.load() < self.terms.streams,
         };
+        if self.worn() > WORN.1 {
+            // Where used connections break as soon as something is asked on them, a fresh one costs a handshake, and a
+            // used one an attempt that may have run.
+            lines
+                .iter()
+                .filter(|l| l.is_up() && l.load() == 0 && l.carried.get() > 0)
+                .for_each(|l| l.close());
+        }
         // The one used last is the least likely to have been closed by its engine.
         let idle =
             lines.iter().filter(fits).filter(|l| l.is_up() && l.load() == 0).max_by_key(|l| l.idle.get());
@@ -427,6 +452,9 @@
     line.idle.set(Instant::now());
     for told in &told {
         if let Told::Ended(attempt, ending) = told {
+            if line.carried.get() > 1 && ending.outcome == Outcome::Ok {
+                host.engines.note_used(false);
+            }
             tracing::debug!(engine = engine.id.0, id = %crate::link::id_text(*attempt), attempt = attempt.1,
                 outcome = ?ending.outcome, work = ?ending.work, load = ?ending.load, "ended");
             engine.places.borrow_mut().remove(attempt);
@@ -452,6 +480,9 @@
         age = ?line.up.get().elapsed(), idle = ?line.idle.get().elapsed(), lines = engine.lines.borrow().len(), "connection over");
     if load > 0 {
         let outcome = if stands(host, engine).await { Outcome::Broken } else { Outcome::Reset };
+        if outcome == Outcome::Broken && line.carried.get() > 1 {
+            host.engines.note_used(true);
+        }
         line.link.borrow_mut().broken(outcome, &mut told);
     }
     for waiting in line.waiting.take() {
--- a/crates/platform/tests/sockets.rs
+++ b/crates/platform/tests/sockets.rs
@@ -260,6 +260,18 @@
     assert_eq!(served, 24);
 }
 
+#[test]
+fn where_used_connections_break_requests_get_fresh_ones() {
+    let bed = bed(2);
+    let mut client = Client::new(&bed);
+    bed.engines.iter().for_each(PlatformEngine::wear);
+    for n in 0..60 {
+        assert_eq!(client.ask(&id(n), "look", "pages 1", &[]), result(&id(n), 1));
+    }
+    let fetched = commands(&bed, "fetch").len();
+    assert!(fetched <= 66, "{fetched} attempts for 60 requests");
+}
+
 #[test]
 fn requests_taken_back_in_the_same_breath_reach_no_engine() {
     let bed = bed(1);
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -52,6 +52,7 @@
     faults: VecDeque<Fault>,
     journal: Vec<Vec<String>>,
     connections: usize,
+    wears: bool,
 }
 
 /// An engine. A statement `pages N` has a result of that many pages, every other one of one page.
@@ -100,6 +101,11 @@
         lock(&self.state).faults.push_back(fault);
     }
 
+    /// From now on a connection breaks as soon as a second request comes on it.
+    pub fn wear(&self) {
+        lock(&self.state).wears = true;
+    }
+
     /// Faults that have not come up yet.
     pub fn ordered(&self) -> usize {
         lock(&self.state).faults.len()
@@ -118,6 +124,7 @@
     fn serve(&self, mut socket: TcpStream) {
         let mut reader = Reader::new(Limits { string: 1 << 20, total: 1 << 21, strings: 16 });
         let mut bytes = [0; 16 << 10];
+        let mut fetched = 0;
         loop {
             let read = match socket.read(&mut bytes) {
                 Ok(0) | Err(_) => return,
@@ -134,6 +141,10 @@
                 let words: Vec<String> =
                     command.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
                 lock(&self.state).journal.push(words.clone());
+                fetched += u32::from(words.first().is_some_and(|w| w == "fetch"));
+                if fetched > 1 && lock(&self.state).wears {
+                    return;
+                }
                 let (answer, stays) = self.answer(&words);
                 if socket.write_all(&answer).is_err() || !stays {
                     return;
