--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -125,3 +125,29 @@
     async_io::Timer::after(LEAVING).await;
     future::yield_now().await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HALF: &str = r#"{"name":"n0","listen":"127.0.0.1:0","dns":"127.0.0.1:5"#;
+    const WHOLE: &str = r#"{"name":"n0","listen":"127.0.0.1:0","dns":"127.0.0.1:55","known":{"no":1,"items":[]},
+        "limits":{"cores":1.0,"memory_mb":48,"sockets":256},
+        "settings":{"NInstances":1,"Classes":[],"Contract":{},"Limits":{"AttemptsCap":3}}}"#;
+
+    #[test]
+    fn a_configuration_that_is_half_written_is_looked_at_again() {
+        let file = std::env::temp_dir().join(format!("violetward-{}.json", std::process::id()));
+        std::fs::write(&file, HALF).expect("a file");
+        let resolver = Resolver::new(([127, 0, 0, 1], 54).into());
+        let whole = file.clone();
+        let writer = std::thread::spawn(move || {
+            std::thread::sleep(3 * LOOK_AGAIN.0);
+            std::fs::write(whole, WHOLE).expect("a file");
+        });
+        async_io::block_on(reloaded(resolver.clone(), file.clone()));
+        writer.join().expect("written");
+        std::fs::remove_file(file).ok();
+        assert_eq!(resolver.address(), ([127, 0, 0, 1], 55).into());
+    }
+}
