--- a/src/logic.rs
+++ b/src/logic.rs
@@ -392,7 +392,7 @@
         self.fleet_memory = up.map(|e| self.memory(e)).sum::<f64>() * self.share() * self.lift();
     }
 
-    /// Where engines report room, others leave a part of their shares: this gateway may take more than its own.
+    /// Where engines report room, others leave some of their shares: this gateway may take more than its own.
     fn lift(&self) -> f64 {
         if self.settings.load_reports == LoadReports::None || self.usual_load == 0.0 {
             return 1.0;
