--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `violetward`.
 
+use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -172,7 +173,8 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let filter = tracing_subscriber::EnvFilter::new(&cli.log_level);
-    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let ansi = std::io::stderr().is_terminal();
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_ansi(ansi).with_writer(std::io::stderr);
     match cli.log {
         LogForm::Plain => log.init(),
         LogForm::Json => log.json().init(),
