--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -702,3 +702,33 @@
     assert!(broken * 10 >= calm * 8, "{broken} after broken connections, {calm} without");
     assert!(reset * 2 <= calm, "{reset} after resets, {calm} without: the test sees no coldness");
 }
+
+/// Queries that one of three gateways runs at once while engines report that part of their cores busy.
+fn running_where_engines_report(load: f64) -> usize {
+    let mut settings = settings(class(Effect::Repeatable));
+    (settings.gateways, settings.load_reports) = (3, LoadReports::WithAnswers);
+    // Wide queries, of which an engine runs one: the fleet's bound is the narrower one.
+    settings.classes[0].threads = 4;
+    let mut bed = Bed::new(settings, (1..=12).map(entry).collect());
+    for id in 0..60 {
+        bed.ask(id);
+        bed.pass(50_000);
+        bed.feed(Event::Answer(Answer {
+            id: RequestId(id),
+            attempt: 0,
+            outcome: Outcome::Ok,
+            took: 100_000,
+            complete: true,
+            work: Some(100_000),
+            memory_mb: Some(64.0),
+            load: Load { cores: Some(load), ..Load::default() },
+        }));
+    }
+    (100..300).map(|id| sent(&bed.ask(id)).len()).sum()
+}
+
+#[test]
+fn a_gateway_takes_more_than_its_share_where_engines_report_room() {
+    let (idle, busy) = (running_where_engines_report(0.05), running_where_engines_report(1.0));
+    assert!(idle * 4 >= busy * 5, "{idle} at once on idle engines, {busy} on busy ones");
+}
