Both gateways wake their cores by one alarm, and the platform uses the project's timers

Need: the platform's host had a copy of the loop that wakes the core, and set the reactor's timers where crates/net has timers and time-outs of its own. Change: net::Alarm serves both hosts; sleep, timeout and sleep_until of net everywhere.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -10,7 +10,7 @@
 use event_listener::{Event, EventListener};
 use futures_lite::future;
 use violetward::{EngineId, Load, Micros};
-use violetward_net::{sleep_until, Clock, Pool};
+use violetward_net::{Alarm, Clock, Pool};
 use violetward_statement::http::Limits;
 
 use crate::config::Config;
@@ -40,8 +40,7 @@
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     releases: async_channel::Sender<(SocketAddr, String, bool)>,
     to_release: async_channel::Receiver<(SocketAddr, String, bool)>,
-    alarm: Event,
-    alarm_at: Cell<Micros>,
+    alarm: Alarm,
     draining: Cell<bool>,
     pub(crate) started: Instant,
 }
@@ -61,8 +60,7 @@
             attempts: RefCell::default(),
             pollers: RefCell::default(),
             pools: RefCell::default(),
-            alarm: Event::new(),
-            alarm_at: Cell::new(Micros::MAX),
+            alarm: Alarm::default(),
             draining: Cell::new(false),
             started: Instant::now(),
         })
@@ -122,10 +120,7 @@
                 None => break,
             }
         }
-        let next = self.core.borrow().next_wake().unwrap_or(Micros::MAX);
-        if next < self.alarm_at.get() {
-            self.alarm.notify(1);
-        }
+        self.alarm.set(self.look(Core::next_wake));
         result
     }
 
@@ -246,18 +241,10 @@
     /// Wakes the core when it asks for it. Never ends.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
-            let heard = self.alarm.listen();
-            let next = self.core.borrow().next_wake();
-            self.alarm_at.set(next.unwrap_or(Micros::MAX));
-            match next {
-                Some(at) if at <= self.clock.now() => {
-                    self.core(|core, now| core.wake(now));
-                    // Gives the tasks that this has woken their turn.
-                    future::yield_now().await;
-                }
-                Some(at) => future::or(heard, sleep_until(self.clock.instant(at))).await,
-                None => heard.await,
-            }
+            self.alarm.wait(&self.clock, || self.look(Core::next_wake)).await;
+            self.core(|core, now| core.wake(now));
+            // Gives the tasks that this has woken their turn.
+            future::yield_now().await;
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 //! connections to one address; [`sleep_until`] and [`timeout`] are the only timers, and cost next to nothing to set
 //! (see [`timer`] and `violetward-wheel`).
 
+mod alarm;
 mod clock;
 mod duplex;
 pub mod timer;
@@ -15,6 +16,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+pub use alarm::Alarm;
 use async_io::Async;
 pub use clock::Clock;
 pub use duplex::Duplex;
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -333,7 +333,7 @@
     let (host, id, line) = (host.clone(), engine.id, line.clone());
     let within = Duration::from_micros(host.config.connections.probe_timeout);
     host.clone().spawn(async move {
-        async_io::Timer::after(within).await;
+        violetward_net::sleep(within).await;
         if line.link.borrow_mut().forget_probe(&tag) {
             line.spent.set(true);
             host.core(|core, now| core.probed(now, id, false, Load::default()));
@@ -375,11 +375,7 @@
             }
         }
     };
-    let socket = future::or(connecting, async {
-        async_io::Timer::after(within).await;
-        None
-    })
-    .await;
+    let socket = violetward_net::timeout(within, connecting).await.flatten();
     let came_up = socket.is_some();
     if let Some(socket) = socket {
         let duplex = Rc::new(Duplex::new(socket, KEPT));
@@ -513,7 +509,7 @@
 async fn stands(host: &Rc<Host>, engine: &Rc<Engine>) -> bool {
     let witness = |line: &Rc<Line>| line.duplex.borrow().as_ref().is_some_and(|d| d.is_alive());
     for turn in 0..WITNESS.1 {
-        async_io::Timer::after(WITNESS.0).await;
+        violetward_net::sleep(WITNESS.0).await;
         if engine.lines.borrow().iter().any(witness) {
             return true;
         }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -134,7 +134,7 @@
                 if host.quotas[0].allows(host.clock.now()) {
                     tracing::warn!(%e, "a connection could not be taken");
                 }
-                async_io::Timer::after(Duration::from_millis(10)).await;
+                violetward_net::sleep(Duration::from_millis(10)).await;
                 continue;
             }
         };
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -6,10 +6,9 @@
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
-use event_listener::Event;
 use futures_lite::future;
 use violetward::Micros;
-use violetward_net::Clock;
+use violetward_net::{Alarm, Clock};
 
 use crate::config::Config;
 use crate::core::{ClientId, Core, Effect};
@@ -53,8 +52,7 @@
     pub engines: Engines,
     /// Bounds the log's lines on clients, on engines and of the module.
     pub quotas: [Quota; 3],
-    alarm: Event,
-    alarm_at: Cell<Micros>,
+    alarm: Alarm,
     /// SIGTERM has come.
     pub(crate) stopping: Cell<bool>,
 }
@@ -70,8 +68,7 @@
             executor,
             clients: RefCell::default(),
             quotas: Default::default(),
-            alarm: Event::new(),
-            alarm_at: Cell::new(Micros::MAX),
+            alarm: Alarm::default(),
             stopping: Cell::new(false),
         })
     }
@@ -92,10 +89,7 @@
                 None => break,
             }
         }
-        let next = self.core.borrow().next_wake().unwrap_or(Micros::MAX);
-        if next < self.alarm_at.get() {
-            self.alarm.notify(1);
-        }
+        self.alarm.set(self.look(Core::next_wake));
         result
     }
 
@@ -145,24 +139,10 @@
     /// Wakes the core when it asks for it. Never ends.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
-            let heard = self.alarm.listen();
-            let next = self.core.borrow().next_wake();
-            self.alarm_at.set(next.unwrap_or(Micros::MAX));
-            match next {
-                Some(at) if at <= self.clock.now() => {
-                    self.core(|core, now| core.wake(now));
-                    // Gives the tasks that this has woken their turn.
-                    future::yield_now().await;
-                }
-                Some(at) => {
-                    let until = self.clock.instant(at);
-                    future::or(heard, async {
-                        async_io::Timer::at(until).await;
-                    })
-                    .await;
-                }
-                None => heard.await,
-            }
+            self.alarm.wait(&self.clock, || self.look(Core::next_wake)).await;
+            self.core(|core, now| core.wake(now));
+            // Gives the tasks that this has woken their turn.
+            future::yield_now().await;
         }
     }
 
@@ -170,7 +150,7 @@
     pub async fn run_sweeps(self: Rc<Self>) {
         let mut told = Instant::now();
         loop {
-            async_io::Timer::after(Duration::from_millis(200)).await;
+            violetward_net::sleep(Duration::from_millis(200)).await;
             let now = Instant::now();
             let clients: Vec<_> = self.clients.borrow().values().cloned().collect();
             clients.iter().for_each(|client| client.sweep(&self, now));
--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -89,10 +89,7 @@
                     EVERY / 8 * failures.min(16)
                 }
             };
-            future::or(moved, async {
-                async_io::Timer::after(pause.min(LONGEST)).await;
-            })
-            .await;
+            future::or(moved, violetward_net::sleep(pause.min(LONGEST))).await;
         }
     }
 }
@@ -124,9 +121,6 @@
             }
         }
     };
-    future::or(answer, async {
-        async_io::Timer::after(WITHIN).await;
-        Err(last.take().unwrap_or_else(|| "no answer".into()))
-    })
-    .await
+    let answer = violetward_net::timeout(WITHIN, answer).await;
+    answer.unwrap_or_else(|| Err(last.take().unwrap_or_else(|| "no answer".into())))
 }
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -105,7 +105,7 @@
             Err(why) if turn == 0 => tracing::warn!(why, "the old configuration stands; looking again"),
             Err(_) => {}
         }
-        async_io::Timer::after(LOOK_AGAIN.0).await;
+        violetward_net::sleep(LOOK_AGAIN.0).await;
     }
     tracing::error!("the configuration can't be used; the old one stands");
 }
@@ -116,13 +116,13 @@
     host.stopping.set(true);
     tracing::info!(open = host.look(Core::open), "stopping: what comes still gets its answer");
     while began.elapsed() < STILL_COMING || host.look(Core::open) > 0 {
-        async_io::Timer::after(Duration::from_millis(10)).await;
+        violetward_net::sleep(Duration::from_millis(10)).await;
         if began.elapsed() >= STILL_COMING {
             front::close_idle(host);
         }
     }
     // The last answers are on their way out of this process.
-    async_io::Timer::after(LEAVING).await;
+    violetward_net::sleep(LEAVING).await;
     future::yield_now().await;
 }
 
