--- a/crates/net/src/duplex.rs
+++ b/crates/net/src/duplex.rs
@@ -122,21 +122,21 @@
 
     /// Nothing is to be read and the peer has not closed: a quiet connection that can be used.
     pub fn is_quiet(&self) -> bool {
-        let mut byte = [0];
-        let peeked = self.socket.get_ref().peek(&mut byte);
+        let peeked = self.socket.get_ref().peek(&mut [0]);
         !self.closed.get() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// The peer has not closed or reset it, as far as can be seen.
     pub fn is_alive(&self) -> bool {
-        let mut byte = [0];
-        let peeked = self.socket.get_ref().peek(&mut byte);
+        let peeked = self.socket.get_ref().peek(&mut [0]);
         !self.closed.get() && peeked.map_or_else(|e| e.kind() == io::ErrorKind::WouldBlock, |n| n > 0)
     }
 
     /// Ends the connection; a reader sees the end of the stream.
     pub fn close(&self) {
         self.closed.set(true);
+        // What the peer has not taken is lost with it, and counts no more.
+        self.kept.take();
         self.socket.get_ref().shutdown(Shutdown::Both).ok();
     }
 
@@ -145,3 +145,26 @@
         self.closed.get()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    #[test]
+    fn a_peer_that_does_not_read_is_closed_and_holds_nothing() {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+        let address = listener.local_addr().expect("its address");
+        let peer = TcpStream::connect(address).expect("a connection");
+        let (socket, _) = listener.accept().expect("its other end");
+        let duplex = Duplex::new(Async::new(socket).expect("a socket"), 100_000);
+        let mut sent = 0;
+        while duplex.send(&[7; 10_000]) {
+            sent += 10_000;
+            assert!(duplex.kept().0 <= 100_000 && sent < 1 << 30, "{sent} sent, {} kept", duplex.kept().0);
+        }
+        assert!(sent > 100_000 && duplex.is_closed() && duplex.kept().0 == 0);
+        assert!(!duplex.send(b"more") && !duplex.is_alive());
+        drop(peer);
+    }
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -117,7 +117,14 @@
         Descriptors { clients: rest - rest / 3, engines: rest / 3 }
     }
 
-    /// Bytes that requests and answers may hold in all: an eighth of the memory each.
+    /// Bytes of a client's frame: as much as lets all clients hold half a frame in an eighth of the memory, but enough for
+    /// any statement. Guards the memory against half requests by the hundred.
+    pub fn frame_bytes(&self) -> usize {
+        (self.held_bytes() / self.descriptors().clients.max(1)).clamp(64 << 10, 256 << 10)
+    }
+
+    /// Bytes that statements of open requests may hold in all, and answers that clients have not taken yet: an eighth of
+    /// the memory each.
     pub fn held_bytes(&self) -> usize {
         usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20) / 8
     }
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -3,7 +3,7 @@
 //! It turns what has happened on the sockets into the module's events and its actions into [`Effect`]s, and decides
 //! nothing. Times are microseconds of the Unix clock, passed in with each call.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use violetward::{
@@ -124,7 +124,6 @@
     once: Option<String>,
     body: Rc<[u8]>,
     due: Micros,
-    taken: Micros,
     overdue: Key,
     /// Memory in megabytes and priority of the next attempt.
     terms: (f64, u8),
@@ -185,7 +184,7 @@
     open: HashMap<RequestId, Open>,
     numbers: BTreeMap<(ClientId, i32), RequestId>,
     attempts: BTreeMap<AttemptId, Attempt>,
-    listed: HashMap<EngineId, String>,
+    listed: HashSet<EngineId>,
     timers: Wheel<Timer>,
     fired: Vec<Timer>,
     inbox: VecDeque<Event>,
@@ -210,7 +209,7 @@
             open: HashMap::new(),
             numbers: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            listed: HashMap::new(),
+            listed: HashSet::new(),
             timers: Wheel::new(now / 1000),
             fired: Vec::new(),
             inbox: VecDeque::new(),
@@ -276,7 +275,6 @@
             once: call.once,
             body: call.body,
             due,
-            taken: self.now,
             // Behind the attempt's own time-out and the module's tick: a request that this finds open is a fault.
             overdue: self.timers.set(tick(due + self.terms.margin / 2) + 1, Timer::Overdue(call.id)),
             terms: (0.0, 1),
@@ -334,7 +332,7 @@
     /// The list of engines, whole; `known` if it is that of the start.
     pub fn engines(&mut self, now: Micros, list: &List, known: bool) {
         self.pass(now);
-        self.listed = list.engines.values().map(|l| (l.entry.engine, l.name.clone())).collect();
+        self.listed = list.engines.values().map(|l| l.entry.engine).collect();
         let kind = if known { ListKind::WarmCopy } else { ListKind::Whole };
         let entries = list.engines.values().map(|l| l.entry.clone()).collect();
         self.tell(Event::Engines { kind, entries });
@@ -350,7 +348,7 @@
                 Timer::Module(handle) => self.tell(Event::Elapsed(handle)),
                 Timer::Attempt(attempt) => {
                     if let Some(out) = self.attempts.get(&attempt) {
-                        tracing::debug!(engine = out.engine.0, id = %format_args!("{:016x}", attempt.0 .0),
+                        tracing::debug!(engine = %format_args!("{:x}", out.engine.0), id = %format_args!("{:016x}", attempt.0 .0),
                             attempt = attempt.1, outcome = "Timeout", "given up");
                         self.effects.push_back(Effect::Withdraw(out.engine, attempt));
                         self.finish(attempt, Ending::of(Outcome::Timeout));
@@ -448,7 +446,7 @@
             Action::Cancel { id, attempt } => {
                 let attempt = AttemptId(id, attempt);
                 if let Some(out) = self.attempts.remove(&attempt) {
-                    tracing::debug!(engine = out.engine.0, id = %format_args!("{:016x}", attempt.0 .0),
+                    tracing::debug!(engine = %format_args!("{:x}", out.engine.0), id = %format_args!("{:016x}", attempt.0 .0),
                         attempt = attempt.1, outcome = "Cancelled", "given up");
                     self.timers.unset(out.timer);
                     self.effects.push_back(Effect::Withdraw(out.engine, attempt));
@@ -470,7 +468,7 @@
         let attempt = AttemptId(id, open.attempts);
         open.attempts += 1;
         let until = if until == 0 { open.due } else { until.min(open.due) };
-        let known = self.listed.contains_key(&engine);
+        let known = self.listed.contains(&engine);
         if !known || attempt.1 >= self.terms.attempts_cap || until <= self.now {
             return self.answer(attempt, Outcome::Moot, 0);
         }
@@ -502,9 +500,4 @@
             load: Load::default(),
         }));
     }
-
-    /// How long the oldest open request has been here.
-    pub fn oldest(&self, now: Micros) -> Micros {
-        self.open.values().map(|open| now.saturating_sub(open.taken)).max().unwrap_or(0)
-    }
 }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -4,7 +4,7 @@
 //! there; where they do not, up to the settings' streams share one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 use crate::list::List;
 
 /// Bytes kept for an engine that does not read; statements are bounded far below.
-const KEPT: usize = 4 << 20;
+const KEPT: usize = 1 << 20;
 
 /// How often, and how many times, a witness is looked for after a connection broke.
 const WITNESS: (Duration, u32) = (Duration::from_millis(2), 8);
@@ -91,6 +91,22 @@
     places: RefCell<HashMap<AttemptId, (Rc<Line>, Instant)>>,
 }
 
+impl Engine {
+    /// Nothing new goes on the connections there are. What waits for one to come up has not been sent; probes wait on,
+    /// and end with it.
+    fn retire(&self, unsent: &mut Vec<(AttemptId, Ending)>) {
+        for line in self.lines.borrow().iter() {
+            line.spent.set(true);
+            line.waiting.borrow_mut().retain(|waiting| {
+                let Waiting::Launch(launch, _) = waiting else { return true };
+                self.places.borrow_mut().remove(&launch.attempt);
+                unsent.push((launch.attempt, Ending::of(Outcome::ConnectFailed)));
+                false
+            });
+        }
+    }
+}
+
 /// All engines that are listed or still owe an answer.
 pub struct Engines {
     most: usize,
@@ -111,28 +127,20 @@
         self.engines.borrow().values().map(|e| e.lines.borrow().len()).sum()
     }
 
-    /// Engines of which something is kept.
-    pub fn len(&self) -> usize {
-        self.engines.borrow().len()
-    }
-
-    /// Nothing is kept.
-    pub fn is_empty(&self) -> bool {
-        self.engines.borrow().is_empty()
-    }
-
-    /// Takes a new list. Attempts that wait for a connection to an engine that drains or has left end here: what is
-    /// sent once it comes up would come too late for the rule on drains.
+    /// Takes a new list. Attempts that wait for a connection to an engine that drains, has left or is elsewhere now end
+    /// here: what is sent once that comes up would come too late for the rule on drains, or to another engine.
     pub fn listed(&self, list: &List) -> Vec<(AttemptId, Ending)> {
         let mut unsent = Vec::new();
         let mut engines = self.engines.borrow_mut();
-        for engine in engines.values() {
-            if !list.engines.values().any(|l| l.entry.engine == engine.id) {
-                engine.listed.set(Listed::Removed);
-            }
+        let named: HashSet<EngineId> = list.engines.values().map(|l| l.entry.engine).collect();
+        for engine in engines.values().filter(|e| !named.contains(&e.id)) {
+            engine.listed.set(Listed::Removed);
+            engine.retire(&mut unsent);
         }
         for listing in list.engines.values() {
             let engine = engines.entry(listing.entry.engine).or_insert_with(|| {
+                tracing::debug!(name = listing.name, engine = %format_args!("{:x}", listing.entry.engine.0),
+                    "learned of an engine");
                 Rc::new(Engine {
                     id: listing.entry.engine,
                     address: Cell::new(listing.address),
@@ -142,19 +150,9 @@
                 })
             });
             engine.listed.set(listing.entry.listed);
-            if engine.address.replace(listing.address) != listing.address {
-                engine.lines.borrow().iter().for_each(|line| line.spent.set(true));
-            }
-        }
-        for engine in engines.values().filter(|e| e.listed.get() != Listed::Up) {
-            for line in engine.lines.borrow().iter() {
-                for waiting in line.waiting.take() {
-                    if let Waiting::Launch(launch, _) = waiting {
-                        engine.places.borrow_mut().remove(&launch.attempt);
-                        unsent.push((launch.attempt, Ending::of(Outcome::ConnectFailed)));
-                    }
-                }
-                line.spent.set(true);
+            let moved = engine.address.replace(listing.address) != listing.address;
+            if moved || listing.entry.listed != Listed::Up {
+                engine.retire(&mut unsent);
             }
         }
         drop(engines);
@@ -168,7 +166,7 @@
     }
 
     fn launch_again(&self, host: &Rc<Host>, launch: Launch, resets: u32) -> Option<Ending> {
-        tracing::debug!(engine = launch.engine.0, id = %crate::link::id_text(launch.attempt),
+        tracing::debug!(engine = %format_args!("{:x}", launch.engine.0), id = %crate::link::id_text(launch.attempt),
             attempt = launch.attempt.1, memory = launch.memory_mb, rank = launch.rank, "launch");
         let engine = self.engines.borrow().get(&launch.engine).cloned();
         let failed = || Some(Ending::of(Outcome::ConnectFailed));
@@ -369,7 +367,7 @@
                 // Reset while it came up: somebody is there, and nothing has been asked yet. A refusal is final.
                 Err(e) if e.kind() == ErrorKind::ConnectionReset && dials < DIALS => dials += 1,
                 Err(e) => {
-                    tracing::debug!(engine = engine.id.0, %e, dials, "no connection");
+                    tracing::debug!(engine = %format_args!("{:x}", engine.id.0), %e, dials, "no connection");
                     break None;
                 }
             }
@@ -428,7 +426,7 @@
         line.send(&out);
         if let Some(why) = fault {
             if host.quotas[1].allows(host.clock.now()) {
-                tracing::warn!(engine = engine.id.0, why, "an answer that can't be read: connection closed");
+                tracing::warn!(engine = %format_args!("{:x}", engine.id.0), why, "an answer that can't be read: connection closed");
             }
             // Everything on it was sent and may have run; its engine stands, but nothing more is heard of it here.
             line.link.borrow_mut().broken(Outcome::Broken, &mut told);
@@ -451,7 +449,7 @@
             if line.carried.get() > 1 && ending.outcome == Outcome::Ok {
                 host.engines.note_used(false);
             }
-            tracing::debug!(engine = engine.id.0, id = %crate::link::id_text(*attempt), attempt = attempt.1,
+            tracing::debug!(engine = %format_args!("{:x}", engine.id.0), id = %crate::link::id_text(*attempt), attempt = attempt.1,
                 outcome = ?ending.outcome, work = ?ending.work, load = ?ending.load, "ended");
             engine.places.borrow_mut().remove(attempt);
         }
@@ -472,7 +470,7 @@
     engine.lines.borrow_mut().retain(|l| !Rc::ptr_eq(l, line));
     let mut told = Vec::new();
     let (load, waiting) = (line.link.borrow().load(), line.waiting.borrow().len());
-    tracing::debug!(engine = engine.id.0, load, waiting, came_up, carried = line.carried.get(),
+    tracing::debug!(engine = %format_args!("{:x}", engine.id.0), load, waiting, came_up, carried = line.carried.get(),
         age = ?line.up.get().elapsed(), idle = ?line.idle.get().elapsed(), lines = engine.lines.borrow().len(), "connection over");
     if load > 0 {
         let outcome = if stands(host, engine).await { Outcome::Broken } else { Outcome::Reset };
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -14,8 +14,6 @@
 use crate::core::{ClientId, Taken, Verdict};
 use crate::host::Host;
 
-/// Bytes of a frame. Statements are far shorter; nothing is kept of what is longer.
-const FRAME_BYTES: usize = 256 << 10;
 /// Requests that may be open on one connection.
 const OPEN: usize = 32;
 /// How long a connection may be silent before its first whole frame, and a frame may take to come in whole. Bad clients
@@ -66,7 +64,7 @@
 
 impl Client {
     /// Writes the final answer to a request.
-    pub(crate) fn answer(&self, seqid: i32, verdict: &Verdict) {
+    fn answer(&self, seqid: i32, verdict: &Verdict) {
         tracing::debug!(client = self.id.0, seqid, what = verdict.name(), "answer");
         let mut writer = Writer::message("dispatch", Kind::Reply, seqid);
         match verdict {
@@ -124,7 +122,7 @@
 
 /// Takes connections. Never ends.
 pub async fn accept(host: Rc<Host>, listener: Async<TcpListener>) {
-    let most = host.config.limits.descriptors().clients;
+    let (most, frame) = (host.config.limits.descriptors().clients, host.config.limits.frame_bytes());
     let mut next = 0;
     loop {
         let socket = match listener.accept().await {
@@ -143,7 +141,7 @@
         let client = Rc::new(Client {
             id: ClientId(next),
             duplex: Duplex::new(socket, KEPT),
-            frames: RefCell::new(Frames::new(FRAME_BYTES)),
+            frames: RefCell::new(Frames::new(frame)),
             opened: now,
             within: Cell::new(None),
             last: Cell::new(None),
@@ -175,6 +173,24 @@
     true
 }
 
+/// Bytes of answers that clients have not taken yet.
+pub fn unread(host: &Host) -> usize {
+    host.clients.borrow().values().map(|c| c.duplex.kept().0).sum()
+}
+
+/// Writes the final answer to a client's request. Clients that do not read share one bound: past it the one that has
+/// left most unread is closed.
+pub(crate) fn answer_to(host: &Host, id: ClientId, seqid: i32, verdict: &Verdict) {
+    let client = host.clients.borrow().get(&id).cloned();
+    let Some(client) = client else { return };
+    client.answer(seqid, verdict);
+    if client.duplex.kept().0 > 0 && unread(host) > host.config.limits.held_bytes() {
+        let clients = host.clients.borrow();
+        let worst = clients.values().max_by_key(|c| c.duplex.kept().0);
+        worst.into_iter().for_each(|c| c.duplex.close());
+    }
+}
+
 /// Closes connections without open requests; used at the end of service.
 pub fn close_idle(host: &Host) {
     let clients: Vec<_> = host.clients.borrow().values().cloned().collect();
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -13,7 +13,7 @@
 use crate::config::Config;
 use crate::core::{ClientId, Core, Effect};
 use crate::engine::Engines;
-use crate::front::Client;
+use crate::front::{self, Client};
 use crate::list::List;
 
 /// Lines of one kind that the log takes in a minute; the rest is counted.
@@ -122,12 +122,7 @@
             Effect::Withdraw(engine, attempt) => self.engines.withdraw(engine, attempt),
             Effect::Renice(engine, attempt, rank) => self.engines.renice(engine, attempt, rank),
             Effect::Probe(engine) => self.engines.probe(self, engine),
-            Effect::Answer(client, seqid, verdict) => {
-                let client = self.clients.borrow().get(&client).cloned();
-                if let Some(client) = client {
-                    client.answer(seqid, &verdict);
-                }
-            }
+            Effect::Answer(client, seqid, verdict) => front::answer_to(self, client, seqid, &verdict),
             Effect::Say(text) => {
                 if self.quotas[2].allows(self.clock.now()) {
                     tracing::info!(target: "violetward::module", "{text}");
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -3,7 +3,7 @@
 //! A result is gathered page by page and passed on only when it is whole. Answers under ids that are not open here are
 //! dropped. What can't be read, or does not fit, spoils the connection: nothing after it can be trusted.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use violetward::{Load, Micros, Outcome};
 use violetward_resp::{write, Limits, Reader};
@@ -50,7 +50,7 @@
 pub struct Link {
     reader: Reader,
     asked: HashMap<String, Asked>,
-    probes: HashMap<String, ()>,
+    probes: HashSet<String>,
     retired: BTreeMap<String, u64>,
     retirements: u64,
     tags: u64,
@@ -75,7 +75,7 @@
         Link {
             reader: Reader::new(limits),
             asked: HashMap::new(),
-            probes: HashMap::new(),
+            probes: HashSet::new(),
             retired: BTreeMap::new(),
             retirements: 0,
             tags: 0,
@@ -133,13 +133,13 @@
         self.tags += 1;
         let tag = format!("t{}", self.tags);
         write(out, &[b"stats", tag.as_bytes()]);
-        self.probes.insert(tag.clone(), ());
+        self.probes.insert(tag.clone());
         tag
     }
 
     /// Gives a probe up. False if it has come back.
     pub fn forget_probe(&mut self, tag: &str) -> bool {
-        self.probes.remove(tag).is_some()
+        self.probes.remove(tag)
     }
 
     fn retire(&mut self, id: String) {
@@ -178,7 +178,7 @@
         out: &mut Vec<u8>,
         told: &mut Vec<Told>,
     ) -> Result<(), String> {
-        if self.probes.contains_key(id) {
+        if self.probes.contains(id) {
             let good = match word {
                 "yes" => true,
                 "no" => false,
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -31,8 +31,8 @@
 /// A whole list.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct List {
-    /// The number of the last event in it.
-    pub number: u64,
+    /// The number of the last event in it: the zone's serial.
+    pub number: u32,
     /// Engines that are up or draining, by name.
     pub engines: BTreeMap<String, Listing>,
 }
@@ -40,7 +40,7 @@
 /// The events of the start.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Known {
-    no: u64,
+    no: u32,
     items: Vec<Item>,
 }
 
@@ -195,7 +195,7 @@
         return Err("an answer to another question".into());
     }
     let serial = message.authorities.iter().find_map(|e| match &e.data {
-        Some(Data::Soa(soa)) => Some(u64::from(soa.serial)),
+        Some(Data::Soa(soa)) => Some(soa.serial),
         _ => None,
     });
     let number = serial.ok_or("an answer without a serial")?;
--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -8,6 +8,7 @@
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::future;
+use violetward_dns::serial::is_newer;
 
 use crate::host::Host;
 use crate::list;
@@ -46,7 +47,7 @@
     }
 
     /// Follows the list, from the event with that number on. Never ends.
-    pub async fn follow(self: Rc<Self>, host: Rc<Host>, mut have: u64) {
+    pub async fn follow(self: Rc<Self>, host: Rc<Host>, mut have: u32) {
         let mut socket = None;
         let mut failures = 0u32;
         loop {
@@ -74,7 +75,7 @@
                         tracing::info!(%address, failures, "the resolver answers again");
                     }
                     failures = 0;
-                    if list.number > have {
+                    if is_newer(list.number, have) {
                         have = list.number;
                         host.listed(&list, false);
                     }
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -115,7 +115,8 @@
     let began = Instant::now();
     host.stopping.set(true);
     tracing::info!(open = host.look(Core::open), "stopping: what comes still gets its answer");
-    while began.elapsed() < STILL_COMING || host.look(Core::open) > 0 {
+    // Who does not read is closed by the sweep, so that this ends.
+    while began.elapsed() < STILL_COMING || host.look(Core::open) > 0 || front::unread(host) > 0 {
         violetward_net::sleep(Duration::from_millis(10)).await;
         if began.elapsed() >= STILL_COMING {
             front::close_idle(host);
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -26,7 +26,7 @@
     answers: [u32; 3],
 }
 
-fn list(number: u64, from: u64, engines: u64) -> List {
+fn list(number: u32, from: u64, engines: u64) -> List {
     let address = |n: u64| format!("10.0.{}.{}:4100", n / 250 % 250, n % 250 + 1);
     let named: Vec<(String, String)> =
         (from..from + engines).map(|n| (format!("e-{n:08x}"), address(n))).collect();
@@ -168,7 +168,7 @@
             }
             _ => {
                 let from = self.rng.random_range(0..5);
-                let number = self.next + 1;
+                let number = self.next as u32 + 1;
                 self.core.engines(self.now, &list(number, from, 4), false);
             }
         }
@@ -206,7 +206,7 @@
     let mut history = History::new(7);
     for turn in 0..2_000 {
         history.now += 400_000;
-        history.core.engines(history.now, &list(turn + 2, turn, 4), false);
+        history.core.engines(history.now, &list(turn as u32 + 2, turn, 4), false);
         for _ in 0..5 {
             let call = history.call();
             let seqid = history.next as i32;
