Membership without I/O: SWIM with proofs of life, pauses, one-sided cuts

Need: no gateway knows of any other; shares are 1/N by configuration, whoever lives.

crates/membership is a state machine: datagrams and wake-ups in, effects out. SWIM with Lifeguard's local health and confirmations; signed datagrams of 1,200 bytes at most; a process that is not known proves its life by a nonce before it is believed, so that no clock bounds replays; pauses are noticed by the wake-up that came late; links that are cut one way are told from deaths by what others reach; digests compared in sixteen parts; a second process of a name yields. The share widens slowly, narrows at once and is capped, so that all shares add up to a stated bound whatever each believes; checked at each step.

--- /dev/null
+++ b/crates/membership/src/share.rs
@@ -0,0 +1,71 @@
+//! Which share of the fleet a gateway takes, from what it knows of the others.
+//!
+//! The invariant: with `fleet` gateways configured and no more processes than that, the shares of all of them add up to
+//! at most `widest`, whatever each believes; and what any takes of a cold engine is at most `1 / fleet`, so that all of
+//! them together never take more than one. Argument: each share is capped by `widest / max(fleet, members known)` in
+//! [`Share::next`], the last step before it is told, so no belief can lift it; the sum over at most `fleet` processes
+//! follows. Where all believe the same, the shares add up to one at most: they are `1/2n + demand/(2 · all demand)`,
+//! which sum to one over the `n` members, before the cap takes from it.
+
+use crate::machine::{Micros, Standing};
+
+/// Part of the share that goes by offered load; the rest is even.
+const BY_LOAD: f64 = 0.5;
+/// What a gateway keeps of its even share while it cannot tell whether it is the one that is cut off.
+const NARROW: f64 = 0.5;
+
+/// What a share is worked out from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Known {
+    /// Gateways that the configuration names.
+    pub fleet: u32,
+    /// Members that are not known to have left, dead ones included.
+    pub members: u32,
+    /// Members that live or are only suspected, this one included.
+    pub living: u32,
+    /// This gateway's part of the living members' offered load; `None` if none is told.
+    pub load: Option<f64>,
+    /// How this gateway stands with the others.
+    pub standing: Standing,
+}
+
+/// The share as it was last told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// The most that all may take together.
+    pub widest: f64,
+    /// How much of the even share it widens by in a second.
+    pub widen: f64,
+    /// The share.
+    pub now: f64,
+    at: Micros,
+}
+
+impl Share {
+    /// A share before anything is known: that of a gateway that cannot tell.
+    pub fn new(widest: f64, widen: f64, fleet: u32, at: Micros) -> Self {
+        Share { widest, widen, now: NARROW / f64::from(fleet.max(1)), at }
+    }
+
+    /// The share at a time. It narrows at once and widens slowly.
+    pub fn next(&mut self, now: Micros, known: &Known) -> f64 {
+        let fleet = f64::from(known.fleet.max(known.members).max(1));
+        let even = 1.0 / fleet;
+        let living = f64::from(known.living.max(1));
+        let goal = match known.standing {
+            Standing::Whole => {
+                let by_load = known.load.map_or(1.0 / living, |load| load.clamp(0.0, 1.0));
+                (1.0 - BY_LOAD) / living + BY_LOAD * by_load
+            }
+            // Whether the others are dead or this one is cut off from them looks the same from here: taking less is
+            // the error that harms nobody else.
+            _ => NARROW * even,
+        };
+        let goal = goal.min(self.widest * even);
+        let span = now.saturating_sub(self.at) as f64 / 1e6;
+        let step = self.now + self.widen * even * span;
+        self.at = self.at.max(now);
+        self.now = goal.min(step);
+        self.now
+    }
+}
--- /dev/null
+++ b/crates/membership/src/wire.rs
@@ -0,0 +1,471 @@
+//! Datagrams: their layout, their signatures and their bounds.
+//!
+//! `version 1 | key 4 | life 8 | number 8 | sender | kind and its fields | records | code 16`, integers big-endian, texts
+//! with one octet of length. A record has its length before it: what a newer format adds at its end is passed over, and
+//! what an older one leaves out reads as nothing told.
+
+use std::fmt;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// Octets of a datagram at most: it passes every usual path whole.
+pub const DATAGRAM: usize = 1_200;
+/// The format that this code writes. Any format from 1 on has the same head.
+pub const VERSION: u8 = 1;
+/// Octets of a name or a site.
+pub const NAME: usize = 48;
+/// Classes whose demand a record tells.
+pub const CLASSES: usize = 8;
+/// Bad links that a record tells.
+pub const CUTS: usize = 4;
+/// Parts of the state whose digests are compared on their own.
+pub const BUCKETS: usize = 16;
+/// Octets of the code.
+const CODE: usize = 16;
+
+/// A key and its name.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Key {
+    /// Its name.
+    pub name: String,
+    /// The secret.
+    pub secret: Vec<u8>,
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Key({})", self.name)
+    }
+}
+
+/// A ring of keys: the first signs, all are believed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Keys(Vec<Key>);
+
+impl Keys {
+    /// A ring.
+    ///
+    /// # Errors
+    /// If it is empty, a secret is under sixteen octets, or a name stands twice.
+    pub fn new(keys: Vec<Key>) -> Result<Self, String> {
+        if keys.is_empty() {
+            return Err("expected at least one (key NAME \"secret\")".into());
+        }
+        for (i, key) in keys.iter().enumerate() {
+            if key.secret.len() < 16 {
+                return Err(format!("the secret of {} is under sixteen octets", key.name));
+            }
+            if keys[..i].iter().any(|k| k.name == key.name) {
+                return Err(format!("the key {} stands twice", key.name));
+            }
+        }
+        Ok(Keys(keys))
+    }
+
+    fn code(key: &Key, bytes: &[u8]) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(&key.secret).expect("any length will do");
+        mac.update(bytes);
+        mac
+    }
+
+    fn seal(&self, out: &mut Vec<u8>) {
+        let code = Self::code(&self.0[0], out).finalize().into_bytes();
+        out.extend_from_slice(&code[..CODE]);
+    }
+
+    fn open<'a>(&self, bytes: &'a [u8]) -> Result<&'a [u8], Refused> {
+        if bytes.len() > DATAGRAM {
+            return Err(Refused::Oversized);
+        }
+        let at = bytes.len().checked_sub(CODE).filter(|&at| at >= 5).ok_or(Refused::Short)?;
+        let (body, code) = bytes.split_at(at);
+        let id = u32::from_be_bytes(body[1..5].try_into().map_err(|_| Refused::Short)?);
+        let mut known = self.0.iter().filter(|k| mark(&k.name) == id).peekable();
+        if known.peek().is_none() {
+            return Err(Refused::Key);
+        }
+        let good = known.any(|key| Self::code(key, body).verify_truncated_left(code).is_ok());
+        good.then_some(body).ok_or(Refused::Forged)
+    }
+}
+
+/// A short mark of a name (FNV-1a).
+pub fn mark(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+/// Why a datagram is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refused {
+    /// It is cut off, or what it says does not fit.
+    Short,
+    /// It is longer than any of ours.
+    Oversized,
+    /// Its key is not known here.
+    Key,
+    /// Its code does not fit.
+    Forged,
+    /// It was seen before, or is too old to tell.
+    Replayed,
+    /// Its sender has not proved yet that this life of it goes on.
+    Unproved,
+}
+
+/// What is believed of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// It lives.
+    Alive,
+    /// Somebody got no answer of it.
+    Suspect,
+    /// Nobody got an answer for the whole time of suspicion.
+    Dead,
+    /// It said good-bye.
+    Left,
+}
+
+/// What a gateway's clients ask for: work by class, in core milliseconds a second, each to within a fifth.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Demand(pub [u8; CLASSES]);
+
+impl Demand {
+    /// From work by class; classes beyond the last place are added there.
+    pub fn of(work: &[f64]) -> Self {
+        let mut sums = [0.0; CLASSES];
+        for (class, work) in work.iter().enumerate() {
+            sums[class.min(CLASSES - 1)] += work.max(0.0);
+        }
+        // Quarters of powers of two from 1 ms on; 0 is nothing.
+        Demand(sums.map(|w| if w < 1.0 { 0 } else { (w.log2() * 4.0).round().clamp(0.0, 254.0) as u8 + 1 }))
+    }
+
+    /// Work of a class.
+    pub fn class(&self, class: usize) -> f64 {
+        match self.0.get(class) {
+            None | Some(0) => 0.0,
+            Some(&code) => (f64::from(code - 1) / 4.0).exp2(),
+        }
+    }
+
+    /// Work of all classes.
+    pub fn total(&self) -> f64 {
+        (0..CLASSES).map(|class| self.class(class)).sum()
+    }
+}
+
+/// A direction in which a link is known to be cut, as its owner sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cut {
+    /// The mark of the other's name.
+    pub other: u32,
+    /// What the owner says does not come there; else what the other says does not come here.
+    pub outbound: bool,
+}
+
+/// What is told of a member.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Record {
+    /// Its name.
+    pub name: String,
+    /// Its site.
+    pub site: String,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// Which process of that name: drawn at its start.
+    pub life: u64,
+    /// Counts its own statements on whether it lives: the higher one holds.
+    pub incarnation: u32,
+    /// What is believed.
+    pub state: State,
+    /// The mark of the name of the one who suspects it.
+    pub by: u32,
+    /// Counts what it tells of itself beyond that.
+    pub beat: u32,
+    /// What its clients ask for.
+    pub demand: Demand,
+    /// Links of its own that are cut.
+    pub cuts: Vec<Cut>,
+}
+
+impl Record {
+    /// What decides which of two records of one name holds.
+    pub fn rank(&self) -> (u32, State, u64) {
+        (self.incarnation, self.state, self.life)
+    }
+}
+
+/// What a datagram says beside its records.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Kind {
+    /// Do you hear me?
+    Ping(u32),
+    /// I do; and whether something came from you directly of late.
+    Ack(u32, bool),
+    /// Please ask that member for me.
+    Ask(u32, String),
+    /// A ping for another: whom for.
+    Relay(u32, String),
+    /// The answer to that: whom for, and whether something came from there directly of late.
+    Relayed(u32, String, bool),
+    /// What became of an [`Kind::Ask`]: no answer yet, or one, with what it said.
+    Report(u32, Option<bool>),
+    /// Prove that you are not an echo.
+    Challenge(u64),
+    /// The proof.
+    Proof(u64),
+    /// Digests of the whole state, part by part, and whether the other's are wanted.
+    Digest([u32; BUCKETS], bool),
+    /// Records alone.
+    News,
+}
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Datagram {
+    /// Who sends it.
+    pub from: String,
+    /// Which process of that name.
+    pub life: u64,
+    /// Its number there, from 1.
+    pub number: u64,
+    /// What it says.
+    pub kind: Kind,
+    /// What it tells of members.
+    pub records: Vec<Record>,
+}
+
+fn text(out: &mut Vec<u8>, text: &str) {
+    let cut = &text.as_bytes()[..text.len().min(NAME)];
+    out.push(cut.len() as u8);
+    out.extend_from_slice(cut);
+}
+
+fn record(out: &mut Vec<u8>, r: &Record) {
+    let start = out.len();
+    out.push(0);
+    text(out, &r.name);
+    text(out, &r.site);
+    match r.address.ip() {
+        IpAddr::V4(ip) => {
+            out.push(4);
+            out.extend_from_slice(&ip.octets());
+        }
+        IpAddr::V6(ip) => {
+            out.push(6);
+            out.extend_from_slice(&ip.octets());
+        }
+    }
+    out.extend_from_slice(&r.address.port().to_be_bytes());
+    out.extend_from_slice(&r.life.to_be_bytes());
+    out.extend_from_slice(&r.incarnation.to_be_bytes());
+    out.push(r.state as u8);
+    out.extend_from_slice(&r.by.to_be_bytes());
+    out.extend_from_slice(&r.beat.to_be_bytes());
+    // Classes at the end that nobody asks for are not told.
+    let told = CLASSES - r.demand.0.iter().rev().take_while(|&&code| code == 0).count();
+    out.push(told as u8);
+    out.extend_from_slice(&r.demand.0[..told]);
+    let cuts = &r.cuts[..r.cuts.len().min(CUTS)];
+    out.push(cuts.len() as u8);
+    for cut in cuts {
+        out.extend_from_slice(&cut.other.to_be_bytes());
+        out.push(u8::from(cut.outbound));
+    }
+    out[start] = (out.len() - start - 1) as u8;
+}
+
+impl Datagram {
+    /// Writes it, signed. Records that find no room are left out; gives how many there are in it.
+    pub fn seal(&self, keys: &Keys, out: &mut Vec<u8>) -> usize {
+        out.clear();
+        out.push(VERSION);
+        out.extend_from_slice(&mark(&keys.0[0].name).to_be_bytes());
+        out.extend_from_slice(&self.life.to_be_bytes());
+        out.extend_from_slice(&self.number.to_be_bytes());
+        text(out, &self.from);
+        let probe = |out: &mut Vec<u8>, kind: u8, probe: u32| {
+            out.push(kind);
+            out.extend_from_slice(&probe.to_be_bytes());
+        };
+        match &self.kind {
+            Kind::Ping(n) => probe(out, 1, *n),
+            Kind::Ack(n, hears) => {
+                probe(out, 2, *n);
+                out.push(u8::from(*hears));
+            }
+            Kind::Ask(n, target) => {
+                probe(out, 3, *n);
+                text(out, target);
+            }
+            Kind::Relay(n, origin) => {
+                probe(out, 4, *n);
+                text(out, origin);
+            }
+            Kind::Relayed(n, origin, hears) => {
+                probe(out, 5, *n);
+                text(out, origin);
+                out.push(u8::from(*hears));
+            }
+            Kind::Report(n, hears) => {
+                probe(out, 6, *n);
+                out.push(hears.map_or(2, u8::from));
+            }
+            Kind::Challenge(nonce) | Kind::Proof(nonce) => {
+                out.push(if matches!(self.kind, Kind::Challenge(_)) { 7 } else { 8 });
+                out.extend_from_slice(&nonce.to_be_bytes());
+            }
+            Kind::Digest(parts, wanted) => {
+                out.push(9);
+                out.push(u8::from(*wanted));
+                parts.iter().for_each(|part| out.extend_from_slice(&part.to_be_bytes()));
+            }
+            Kind::News => out.push(10),
+        }
+        let count = out.len();
+        out.push(0);
+        let mut told = 0;
+        for r in self.records.iter().take(255) {
+            let before = out.len();
+            record(out, r);
+            if out.len() + CODE > DATAGRAM {
+                out.truncate(before);
+                break;
+            }
+            told += 1;
+        }
+        out[count] = told as u8;
+        keys.seal(out);
+        told
+    }
+
+    /// Reads one; `None` for a kind that this format does not know, signed by a newer member.
+    ///
+    /// # Errors
+    /// Why it is not taken.
+    pub fn open(keys: &Keys, bytes: &[u8]) -> Result<Option<Datagram>, Refused> {
+        let body = keys.open(bytes)?;
+        let mut c = Cursor(body);
+        read(&mut c).ok_or(Refused::Short)
+    }
+}
+
+struct Cursor<'a>(&'a [u8]);
+
+impl<'a> Cursor<'a> {
+    fn take(&mut self, n: usize) -> Option<&'a [u8]> {
+        let (taken, rest) = self.0.split_at_checked(n)?;
+        self.0 = rest;
+        Some(taken)
+    }
+
+    fn u8(&mut self) -> Option<u8> {
+        self.take(1).map(|b| b[0])
+    }
+
+    fn u16(&mut self) -> Option<u16> {
+        self.take(2)?.try_into().ok().map(u16::from_be_bytes)
+    }
+
+    fn u32(&mut self) -> Option<u32> {
+        self.take(4)?.try_into().ok().map(u32::from_be_bytes)
+    }
+
+    fn u64(&mut self) -> Option<u64> {
+        self.take(8)?.try_into().ok().map(u64::from_be_bytes)
+    }
+
+    fn text(&mut self) -> Option<String> {
+        let n = self.u8()? as usize;
+        let text = std::str::from_utf8(self.take(n)?).ok()?;
+        (n <= NAME).then(|| text.to_owned())
+    }
+}
+
+fn read(c: &mut Cursor<'_>) -> Option<Option<Datagram>> {
+    let version = c.u8()?;
+    c.u32()?;
+    let (life, number, from) = (c.u64()?, c.u64()?, c.text()?);
+    let kind = match c.u8()? {
+        1 => Kind::Ping(c.u32()?),
+        2 => Kind::Ack(c.u32()?, c.u8()? == 1),
+        3 => Kind::Ask(c.u32()?, c.text()?),
+        4 => Kind::Relay(c.u32()?, c.text()?),
+        5 => Kind::Relayed(c.u32()?, c.text()?, c.u8()? == 1),
+        6 => {
+            let (probe, hears) = (c.u32()?, c.u8()?);
+            Kind::Report(probe, (hears < 2).then_some(hears == 1))
+        }
+        7 => Kind::Challenge(c.u64()?),
+        8 => Kind::Proof(c.u64()?),
+        9 => {
+            let wanted = c.u8()? == 1;
+            let mut parts = [0; BUCKETS];
+            for part in &mut parts {
+                *part = c.u32()?;
+            }
+            Kind::Digest(parts, wanted)
+        }
+        10 => Kind::News,
+        _ => return Some(None),
+    };
+    if version == 0 || from.is_empty() {
+        return None;
+    }
+    let count = c.u8()?;
+    let mut records = Vec::new();
+    for _ in 0..count {
+        let n = c.u8()? as usize;
+        let mut c = Cursor(c.take(n)?);
+        records.push(read_record(&mut c)?);
+    }
+    Some(Some(Datagram { from, life, number, kind, records }))
+}
+
+fn read_record(c: &mut Cursor<'_>) -> Option<Record> {
+    let (name, site) = (c.text()?, c.text()?);
+    let ip: IpAddr = match c.u8()? {
+        4 => Ipv4Addr::from(<[u8; 4]>::try_from(c.take(4)?).ok()?).into(),
+        6 => Ipv6Addr::from(<[u8; 16]>::try_from(c.take(16)?).ok()?).into(),
+        _ => return None,
+    };
+    let address = SocketAddr::new(ip, c.u16()?);
+    let (life, incarnation) = (c.u64()?, c.u32()?);
+    let state = match c.u8()? {
+        0 => State::Alive,
+        1 => State::Suspect,
+        2 => State::Dead,
+        3 => State::Left,
+        _ => return None,
+    };
+    let (by, beat) = (c.u32()?, c.u32()?);
+    // From here on an older format tells nothing.
+    let mut demand = Demand::default();
+    let told = c.u8().unwrap_or(0) as usize;
+    for class in 0..told {
+        let code = c.u8()?;
+        if let Some(place) = demand.0.get_mut(class) {
+            *place = code;
+        }
+    }
+    let mut cuts = Vec::new();
+    for _ in 0..c.u8().unwrap_or(0) {
+        let cut = Cut { other: c.u32()?, outbound: c.u8()? == 1 };
+        if cuts.len() < CUTS {
+            cuts.push(cut);
+        }
+    }
+    (!name.is_empty()).then_some(Record {
+        name,
+        site,
+        address,
+        life,
+        incarnation,
+        state,
+        by,
+        beat,
+        demand,
+        cuts,
+    })
+}
