The module's share of the fleet can be told; cold engines get the even part at most

Need: membership knows who lives; the module took 1/N by configuration. Event::Share tells it its part, which moves the fleet's bound, memory, quotas and drain; what a cold engine gets stays at the even part at most, with turns spaced as before, so that all parts add up to one whatever each gateway believes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -425,6 +425,9 @@
         /// The message.
         text: String,
     },
+    /// This gateway's part of the fleet, from who lives and what they are asked for; without it, `1 / gateways`. Cold engines
+    /// are met by that at most.
+    Share(f64),
     /// A timer asked for by [`Action::Arm`] has come.
     Elapsed(u64),
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -143,6 +143,7 @@
                 self.reported(engine, load);
                 self.probed(engine, ok, out)
             }
+            Event::Share(part) => self.part = Some(finite(part, 1e-6, 1.0)),
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
             Event::Elapsed(_) | Event::Heard { .. } => {}
         }
@@ -367,7 +368,12 @@
 
     // ---- Debt, drain and the thread bound --------------------------------------------------------------
 
+    /// This gateway's part of the fleet, as it is told; even where nobody tells.
     fn share(&self) -> f64 {
+        self.part.unwrap_or(self.even())
+    }
+
+    fn even(&self) -> f64 {
         1.0 / f64::from(self.settings.gateways.max(1))
     }
 
@@ -551,6 +557,7 @@
     /// A fresh engine falls over if all gateways send too much: each sends its part, whatever the others
     /// do, in every window, split among the classes by use; `ever`: whether it could fit an empty window.
     /// Where a part is less than a query of the class, gateways take turns that add up to it, class by class.
+    /// The part is even at most, whatever is believed of the other gateways: so all parts add up to one.
     fn cold_allows(&self, open: &Open, e: &Engine, ever: bool) -> bool {
         if !self.is_cold(e) || self.settings.fall_multiple <= 0.0 {
             return true;
@@ -558,13 +565,13 @@
         let class = open.request.class.0;
         let capacity = self.cores(e) * self.warmth(e);
         let span = self.settings.fall_span as f64;
-        let all = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share();
+        let all = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share().min(self.even());
         let uses: f64 = (0..self.learned.len()).map(|c| self.use_of(c)).sum();
         let part = all * self.use_of(class) / uses;
         let weight = self.cold_weight(open);
         let slice = self.now / self.settings.fall_span.max(1);
         let dice = mix(e.entry.engine.0 ^ mix(slice ^ mix(class as u64)));
-        let turn = unit(dice) + self.settings.me.0 as f64 * self.share();
+        let turn = unit(dice) + self.settings.me.0 as f64 * self.even();
         let budget = if turn.fract() < part / weight { part.max(weight) } else { part };
         let from = self.now.saturating_sub(self.settings.fall_span);
         let sent = e.cold.iter().rev().take_while(|c| c.0 >= from).filter(|c| c.2 == class).map(|c| c.1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -333,6 +333,8 @@
     pub(crate) fleet_memory: f64,
     /// The load reported of late, over all engines.
     pub(crate) usual_load: f64,
+    /// The part of the fleet that was told.
+    pub(crate) part: Option<f64>,
     pub(crate) learned: Vec<Learned>,
     /// Each tenant's tokens, and when they were last filled up.
     pub(crate) tokens: Vec<(f64, Micros)>,
@@ -365,6 +367,7 @@
             fleet_cores: 0.0,
             fleet_memory: 0.0,
             usual_load: 0.0,
+            part: None,
             engines: BTreeMap::new(),
             open: BTreeMap::new(),
             flights: BTreeMap::new(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -213,3 +213,37 @@
     bed.ask_with(100, |r| (r.cost, r.due) = (1_000, due));
     assert!(ended(&bed));
 }
+
+/// The share of the fleet as others' deaths leave it: more may run at once on warm engines, and a cold one gets no more
+/// than this gateway's even part, whatever is believed of the others.
+#[test]
+fn a_told_share_moves_what_runs_on_warm_engines_and_never_what_a_cold_one_gets() {
+    let out_at_once = |share: Option<f64>| {
+        let mut settings = settings(class(Effect::Repeatable));
+        (settings.gateways, settings.load_reports) = (4, LoadReports::None);
+        let mut bed = Bed::new(settings, (1..=4).map(entry).collect());
+        share.into_iter().for_each(|share| drop(bed.feed(Event::Share(share))));
+        (0..200).flat_map(|id| sent(&bed.ask(id))).count()
+    };
+    let even = out_at_once(None);
+    assert_eq!(out_at_once(Some(0.25)), even);
+    let (half, whole) = (out_at_once(Some(0.5)), out_at_once(Some(1.0)));
+    assert!(half > even && whole > half, "{even}, {half}, {whole}");
+    assert!(out_at_once(Some(0.05)) < even);
+
+    let to_a_cold_one = |share: f64| {
+        let mut s = settings(class(Effect::Repeatable));
+        s.gateways = 4;
+        let mut bed = Bed::new(s, vec![EngineEntry { came_up: 99 * SECOND, ..entry(1) }]);
+        bed.feed(Event::Share(share));
+        let mut sends = 0;
+        for id in 0..200 {
+            sends += sent(&bed.ask(id)).len() + sent(&bed.answer(id, Outcome::Ok)).len();
+            bed.now += 2_000;
+        }
+        // As in the test above: 0.1 s each, of 4.08 s for the whole fleet.
+        sends as f64 * 0.1
+    };
+    assert!(to_a_cold_one(1.0) <= 4.08 / 4.0, "{}", to_a_cold_one(1.0));
+    assert!(to_a_cold_one(0.1) <= 4.08 * 0.1, "{}", to_a_cold_one(0.1));
+}
