Gateways know each other: (membership ...) in serve, violetward members, /v1/members

Need: the state machine of membership had no sockets. A section of serve's configuration, checked with line and column, starts it: one UDP socket, one alarm, demand averaged over five seconds, keys from a watched file or in place, and a good-bye before a gateway drains. The module gets its share as an event; changes of state are log lines with fields; /v1/status counts, /v1/members and violetward members show the view. Without the section nothing is started, and the platform has none. The watching of key files is one function for sessions and membership.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -22,6 +22,8 @@
     pub zone_front: Option<(SocketAddr, Vec<violetward_dns::tsig::Key>)>,
     /// A notebook kernel beside the statement API, if one is wanted.
     pub kernel: Option<KernelConfig>,
+    /// The other gateways, where this one is to know of them.
+    pub peers: Option<PeerTerms>,
     /// How the host carries things out.
     pub host: HostLimits,
     /// Sessions that live on one engine.
@@ -36,6 +38,161 @@
     pub drain_grace: Duration,
 }
 
+/// Membership among gateways; see `docs/membership.md`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PeerTerms {
+    /// Where datagrams are taken.
+    pub listen: SocketAddr,
+    /// Where others reach that, if not there.
+    pub advertise: Option<SocketAddr>,
+    /// This gateway's name, the same after a restart.
+    pub name: String,
+    /// Its site.
+    pub site: String,
+    /// Where members may be found at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Where to send what is for a member, in place of the address that it tells.
+    pub via: std::collections::BTreeMap<String, SocketAddr>,
+    /// The keys: the first signs, all are believed.
+    pub keys: violetward_membership::Keys,
+    /// The file that they came from; it is watched.
+    pub key_file: Option<PathBuf>,
+    /// Between two probes.
+    pub period: Duration,
+    /// Members that are known at once.
+    pub most: usize,
+    /// What all shares may add up to at most, and how much of an even share one widens by in a second.
+    pub widest: f64,
+    /// See `widest`.
+    pub widen: f64,
+}
+
+/// Reads a file of keys for datagrams: `(key NAME "secret")`, the first signs, all are believed.
+///
+/// # Errors
+/// What is wrong, with its place.
+pub fn read_ring(text: &str) -> Result<violetward_membership::Keys, String> {
+    let keys = named_secrets(text)?;
+    let key =
+        |(name, secret): (String, String)| violetward_membership::Key { name, secret: secret.into_bytes() };
+    violetward_membership::Keys::new(keys.into_iter().map(key).collect())
+}
+
+/// `(membership (listen ADDRESS) (name NAME) (site SITE) (seeds ADDRESS ...) (key NAME "secret") ...)`.
+fn peer_terms(c: &mut Checker, form: &Form<'_>, folder: &Path) -> Option<PeerTerms> {
+    use violetward_membership::wire::NAME;
+    let several = ["key", "via"];
+    let mut fields: Vec<Form<'_>> = Vec::new();
+    for datum in &form.rest {
+        let Some(field) = c.form(*datum) else { continue };
+        let known = [
+            "listen",
+            "advertise",
+            "name",
+            "site",
+            "seeds",
+            "key",
+            "key-file",
+            "via",
+            "period",
+            "most",
+            "widest",
+            "widen",
+        ];
+        if !known.contains(&field.name.as_str()) {
+            c.at(&field, format!("{} is not known in membership; known: {}", field.name, known.join(", ")));
+        } else if !several.contains(&field.name.as_str()) && fields.iter().any(|f| f.name == field.name) {
+            c.at(&field, format!("{} stands twice", field.name));
+        }
+        fields.push(field);
+    }
+    let get = |name: &str| fields.iter().find(|f| f.name == name).cloned();
+    let what = "an address and port such as \"10.0.0.4:7946\"";
+    let address = |c: &mut Checker, form: &Form<'_>, word: &str| -> Option<SocketAddr> {
+        let parsed = word.parse().ok();
+        if parsed.is_none() {
+            c.at(form, format!("{}: expected {what}, found {word}", form.name));
+        }
+        parsed
+    };
+    let one = |c: &mut Checker, name: &str| {
+        let form = get(name)?;
+        let word = c.word(&form, what)?;
+        address(c, &form, &word)
+    };
+    let (listen, advertise) = (one(c, "listen"), one(c, "advertise"));
+    let name = |c: &mut Checker, field: &str, default: Option<&str>| {
+        let word = match get(field) {
+            Some(form) => c.word(&form, "a name").filter(|word| {
+                let fits = (1..=NAME).contains(&word.len());
+                if !fits {
+                    c.at(&form, format!("{field}: expected 1 to {NAME} octets"));
+                }
+                fits
+            }),
+            None => default.map(str::to_owned),
+        };
+        if word.is_none() && get(field).is_none() {
+            c.at(form, format!("membership needs ({field} ...)"));
+        }
+        word
+    };
+    let (own, site) = (name(c, "name", None), name(c, "site", Some("default")));
+    let mut seeds = Vec::new();
+    if let Some(form) = get("seeds") {
+        for word in c.words(&form) {
+            seeds.extend(address(c, &form, &word));
+        }
+    }
+    let (mut via, mut keys) = (std::collections::BTreeMap::new(), Vec::new());
+    for field in &fields {
+        let words = if several.contains(&field.name.as_str()) { c.words(field) } else { continue };
+        match (field.name.as_str(), words.as_slice()) {
+            ("via", [name, to]) => via.extend(address(c, field, to).map(|to| (name.clone(), to))),
+            ("key", [name, secret]) => keys
+                .push(violetward_membership::Key { name: name.clone(), secret: secret.clone().into_bytes() }),
+            _ => c.at(
+                field,
+                format!("expected (key NAME \"secret\") or (via NAME ADDRESS), found ({} ...)", field.name),
+            ),
+        }
+    }
+    let file = get("key-file").and_then(|form| Some((c.word(&form, "a path")?, form)));
+    let key_file = file.as_ref().map(|(path, _)| folder.join(path));
+    let ring = match &file {
+        Some((path, form)) => {
+            if !keys.is_empty() {
+                c.at(form, "key-file and key: expected one of them");
+            }
+            let read = std::fs::read_to_string(folder.join(path))
+                .map_err(|e| e.to_string())
+                .and_then(|t| read_ring(&t));
+            read.map_err(|why| c.at(form, format!("key-file {path}: {why}"))).ok()
+        }
+        None => violetward_membership::Keys::new(keys)
+            .map_err(|why| c.at(form, format!("membership: {why}")))
+            .ok(),
+    };
+    let period = get("period").and_then(|f| c.span(&f)).unwrap_or(Duration::from_millis(500));
+    if period < Duration::from_millis(20) {
+        c.at(form, "membership: period must be at least \"20ms\"");
+    }
+    let most = get("most").and_then(|f| c.whole(&f, 2, 100_000)).unwrap_or(4_096) as usize;
+    let widest = get("widest").and_then(|f| c.number(&f, 1.0, 10.0)).unwrap_or(2.0);
+    let widen = get("widen").and_then(|f| c.number(&f, 0.001, 10.0)).unwrap_or(0.1);
+    if listen.is_none() && get("listen").is_none() {
+        c.at(form, "membership needs (listen ADDRESS)");
+    }
+    let (listen, name, site, keys) = (listen?, own?, site?, ring?);
+    if advertise.is_none() && listen.ip().is_unspecified() {
+        c.at(
+            form,
+            "membership: (advertise ADDRESS) must tell where others reach a listener on all addresses",
+        );
+    }
+    Some(PeerTerms { listen, advertise, name, site, seeds, via, keys, key_file, period, most, widest, widen })
+}
+
 /// Sessions that live on one engine.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct SessionTerms {
@@ -54,20 +211,23 @@
 /// # Errors
 /// What is wrong, with its place.
 pub fn read_keys(text: &str) -> Result<violetward_session::token::Keys, String> {
+    let keys = named_secrets(text)?;
+    let key = |(name, secret): (String, String)| violetward_session::token::Key {
+        name,
+        secret: secret.into_bytes(),
+    };
+    violetward_session::token::Keys::new(keys.into_iter().map(key).collect())
+}
+
+/// The forms `(key NAME "secret")` of a file.
+fn named_secrets(text: &str) -> Result<Vec<(String, String)>, String> {
     let data = forms::read(text).map_err(|m| m.to_string())?;
     let mut c = Checker::default();
-    let mut keys = Vec::new();
-    for datum in &data {
-        let Some(form) = c.form(datum.as_ref()).filter(|f| f.name == "key") else {
-            return Err("expected (key NAME \"secret\")".into());
-        };
-        let words = c.words(&form);
-        let [name, secret] = words.as_slice() else {
-            return Err("expected (key NAME \"secret\")".into());
-        };
-        keys.push(violetward_session::token::Key { name: name.clone(), secret: secret.clone().into_bytes() });
-    }
-    violetward_session::token::Keys::new(keys)
+    let each = |datum: &lexpr::Datum| {
+        let form = c.form(datum.as_ref()).filter(|f| f.name == "key")?;
+        <[String; 2]>::try_from(c.words(&form)).ok().map(|[name, secret]| (name, secret))
+    };
+    data.iter().map(each).collect::<Option<_>>().ok_or_else(|| "expected (key NAME \"secret\")".into())
 }
 
 fn session_terms(c: &mut Checker, form: Option<&Form<'_>>, folder: &Path) -> SessionTerms {
@@ -195,9 +355,10 @@
     pub first_words: Vec<String>,
 }
 
-const SECTIONS: [&str; 10] = [
+const SECTIONS: [&str; 11] = [
     "gateway",
     "dns",
+    "membership",
     "kernel",
     "sessions",
     "limits",
@@ -294,6 +455,7 @@
     let engines = g.need(c, "engines").cloned().and_then(|f| c.word(&f, "the path of the engine list"));
 
     let zone_front = section("dns").and_then(|form| zone_front(c, form, &origin));
+    let peers = section("membership").and_then(|form| peer_terms(c, form, folder));
     let kernel = section("kernel").and_then(|form| {
         let f = c.fields(form, 0, &["connection-file", "user", "rows"]);
         let file = f.need(c, "connection-file").cloned().and_then(|f| c.word(&f, "a path"))?;
@@ -365,6 +527,7 @@
         origin,
         zone_front,
         kernel,
+        peers,
         sessions,
         host,
         selection,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -221,6 +221,7 @@
     names: Names,
     selection: Selection,
     classes: Vec<Class>,
+    offered: Vec<f64>,
     grants: bool,
     priorities: bool,
     /// Who this is, for the keys of repeats.
@@ -258,6 +259,7 @@
         });
         Core {
             sessions: Sessions::new(terms.limits.clone(), terms.reserve, keys, life, 0),
+            offered: vec![0.0; settings.classes.len()],
             classes: settings.classes.clone(),
             grants: settings.grants,
             priorities: settings.priorities,
@@ -624,6 +626,7 @@
             pin: s.member.as_ref().and_then(|m| m.pin()),
             due: s.due.saturating_sub(margin),
         };
+        self.offered[s.class] += request.cost as f64 / 1e3;
         self.inbox.push_back(Event::Request(request));
     }
 
@@ -857,6 +860,18 @@
 
     // ---- Time ------------------------------------------------------------------------------------------
 
+    /// This gateway's part of the fleet, as its membership has it.
+    pub fn share(&mut self, now: Micros, part: f64) {
+        self.pass(now);
+        self.inbox.push_back(Event::Share(part));
+        self.run();
+    }
+
+    /// Work asked for since the start by class, in core milliseconds by the estimates that came along.
+    pub fn offered(&self) -> &[f64] {
+        &self.offered
+    }
+
     /// Time has passed.
     pub fn wake(&mut self, now: Micros) {
         self.pass(now);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -134,6 +134,7 @@
             ("POST", STATEMENT) => Some(self.post(message)),
             ("GET", "/v1/info") => Some(self.info()),
             ("GET", "/v1/status") => Some(self.status()),
+            ("GET", "/v1/members") => Some(self.members()),
             ("GET" | "DELETE", _) => match self.find(path) {
                 Some((id, page)) if method == "GET" => self.poll(message, query, id, &page, connection).await,
                 Some((id, _)) => {
@@ -268,6 +269,15 @@
         }))
     }
 
+    fn members(&self) -> Reply {
+        match &*self.host.peers.borrow() {
+            Some(peers) => Reply::json(&serde_json::to_value(peers.view()).unwrap_or_default()),
+            None => {
+                Reply::text(404, "this gateway knows of no others: its configuration has no (membership ...)")
+            }
+        }
+    }
+
     fn status(&self) -> Reply {
         let (open, held, counts) = self.host.look(|core| (core.open(), core.held(), core.counts));
         let node = NodeStatus {
@@ -283,6 +293,15 @@
             "cancelled": counts.cancelled, "abandoned": counts.abandoned, "attempts": counts.attempts,
             "overdue": counts.overdue,
         });
+        if let Some(peers) = &*self.host.peers.borrow() {
+            let view = peers.view();
+            let count = |state: &str| view.members.iter().filter(|m| m.state == state).count();
+            value["membership"] = serde_json::json!({
+                "name": view.name, "standing": view.standing, "share": view.share,
+                "alive": count("alive"), "suspect": count("suspect"), "dead": count("dead"), "left": count("left"),
+                "sent": view.sent, "taken": view.taken, "refused": view.refused, "paused": view.paused,
+            });
+        }
         Reply::json(&value)
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,6 +16,7 @@
 use crate::config::Config;
 use crate::core::{AttemptId, Core, Effect, StatementId};
 use crate::engine;
+use crate::peers::Peers;
 
 /// Sessions that may wait to be freed.
 const RELEASES_WAITING: usize = 10_000;
@@ -32,7 +33,9 @@
     pub config: Config,
     /// This process's name; another one at every start.
     pub life: String,
-    clock: Clock,
+    pub(crate) clock: Clock,
+    /// The other gateways, where this one knows of them.
+    pub(crate) peers: RefCell<Option<Rc<Peers>>>,
     core: RefCell<Core>,
     executor: Rc<LocalExecutor<'static>>,
     attempts: RefCell<HashMap<AttemptId, Reins>>,
@@ -56,6 +59,7 @@
             config,
             life,
             clock: Clock::new(),
+            peers: RefCell::default(),
             executor,
             attempts: RefCell::default(),
             pollers: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Free of I/O and clock: [`core`], [`config`], [`list`], [`forms`]. What moves bytes: [`host`] (the core's
 //! effects, timers, probes), [`engine`] (one attempt on one engine), [`front`] (the statement API), [`notebook`]
 //! (a notebook kernel), [`watch`] (the
-//! engine list's file); [`service`] ties them together.
+//! engine list's file), [`peers`] (datagrams among gateways); [`service`] ties them together.
 
 pub mod config;
 pub mod core;
@@ -14,6 +14,7 @@
 pub mod list;
 pub mod membership;
 pub mod notebook;
+pub mod peers;
 pub mod service;
 pub mod sessions;
 pub mod updates;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -8,7 +8,7 @@
 use violetward_dns::master;
 use violetward_dns::name::Name;
 use violetward_dns::zone::{Change, Zone};
-use violetward_gateway::{config, service, watch};
+use violetward_gateway::{config, peers, service, watch};
 
 /// A workload manager for analytic engines: it admits statements, sends each to an engine that can answer it in time,
 /// and refuses at once what none could. Clients speak the public statement protocol of Trino to it.
@@ -57,6 +57,14 @@
         #[arg(long, env = "PROXY_LISTEN")]
         listen: Option<std::net::SocketAddr>,
     },
+    /// Show the gateways that the one at ADDRESS knows of, as a table.
+    Members {
+        /// Where that gateway takes statements.
+        address: std::net::SocketAddr,
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Look at zone files that list engines.
     Zone {
         #[command(subcommand)]
@@ -170,6 +178,18 @@
     }
 }
 
+fn members(address: std::net::SocketAddr, json: bool) -> ExitCode {
+    match futures_lite::future::block_on(peers::ask(address)) {
+        Ok(view) if json => println!("{}", serde_json::to_string_pretty(&view).unwrap_or_default()),
+        Ok(view) => println!("{view}"),
+        Err(why) => {
+            eprintln!("violetward: {address}: {why}");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let filter = tracing_subscriber::EnvFilter::new(&cli.log_level);
@@ -183,6 +203,7 @@
         Command::Serve { file, .. } | Command::Check { file } => file,
         Command::Platform { config, listen } => return platform(config, *listen),
         Command::Zone { what } => return zone(what),
+        Command::Members { address, json } => return members(*address, *json),
     };
     let config = match config::load(file) {
         Ok(config) => config,
@@ -199,6 +220,7 @@
         }
         Command::Platform { config, listen } => platform(&config, listen),
         Command::Zone { what } => zone(&what),
+        Command::Members { address, json } => members(address, json),
         Command::Serve { address_file, .. } => match service::serve(config, address_file.as_deref()) {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,313 @@
+//! Moves the datagrams of membership, and passes on what follows from them: this gateway's share to its core, changes to
+//! the log. Decides nothing.
+
+use std::cell::RefCell;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Async;
+use futures_lite::future;
+use serde::{Deserialize, Serialize};
+use violetward_membership::{Change, Demand, Effect, Link, Membership, Standing, State, Terms};
+use violetward_net::{Alarm, Connection};
+use violetward_statement::http::{Headers, Limits};
+
+use crate::config::{read_ring, PeerTerms};
+use crate::host::Host;
+use crate::watch;
+
+/// Over how long what clients ask for is averaged, and how often that is told.
+const AVERAGE: (Duration, Duration) = (Duration::from_secs(5), Duration::from_millis(500));
+/// How long `violetward members` waits.
+const ASK: Duration = Duration::from_secs(2);
+/// Octets read at once: one more than any good datagram tells a longer one.
+const READ: usize = violetward_membership::wire::DATAGRAM + 1;
+
+/// The other gateways, as this one knows them.
+pub struct Peers {
+    membership: RefCell<Membership>,
+    socket: Async<UdpSocket>,
+    alarm: Alarm,
+}
+
+/// A member, as `/v1/members` tells it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct MemberRow {
+    /// Its name.
+    pub name: String,
+    /// Its site.
+    pub site: String,
+    /// Where it takes datagrams.
+    pub address: String,
+    /// `alive`, `suspect`, `dead` or `left`.
+    pub state: String,
+    /// Its incarnation.
+    pub incarnation: u32,
+    /// Since when, microseconds since the Unix epoch.
+    pub since: u64,
+    /// `good`, `outbound` or `inbound`: which way is cut.
+    pub link: String,
+    /// Work that its clients ask for, core milliseconds a second.
+    pub demand: f64,
+}
+
+/// What `/v1/members` tells.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct View {
+    /// This gateway's own name and how it stands with the others.
+    pub name: String,
+    /// See `name`.
+    pub standing: String,
+    /// Its part of the fleet.
+    pub share: f64,
+    /// Its own work asked for, core milliseconds a second.
+    pub demand: f64,
+    /// All others that are remembered.
+    pub members: Vec<MemberRow>,
+    /// Datagrams and octets sent and taken, and datagrams refused: unreadable, oversized, of an unknown key, forged, replayed,
+    /// unproved.
+    pub sent: (u64, u64),
+    /// See `sent`.
+    pub taken: (u64, u64),
+    /// See `sent`.
+    pub refused: [u64; 6],
+    /// Pauses of this process that were noticed, suspicions raised, deaths declared, own refutations.
+    pub paused: u64,
+    /// See `paused`.
+    pub suspected: u64,
+    /// See `paused`.
+    pub declared: u64,
+    /// See `paused`.
+    pub refuted: u64,
+}
+
+fn word(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Dead => "dead",
+        State::Left => "left",
+    }
+}
+
+fn link_word(link: Link) -> &'static str {
+    match link {
+        Link::Good => "good",
+        Link::Outbound => "outbound",
+        Link::Inbound => "inbound",
+    }
+}
+
+impl Peers {
+    /// Starts the tasks of membership; they run as long as the host's executor does.
+    ///
+    /// # Errors
+    /// If it cannot listen.
+    pub fn start(host: &Rc<Host>, terms: &PeerTerms) -> std::io::Result<Rc<Peers>> {
+        let socket = Async::<UdpSocket>::bind(terms.listen)?;
+        let address = match terms.advertise {
+            Some(address) => address,
+            None => socket.get_ref().local_addr()?,
+        };
+        let known = Terms {
+            name: terms.name.clone(),
+            site: terms.site.clone(),
+            address,
+            seeds: terms.seeds.clone(),
+            via: terms.via.clone(),
+            keys: terms.keys.clone(),
+            period: terms.period.as_micros() as u64,
+            most: terms.most,
+            fleet: host.config.settings.gateways,
+            widest: terms.widest,
+            widen: terms.widen,
+            plain: false,
+        };
+        tracing::info!(name = terms.name, site = terms.site, %address, "membership");
+        let membership = RefCell::new(Membership::new(known, rand::random(), host.now()));
+        let peers = Rc::new(Peers { membership, socket, alarm: Alarm::default() });
+        host.spawn(peers.clone().read(host.clone()));
+        host.spawn(peers.clone().wake(host.clone()));
+        host.spawn(peers.clone().demand(host.clone()));
+        if let Some(file) = terms.key_file.clone() {
+            let of = peers.clone();
+            let take = move |text: &str| read_ring(text).map(|keys| of.membership.borrow_mut().keys(keys));
+            host.spawn(watch::keys(file, host.config.host.list_every, take));
+        }
+        Ok(peers)
+    }
+
+    fn with<T>(&self, host: &Rc<Host>, act: impl FnOnce(&mut Membership, u64) -> T) -> T {
+        let result = act(&mut self.membership.borrow_mut(), host.now());
+        loop {
+            let effect = self.membership.borrow_mut().effect();
+            match effect {
+                Some(effect) => self.carry_out(host, effect),
+                None => break,
+            }
+        }
+        self.alarm.set(Some(self.membership.borrow().next_wake()));
+        result
+    }
+
+    fn carry_out(&self, host: &Rc<Host>, effect: Effect) {
+        match effect {
+            // A full buffer, or a port that nobody listens on, is a datagram lost: the protocol bears that.
+            Effect::Send(to, bytes) => drop(self.socket.get_ref().send_to(&bytes, to)),
+            Effect::Share(part) => {
+                tracing::debug!(part, "share of the fleet");
+                host.core(|core, now| core.share(now, part));
+            }
+            Effect::Told(change) => {
+                let at = host.now();
+                match change {
+                    Change::Member { name, was, state, incarnation } => {
+                        let was = was.map_or("unknown", word);
+                        let state = word(state);
+                        tracing::info!(member = name, was, state, incarnation, at, "member");
+                    }
+                    Change::Standing(standing) => tracing::info!(standing = standing.word(), at, "standing"),
+                    Change::Paused(span) => tracing::warn!(ms = span / 1000, at, "this process stood still"),
+                    Change::Link(name, link) => {
+                        tracing::info!(member = name, link = link_word(link), at, "link")
+                    }
+                    Change::Rival(address) => {
+                        tracing::error!(%address, at, "another process has this one's name");
+                    }
+                }
+            }
+        }
+    }
+
+    async fn read(self: Rc<Self>, host: Rc<Host>) {
+        let mut bytes = vec![0; READ];
+        loop {
+            match self.socket.recv_from(&mut bytes).await {
+                Ok((size, from)) => {
+                    // What is due comes first: after a pause it is the wake-up that tells of it, not old datagrams.
+                    if self.membership.borrow().next_wake() <= host.now() {
+                        self.with(&host, Membership::wake);
+                    }
+                    self.with(&host, |m, now| m.datagram(now, from, &bytes[..size]));
+                }
+                // An earlier datagram found nobody: told here by some systems.
+                Err(_) => violetward_net::sleep(Duration::from_millis(1)).await,
+            }
+            // A flood must not keep requests waiting.
+            future::yield_now().await;
+        }
+    }
+
+    async fn wake(self: Rc<Self>, host: Rc<Host>) {
+        loop {
+            self.alarm.wait(&host.clock, || Some(self.membership.borrow().next_wake())).await;
+            self.with(&host, Membership::wake);
+            future::yield_now().await;
+        }
+    }
+
+    async fn demand(self: Rc<Self>, host: Rc<Host>) {
+        let mut before = host.look(|core| core.offered().to_vec());
+        let mut rates = vec![0.0; before.len()];
+        loop {
+            violetward_net::sleep(AVERAGE.1).await;
+            let offered = host.look(|core| core.offered().to_vec());
+            let keep = (-AVERAGE.1.as_secs_f64() / AVERAGE.0.as_secs_f64()).exp();
+            for ((rate, now), was) in rates.iter_mut().zip(&offered).zip(&before) {
+                *rate = *rate * keep + (now - was) / AVERAGE.1.as_secs_f64() * (1.0 - keep);
+            }
+            before = offered;
+            self.membership.borrow_mut().demand(Demand::of(&rates));
+        }
+    }
+
+    /// Says good-bye: others take this one's share at once.
+    pub fn leave(&self, host: &Rc<Host>) {
+        self.with(host, Membership::leave);
+    }
+
+    /// What is known.
+    pub fn view(&self) -> View {
+        let m = self.membership.borrow();
+        let row = |seen: violetward_membership::Seen| MemberRow {
+            name: seen.record.name,
+            site: seen.record.site,
+            address: seen.record.address.to_string(),
+            state: word(seen.record.state).into(),
+            incarnation: seen.record.incarnation,
+            since: seen.since,
+            link: link_word(seen.link).into(),
+            demand: seen.record.demand.total(),
+        };
+        let counts = m.counts;
+        View {
+            name: m.me().name.clone(),
+            standing: Standing::word(m.standing()).into(),
+            share: m.share(),
+            demand: m.me().demand.total(),
+            members: m.view().map(row).collect(),
+            sent: counts.sent,
+            taken: counts.taken,
+            refused: counts.refused,
+            paused: counts.paused,
+            suspected: counts.suspected,
+            declared: counts.declared,
+            refuted: counts.refuted,
+        }
+    }
+}
+
+/// Asks a gateway for its view.
+///
+/// # Errors
+/// What it answers instead, or why it does not.
+pub async fn ask(address: SocketAddr) -> Result<View, String> {
+    let asked = async {
+        let mut connection =
+            Connection::connect(address, Limits::default()).await.map_err(|e| e.to_string())?;
+        let mut headers = Headers::default();
+        headers.push("Host", address.to_string());
+        connection.call("GET", "/v1/members", &headers, b"").await.map_err(|e| e.to_string())
+    };
+    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
+    if message.status() != 200 {
+        return Err(String::from_utf8_lossy(&message.body).trim().to_owned());
+    }
+    serde_json::from_slice(&message.body).map_err(|e| e.to_string())
+}
+
+impl std::fmt::Display for View {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let living = self.members.iter().filter(|m| m.state == "alive" || m.state == "suspect").count();
+        writeln!(
+            f,
+            "{} is {}; {} of {} others live; its part of the fleet is {:.4}",
+            self.name,
+            self.standing,
+            living,
+            self.members.len(),
+            self.share
+        )?;
+        writeln!(
+            f,
+            "{:<20} {:<12} {:<22} {:<8} {:>11} {:<9} {:>10}",
+            "member", "site", "address", "state", "incarnation", "link", "demand"
+        )?;
+        for m in &self.members {
+            writeln!(
+                f,
+                "{:<20} {:<12} {:<22} {:<8} {:>11} {:<9} {:>10.0}",
+                m.name, m.site, m.address, m.state, m.incarnation, m.link, m.demand
+            )?;
+        }
+        let refused: u64 = self.refused.iter().sum();
+        write!(
+            f,
+            "datagrams: {} sent ({} octets), {} taken, {} refused; pauses {}, suspicions {}, deaths declared {}, refutations {}",
+            self.sent.0, self.sent.1, self.taken.0, refused, self.paused, self.suspected, self.declared, self.refuted
+        )
+    }
+}
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -18,6 +18,7 @@
 use crate::host::Host;
 use crate::membership::Membership;
 use crate::notebook::Notebook;
+use crate::peers::Peers;
 use crate::updates::Updates;
 use crate::watch;
 use crate::zonefront::ZoneFront;
@@ -82,11 +83,18 @@
     executor.spawn(host.clone().run_releases()).detach();
     let membership = Rc::new(RefCell::new(Membership::default()));
     executor.spawn(watch::run(host.clone(), membership.clone())).detach();
+    if let Some(terms) = host.config.peers.clone() {
+        *host.peers.borrow_mut() = Some(Peers::start(&host, &terms)?);
+    }
     if let Some((listen, keys)) = host.config.zone_front.clone() {
         ZoneFront::start(host.clone(), membership, Updates::new(keys), listen)?;
     }
     if let Some(path) = host.config.sessions.key_file.clone() {
-        executor.spawn(watch::keys(host.clone(), path)).detach();
+        let (of, every) = (host.clone(), host.config.host.list_every);
+        let take = move |text: &str| {
+            crate::config::read_keys(text).map(|keys| of.core(|core, _| core.set_keys(keys)))
+        };
+        executor.spawn(watch::keys(path, every, take)).detach();
     }
     if let Some(kernel) = host.config.kernel.clone() {
         Notebook::start(host.clone(), address.ip(), kernel)?;
@@ -97,8 +105,10 @@
 }
 
 /// Takes nothing new, and returns once every client has its answer, or has stopped asking, or the time is up.
-pub async fn stop(host: &Host, within: Duration) {
+pub async fn stop(host: &Rc<Host>, within: Duration) {
     host.drain();
+    let peers = host.peers.borrow().clone();
+    peers.iter().for_each(|peers| peers.leave(host));
     let open = host.look(|core| core.open());
     tracing::info!(open, "stopping: no new statements; those taken get their answer");
     let until = Instant::now() + within;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -36,20 +36,22 @@
     }
 }
 
-/// Reads the file of keys whenever it changes. A file that cannot be read or is wrong leaves the old keys. Never ends.
-pub async fn keys(host: Rc<Host>, path: std::path::PathBuf) {
+/// Passes on the text of a file of keys whenever it changes. A file that cannot be read or is wrong leaves the old keys.
+/// Never ends.
+pub async fn keys(
+    path: std::path::PathBuf,
+    every: std::time::Duration,
+    take: impl Fn(&str) -> Result<(), String>,
+) {
     let mut text = std::fs::read_to_string(&path).unwrap_or_default();
     loop {
-        violetward_net::sleep(host.config.host.list_every.max(std::time::Duration::from_millis(100))).await;
+        violetward_net::sleep(every.max(std::time::Duration::from_millis(100))).await;
         let Ok(new) = std::fs::read_to_string(&path) else { continue };
         if new == text {
             continue;
         }
-        match crate::config::read_keys(&new) {
-            Ok(keys) => {
-                tracing::info!(file = %path.display(), "keys of sessions have changed");
-                host.core(|core, _| core.set_keys(keys));
-            }
+        match take(&new) {
+            Ok(()) => tracing::info!(file = %path.display(), "keys have changed"),
             Err(why) => tracing::warn!("{}: {why}; the old keys stand", path.display()),
         }
         text = new;
