--- a/crates/gateway/src/forms.rs
+++ b/crates/gateway/src/forms.rs
@@ -41,6 +41,13 @@
     }
 }
 
+impl<'a> Form<'a> {
+    /// The same form, at the same place, with other arguments.
+    pub fn with(&self, rest: Vec<Ref<'a>>) -> Form<'a> {
+        Form { rest, ..self.clone() }
+    }
+}
+
 /// Collects the mistakes of one file.
 #[derive(Debug, Default)]
 pub struct Checker {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -21,6 +21,9 @@
     /// What is logged: error, warn, info, debug, or a filter such as "info,violetward::module=warn".
     #[arg(long, default_value = "info", global = true)]
     log_level: String,
+    /// End with the process that started this one, even if that is killed outright.
+    #[arg(long, global = true, hide = true)]
+    with_parent: bool,
     #[command(subcommand)]
     command: Command,
 }
@@ -192,6 +195,9 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    if cli.with_parent {
+        rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL)).ok();
+    }
     let filter = tracing_subscriber::EnvFilter::new(&cli.log_level);
     let ansi = std::io::stderr().is_terminal();
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_ansi(ansi).with_writer(std::io::stderr);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -61,6 +61,8 @@
     pub name: String,
     /// See `name`.
     pub standing: String,
+    /// Where it takes datagrams.
+    pub address: String,
     /// Its part of the fleet.
     pub share: f64,
     /// Its own work asked for, core milliseconds a second.
@@ -246,6 +248,7 @@
         View {
             name: m.me().name.clone(),
             standing: Standing::word(m.standing()).into(),
+            address: m.me().address.to_string(),
             share: m.share(),
             demand: m.me().demand.total(),
             members: m.view().map(row).collect(),
--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -134,6 +134,25 @@
     }
 }
 
+/// Runs one through a front: it goes to its gateway, and to another while none has taken the statement.
+pub async fn run_somewhere(
+    addresses: impl Fn() -> Vec<SocketAddr>,
+    pool: impl Fn(SocketAddr) -> Rc<Pool>,
+    ask: &mut Ask,
+) -> Record {
+    let mut record = ask.record.clone();
+    for _ in 0..addresses().len() {
+        // Asked anew each time: a gateway may have started again meanwhile.
+        let all = addresses();
+        record = run(pool(all[ask.record.gateway % all.len()]), ask.clone()).await;
+        if !matches!(record.seen, Seen::NotTaken(_)) {
+            break;
+        }
+        ask.record.gateway = (ask.record.gateway + 1) % all.len();
+    }
+    record
+}
+
 /// Asks and waits for the end.
 pub async fn run(pool: Rc<Pool>, ask: Ask) -> Record {
     let mut record = ask.record.clone();
--- /dev/null
+++ b/crates/lab/src/cluster/check.rs
@@ -0,0 +1,286 @@
+//! What has to hold in a cluster: the seven rules, and what membership promises, from samples of what gateways believe.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use violetward_gateway::peers::View;
+
+use super::plan::{Act, Plan};
+use super::Options;
+use crate::checker::{self, Evidence, Terms, RULES};
+use crate::report::Report;
+
+/// The most that all shares may add up to: the default of the configuration.
+const WIDEST: f64 = 2.0;
+
+/// What a gateway believed at a time.
+#[derive(Debug, Clone)]
+pub struct Sample {
+    /// When it was asked.
+    pub at: u64,
+    /// Which one.
+    pub gateway: usize,
+    /// What it said.
+    pub view: View,
+}
+
+/// What came of a run.
+#[derive(Debug, Clone)]
+pub struct Verdict {
+    /// The table of statements.
+    pub report: Report,
+    /// What did not hold: invariant, seconds from the first sample, which process, and more.
+    pub failed: Option<(String, f64, String, String)>,
+    /// Figures.
+    pub json: serde_json::Value,
+    seed: u64,
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", self.report.line())?;
+        for (name, value) in self.json.as_object().into_iter().flatten() {
+            if name != "worth_by_second" {
+                writeln!(f, "{name}: {value}")?;
+            }
+        }
+        match &self.failed {
+            None => write!(f, "CLUSTER passed"),
+            Some((what, at, who, more)) => {
+                writeln!(f, "{more}")?;
+                write!(f, "CLUSTER failed: {what} at {at:.1} s, {who}, seed {}", self.seed)
+            }
+        }
+    }
+}
+
+/// Checks a run.
+pub fn check(
+    plan: &Plan,
+    options: &Options,
+    evidence: &Evidence,
+    samples: &[Sample],
+    acts: &[(u64, Act)],
+    relayed: [u64; 4],
+) -> Verdict {
+    // Whole processes stand still and share few cores here: scheduling is granted more than on a day of few processes.
+    let terms = Terms { slack: 800_000, list_every: 50_000, ..Terms::default() };
+    let broken = checker::check(evidence, &terms);
+    let start = evidence.records.iter().map(|r| r.posted).min().unwrap_or_default();
+    let seconds = |at: u64| (at as f64 - start as f64) / 1e6;
+    let mut failed: Option<(String, f64, String, String)> = None;
+    let mut fail = |what: &str, at: f64, who: String, more: String| {
+        if failed.as_ref().is_none_or(|f| at < f.1) {
+            failed = Some((what.to_owned(), at, who, more));
+        }
+    };
+    for b in &broken {
+        fail(RULES[b.rule - 1], 0.0, "the gateways".into(), b.text.clone());
+    }
+    let last = acts.iter().map(|a| a.0).max().unwrap_or(start);
+    let mut json = serde_json::Map::new();
+    json.insert("worth".into(), round(Report::new("", "", evidence, vec![]).worth()).into());
+    json.insert("worth_by_second".into(), worth_by_second(evidence, start).into());
+    if !options.even {
+        let shares = shares(plan, evidence, samples);
+        let most = shares.iter().map(|s| s.1).fold(0.0, f64::max);
+        json.insert("most_sum_of_shares".into(), round(most).into());
+        let over = shares.iter().find(|s| s.1 > WIDEST + 0.01);
+        if let Some((at, sum)) = over {
+            fail(
+                "shares",
+                seconds(*at),
+                "all gateways".into(),
+                format!("shares add up to {sum:.2} of {WIDEST}"),
+            );
+        }
+        let within = |s: &&(u64, f64)| (s.1 - 1.0).abs() <= 0.1;
+        if let Some(span) = plan.expect.shares {
+            // When they came within a tenth of one for good.
+            let settled = shares.iter().rev().take_while(within).last().map(|s| s.0.saturating_sub(last));
+            json.insert(
+                "shares_settled_s".into(),
+                settled.map_or(serde_json::Value::Null, |s| round(s as f64 / 1e6).into()),
+            );
+            if settled.is_none_or(|s| s > span.as_micros() as u64) {
+                let sum = shares.last().map_or(0.0, |s| s.1);
+                fail(
+                    "shares settle",
+                    seconds(last),
+                    "all gateways".into(),
+                    format!("they add up to {sum:.3} in the end"),
+                );
+            }
+        }
+        let agreed = agreement(plan, evidence, samples).map(|at| at.saturating_sub(last));
+        json.insert(
+            "agreed_s".into(),
+            agreed.map_or(serde_json::Value::Null, |s| round(s as f64 / 1e6).into()),
+        );
+        if agreed.is_none_or(|s| s > plan.expect.agree.as_micros() as u64) {
+            let views: Vec<String> = ends(plan, samples).into_values().map(|s| s.view.to_string()).collect();
+            fail("agreement", seconds(last), "all gateways".into(), views.join("\n"));
+        }
+        let false_deaths = false_deaths(evidence, samples, acts);
+        json.insert("false_deaths".into(), false_deaths.len().into());
+        if false_deaths.len() > plan.expect.false_deaths {
+            let (at, observer, name) = &false_deaths[plan.expect.false_deaths];
+            fail(
+                "false deaths",
+                seconds(*at),
+                format!("g{observer}"),
+                format!("{name} runs and is taken for dead"),
+            );
+        }
+        for (n, word) in &plan.expect.standing {
+            if !samples.iter().any(|s| s.gateway == *n && s.view.standing == *word) {
+                fail("standing", seconds(last), format!("g{n}"), format!("it was never {word}"));
+            }
+        }
+        for (a, b, word) in &plan.expect.link {
+            let name = format!("g{b}");
+            let seen = samples
+                .iter()
+                .any(|s| s.gateway == *a && s.view.members.iter().any(|m| m.name == name && m.link == *word));
+            if !seen {
+                fail(
+                    "link",
+                    seconds(last),
+                    format!("g{a}"),
+                    format!("it never knew its link to g{b} as {word}"),
+                );
+            }
+        }
+        let ends = ends(plan, samples);
+        let pauses: u64 = ends.values().map(|s| s.view.paused).sum();
+        let refused: u64 = ends.values().map(|s| s.view.refused.iter().sum::<u64>()).sum();
+        if pauses < plan.expect.pauses {
+            fail("pauses", seconds(last), "all gateways".into(), format!("{pauses} were noticed"));
+        }
+        if refused < plan.expect.refused {
+            fail(
+                "refusals",
+                seconds(last),
+                "all gateways".into(),
+                format!("{refused} datagrams were refused"),
+            );
+        }
+        let sent: (u64, u64) = ends.values().fold((0, 0), |a, s| (a.0 + s.view.sent.0, a.1 + s.view.sent.1));
+        json.insert("datagrams_sent".into(), sent.0.into());
+        json.insert("octets_sent".into(), sent.1.into());
+        json.insert("datagrams_refused".into(), refused.into());
+        json.insert("pauses_noticed".into(), pauses.into());
+        json.insert("relayed_lost_copied_spoilt".into(), relayed.to_vec().into());
+    }
+    let policy = if options.even { "even" } else { "members" };
+    let report = Report::new(&plan.name, policy, evidence, broken);
+    Verdict { report, failed, json: json.into(), seed: options.seed }
+}
+
+fn round(x: f64) -> f64 {
+    (x * 1e4).round() / 1e4
+}
+
+/// Worth served over worth asked by the second in which it was asked.
+pub fn worth_by_second(evidence: &Evidence, start: u64) -> Vec<f64> {
+    let mut seconds: Vec<(f64, f64)> = Vec::new();
+    for r in &evidence.records {
+        let at = (r.posted.saturating_sub(start) / 1_000_000) as usize;
+        if seconds.len() <= at {
+            seconds.resize(at + 1, (0.0, 0.0));
+        }
+        seconds[at].0 += r.worth;
+        if r.seen == crate::client::Seen::Served {
+            seconds[at].1 += if r.ended > r.aim { r.worth * r.late_worth } else { r.worth };
+        }
+    }
+    seconds.iter().map(|s| round(s.1 / s.0.max(1e-9))).collect()
+}
+
+/// Whether a gateway's process ran at a time, standing still or not.
+pub fn runs(evidence: &Evidence, gateway: usize, at: u64) -> bool {
+    evidence.lives.iter().any(|l| l.gateway == gateway && l.from <= at && at <= l.to)
+}
+
+/// The sum of the last told shares of all that run, at each sample.
+pub fn shares(plan: &Plan, evidence: &Evidence, samples: &[Sample]) -> Vec<(u64, f64)> {
+    let mut last = vec![0.0; plan.gateways];
+    let mut sums = Vec::new();
+    for sample in samples {
+        last[sample.gateway] = sample.view.share;
+        let sum = (0..plan.gateways).filter(|&n| runs(evidence, n, sample.at)).map(|n| last[n]).sum();
+        sums.push((sample.at, sum));
+    }
+    sums
+}
+
+/// The last sample of each gateway.
+fn ends(plan: &Plan, samples: &[Sample]) -> BTreeMap<usize, Sample> {
+    (0..plan.gateways)
+        .filter_map(|n| samples.iter().rev().find(|s| s.gateway == n).map(|s| (n, s.clone())))
+        .collect()
+}
+
+/// From when on all that run agreed for good on who lives: each of them, and nobody else.
+fn agreement(plan: &Plan, evidence: &Evidence, samples: &[Sample]) -> Option<u64> {
+    let mut last: Vec<Option<&Sample>> = vec![None; plan.gateways];
+    let mut since = None;
+    for sample in samples {
+        last[sample.gateway] = Some(sample);
+        let running: BTreeSet<usize> = (0..plan.gateways).filter(|&n| runs(evidence, n, sample.at)).collect();
+        let right = running.iter().all(|&n| {
+            last[n].is_some_and(|s| {
+                let living: BTreeSet<usize> = s
+                    .view
+                    .members
+                    .iter()
+                    .filter(|m| m.state == "alive" || m.state == "suspect")
+                    .filter_map(|m| m.name.strip_prefix('g')?.parse().ok())
+                    .chain([n])
+                    .collect();
+                s.view.standing == "whole" && living == running
+            })
+        });
+        since = if right { since.or(Some(sample.at)) } else { None };
+    }
+    since
+}
+
+/// Who was taken for dead by whom though it ran, did not stand still and was not cut off just then: each once.
+fn false_deaths(evidence: &Evidence, samples: &[Sample], acts: &[(u64, Act)]) -> Vec<(u64, usize, String)> {
+    // Around cuts and stops nobody can tell: such spans, and what it takes to agree after them, do not count.
+    let unclear = |at: u64| {
+        let mut cut = false;
+        let mut mended = 0;
+        for (when, act) in acts.iter().filter(|a| a.0 <= at) {
+            match act {
+                Act::Cut(..) | Act::Part(_) => cut = true,
+                Act::Heal => (cut, mended) = (false, *when),
+                _ => {}
+            }
+        }
+        cut || (mended > 0 && at < mended + 10_000_000)
+    };
+    let mut found: BTreeMap<(usize, String), u64> = BTreeMap::new();
+    for sample in samples.iter().filter(|s| !unclear(s.at)) {
+        for m in sample.view.members.iter().filter(|m| m.state == "dead") {
+            let Some(n) = m.name.strip_prefix('g').and_then(|n| n.parse::<usize>().ok()) else { continue };
+            // A process that started again is known a while later.
+            let settled = evidence.lives.iter().any(|l| {
+                l.gateway == n && l.from + 10_000_000 <= sample.at && sample.at <= l.to && {
+                    l.stalls.iter().all(|s| sample.at < s.0 || sample.at > s.1 + 10_000_000)
+                }
+            });
+            let awake = evidence
+                .lives
+                .iter()
+                .filter(|l| l.gateway == sample.gateway)
+                .flat_map(|l| &l.stalls)
+                .all(|s| sample.at < s.0 || sample.at > s.1 + 10_000_000);
+            if settled && awake {
+                found.entry((sample.gateway, m.name.clone())).or_insert(sample.at);
+            }
+        }
+    }
+    found.into_iter().map(|((observer, name), at)| (at, observer, name)).collect()
+}
--- /dev/null
+++ b/crates/lab/src/cluster/mod.rs
@@ -0,0 +1,588 @@
+//! Several gateways and engines as processes of their own, with relays and faults between them: `violetward-lab cluster`.
+//!
+//! Each gateway is a process of `violetward`, each engine one of `violetward-standin`; clients, relays and the samples of
+//! what gateways believe are here. What has to hold is checked from what clients and engines wrote down, and from the
+//! samples.
+
+pub mod check;
+pub mod plan;
+pub mod relay;
+pub mod timeline;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::{IsTerminal, Write};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use rustix::process::Signal;
+use violetward_gateway::peers;
+use violetward_membership::wire::{Datagram, Kind};
+use violetward_membership::{Key, Keys};
+use violetward_net::{sleep, Pool};
+use violetward_standin::journal;
+use violetward_standin::server::clock;
+use violetward_statement::http::Limits;
+
+use crate::checker::{Evidence, GatewayLife, ListChange};
+use crate::client::{self, Record};
+use crate::fleet::{self, GatewayPlan, Listed};
+use crate::load::{Draw, Shape};
+use crate::process::{self, Process};
+use check::{Sample, Verdict};
+use plan::{Act, Plan, CALM};
+use relay::{Doors, Way};
+
+/// Between two samples of what a gateway believes.
+const SAMPLE: Duration = Duration::from_millis(200);
+/// How long after the last client the run goes on at the least.
+const SETTLE: Duration = Duration::from_secs(1);
+/// The rig's keys: not secrets.
+const OLD_KEY: &str = "(key old \"the rig's first key\")\n";
+const NEW_KEY: &str = "(key new \"the rig's second key\")\n";
+
+/// How a plan is to be run.
+#[derive(Debug, Clone, Default)]
+pub struct Options {
+    /// Everything drawn is drawn from it.
+    pub seed: u64,
+    /// Where what came of it is written.
+    pub json: Option<PathBuf>,
+    /// Where the files are left.
+    pub keep: Option<PathBuf>,
+    /// Without membership.
+    pub even: bool,
+}
+
+struct Gateway {
+    process: Option<Process>,
+    address: SocketAddr,
+    /// A second process of the same name.
+    twin: Option<Process>,
+}
+
+struct EngineSlot {
+    process: Option<Process>,
+    listed: Listed,
+}
+
+/// A cluster while it runs.
+pub struct Cluster {
+    plan: Plan,
+    options: Options,
+    folder: PathBuf,
+    executor: Rc<LocalExecutor<'static>>,
+    gateways: RefCell<Vec<Gateway>>,
+    engines: RefCell<Vec<EngineSlot>>,
+    doors: Rc<Doors>,
+    ways: RefCell<Vec<Vec<Rc<Way>>>>,
+    lives: RefCell<Vec<GatewayLife>>,
+    changes: RefCell<Vec<ListChange>>,
+    samples: RefCell<Vec<Sample>>,
+    acts: RefCell<Vec<(u64, Act)>>,
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    over: Cell<bool>,
+}
+
+/// Runs `list`, a built-in plan or a file; says what came of it. False if something did not hold.
+///
+/// # Errors
+/// If the plan can't be read, or a process does not start.
+pub fn command(name: &str, options: &Options) -> std::io::Result<bool> {
+    if name == "list" {
+        plan::BUILT_IN.iter().for_each(|(name, what, _)| println!("{name:<14} {what}"));
+        return Ok(true);
+    }
+    let plan = plan::find(name).map_err(std::io::Error::other)?;
+    let verdict = run(&plan, options)?;
+    if let Some(file) = &options.json {
+        std::fs::write(file, serde_json::to_string_pretty(&verdict.json)?)?;
+    }
+    println!("{verdict}");
+    Ok(verdict.failed.is_none())
+}
+
+/// Runs a plan and checks it.
+///
+/// # Errors
+/// If a process does not start or a file cannot be written.
+pub fn run(plan: &Plan, options: &Options) -> std::io::Result<Verdict> {
+    let folder = match &options.keep {
+        Some(folder) => folder.clone(),
+        None => crate::demo::scratch(&format!("cluster-{}", clock()))?,
+    };
+    std::fs::create_dir_all(folder.join("storage"))?;
+    let executor = Rc::new(LocalExecutor::new());
+    let doors = Doors::open(plan.gateways, options.seed, &executor)?;
+    let cluster = Rc::new(Cluster {
+        plan: plan.clone(),
+        options: options.clone(),
+        folder: folder.clone(),
+        executor: executor.clone(),
+        gateways: RefCell::default(),
+        engines: RefCell::default(),
+        doors,
+        ways: RefCell::default(),
+        lives: RefCell::default(),
+        changes: RefCell::default(),
+        samples: RefCell::default(),
+        acts: RefCell::default(),
+        pools: RefCell::default(),
+        over: Cell::new(false),
+    });
+    let records = async_io::block_on(executor.run(cluster.clone().live()));
+    let verdict = match records {
+        Ok(records) => {
+            std::thread::sleep(Duration::from_millis(200));
+            let evidence = cluster.evidence(records)?;
+            let verdict = check::check(
+                plan,
+                options,
+                &evidence,
+                &cluster.samples.borrow(),
+                &cluster.acts.borrow(),
+                cluster.doors.counts.get(),
+            );
+            if options.keep.is_some() {
+                let svg = timeline::draw(plan, &evidence, &cluster.samples.borrow(), &cluster.acts.borrow());
+                std::fs::write(folder.join("timeline.svg"), svg)?;
+            }
+            Ok(verdict)
+        }
+        Err(e) => Err(e),
+    };
+    // Tasks that still run hold the cluster: its processes are ended by hand.
+    cluster.gateways.borrow_mut().clear();
+    cluster.engines.borrow_mut().clear();
+    if options.keep.is_none() {
+        std::fs::remove_dir_all(&folder).ok();
+    }
+    verdict
+}
+
+impl Cluster {
+    async fn live(self: Rc<Self>) -> std::io::Result<Vec<Record>> {
+        for n in 0..self.plan.engines {
+            let slot = self.start_engine(n, false)?;
+            self.engines.borrow_mut().push(slot);
+        }
+        for number in 0..self.plan.gateways {
+            let row: std::io::Result<Vec<_>> =
+                self.engines.borrow().iter().map(|e| Way::open(e.listed.address, &self.executor)).collect();
+            self.ways.borrow_mut().push(row?);
+            std::fs::write(self.folder.join(format!("keys{number}.lisp")), OLD_KEY)?;
+        }
+        self.publish()?;
+        for number in 0..self.plan.gateways {
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let (process, address) = self.start_gateway(number, any)?;
+            self.gateways.borrow_mut().push(Gateway { process: Some(process), address, twin: None });
+        }
+        for number in 0..self.plan.gateways {
+            self.lead_to(number).await;
+            self.executor.spawn(self.clone().sample(number)).detach();
+        }
+        sleep(Duration::from_millis(400)).await;
+        let start = Instant::now();
+        for (at, act) in self.plan.acts.clone() {
+            let cluster = self.clone();
+            self.executor
+                .spawn(async move {
+                    sleep(at).await;
+                    cluster.acts.borrow_mut().push((clock(), act.clone()));
+                    cluster.play(act).await;
+                })
+                .detach();
+        }
+        let records = self.clone().clients(start).await;
+        // What is expected within a span of the last act needs that long.
+        let last = self.plan.acts.last().map_or(Duration::ZERO, |a| a.0);
+        let expect = &self.plan.expect;
+        let until = last + expect.agree.max(expect.shares.unwrap_or_default()) + SETTLE;
+        while start.elapsed() < until {
+            sleep(Duration::from_millis(50)).await;
+        }
+        self.over.set(true);
+        sleep(SAMPLE).await;
+        Ok(records)
+    }
+
+    async fn clients(self: Rc<Self>, start: Instant) -> Vec<Record> {
+        let cores: f64 = (0..self.plan.engines).map(cores).sum();
+        let rate = self.plan.load * cores / Draw::mean_work();
+        let mut draw =
+            Draw::new(self.options.seed, rate, self.plan.gateways, &format!("c{}", self.options.seed));
+        let (mut clients, mut next, mut shown) = (Vec::new(), Duration::ZERO, Instant::now());
+        let shape = Shape::default();
+        while next < self.plan.span {
+            next += draw.pause(&shape);
+            let now = start.elapsed();
+            if next > now {
+                sleep(next - now).await;
+            }
+            let (cluster, mut ask) = (self.clone(), draw.next(&shape));
+            clients.push(self.executor.spawn(async move {
+                let addresses = || cluster.gateways.borrow().iter().map(|g| g.address).collect::<Vec<_>>();
+                client::run_somewhere(addresses, |address| cluster.pool(address), &mut ask).await
+            }));
+            if shown.elapsed() > Duration::from_millis(200) {
+                shown = Instant::now();
+                self.progress(start.elapsed());
+            }
+        }
+        let mut records = Vec::new();
+        for client in clients {
+            records.push(client.await);
+        }
+        if std::io::stderr().is_terminal() {
+            eprintln!();
+        }
+        records
+    }
+
+    /// A bar on a terminal, and nothing elsewhere.
+    fn progress(&self, now: Duration) {
+        let mut err = std::io::stderr();
+        if err.is_terminal() {
+            let part = (now.as_secs_f64() / self.plan.span.as_secs_f64()).min(1.0);
+            let full = (part * 40.0) as usize;
+            let line = format!(
+                "\r{} [{}{}] {:3.0}%",
+                self.plan.name,
+                "#".repeat(full),
+                " ".repeat(40 - full),
+                part * 100.0
+            );
+            err.write_all(line.as_bytes()).ok();
+        }
+    }
+
+    fn pool(&self, address: SocketAddr) -> Rc<Pool> {
+        let limits = Limits { body: 64 << 20, ..Limits::default() };
+        let mut pools = self.pools.borrow_mut();
+        pools.entry(address).or_insert_with(|| Rc::new(Pool::new(address, limits, 256))).clone()
+    }
+
+    // ---- Processes -------------------------------------------------------------------------------------
+
+    fn start_engine(&self, n: usize, cold: bool) -> std::io::Result<EngineSlot> {
+        let name = format!("e{n}");
+        let file = self.folder.join(format!("{name}.address"));
+        std::fs::remove_file(&file).ok();
+        let path = |p: PathBuf| p.display().to_string();
+        let kind = if cores(n) < 8.0 { "m4" } else { "m8" };
+        let mut arguments: Vec<String> = vec!["--name".into(), name.clone(), "--kind".into(), kind.into()];
+        arguments.extend([
+            "--cores".into(),
+            cores(n).to_string(),
+            "--memory".into(),
+            (cores(n) * 2048.0).to_string(),
+        ]);
+        arguments.extend(["--listen".into(), "127.0.0.1:0".into(), "--cold-span-ms".into(), "8000".into()]);
+        arguments.extend(["--journal".into(), path(self.folder.join(format!("{name}.jsonl")))]);
+        arguments.extend(["--storage".into(), path(self.folder.join("storage"))]);
+        arguments.extend(["--address-file".into(), path(file.clone())]);
+        if cold {
+            arguments.push("--cold".into());
+        }
+        let process =
+            Process::beside("violetward-standin", &arguments, &self.folder.join(format!("{name}.log")))?;
+        let address = process::address_from(&file)?;
+        let came_up = if cold { clock() } else { 0 };
+        Ok(EngineSlot {
+            process: Some(process),
+            listed: Listed { name, address, kind: kind.into(), came_up, state: "up" },
+        })
+    }
+
+    /// The list as each gateway has it: its own ways to the engines.
+    fn publish(&self) -> std::io::Result<()> {
+        let engines = self.engines.borrow();
+        for (number, ways) in self.ways.borrow().iter().enumerate() {
+            let listed: Vec<Listed> = engines
+                .iter()
+                .zip(ways)
+                .filter(|(e, _)| e.process.is_some())
+                .map(|(e, way)| Listed { address: way.address, ..e.listed.clone() })
+                .collect();
+            fleet::write_list(&self.folder.join(format!("engines{number}.lisp")), &listed)?;
+        }
+        let (at, mut changes) = (clock(), self.changes.borrow_mut());
+        for engine in engines.iter() {
+            let state = if engine.process.is_some() { "up" } else { "removed" };
+            let name = engine.listed.name.clone();
+            if changes.iter().rev().find(|c| c.engine == name).map(|c| c.state) != Some(state) {
+                changes.push(ListChange { at, engine: name, state });
+            }
+        }
+        Ok(())
+    }
+
+    fn start_gateway(&self, number: usize, listen: SocketAddr) -> std::io::Result<(Process, SocketAddr)> {
+        self.start_process(number, listen, &format!("g{number}"))
+    }
+
+    fn start_process(
+        &self,
+        number: usize,
+        listen: SocketAddr,
+        stem: &str,
+    ) -> std::io::Result<(Process, SocketAddr)> {
+        let mut more = "(limits (abandon-after \"15s\") (keep-ended \"10s\"))\n".to_owned();
+        if !self.options.even {
+            let others = || (0..self.plan.gateways).filter(|&n| n != number);
+            let mut words = [String::new(), String::new()];
+            for other in others() {
+                let door = self.doors.address(number, other)?;
+                words[0] += &format!(" \"{door}\"");
+                words[1] += &format!("\n  (via g{other} \"{door}\")");
+            }
+            let seeds = if words[0].is_empty() { String::new() } else { format!("(seeds{})", words[0]) };
+            more += &format!(
+                "(membership (listen \"127.0.0.1:0\") (name g{number}) (site s{}) {seeds}\n  (key-file \"keys{number}.lisp\") (period \"{}ms\") (widen 0.25){})\n",
+                number % self.plan.sites,
+                self.plan.period.as_millis(),
+                words[1]
+            );
+        }
+        let engines = self.folder.join(format!("engines{number}.lisp"));
+        let plan = GatewayPlan { number, of: self.plan.gateways, listen: listen.to_string(), engines, more };
+        let file = self.folder.join(format!("{stem}.lisp"));
+        std::fs::write(&file, fleet::configuration(&plan))?;
+        let ready = self.folder.join(format!("{stem}.address"));
+        std::fs::remove_file(&ready).ok();
+        let arguments: Vec<String> = vec![
+            "--log".into(),
+            "json".into(),
+            "serve".into(),
+            file.display().to_string(),
+            "--address-file".into(),
+            ready.display().to_string(),
+        ];
+        let process = Process::beside("violetward", &arguments, &self.folder.join(format!("{stem}.log")))?;
+        let address = process::address_from(&ready)?;
+        if stem == format!("g{number}") {
+            self.lives.borrow_mut().push(GatewayLife {
+                gateway: number,
+                from: clock(),
+                to: u64::MAX,
+                stalls: vec![],
+            });
+        }
+        Ok((process, address))
+    }
+
+    /// Leads the doors to where a gateway takes datagrams.
+    async fn lead_to(&self, number: usize) {
+        if self.options.even {
+            return;
+        }
+        let address = self.gateways.borrow()[number].address;
+        for _ in 0..40 {
+            if let Ok(view) = peers::ask(address).await {
+                self.doors.lead_to(number, view.address.parse().ok());
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    fn end_life(&self, number: usize) {
+        if let Some(life) =
+            self.lives.borrow_mut().iter_mut().rev().find(|l| l.gateway == number && l.to == u64::MAX)
+        {
+            life.to = clock();
+        }
+    }
+
+    /// Asks a gateway what it believes, again and again.
+    async fn sample(self: Rc<Self>, number: usize) {
+        while !self.over.get() {
+            let address = {
+                let gateways = self.gateways.borrow();
+                gateways[number].process.as_ref().map(|_| gateways[number].address)
+            };
+            if let Some(address) = address.filter(|_| !self.options.even) {
+                let at = clock();
+                if let Ok(view) = peers::ask(address).await {
+                    self.samples.borrow_mut().push(Sample { at, gateway: number, view });
+                }
+            }
+            sleep(SAMPLE).await;
+        }
+    }
+
+    // ---- Acts ------------------------------------------------------------------------------------------
+
+    async fn play(self: Rc<Self>, act: Act) {
+        match act {
+            Act::Kill(all) => {
+                for n in all {
+                    let process = self.gateways.borrow_mut()[n].process.take();
+                    self.doors.lead_to(n, None);
+                    if let Some(mut process) = process {
+                        process.kill();
+                        self.end_life(n);
+                    }
+                }
+            }
+            Act::Start(all) => {
+                for n in all {
+                    let address = {
+                        let gateways = self.gateways.borrow();
+                        gateways[n].process.is_none().then_some(gateways[n].address)
+                    };
+                    let Some(address) = address else { continue };
+                    for _ in 0..40 {
+                        // The address may still be held for a moment by connections that end.
+                        if let Ok((process, _)) = self.start_gateway(n, address) {
+                            self.gateways.borrow_mut()[n].process = Some(process);
+                            break;
+                        }
+                        sleep(Duration::from_millis(100)).await;
+                    }
+                    self.lead_to(n).await;
+                }
+            }
+            Act::Term(all) => {
+                for n in all {
+                    let Some(mut process) = self.gateways.borrow_mut()[n].process.take() else { continue };
+                    process.signal(Signal::TERM);
+                    let start = Instant::now();
+                    while !process.has_ended() && start.elapsed() < Duration::from_secs(20) {
+                        sleep(Duration::from_millis(20)).await;
+                    }
+                    self.doors.lead_to(n, None);
+                    self.end_life(n);
+                }
+            }
+            Act::Stop(all, span) => {
+                let from = clock();
+                let signal = |signal| {
+                    let gateways = self.gateways.borrow();
+                    all.iter().filter_map(|&n| gateways[n].process.as_ref()).for_each(|p| p.signal(signal));
+                };
+                signal(Signal::STOP);
+                sleep(span).await;
+                signal(Signal::CONT);
+                let mut lives = self.lives.borrow_mut();
+                for life in lives.iter_mut().filter(|l| l.to == u64::MAX && all.contains(&l.gateway)) {
+                    life.stalls.push((from, clock()));
+                }
+            }
+            Act::Cut(from, to) => {
+                from.iter()
+                    .for_each(|&a| to.iter().filter(|&&b| b != a).for_each(|&b| self.doors.cut(a, b, true)));
+            }
+            Act::Part(groups) => {
+                self.doors.heal();
+                let group = |n: usize| groups.iter().position(|g| g.contains(&n));
+                for a in 0..self.plan.gateways {
+                    for b in (0..self.plan.gateways).filter(|&b| group(a) != group(b)) {
+                        self.doors.cut(a, b, true);
+                    }
+                }
+            }
+            Act::Heal => {
+                self.doors.heal();
+                self.ways.borrow().iter().flatten().for_each(|way| way.cut(false));
+            }
+            Act::Weather(weather) => self.doors.set_weather(if weather == CALM { CALM } else { weather }),
+            Act::Twin(n) => {
+                let any = SocketAddr::from(([127, 0, 0, 1], 0));
+                if let Ok((process, _)) = self.start_process(n, any, &format!("twin{n}")) {
+                    self.gateways.borrow_mut()[n].twin = Some(process);
+                }
+            }
+            Act::Flood(count) => self.flood(count).await,
+            Act::Rekey => {
+                let write = |n: usize, text: &str| {
+                    let (fresh, file) =
+                        (self.folder.join(format!("keys{n}.new")), self.folder.join(format!("keys{n}.lisp")));
+                    std::fs::write(&fresh, text).and_then(|()| std::fs::rename(&fresh, &file)).ok();
+                };
+                let (both, turned) = (format!("{OLD_KEY}{NEW_KEY}"), format!("{NEW_KEY}{OLD_KEY}"));
+                let late = self.plan.gateways - 1;
+                // Believed everywhere first; then it signs everywhere but at the last, which goes on with the old one.
+                (0..=late).for_each(|n| write(n, &both));
+                sleep(Duration::from_secs(1)).await;
+                (0..late).for_each(|n| write(n, &turned));
+                sleep(Duration::from_secs(2)).await;
+                write(late, &turned);
+                sleep(Duration::from_secs(1)).await;
+                (0..=late).for_each(|n| write(n, NEW_KEY));
+            }
+            Act::CutEngines(all) => {
+                let ways = self.ways.borrow();
+                all.iter().for_each(|&n| ways[n].iter().for_each(|way| way.cut(true)));
+            }
+            Act::KillEngines(all) => {
+                for n in all {
+                    if let Some(mut process) = self.engines.borrow_mut()[n].process.take() {
+                        process.kill();
+                    }
+                }
+                self.publish().ok();
+            }
+            Act::StartEngines(all) => {
+                for n in all.into_iter().filter(|&n| self.engines.borrow()[n].process.is_none()) {
+                    if let Ok(slot) = self.start_engine(n, true) {
+                        self.ways.borrow().iter().for_each(|row| row[n].lead_to(slot.listed.address));
+                        self.engines.borrow_mut()[n] = slot;
+                    }
+                }
+                self.publish().ok();
+            }
+        }
+    }
+
+    /// Sends each gateway what it must not take, straight to its socket.
+    async fn flood(&self, count: usize) {
+        let Ok(socket) = UdpSocket::bind(("127.0.0.1", 0)) else { return };
+        let key = |secret: &str| Key { name: "old".into(), secret: secret.into() };
+        let Ok(foreign) = Keys::new(vec![key("not the rig's key at all")]) else { return };
+        let remembered = self.doors.remembered();
+        let mut targets: Vec<SocketAddr> = Vec::new();
+        for gateway in self.gateways.borrow().iter().map(|g| g.address).collect::<Vec<_>>() {
+            targets.extend(peers::ask(gateway).await.ok().and_then(|v| v.address.parse::<SocketAddr>().ok()));
+        }
+        let mut forged = Vec::new();
+        for n in 0..count {
+            let from = format!("invented-{n}");
+            Datagram { from, life: n as u64, number: 1, kind: Kind::Ping(1), records: vec![] }
+                .seal(&foreign, &mut forged);
+            let replayed = remembered.get(n % remembered.len().max(1));
+            for target in &targets {
+                socket.send_to(&forged, target).ok();
+                socket.send_to(&forged[..forged.len() / 2], target).ok();
+                socket.send_to(&[7; 1400], target).ok();
+                replayed.iter().for_each(|bytes| drop(socket.send_to(bytes, target)));
+            }
+            if n % 20 == 19 {
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    fn evidence(&self, records: Vec<Record>) -> std::io::Result<Evidence> {
+        let mut lines = Vec::new();
+        for n in 0..self.plan.engines {
+            lines.extend(journal::read(&self.folder.join(format!("e{n}.jsonl")))?);
+        }
+        lines.sort_by_key(|l| l.at);
+        let (changes, lives) = (self.changes.borrow().clone(), self.lives.borrow().clone());
+        Ok(Evidence { records, lines, changes, lives })
+    }
+}
+
+/// Cores of an engine: every third is a small one.
+fn cores(n: usize) -> f64 {
+    if n % 3 == 2 {
+        4.0
+    } else {
+        8.0
+    }
+}
--- /dev/null
+++ b/crates/lab/src/cluster/plan.rs
@@ -0,0 +1,397 @@
+//! Plans of a cluster: how many of what, and what goes wrong when. Built-in ones are texts like any other.
+
+use std::path::Path;
+use std::time::Duration;
+
+use violetward_gateway::forms::{self, Checker, Form};
+
+/// What the links between some gateways do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Weather {
+    /// Share of datagrams that get lost.
+    pub loss: f64,
+    /// Longest delay; what is delayed is reordered with it.
+    pub delay: Duration,
+    /// Share that comes twice.
+    pub copies: f64,
+    /// Share with a bit turned.
+    pub spoilt: f64,
+}
+
+/// A calm network.
+pub const CALM: Weather = Weather { loss: 0.0, delay: Duration::ZERO, copies: 0.0, spoilt: 0.0 };
+
+/// Something that happens. Gateways are told by number.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    /// Processes end without a word.
+    Kill(Vec<usize>),
+    /// They start anew, under their names and addresses.
+    Start(Vec<usize>),
+    /// They get SIGTERM.
+    Term(Vec<usize>),
+    /// They stand still for a span.
+    Stop(Vec<usize>, Duration),
+    /// Nothing passes from the first to the second, one way.
+    Cut(Vec<usize>, Vec<usize>),
+    /// Nothing passes between groups, and from one to itself all does.
+    Part(Vec<Vec<usize>>),
+    /// All links are whole again.
+    Heal,
+    /// All links are like this.
+    Weather(Weather),
+    /// A second process of a name starts, at other addresses.
+    Twin(usize),
+    /// Datagrams that are forged, replayed, cut, too long, of invented names: so many of each.
+    Flood(usize),
+    /// Keys change: the new one is believed first, signs a second later, and the last gateway hears of it later still.
+    Rekey,
+    /// Nothing passes between a gateway and the engines.
+    CutEngines(Vec<usize>),
+    /// Engines' processes end.
+    KillEngines(Vec<usize>),
+    /// They start anew, cold.
+    StartEngines(Vec<usize>),
+}
+
+/// What a run has to show beyond the rules.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Expect {
+    /// All that run agree on who lives this long after the last act, at the latest.
+    pub agree: Duration,
+    /// Running members that may be taken for dead by somebody, in all.
+    pub false_deaths: usize,
+    /// The sum of shares is within a tenth of one this long after the last act; `None` where parts stay cut.
+    pub shares: Option<Duration>,
+    /// Some gateway must have stood so with the others at some time.
+    pub standing: Vec<(usize, String)>,
+    /// Some gateway must have seen a link so: from, to, word.
+    pub link: Vec<(usize, usize, String)>,
+    /// Pauses that gateways must have noticed, in all, at least.
+    pub pauses: u64,
+    /// Datagrams that must have been refused, in all, at least.
+    pub refused: u64,
+}
+
+/// A plan.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// Its name.
+    pub name: String,
+    /// Gateways, engines and sites.
+    pub gateways: usize,
+    /// See `gateways`.
+    pub engines: usize,
+    /// See `gateways`.
+    pub sites: usize,
+    /// How long clients come.
+    pub span: Duration,
+    /// Work asked for, against all cores.
+    pub load: f64,
+    /// Between two probes of membership.
+    pub period: Duration,
+    /// What happens, by time.
+    pub acts: Vec<(Duration, Act)>,
+    /// What has to hold.
+    pub expect: Expect,
+}
+
+/// The built-in plans: name, what it tries, and its text.
+pub const BUILT_IN: [(&str, &str, &str); 16] = [
+    (
+        "pair-cut",
+        "two gateways and one cut between them, both ways, healed",
+        r#"
+        (gateways 2) (engines 2) (span "14s") (load 0.4)
+        (at "4s" (part (0) (1))) (at "9s" (heal))
+        (expect (agree "10s") (shares "10s") (standing 0 cut-off) (standing 1 cut-off))"#,
+    ),
+    (
+        "calm",
+        "eight gateways and no fault",
+        r#"
+        (gateways 8) (engines 6) (span "12s") (load 0.6) (expect (agree "6s") (shares "6s"))"#,
+    ),
+    (
+        "half-killed",
+        "half are killed at once and back ten seconds later",
+        r#"
+        (gateways 8) (engines 6) (span "26s") (load 0.6)
+        (at "5s" (kill 0 1 2 3)) (at "15s" (start 0 1 2 3)) (expect (agree "10s") (shares "12s"))"#,
+    ),
+    (
+        "nine-in-ten",
+        "a storm of restarts: nine in ten are killed and start at once",
+        r#"
+        (gateways 10) (engines 6) (span "20s") (load 0.5)
+        (at "5s" (kill 0 1 2 3 4 5 6 7 8)) (at "6s" (start 0 1 2 3 4 5 6 7 8))
+        (expect (agree "12s") (shares "14s"))"#,
+    ),
+    (
+        "paused",
+        "one stands still for half a second, three and thirty seconds, with requests taken",
+        r#"
+        (gateways 6) (engines 4) (span "52s") (load 0.5)
+        (at "4s" (stop "500ms" 0)) (at "7s" (stop "3s" 1)) (at "13s" (stop "30s" 2))
+        (expect (agree "12s") (shares "12s") (pauses 3))"#,
+    ),
+    (
+        "one-way",
+        "one pair is cut one way",
+        r#"
+        (gateways 6) (engines 4) (span "20s") (load 0.5)
+        (at "4s" (cut (0) (1))) (at "14s" (heal))
+        (expect (agree "8s") (shares "8s") (link 0 1 outbound) (link 1 0 inbound))"#,
+    ),
+    (
+        "unheard",
+        "nobody hears one that hears all",
+        r#"
+        (gateways 6) (engines 4) (span "22s") (load 0.5)
+        (at "4s" (cut (0) (1 2 3 4 5))) (at "14s" (heal))
+        (expect (agree "12s") (shares "12s") (standing 0 unheard))"#,
+    ),
+    (
+        "third",
+        "a third does not hear the rest",
+        r#"
+        (gateways 6) (engines 4) (span "24s") (load 0.5)
+        (at "4s" (cut (2 3 4 5) (0 1))) (at "14s" (heal)) (expect (agree "14s") (shares "14s"))"#,
+    ),
+    (
+        "flapping",
+        "a cut that opens and closes each second",
+        r#"
+        (gateways 6) (engines 4) (span "20s") (load 0.5)
+        (at "4s" (part (0 1) (2 3 4 5))) (at "5s" (heal)) (at "6s" (part (0 1) (2 3 4 5))) (at "7s" (heal))
+        (at "8s" (part (0 1) (2 3 4 5))) (at "9s" (heal)) (at "10s" (part (0 1) (2 3 4 5))) (at "11s" (heal))
+        (expect (agree "10s") (shares "10s"))"#,
+    ),
+    (
+        "loss-20",
+        "a minute of 20% loss, copies and spoilt datagrams, and nobody dies",
+        r#"
+        (gateways 8) (engines 4) (span "70s") (load 0.4)
+        (at "4s" (weather (loss 0.2) (delay "20ms") (copies 0.05) (spoilt 0.01))) (at "64s" (weather))
+        (expect (agree "8s") (shares "10s"))"#,
+    ),
+    (
+        "loss-40",
+        "a minute of 40% loss, and nobody dies",
+        r#"
+        (gateways 8) (engines 4) (span "70s") (load 0.4)
+        (at "4s" (weather (loss 0.4) (delay "20ms") (copies 0.05))) (at "64s" (weather))
+        (expect (agree "10s") (shares "12s") (false-deaths 1))"#,
+    ),
+    (
+        "halves",
+        "a partition into two halves that both serve, healed",
+        r#"
+        (gateways 8) (engines 6) (span "30s") (load 0.5)
+        (at "4s" (part (0 1 2 3) (4 5 6 7))) (at "18s" (heal)) (expect (agree "14s") (shares "14s"))"#,
+    ),
+    (
+        "thirds",
+        "three parts that heal in turn",
+        r#"
+        (gateways 9) (engines 6) (span "36s") (load 0.5)
+        (at "4s" (part (0 1 2) (3 4 5) (6 7 8))) (at "14s" (part (0 1 2 3 4 5) (6 7 8))) (at "22s" (heal))
+        (expect (agree "14s") (shares "14s"))"#,
+    ),
+    (
+        "forged",
+        "forged, replayed, cut and oversized datagrams, and a flood of invented names",
+        r#"
+        (gateways 4) (engines 3) (span "14s") (load 0.4)
+        (at "4s" (flood 2000)) (expect (agree "6s") (shares "6s") (refused 4000))"#,
+    ),
+    (
+        "rekey",
+        "the key changes in service, and one hears of it late",
+        r#"
+        (gateways 5) (engines 3) (span "16s") (load 0.4) (at "4s" (rekey)) (expect (agree "8s") (shares "8s"))"#,
+    ),
+    (
+        "twin",
+        "two processes of one name",
+        r#"
+        (gateways 4) (engines 3) (span "16s") (load 0.4)
+        (at "4s" (twin 0)) (expect (agree "8s") (shares "8s"))"#,
+    ),
+];
+
+/// A plan by its name, or from a file.
+///
+/// # Errors
+/// What is wrong, with its place.
+pub fn find(name: &str) -> Result<Plan, String> {
+    if let Some((name, _, text)) = BUILT_IN.iter().find(|p| p.0 == name) {
+        return parse(name, text);
+    }
+    let path = Path::new(name);
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| format!("{name} is no plan (see `violetward-lab cluster list`) and no file: {e}"))?;
+    let stem = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_else(|| name.into());
+    parse(&stem, &text)
+}
+
+/// Numbers from a form, each below `of`.
+fn numbers(c: &mut Checker, form: &Form<'_>, of: usize) -> Vec<usize> {
+    let mut all = Vec::new();
+    for datum in &form.rest {
+        match datum.value().as_u64().filter(|&n| (n as usize) < of) {
+            Some(n) => all.push(n as usize),
+            None => c.at(form, format!("{}: expected numbers under {of}", form.name)),
+        }
+    }
+    all
+}
+
+/// Lists of numbers: `(cut (0) (1 2))`.
+fn groups(c: &mut Checker, form: &Form<'_>, of: usize) -> Vec<Vec<usize>> {
+    let mut all = Vec::new();
+    for datum in &form.rest {
+        let Some(items) = datum.list_iter() else {
+            c.at(form, format!("{}: expected lists such as (0 1)", form.name));
+            continue;
+        };
+        all.push(items.filter_map(|d| d.value().as_u64()).map(|n| n as usize).filter(|&n| n < of).collect());
+    }
+    all
+}
+
+fn weather(c: &mut Checker, form: &Form<'_>) -> Weather {
+    let f = c.fields(form, 0, &["loss", "delay", "copies", "spoilt"]);
+    Weather {
+        loss: f.number(c, "loss", (0.0, 1.0), 0.0),
+        delay: f.span(c, "delay", Duration::ZERO),
+        copies: f.number(c, "copies", (0.0, 1.0), 0.0),
+        spoilt: f.number(c, "spoilt", (0.0, 1.0), 0.0),
+    }
+}
+
+fn act(c: &mut Checker, form: &Form<'_>, gateways: usize, engines: usize) -> Option<Act> {
+    Some(match form.name.as_str() {
+        "kill" => Act::Kill(numbers(c, form, gateways)),
+        "start" => Act::Start(numbers(c, form, gateways)),
+        "term" => Act::Term(numbers(c, form, gateways)),
+        "stop" => {
+            let first = form.with(vec![*form.rest.first()?]);
+            let span = c.span(&first)?;
+            Act::Stop(numbers(c, &form.with(form.rest[1..].to_vec()), gateways), span)
+        }
+        "cut" => {
+            let [from, to] = <[Vec<usize>; 2]>::try_from(groups(c, form, gateways)).ok()?;
+            Act::Cut(from, to)
+        }
+        "part" => Act::Part(groups(c, form, gateways)),
+        "heal" => Act::Heal,
+        "weather" => Act::Weather(weather(c, form)),
+        "twin" => Act::Twin(*numbers(c, form, gateways).first()?),
+        "flood" => Act::Flood(c.whole(form, 1, 1_000_000)? as usize),
+        "rekey" => Act::Rekey,
+        "cut-engines" => Act::CutEngines(numbers(c, form, gateways)),
+        "kill-engines" => Act::KillEngines(numbers(c, form, engines)),
+        "start-engines" => Act::StartEngines(numbers(c, form, engines)),
+        other => {
+            c.at(form, format!("{other} is no act"));
+            return None;
+        }
+    })
+}
+
+/// Reads a plan.
+///
+/// # Errors
+/// Every mistake, with line and column.
+pub fn parse(name: &str, text: &str) -> Result<Plan, String> {
+    let data = forms::read(text).map_err(|m| m.to_string())?;
+    let mut c = Checker::default();
+    let all: Vec<Form<'_>> = data.iter().filter_map(|d| c.form(d.as_ref())).collect();
+    let known = ["gateways", "engines", "sites", "span", "load", "period", "at", "expect"];
+    for form in all.iter().filter(|f| !known.contains(&f.name.as_str())) {
+        c.at(form, format!("{} is not known; known: {}", form.name, known.join(", ")));
+    }
+    let get = |name: &str| all.iter().find(|f| f.name == name);
+    let whole = |c: &mut Checker, name: &str, default| {
+        get(name).and_then(|f| c.whole(f, 1, 64)).unwrap_or(default) as usize
+    };
+    let (gateways, engines, sites) =
+        (whole(&mut c, "gateways", 4), whole(&mut c, "engines", 3), whole(&mut c, "sites", 1));
+    let span = get("span").and_then(|f| c.span(f)).unwrap_or(Duration::from_secs(10));
+    let load = get("load").and_then(|f| c.number(f, 0.0, 10.0)).unwrap_or(0.5);
+    let period = get("period").and_then(|f| c.span(f)).unwrap_or(Duration::from_millis(200));
+    let mut acts = Vec::new();
+    for form in all.iter().filter(|f| f.name == "at") {
+        let [when, what] = form.rest.as_slice() else {
+            c.at(form, "expected (at \"5s\" (act ...))");
+            continue;
+        };
+        let at = c.span(&form.with(vec![*when]));
+        let what = c.form(*what).and_then(|f| act(&mut c, &f, gateways, engines));
+        match at.zip(what) {
+            Some(pair) => acts.push(pair),
+            None => c.at(form, "an act that can't be used"),
+        }
+    }
+    acts.sort_by_key(|a| a.0);
+    let mut expect = Expect {
+        agree: Duration::from_secs(10),
+        false_deaths: 0,
+        shares: None,
+        standing: Vec::new(),
+        link: Vec::new(),
+        pauses: 0,
+        refused: 0,
+    };
+    for datum in get("expect").map(|f| f.rest.clone()).unwrap_or_default() {
+        let Some(f) = c.form(datum) else { continue };
+        match f.name.as_str() {
+            "agree" => expect.agree = c.span(&f).unwrap_or(expect.agree),
+            "shares" => expect.shares = c.span(&f),
+            "false-deaths" => expect.false_deaths = c.whole(&f, 0, 1000).unwrap_or(0) as usize,
+            "pauses" => expect.pauses = c.whole(&f, 0, 1000).unwrap_or(0),
+            "refused" => expect.refused = c.whole(&f, 0, 1_000_000).unwrap_or(0),
+            "standing" | "link" => {
+                let ns: Vec<usize> =
+                    f.rest.iter().filter_map(|d| d.value().as_u64()).map(|n| n as usize).collect();
+                let word = f.rest.last().and_then(|d| d.value().as_symbol()).unwrap_or_default().to_owned();
+                match ns.as_slice() {
+                    [n] if f.name == "standing" => expect.standing.push((*n, word)),
+                    [a, b] if f.name == "link" => expect.link.push((*a, *b, word)),
+                    _ => c.at(&f, "expected (standing N WORD) or (link N N WORD)"),
+                }
+            }
+            other => c.at(&f, format!("{other} can't be expected")),
+        }
+    }
+    if !c.mistakes.is_empty() {
+        c.mistakes.sort();
+        return Err(c.mistakes.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"));
+    }
+    Ok(Plan { name: name.into(), gateways, engines, sites, span, load, period, acts, expect })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_built_in_plan_is_read() {
+        for (name, _, text) in BUILT_IN {
+            let plan = parse(name, text).unwrap_or_else(|e| panic!("{name}: {e}"));
+            assert!(plan.acts.iter().all(|a| a.0 < plan.span), "{name}: an act after the end");
+        }
+    }
+
+    #[test]
+    fn mistakes_are_told_with_their_places() {
+        let wrong = parse("x", "(gateways 3)\n(at \"2s\" (kill 3))\n(at \"1s\" (sing))\n(expect (luck 1))")
+            .unwrap_err();
+        for told in
+            ["2:11: kill: expected numbers under 3", "3:11: sing is no act", "4:10: luck can't be expected"]
+        {
+            assert!(wrong.contains(told), "{wrong}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/cluster/relay.rs
@@ -0,0 +1,240 @@
+//! Relays on loopback: a door for each directed pair of gateways, and one between each gateway and each engine. They lose,
+//! delay, copy, spoil and cut, one way or both, from a seed.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::plan::{Weather, CALM};
+
+/// Datagrams that a door remembers, to send them again on order.
+const REMEMBERED: usize = 16;
+
+/// Doors among gateways. Gateway `a` sends to its door for `b`; what passes leaves `b`'s door for `a`, so that an answer to
+/// where a datagram came from takes the way back.
+pub struct Doors {
+    sockets: Vec<Vec<Option<Async<UdpSocket>>>>,
+    targets: RefCell<Vec<Option<SocketAddr>>>,
+    cut: RefCell<Vec<Vec<bool>>>,
+    weather: Cell<Weather>,
+    dice: RefCell<StdRng>,
+    seen: RefCell<VecDeque<Vec<u8>>>,
+    /// Datagrams passed, lost by order, copied and spoilt.
+    pub counts: Cell<[u64; 4]>,
+}
+
+fn bind() -> std::io::Result<Async<UdpSocket>> {
+    Async::<UdpSocket>::bind(([127, 0, 0, 1], 0))
+}
+
+impl Doors {
+    /// Doors among `count` gateways.
+    ///
+    /// # Errors
+    /// If there are no sockets left.
+    pub fn open(
+        count: usize,
+        seed: u64,
+        executor: &Rc<LocalExecutor<'static>>,
+    ) -> std::io::Result<Rc<Doors>> {
+        let mut sockets = Vec::new();
+        for a in 0..count {
+            let row: std::io::Result<Vec<_>> = (0..count).map(|b| (a != b).then(bind).transpose()).collect();
+            sockets.push(row?);
+        }
+        let doors = Rc::new(Doors {
+            sockets,
+            targets: RefCell::new(vec![None; count]),
+            cut: RefCell::new(vec![vec![false; count]; count]),
+            weather: Cell::new(CALM),
+            dice: RefCell::new(StdRng::seed_from_u64(seed)),
+            seen: RefCell::default(),
+            counts: Cell::default(),
+        });
+        for a in 0..count {
+            for b in (0..count).filter(|&b| b != a) {
+                executor.spawn(doors.clone().pass(a, b, executor.clone())).detach();
+            }
+        }
+        Ok(doors)
+    }
+
+    /// The address of `a`'s door for `b`.
+    ///
+    /// # Errors
+    /// The socket's.
+    pub fn address(&self, a: usize, b: usize) -> std::io::Result<SocketAddr> {
+        let door = self.sockets[a][b].as_ref().ok_or_else(|| std::io::Error::other("no door to itself"))?;
+        door.get_ref().local_addr()
+    }
+
+    /// Where a gateway takes datagrams now.
+    pub fn lead_to(&self, gateway: usize, address: Option<SocketAddr>) {
+        self.targets.borrow_mut()[gateway] = address;
+    }
+
+    /// Cuts or mends one direction.
+    pub fn cut(&self, from: usize, to: usize, cut: bool) {
+        self.cut.borrow_mut()[from][to] = cut;
+    }
+
+    /// Mends all.
+    pub fn heal(&self) {
+        self.cut.borrow_mut().iter_mut().flatten().for_each(|cut| *cut = false);
+    }
+
+    /// Whether anything passes from one to the other.
+    pub fn passes(&self, from: usize, to: usize) -> bool {
+        !self.cut.borrow()[from][to]
+    }
+
+    /// All links are like this.
+    pub fn set_weather(&self, weather: Weather) {
+        self.weather.set(weather);
+    }
+
+    /// Some datagrams that have passed.
+    pub fn remembered(&self) -> Vec<Vec<u8>> {
+        self.seen.borrow().iter().cloned().collect()
+    }
+
+    fn count(&self, which: usize) {
+        let mut counts = self.counts.get();
+        counts[which] += 1;
+        self.counts.set(counts);
+    }
+
+    async fn pass(self: Rc<Self>, a: usize, b: usize, executor: Rc<LocalExecutor<'static>>) {
+        let Some(door) = &self.sockets[a][b] else { return };
+        let mut bytes = vec![0; 2048];
+        loop {
+            let Ok((size, _)) = door.recv_from(&mut bytes).await else { continue };
+            let weather = self.weather.get();
+            let (lost, copied, spoilt, at, wait) = {
+                let mut dice = self.dice.borrow_mut();
+                let mut hit = |share: f64| share > 0.0 && dice.random_bool(share.clamp(0.0, 1.0));
+                let (lost, copied, spoilt) = (hit(weather.loss), hit(weather.copies), hit(weather.spoilt));
+                (lost, copied, spoilt, dice.random_range(0..size.max(1)), dice.random_range(0.0..1.0))
+            };
+            if lost || !self.passes(a, b) {
+                self.count(1);
+                continue;
+            }
+            let mut datagram = bytes[..size].to_vec();
+            {
+                let mut seen = self.seen.borrow_mut();
+                if seen.len() >= REMEMBERED {
+                    seen.pop_front();
+                }
+                seen.push_back(datagram.clone());
+            }
+            if spoilt {
+                datagram[at] ^= 1;
+                self.count(3);
+            }
+            self.count(0);
+            if copied {
+                self.count(2);
+                self.deliver(a, b, &datagram);
+            }
+            if weather.delay.is_zero() {
+                self.deliver(a, b, &datagram);
+            } else {
+                let doors = self.clone();
+                let span = weather.delay.mul_f64(wait);
+                executor
+                    .spawn(async move {
+                        violetward_net::sleep(span).await;
+                        doors.deliver(a, b, &datagram);
+                    })
+                    .detach();
+            }
+        }
+    }
+
+    fn deliver(&self, a: usize, b: usize, datagram: &[u8]) {
+        let target = self.targets.borrow()[b];
+        if let (Some(target), Some(back)) = (target, &self.sockets[b][a]) {
+            // Nobody there, or a full buffer: lost, as on any network.
+            back.get_ref().send_to(datagram, target).ok();
+        }
+    }
+}
+
+/// A way between a gateway and an engine. While it is cut nothing passes and nothing is said: what is open stays open and
+/// silent.
+pub struct Way {
+    /// Where the gateway connects to.
+    pub address: SocketAddr,
+    target: Cell<SocketAddr>,
+    cut: Cell<bool>,
+}
+
+impl Way {
+    /// Opens a way to an engine.
+    ///
+    /// # Errors
+    /// If there are no sockets left.
+    pub fn open(target: SocketAddr, executor: &Rc<LocalExecutor<'static>>) -> std::io::Result<Rc<Way>> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        let address = listener.get_ref().local_addr()?;
+        let way = Rc::new(Way { address, target: Cell::new(target), cut: Cell::new(false) });
+        executor.spawn(way.clone().accept(listener, executor.clone())).detach();
+        Ok(way)
+    }
+
+    /// The engine is there now.
+    pub fn lead_to(&self, target: SocketAddr) {
+        self.target.set(target);
+    }
+
+    /// Cuts or mends it.
+    pub fn cut(&self, cut: bool) {
+        self.cut.set(cut);
+    }
+
+    async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
+        loop {
+            let Ok((near, _)) = listener.accept().await else { continue };
+            let way = self.clone();
+            executor
+                .spawn(async move {
+                    way.open_again().await;
+                    // An engine that refuses is passed on as a connection that ends at once.
+                    let Ok(far) = Async::<TcpStream>::connect(way.target.get()).await else { return };
+                    near.get_ref().set_nodelay(true).ok();
+                    far.get_ref().set_nodelay(true).ok();
+                    future::zip(way.copy(&near, &far), way.copy(&far, &near)).await;
+                })
+                .detach();
+        }
+    }
+
+    async fn open_again(&self) {
+        while self.cut.get() {
+            violetward_net::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn copy(&self, mut from: &Async<TcpStream>, mut to: &Async<TcpStream>) {
+        let mut bytes = vec![0; 16 << 10];
+        loop {
+            let read = from.read(&mut bytes).await.unwrap_or(0);
+            self.open_again().await;
+            if read == 0 || to.write_all(&bytes[..read]).await.is_err() {
+                // Either end's close is both ends'.
+                to.get_ref().shutdown(std::net::Shutdown::Both).ok();
+                from.get_ref().shutdown(std::net::Shutdown::Both).ok();
+                return;
+            }
+        }
+    }
+}
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -14,7 +14,7 @@
 use violetward_statement::http::Limits;
 
 use crate::checker::{self, Evidence, GatewayLife, ListChange, Terms};
-use crate::client::{self, Record, Seen};
+use crate::client::{self, Record};
 use crate::fleet::{self, GatewayPlan, Listed};
 use crate::load::{Draw, Shape};
 use crate::process::{self, Process};
@@ -385,17 +385,8 @@
 
     /// One client: a front sends it to a gateway, and to another while none has taken the statement.
     async fn ask(self: Rc<Self>, mut ask: client::Ask) -> Record {
-        let count = self.plan.gateways;
-        let mut record = ask.record.clone();
-        for _ in 0..count {
-            let address = self.gateways.borrow()[ask.record.gateway].address;
-            record = client::run(self.pool(address), ask.clone()).await;
-            if !matches!(record.seen, Seen::NotTaken(_)) {
-                break;
-            }
-            ask.record.gateway = (ask.record.gateway + 1) % count;
-        }
-        record
+        let addresses = || self.gateways.borrow().iter().map(|g| g.address).collect::<Vec<_>>();
+        client::run_somewhere(addresses, |address| self.pool(address), &mut ask).await
     }
 }
 
@@ -532,7 +523,7 @@
     }
     let broken =
         checker::check(&evidence, &Terms { slack: plan.slack.as_micros() as u64, ..Terms::default() });
-    Ok(Report::new(plan, &evidence, broken))
+    Ok(Report::new(&plan.name, plan.policy.word(), &evidence, broken))
 }
 
 fn save(folder: &Path, evidence: &Evidence) -> std::io::Result<()> {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`client`]: one statement, as a client sees it; [`load`]: many, drawn from a seed.
 //! - [`trouble`]: what goes wrong on a day; [`day`]: a day from start to end.
 //! - [`checker`]: the seven rules, from what passed on the sockets; [`report`]: a day in a table.
+//! - [`cluster`]: several processes, with faults between them.
 //! - [`overhead`]: what the gateway costs against a bare relay; [`speed`]: speeds of its parts.
 //! - [`storm`]: a thousand library clients while gateways restart.
 //! - [`baseline`]: random choice and least in flight, to run the same day with.
@@ -12,6 +13,7 @@
 pub mod baseline;
 pub mod checker;
 pub mod client;
+pub mod cluster;
 pub mod day;
 pub mod demo;
 pub mod fleet;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,17 +5,15 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use clap::{Parser, Subcommand};
-use futures_lite::future;
 use violetward::Gateway;
 use violetward_gateway::{config, service};
 use violetward_lab::baseline::{Baseline, Rule};
 use violetward_lab::day::{self, Plan, Policy};
 use violetward_lab::report::Report;
-use violetward_lab::{demo, overhead, pinned, script, speed, storm, trouble};
+use violetward_lab::{cluster, demo, overhead, pinned, script, speed, storm, trouble};
 use violetward_standin::model::Machine;
-use violetward_standin::server::{Engine, Setup};
+use violetward_standin::server::{self, Setup};
 
 /// Tries violetward out on this machine, against stand-in engines.
 #[derive(Parser)]
@@ -152,6 +150,23 @@
     /// A bare byte relay, as a process of its own.
     #[command(hide = true)]
     Relay { to: SocketAddr, address_file: PathBuf },
+    /// Run several gateways and engines as processes of their own, put faults between them, and check what must hold.
+    Cluster {
+        /// A plan's name (see `cluster list`), `list`, or a file.
+        plan: String,
+        /// Everything drawn is drawn from it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Write what came of it to this file.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// Leave the files, and a timeline as an SVG, in this folder.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+        /// Start the gateways without membership: each takes 1/N.
+        #[arg(long)]
+        even: bool,
+    },
     /// List the kinds of trouble.
     Troubles,
     /// An engine of a day, as a process of its own.
@@ -214,6 +229,17 @@
                 Plan { keep, slack, ..Plan::replay(name, seed, policy) }
             })
         }
+        Command::Cluster { plan, seed, json, keep, even } => {
+            let options = cluster::Options { seed, json, keep, even };
+            return match cluster::command(&plan, &options) {
+                Ok(true) => ExitCode::SUCCESS,
+                Ok(false) => ExitCode::FAILURE,
+                Err(e) => {
+                    eprintln!("violetward-lab: {e}");
+                    ExitCode::from(2)
+                }
+            };
+        }
         Command::Troubles => {
             trouble::ALL
                 .iter()
@@ -229,9 +255,9 @@
                 Machine { cores, disks, memory, sessions, cold_span: 8_000_000, ..Machine::default() };
             let control = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
             let (journal, storage) = (Some(journal), Some(storage));
-            engine(
+            server::serve(
                 Setup { kind, machine, seed, control, journal, storage, cold, ..Setup::new(&name) },
-                &address_file,
+                Some(&address_file),
             )
         }
         Command::Gateway { file, address_file, policy, log_level } => {
@@ -344,23 +370,6 @@
     Ok(())
 }
 
-fn write_address(file: &std::path::Path, address: SocketAddr) -> std::io::Result<()> {
-    let fresh = file.with_extension("new");
-    std::fs::write(&fresh, address.to_string())?;
-    std::fs::rename(&fresh, file)
-}
-
-fn engine(setup: Setup, file: &std::path::Path) -> std::io::Result<()> {
-    let executor = std::rc::Rc::new(LocalExecutor::new());
-    let engine = Engine::start(setup, executor.clone())?;
-    if let Some(control) = engine.control_address() {
-        write_address(&file.with_extension("control"), control)?;
-    }
-    write_address(file, engine.address())?;
-    async_io::block_on(executor.run(future::pending::<()>()));
-    Ok(())
-}
-
 fn gateway(file: &std::path::Path, address_file: &std::path::Path, policy: Policy) -> std::io::Result<()> {
     let config = config::load(file).map_err(|m| std::io::Error::other(m.join("\n")))?;
     let settings = config.settings.clone();
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -22,8 +22,26 @@
     /// # Errors
     /// If it cannot be started.
     pub fn start(arguments: &[String], log: &Path) -> std::io::Result<Process> {
+        Process::program(&std::env::current_exe()?, arguments, log)
+    }
+
+    /// Starts another program of the project, which stands beside this one, so that it ends with this process.
+    ///
+    /// # Errors
+    /// If it is not there or cannot be started.
+    pub fn beside(program: &str, arguments: &[String], log: &Path) -> std::io::Result<Process> {
+        let program = std::env::current_exe()?.with_file_name(program);
+        if !program.exists() {
+            let why = format!("{} is not there: build it first", program.display());
+            return Err(std::io::Error::new(std::io::ErrorKind::NotFound, why));
+        }
+        let arguments: Vec<String> =
+            std::iter::once("--with-parent".into()).chain(arguments.iter().cloned()).collect();
+        Process::program(&program, &arguments, log)
+    }
+
+    fn program(program: &Path, arguments: &[String], log: &Path) -> std::io::Result<Process> {
         let log = std::fs::File::options().create(true).append(true).open(log)?;
-        let program = std::env::current_exe()?;
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -7,7 +7,6 @@
 
 use crate::checker::{Broken, Evidence, RULES};
 use crate::client::Seen;
-use crate::day::Plan;
 
 /// Counts of a class or of the day.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -55,7 +54,7 @@
 
 impl Report {
     /// Counts a day's evidence.
-    pub fn new(plan: &Plan, evidence: &Evidence, broken: Vec<Broken>) -> Report {
+    pub fn new(name: &str, policy: &'static str, evidence: &Evidence, broken: Vec<Broken>) -> Report {
         let mut classes: BTreeMap<String, Counts> = BTreeMap::new();
         let mut all = Counts::default();
         for r in &evidence.records {
@@ -91,16 +90,7 @@
             }
         }
         let doubled = effects.values().filter(|&&n| n > 1).count();
-        Report {
-            name: plan.name.clone(),
-            policy: plan.policy.word(),
-            classes,
-            all,
-            doubled,
-            attempts,
-            sessions,
-            broken,
-        }
+        Report { name: name.to_owned(), policy, classes, all, doubled, attempts, sessions, broken }
     }
 
     /// Worth served over worth asked.
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -3,13 +3,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::rc::Rc;
 
-use async_executor::LocalExecutor;
 use clap::Parser;
-use futures_lite::future;
 use violetward_standin::model::Machine;
-use violetward_standin::server::{Engine, Setup};
+use violetward_standin::server::{self, Setup};
 
 /// A stand-in engine: the engine's side of the statement protocol over an embedded SQL library, with faults on order.
 #[derive(Parser)]
@@ -42,12 +39,26 @@
     /// It starts cold.
     #[arg(long)]
     cold: bool,
+    /// Milliseconds until an engine that started cold is warm.
+    #[arg(long, default_value_t = 15_000)]
+    cold_span_ms: u64,
+    /// Write the address to this file once it listens, and that of faults beside it (`.control`).
+    #[arg(long)]
+    address_file: Option<PathBuf>,
+    /// End with the process that started this one, even if that is killed outright.
+    #[arg(long, hide = true)]
+    with_parent: bool,
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    if cli.with_parent {
+        rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL)).ok();
+    }
+    let (disks, cold_span) = (cli.cores * 0.75, cli.cold_span_ms * 1000);
+    let sessions = (cli.cores * 8.0) as usize;
     let machine =
-        Machine { cores: cli.cores, disks: cli.cores * 0.75, memory: cli.memory, ..Machine::default() };
+        Machine { cores: cli.cores, disks, memory: cli.memory, sessions, cold_span, ..Machine::default() };
     let setup = Setup {
         listen: cli.listen,
         control: cli.control,
@@ -58,13 +69,8 @@
         cold: cli.cold,
         ..Setup::new(&cli.name)
     };
-    let executor = Rc::new(LocalExecutor::new());
-    match Engine::start(setup, executor.clone()) {
-        Ok(engine) => {
-            println!("{}", engine.address());
-            async_io::block_on(executor.run(future::pending::<()>()));
-            ExitCode::SUCCESS
-        }
+    match server::serve(setup, cli.address_file.as_deref()) {
+        Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("violetward-standin: {e}");
             ExitCode::FAILURE
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -878,3 +878,34 @@
         }
     }
 }
+
+/// Runs an engine until its process is ended; its addresses go to `file` (and beside it, `.control`) once it listens, or
+/// to standard output.
+///
+/// # Errors
+/// If it cannot listen or write.
+pub fn serve(setup: Setup, file: Option<&std::path::Path>) -> std::io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let engine = Engine::start(setup, executor.clone())?;
+    match file {
+        Some(file) => {
+            if let Some(control) = engine.control_address() {
+                write_address(&file.with_extension("control"), control)?;
+            }
+            write_address(file, engine.address())?;
+        }
+        None => println!("{}", engine.address()),
+    }
+    async_io::block_on(executor.run(future::pending::<()>()));
+    Ok(())
+}
+
+/// Writes an address at one instant: a reader sees all of it or nothing.
+///
+/// # Errors
+/// The file system's.
+pub fn write_address(file: &std::path::Path, address: SocketAddr) -> std::io::Result<()> {
+    let fresh = file.with_extension("new");
+    std::fs::write(&fresh, address.to_string())?;
+    std::fs::rename(&fresh, file)
+}
