Members that start at once meet at once; a cut's direction is known

Found by the rig: two gateways that started together took 11 s to know each other (each told the other's empty state, so that both counted as joined and asked the seeds again only now and then); the simulation had waited for 30 s. The direction of a cut follows from what the other has heard. In the checker a client that stops waiting while its gateway stands still is not the gateway's broken promise.

--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -163,6 +163,15 @@
         self.lives.iter().any(|l| l.gateway == r.gateway && l.to >= r.posted && l.to <= r.ended + 100_000)
     }
 
+    /// The gateway stood still at a time.
+    fn stands_still(&self, gateway: usize, at: u64) -> bool {
+        self.lives
+            .iter()
+            .filter(|l| l.gateway == gateway)
+            .flat_map(|l| &l.stalls)
+            .any(|s| s.0 <= at && at <= s.1)
+    }
+
     /// How long the gateway stood still between two times.
     fn stalled(&self, gateway: usize, from: u64, to: u64) -> u64 {
         let stalls = self.lives.iter().filter(|l| l.gateway == gateway).flat_map(|l| &l.stalls);
@@ -186,6 +195,8 @@
         }
         let late = r.ended.saturating_sub(r.due);
         match &r.seen {
+            // No process answers while it stands still; what it does when it goes on is checked below like any other's.
+            Seen::GaveUp if e.stands_still(r.gateway, r.due) => {}
             Seen::GaveUp => say(format!("{} ({}) got no final answer", r.trace, r.class)),
             Seen::Lost(why) => say(format!("{} ({}) was lost: {why}", r.trace, r.class)),
             _ if late > terms.slack + e.stalled(r.gateway, r.posted, r.ended) => {
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -199,7 +199,7 @@
         }
         let records = self.clone().clients(start).await;
         // What is expected within a span of the last act needs that long.
-        let last = self.plan.acts.last().map_or(Duration::ZERO, |a| a.0);
+        let last = self.plan.acts.iter().map(|a| a.0 + a.1.lasts()).max().unwrap_or_default();
         let expect = &self.plan.expect;
         let until = last + expect.agree.max(expect.shares.unwrap_or_default()) + SETTLE;
         while start.elapsed() < until {
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -54,6 +54,17 @@
     StartEngines(Vec<usize>),
 }
 
+impl Act {
+    /// How long it lasts.
+    pub fn lasts(&self) -> Duration {
+        match self {
+            Act::Stop(_, span) => *span,
+            Act::Rekey => Duration::from_secs(4),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 /// What a run has to show beyond the rules.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Expect {
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -34,6 +34,8 @@
 const REMEMBER: u64 = 2_000;
 /// Periods between two demands told, and the change that makes one worth telling.
 const RETELL: (u64, f64) = (4, 0.2);
+/// Periods for which a word counts as recent, at most.
+const ROUND: u64 = 64;
 /// Lives of one name that are believed at once: a process and the one that takes its place.
 const LIVES: usize = 2;
 /// Proofs given and questions relayed at once; more are dropped until some are over.
@@ -141,9 +143,9 @@
 pub enum Link {
     /// Both ways, or nothing is known.
     Good,
-    /// What is sent there does not come there; what comes from there comes.
+    /// What is sent there does not come there, whether or not what comes from there comes.
     Outbound,
-    /// What comes from there does not come here.
+    /// What is sent there comes there; what comes from there does not come here.
     Inbound,
 }
 
@@ -537,7 +539,9 @@
         self.begin();
         if self.now >= self.next_sync {
             let spread = draw(&mut self.dice) % self.terms.period.max(1);
-            self.next_sync = self.now + if self.joined { SYNC * self.terms.period + spread } else { 0 };
+            // Who knows nobody asks the seeds again with the next period: two that start at once have nothing to tell yet.
+            let knows = self.joined && self.living().next().is_some();
+            self.next_sync = self.now + if knows { SYNC * self.terms.period + spread } else { 0 };
             self.sync();
         }
         let (now, keep) = (self.now, REMEMBER * self.terms.period);
@@ -663,18 +667,13 @@
         let Some(probe) = self.probe.take_if(|p| p.number == number) else { return };
         self.ill = self.ill.saturating_sub(1);
         self.was_answered();
-        let (now, period) = (self.now, self.terms.period);
         let mut changed = None;
         if let Some(member) = self.members.get_mut(&probe.target) {
-            let link = if direct {
-                Link::Good
-            } else if hears {
+            let link = match (direct, hears) {
+                (true, _) => Link::Good,
                 // It heard this one's own ping, but its answer came only by another's hand.
-                Link::Inbound
-            } else if member.heard.is_some_and(|at| now < at + 4 * period) {
-                Link::Outbound
-            } else {
-                Link::Inbound
+                (false, true) => Link::Inbound,
+                (false, false) => Link::Outbound,
             };
             // One slow answer is no cut: two indirect ones in a row are.
             member.indirect = if direct { 0 } else { member.indirect + 1 };
@@ -937,7 +936,8 @@
     }
 
     fn hears(&self, name: &str) -> bool {
-        let recent = 4 * self.terms.period;
+        // Everybody asks everybody once in as many periods as there are members.
+        let recent = (4 + self.living().count() as u64).min(ROUND) * self.terms.period;
         self.members.get(name).and_then(|m| m.heard).is_some_and(|at| self.now < at + recent)
     }
 
@@ -1002,8 +1002,8 @@
             .filter(|m| m.record.state > State::Suspect)
             .map(|m| m.record.name.clone())
             .collect();
-        if !self.joined || (turn == 0 && self.living().next().is_none()) {
-            // Nobody is known: every seed is asked, a few at a time.
+        if !self.joined || self.living().next().is_none() {
+            // Nobody is known: seeds are asked, a few at a time.
             let seeds = self.terms.seeds.clone();
             let from = (draw(&mut self.dice) % seeds.len().max(1) as u64) as usize;
             for seed in seeds.iter().cycle().skip(from).take(seeds.len().min(HELPERS)) {
