--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -114,6 +114,10 @@
         Some(folder) => folder.clone(),
         None => crate::demo::scratch(&format!("cluster-{}", clock()))?,
     };
+    if std::fs::read_dir(&folder).is_ok_and(|mut entries| entries.next().is_some()) {
+        // What an earlier run wrote down would be read as this one's.
+        return Err(std::io::Error::other(format!("{} is not empty", folder.display())));
+    }
     std::fs::create_dir_all(folder.join("storage"))?;
     let executor = Rc::new(LocalExecutor::new());
     let doors = Doors::open(plan.gateways, options.seed, &executor)?;
