--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`trouble`]: what goes wrong on a day; [`day`]: a day from start to end.
 //! - [`checker`]: the seven rules, from what passed on the sockets; [`report`]: a day in a table.
 //! - [`cluster`]: several processes, with faults between them.
+//! - [`membership`]: simulated fleets of gateways in figures.
 //! - [`overhead`]: what the gateway costs against a bare relay; [`speed`]: speeds of its parts.
 //! - [`storm`]: a thousand library clients while gateways restart.
 //! - [`baseline`]: random choice and least in flight, to run the same day with.
@@ -18,6 +19,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod load;
+pub mod membership;
 pub mod overhead;
 pub mod pinned;
 pub mod process;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -167,6 +167,12 @@
         #[arg(long)]
         even: bool,
     },
+    /// Membership in figures: simulated fleets of the state machine, beside plain SWIM.
+    Membership {
+        /// With a thousand members.
+        #[arg(long)]
+        large: bool,
+    },
     /// List the kinds of trouble.
     Troubles,
     /// An engine of a day, as a process of its own.
@@ -240,6 +246,10 @@
                 }
             };
         }
+        Command::Membership { large } => {
+            violetward_lab::membership::table(large);
+            Ok(())
+        }
         Command::Troubles => {
             trouble::ALL
                 .iter()
--- /dev/null
+++ b/crates/lab/src/membership.rs
@@ -0,0 +1,107 @@
+//! Membership in figures: whole fleets of the state machine on a virtual network, beside plain SWIM.
+
+use violetward_membership::sim::{terms, Act, Fleet, Weather};
+use violetward_membership::Micros;
+
+const SECOND: Micros = 1_000_000;
+/// Between two probes in these runs.
+const PERIOD: Micros = 500_000;
+
+/// What one setting has shown.
+struct Row {
+    detected: Vec<Micros>,
+    agreed: Vec<Micros>,
+    false_deaths: f64,
+    messages: f64,
+    octets: f64,
+    wakes: f64,
+    most_share: f64,
+}
+
+fn at(sorted: &[Micros], part: f64) -> f64 {
+    if sorted.is_empty() {
+        return f64::NAN;
+    }
+    sorted[((sorted.len() - 1) as f64 * part).round() as usize] as f64 / SECOND as f64
+}
+
+fn play(count: usize, loss: f64, pauses: bool, plain: bool, seeds: u64, quiet: Micros) -> Row {
+    let mut row = Row {
+        detected: vec![],
+        agreed: vec![],
+        false_deaths: 0.0,
+        messages: 0.0,
+        octets: 0.0,
+        wakes: 0.0,
+        most_share: 0.0,
+    };
+    for seed in 1..=seeds {
+        let mut fleet = Fleet::new(count, seed, move |n| terms(n, count, PERIOD, plain));
+        fleet.until(120 * SECOND, Fleet::agree);
+        fleet.act(&Act::Weather(Weather { loss, ..Weather::default() }));
+        fleet.run(5 * SECOND);
+        fleet.findings = Default::default();
+        let start = fleet.now;
+        // Some stand still now and then, for longer than a round of probes.
+        let mut turn = 0;
+        while fleet.now < start + quiet {
+            if pauses {
+                let sleepers: Vec<usize> =
+                    (0..count.div_ceil(20)).map(|i| (turn * 7 + i * 20) % count).collect();
+                sleepers.iter().for_each(|&n| fleet.act(&Act::Stop(n)));
+                fleet.run(4 * SECOND);
+                sleepers.iter().for_each(|&n| fleet.act(&Act::Continue(n)));
+                fleet.run(6 * SECOND);
+                turn += 1;
+            } else {
+                fleet.run(10 * SECOND);
+            }
+        }
+        let span = (fleet.now - start) as f64 / SECOND as f64 * count as f64 * seeds as f64;
+        row.false_deaths += fleet.findings.false_deaths as f64 / (span / 3600.0);
+        row.messages += fleet.findings.sent.0 as f64 / span;
+        row.octets += fleet.findings.sent.1 as f64 / span;
+        row.wakes += fleet.findings.wakes as f64 / span;
+        // One dies, and how long that takes to be known.
+        fleet.findings.detected.clear();
+        fleet.findings.agreed.clear();
+        fleet.act(&Act::Kill(count / 2));
+        fleet.run(40 * SECOND);
+        row.detected.append(&mut fleet.findings.detected);
+        row.agreed.append(&mut fleet.findings.agreed);
+        row.most_share = row.most_share.max(fleet.findings.most_share);
+    }
+    row.detected.sort_unstable();
+    row.agreed.sort_unstable();
+    row
+}
+
+/// Prints the table, row by row; `large` with a thousand members.
+pub fn table(large: bool) {
+    println!(
+        "| members | loss | pauses | kind | known: first | median | 99th | by all | false deaths a member and hour | messages a member and s | octets | wakes | most sum of shares |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    );
+    let sizes: &[(usize, u64, Micros)] =
+        &[(8, 10, 120 * SECOND), (64, 2, 40 * SECOND), (300, 1, 20 * SECOND), (1000, 1, 10 * SECOND)];
+    for &(count, seeds, quiet) in &sizes[..if large { 4 } else { 3 }] {
+        for (loss, pauses) in [(0.0, false), (0.05, false), (0.2, false), (0.0, true), (0.2, true)] {
+            for plain in [false, true] {
+                let row = play(count, loss, pauses, plain, seeds, quiet);
+                println!(
+                    "| {count} | {loss} | {} | {} | {:.2} s | {:.2} s | {:.2} s | {:.2} s | {:.2} | {:.1} | {:.0} | {:.1} | {:.2} |",
+                    if pauses { "yes" } else { "no" },
+                    if plain { "plain SWIM" } else { "violetward" },
+                    at(&row.detected, 0.0),
+                    at(&row.detected, 0.5),
+                    at(&row.detected, 0.99),
+                    at(&row.agreed, 0.5),
+                    row.false_deaths,
+                    row.messages,
+                    row.octets,
+                    row.wakes,
+                    row.most_share,
+                );
+            }
+        }
+    }
+}
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -1,6 +1,6 @@
 //! The state machine: probes, suspicion, gossip, proofs of life, and what is worked out from them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use crate::share::{Known, Share};
@@ -269,6 +269,10 @@
     told_share: f64,
     demand: Demand,
     numbers: u64,
+    /// Names that are suspected, and what is worked out from all members when something of them has changed.
+    suspects: BTreeSet<String>,
+    changed: bool,
+    known: Known,
     effects: VecDeque<Effect>,
     /// Counts since the start.
     pub counts: Counts,
@@ -324,6 +328,15 @@
             standing: Standing::Joining,
             demand: Demand::default(),
             numbers: 0,
+            suspects: BTreeSet::new(),
+            changed: true,
+            known: Known {
+                fleet: terms.fleet,
+                members: 1,
+                living: 1,
+                load: None,
+                standing: Standing::Joining,
+            },
             effects: VecDeque::new(),
             counts: Counts::default(),
             terms,
@@ -341,7 +354,8 @@
     /// When [`Membership::wake`] wants to be called.
     pub fn next_wake(&self) -> Micros {
         let probe = self.probe.as_ref().map_or(u64::MAX, |p| p.next);
-        let deaths = self.members.values().filter_map(|m| self.death(m)).min().unwrap_or(u64::MAX);
+        let suspects = self.suspects.iter().filter_map(|name| self.members.get(name));
+        let deaths = suspects.filter_map(|m| self.death(m)).min().unwrap_or(u64::MAX);
         let rival = self.rival.map_or(u64::MAX, |r| r.3);
         if self.left {
             return u64::MAX;
@@ -486,7 +500,7 @@
 
     /// The time of suspicion with so many accusers.
     fn suspicion(&self, accusers: usize) -> Micros {
-        let n = self.living().count() + 1;
+        let n = self.known.living as usize;
         let least = SUSPICION.0 * (n as f64).log10().max(1.0) * self.terms.period as f64;
         if self.terms.plain {
             return least as Micros;
@@ -545,7 +559,9 @@
             self.sync();
         }
         let (now, keep) = (self.now, REMEMBER * self.terms.period);
+        let before = self.members.len();
         self.members.retain(|_, m| m.record.state <= State::Suspect || now < m.since + keep);
+        self.changed |= before != self.members.len();
         let (members, fresh) = (&self.members, SYNC * self.terms.period);
         self.peers
             .retain(|name, lives| members.contains_key(name) || lives.iter().any(|p| now < p.proved + fresh));
@@ -568,6 +584,7 @@
         let changed = (old - new).abs() > RETELL.1 * old.max(1.0) || cuts != self.me.cuts;
         if changed {
             self.next_tell = self.now + RETELL.0 * self.terms.period;
+            self.changed = true;
             (self.me.demand, self.me.cuts) = (self.demand, cuts);
             self.me.beat += 1;
             self.spread(self.me.name.clone());
@@ -701,7 +718,8 @@
         {
             return;
         }
-        let over = self.members.values().filter(|m| self.death(m).is_some_and(|at| at <= self.now));
+        let suspects = self.suspects.iter().filter_map(|name| self.members.get(name));
+        let over = suspects.filter(|m| self.death(m).is_some_and(|at| at <= self.now));
         let over: Vec<Record> = over
             .map(|m| Record { state: State::Dead, by: mark(&self.me.name), ..m.record.clone() })
             .collect();
@@ -726,6 +744,31 @@
         if record.name == self.me.name {
             return self.told_of_me(&record);
         }
+        let name = record.name.clone();
+        if self.is_of_another(&record) {
+            // It is told, and counts up: everybody believes that.
+            self.send_to(&name, Kind::News, vec![record]);
+            return;
+        }
+        self.believe(record);
+        match self.members.get(&name).map(|m| m.record.state) {
+            Some(State::Suspect) => self.suspects.insert(name),
+            _ => self.suspects.remove(&name),
+        };
+    }
+
+    /// Whether a death or a good-bye is that of an earlier process of a name whose present one has proved its life here.
+    fn is_of_another(&self, record: &Record) -> bool {
+        let Some(member) = self.members.get(&record.name).filter(|_| !self.terms.plain) else { return false };
+        let proved =
+            |life| self.peers.get(&record.name).is_some_and(|lives| lives.iter().any(|p| p.life == life));
+        record.state > State::Suspect
+            && record.incarnation == member.record.incarnation
+            && record.life != member.record.life
+            && proved(member.record.life)
+    }
+
+    fn believe(&mut self, record: Record) {
         let full = self.members.len() >= self.terms.most;
         let now = self.now;
         let Some(member) = self.members.get_mut(&record.name) else {
@@ -743,6 +786,7 @@
                 let member =
                     Member { record, since: now, accusers, link: Link::Good, indirect: 0, heard: None };
                 self.members.insert(name, member);
+                self.changed = true;
             }
             return;
         };
@@ -752,6 +796,7 @@
         if newer && record.life == member.record.life {
             (member.record.demand, member.record.cuts) = (record.demand, record.cuts.clone());
             member.record.beat = record.beat;
+            self.changed = true;
             if new <= old {
                 self.news.insert(record.name.clone(), 0);
             }
@@ -775,6 +820,7 @@
             if member.record.state > State::Suspect {
                 member.link = Link::Good;
             }
+            self.changed |= was != member.record.state;
             let (name, state, incarnation) =
                 (member.record.name.clone(), member.record.state, member.record.incarnation);
             if was != state {
@@ -794,7 +840,6 @@
                 self.spread(record.name);
             }
         }
-        self.restand();
     }
 
     fn told_of_me(&mut self, record: &Record) {
@@ -936,8 +981,8 @@
     }
 
     fn hears(&self, name: &str) -> bool {
-        // Everybody asks everybody once in as many periods as there are members.
-        let recent = (4 + self.living().count() as u64).min(ROUND) * self.terms.period;
+        // Everybody asks everybody once in as many periods as there are members, in an order that is drawn anew each time.
+        let recent = (4 + 2 * u64::from(self.known.living)).min(ROUND) * self.terms.period;
         self.members.get(name).and_then(|m| m.heard).is_some_and(|at| self.now < at + recent)
     }
 
@@ -1004,13 +1049,10 @@
             .collect();
         if !self.joined || self.living().next().is_none() {
             // Nobody is known: seeds are asked, a few at a time.
-            let seeds = self.terms.seeds.clone();
-            let from = (draw(&mut self.dice) % seeds.len().max(1) as u64) as usize;
-            for seed in seeds.iter().cycle().skip(from).take(seeds.len().min(HELPERS)) {
-                if *seed != self.me.address {
-                    self.send(*seed, Kind::Digest(digest, true), Vec::new());
-                }
-            }
+            self.ask_seeds(HELPERS, digest);
+        } else if turn == 1 && !self.terms.plain {
+            // Members that start at once may meet in groups that know nothing of each other: seeds bring them together.
+            self.ask_seeds(1, digest);
         } else if turn == 0 && !dead.is_empty() && !self.terms.plain {
             // Two halves of a cut believe each other dead: somebody has to ask.
             let at = (draw(&mut self.dice) % dead.len() as u64) as usize;
@@ -1020,6 +1062,16 @@
         }
     }
 
+    fn ask_seeds(&mut self, n: usize, digest: [u32; BUCKETS]) {
+        let seeds = self.terms.seeds.clone();
+        let from = (draw(&mut self.dice) % seeds.len().max(1) as u64) as usize;
+        for seed in seeds.iter().cycle().skip(from).take(seeds.len().min(n)) {
+            if *seed != self.me.address {
+                self.send(*seed, Kind::Digest(digest, true), Vec::new());
+            }
+        }
+    }
+
     /// Sends what lies in parts that differ.
     fn differ(&mut self, to: SocketAddr, theirs: &[u32; BUCKETS]) {
         let mine = self.digest();
@@ -1120,17 +1172,16 @@
         if std::mem::replace(&mut self.standing, standing) != standing {
             self.effects.push_back(Effect::Told(Change::Standing(standing)));
         }
-        let living = self.living().count() as u32 + 1;
-        let gone = self.members.values().filter(|m| m.record.state == State::Left).count();
-        let mine = self.me.demand.total();
-        let all: f64 = mine + self.living().map(|m| m.record.demand.total()).sum::<f64>();
-        let known = Known {
-            fleet: self.terms.fleet,
-            members: (self.members.len() + 1 - gone) as u32,
-            living,
-            load: (all > 0.0).then(|| mine / all),
-            standing,
-        };
+        if std::mem::take(&mut self.changed) {
+            let living = self.living().count() as u32 + 1;
+            let gone = self.members.values().filter(|m| m.record.state == State::Left).count();
+            let mine = self.me.demand.total();
+            let all: f64 = mine + self.living().map(|m| m.record.demand.total()).sum::<f64>();
+            let members = (self.members.len() + 1 - gone) as u32;
+            self.known = Known { members, living, load: (all > 0.0).then(|| mine / all), ..self.known };
+        }
+        self.known.standing = standing;
+        let known = self.known;
         let share = self.share.next(self.now, &known);
         // Narrowing is told at once, widening in steps worth telling.
         if share < self.told_share || share > self.told_share * 1.02 {
--- a/crates/membership/src/share.rs
+++ b/crates/membership/src/share.rs
@@ -39,15 +39,19 @@
     /// The share.
     pub now: f64,
     at: Micros,
+    /// Members that lived when it was last worked out.
+    living: u32,
 }
 
 impl Share {
     /// A share before anything is known: that of a gateway that cannot tell.
     pub fn new(widest: f64, widen: f64, fleet: u32, at: Micros) -> Self {
-        Share { widest, widen, now: NARROW / f64::from(fleet.max(1)), at }
+        Share { widest, widen, now: NARROW / f64::from(fleet.max(1)), at, living: 0 }
     }
 
-    /// The share at a time. It narrows at once and widens slowly.
+    /// The share at a time. It widens slowly. It narrows at once where more members live or this one's standing is bad, and
+    /// as slowly as it widens where only load has moved: else noise in what clients ask for would narrow one share at once
+    /// and widen the others late, and leave part of the fleet to nobody.
     pub fn next(&mut self, now: Micros, known: &Known) -> f64 {
         let fleet = f64::from(known.fleet.max(known.members).max(1));
         let even = 1.0 / fleet;
@@ -63,9 +67,12 @@
         };
         let goal = goal.min(self.widest * even);
         let span = now.saturating_sub(self.at) as f64 / 1e6;
-        let step = self.now + self.widen * even * span;
+        let step = self.widen * even * span;
+        let more = known.living > std::mem::replace(&mut self.living, known.living);
+        let at_once = more || known.standing != Standing::Whole;
+        let floor = if at_once { goal } else { goal.max(self.now - step) };
         self.at = self.at.max(now);
-        self.now = goal.min(step);
+        self.now = floor.min(self.now + step).min(self.widest * even);
         self.now
     }
 }
