--- /dev/null
+++ b/crates/agreement/src/search.rs
@@ -0,0 +1,244 @@
+//! A search through all interleavings of a small case: every order of deliveries, losses, copies, steps of time, restarts.
+//!
+//! A message that was sent may be delivered at any later time, any number of times, or never; a gateway that stands still
+//! is one to which nothing is delivered for a while. The clocks of the gateways run at rates of their own.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeSet, HashSet};
+use std::hash::{Hash, Hasher};
+
+use crate::history::Version;
+use crate::voter::{Effect, Kept, Message, Micros, Plant, Terms, Voter};
+
+/// A case.
+#[derive(Debug, Clone)]
+pub struct Case {
+    /// How many gateways.
+    pub gateways: u16,
+    /// Who proposes a further version, each once, each a content of its own.
+    pub proposers: Vec<u16>,
+    /// Who knows at the start that a second version is committed; they tell the others.
+    pub learned: Vec<u16>,
+    /// How often each gateway may ask for a lease.
+    pub asks: Vec<u8>,
+    /// Restarts in all; what is kept stays, all else is lost.
+    pub restarts: u8,
+    /// Steps of time, and how long one is.
+    pub steps: u8,
+    /// See `steps`.
+    pub step: Micros,
+    /// Parts of a million by which each gateway's clock runs too fast.
+    pub rates: Vec<i64>,
+    /// Length of a lease.
+    pub lease: Micros,
+    /// Allowed drift in parts of a million.
+    pub drift: u64,
+    /// A planted fault.
+    pub plant: Plant,
+}
+
+/// What a search found.
+#[derive(Debug, Clone)]
+pub struct Outcome {
+    /// Different states visited.
+    pub states: usize,
+    /// All reachable states were visited.
+    pub whole: bool,
+    /// The steps that lead to the first state in which the property does not hold, and what is wrong there.
+    pub broken: Option<(Vec<String>, String)>,
+    /// States in which some gateway held a lease on the first version, and on a later one: a search that never gets there
+    /// shows nothing.
+    pub held: (usize, usize),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct World {
+    now: Micros,
+    steps: u8,
+    voters: Vec<Voter>,
+    lives: Vec<u64>,
+    asks: Vec<u8>,
+    proposed: Vec<bool>,
+    restarts: u8,
+    sent: BTreeSet<(u16, u16, Message)>,
+}
+
+#[derive(Debug, Clone)]
+enum Act {
+    Deliver(u16, u16, Message),
+    Step,
+    Propose(usize),
+    Ask(u16),
+    Restart(u16),
+}
+
+fn clock(case: &Case, of: u16, now: Micros) -> Micros {
+    // Far from zero, so that a span before the start is one.
+    10_000_000 + (now as i128 * (1_000_000 + case.rates[of as usize] as i128) / 1_000_000) as Micros
+}
+
+fn terms(case: &Case, me: u16) -> Terms {
+    Terms { me, of: case.gateways, lease: case.lease, drift: case.drift, check: 0, plant: case.plant }
+}
+
+impl World {
+    fn start(case: &Case) -> World {
+        let first = Version::after(0, 0, b"first");
+        let mut kept = Kept::default();
+        kept.history.add(&first);
+        // All have run for long: nothing of an earlier life holds any more.
+        let long_ago = |me| clock(case, me, 0) - 2 * terms(case, me).grant();
+        let mut world = World {
+            now: 0,
+            steps: case.steps,
+            voters: (0..case.gateways)
+                .map(|me| Voter::new(terms(case, me), kept.clone(), u64::from(me), long_ago(me)))
+                .collect(),
+            lives: (0..case.gateways).map(u64::from).collect(),
+            asks: case.asks.clone(),
+            proposed: vec![false; case.proposers.len()],
+            restarts: case.restarts,
+            sent: BTreeSet::new(),
+        };
+        let second = Version::after(1, first.hash, b"second");
+        for &by in &case.learned {
+            world.voters[by as usize].message(0, by, &Message::Committed(second.clone()));
+            while world.voters[by as usize].effect().is_some() {}
+            let others = (0..case.gateways).filter(|g| !case.learned.contains(g));
+            world.sent.extend(others.map(|to| (by, to, Message::Committed(second.clone()))));
+        }
+        world
+    }
+
+    fn acts(&self, case: &Case) -> Vec<Act> {
+        let mut acts: Vec<Act> = self.sent.iter().map(|(a, b, m)| Act::Deliver(*a, *b, m.clone())).collect();
+        if self.steps > 0 {
+            acts.push(Act::Step);
+        }
+        acts.extend((0..self.proposed.len()).filter(|&i| !self.proposed[i]).map(Act::Propose));
+        acts.extend((0..case.gateways).filter(|&g| self.asks[g as usize] > 0).map(Act::Ask));
+        if self.restarts > 0 {
+            acts.extend((0..case.gateways).map(Act::Restart));
+        }
+        acts
+    }
+
+    fn after(&self, case: &Case, act: &Act) -> World {
+        let mut world = self.clone();
+        let at = |g: u16| clock(case, g, self.now);
+        let touched = match act {
+            Act::Deliver(from, to, message) => {
+                world.voters[*to as usize].message(at(*to), *from, message);
+                *to
+            }
+            Act::Step => {
+                world.now += case.step;
+                world.steps -= 1;
+                return world;
+            }
+            Act::Propose(i) => {
+                world.proposed[*i] = true;
+                let by = case.proposers[*i];
+                world.voters[by as usize].propose(format!("by {by}").as_bytes());
+                by
+            }
+            Act::Ask(by) => {
+                world.asks[*by as usize] -= 1;
+                world.voters[*by as usize].renew(at(*by));
+                *by
+            }
+            Act::Restart(of) => {
+                world.restarts -= 1;
+                world.lives[*of as usize] += 1_000;
+                let kept = world.voters[*of as usize].kept().clone();
+                world.voters[*of as usize] =
+                    Voter::new(terms(case, *of), kept, world.lives[*of as usize], at(*of));
+                return world;
+            }
+        };
+        world.carry_out(case, touched);
+        world
+    }
+
+    /// Sends what a voter wants sent; what is for itself it has at once.
+    fn carry_out(&mut self, case: &Case, of: u16) {
+        let at = clock(case, of, self.now);
+        while let Some(effect) = self.voters[of as usize].effect() {
+            match effect {
+                Effect::Send(to, message) if to == of => self.voters[of as usize].message(at, of, &message),
+                Effect::Send(to, message) => {
+                    self.sent.insert((of, to, message));
+                }
+                Effect::Keep(_) | Effect::Learned(_) => {}
+            }
+        }
+    }
+
+    fn holds(&self, case: &Case) -> Vec<Option<u64>> {
+        (0..case.gateways).map(|g| self.voters[g as usize].acts_on(clock(case, g, self.now))).collect()
+    }
+
+    fn wrong(&self, case: &Case) -> Option<String> {
+        let holds = self.holds(case);
+        for a in 0..self.voters.len() {
+            for b in 0..a {
+                if let (Some(x), Some(y)) = (holds[a], holds[b]) {
+                    if x != y {
+                        return Some(format!("{b} acts on version {y} while {a} acts on {x}"));
+                    }
+                }
+                let (one, other) = (self.voters[a].history(), self.voters[b].history());
+                for v in one.all() {
+                    if other.get(v.number).is_some_and(|w| w != v) {
+                        return Some(format!("{a} and {b} have committed different versions {}", v.number));
+                    }
+                }
+            }
+        }
+        None
+    }
+}
+
+fn mark(world: &World) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    world.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Searches a case, through `most` states at most.
+pub fn search(case: &Case, most: usize) -> Outcome {
+    let mut outcome = Outcome { states: 0, whole: true, broken: None, held: (0, 0) };
+    let mut seen: HashSet<u64> = HashSet::new();
+    let start = World::start(case);
+    seen.insert(mark(&start));
+    // Depth first: each entry is a state and the acts that are still to be tried there; the path is the stack itself.
+    let acts = start.acts(case);
+    let mut stack: Vec<(World, Vec<Act>, String)> = vec![(start, acts, "start".into())];
+    while let Some((world, acts, _)) = stack.last_mut() {
+        let Some(act) = acts.pop() else {
+            stack.pop();
+            continue;
+        };
+        let next = world.after(case, &act);
+        if !seen.insert(mark(&next)) {
+            continue;
+        }
+        outcome.states += 1;
+        let holds = next.holds(case);
+        outcome.held.0 += usize::from(holds.contains(&Some(1)));
+        outcome.held.1 += usize::from(holds.iter().flatten().any(|&v| v > 1));
+        if let Some(wrong) = next.wrong(case) {
+            let mut path: Vec<String> = stack.iter().skip(1).map(|s| s.2.clone()).collect();
+            path.push(format!("{act:?}"));
+            outcome.broken = Some((path, wrong));
+            return outcome;
+        }
+        if outcome.states >= most {
+            outcome.whole = false;
+            return outcome;
+        }
+        let acts = next.acts(case);
+        stack.push((next, acts, format!("{act:?}")));
+    }
+    outcome
+}
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -550,7 +550,8 @@
         let Ok(foreign) = Keys::new(vec![key("not the rig's key at all")]) else { return };
         let remembered = self.doors.remembered();
         let mut targets: Vec<SocketAddr> = Vec::new();
-        for gateway in self.gateways.borrow().iter().map(|g| g.address).collect::<Vec<_>>() {
+        let gateways: Vec<SocketAddr> = self.gateways.borrow().iter().map(|g| g.address).collect();
+        for gateway in gateways {
             targets.extend(peers::ask(gateway).await.ok().and_then(|v| v.address.parse::<SocketAddr>().ok()));
         }
         let mut forged = Vec::new();
