--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -208,7 +208,7 @@
             accepted: BTreeSet::new(),
         });
         let next = self.next();
-        self.to_all(&Message::Prepare(next, ballot));
+        self.send_all(&Message::Prepare(next, ballot));
     }
 
     /// Asks for a lease on the newest version, or for it to be renewed.
@@ -222,7 +222,7 @@
             self.held = None;
         }
         self.asked = Some((version, now, BTreeSet::new()));
-        self.to_all(&Message::Ask(version, now, self.life));
+        self.send_all(&Message::Ask(version, now, self.life));
     }
 
     /// A message from a gateway.
@@ -256,7 +256,7 @@
                 if p.accepted.len() >= quorum {
                     if let Some(version) = p.version.clone() {
                         self.commit(&version);
-                        self.to_all(&Message::Committed(version));
+                        self.send_all(&Message::Committed(version));
                     }
                 }
             }
@@ -319,7 +319,7 @@
         let found = p.promises.values().flatten().max_by_key(|a| a.0).map(|a| a.1.clone());
         let version = found.unwrap_or_else(|| Version::after(at, hash, &p.content));
         p.version = Some(version.clone());
-        self.to_all(&Message::Accept(ballot, version));
+        self.send_all(&Message::Accept(ballot, version));
     }
 
     fn commit(&mut self, version: &Version) {
@@ -368,7 +368,7 @@
     }
 
     /// To all configured gateways, this one among them.
-    fn to_all(&mut self, message: &Message) {
+    fn send_all(&mut self, message: &Message) {
         (0..self.terms.of).for_each(|to| self.send(to, message.clone()));
     }
 }
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -81,3 +81,35 @@
     let found = read(&format!("{GOOD}(policy (budget (free 5) (share 2) (window \"5s\")))")).unwrap_err();
     assert!(found[0].contains("share: expected a number from 0 to 1"));
 }
+
+const PEERS: &str = r#"
+(membership (listen "127.0.0.1:0") (name g1) (site south) (seeds "127.0.0.1:1" "127.0.0.1:2") (via g0 "127.0.0.1:3")
+  (key k1 "sixteen octets or more") (key k0 "the one that was before") (period "250ms"))
+"#;
+
+#[test]
+fn membership_is_read_and_its_mistakes_are_told_with_their_places() {
+    let whole = format!("{GOOD}{PEERS}");
+    let peers = read(&whole).unwrap().peers.expect("a section");
+    assert_eq!(
+        (peers.name.as_str(), peers.site.as_str(), peers.seeds.len(), peers.via.len()),
+        ("g1", "south", 2, 1)
+    );
+    assert_eq!((peers.period.as_millis(), peers.widest), (250, 2.0));
+    assert_eq!(read(GOOD).unwrap().peers, None, "off without the section");
+    let cases = [
+        ("(name g1)", "", "9:1: membership needs (name ...)"),
+        ("\"127.0.0.1:0\"", "here", "listen: expected an address and port"),
+        ("(site south)", "(sight south)", "sight is not known in membership"),
+        ("\"sixteen octets or more\"", "\"short\"", "the secret of k1 is under sixteen octets"),
+        ("(key k0", "(key k1", "the key k1 stands twice"),
+        ("(via g0 \"127.0.0.1:3\")", "(via g0)", "expected (key NAME \"secret\") or (via NAME ADDRESS)"),
+        ("(listen \"127.0.0.1:0\")", "(listen \"0.0.0.0:0\")", "(advertise ADDRESS) must tell"),
+        ("(period \"250ms\")", "(key-file \"none\")", "key-file and key: expected one of them"),
+    ];
+    for (from, to, told) in cases {
+        assert!(PEERS.contains(from), "{from}");
+        let found = read(&format!("{GOOD}{}", PEERS.replacen(from, to, 1))).unwrap_err();
+        assert!(found.iter().any(|m| m.contains(told)), "{to}: {found:?}");
+    }
+}
