--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -169,9 +169,9 @@
     },
     /// Membership in figures: simulated fleets of the state machine, beside plain SWIM.
     Membership {
-        /// With a thousand members.
+        /// Of this size alone: 8, 64, 300 or 1000; without it all but the last.
         #[arg(long)]
-        large: bool,
+        members: Option<usize>,
     },
     /// List the kinds of trouble.
     Troubles,
@@ -246,8 +246,8 @@
                 }
             };
         }
-        Command::Membership { large } => {
-            violetward_lab::membership::table(large);
+        Command::Membership { members } => {
+            violetward_lab::membership::table(members);
             Ok(())
         }
         Command::Troubles => {
