Rig: a gateway that is ended in order is awaited; nothing waits after a good-bye

Found in reading the change again: after its good-bye a member's alarm was set to the end of time, and no plan ended a gateway by SIGTERM. The rig started its successor while it still gave its last answers, on the same address, and stood still for ten seconds.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -142,6 +142,11 @@
         Ok(peers)
     }
 
+    /// Nothing is waited for once this one has said good-bye.
+    fn next_wake(&self) -> Option<u64> {
+        Some(self.membership.borrow().next_wake()).filter(|&at| at < u64::MAX)
+    }
+
     fn with<T>(&self, host: &Rc<Host>, act: impl FnOnce(&mut Membership, u64) -> T) -> T {
         let result = act(&mut self.membership.borrow_mut(), host.now());
         loop {
@@ -151,7 +156,7 @@
                 None => break,
             }
         }
-        self.alarm.set(Some(self.membership.borrow().next_wake()));
+        self.alarm.set(self.next_wake());
         result
     }
 
@@ -205,7 +210,7 @@
 
     async fn wake(self: Rc<Self>, host: Rc<Host>) {
         loop {
-            self.alarm.wait(&host.clock, || Some(self.membership.borrow().next_wake())).await;
+            self.alarm.wait(&host.clock, || self.next_wake()).await;
             self.with(&host, Membership::wake);
             future::yield_now().await;
         }
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -33,7 +33,7 @@
 use crate::load::{Draw, Shape};
 use crate::process::{self, Process};
 use check::{Sample, Verdict};
-use plan::{Act, Plan, CALM};
+use plan::{Act, Plan};
 use relay::{Doors, Way};
 
 /// Between two samples of what a gateway believes.
@@ -435,11 +435,11 @@
             }
             Act::Start(all) => {
                 for n in all {
-                    let address = {
-                        let gateways = self.gateways.borrow();
-                        gateways[n].process.is_none().then_some(gateways[n].address)
-                    };
-                    let Some(address) = address else { continue };
+                    // One that still gives its last answers has the address: starting beside it would wait for nothing.
+                    while self.gateways.borrow()[n].process.is_some() {
+                        sleep(Duration::from_millis(20)).await;
+                    }
+                    let address = self.gateways.borrow()[n].address;
                     for _ in 0..40 {
                         // The address may still be held for a moment by connections that end.
                         if let Ok((process, _)) = self.start_gateway(n, address) {
@@ -453,12 +453,14 @@
             }
             Act::Term(all) => {
                 for n in all {
-                    let Some(mut process) = self.gateways.borrow_mut()[n].process.take() else { continue };
-                    process.signal(Signal::TERM);
+                    self.gateways.borrow()[n].process.iter().for_each(|p| p.signal(Signal::TERM));
+                    let ended =
+                        || self.gateways.borrow_mut()[n].process.as_mut().is_none_or(Process::has_ended);
                     let start = Instant::now();
-                    while !process.has_ended() && start.elapsed() < Duration::from_secs(20) {
+                    while !ended() && start.elapsed() < Duration::from_secs(20) {
                         sleep(Duration::from_millis(20)).await;
                     }
+                    self.gateways.borrow_mut()[n].process.take();
                     self.doors.lead_to(n, None);
                     self.end_life(n);
                 }
@@ -494,7 +496,7 @@
                 self.doors.heal();
                 self.ways.borrow().iter().flatten().for_each(|way| way.cut(false));
             }
-            Act::Weather(weather) => self.doors.set_weather(if weather == CALM { CALM } else { weather }),
+            Act::Weather(weather) => self.doors.set_weather(weather),
             Act::Twin(n) => {
                 let any = SocketAddr::from(([127, 0, 0, 1], 0));
                 if let Ok((process, _)) = self.start_process(n, any, &format!("twin{n}")) {
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -108,7 +108,7 @@
 }
 
 /// The built-in plans: name, what it tries, and its text.
-pub const BUILT_IN: [(&str, &str, &str); 16] = [
+pub const BUILT_IN: [(&str, &str, &str); 17] = [
     (
         "pair-cut",
         "two gateways and one cut between them, both ways, healed",
@@ -130,6 +130,13 @@
         (gateways 8) (engines 6) (span "26s") (load 0.6)
         (at "5s" (kill 0 1 2 3)) (at "15s" (start 0 1 2 3)) (expect (agree "10s") (shares "12s"))"#,
     ),
+    (
+        "rolled",
+        "one is ended by SIGTERM, says good-bye and comes back",
+        r#"
+        (gateways 4) (engines 3) (span "9s") (load 0.4)
+        (at "3s" (term 0)) (at "6s" (start 0)) (expect (agree "6s") (shares "7s"))"#,
+    ),
     (
         "nine-in-ten",
         "a storm of restarts: nine in ten are killed and start at once",
