--- a/crates/agreement/src/history.rs
+++ b/crates/agreement/src/history.rs
@@ -26,16 +26,31 @@
     }
 }
 
+/// Versions that are kept at most; older ones leave.
+pub const KEPT: usize = 64;
+
 /// Versions in order, without gaps from the first that is kept.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct History {
+    /// Number and hash of the version before the first that is kept.
+    base: (u64, u64),
     versions: Vec<Version>,
 }
 
 impl History {
+    /// A history that goes on after a version that is not kept itself: its number and hash.
+    pub fn since(number: u64, hash: u64) -> History {
+        History { base: (number, hash), versions: Vec::new() }
+    }
+
+    /// Number and hash of the version before the first that is kept.
+    pub fn base(&self) -> (u64, u64) {
+        self.base
+    }
+
     /// The newest version; number 0 where there is none.
     pub fn newest(&self) -> (u64, u64) {
-        self.versions.last().map_or((0, 0), |v| (v.number, v.hash))
+        self.versions.last().map_or(self.base, |v| (v.number, v.hash))
     }
 
     /// A version by its number.
@@ -54,6 +69,10 @@
         let fits = *version == Version::after(number, hash, &version.content);
         if fits {
             self.versions.push(version.clone());
+            if self.versions.len() > KEPT {
+                let old = self.versions.remove(0);
+                self.base = (old.number, old.hash);
+            }
         }
         fits
     }
--- /dev/null
+++ b/crates/agreement/src/member.rs
@@ -0,0 +1,431 @@
+//! One gateway's whole part, by names: the voter, contents that are fetched in parts, proposals of operators and when what
+//! is due. Free of I/O and clock; whoever holds it carries out one effect after the other.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::history::{Version, KEPT};
+use crate::voter::{Effect as Inner, Kept, Message, Micros, Terms, Voter};
+use crate::wire::{self, Digest32, Said, Unread, CONTENT, PART};
+
+/// Contents that are fetched at once, sayings that wait for one, parts that are sent for one question.
+const FETCHES: usize = 4;
+const WAITING: usize = 16;
+const PARTS: usize = 8;
+/// A question for parts is asked again after this span, and given up after so many.
+const ASK_AGAIN: Micros = 200_000;
+const ASKS: u32 = 25;
+/// A proposal is tried again after about this span, and its operator told that its end is not known after the other.
+const TRY_AGAIN: Micros = 300_000;
+const PATIENCE: Micros = 5_000_000;
+/// A lease is renewed so many times while it lasts, and asked for so many times where there is none.
+const RENEWALS: u64 = 4;
+const ASKED: u64 = 16;
+/// Gateways that do not vote and are known by number at once.
+const OTHERS: usize = 8_192;
+
+/// The settings of a gateway's part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberTerms {
+    /// This gateway's name.
+    pub name: String,
+    /// The names of those that vote, in the order that all have.
+    pub voters: Vec<String>,
+    /// See [`Terms::votes`].
+    pub votes: bool,
+    /// See [`Terms::lease`].
+    pub lease: Micros,
+    /// See [`Terms::drift`].
+    pub drift: u64,
+    /// See [`Terms::check`].
+    pub check: Micros,
+    /// A mark of all that gateways must have in common: who has another one is not understood.
+    pub mark: u64,
+}
+
+impl MemberTerms {
+    /// The terms of the voter.
+    pub fn voter(&self) -> Terms {
+        let place = self.voters.iter().position(|v| *v == self.name);
+        Terms {
+            me: place.unwrap_or(usize::from(u16::MAX)) as u16,
+            voters: self.voters.len() as u16,
+            votes: self.votes && place.is_some(),
+            lease: self.lease,
+            drift: self.drift,
+            check: self.check,
+            plant: crate::Plant::None,
+        }
+    }
+}
+
+/// How a proposal ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is the version with this number.
+    Committed(u64),
+    /// Another content is.
+    Conflict(u64),
+    /// So many voters found it unfit that no quorum is left; the first reason.
+    Unfit(String),
+    /// No quorum answered in time: it may still become a version, with the next proposal.
+    Unknown,
+}
+
+/// Why a proposal is not even begun.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Declined {
+    /// This gateway does not vote; these do.
+    NotVoter(Vec<String>),
+    /// It does not pass the check here.
+    Unfit(String),
+    /// Another one of this gateway is under way.
+    Busy,
+    /// It was made for another version than the newest, which is this one.
+    Stale(u64),
+}
+
+/// What is to be done, in order: the next one is asked for only when the one before it is done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Keep these octets, whole and for good.
+    Keep(Vec<u8>),
+    /// Say something to a gateway.
+    Say(String, Vec<u8>),
+    /// Say something to all gateways that are known.
+    SayAll(Vec<u8>),
+    /// A version is committed.
+    Learned(Version),
+    /// The proposal has ended.
+    Proposed(Outcome),
+    /// A gateway has other terms than this one.
+    OtherTerms(String),
+}
+
+struct Fetch {
+    from: String,
+    length: u32,
+    parts: Vec<Option<Vec<u8>>>,
+    asked: Micros,
+    asks: u32,
+    waiting: Vec<(String, Vec<u8>)>,
+}
+
+struct Proposal {
+    content: Vec<u8>,
+    number: u64,
+    again: Micros,
+    until: Micros,
+    unfit: BTreeMap<String, String>,
+}
+
+/// What passes a content before it is voted on.
+pub type Check = Box<dyn Fn(&[u8]) -> Result<(), String>>;
+
+/// A gateway's part. See the module's documentation.
+pub struct Member {
+    terms: MemberTerms,
+    voter: Voter,
+    check: Check,
+    others: BTreeMap<String, u16>,
+    contents: VecDeque<(Digest32, Vec<u8>)>,
+    fetches: BTreeMap<Digest32, Fetch>,
+    proposal: Option<Proposal>,
+    renew: Micros,
+    writes: u64,
+    dice: u64,
+    effects: VecDeque<Effect>,
+    /// Sayings taken, sayings that could not be read, sayings of gateways with other terms.
+    pub counts: [u64; 3],
+}
+
+impl Member {
+    /// A gateway that starts with what it kept; `life` differs at every start.
+    pub fn new(terms: MemberTerms, kept: (Kept, u64), life: u64, now: Micros, check: Check) -> Member {
+        // Written at every start before anything is granted: whether a life before this one can have granted something.
+        let fresh = kept.1 == 0;
+        let start = wire::keep(&kept.0, terms.mark, kept.1 + 1);
+        let mut member = Member {
+            voter: Voter::new(terms.voter(), kept.0, life, now, fresh),
+            terms,
+            check,
+            others: BTreeMap::new(),
+            contents: VecDeque::new(),
+            fetches: BTreeMap::new(),
+            proposal: None,
+            renew: now,
+            writes: kept.1 + 1,
+            dice: life | 1,
+            effects: VecDeque::from([Effect::Keep(start)]),
+            counts: [0; 3],
+        };
+        let kept = member.voter.kept().clone();
+        let accepted = kept.accepted.iter().map(|a| &a.1);
+        kept.history.all().iter().chain(accepted).for_each(|v| member.store(&v.content));
+        member
+    }
+
+    /// The voter, to look at.
+    pub fn voter(&self) -> &Voter {
+        &self.voter
+    }
+
+    /// See [`Voter::acts_on`].
+    pub fn acts_on(&self, now: Micros) -> Option<(u64, u64)> {
+        self.voter.acts_on(now)
+    }
+
+    /// When [`Member::wake`] should be called next.
+    pub fn next_wake(&self) -> Micros {
+        let fetches = self.fetches.values().map(|f| f.asked + ASK_AGAIN).min();
+        let proposal = self.proposal.as_ref().map(|p| p.again.min(p.until));
+        [Some(self.renew), fetches, proposal].into_iter().flatten().min().unwrap_or(Micros::MAX)
+    }
+
+    /// The next effect, once the one before it is done.
+    pub fn effect(&mut self, now: Micros) -> Option<Effect> {
+        loop {
+            if let Some(effect) = self.effects.pop_front() {
+                return Some(effect);
+            }
+            match self.voter.effect()? {
+                Inner::Keep(kept) => {
+                    self.writes += 1;
+                    let bytes = wire::keep(&kept, self.terms.mark, self.writes);
+                    return Some(Effect::Keep(bytes));
+                }
+                Inner::Send(to, message) if to == self.terms.voter().me => {
+                    let unfit =
+                        matches!(&message, Message::Accept(_, v) if (self.check)(&v.content).is_err());
+                    if !unfit {
+                        self.voter.message(now, to, &message);
+                    }
+                }
+                Inner::Send(to, message) => {
+                    let voter = self.terms.voters.get(usize::from(to)).cloned();
+                    let other = || self.others.iter().find(|o| *o.1 == to).map(|o| o.0.clone());
+                    let said = Said::Protocol(self.terms.mark, message).write();
+                    if let Some(name) = voter.or_else(other) {
+                        return Some(Effect::Say(name, said));
+                    }
+                }
+                Inner::All(message) => {
+                    return Some(Effect::SayAll(Said::Protocol(self.terms.mark, message).write()))
+                }
+                Inner::Learned(version) => {
+                    self.store(&version.content);
+                    self.ended(&version);
+                    // The lease on it is asked for at once.
+                    self.renew = now;
+                    return Some(Effect::Learned(version));
+                }
+            }
+        }
+    }
+
+    /// Something that another gateway said; who it is has been proved.
+    pub fn heard(&mut self, now: Micros, from: &str, bytes: &[u8]) {
+        let contents = &self.contents;
+        let find = |name: &Digest32| contents.iter().find(|c| c.0 == *name).map(|c| c.1.clone());
+        match Said::read(bytes, &find) {
+            Ok(said) => self.said(now, from, said),
+            Err(Unread::Bad) => self.counts[1] += 1,
+            Err(Unread::Missing(name, length)) => {
+                let room = self.fetches.len() < FETCHES;
+                if !self.fetches.contains_key(&name) && room {
+                    let waiting = Vec::new();
+                    let parts = vec![None; (length as usize).div_ceil(PART)];
+                    let from = from.to_owned();
+                    self.fetches.insert(name, Fetch { from, length, parts, asked: now, asks: 0, waiting });
+                    self.want(now, name);
+                }
+                if let Some(fetch) = self.fetches.get_mut(&name).filter(|f| f.waiting.len() < WAITING) {
+                    fetch.waiting.push((from.to_owned(), bytes.to_vec()));
+                }
+            }
+        }
+    }
+
+    fn said(&mut self, now: Micros, from: &str, said: Said) {
+        self.counts[0] += 1;
+        match said {
+            Said::Protocol(mark, _) if mark != self.terms.mark => {
+                self.counts[2] += 1;
+                // Once in a while: it goes on until somebody mends it.
+                if self.counts[2].is_power_of_two() {
+                    self.effects.push_back(Effect::OtherTerms(from.to_owned()));
+                }
+            }
+            Said::Protocol(_, message) => {
+                let Some(number) = self.number(from) else { return };
+                if let Message::Accept(_, version) = &message {
+                    // No vote for what this gateway could not act on.
+                    if let Err(why) = (self.check)(&version.content) {
+                        let said = Said::Unfit(version.number, why).write();
+                        return self.effects.push_back(Effect::Say(from.to_owned(), said));
+                    }
+                }
+                if let Message::Accept(_, v) | Message::Promise(_, _, Some((_, v))) = &message {
+                    self.store(&v.content);
+                }
+                self.voter.message(now, number, &message);
+            }
+            Said::Unfit(number, why) => {
+                let (quorum, voters) = (self.terms.voter().quorum(), self.terms.voters.len());
+                let votes = self.terms.voters.iter().any(|v| v == from);
+                let Some(p) = self.proposal.as_mut().filter(|p| p.number == number && votes) else { return };
+                p.unfit.insert(from.to_owned(), why);
+                if p.unfit.len() > voters - quorum {
+                    let why = p.unfit.iter().next().map(|(who, why)| format!("{who}: {why}"));
+                    self.proposal = None;
+                    self.effects.push_back(Effect::Proposed(Outcome::Unfit(why.unwrap_or_default())));
+                }
+            }
+            Said::Want(name, at) => {
+                let Some(content) = self.contents.iter().find(|c| c.0 == name).map(|c| &c.1) else { return };
+                // From there to the end of its row of parts, at least one of them.
+                let row = PARTS - (at as usize / PART) % PARTS;
+                let parts = content.get(at as usize..).unwrap_or_default().chunks(PART).take(row);
+                let mut at = at;
+                for part in parts {
+                    let said = Said::Part(name, at, content.len() as u32, part.to_vec()).write();
+                    self.effects.push_back(Effect::Say(from.to_owned(), said));
+                    at += part.len() as u32;
+                }
+            }
+            Said::Part(name, at, of, part) => self.part(now, name, at, of, &part),
+        }
+    }
+
+    fn part(&mut self, now: Micros, name: Digest32, at: u32, of: u32, part: &[u8]) {
+        let Some(fetch) = self.fetches.get_mut(&name).filter(|f| f.length == of) else { return };
+        let place = at as usize / PART;
+        let fits = at as usize % PART == 0 && part.len() == PART.min((of - at.min(of)) as usize);
+        let Some(slot) = fetch.parts.get_mut(place).filter(|slot| fits && slot.is_none()) else { return };
+        *slot = Some(part.to_vec());
+        fetch.asks = 0;
+        if fetch.parts.iter().all(Option::is_some) {
+            let Some(fetch) = self.fetches.remove(&name) else { return };
+            let content = fetch.parts.into_iter().flatten().flatten().collect::<Vec<u8>>();
+            if wire::digest(&content) == name {
+                self.store(&content);
+                fetch.waiting.into_iter().for_each(|(from, bytes)| self.heard(now, &from, &bytes));
+            }
+        } else if (place + 1) % PARTS == 0 {
+            // The last of those that were asked for: what is missing before it has been lost, or comes yet.
+            self.want(now, name);
+        }
+    }
+
+    fn want(&mut self, now: Micros, name: Digest32) {
+        let Some(fetch) = self.fetches.get_mut(&name) else { return };
+        fetch.asked = now;
+        let missing = fetch.parts.iter().position(Option::is_none).unwrap_or(0);
+        let said = Said::Want(name, (missing * PART) as u32).write();
+        self.effects.push_back(Effect::Say(fetch.from.clone(), said));
+    }
+
+    fn store(&mut self, content: &[u8]) {
+        let name = wire::digest(content);
+        if self.contents.iter().any(|c| c.0 == name) {
+            return;
+        }
+        self.contents.push_back((name, content.to_vec()));
+        if self.contents.len() > KEPT + PARTS {
+            self.contents.pop_front();
+        }
+    }
+
+    /// The number of a gateway: its place among the voters, or one that only this process knows it by.
+    fn number(&mut self, name: &str) -> Option<u16> {
+        if let Some(place) = self.terms.voters.iter().position(|v| v == name) {
+            return Some(place as u16);
+        }
+        if let Some(&number) = self.others.get(name) {
+            return Some(number);
+        }
+        let next = (self.terms.voters.len() + self.others.len()) as u16;
+        (self.others.len() < OTHERS).then(|| {
+            self.others.insert(name.to_owned(), next);
+            next
+        })
+    }
+
+    /// Proposes a content as the version after `after`, or after the newest.
+    ///
+    /// # Errors
+    /// Why it is not begun.
+    pub fn propose(&mut self, now: Micros, content: &[u8], after: Option<u64>) -> Result<(), Declined> {
+        let newest = self.voter.history().newest().0;
+        if !self.terms.voter().votes {
+            return Err(Declined::NotVoter(self.terms.voters.clone()));
+        }
+        if self.proposal.is_some() {
+            return Err(Declined::Busy);
+        }
+        if after.is_some_and(|after| after != newest) {
+            return Err(Declined::Stale(newest));
+        }
+        if content.len() > CONTENT {
+            return Err(Declined::Unfit(format!("it has over {CONTENT} octets")));
+        }
+        (self.check)(content).map_err(Declined::Unfit)?;
+        self.store(content);
+        let (number, until) = (newest + 1, now + PATIENCE);
+        let content = content.to_vec();
+        self.proposal = Some(Proposal { content, number, again: now, until, unfit: BTreeMap::new() });
+        self.wake(now);
+        Ok(())
+    }
+
+    /// A version is committed: what that means for the proposal.
+    fn ended(&mut self, version: &Version) {
+        let Some(p) = self.proposal.take_if(|p| p.number <= version.number) else { return };
+        let own = p.number == version.number && p.content == version.content;
+        let outcome =
+            if own { Outcome::Committed(version.number) } else { Outcome::Conflict(version.number) };
+        self.effects.push_back(Effect::Proposed(outcome));
+    }
+
+    /// Does what is due.
+    pub fn wake(&mut self, now: Micros) {
+        if self.renew <= now {
+            let times = if self.acts_on(now).is_some() { RENEWALS } else { ASKED };
+            self.renew = now + self.terms.lease / times;
+            self.voter.renew(now);
+        }
+        let late: Vec<Digest32> =
+            self.fetches.iter().filter(|(_, f)| f.asked + ASK_AGAIN <= now).map(|f| *f.0).collect();
+        for name in late {
+            if let Some(fetch) = self.fetches.get_mut(&name) {
+                fetch.asks += 1;
+                if fetch.asks > ASKS {
+                    self.fetches.remove(&name);
+                } else {
+                    // Whoever named it first may be gone; the others who did have it too.
+                    let others = &fetch.waiting;
+                    fetch.from.clone_from(&others[fetch.asks as usize % others.len()].0);
+                    self.want(now, name);
+                }
+            }
+        }
+        let Some(p) = &mut self.proposal else { return };
+        if p.until <= now {
+            self.proposal = None;
+            return self.effects.push_back(Effect::Proposed(Outcome::Unknown));
+        }
+        if p.again <= now {
+            // Two that propose at once must not do so in step.
+            self.dice ^= self.dice << 13;
+            self.dice ^= self.dice >> 7;
+            self.dice ^= self.dice << 17;
+            p.again = now + TRY_AGAIN + self.dice % TRY_AGAIN;
+            let content = p.content.clone();
+            self.voter.propose(&content);
+        }
+    }
+
+    /// Gives the lease back, before this process ends.
+    pub fn give_back(&mut self) {
+        self.voter.give_back();
+    }
+}
--- a/crates/agreement/src/search.rs
+++ b/crates/agreement/src/search.rs
@@ -46,7 +46,7 @@
     pub whole: bool,
     /// The steps that lead to the first state in which the property does not hold, and what is wrong there.
     pub broken: Option<(Vec<String>, String)>,
-    /// States in which some gateway held a lease on the first version, and on a later one: a search that never gets there
+    /// States in which some gateway acted on the first version in full, and on a later one: a search that never gets there
     /// shows nothing.
     pub held: (usize, usize),
 }
@@ -78,7 +78,15 @@
 }
 
 fn terms(case: &Case, me: u16) -> Terms {
-    Terms { me, of: case.gateways, lease: case.lease, drift: case.drift, check: 0, plant: case.plant }
+    Terms {
+        me,
+        voters: case.gateways,
+        votes: true,
+        lease: case.lease,
+        drift: case.drift,
+        check: 0,
+        plant: case.plant,
+    }
 }
 
 impl World {
@@ -92,7 +100,7 @@
             now: 0,
             steps: case.steps,
             voters: (0..case.gateways)
-                .map(|me| Voter::new(terms(case, me), kept.clone(), u64::from(me), long_ago(me)))
+                .map(|me| Voter::new(terms(case, me), kept.clone(), u64::from(me), long_ago(me), false))
                 .collect(),
             lives: (0..case.gateways).map(u64::from).collect(),
             asks: case.asks.clone(),
@@ -152,7 +160,7 @@
                 world.lives[*of as usize] += 1_000;
                 let kept = world.voters[*of as usize].kept().clone();
                 world.voters[*of as usize] =
-                    Voter::new(terms(case, *of), kept, world.lives[*of as usize], at(*of));
+                    Voter::new(terms(case, *of), kept, world.lives[*of as usize], at(*of), false);
                 return world;
             }
         };
@@ -169,12 +177,16 @@
                 Effect::Send(to, message) => {
                     self.sent.insert((of, to, message));
                 }
+                Effect::All(message) => {
+                    let others = (0..case.gateways).filter(|&g| g != of);
+                    self.sent.extend(others.map(|to| (of, to, message.clone())));
+                }
                 Effect::Keep(_) | Effect::Learned(_) => {}
             }
         }
     }
 
-    fn holds(&self, case: &Case) -> Vec<Option<u64>> {
+    fn holds(&self, case: &Case) -> Vec<Option<(u64, u64)>> {
         (0..case.gateways).map(|g| self.voters[g as usize].acts_on(clock(case, g, self.now))).collect()
     }
 
@@ -182,9 +194,14 @@
         let holds = self.holds(case);
         for a in 0..self.voters.len() {
             for b in 0..a {
-                if let (Some(x), Some(y)) = (holds[a], holds[b]) {
-                    if x != y {
-                        return Some(format!("{b} acts on version {y} while {a} acts on {x}"));
+                // Whoever acts has each version that another one acts on in full within its range.
+                for (x, y) in [(a, b), (b, a)] {
+                    if let (Some((low, top)), Some((from, to))) = (holds[x], holds[y]) {
+                        if low == top && !(from..=to).contains(&low) {
+                            return Some(format!(
+                                "{x} acts on version {low} while {y} acts on {from} to {to}"
+                            ));
+                        }
                     }
                 }
                 let (one, other) = (self.voters[a].history(), self.voters[b].history());
@@ -225,8 +242,8 @@
         }
         outcome.states += 1;
         let holds = next.holds(case);
-        outcome.held.0 += usize::from(holds.contains(&Some(1)));
-        outcome.held.1 += usize::from(holds.iter().flatten().any(|&v| v > 1));
+        outcome.held.0 += usize::from(holds.contains(&Some((1, 1))));
+        outcome.held.1 += usize::from(holds.iter().flatten().any(|&(low, _)| low > 1));
         if let Some(wrong) = next.wrong(case) {
             let mut path: Vec<String> = stack.iter().skip(1).map(|s| s.2.clone()).collect();
             path.push(format!("{act:?}"));
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -1,9 +1,11 @@
 //! One gateway's part: it votes on the next version, learns what is committed, grants leases and holds one.
 //!
-//! Each version is decided by single-decree Paxos among the configured gateways. A lease on a version is held by whom a
-//! quorum has granted it; a voter grants a version only after it has closed all earlier ones: it never grants them again,
-//! and what it had granted has run out by its own clock, slowest against fastest. Two quorums share a voter, so a lease on
-//! a version and one on a later version cannot both be held.
+//! Each version is decided by single-decree Paxos among the configured voters. A gateway acts under a lease that a quorum of
+//! them has granted, on a *range* of versions: from the lowest that some other holder may still act on alone, as its voters
+//! know, to the newest that it knows itself; it does only what every version of the range allows. A range of one version is
+//! that version in full. A voter grants only the newest version that it knows, and tells with each grant the lowest version
+//! of its other grants that have not run out by its own clock, slowest against fastest. Two quorums share a voter: whoever
+//! acts while another one acts on a version in full has that version in its range.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -26,8 +28,10 @@
 pub struct Terms {
     /// This gateway's number.
     pub me: u16,
-    /// How many gateways are configured; numbers count from 0.
-    pub of: u16,
+    /// How many gateways vote: those with the numbers from 0. All others ask and learn only.
+    pub voters: u16,
+    /// Whether this one votes and grants: it does not where it has lost what it kept.
+    pub votes: bool,
     /// How long a lease lasts by its holder's clock, from when it asked.
     pub lease: Micros,
     /// Parts of a million by which any clock may run too fast or too slow.
@@ -52,12 +56,16 @@
     HalfIsQuorum,
     /// A voter that has started again grants at once.
     NoWaitAfterStart,
+    /// A voter tells of no other grants.
+    OthersNotTold,
+    /// A lease is not narrowed when a newer version is learned.
+    NotNarrowed,
 }
 
 impl Terms {
     /// Gateways that make a quorum.
     pub fn quorum(&self) -> usize {
-        let half = usize::from(self.of) / 2;
+        let half = usize::from(self.voters) / 2;
         if self.plant == Plant::HalfIsQuorum {
             half.max(1)
         } else {
@@ -72,7 +80,7 @@
         ((self.lease as u128 * (million + drift) as u128).div_ceil((million - drift) as u128)) as Micros
     }
 
-    /// The bound *T* in true time: so long after a quorum has learned of a version nobody acts on an earlier one.
+    /// The bound *T* in true time: so long after a quorum has learned of a version nobody acts on an earlier one alone.
     pub fn bound(&self) -> Micros {
         let million = 1_000_000u64;
         let drift = self.drift.min(million / 2);
@@ -97,8 +105,24 @@
     Lack(u64),
     /// Please grant me a lease on that version; asked at that time of mine, in that life.
     Ask(u64, Micros, u64),
-    /// Granted; the same back.
-    Grant(u64, Micros, u64),
+    /// Granted: the lowest version that another one may still act on by this voter's grants; the question back.
+    Grant(u64, u64, Micros, u64),
+    /// That life of mine acts on nothing any more.
+    Back(u64),
+    /// What you lack is not kept any more: go on after this number and hash.
+    Base(u64, u64),
+}
+
+/// Grants of one voter that are remembered at once; further ones are not given.
+pub const GRANTS: usize = 4_096;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Grant {
+    version: u64,
+    until: Micros,
+    asked: Micros,
+    /// The lowest version that its holder was last told of.
+    told: u64,
 }
 
 /// What has to be kept before it is told to anybody.
@@ -119,6 +143,8 @@
     Keep(Kept),
     /// Send to a gateway.
     Send(u16, Message),
+    /// Send to all gateways that are known, voters or not.
+    All(Message),
     /// A version is committed.
     Learned(Version),
 }
@@ -140,21 +166,23 @@
     life: u64,
     /// Nothing newer than what was closed before is granted until then: an earlier life's grants may still hold.
     silent_until: Micros,
-    /// Until when this voter's grants of each version hold, at the latest.
-    granted: BTreeMap<u64, Micros>,
+    /// This voter's grants by holder and its life.
+    granted: BTreeMap<(u16, u64), Grant>,
     proposal: Option<Proposal>,
     turn: u32,
-    /// The lease that is asked for: version, when, and who has granted it.
-    asked: Option<(u64, Micros, BTreeSet<u16>)>,
-    /// The lease that is held: version, and until when.
-    held: Option<(u64, Micros)>,
+    /// The lease that is asked for: version, when, and who has granted it from which lowest version.
+    asked: Option<(u64, Micros, BTreeMap<u16, u64>)>,
+    /// The leases that are held: until when by the lowest version of the range, which ends with the newest known.
+    held: BTreeMap<u64, Micros>,
+    left: bool,
     effects: VecDeque<Effect>,
 }
 
 impl Voter {
-    /// A gateway that starts at a time of its clock with what it kept; `life` differs at every start.
-    pub fn new(terms: Terms, kept: Kept, life: u64, now: Micros) -> Voter {
-        let silent = if terms.plant == Plant::NoWaitAfterStart { 0 } else { terms.grant() };
+    /// A gateway that starts at a time of its clock with what it kept; `life` differs at every start. One that is `fresh` has
+    /// never granted anything.
+    pub fn new(terms: Terms, kept: Kept, life: u64, now: Micros, fresh: bool) -> Voter {
+        let silent = if fresh || terms.plant == Plant::NoWaitAfterStart { 0 } else { terms.grant() };
         let mut kept = kept;
         if terms.plant == Plant::VoteNotKept {
             (kept.promised, kept.accepted) = (Ballot::default(), None);
@@ -169,7 +197,8 @@
             proposal: None,
             turn,
             asked: None,
-            held: None,
+            held: BTreeMap::new(),
+            left: false,
             effects: VecDeque::new(),
         }
     }
@@ -189,10 +218,25 @@
         &self.kept
     }
 
-    /// The version that may be acted on at a time, if any: to be asked just before acting, which may take
-    /// [`Terms::check`] from then on.
-    pub fn acts_on(&self, now: Micros) -> Option<u64> {
-        self.held.filter(|(_, until)| now + self.terms.check < *until).map(|h| h.0)
+    /// The range of versions that may be acted on at a time, if any, the lowest and the newest: what all of them allow. To
+    /// be asked just before acting, which may take [`Terms::check`] from then on.
+    pub fn acts_on(&self, now: Micros) -> Option<(u64, u64)> {
+        let newest = self.kept.history.newest().0;
+        let valid = |until: Micros| now + self.terms.check < until;
+        let low = self.held.iter().rev().find(|(_, &until)| valid(until)).map(|(&low, _)| low)?;
+        let top = if self.terms.plant == Plant::NotNarrowed { low } else { newest };
+        Some((low, top))
+    }
+
+    /// When the answer of [`Voter::acts_on`] changes by the mere passing of time; `None` if it does not.
+    pub fn until(&self, now: Micros) -> Option<Micros> {
+        let (low, _) = self.acts_on(now)?;
+        self.held.get(&low).map(|until| until.saturating_sub(self.terms.check))
+    }
+
+    /// Grants given that are remembered, and whether this voter keeps still after its start.
+    pub fn granting(&self, now: Micros) -> (usize, bool) {
+        (self.granted.len(), now < self.silent_until)
     }
 
     /// Proposes a content as the next version. Another may be committed in its place: see the history.
@@ -213,21 +257,28 @@
 
     /// Asks for a lease on the newest version, or for it to be renewed.
     pub fn renew(&mut self, now: Micros) {
-        let version = self.kept.history.newest().0;
-        if version == 0 {
+        if self.left {
             return;
         }
-        if self.held.is_some_and(|(held, _)| held < version) {
-            // An older lease is given up before a newer one is asked for.
-            self.held = None;
-        }
-        self.asked = Some((version, now, BTreeSet::new()));
+        let version = self.kept.history.newest().0;
+        self.held.retain(|_, until| *until > now);
+        self.asked = Some((version, now, BTreeMap::new()));
         self.send_all(&Message::Ask(version, now, self.life));
     }
 
+    /// Gives the lease back: nothing is acted on from now on.
+    pub fn give_back(&mut self) {
+        self.left = true;
+        self.held.clear();
+        self.asked = None;
+        self.send_all(&Message::Back(self.life));
+    }
+
     /// A message from a gateway.
     pub fn message(&mut self, now: Micros, from: u16, message: &Message) {
         match message {
+            // One that does not vote says nothing that others could count.
+            Message::Prepare(..) | Message::Accept(..) | Message::Ask(..) if !self.terms.votes => {}
             Message::Prepare(number, ballot) => {
                 if self.is_next(from, *number) && *ballot > self.kept.promised {
                     self.kept.promised = *ballot;
@@ -256,7 +307,7 @@
                 if p.accepted.len() >= quorum {
                     if let Some(version) = p.version.clone() {
                         self.commit(&version);
-                        self.send_all(&Message::Committed(version));
+                        self.effects.push_back(Effect::All(Message::Committed(version)));
                     }
                 }
             }
@@ -269,22 +320,51 @@
                 }
             }
             Message::Lack(number) => {
+                let history = &self.kept.history;
+                let (base, hash) = history.base();
                 let versions: Vec<Version> =
-                    self.kept.history.all().iter().filter(|v| v.number >= *number).take(8).cloned().collect();
+                    history.all().iter().filter(|v| v.number >= *number).take(8).cloned().collect();
+                if *number <= base {
+                    self.send(from, Message::Base(base, hash));
+                }
                 versions.into_iter().for_each(|v| self.send(from, Message::Committed(v)));
+                // A voter that lacked the version could not grant it: it is asked again, as of when it was asked first.
+                let open = self.asked.as_ref().filter(|(_, _, by)| !by.contains_key(&from));
+                if let Some(&(version, at, _)) = open {
+                    self.send(from, Message::Ask(version, at, self.life));
+                }
             }
             Message::Ask(version, at, life) => self.ask(now, from, *version, *at, *life),
-            Message::Grant(version, at, life) => {
+            Message::Grant(version, low, at, life) => {
                 let quorum = self.terms.quorum();
                 let Some((asked, when, by)) = &mut self.asked else { return };
                 // A grant of another life or of an earlier question says nothing of this one.
                 if (*asked, *when) != (*version, *at) || *life != self.life {
                     return;
                 }
-                by.insert(from);
-                if by.len() >= quorum && *version == self.kept.history.newest().0 {
+                by.insert(from, *low);
+                // Any quorum of those who granted will do: the one that knows of the fewest earlier grants.
+                let mut lows: Vec<u64> = by.values().copied().collect();
+                lows.sort_unstable_by(|a, b| b.cmp(a));
+                if let Some(&low) = lows.get(quorum - 1) {
                     let since = if self.terms.plant == Plant::LeaseFromReceipt { now } else { *when };
-                    self.held = Some((*version, since + self.terms.lease));
+                    let until = since + self.terms.lease;
+                    let held = self.held.entry(low).or_insert(until);
+                    *held = until.max(*held);
+                }
+            }
+            Message::Back(life) => {
+                self.granted.remove(&(from, *life));
+                self.granted.retain(|_, grant| grant.until > now);
+                self.tell_of_the_last();
+            }
+            Message::Base(number, hash) => {
+                if *number > self.kept.history.newest().0 {
+                    // What came in between is not kept by anybody who was asked: a range over the gap allows nothing.
+                    self.kept.history = History::since(*number, *hash);
+                    self.forget_votes();
+                    self.keep();
+                    self.send(from, Message::Lack(*number + 1));
                 }
             }
         }
@@ -326,13 +406,16 @@
         if !self.kept.history.add(version) {
             return;
         }
+        self.forget_votes();
+        self.keep();
+        self.effects.push_back(Effect::Learned(version.clone()));
+    }
+
+    /// What was voted on is decided. A lease that is held goes on, on what the new version allows too.
+    fn forget_votes(&mut self) {
         (self.kept.promised, self.kept.accepted) = (Ballot::default(), None);
         self.proposal = None;
         self.asked = None;
-        // Whoever knows of a newer version acts on the old one no more.
-        self.held = None;
-        self.keep();
-        self.effects.push_back(Effect::Learned(version.clone()));
     }
 
     fn ask(&mut self, now: Micros, from: u16, version: u64, at: Micros, life: u64) {
@@ -342,21 +425,45 @@
         }
         if version < newest {
             // Closed: what it may hold still runs out, and is never renewed.
-            if let Some(version) = self.kept.history.get(version + 1).cloned() {
-                self.send(from, Message::Committed(version));
-            }
+            return match self.kept.history.get(version + 1).cloned() {
+                Some(next) => self.send(from, Message::Committed(next)),
+                None => self.message(now, from, &Message::Lack(version + 1)),
+            };
+        }
+        if now < self.silent_until {
+            // Grants by a life before this one may still hold, and nobody knows on what.
+            return;
+        }
+        self.granted.retain(|_, grant| grant.until > now);
+        let before = self.granted.get(&(from, life)).copied();
+        // A question that came before, or a copy of it, is no sign that it is still asked.
+        let stale = before.is_some_and(|b| at <= b.asked);
+        if stale || self.granted.len() >= GRANTS && before.is_none() {
             return;
         }
-        let earlier = self.granted.range(..version).map(|g| *g.1).max().unwrap_or(0);
-        if now < earlier.max(self.silent_until) {
-            // Grants of an earlier version, by this life or one before it, may still hold.
+        // Who asks for this version acts within it from then on, whatever it had been granted before.
+        let others = self.granted.iter().filter(|(who, _)| **who != (from, life)).map(|(_, g)| g.version);
+        let low =
+            if self.terms.plant == Plant::OthersNotTold { newest } else { others.fold(newest, u64::min) };
+        let until = (now + self.terms.grant()).max(before.map_or(0, |b| b.until));
+        self.granted.insert((from, life), Grant { version, until, asked: at, told: low });
+        self.send(from, Message::Grant(version, low, at, life));
+        self.tell_of_the_last();
+    }
+
+    /// Once nobody acts on an earlier version alone any more, all who were granted the newest one beside it hear of that at
+    /// once, not with their next question. What they hold is still counted from the one before.
+    fn tell_of_the_last(&mut self) {
+        let newest = self.kept.history.newest().0;
+        if self.granted.values().any(|g| g.version != newest) {
             return;
         }
-        let until = now + self.terms.grant();
-        self.granted.retain(|&v, _| v == version);
-        let held = self.granted.entry(version).or_insert(until);
-        *held = until.max(*held);
-        self.send(from, Message::Grant(version, at, life));
+        let mut told = Vec::new();
+        for (&(to, life), grant) in self.granted.iter_mut().filter(|(_, g)| g.told < newest) {
+            grant.told = newest;
+            told.push((to, Message::Grant(newest, newest, grant.asked, life)));
+        }
+        told.into_iter().for_each(|(to, message)| self.send(to, message));
     }
 
     fn keep(&mut self) {
@@ -367,8 +474,8 @@
         self.effects.push_back(Effect::Send(to, message));
     }
 
-    /// To all configured gateways, this one among them.
+    /// To all voters, this one among them if it is one.
     fn send_all(&mut self, message: &Message) {
-        (0..self.terms.of).for_each(|to| self.send(to, message.clone()));
+        (0..self.terms.voters).for_each(|to| self.send(to, message.clone()));
     }
 }
--- a/crates/agreement/tests/search.rs
+++ b/crates/agreement/tests/search.rs
@@ -26,7 +26,7 @@
     Case { proposers: vec![1, 2], learned: vec![], asks: vec![0; 3], steps: 0, ..leases(plant) }
 }
 
-const MOST: usize = 400_000;
+const MOST: usize = 4_000_000;
 
 fn holds(case: &Case, what: &str) -> Outcome {
     let outcome = search(case, MOST);
@@ -36,15 +36,26 @@
 }
 
 #[test]
-fn nobody_acts_on_two_versions_at_once() {
-    // Slow and fast by all that is allowed: the holder's clock runs slow, those of its voters fast.
-    let drift = Case { rates: vec![-100_000, 100_000, 100_000], drift: 100_000, ..leases(Plant::None) };
-    for (what, case) in [("calm", leases(Plant::None)), ("drift", drift)] {
-        let outcome = holds(&case, what);
-        assert!(outcome.whole, "{what}: not all states were visited");
-        assert!(outcome.held.0 > 0 && outcome.held.1 > 0, "{what}: leases on both versions have to be seen");
-    }
-    holds(&Case { restarts: 1, steps: 2, ..leases(Plant::None) }, "a restart");
+fn whoever_acts_has_what_others_act_on_in_full_within_its_range() {
+    // Slow and fast by all that is allowed: the holder's clock runs slow, those of its voters fast. What clocks that run
+    // alike lead to is among it (546,681 states on their own, visited whole as well).
+    let case = Case { rates: vec![-100_000, 100_000, 100_000], drift: 100_000, ..leases(Plant::None) };
+    let outcome = holds(&case, "drift");
+    assert!(outcome.whole, "not all states were visited");
+    assert!(outcome.held.0 > 0 && outcome.held.1 > 0, "both versions have to be acted on in full");
+}
+
+#[test]
+fn nor_does_what_a_voter_tells_once_the_last_one_has_asked_again() {
+    let case = Case { asks: vec![2, 1, 0], steps: 1, step: 120, ..leases(Plant::None) };
+    let outcome = holds(&case, "asked again");
+    assert!(outcome.whole && outcome.held.0 > 0 && outcome.held.1 > 0);
+}
+
+#[test]
+fn nor_does_a_restart_break_that() {
+    let outcome = holds(&Case { restarts: 1, steps: 2, ..leases(Plant::None) }, "a restart");
+    assert!(outcome.whole && outcome.held.0 > 0 && outcome.held.1 > 0);
 }
 
 #[test]
@@ -60,6 +71,8 @@
         leases(Plant::LeaseFromReceipt),
         leases(Plant::HalfIsQuorum),
         Case { steps: 1, ..restart(leases(Plant::NoWaitAfterStart)) },
+        leases(Plant::OthersNotTold),
+        Case { steps: 0, asks: vec![2, 1, 0], ..leases(Plant::NotNarrowed) },
         restart(votes(Plant::VoteNotKept)),
     ];
     for case in cases {
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -24,6 +24,8 @@
     pub kernel: Option<KernelConfig>,
     /// The other gateways, where this one is to know of them.
     pub peers: Option<PeerTerms>,
+    /// Settings on which the gateways agree, where they are to.
+    pub agreement: Option<AgreementTerms>,
     /// How the host carries things out.
     pub host: HostLimits,
     /// Sessions that live on one engine.
@@ -67,6 +69,119 @@
     pub widen: f64,
 }
 
+/// Agreement on settings; see `docs/agreement.md`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AgreementTerms {
+    /// This gateway's name, as membership has it.
+    pub name: String,
+    /// The names of the gateways that vote.
+    pub voters: Vec<String>,
+    /// Where votes are kept.
+    pub folder: PathBuf,
+    /// How long a lease lasts.
+    pub lease: Duration,
+    /// Parts of a million by which any clock may run too fast or too slow.
+    pub drift: u64,
+    /// The longest time from the last look at the lease to the end of what is sent on it.
+    pub check: Duration,
+    /// What every version has to allow: classes, and engines that they may go to.
+    pub floor: (Vec<String>, Vec<String>),
+    /// How long the first lease is waited for before clients are served without one.
+    pub wait_at_start: Duration,
+    /// Names and secrets of the keys that sign proposals.
+    pub operators: Vec<(String, String)>,
+}
+
+impl AgreementTerms {
+    /// A mark of all that gateways must have in common.
+    pub fn mark(&self) -> u64 {
+        let (mut classes, mut engines) = self.floor.clone();
+        classes.sort();
+        engines.sort();
+        let common = (&self.voters, self.lease, self.drift, self.check, classes, engines);
+        crate::list::hash(&format!("{common:?}"))
+    }
+
+    /// The bound *T* in microseconds.
+    pub fn bound(&self) -> u64 {
+        let terms = violetward_agreement::Terms {
+            me: 0,
+            voters: self.voters.len() as u16,
+            votes: false,
+            lease: micros(self.lease),
+            drift: self.drift,
+            check: micros(self.check),
+            plant: violetward_agreement::Plant::None,
+        };
+        terms.bound()
+    }
+}
+
+/// `(agreement (voters NAME ...) (folder PATH) (key NAME "secret") ...)`.
+fn agreement_terms(
+    c: &mut Checker,
+    form: &Form<'_>,
+    peers: Option<&PeerTerms>,
+    names: &Names,
+    folder: &Path,
+) -> Option<AgreementTerms> {
+    let known = ["voters", "folder", "lease", "drift", "check", "floor", "wait-at-start", "key-file"];
+    let f = c.fields(form, 0, &known);
+    let Some(peers) = peers else {
+        c.at(form, "agreement needs (membership ...): what gateways say to each other goes that way");
+        return None;
+    };
+    let voters = f.need(c, "voters").cloned().map(|v| (c.words(&v), v));
+    if let Some((voters, form)) = &voters {
+        let repeated = voters.iter().enumerate().any(|(i, v)| voters[..i].contains(v));
+        if repeated || !(1..=9).contains(&voters.len()) {
+            c.at(form, "voters: expected one to nine names, each once");
+        }
+    }
+    let path = f.need(c, "folder").cloned().and_then(|v| c.word(&v, "a path"));
+    let lease = f.span(c, "lease", Duration::from_secs(8));
+    let check = f.span(c, "check", Duration::from_millis(100));
+    let drift = f.whole(c, "drift", (0, 100_000), 1_000);
+    if lease < Duration::from_millis(400) || check > lease / 4 {
+        c.at(form, "agreement: expected lease >= \"400ms\" and check <= a quarter of it");
+    }
+    let wait_at_start = f.span(c, "wait-at-start", Duration::from_secs(2));
+    let mut floor = (Vec::new(), Vec::new());
+    if let Some(form) = f.get("floor").cloned() {
+        let g = c.fields(&form, 0, &["classes", "engines"]);
+        let (classes, engines) = (g.need(c, "classes").cloned(), g.need(c, "engines").cloned());
+        floor.0 = classes.map(|v| c.words(&v)).unwrap_or_default();
+        floor.1 = engines.map(|v| c.words(&v)).unwrap_or_default();
+        for class in floor.0.iter().filter(|class| !names.classes.contains(class)) {
+            c.at(&form, format!("floor: there is no class {class}"));
+        }
+    }
+    let mut operators = Vec::new();
+    if let Some(form) = f.need(c, "key-file").cloned() {
+        if let Some(path) = c.word(&form, "a path") {
+            let read = std::fs::read_to_string(folder.join(&path)).map_err(|e| e.to_string());
+            match read.and_then(|text| read_operators(&text)) {
+                Ok(keys) => operators = keys,
+                Err(why) => c.at(&form, format!("key-file {path}: {why}")),
+            }
+        }
+    }
+    let (voters, name, folder) = (voters?.0, peers.name.clone(), folder.join(path?));
+    Some(AgreementTerms { name, voters, folder, lease, drift, check, floor, wait_at_start, operators })
+}
+
+/// Reads a file of operators' keys: `(key NAME "secret")`, of sixteen octets or more.
+///
+/// # Errors
+/// What is wrong.
+pub fn read_operators(text: &str) -> Result<Vec<(String, String)>, String> {
+    let keys = named_secrets(text)?;
+    if keys.is_empty() || keys.iter().any(|k| k.1.len() < 16) {
+        return Err("expected (key NAME \"secret\") with a secret of sixteen octets or more".into());
+    }
+    Ok(keys)
+}
+
 /// Reads a file of keys for datagrams: `(key NAME "secret")`, the first signs, all are believed.
 ///
 /// # Errors
@@ -355,7 +470,8 @@
     pub first_words: Vec<String>,
 }
 
-const SECTIONS: [&str; 11] = [
+const SECTIONS: [&str; 12] = [
+    "agreement",
     "gateway",
     "dns",
     "membership",
@@ -502,6 +618,7 @@
     if settings.classes.is_empty() {
         c.at(classes, "classes: expected at least one (class NAME ...)");
     }
+    let agreement = section("agreement").and_then(|f| agreement_terms(c, f, peers.as_ref(), &names, folder));
     let mut selection = Selection {
         selectors: Vec::new(),
         key_tag: g.word(c, "key-tag", "key="),
@@ -528,6 +645,7 @@
         zone_front,
         kernel,
         peers,
+        agreement,
         sessions,
         host,
         selection,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -24,6 +24,7 @@
 
 use crate::config::{Config, HostLimits, Names, Selection};
 use crate::list::{hash, Record};
+use crate::rules::{self, Rules};
 use crate::sessions::{self, Admit, Member, Sessions};
 
 pub use violetward::Decide;
@@ -229,6 +230,10 @@
     statements: HashMap<StatementId, Statement>,
     attempts: HashMap<AttemptId, Attempt>,
     records: BTreeMap<EngineId, Record>,
+    /// The settings as configured, the rules that narrow them, and the list as it was last told.
+    configured: violetward::Settings,
+    rules: Rules,
+    list: BTreeMap<String, Record>,
     timers: BTreeSet<(Micros, Timer)>,
     next_id: u64,
     open: usize,
@@ -271,6 +276,9 @@
             statements: HashMap::new(),
             attempts: HashMap::new(),
             records: BTreeMap::new(),
+            configured: settings,
+            rules: Rules::default(),
+            list: BTreeMap::new(),
             timers: BTreeSet::new(),
             next_id: 1,
             open: 0,
@@ -826,7 +834,14 @@
     /// A new reading of the list: the whole of it.
     pub fn listed(&mut self, now: Micros, records: &BTreeMap<String, Record>) {
         self.pass(now);
-        let entries = records.values().map(|r| r.entry.clone()).collect();
+        if self.list != *records {
+            self.list.clone_from(records);
+        }
+        let entry = |r: &Record| {
+            let listed = rules::worse(r.entry.listed, self.rules.engine(&r.name));
+            violetward::EngineEntry { listed, ..r.entry.clone() }
+        };
+        let entries = records.values().map(entry).collect();
         for record in records.values() {
             self.records.insert(record.entry.engine, record.clone());
         }
@@ -837,7 +852,7 @@
             lost.extend(self.sessions.listed(self.now, engine, None));
         }
         for record in records.values() {
-            let drains = match record.entry.listed {
+            let drains = match rules::worse(record.entry.listed, self.rules.told(&record.name)) {
                 violetward::Listed::Up => Some(false),
                 violetward::Listed::Draining => Some(true),
                 violetward::Listed::Removed => None,
@@ -850,6 +865,30 @@
         self.run();
     }
 
+    /// The rules that hold from now on. What was sent goes on; what waits, and further attempts, go by them.
+    pub fn rules(&mut self, now: Micros, rules: Rules) {
+        self.pass(now);
+        let (classes, tenants, attempts_cap, budget) = rules.narrow(&self.configured, &self.names);
+        self.classes.clone_from(&classes);
+        self.rules = rules;
+        self.inbox.push_back(Event::Rules { classes, tenants, attempts_cap, budget });
+        let list = std::mem::take(&mut self.list);
+        self.listed(now, &list);
+    }
+
+    /// Whether an attempt that has not been written yet may still go to its engine.
+    pub fn may_go(&self, id: AttemptId, engine: &str) -> bool {
+        let (Some(s), Some(r)) = (self.statements.get(&id.0), self.list.get(engine)) else { return true };
+        let class = &self.classes[s.class];
+        let kind = class.kinds.as_ref().is_none_or(|k| k.contains(&r.entry.kind));
+        let zone = class.zones.as_ref().is_none_or(|z| z.contains(&r.entry.zone));
+        // What belongs to a session may end where it lives.
+        let state = if s.member.is_some() { self.rules.told(engine) } else { self.rules.engine(engine) };
+        let up =
+            state == violetward::Listed::Up || s.member.is_some() && state != violetward::Listed::Removed;
+        kind && zone && up
+    }
+
     /// An engine told its load, asked by the host or by a probe; `None`: it did not answer a probe.
     pub fn status(&mut self, now: Micros, engine: EngineId, load: Option<Load>) {
         self.pass(now);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -73,7 +73,7 @@
     }
 }
 
-async fn post(host: &Host, pool: &Pool, launch: &Launch) -> Result<(QueryResults, Session), Broken> {
+async fn post(host: &Rc<Host>, pool: &Pool, launch: &Launch) -> Result<(QueryResults, Session), Broken> {
     let mut headers = host_header(launch.address);
     headers.push("Via", format!("1.1 violetward-{}", host.config.settings.me.0));
     headers.push("Content-Type", "text/plain; charset=utf-8");
@@ -82,6 +82,10 @@
     let connection = if launch.fresh { pool.fresh(within).await } else { pool.get(within).await };
     let mut connection =
         connection.map_err(|e| Broken(Outcome::ConnectFailed, format!("no connection: {e}")))?;
+    // The last look: connecting may have taken long, and this process may have stood still.
+    if !host.may_go(launch.attempt, &launch.engine) {
+        return Err(Broken(Outcome::Moot, "not sent: the rules have changed".into()));
+    }
     let answer = connection.call("POST", STATEMENT, &headers, launch.text.as_bytes()).await;
     let message = match answer {
         Ok(message) => message,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -16,6 +16,7 @@
 use violetward_statement::results::{NodeStatus, PageRef, STATEMENT};
 use violetward_statement::session::Context;
 
+use crate::agreed;
 use crate::core::{StatementId, Submission};
 use crate::host::Host;
 
@@ -135,6 +136,8 @@
             ("GET", "/v1/info") => Some(self.info()),
             ("GET", "/v1/status") => Some(self.status()),
             ("GET", "/v1/members") => Some(self.members()),
+            ("GET", agreed::PATH) => Some(self.settings(query)),
+            ("POST", agreed::PATH) => Some(self.propose(message, query == "dry").await),
             ("GET" | "DELETE", _) => match self.find(path) {
                 Some((id, page)) if method == "GET" => self.poll(message, query, id, &page, connection).await,
                 Some((id, _)) => {
@@ -278,6 +281,25 @@
         }
     }
 
+    fn settings(&self, query: &str) -> Reply {
+        let since = query.split('&').find_map(|p| p.strip_prefix("since=")).and_then(|n| n.parse().ok());
+        match &*self.host.agreed.borrow() {
+            Some(agreed) => Reply::json(&agreed.standing(self.host.now(), since.unwrap_or(0))),
+            None => no_agreement(),
+        }
+    }
+
+    async fn propose(&self, message: &Message, dry: bool) -> Reply {
+        let Some(agreed) = self.host.agreed.borrow().clone() else { return no_agreement() };
+        let header = |name: &str| message.headers.get(name).unwrap_or_default().to_owned();
+        let Ok(after) = header(agreed::AFTER).parse() else {
+            return Reply::text(400, "the header that names the version before is missing");
+        };
+        let (key, code) = (header(agreed::KEY), header(agreed::CODE));
+        let (status, report) = agreed.proposed(&self.host, &message.body, after, dry, &key, &code).await;
+        Reply { status, ..Reply::json(&report) }
+    }
+
     fn status(&self) -> Reply {
         let (open, held, counts) = self.host.look(|core| (core.open(), core.held(), core.counts));
         let node = NodeStatus {
@@ -302,10 +324,21 @@
                 "sent": view.sent, "taken": view.taken, "refused": view.refused, "paused": view.paused,
             });
         }
+        if let Some(agreed) = &*self.host.agreed.borrow() {
+            let standing = agreed.standing(self.host.now(), u64::MAX);
+            value["agreement"] = serde_json::json!({
+                "newest": standing.newest, "acts": standing.acts, "votes": standing.votes,
+                "withoutLease": standing.without_lease,
+            });
+        }
         Reply::json(&value)
     }
 }
 
+fn no_agreement() -> Reply {
+    Reply::text(404, "this gateway agrees on no settings: its configuration has no (agreement ...)")
+}
+
 fn unknown() -> Reply {
     Reply::text(404, "no such page here. If this gateway has been restarted, the statement may have run")
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -13,6 +13,7 @@
 use violetward_net::{Alarm, Clock, Pool};
 use violetward_statement::http::Limits;
 
+use crate::agreed::Agreed;
 use crate::config::Config;
 use crate::core::{AttemptId, Core, Effect, StatementId};
 use crate::engine;
@@ -36,6 +37,9 @@
     pub(crate) clock: Clock,
     /// The other gateways, where this one knows of them.
     pub(crate) peers: RefCell<Option<Rc<Peers>>>,
+    /// The settings on which they agree, and until when the core's rules hold without a look at them.
+    pub(crate) agreed: RefCell<Option<Rc<Agreed>>>,
+    pub(crate) rules_until: Cell<Micros>,
     core: RefCell<Core>,
     executor: Rc<LocalExecutor<'static>>,
     attempts: RefCell<HashMap<AttemptId, Reins>>,
@@ -60,6 +64,8 @@
             life,
             clock: Clock::new(),
             peers: RefCell::default(),
+            agreed: RefCell::default(),
+            rules_until: Cell::new(Micros::MAX),
             executor,
             attempts: RefCell::default(),
             pollers: RefCell::default(),
@@ -115,6 +121,7 @@
 
     /// Passes something to the core and carries out what follows.
     pub fn core<T>(self: &Rc<Self>, act: impl FnOnce(&mut Core, Micros) -> T) -> T {
+        self.look_at_rules();
         let now = self.clock.now();
         let result = act(&mut self.core.borrow_mut(), now);
         loop {
@@ -128,6 +135,26 @@
         result
     }
 
+    /// The last look at the lease: a process that stood still for longer than its lease must not act on the old rules when it
+    /// wakes, whichever of its tasks is first.
+    fn look_at_rules(self: &Rc<Self>) {
+        if self.clock.now() >= self.rules_until.get() {
+            let agreed = self.agreed.borrow().clone();
+            agreed.iter().for_each(|agreed| agreed.refresh(self));
+        }
+    }
+
+    /// Whether an attempt may still be sent, by the rules of now: to be asked just before it is written.
+    pub(crate) fn may_go(self: &Rc<Self>, attempt: AttemptId, engine: &str) -> bool {
+        self.look_at_rules();
+        self.look(|core| core.may_go(attempt, engine))
+    }
+
+    /// The other gateways, where this one knows of them.
+    pub(crate) fn peers(&self) -> Option<Rc<Peers>> {
+        self.peers.borrow().clone()
+    }
+
     fn told(self: &Rc<Self>, engine: EngineId, told: Option<(Load, Option<String>)>) {
         let (load, epoch) = told.map_or((None, None), |(load, epoch)| (Some(load), epoch));
         self.core(|core, now| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! (a notebook kernel), [`watch`] (the
 //! engine list's file), [`peers`] (datagrams among gateways); [`service`] ties them together.
 
+pub mod agreed;
 pub mod config;
 pub mod core;
 pub mod engine;
@@ -15,6 +16,7 @@
 pub mod membership;
 pub mod notebook;
 pub mod peers;
+pub mod rules;
 pub mod service;
 pub mod sessions;
 pub mod updates;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -29,6 +29,12 @@
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
+/// The number of a zone. One that the configuration does not name is a zone all the same: far from every class bound to one.
+pub fn zone_id(zone: &str, names: &Names) -> ZoneId {
+    let place = names.zones.iter().position(|z| z == zone);
+    ZoneId(place.unwrap_or_else(|| names.zones.len() + hash(zone) as usize % 65_536))
+}
+
 /// What a reading of the file gave.
 #[derive(Debug, Default)]
 pub struct Reading {
@@ -89,12 +95,7 @@
         );
     }
     let zone = f.word(c, "zone", names.zones.first().map_or("", |z| z));
-    // A zone that the configuration does not name is a zone all the same: far from every class bound to one.
-    let zone = names
-        .zones
-        .iter()
-        .position(|z| *z == zone)
-        .unwrap_or_else(|| names.zones.len() + hash(&zone) as usize % 65_536);
+    let zone = zone_id(&zone, names);
     let cell = f.whole(c, "cell", (0, u64::MAX), 0);
     let states = [("up", Listed::Up), ("draining", Listed::Draining), ("removed", Listed::Removed)];
     let listed = f.get("state").cloned().map_or(Some(Listed::Up), |f| c.choice(&f, &states))?;
@@ -105,7 +106,7 @@
         came_up,
         weight,
         kind: KindId(kind?),
-        zone: ZoneId(zone),
+        zone,
         cell: CellId(cell),
         listed,
     };
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -8,7 +8,7 @@
 use violetward_dns::master;
 use violetward_dns::name::Name;
 use violetward_dns::zone::{Change, Zone};
-use violetward_gateway::{config, peers, service, watch};
+use violetward_gateway::{agreed, config, peers, service, watch};
 
 /// A workload manager for analytic engines: it admits statements, sends each to an engine that can answer it in time,
 /// and refuses at once what none could. Clients speak the public statement protocol of Trino to it.
@@ -68,6 +68,11 @@
         #[arg(long)]
         json: bool,
     },
+    /// The settings on which the gateways agree.
+    Settings {
+        #[command(subcommand)]
+        what: SettingsCommand,
+    },
     /// Look at zone files that list engines.
     Zone {
         #[command(subcommand)]
@@ -75,6 +80,137 @@
     },
 }
 
+#[derive(Subcommand)]
+enum SettingsCommand {
+    /// Make the file in which the gateway of the configuration FILE keeps its votes, before its very first start.
+    Init {
+        /// The configuration.
+        file: PathBuf,
+    },
+    /// Propose the rules in FILE as the next version; tells what they change.
+    Propose {
+        /// Where a gateway that votes takes statements.
+        address: std::net::SocketAddr,
+        /// The rules.
+        file: PathBuf,
+        /// The file of the operator's key: the first one signs.
+        #[arg(long)]
+        key_file: PathBuf,
+        /// Only tell what they would change.
+        #[arg(long)]
+        dry_run: bool,
+    },
+    /// Propose the rules of an earlier version as the next one: that before the newest, or that with the number TO.
+    Undo {
+        /// Where a gateway that votes takes statements.
+        address: std::net::SocketAddr,
+        /// The version whose rules are to hold again; 0: the configuration alone.
+        #[arg(long)]
+        to: Option<u64>,
+        /// The file of the operator's key: the first one signs.
+        #[arg(long)]
+        key_file: PathBuf,
+    },
+    /// Show what the gateway at ADDRESS acts on, and the newest rules.
+    Show {
+        /// Where that gateway takes statements.
+        address: std::net::SocketAddr,
+        /// As JSON, all versions included.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Show the versions that the gateway at ADDRESS keeps, and what each changed.
+    History {
+        /// Where that gateway takes statements.
+        address: std::net::SocketAddr,
+    },
+    /// Show the lines in which two versions differ.
+    Diff {
+        /// Where a gateway takes statements.
+        address: std::net::SocketAddr,
+        /// The older version.
+        from: u64,
+        /// The newer one.
+        to: u64,
+    },
+}
+
+/// The rules of a version that a gateway keeps; 0 is the configuration alone.
+fn content(standing: &agreed::Standing, number: u64) -> Result<String, String> {
+    if number == 0 {
+        return Ok(String::new());
+    }
+    let found = standing.history.iter().find(|v| v.number == number);
+    found.map(|v| v.content.clone()).ok_or_else(|| format!("version {number} is not kept there"))
+}
+
+fn operator(file: &std::path::Path) -> Result<(String, String), String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let keys = config::read_operators(&text).map_err(|e| format!("{}: {e}", file.display()))?;
+    keys.into_iter().next().ok_or_else(|| "no key".into())
+}
+
+async fn propose(
+    address: std::net::SocketAddr,
+    rules: &str,
+    after: u64,
+    dry_run: bool,
+    key_file: &std::path::Path,
+) -> Result<bool, String> {
+    let report = agreed::propose(address, rules.as_bytes(), after, dry_run, &operator(key_file)?).await?;
+    report.changes.iter().for_each(|change| println!("{change}"));
+    let number = report.number.map_or(String::new(), |n| format!(" as version {n}"));
+    println!("{}{number}{}{}", report.outcome, if report.text.is_empty() { "" } else { ": " }, report.text);
+    Ok(matches!(report.outcome.as_str(), "committed" | "would commit"))
+}
+
+async fn settings(what: SettingsCommand) -> Result<bool, String> {
+    match what {
+        SettingsCommand::Init { file } => {
+            let config = config::load(&file).map_err(|mistakes| mistakes.join("\n"))?;
+            let terms = config.agreement.ok_or("the configuration has no (agreement ...)")?;
+            if !terms.voters.contains(&terms.name) {
+                return Err(format!("{} does not vote and needs no file", terms.name));
+            }
+            println!("{}: made", agreed::init(&terms)?.display());
+        }
+        SettingsCommand::Propose { address, file, key_file, dry_run } => {
+            let rules = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+            let newest = agreed::ask(address).await?.newest;
+            return propose(address, &rules, newest, dry_run, &key_file).await;
+        }
+        SettingsCommand::Undo { address, to, key_file } => {
+            let standing = agreed::ask(address).await?;
+            let before = standing.newest.checked_sub(1).ok_or("there is no version to undo")?;
+            let rules = content(&standing, to.unwrap_or(before))?;
+            return propose(address, &rules, standing.newest, false, &key_file).await;
+        }
+        SettingsCommand::Show { address, json } => {
+            let standing = agreed::ask(address).await?;
+            if json {
+                println!("{}", serde_json::to_string_pretty(&standing).map_err(|e| e.to_string())?);
+            } else {
+                println!("{standing}\n{}", content(&standing, standing.newest)?.trim_end());
+            }
+        }
+        SettingsCommand::History { address } => {
+            for version in agreed::ask(address).await?.history {
+                println!("{} {}", version.number, version.hash);
+                version.changes.iter().for_each(|change| println!("  {change}"));
+            }
+        }
+        SettingsCommand::Diff { address, from, to } => {
+            let standing = agreed::ask(address).await?;
+            let (old, new) = (content(&standing, from)?, content(&standing, to)?);
+            let lines = |text: &str| -> Vec<String> { text.lines().map(|l| l.trim().to_owned()).collect() };
+            let (old, new) = (lines(&old), lines(&new));
+            old.iter().filter(|l| !new.contains(l)).for_each(|line| println!("- {line}"));
+            new.iter().filter(|l| !old.contains(l)).for_each(|line| println!("+ {line}"));
+        }
+    }
+    Ok(true)
+}
+
 #[derive(Subcommand)]
 enum ZoneCommand {
     /// Tell each mistake with its line and column.
@@ -193,6 +329,17 @@
     ExitCode::SUCCESS
 }
 
+fn run_settings(what: SettingsCommand) -> ExitCode {
+    match futures_lite::future::block_on(settings(what)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("violetward: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     if cli.with_parent {
@@ -205,11 +352,12 @@
         LogForm::Plain => log.init(),
         LogForm::Json => log.json().init(),
     }
-    let file = match &cli.command {
-        Command::Serve { file, .. } | Command::Check { file } => file,
-        Command::Platform { config, listen } => return platform(config, *listen),
-        Command::Zone { what } => return zone(what),
-        Command::Members { address, json } => return members(*address, *json),
+    let file = match cli.command {
+        Command::Serve { ref file, .. } | Command::Check { ref file } => file,
+        Command::Platform { config, listen } => return platform(&config, listen),
+        Command::Zone { what } => return zone(&what),
+        Command::Members { address, json } => return members(address, json),
+        Command::Settings { what } => return run_settings(what),
     };
     let config = match config::load(file) {
         Ok(config) => config,
@@ -218,21 +366,20 @@
             return ExitCode::from(2);
         }
     };
-    match cli.command {
-        Command::Check { file } => {
-            let (classes, kinds) = (config.names.classes.join(", "), config.names.kinds.join(", "));
-            println!("{}: good. Classes: {classes}. Kinds: {kinds}.", file.display());
-            ExitCode::SUCCESS
+    let Command::Serve { address_file, .. } = cli.command else {
+        let (classes, kinds) = (config.names.classes.join(", "), config.names.kinds.join(", "));
+        println!("{}: good. Classes: {classes}. Kinds: {kinds}.", file.display());
+        if let Some(terms) = &config.agreement {
+            let bound = std::time::Duration::from_micros(terms.bound());
+            println!("T: {bound:.1?} after a version is committed nobody acts on an earlier one alone.");
+        }
+        return ExitCode::SUCCESS;
+    };
+    match service::serve(config, address_file.as_deref()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("violetward: {e}");
+            ExitCode::FAILURE
         }
-        Command::Platform { config, listen } => platform(&config, listen),
-        Command::Zone { what } => zone(&what),
-        Command::Members { address, json } => members(address, json),
-        Command::Serve { address_file, .. } => match service::serve(config, address_file.as_deref()) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(e) => {
-                eprintln!("violetward: {e}");
-                ExitCode::FAILURE
-            }
-        },
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -168,6 +168,10 @@
                 tracing::debug!(part, "share of the fleet");
                 host.core(|core, now| core.share(now, part));
             }
+            Effect::Heard(from, bytes) => {
+                let agreed = host.agreed.borrow().clone();
+                agreed.iter().for_each(|agreed| agreed.heard(host, &from, &bytes));
+            }
             Effect::Told(change) => {
                 let at = host.now();
                 match change {
@@ -231,6 +235,19 @@
         }
     }
 
+    /// Says something to a member that is not membership's own.
+    pub fn say(&self, host: &Rc<Host>, name: &str, bytes: &[u8]) {
+        self.with(host, |m, now| m.say(now, name, bytes));
+    }
+
+    /// Says something to all that live.
+    pub fn say_all(&self, host: &Rc<Host>, bytes: &[u8]) {
+        let lives = |seen: &violetward_membership::Seen| seen.record.state <= State::Suspect;
+        let names: Vec<String> =
+            self.membership.borrow().view().filter(lives).map(|seen| seen.record.name).collect();
+        names.iter().for_each(|name| self.say(host, name, bytes));
+    }
+
     /// Says good-bye: others take this one's share at once.
     pub fn leave(&self, host: &Rc<Host>) {
         self.with(host, Membership::leave);
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -12,6 +12,7 @@
 use futures_lite::{future, StreamExt};
 use violetward::Gateway;
 
+use crate::agreed::Agreed;
 use crate::config::Config;
 use crate::core::{Core, Decide};
 use crate::front::Front;
@@ -86,6 +87,9 @@
     if let Some(terms) = host.config.peers.clone() {
         *host.peers.borrow_mut() = Some(Peers::start(&host, &terms)?);
     }
+    if let Some(terms) = host.config.agreement.clone() {
+        Agreed::start(&host, &terms)?;
+    }
     if let Some((listen, keys)) = host.config.zone_front.clone() {
         ZoneFront::start(host.clone(), membership, Updates::new(keys), listen)?;
     }
@@ -100,10 +104,26 @@
         Notebook::start(host.clone(), address.ip(), kernel)?;
     }
     // Stays open while the gateway stops: polls may come on new connections.
-    executor.spawn(front.run(listener)).detach();
+    let started = host.clone();
+    let run = async move {
+        wait_for_lease(&started).await;
+        front.run(listener).await;
+    };
+    executor.spawn(run).detach();
     Ok((host, address))
 }
 
+/// Waits for the first lease, where there is to be one, for as long as the configuration says; then clients are served
+/// narrowly. Connections wait meanwhile.
+async fn wait_for_lease(host: &Rc<Host>) {
+    let Some(terms) = &host.config.agreement else { return };
+    let until = Instant::now() + terms.wait_at_start;
+    let has_lease = || host.agreed.borrow().as_ref().is_none_or(|a| a.has_lease());
+    while !has_lease() && Instant::now() < until {
+        violetward_net::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Takes nothing new, and returns once every client has its answer, or has stopped asking, or the time is up.
 pub async fn stop(host: &Rc<Host>, within: Duration) {
     host.drain();
@@ -115,6 +135,8 @@
     while host.look(|core| core.undelivered()) > 0 && Instant::now() < until {
         violetward_net::sleep(Duration::from_millis(10)).await;
     }
+    let agreed = host.agreed.borrow().clone();
+    agreed.iter().for_each(|agreed| agreed.leave(host));
     // The last answers are on their way out of this process.
     violetward_net::sleep(Duration::from_millis(50)).await;
 }
--- a/crates/gateway/tests/core.rs
+++ b/crates/gateway/tests/core.rs
@@ -9,6 +9,7 @@
 use violetward_gateway::config::{self, Config};
 use violetward_gateway::core::{Arrived, AttemptId, Core, Effect, Launch, StatementId, Submission};
 use violetward_gateway::list::{self, Record};
+use violetward_gateway::rules::Rules;
 use violetward_statement::pages::{Ending, Part, Turn};
 use violetward_statement::results::{ErrorType, QueryError, Stats, QUEUE_FULL};
 use violetward_statement::session::Context;
@@ -524,3 +525,35 @@
         assert_eq!((bed.core.open(), bed.core.held(), bed.core.counts.overdue), (0, 0, 0), "seed {seed}");
     }
 }
+
+/// Versions of the settings while statements run: what was launched and not written yet is looked at once more, what is new
+/// goes by the rules that hold, and an engine that a version drains gets nothing new whatever the list says.
+#[test]
+fn rules_of_a_version_narrow_what_is_taken_and_where_it_goes() {
+    let names = config::parse(SETUP, Path::new(".")).expect("good").names;
+    let rules = |text: &str| Rules::parse(text, &names).expect("good rules");
+    let mut bed = Bed::new(2);
+    bed.submit(&[]);
+    let launch = bed.launched.pop().expect("launched");
+    assert!(bed.core.may_go(launch.attempt, &launch.engine));
+
+    bed.core.rules(bed.now, rules(&format!("(engine {} (state draining))", launch.engine)));
+    bed.collect();
+    assert!(!bed.core.may_go(launch.attempt, &launch.engine), "the last look sees the new rules");
+    bed.list();
+    for _ in 0..6 {
+        bed.submit(&[]);
+    }
+    assert!(bed.launched.iter().all(|l| l.engine != launch.engine) && !bed.launched.is_empty());
+
+    bed.core.rules(bed.now, rules("(class lookup (admit no))"));
+    bed.collect();
+    let refused = bed.submit(&[]);
+    assert!(bed.core.has_ended(refused), "refused at once");
+    assert!(bed.ended.contains(&(refused, "refused")), "{:?}", bed.ended);
+
+    bed.core.rules(bed.now, Rules::default());
+    bed.collect();
+    let again = bed.submit(&[]);
+    assert!(!bed.core.has_ended(again));
+}
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,152 @@
+//! An operator's way through versions of the settings, by the program's own commands against a gateway that votes alone.
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_violetward");
+
+/// A folder of its own, gone with the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let folder = std::env::temp_dir().join(format!("violetward-settings-{name}-{}", std::process::id()));
+        std::fs::remove_dir_all(&folder).ok();
+        std::fs::create_dir_all(&folder).expect("a folder");
+        Folder(folder)
+    }
+
+    fn file(&self, name: &str, text: &str) -> String {
+        let file = self.0.join(name);
+        std::fs::write(&file, text).expect("a file");
+        file.display().to_string()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.kill().ok();
+        self.0.wait().ok();
+    }
+}
+
+fn configuration(folder: &Folder) -> String {
+    folder.file("keys.lisp", "(key all \"a key for datagrams, not secret\")");
+    folder.file("operators.lisp", "(key ann \"a key of operators, not secret\")");
+    folder.file("engines.lisp", "(engine e1 (address \"127.0.0.1:9\") (kind m8))\n");
+    folder.file(
+        "gateway.lisp",
+        r#"(gateway (number 0) (of 1) (listen "127.0.0.1:0") (engines "engines.lisp"))
+        (membership (listen "127.0.0.1:0") (name g0) (key-file "keys.lisp"))
+        (agreement (voters g0) (folder "votes") (lease "2s") (drift 1000) (check "100ms") (key-file "operators.lisp")
+          (floor (classes light) (engines e1)))
+        (kinds (kind m8 (cores 8)) (kind m4 (cores 4)))
+        (classes
+          (class light (aim "1s") (give-up "5s") (worth 1) (effect repeatable))
+          (class heavy (aim "2s") (give-up "9s") (worth 6) (effect repeatable)))
+        (select heavy (tag heavy))
+        (select light)"#,
+    )
+}
+
+fn run(arguments: &[&str]) -> (bool, String) {
+    let Output { status, stdout, stderr } =
+        Command::new(PROGRAM).args(arguments).output().expect("the program runs");
+    (status.success(), String::from_utf8_lossy(&[stdout, stderr].concat()).into_owned())
+}
+
+fn serve(folder: &Folder, configuration: &str) -> (Running, String) {
+    let ready = folder.0.join("address");
+    std::fs::remove_file(&ready).ok();
+    let child = Command::new(PROGRAM)
+        .args(["serve", configuration, "--address-file"])
+        .arg(&ready)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the program starts");
+    (Running(child), address(&ready))
+}
+
+fn address(file: &Path) -> String {
+    let start = Instant::now();
+    loop {
+        match std::fs::read_to_string(file) {
+            Ok(address) => return address,
+            Err(_) => assert!(start.elapsed() < Duration::from_secs(20), "it does not start"),
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn from_a_proposal_to_its_undoing() {
+    let folder = Folder::new("course");
+    let configuration = configuration(&folder);
+    let (good, told) = run(&["check", &configuration]);
+    // 2 s by a clock that runs slow, held by one that runs fast, and the look.
+    assert!(good && told.contains("T: 2.1s"), "{told}");
+    let (good, told) = run(&["settings", "init", &configuration]);
+    assert!(good, "{told}");
+    assert!(!run(&["settings", "init", &configuration]).0, "votes would be forgotten");
+
+    let (gateway, at) = serve(&folder, &configuration);
+    let key = folder.0.join("operators.lisp").display().to_string();
+    let rules = folder.file("rules.lisp", "(class heavy (kinds m4))\n(attempts (cap 2))\n");
+    let propose = |file: &str, key: &str| run(&["settings", "propose", &at, file, "--key-file", key]);
+    let (good, told) = run(&["settings", "propose", &at, &rules, "--key-file", &key, "--dry-run"]);
+    assert!(good && told.contains("- class heavy: kinds as configured -> m4"), "{told}");
+    assert!(run(&["settings", "show", &at]).1.contains("newest version 0"));
+    let (good, told) = propose(&rules, &key);
+    assert!(good && told.contains("committed as version 1"), "{told}");
+
+    let wrong = folder.file("wrong.lisp", "(key ann \"another key of operators, unknown\")");
+    let (good, told) = propose(&rules, &wrong);
+    assert!(!good && told.contains("no operator's key"), "{told}");
+    for (bad, why) in [
+        ("(class light (admit no))", "(agreement (floor"),
+        ("(class huge (admit no))", "1:1: there is no class huge"),
+        ("(class heavy", "not an S-expression"),
+    ] {
+        let (good, told) = propose(&folder.file("bad.lisp", bad), &key);
+        assert!(!good && told.contains("unfit") && told.contains(why), "{told}");
+    }
+    let second = folder.file("second.lisp", "(class heavy (admit no))\n(attempts (cap 2))\n");
+    assert!(propose(&second, &key).0);
+    let (_, told) = run(&["settings", "diff", &at, "1", "2"]);
+    assert_eq!(told, "- (class heavy (kinds m4))\n+ (class heavy (admit no))\n");
+    let (good, told) = run(&["settings", "undo", &at, "--key-file", &key]);
+    assert!(
+        good && told.contains("+ class heavy: refused -> admitted") && told.contains("version 3"),
+        "{told}"
+    );
+    let (_, told) = run(&["settings", "history", &at]);
+    let numbers: Vec<&str> =
+        told.lines().filter(|l| !l.starts_with(' ')).filter_map(|l| l.split(' ').next()).collect();
+    assert_eq!(numbers, ["1", "2", "3"]);
+
+    // A second process on the same votes does not start; the same one finds them after it was killed.
+    let (good, told) = run(&["serve", &configuration]);
+    assert!(!good && told.contains("used by another process"), "{told}");
+    drop(gateway);
+    let (_gateway, at) = serve(&folder, &configuration);
+    let (_, told) = run(&["settings", "show", &at]);
+    assert!(told.contains("newest version 3") && told.contains("(class heavy (kinds m4))"), "{told}");
+}
+
+#[test]
+fn a_voter_without_its_file_serves_and_says_that_it_does_not_vote() {
+    let folder = Folder::new("lost");
+    let configuration = configuration(&folder);
+    let (_gateway, at) = serve(&folder, &configuration);
+    let (_, told) = run(&["settings", "show", &at]);
+    assert!(told.contains("does not vote: ") && told.contains("has no lease"), "{told}");
+}
--- a/crates/lab/src/cluster/check.rs
+++ b/crates/lab/src/cluster/check.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
+use violetward_gateway::agreed::Standing;
 use violetward_gateway::peers::View;
 
 use super::plan::{Act, Plan};
+use super::settings::{self, Proposed};
 use super::Options;
 use crate::checker::{self, Evidence, Terms, RULES};
 use crate::report::Report;
@@ -22,6 +24,8 @@
     pub gateway: usize,
     /// What it said.
     pub view: View,
+    /// How it stood with the settings, where there is agreement on them.
+    pub settings: Option<Standing>,
 }
 
 /// What came of a run.
@@ -62,6 +66,7 @@
     samples: &[Sample],
     acts: &[(u64, Act)],
     relayed: [u64; 4],
+    (versions, proposed): (&BTreeMap<u64, String>, &[Proposed]),
 ) -> Verdict {
     // Whole processes stand still and share few cores here: scheduling is granted more than on a day of few processes.
     let terms = Terms { slack: 800_000, list_every: 50_000, ..Terms::default() };
@@ -172,6 +177,14 @@
         json.insert("pauses_noticed".into(), pauses.into());
         json.insert("relayed_lost_copied_spoilt".into(), relayed.to_vec().into());
     }
+    if plan.voters > 0 {
+        for (name, value) in settings_figures(plan, evidence, samples, versions, proposed) {
+            json.insert(name, value);
+        }
+        for (what, at, who, more) in settings_faults(plan, evidence, samples, acts, versions, proposed) {
+            fail(&what, at.map_or(0.0, seconds), who, more);
+        }
+    }
     let policy = if options.even { "even" } else { "members" };
     let report = Report::new(&plan.name, policy, evidence, broken);
     Verdict { report, failed, json: json.into(), seed: options.seed }
@@ -284,3 +297,133 @@
     }
     found.into_iter().map(|((observer, name), at)| (at, observer, name)).collect()
 }
+
+/// The bound of a run's settings in microseconds, as its gateways tell it.
+fn bound(samples: &[Sample]) -> u64 {
+    samples.iter().filter_map(|s| s.settings.as_ref()).map(|s| s.bound).max().unwrap_or(0)
+}
+
+fn findings(
+    evidence: &Evidence,
+    samples: &[Sample],
+    versions: &BTreeMap<u64, String>,
+    proposed: &[Proposed],
+) -> settings::Findings {
+    let kind = |engine: &str| {
+        let number = engine.trim_start_matches('e').parse::<usize>().unwrap_or(0);
+        if super::cores(number) < 8.0 {
+            "m4".to_owned()
+        } else {
+            "m8".to_owned()
+        }
+    };
+    settings::check(evidence, versions, proposed, bound(samples), &kind)
+}
+
+fn settings_figures(
+    plan: &Plan,
+    evidence: &Evidence,
+    samples: &[Sample],
+    versions: &BTreeMap<u64, String>,
+    proposed: &[Proposed],
+) -> Vec<(String, serde_json::Value)> {
+    let found = findings(evidence, samples, versions, proposed);
+    let mut outcomes: BTreeMap<&str, u64> = BTreeMap::new();
+    proposed.iter().for_each(|p| *outcomes.entry(p.outcome.as_str()).or_default() += 1);
+    // From a proposal until its gateway told that it is committed.
+    let mut took: Vec<u64> =
+        proposed.iter().filter(|p| p.outcome == "committed").map(|p| (p.told - p.at) / 1000).collect();
+    took.sort_unstable();
+    let at = |part: f64| took.get((took.len().saturating_sub(1) as f64 * part) as usize).copied();
+    let (mut ran, mut without) = (0.0, 0.0);
+    for life in &evidence.lives {
+        let own = |s: &&Sample| s.gateway == life.gateway && (life.from..=life.to).contains(&s.at);
+        let last = samples.iter().rev().find(own);
+        let Some((last, standing)) = last.and_then(|s| Some((s, s.settings.as_ref()?))) else { continue };
+        ran += (last.at - life.from) as f64;
+        without += standing.without_lease as f64;
+    }
+    let ends = ends(plan, samples);
+    let counts = ends.values().filter_map(|s| s.settings.as_ref()).fold([0; 3], |mut sum, s| {
+        sum.iter_mut().zip(s.counts).for_each(|(a, b)| *a += b);
+        sum
+    });
+    vec![
+        ("versions".into(), versions.len().into()),
+        ("versions_seen_by_engines".into(), found.seen.into()),
+        ("bound_ms".into(), (bound(samples) / 1000).into()),
+        ("contradictions".into(), found.overlaps.len().into()),
+        (
+            "longest_contradiction_ms".into(),
+            round(found.overlaps.iter().max().map_or(0.0, |&o| o as f64 / 1e3)).into(),
+        ),
+        ("outcomes".into(), serde_json::to_value(outcomes).unwrap_or_default()),
+        ("commit_ms_median_most".into(), serde_json::json!([at(0.5), at(1.0)])),
+        ("without_lease".into(), round(without / f64::max(ran, 1.0)).into()),
+        ("sayings_taken_unread_foreign".into(), counts.to_vec().into()),
+    ]
+}
+
+fn settings_faults(
+    plan: &Plan,
+    evidence: &Evidence,
+    samples: &[Sample],
+    acts: &[(u64, Act)],
+    versions: &BTreeMap<u64, String>,
+    proposed: &[Proposed],
+) -> Vec<(String, Option<u64>, String, String)> {
+    let mut faults = Vec::new();
+    let bound = bound(samples);
+    let found = findings(evidence, samples, versions, proposed);
+    // By the invariant there is none at all: what is left is the way from the last look to an engine's journal, and the
+    // scheduling of many processes. T bounds how long a version waits, not how long two contradict each other.
+    let slack = super::LOOK.as_micros() as u64 + 400_000;
+    if let Some(most) = found.overlaps.iter().max().filter(|&&o| o > slack) {
+        let more = format!(
+            "contradicting versions were acted on for {most} us, granted are {slack} us, T is {bound} us"
+        );
+        faults.push(("bound".into(), None, "all gateways".into(), more));
+    }
+    if let Some((at, engine, class)) = &found.never {
+        let more = format!("{engine} was sent a {class}, which no version proposed by then allows");
+        faults.push(("versions".into(), Some(*at), "some gateway".into(), more));
+    }
+    for p in proposed.iter().filter(|p| p.number.is_some()) {
+        let became = p.number.and_then(|n| versions.get(&n));
+        if became != Some(&p.content) {
+            let more = format!("{:?} was told to be version {:?}, which is {became:?}", p.content, p.number);
+            faults.push(("history".into(), Some(p.told), format!("g{}", p.gateway), more));
+        }
+    }
+    let last = acts.iter().map(|a| a.0 + a.1.lasts().as_micros() as u64).max().unwrap_or_default();
+    if let Some((span, least)) = plan.expect.settings {
+        // From when on all that ran acted on one version in full for good.
+        let mut state: Vec<Option<(u64, u64)>> = vec![None; plan.gateways];
+        let mut since = None;
+        for sample in samples {
+            state[sample.gateway] = sample.settings.as_ref().and_then(|s| s.acts);
+            let running: Vec<usize> = (0..plan.gateways).filter(|&n| runs(evidence, n, sample.at)).collect();
+            let first = running.first().and_then(|&n| state[n]);
+            let full = first.is_some_and(|(low, top)| low == top && top >= least);
+            let all = full && running.iter().all(|&n| state[n] == first);
+            since = if all { since.or(Some(sample.at)) } else { None };
+        }
+        if since.is_none_or(|at| at > last + span.as_micros() as u64) {
+            let more =
+                format!("since {since:?}; in the end they act on {state:?}, at least {least} was expected");
+            faults.push(("settings agree".into(), Some(last), "all gateways".into(), more));
+        }
+    }
+    for word in &plan.expect.outcomes {
+        if !proposed.iter().any(|p| p.outcome == *word) {
+            faults.push(("outcomes".into(), None, "the operators".into(), format!("nobody was told {word}")));
+        }
+    }
+    for n in &plan.expect.voteless {
+        let last = samples.iter().rev().find(|s| s.gateway == *n).and_then(|s| s.settings.as_ref());
+        if !last.is_some_and(|s| !s.votes && s.trouble.is_some()) {
+            faults.push(("votes".into(), None, format!("g{n}"), "it votes, or does not say why not".into()));
+        }
+    }
+    faults
+}
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -7,10 +7,11 @@
 pub mod check;
 pub mod plan;
 pub mod relay;
+pub mod settings;
 pub mod timeline;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{IsTerminal, Write};
 use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
@@ -19,7 +20,7 @@
 
 use async_executor::LocalExecutor;
 use rustix::process::Signal;
-use violetward_gateway::peers;
+use violetward_gateway::{agreed, config, peers};
 use violetward_membership::wire::{Datagram, Kind};
 use violetward_membership::{Key, Keys};
 use violetward_net::{sleep, Pool};
@@ -35,6 +36,7 @@
 use check::{Sample, Verdict};
 use plan::{Act, Plan};
 use relay::{Doors, Way};
+use settings::Proposed;
 
 /// Between two samples of what a gateway believes.
 const SAMPLE: Duration = Duration::from_millis(200);
@@ -44,6 +46,10 @@
 const OLD_KEY: &str = "(key old \"the rig's first key\")\n";
 const NEW_KEY: &str = "(key new \"the rig's second key\")\n";
 
+const OPERATOR: (&str, &str) = ("rig", "the rig's operator's key");
+/// A lease's look and what is sent on it lie no further apart.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// How a plan is to be run.
 #[derive(Debug, Clone, Default)]
 pub struct Options {
@@ -83,6 +89,10 @@
     changes: RefCell<Vec<ListChange>>,
     samples: RefCell<Vec<Sample>>,
     acts: RefCell<Vec<(u64, Act)>>,
+    proposed: RefCell<Vec<Proposed>>,
+    /// Contents by number, as any gateway told them.
+    versions: RefCell<BTreeMap<u64, String>>,
+    flips: Cell<u64>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     over: Cell<bool>,
 }
@@ -134,6 +144,9 @@
         changes: RefCell::default(),
         samples: RefCell::default(),
         acts: RefCell::default(),
+        proposed: RefCell::default(),
+        versions: RefCell::default(),
+        flips: Cell::default(),
         pools: RefCell::default(),
         over: Cell::new(false),
     });
@@ -149,6 +162,7 @@
                 &cluster.samples.borrow(),
                 &cluster.acts.borrow(),
                 cluster.doors.counts.get(),
+                (&cluster.versions.borrow(), &cluster.proposed.borrow()),
             );
             if options.keep.is_some() {
                 let svg = timeline::draw(plan, &evidence, &cluster.samples.borrow(), &cluster.acts.borrow());
@@ -179,6 +193,10 @@
             self.ways.borrow_mut().push(row?);
             std::fs::write(self.folder.join(format!("keys{number}.lisp")), OLD_KEY)?;
         }
+        std::fs::write(
+            self.folder.join("operators.lisp"),
+            format!("(key {} {:?})\n", OPERATOR.0, OPERATOR.1),
+        )?;
         self.publish()?;
         for number in 0..self.plan.gateways {
             let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -205,7 +223,8 @@
         // What is expected within a span of the last act needs that long.
         let last = self.plan.acts.iter().map(|a| a.0 + a.1.lasts()).max().unwrap_or_default();
         let expect = &self.plan.expect;
-        let until = last + expect.agree.max(expect.shares.unwrap_or_default()) + SETTLE;
+        let settings = expect.settings.map_or(Duration::ZERO, |s| s.0);
+        let until = last + expect.agree.max(expect.shares.unwrap_or_default()).max(settings) + SETTLE;
         while start.elapsed() < until {
             sleep(Duration::from_millis(50)).await;
         }
@@ -352,10 +371,28 @@
                 words[1]
             );
         }
+        if self.plan.voters > 0 {
+            let voters: Vec<String> = (0..self.plan.voters).map(|n| format!("g{n}")).collect();
+            more += &format!(
+                "(agreement (voters {}) (folder \"votes{number}\") (lease \"{}ms\") (check \"{}ms\") (key-file \"operators.lisp\")\n  (floor (classes notice) (engines e0 e1)))\n",
+                voters.join(" "),
+                self.plan.lease.as_millis(),
+                LOOK.as_millis()
+            );
+            if !self.plan.odd.contains(&number) {
+                more += "(tenants (tenant extra (per-second 100000)))\n";
+            }
+        }
         let engines = self.folder.join(format!("engines{number}.lisp"));
         let plan = GatewayPlan { number, of: self.plan.gateways, listen: listen.to_string(), engines, more };
         let file = self.folder.join(format!("{stem}.lisp"));
         std::fs::write(&file, fleet::configuration(&plan))?;
+        let known = self.lives.borrow().iter().any(|l| l.gateway == number);
+        if number < self.plan.voters && !known {
+            let config = config::load(&file).map_err(|m| std::io::Error::other(m.join("\n")))?;
+            let terms = config.agreement.ok_or_else(|| std::io::Error::other("no agreement"))?;
+            agreed::init(&terms).map_err(std::io::Error::other)?;
+        }
         let ready = self.folder.join(format!("{stem}.address"));
         std::fs::remove_file(&ready).ok();
         let arguments: Vec<String> = vec![
@@ -412,7 +449,17 @@
             if let Some(address) = address.filter(|_| !self.options.even) {
                 let at = clock();
                 if let Ok(view) = peers::ask(address).await {
-                    self.samples.borrow_mut().push(Sample { at, gateway: number, view });
+                    let mut settings = None;
+                    if self.plan.voters > 0 {
+                        let known = self.versions.borrow().keys().next_back().copied().unwrap_or(0);
+                        settings = agreed::ask_since(address, known).await.ok();
+                    }
+                    if let Some(standing) = &mut settings {
+                        for version in standing.history.drain(..) {
+                            self.versions.borrow_mut().insert(version.number, version.content);
+                        }
+                    }
+                    self.samples.borrow_mut().push(Sample { at, gateway: number, view, settings });
                 }
             }
             sleep(SAMPLE).await;
@@ -503,6 +550,22 @@
                     self.gateways.borrow_mut()[n].twin = Some(process);
                 }
             }
+            Act::Propose(n, text) => self.propose(n, text).await,
+            Act::Flips(every, count, at) => {
+                for i in 0..count {
+                    let begun = Instant::now();
+                    let number = self.flips.replace(self.flips.get() + 1);
+                    // Contents differ, so that each can be told from the next but one.
+                    let kind = if number % 2 == 0 { "m4" } else { "m8" };
+                    self.propose(at[i % at.len()], format!("(class lookup (kinds {kind})) ; {number}")).await;
+                    sleep(every.saturating_sub(begun.elapsed())).await;
+                }
+            }
+            Act::Disk(n, what) => {
+                if let Err(e) = settings::disk(&self.folder.join(format!("votes{n}")), what) {
+                    eprintln!("g{n}: {what:?}: {e}");
+                }
+            }
             Act::Flood(count) => self.flood(count).await,
             Act::Rekey => {
                 let write = |n: usize, text: &str| {
@@ -545,6 +608,22 @@
         }
     }
 
+    /// Asks a gateway for a new version, after the newest that it knows.
+    async fn propose(&self, gateway: usize, content: String) {
+        let address = self.gateways.borrow()[gateway].address;
+        let key = (OPERATOR.0.to_owned(), OPERATOR.1.to_owned());
+        let at = clock();
+        let asked = async {
+            let newest = agreed::ask_since(address, u64::MAX).await?.newest;
+            agreed::propose(address, content.as_bytes(), newest, false, &key).await
+        };
+        let (outcome, number) = match asked.await {
+            Ok(report) => (report.outcome.clone(), report.number.filter(|_| report.outcome == "committed")),
+            Err(why) => (why, None),
+        };
+        self.proposed.borrow_mut().push(Proposed { at, told: clock(), gateway, content, outcome, number });
+    }
+
     /// Sends each gateway what it must not take, straight to its socket.
     async fn flood(&self, count: usize) {
         let Ok(socket) = UdpSocket::bind(("127.0.0.1", 0)) else { return };
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -5,6 +5,8 @@
 
 use violetward_gateway::forms::{self, Checker, Form};
 
+use super::settings::Disk;
+
 /// What the links between some gateways do.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Weather {
@@ -52,6 +54,13 @@
     KillEngines(Vec<usize>),
     /// They start anew, cold.
     StartEngines(Vec<usize>),
+    /// A gateway is asked to make these rules the next version of the settings.
+    Propose(usize, String),
+    /// Look-ups are to run on the one kind of machine and on the other in turn: every so often, so many times, proposed at
+    /// these gateways in turn.
+    Flips(Duration, usize, Vec<usize>),
+    /// Something happens to the file of a voter that does not run.
+    Disk(usize, Disk),
 }
 
 impl Act {
@@ -60,6 +69,7 @@
         match self {
             Act::Stop(_, span) => *span,
             Act::Rekey => Duration::from_secs(4),
+            Act::Flips(every, count, _) => *every * *count as u32,
             _ => Duration::ZERO,
         }
     }
@@ -82,6 +92,12 @@
     pub pauses: u64,
     /// Datagrams that must have been refused, in all, at least.
     pub refused: u64,
+    /// All that run act on one version in full this long after the last act, at the latest; it has at least this number.
+    pub settings: Option<(Duration, u64)>,
+    /// Outcomes of proposals that must have been told, each.
+    pub outcomes: Vec<String>,
+    /// Who must have lost its vote.
+    pub voteless: Vec<usize>,
 }
 
 /// A plan.
@@ -101,6 +117,12 @@
     pub load: f64,
     /// Between two probes of membership.
     pub period: Duration,
+    /// Gateways that vote on settings, from the first; 0: no agreement.
+    pub voters: usize,
+    /// How long a lease lasts.
+    pub lease: Duration,
+    /// Gateways whose configuration lacks a tenant that all others have.
+    pub odd: Vec<usize>,
     /// What happens, by time.
     pub acts: Vec<(Duration, Act)>,
     /// What has to hold.
@@ -108,7 +130,7 @@
 }
 
 /// The built-in plans: name, what it tries, and its text.
-pub const BUILT_IN: [(&str, &str, &str); 17] = [
+pub const BUILT_IN: [(&str, &str, &str); 27] = [
     (
         "pair-cut",
         "two gateways and one cut between them, both ways, healed",
@@ -236,6 +258,88 @@
         (gateways 4) (engines 3) (span "16s") (load 0.4)
         (at "4s" (twin 0)) (expect (agree "8s") (shares "8s"))"#,
     ),
+    (
+        "settings-cut",
+        "settings: two gateways of which one votes, and one cut while versions change",
+        r#"
+        (gateways 2) (engines 3) (span "18s") (load 0.5) (voters 1)
+        (at "1s" (flips "500ms" 6 0)) (at "5s" (part (0) (1))) (at "6s" (flips "1500ms" 3 0)) (at "12s" (heal))
+        (expect (settings "6s" 9))"#,
+    ),
+    (
+        "settings-calm",
+        "settings: three that vote, forty changes, some datagrams lost and copied",
+        r#"
+        (gateways 3) (engines 3) (span "22s") (load 0.5) (voters 3)
+        (at "500ms" (weather (loss 0.05) (delay "5ms") (copies 0.05)))
+        (at "1s" (flips "400ms" 40 0 1 2)) (expect (settings "6s" 36))"#,
+    ),
+    (
+        "settings-paused",
+        "settings: gateways stand still for longer than their lease, under load, while versions change",
+        r#"
+        (gateways 5) (engines 6) (span "30s") (load 0.6) (voters 3)
+        (at "1s" (flips "700ms" 36 0 1)) (at "4s" (stop "5s" 3)) (at "8s" (stop "3s" 2)) (at "12s" (stop "4s" 4))
+        (at "17s" (stop "2500ms" 3)) (at "21s" (stop "3s" 4)) (expect (settings "8s" 30))"#,
+    ),
+    (
+        "settings-halves",
+        "settings: a partition; the minority proposes in vain, the majority commits",
+        r#"
+        (gateways 5) (engines 6) (span "28s") (load 0.5) (voters 5)
+        (at "1s" (flips "500ms" 4 0 3)) (at "5s" (part (0 1) (2 3 4)))
+        (at "7s" (propose 0 "(class report (admit no)) ; by the minority"))
+        (at "8s" (flips "1200ms" 5 2 3 4)) (at "17s" (heal)) (expect (settings "10s" 9) (outcomes unknown committed))"#,
+    ),
+    (
+        "settings-rivals",
+        "settings: two operators propose at once, again and again",
+        r#"
+        (gateways 3) (engines 3) (span "18s") (load 0.5) (voters 3)
+        (at "1s" (flips "600ms" 20 0)) (at "1s" (flips "600ms" 20 1)) (at "1s" (flips "600ms" 20 2))
+        (expect (settings "8s" 20) (outcomes conflict committed))"#,
+    ),
+    (
+        "settings-killed",
+        "settings: proposers are killed while they propose, and come back",
+        r#"
+        (gateways 5) (engines 3) (span "26s") (load 0.5) (voters 3)
+        (at "1s" (flips "350ms" 50 0 1 2)) (at "3010ms" (kill 0)) (at "5s" (start 0)) (at "7003ms" (kill 1)) (at "9s" (start 1))
+        (at "11001ms" (kill 2)) (at "13s" (start 2)) (at "15005ms" (kill 0)) (at "17s" (start 0))
+        (expect (settings "8s" 20))"#,
+    ),
+    (
+        "settings-all-killed",
+        "settings: all are killed at once and come back with their disks",
+        r#"
+        (gateways 4) (engines 3) (span "24s") (load 0.4) (voters 3)
+        (at "1s" (flips "500ms" 8 0 1)) (at "6s" (kill 0 1 2 3)) (at "8s" (start 0 1 2 3))
+        (at "14s" (flips "500ms" 8 2 1)) (expect (settings "8s" 12))"#,
+    ),
+    (
+        "settings-disks",
+        "settings: one voter's disk is lost and another one's has a bit turned: they do not vote, and say so",
+        r#"
+        (gateways 5) (engines 3) (span "26s") (load 0.4) (voters 5)
+        (at "1s" (flips "500ms" 6 0 1)) (at "5s" (kill 3 4)) (at "6s" (disk 3 lose)) (at "6s" (disk 4 spoil))
+        (at "7s" (start 3 4)) (at "12s" (flips "500ms" 8 0 1)) (expect (settings "8s" 12) (voteless 3 4))"#,
+    ),
+    (
+        "settings-one-way",
+        "settings: the proposer is cut one way and the other",
+        r#"
+        (gateways 3) (engines 3) (span "26s") (load 0.5) (voters 3)
+        (at "1s" (flips "500ms" 6 0)) (at "4500ms" (cut (0) (1 2))) (at "5s" (flips "1500ms" 3 0)) (at "11s" (heal))
+        (at "13s" (cut (1 2) (0))) (at "14s" (flips "1500ms" 3 0)) (at "19s" (heal)) (expect (settings "10s" 6))"#,
+    ),
+    (
+        "settings-unfit",
+        "settings: a version that a third of the gateways cannot read",
+        r#"
+        (gateways 3) (engines 3) (span "16s") (load 0.4) (voters 3) (odd 2)
+        (at "1s" (flips "500ms" 6 0 1)) (at "5s" (propose 0 "(tenant extra (per-second 5)) ; not known by one"))
+        (at "9s" (propose 1 "(class lookup (kinds m4)) ; read by all again")) (expect (settings "6s" 8) (outcomes committed))"#,
+    ),
 ];
 
 /// A plan by its name, or from a file.
@@ -311,6 +415,22 @@
         "cut-engines" => Act::CutEngines(numbers(c, form, gateways)),
         "kill-engines" => Act::KillEngines(numbers(c, form, engines)),
         "start-engines" => Act::StartEngines(numbers(c, form, engines)),
+        "propose" => {
+            let (number, text) = (form.rest.first()?.value().as_u64()?, form.rest.get(1)?.value().as_str()?);
+            Act::Propose((number as usize).min(gateways - 1), text.to_owned())
+        }
+        "flips" => {
+            let every = c.span(&form.with(vec![*form.rest.first()?]))?;
+            let count = form.rest.get(1)?.value().as_u64()? as usize;
+            Act::Flips(every, count, numbers(c, &form.with(form.rest.get(2..)?.to_vec()), gateways))
+        }
+        "disk" => {
+            let number = form.rest.first()?.value().as_u64()? as usize;
+            let kinds =
+                [("save", Disk::Save), ("old", Disk::Old), ("lose", Disk::Lose), ("spoil", Disk::Spoil)];
+            let what = c.choice(&form.with(vec![*form.rest.get(1)?]), &kinds)?;
+            Act::Disk(number.min(gateways - 1), what)
+        }
         other => {
             c.at(form, format!("{other} is no act"));
             return None;
@@ -326,7 +446,8 @@
     let data = forms::read(text).map_err(|m| m.to_string())?;
     let mut c = Checker::default();
     let all: Vec<Form<'_>> = data.iter().filter_map(|d| c.form(d.as_ref())).collect();
-    let known = ["gateways", "engines", "sites", "span", "load", "period", "at", "expect"];
+    let known =
+        ["gateways", "engines", "sites", "span", "load", "period", "voters", "lease", "odd", "at", "expect"];
     for form in all.iter().filter(|f| !known.contains(&f.name.as_str())) {
         c.at(form, format!("{} is not known; known: {}", form.name, known.join(", ")));
     }
@@ -339,6 +460,9 @@
     let span = get("span").and_then(|f| c.span(f)).unwrap_or(Duration::from_secs(10));
     let load = get("load").and_then(|f| c.number(f, 0.0, 10.0)).unwrap_or(0.5);
     let period = get("period").and_then(|f| c.span(f)).unwrap_or(Duration::from_millis(200));
+    let voters = get("voters").and_then(|f| c.whole(f, 1, gateways as u64)).unwrap_or(0) as usize;
+    let lease = get("lease").and_then(|f| c.span(f)).unwrap_or(Duration::from_secs(2));
+    let odd = get("odd").map(|f| numbers(&mut c, f, gateways)).unwrap_or_default();
     let mut acts = Vec::new();
     for form in all.iter().filter(|f| f.name == "at") {
         let [when, what] = form.rest.as_slice() else {
@@ -361,6 +485,9 @@
         link: Vec::new(),
         pauses: 0,
         refused: 0,
+        settings: None,
+        outcomes: Vec::new(),
+        voteless: Vec::new(),
     };
     for datum in get("expect").map(|f| f.rest.clone()).unwrap_or_default() {
         let Some(f) = c.form(datum) else { continue };
@@ -370,6 +497,13 @@
             "false-deaths" => expect.false_deaths = c.whole(&f, 0, 1000).unwrap_or(0) as usize,
             "pauses" => expect.pauses = c.whole(&f, 0, 1000).unwrap_or(0),
             "refused" => expect.refused = c.whole(&f, 0, 1_000_000).unwrap_or(0),
+            "settings" => {
+                let span = f.rest.first().map(|d| f.with(vec![*d])).and_then(|f| c.span(&f));
+                let least = f.rest.get(1).and_then(|d| d.value().as_u64()).unwrap_or(1);
+                expect.settings = span.map(|span| (span, least));
+            }
+            "outcomes" => expect.outcomes = c.words(&f),
+            "voteless" => expect.voteless = numbers(&mut c, &f, gateways),
             "standing" | "link" => {
                 let ns: Vec<usize> =
                     f.rest.iter().filter_map(|d| d.value().as_u64()).map(|n| n as usize).collect();
@@ -387,7 +521,20 @@
         c.mistakes.sort();
         return Err(c.mistakes.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"));
     }
-    Ok(Plan { name: name.into(), gateways, engines, sites, span, load, period, acts, expect })
+    Ok(Plan {
+        name: name.into(),
+        gateways,
+        engines,
+        sites,
+        span,
+        load,
+        period,
+        voters,
+        lease,
+        odd,
+        acts,
+        expect,
+    })
 }
 
 #[cfg(test)]
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::share::{Known, Share};
-use crate::wire::{mark, Cut, Datagram, Demand, Keys, Kind, Record, Refused, State, BUCKETS, CUTS};
+use crate::wire::{mark, Cut, Datagram, Demand, Keys, Kind, Record, Refused, State, BUCKETS, CUTS, SAID};
 
 /// Microseconds of a clock that never goes back.
 pub type Micros = u64;
@@ -81,6 +81,8 @@
     Told(Change),
     /// The share of the fleet is this now.
     Share(f64),
+    /// A member, proved to live, said something to what stands on membership.
+    Heard(String, Vec<u8>),
 }
 
 /// A change worth a line in the log.
@@ -389,6 +391,18 @@
         self.terms.keys = keys;
     }
 
+    /// Says something that is not membership's own to a member; a datagram, which may get lost. Gives whether it is known
+    /// where that member is, and there is room.
+    pub fn say(&mut self, now: Micros, name: &str, bytes: &[u8]) -> bool {
+        self.pass(now);
+        let known = bytes.len() <= SAID && self.members.contains_key(name);
+        if known {
+            self.send_to(name, Kind::Said(bytes.to_vec()), Vec::new());
+        }
+        self.planned = self.next_wake();
+        known
+    }
+
     /// Says good-bye to everybody that lives. Nothing is answered from then on.
     pub fn leave(&mut self, now: Micros) {
         self.pass(now);
@@ -897,7 +911,8 @@
 
     fn take(&mut self, from: SocketAddr, bytes: &[u8]) -> Result<(), Refused> {
         let Some(datagram) = Datagram::open(&self.terms.keys, bytes)? else { return Ok(()) };
-        if self.left {
+        // What stands on membership may still have to be ended in order; nothing else is heard any more.
+        if self.left && !matches!(datagram.kind, Kind::Said(_)) {
             return Ok(());
         }
         if let Kind::Challenge(nonce) = datagram.kind {
@@ -1037,6 +1052,7 @@
                     self.send(back, Kind::Digest(digest, false), Vec::new());
                 }
             }
+            Kind::Said(bytes) => self.effects.push_back(Effect::Heard(from.to_owned(), bytes)),
             Kind::News | Kind::Challenge(_) | Kind::Proof(_) => {}
         }
     }
@@ -1138,7 +1154,7 @@
     /// Sends; gives how many of the records have found room. Others' news ride along where none of its own fill it.
     fn send(&mut self, to: SocketAddr, kind: Kind, mut records: Vec<Record>) -> usize {
         let own = records.len();
-        let plain = matches!(kind, Kind::News | Kind::Challenge(_) | Kind::Proof(_));
+        let plain = matches!(kind, Kind::News | Kind::Challenge(_) | Kind::Proof(_) | Kind::Said(_));
         if !plain {
             records.extend(self.riders());
         }
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -318,7 +318,7 @@
                         None => {}
                     }
                 }
-                Effect::Told(_) => {}
+                Effect::Told(_) | Effect::Heard(..) => {}
                 Effect::Share(_) => {
                     // The invariant: whatever each believes, all together take a bounded part of the fleet.
                     let terms = (self.terms)(n);
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -22,6 +22,8 @@
 pub const CUTS: usize = 4;
 /// Parts of the state whose digests are compared on their own.
 pub const BUCKETS: usize = 16;
+/// Octets that [`Kind::Said`] has room for.
+pub const SAID: usize = 1_000;
 /// Octets of the code.
 const CODE: usize = 16;
 
@@ -219,6 +221,8 @@
     Digest([u32; BUCKETS], bool),
     /// Records alone.
     News,
+    /// Something that is not membership's own: for what stands on it.
+    Said(Vec<u8>),
 }
 
 /// A datagram.
@@ -322,6 +326,11 @@
                 parts.iter().for_each(|part| out.extend_from_slice(&part.to_be_bytes()));
             }
             Kind::News => out.push(10),
+            Kind::Said(bytes) => {
+                out.push(11);
+                out.extend_from_slice(&(bytes.len() as u16).to_be_bytes());
+                out.extend_from_slice(bytes);
+            }
         }
         let count = out.len();
         out.push(0);
@@ -408,6 +417,10 @@
             Kind::Digest(parts, wanted)
         }
         10 => Kind::News,
+        11 => {
+            let n = c.u16()? as usize;
+            Kind::Said(c.take(n)?.to_vec())
+        }
         _ => return Some(None),
     };
     if version == 0 || from.is_empty() {
--- a/src/api.rs
+++ b/src/api.rs
@@ -428,6 +428,18 @@
     /// This gateway's part of the fleet, from who lives and what they are asked for; without it, `1 / gateways`. Cold engines
     /// are met by that at most.
     Share(f64),
+    /// New rules in place of those of the settings, which they name one for one. What waits where it may not go any more is
+    /// placed again; what is out goes on.
+    Rules {
+        /// Classes.
+        classes: Vec<Class>,
+        /// Tenants.
+        tenants: Vec<Tenant>,
+        /// Attempts a request may have.
+        attempts_cap: u32,
+        /// The budget of further attempts.
+        budget: Option<AttemptBudget>,
+    },
     /// A timer asked for by [`Action::Arm`] has come.
     Elapsed(u64),
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -144,6 +144,15 @@
                 self.probed(engine, ok, out)
             }
             Event::Share(part) => self.part = Some(finite(part, 1e-6, 1.0)),
+            Event::Rules { classes, tenants, attempts_cap, budget } => {
+                let same =
+                    |s: &Settings| (s.classes.len(), s.tenants.len()) == (classes.len(), tenants.len());
+                if same(&self.settings) {
+                    let old = self.settings.clone();
+                    self.settings = Settings { classes, tenants, attempts_cap, budget, ..old };
+                    self.replace_barred(out);
+                }
+            }
             Event::Elapsed(TICK_HANDLE) => self.tick(out),
             Event::Elapsed(_) | Event::Heard { .. } => {}
         }
@@ -825,6 +834,18 @@
         self.drop_removed();
     }
 
+    /// Places again what waits for an engine that it may not go to any more.
+    fn replace_barred(&mut self, out: &mut Vec<Action>) {
+        let waiting: Vec<(EngineId, RequestId)> =
+            self.engines.iter().flat_map(|(&engine, e)| e.line.iter().map(move |l| (engine, l.1))).collect();
+        for (engine, id) in waiting {
+            if self.guard(id, engine) == Leave::No {
+                self.leave(id);
+                self.place(id, out);
+            }
+        }
+    }
+
     /// Places again all that waits for an engine that is not to be used.
     fn empty_line(&mut self, engine: EngineId, out: &mut Vec<Action>) {
         let line = self.engines.get(&engine).map(|e| e.line.clone()).unwrap_or_default();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -247,3 +247,37 @@
     assert!(to_a_cold_one(1.0) <= 4.08 / 4.0, "{}", to_a_cold_one(1.0));
     assert!(to_a_cold_one(0.1) <= 4.08 * 0.1, "{}", to_a_cold_one(0.1));
 }
+
+/// Rules that narrow while requests wait and run: what is out goes on, what waits is refused at once where it may go nowhere
+/// any more, and comes in again once the rules allow it.
+#[test]
+fn narrower_rules_hold_for_what_waits_and_leave_what_is_out() {
+    let settings = settings(class(Effect::Repeatable));
+    let rules = |kinds: Option<Vec<KindId>>| Event::Rules {
+        classes: settings.classes.iter().map(|c| Class { kinds: kinds.clone(), ..c.clone() }).collect(),
+        tenants: settings.tenants.clone(),
+        attempts_cap: 1,
+        budget: settings.budget.clone(),
+    };
+    let mut bed = Bed::new(settings.clone(), vec![entry(1)]);
+    let asked: Vec<(u64, Vec<Action>)> = (0..60).map(|id| (id, bed.ask(id))).collect();
+    let out: Vec<u64> = asked.iter().filter(|(_, a)| !sent(a).is_empty()).map(|a| a.0).collect();
+    let waits: Vec<u64> =
+        asked.iter().filter(|(id, a)| sent(a).is_empty() && !refused(a, *id)).map(|a| a.0).collect();
+    assert!(!out.is_empty() && !waits.is_empty(), "{out:?} are out, {waits:?} wait");
+
+    let actions = bed.feed(rules(Some(Vec::new())));
+    assert!(waits.iter().all(|&id| refused(&actions, id)), "what waits is refused at once");
+    assert!(out.iter().all(|&id| !refused(&actions, id) && !failed(&actions, id)), "what is out goes on");
+    assert!(refused(&bed.ask(100), 100));
+    // No further attempt goes where it may not any more.
+    let last = out[0];
+    assert!(sent(&bed.answer(last, Outcome::Full)).is_empty());
+
+    bed.feed(rules(None));
+    assert_eq!(sent(&bed.ask(101)).len() + usize::from(!refused(&bed.ask(102), 102)), 2);
+    // Rules for other classes than those of the settings are none.
+    let odd = Event::Rules { classes: vec![], tenants: vec![], attempts_cap: 0, budget: None };
+    bed.feed(odd);
+    assert!(!refused(&bed.ask(103), 103));
+}
