Agreement: drains and removals are passed on, fleets under a virtual clock, figures

Need: lists lag. A gateway that hears of a drain or a removal by its own list tells some of the others, who pass it on; it only takes away, ends when its teller takes it back, with a newer life of the engine, or after ten minutes. Most engines gone from one list at once are obeyed there, told loudly and not passed on.

The fleets of the tests are a module (sim), and violetward-lab agreement prints figures of them. On the rig (lagging-lists) five gateways whose lists come six seconds late keep the drain's grace.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -6,11 +6,14 @@
 //! for a counterexample in all interleavings of small cases, with the very code of [`Voter`].
 
 mod history;
+mod lists;
 mod member;
 pub mod search;
+pub mod sim;
 mod voter;
 pub mod wire;
 
 pub use history::{History, Version, KEPT};
+pub use lists::{Claim, EngineState, ListEffect, Lists, HOLDS};
 pub use member::{Check, Declined, Effect, Member, MemberTerms, Outcome};
 pub use voter::{Ballot, Effect as VoterEffect, Kept, Message, Micros, Plant, Terms, Voter, GRANTS};
--- a/crates/agreement/src/member.rs
+++ b/crates/agreement/src/member.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::history::{Version, KEPT};
+use crate::lists::{EngineState, ListEffect, Lists};
 use crate::voter::{Effect as Inner, Kept, Message, Micros, Terms, Voter};
 use crate::wire::{self, Digest32, Said, Unread, CONTENT, PART};
 
@@ -99,6 +100,12 @@
     Proposed(Outcome),
     /// A gateway has other terms than this one.
     OtherTerms(String),
+    /// Say something to some of the gateways that live, drawn anew each time.
+    SaySome(Vec<u8>),
+    /// What others' lists say of engines has changed.
+    Claims,
+    /// So many of so many engines went from the own list at once: it is obeyed, and not passed on.
+    Mass(usize, usize),
 }
 
 struct Fetch {
@@ -130,6 +137,7 @@
     contents: VecDeque<(Digest32, Vec<u8>)>,
     fetches: BTreeMap<Digest32, Fetch>,
     proposal: Option<Proposal>,
+    lists: Lists,
     renew: Micros,
     writes: u64,
     dice: u64,
@@ -143,6 +151,8 @@
     pub fn new(terms: MemberTerms, kept: (Kept, u64), life: u64, now: Micros, check: Check) -> Member {
         // Written at every start before anything is granted: whether a life before this one can have granted something.
         let fresh = kept.1 == 0;
+        // A life's counts begin where no earlier one's can have come to.
+        let lists = Lists::new(&terms.name, now);
         let start = wire::keep(&kept.0, terms.mark, kept.1 + 1);
         let mut member = Member {
             voter: Voter::new(terms.voter(), kept.0, life, now, fresh),
@@ -152,6 +162,7 @@
             contents: VecDeque::new(),
             fetches: BTreeMap::new(),
             proposal: None,
+            lists,
             renew: now,
             writes: kept.1 + 1,
             dice: life | 1,
@@ -178,12 +189,24 @@
     pub fn next_wake(&self) -> Micros {
         let fetches = self.fetches.values().map(|f| f.asked + ASK_AGAIN).min();
         let proposal = self.proposal.as_ref().map(|p| p.again.min(p.until));
-        [Some(self.renew), fetches, proposal].into_iter().flatten().min().unwrap_or(Micros::MAX)
+        [Some(self.renew), fetches, proposal, self.lists.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(Micros::MAX)
     }
 
     /// The next effect, once the one before it is done.
     pub fn effect(&mut self, now: Micros) -> Option<Effect> {
         loop {
+            // A drain does not wait for a disk.
+            if let Some(effect) = self.lists.effect() {
+                return Some(match effect {
+                    ListEffect::Tell(claim) => Effect::SaySome(Said::Listed(claim).write()),
+                    ListEffect::Changed => Effect::Claims,
+                    ListEffect::Mass(gone, of) => Effect::Mass(gone, of),
+                });
+            }
             if let Some(effect) = self.effects.pop_front() {
                 return Some(effect);
             }
@@ -293,6 +316,7 @@
                 }
             }
             Said::Part(name, at, of, part) => self.part(now, name, at, of, &part),
+            Said::Listed(claim) => self.lists.heard(now, claim),
         }
     }
 
@@ -388,6 +412,7 @@
 
     /// Does what is due.
     pub fn wake(&mut self, now: Micros) {
+        self.lists.wake(now);
         if self.renew <= now {
             let times = if self.acts_on(now).is_some() { RENEWALS } else { ASKED };
             self.renew = now + self.terms.lease / times;
@@ -424,6 +449,16 @@
         }
     }
 
+    /// The own list has been read; see [`Lists::listed`].
+    pub fn listed(&mut self, now: Micros, list: BTreeMap<String, (u64, EngineState)>) {
+        self.lists.listed(now, list);
+    }
+
+    /// See [`Lists::claimed`].
+    pub fn claimed(&self) -> BTreeMap<String, (u64, EngineState)> {
+        self.lists.claimed()
+    }
+
     /// Gives the lease back, before this process ends.
     pub fn give_back(&mut self) {
         self.voter.give_back();
--- a/crates/agreement/src/wire.rs
+++ b/crates/agreement/src/wire.rs
@@ -9,12 +9,15 @@
 use sha2::{Digest, Sha256};
 
 use crate::history::{History, Version};
+use crate::lists::{Claim, EngineState};
 use crate::voter::{Ballot, Kept, Message};
 
 /// Octets of a content at most.
 pub const CONTENT: usize = 65_536;
 /// Octets of a content that travel within a saying; a longer one is fetched.
 pub const INLINE: usize = 512;
+/// Octets of the name of a gateway or an engine that is told of.
+pub const NAME: usize = 256;
 /// Octets of one part.
 pub const PART: usize = 896;
 const FORMAT: u8 = 1;
@@ -39,6 +42,8 @@
     Want(Digest32, u32),
     /// A part of a content: from which octet, of how many.
     Part(Digest32, u32, u32, Vec<u8>),
+    /// A drain or a removal, by somebody's own list.
+    Listed(Claim),
 }
 
 /// Why a saying is not taken, or not yet.
@@ -114,6 +119,10 @@
         self.take(n)
     }
 
+    fn name(&mut self) -> Result<String, Unread> {
+        String::from_utf8(self.bytes(NAME)?.to_vec()).map_err(|_| Unread::Bad)
+    }
+
     fn ballot(&mut self) -> Result<Ballot, Unread> {
         Ok(Ballot { turn: self.u32()?, by: u16::from_be_bytes(self.array()?) })
     }
@@ -200,6 +209,14 @@
                 out.0.extend_from_slice(&of.to_be_bytes());
                 out.bytes(part);
             }
+            Said::Listed(claim) => {
+                out.0.push(23);
+                out.bytes(claim.teller.as_bytes());
+                out.number(claim.count);
+                out.bytes(claim.engine.as_bytes());
+                out.number(claim.came_up);
+                out.0.push(claim.state as u8);
+            }
         }
         bytes
     }
@@ -221,6 +238,17 @@
             }
             21 => Said::Want(c.array()?, c.u32()?),
             22 => Said::Part(c.array()?, c.u32()?, c.u32()?, c.bytes(PART)?.to_vec()),
+            23 => {
+                let (teller, count, engine) = (c.name()?, c.u64()?, c.name()?);
+                let came_up = c.u64()?;
+                let state = match c.u8()? {
+                    0 => EngineState::Up,
+                    1 => EngineState::Draining,
+                    2 => EngineState::Removed,
+                    _ => return Err(Unread::Bad),
+                };
+                Said::Listed(Claim { teller, count, engine, came_up, state })
+            }
             _ => {
                 let terms = c.u64()?;
                 let message = match kind {
@@ -352,6 +380,8 @@
         ];
         let mut all: Vec<Said> = messages.into_iter().map(|m| Said::Protocol(77, m)).collect();
         all.push(Said::Unfit(5, "why".into()));
+        let (teller, engine) = ("g1".to_owned(), "e".repeat(NAME));
+        all.push(Said::Listed(Claim { teller, count: 8, engine, came_up: 9, state: EngineState::Removed }));
         all.push(Said::Want([3; 32], 896));
         all.push(Said::Part([3; 32], 896, 2000, vec![1; PART]));
         let content = long(4).content;
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -2,6 +2,7 @@
 //! and hands the rules that hold to the core. Decides nothing about versions: that is `violetward-agreement`.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -13,18 +14,22 @@
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
+use violetward::Listed;
 use violetward_agreement::wire::{self, Spoilt};
-use violetward_agreement::{Declined, Effect, Kept, Member, MemberTerms, Outcome, Version};
+use violetward_agreement::{Declined, Effect, EngineState, Kept, Member, MemberTerms, Outcome, Version};
 use violetward_net::{Alarm, Connection};
 use violetward_statement::http::{Headers, Limits};
 
 use crate::config::{AgreementTerms, Names};
 use crate::host::Host;
+use crate::list::Record;
 use crate::rules::{Difference, Rules};
 
 /// The file of what is kept, and the one that a process holds locked while it uses it.
 const KEPT: &str = "agreement.kept";
 const LOCK: &str = "agreement.lock";
+/// Gateways that a drain or a removal is told to at once; each of them passes it on.
+const SOME: usize = 4;
 /// Between two tries to write what a disk did not take.
 const WRITE_AGAIN: Duration = Duration::from_secs(1);
 /// How long an operator's command waits for its answer.
@@ -244,6 +249,18 @@
         result
     }
 
+    /// This gateway's own list has been read: what it takes away is told to the others.
+    pub fn listed(&self, host: &Rc<Host>, list: &BTreeMap<String, Record>) {
+        let state = |listed| match listed {
+            Listed::Up => EngineState::Up,
+            Listed::Draining => EngineState::Draining,
+            Listed::Removed => EngineState::Removed,
+        };
+        let list =
+            list.iter().map(|(name, r)| (name.clone(), (r.entry.came_up, state(r.entry.listed)))).collect();
+        self.with(host, |member, now| member.listed(now, list));
+    }
+
     /// Another gateway, known and proved by membership, said something.
     pub fn heard(&self, host: &Rc<Host>, from: &str, bytes: &[u8]) {
         self.with(host, |member, now| member.heard(now, from, bytes));
@@ -316,6 +333,26 @@
                 Effect::Keep(bytes) => self.keep(bytes).await,
                 Effect::Say(to, bytes) => host.peers().iter().for_each(|p| p.say(&host, &to, &bytes)),
                 Effect::SayAll(bytes) => host.peers().iter().for_each(|p| p.say_all(&host, &bytes)),
+                Effect::SaySome(bytes) => host.peers().iter().for_each(|p| p.say_some(&host, &bytes, SOME)),
+                Effect::Claims => {
+                    let claimed = self.member.borrow().claimed();
+                    let state = |state| match state {
+                        EngineState::Up => Listed::Up,
+                        EngineState::Draining => Listed::Draining,
+                        EngineState::Removed => Listed::Removed,
+                    };
+                    let claims: BTreeMap<String, (u64, Listed)> =
+                        claimed.into_iter().map(|(name, (came_up, s))| (name, (came_up, state(s)))).collect();
+                    tracing::info!(?claims, at = host.now(), "others' lists");
+                    host.core(|core, now| core.claims(now, claims));
+                }
+                Effect::Mass(gone, of) => {
+                    tracing::error!(
+                        gone,
+                        of,
+                        "most engines went from the list at once: obeyed here, not passed on"
+                    );
+                }
                 Effect::Learned(version) => {
                     let (number, hash) = (version.number, format!("{:016x}", version.hash));
                     tracing::info!(number, hash, at = host.now(), "a version of the settings is committed");
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -234,6 +234,8 @@
     configured: violetward::Settings,
     rules: Rules,
     list: BTreeMap<String, Record>,
+    /// What other gateways' lists say of engines: in which life at the latest, and their state.
+    claims: BTreeMap<String, (Micros, violetward::Listed)>,
     timers: BTreeSet<(Micros, Timer)>,
     next_id: u64,
     open: usize,
@@ -279,6 +281,7 @@
             configured: settings,
             rules: Rules::default(),
             list: BTreeMap::new(),
+            claims: BTreeMap::new(),
             timers: BTreeSet::new(),
             next_id: 1,
             open: 0,
@@ -837,8 +840,9 @@
         if self.list != *records {
             self.list.clone_from(records);
         }
+        let claimed = |r: &Record| self.claimed(r);
         let entry = |r: &Record| {
-            let listed = rules::worse(r.entry.listed, self.rules.engine(&r.name));
+            let listed = rules::worse(claimed(r), self.rules.engine(&r.name));
             violetward::EngineEntry { listed, ..r.entry.clone() }
         };
         let entries = records.values().map(entry).collect();
@@ -852,7 +856,7 @@
             lost.extend(self.sessions.listed(self.now, engine, None));
         }
         for record in records.values() {
-            let drains = match rules::worse(record.entry.listed, self.rules.told(&record.name)) {
+            let drains = match rules::worse(self.claimed(record), self.rules.told(&record.name)) {
                 violetward::Listed::Up => Some(false),
                 violetward::Listed::Draining => Some(true),
                 violetward::Listed::Removed => None,
@@ -865,6 +869,19 @@
         self.run();
     }
 
+    /// The state of an engine by the own list and by what others' lists say of the same life of it.
+    fn claimed(&self, record: &Record) -> violetward::Listed {
+        let claim = self.claims.get(&record.name).filter(|c| c.0 >= record.entry.came_up);
+        claim.map_or(record.entry.listed, |c| rules::worse(record.entry.listed, c.1))
+    }
+
+    /// What other gateways' lists say of engines. It only takes away.
+    pub fn claims(&mut self, now: Micros, claims: BTreeMap<String, (Micros, violetward::Listed)>) {
+        self.claims = claims;
+        let list = std::mem::take(&mut self.list);
+        self.listed(now, &list);
+    }
+
     /// The rules that hold from now on. What was sent goes on; what waits, and further attempts, go by them.
     pub fn rules(&mut self, now: Micros, rules: Rules) {
         self.pass(now);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -150,6 +150,13 @@
         self.look(|core| core.may_go(attempt, engine))
     }
 
+    /// This gateway's own list has been read.
+    pub(crate) fn listed(self: &Rc<Self>, list: &std::collections::BTreeMap<String, crate::list::Record>) {
+        self.core(|core, now| core.listed(now, list));
+        let agreed = self.agreed.borrow().clone();
+        agreed.iter().for_each(|agreed| agreed.listed(self, list));
+    }
+
     /// The other gateways, where this one knows of them.
     pub(crate) fn peers(&self) -> Option<Rc<Peers>> {
         self.peers.borrow().clone()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -242,10 +242,19 @@
 
     /// Says something to all that live.
     pub fn say_all(&self, host: &Rc<Host>, bytes: &[u8]) {
+        self.say_some(host, bytes, usize::MAX);
+    }
+
+    /// Says something to some of those that live, drawn anew each time.
+    pub fn say_some(&self, host: &Rc<Host>, bytes: &[u8], most: usize) {
         let lives = |seen: &violetward_membership::Seen| seen.record.state <= State::Suspect;
-        let names: Vec<String> =
+        let mut names: Vec<String> =
             self.membership.borrow().view().filter(lives).map(|seen| seen.record.name).collect();
-        names.iter().for_each(|name| self.say(host, name, bytes));
+        for place in 0..names.len().min(most) {
+            let drawn = rand::random_range(place..names.len());
+            names.swap(place, drawn);
+            self.say(host, &names[place], bytes);
+        }
     }
 
     /// Says good-bye: others take this one's share at once.
--- a/crates/gateway/src/zonefront.rs
+++ b/crates/gateway/src/zonefront.rs
@@ -53,7 +53,7 @@
         if outcome.changed {
             let list = membership.list().clone();
             drop(membership);
-            self.host.core(|core, now| core.listed(now, &list));
+            self.host.listed(&list);
         }
         outcome.answers
     }
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -93,6 +93,8 @@
     /// Contents by number, as any gateway told them.
     versions: RefCell<BTreeMap<u64, String>>,
     flips: Cell<u64>,
+    /// How late the list comes to a gateway.
+    lags: RefCell<HashMap<usize, Duration>>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     over: Cell<bool>,
 }
@@ -147,6 +149,7 @@
         proposed: RefCell::default(),
         versions: RefCell::default(),
         flips: Cell::default(),
+        lags: RefCell::default(),
         pools: RefCell::default(),
         over: Cell::new(false),
     });
@@ -321,7 +324,7 @@
         })
     }
 
-    /// The list as each gateway has it: its own ways to the engines.
+    /// The list as each gateway has it: its own ways to the engines. Those that lag get it later.
     fn publish(&self) -> std::io::Result<()> {
         let engines = self.engines.borrow();
         for (number, ways) in self.ways.borrow().iter().enumerate() {
@@ -331,11 +334,21 @@
                 .filter(|(e, _)| e.process.is_some())
                 .map(|(e, way)| Listed { address: way.address, ..e.listed.clone() })
                 .collect();
-            fleet::write_list(&self.folder.join(format!("engines{number}.lisp")), &listed)?;
+            let file = self.folder.join(format!("engines{number}.lisp"));
+            match self.lags.borrow().get(&number).copied() {
+                Some(lag) => self
+                    .executor
+                    .spawn(async move {
+                        sleep(lag).await;
+                        fleet::write_list(&file, &listed).ok();
+                    })
+                    .detach(),
+                None => fleet::write_list(&file, &listed)?,
+            }
         }
         let (at, mut changes) = (clock(), self.changes.borrow_mut());
         for engine in engines.iter() {
-            let state = if engine.process.is_some() { "up" } else { "removed" };
+            let state = if engine.process.is_some() { engine.listed.state } else { "removed" };
             let name = engine.listed.name.clone();
             if changes.iter().rev().find(|c| c.engine == name).map(|c| c.state) != Some(state) {
                 changes.push(ListChange { at, engine: name, state });
@@ -561,6 +574,13 @@
                     sleep(every.saturating_sub(begun.elapsed())).await;
                 }
             }
+            Act::Lag(span, all) => {
+                self.lags.borrow_mut().extend(all.into_iter().map(|n| (n, span)));
+            }
+            Act::DrainEngines(all) => {
+                all.into_iter().for_each(|n| self.engines.borrow_mut()[n].listed.state = "draining");
+                self.publish().ok();
+            }
             Act::Disk(n, what) => {
                 if let Err(e) = settings::disk(&self.folder.join(format!("votes{n}")), what) {
                     eprintln!("g{n}: {what:?}: {e}");
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -59,6 +59,10 @@
     /// Look-ups are to run on the one kind of machine and on the other in turn: every so often, so many times, proposed at
     /// these gateways in turn.
     Flips(Duration, usize, Vec<usize>),
+    /// Engines are listed as draining.
+    DrainEngines(Vec<usize>),
+    /// The lists of these gateways come so late from now on.
+    Lag(Duration, Vec<usize>),
     /// Something happens to the file of a voter that does not run.
     Disk(usize, Disk),
 }
@@ -130,7 +134,7 @@
 }
 
 /// The built-in plans: name, what it tries, and its text.
-pub const BUILT_IN: [(&str, &str, &str); 27] = [
+pub const BUILT_IN: [(&str, &str, &str); 30] = [
     (
         "pair-cut",
         "two gateways and one cut between them, both ways, healed",
@@ -332,6 +336,34 @@
         (at "1s" (flips "500ms" 6 0)) (at "4500ms" (cut (0) (1 2))) (at "5s" (flips "1500ms" 3 0)) (at "11s" (heal))
         (at "13s" (cut (1 2) (0))) (at "14s" (flips "1500ms" 3 0)) (at "19s" (heal)) (expect (settings "10s" 6))"#,
     ),
+    (
+        "settings-woken",
+        "settings: gateways wake under load on rules that the others have left in full",
+        r#"
+        (gateways 4) (engines 3) (span "26s") (load 0.9) (voters 3)
+        (at "1s" (flips "6s" 4 0)) (at "6500ms" (stop "4s" 3)) (at "12500ms" (stop "4s" 2 3)) (at "18500ms" (stop "4s" 1 3))
+        (expect (settings "6s" 4))"#,
+    ),
+    (
+        "settings-long",
+        "settings: hundreds of changes with loss, pauses, cuts and kills all the while",
+        r#"
+        (gateways 5) (engines 6) (span "120s") (load 0.4) (voters 3)
+        (at "1s" (flips "150ms" 700 0 1 2)) (at "5s" (weather (loss 0.05) (delay "10ms") (copies 0.05)))
+        (at "12s" (stop "3s" 3)) (at "18s" (stop "3s" 1)) (at "25s" (kill 2)) (at "29s" (start 2))
+        (at "35s" (part (0 1 3) (2 4))) (at "42s" (heal)) (at "47s" (cut (4) (0 1 2))) (at "53s" (heal))
+        (at "57s" (kill 0 1)) (at "58s" (start 0 1)) (at "66s" (weather (loss 0.2) (delay "20ms") (copies 0.05)))
+        (at "80s" (weather)) (at "84s" (stop "4s" 0)) (at "92s" (part (0 3) (1 2 4))) (at "99s" (heal)) (at "104s" (stop "2500ms" 2 4))
+        (expect (settings "10s" 250))"#,
+    ),
+    (
+        "lagging-lists",
+        "drains and a removal that most gateways hear of from others long before their lists tell it",
+        r#"
+        (gateways 6) (engines 6) (span "22s") (load 0.5) (voters 3)
+        (at "1s" (lag "6s" 1 2 3 4 5)) (at "4s" (drain-engines 0)) (at "8s" (drain-engines 2))
+        (at "12s" (kill-engines 4)) (expect (agree "8s"))"#,
+    ),
     (
         "settings-unfit",
         "settings: a version that a third of the gateways cannot read",
@@ -424,6 +456,11 @@
             let count = form.rest.get(1)?.value().as_u64()? as usize;
             Act::Flips(every, count, numbers(c, &form.with(form.rest.get(2..)?.to_vec()), gateways))
         }
+        "drain-engines" => Act::DrainEngines(numbers(c, form, engines)),
+        "lag" => {
+            let span = c.span(&form.with(vec![*form.rest.first()?]))?;
+            Act::Lag(span, numbers(c, &form.with(form.rest.get(1..)?.to_vec()), gateways))
+        }
         "disk" => {
             let number = form.rest.first()?.value().as_u64()? as usize;
             let kinds =
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`trouble`]: what goes wrong on a day; [`day`]: a day from start to end.
 //! - [`checker`]: the seven rules, from what passed on the sockets; [`report`]: a day in a table.
 //! - [`cluster`]: several processes, with faults between them.
+//! - [`agreement`]: simulated fleets that agree on settings, in figures.
 //! - [`membership`]: simulated fleets of gateways in figures.
 //! - [`overhead`]: what the gateway costs against a bare relay; [`speed`]: speeds of its parts.
 //! - [`storm`]: a thousand library clients while gateways restart.
 //! - [`baseline`]: random choice and least in flight, to run the same day with.
 
+pub mod agreement;
 pub mod baseline;
 pub mod checker;
 pub mod client;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -173,6 +173,12 @@
         #[arg(long)]
         members: Option<usize>,
     },
+    /// Agreement in figures: simulated fleets of the state machine, and the price of a look at the lease.
+    Agreement {
+        /// Of this size alone: 3, 8, 24 or 300.
+        #[arg(long)]
+        members: Option<usize>,
+    },
     /// List the kinds of trouble.
     Troubles,
     /// An engine of a day, as a process of its own.
@@ -250,6 +256,10 @@
             violetward_lab::membership::table(members);
             Ok(())
         }
+        Command::Agreement { members } => {
+            violetward_lab::agreement::table(members);
+            Ok(())
+        }
         Command::Troubles => {
             trouble::ALL
                 .iter()
