Agreement: an old copy of a voter's file is told by the others, plans for it

Need: a voter that comes back with an old copy of its file has forgotten votes. Every message of the protocol carries how often its sender has kept something; the others remember the greatest and answer a smaller one. A voter votes and grants only after the silence that follows its start, in which it asks them.

--- a/crates/agreement/src/member.rs
+++ b/crates/agreement/src/member.rs
@@ -18,7 +18,8 @@
 /// A proposal is tried again after about this span, and its operator told that its end is not known after the other.
 const TRY_AGAIN: Micros = 300_000;
 const PATIENCE: Micros = 5_000_000;
-/// A lease is renewed so many times while it lasts, and asked for so many times where there is none.
+/// A lease on one version is renewed so many times while it lasts; where there is none, or one on a range, it is asked for
+/// so many times: a lost answer must not cost a renewal's time.
 const RENEWALS: u64 = 4;
 const ASKED: u64 = 16;
 /// Gateways that do not vote and are known by number at once.
@@ -104,6 +105,8 @@
     SaySome(Vec<u8>),
     /// What others' lists say of engines has changed.
     Claims,
+    /// Another one remembers a later vote than what was kept tells: the file is an old copy. No votes from now on.
+    OldFile,
     /// So many of so many engines went from the own list at once: it is obeyed, and not passed on.
     Mass(usize, usize),
 }
@@ -140,6 +143,8 @@
     lists: Lists,
     renew: Micros,
     writes: u64,
+    /// How often voters had kept something, as far as was heard of them.
+    remembered: BTreeMap<String, u64>,
     dice: u64,
     effects: VecDeque<Effect>,
     /// Sayings taken, sayings that could not be read, sayings of gateways with other terms.
@@ -165,6 +170,7 @@
             lists,
             renew: now,
             writes: kept.1 + 1,
+            remembered: BTreeMap::new(),
             dice: life | 1,
             effects: VecDeque::from([Effect::Keep(start)]),
             counts: [0; 3],
@@ -226,13 +232,14 @@
                 Inner::Send(to, message) => {
                     let voter = self.terms.voters.get(usize::from(to)).cloned();
                     let other = || self.others.iter().find(|o| *o.1 == to).map(|o| o.0.clone());
-                    let said = Said::Protocol(self.terms.mark, message).write();
+                    let said = Said::Protocol(self.terms.mark, self.told_writes(), message).write();
                     if let Some(name) = voter.or_else(other) {
                         return Some(Effect::Say(name, said));
                     }
                 }
                 Inner::All(message) => {
-                    return Some(Effect::SayAll(Said::Protocol(self.terms.mark, message).write()))
+                    let said = Said::Protocol(self.terms.mark, self.told_writes(), message).write();
+                    return Some(Effect::SayAll(said));
                 }
                 Inner::Learned(version) => {
                     self.store(&version.content);
@@ -245,6 +252,15 @@
         }
     }
 
+    /// One that does not vote has kept nothing that others should remember.
+    fn told_writes(&self) -> u64 {
+        if self.voter.votes() {
+            self.writes
+        } else {
+            0
+        }
+    }
+
     /// Something that another gateway said; who it is has been proved.
     pub fn heard(&mut self, now: Micros, from: &str, bytes: &[u8]) {
         let contents = &self.contents;
@@ -271,15 +287,24 @@
     fn said(&mut self, now: Micros, from: &str, said: Said) {
         self.counts[0] += 1;
         match said {
-            Said::Protocol(mark, _) if mark != self.terms.mark => {
+            Said::Protocol(mark, ..) if mark != self.terms.mark => {
                 self.counts[2] += 1;
                 // Once in a while: it goes on until somebody mends it.
                 if self.counts[2].is_power_of_two() {
                     self.effects.push_back(Effect::OtherTerms(from.to_owned()));
                 }
             }
-            Said::Protocol(_, message) => {
+            Said::Protocol(_, writes, message) => {
                 let Some(number) = self.number(from) else { return };
+                if usize::from(number) < self.terms.voters.len() && writes > 0 {
+                    let known = self.remembered.entry(from.to_owned()).or_default();
+                    *known = writes.max(*known);
+                    if *known > writes {
+                        // Late datagrams are answered as well: that harms nobody.
+                        let said = Said::Remembered(*known).write();
+                        self.effects.push_back(Effect::Say(from.to_owned(), said));
+                    }
+                }
                 if let Message::Accept(_, version) = &message {
                     // No vote for what this gateway could not act on.
                     if let Err(why) = (self.check)(&version.content) {
@@ -292,6 +317,13 @@
                 }
                 self.voter.message(now, number, &message);
             }
+            Said::Remembered(writes) => {
+                let voter = self.terms.voters.iter().any(|v| v == from);
+                if voter && writes > self.writes && self.voter.votes() {
+                    self.voter.abstain();
+                    self.effects.push_back(Effect::OldFile);
+                }
+            }
             Said::Unfit(number, why) => {
                 let (quorum, voters) = (self.terms.voter().quorum(), self.terms.voters.len());
                 let votes = self.terms.voters.iter().any(|v| v == from);
@@ -380,7 +412,7 @@
     /// Why it is not begun.
     pub fn propose(&mut self, now: Micros, content: &[u8], after: Option<u64>) -> Result<(), Declined> {
         let newest = self.voter.history().newest().0;
-        if !self.terms.voter().votes {
+        if !self.voter.votes() {
             return Err(Declined::NotVoter(self.terms.voters.clone()));
         }
         if self.proposal.is_some() {
@@ -414,7 +446,8 @@
     pub fn wake(&mut self, now: Micros) {
         self.lists.wake(now);
         if self.renew <= now {
-            let times = if self.acts_on(now).is_some() { RENEWALS } else { ASKED };
+            let settled = self.acts_on(now).is_some_and(|(low, top)| low == top);
+            let times = if settled { RENEWALS } else { ASKED };
             self.renew = now + self.terms.lease / times;
             self.voter.renew(now);
         }
--- a/crates/agreement/src/sim.rs
+++ b/crates/agreement/src/sim.rs
@@ -108,7 +108,9 @@
 
     /// What a gateway's clock shows.
     pub fn clock(&self, n: usize) -> u64 {
-        (self.now as i128 * (1_000_000 + self.nodes[n].rate as i128) / 1_000_000) as u64
+        // Clocks have nothing in common but their rates: hours lie between them.
+        let hours = 3_600_000_000 * (n as u64 * 7 % 5);
+        hours + (self.now as i128 * (1_000_000 + self.nodes[n].rate as i128) / 1_000_000) as u64
     }
 
     /// Its process starts, with what it kept.
@@ -151,7 +153,7 @@
                     assert!(before.is_none_or(|b| b == v.content), "two versions {}", v.number);
                 }
                 Effect::Proposed(outcome) => self.nodes[n].outcomes.push(outcome),
-                Effect::OtherTerms(_) | Effect::Claims | Effect::Mass(..) => {}
+                Effect::OtherTerms(_) | Effect::Claims | Effect::Mass(..) | Effect::OldFile => {}
             }
         }
         let due = self.nodes[n].member.as_ref().map_or(Micros::MAX, Member::next_wake);
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -266,6 +266,16 @@
         self.send_all(&Message::Ask(version, now, self.life));
     }
 
+    /// What was kept is not what was told: no votes and no grants from now on.
+    pub fn abstain(&mut self) {
+        self.terms.votes = false;
+    }
+
+    /// Whether this one votes and grants, after its start's silence.
+    pub fn votes(&self) -> bool {
+        self.terms.votes
+    }
+
     /// Gives the lease back: nothing is acted on from now on.
     pub fn give_back(&mut self) {
         self.left = true;
@@ -279,6 +289,8 @@
         match message {
             // One that does not vote says nothing that others could count.
             Message::Prepare(..) | Message::Accept(..) | Message::Ask(..) if !self.terms.votes => {}
+            // Nor does one that has just started: others may still tell it that it has voted later than its file says.
+            Message::Prepare(..) | Message::Accept(..) if now < self.silent_until => {}
             Message::Prepare(number, ballot) => {
                 if self.is_next(from, *number) && *ballot > self.kept.promised {
                     self.kept.promised = *ballot;
--- a/crates/agreement/src/wire.rs
+++ b/crates/agreement/src/wire.rs
@@ -34,8 +34,10 @@
 /// What one gateway says to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Said {
-    /// A message of the protocol, from one with the same terms: their mark.
-    Protocol(u64, Message),
+    /// A message of the protocol, from one with the same terms: their mark, and how often its sender has kept something.
+    Protocol(u64, u64, Message),
+    /// You had kept something so often before.
+    Remembered(u64),
     /// The content of the version with this number does not pass the check here.
     Unfit(u64, String),
     /// Please send that content from this octet on.
@@ -148,7 +150,7 @@
         let mut bytes = vec![FORMAT];
         let out = &mut Out(&mut bytes);
         match self {
-            Said::Protocol(terms, message) => {
+            Said::Protocol(terms, writes, message) => {
                 let kind = match message {
                     Message::Prepare(..) => 1,
                     Message::Promise(..) => 2,
@@ -163,6 +165,7 @@
                 };
                 out.0.push(kind);
                 out.number(*terms);
+                out.number(*writes);
                 match message {
                     Message::Prepare(number, ballot) | Message::Accepted(number, ballot) => {
                         out.number(*number);
@@ -188,6 +191,10 @@
                     Message::Grant(a, b, c, d) => [*a, *b, *c, *d].into_iter().for_each(|n| out.number(n)),
                 }
             }
+            Said::Remembered(writes) => {
+                out.0.push(24);
+                out.number(*writes);
+            }
             Said::Unfit(number, why) => {
                 out.0.push(20);
                 out.number(*number);
@@ -236,6 +243,7 @@
                 let (number, why) = (c.u64()?, c.bytes(300)?);
                 Said::Unfit(number, String::from_utf8(why.to_vec()).map_err(|_| Unread::Bad)?)
             }
+            24 => Said::Remembered(c.u64()?),
             21 => Said::Want(c.array()?, c.u32()?),
             22 => Said::Part(c.array()?, c.u32()?, c.u32()?, c.bytes(PART)?.to_vec()),
             23 => {
@@ -250,7 +258,7 @@
                 Said::Listed(Claim { teller, count, engine, came_up, state })
             }
             _ => {
-                let terms = c.u64()?;
+                let (terms, writes) = (c.u64()?, c.u64()?);
                 let message = match kind {
                     1 => Message::Prepare(c.u64()?, c.ballot()?),
                     2 => {
@@ -269,7 +277,7 @@
                     10 => Message::Base(c.u64()?, c.u64()?),
                     _ => return Err(Unread::Bad),
                 };
-                Said::Protocol(terms, message)
+                Said::Protocol(terms, writes, message)
             }
         };
         // What a newer format adds at its end would change the meaning: such a one has another number.
@@ -378,7 +386,8 @@
             Message::Back(7),
             Message::Base(5, 6),
         ];
-        let mut all: Vec<Said> = messages.into_iter().map(|m| Said::Protocol(77, m)).collect();
+        let mut all: Vec<Said> = messages.into_iter().map(|m| Said::Protocol(77, 3, m)).collect();
+        all.push(Said::Remembered(4));
         all.push(Said::Unfit(5, "why".into()));
         let (teller, engine) = ("g1".to_owned(), "e".repeat(NAME));
         all.push(Said::Listed(Claim { teller, count: 8, engine, came_up: 9, state: EngineState::Removed }));
@@ -396,7 +405,7 @@
             let longer = [bytes.as_slice(), &[0]].concat();
             assert_eq!(Said::read(&longer, &find), Err(Unread::Bad));
         }
-        let lacks = Said::Protocol(77, Message::Committed(long(4))).write();
+        let lacks = Said::Protocol(77, 3, Message::Committed(long(4))).write();
         let wanted = Err(Unread::Missing(digest(&content), content.len() as u32));
         assert_eq!(Said::read(&lacks, &|_| None), wanted);
     }
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -58,6 +58,8 @@
     due: Event,
     waiting: RefCell<Option<async_channel::Sender<Outcome>>>,
     file: Option<PathBuf>,
+    /// The file is an old copy: it stays as it is.
+    old: Cell<bool>,
     trouble: RefCell<Option<String>>,
     _lock: Option<std::fs::File>,
 }
@@ -231,6 +233,7 @@
             due: Event::new(),
             waiting: RefCell::default(),
             file,
+            old: Cell::new(false),
             trouble: RefCell::new(trouble),
             _lock: lock,
         });
@@ -346,6 +349,12 @@
                     tracing::info!(?claims, at = host.now(), "others' lists");
                     host.core(|core, now| core.claims(now, claims));
                 }
+                Effect::OldFile => {
+                    let why = "its file is an old copy: others have heard of later votes of this gateway";
+                    tracing::error!("this gateway does not vote: {why}");
+                    *self.trouble.borrow_mut() = Some(why.into());
+                    self.old.set(true);
+                }
                 Effect::Mass(gone, of) => {
                     tracing::error!(
                         gone,
@@ -375,7 +384,7 @@
     /// Writes what is kept, on a thread of its own: a disk that stalls must not hold up statements. Goes on until it is done.
     async fn keep(&self, bytes: Vec<u8>) {
         // A gateway that does not vote has nothing to keep, and one whose file is spoilt must not hide that.
-        let Some(file) = self.file.clone() else { return };
+        let Some(file) = self.file.clone().filter(|_| !self.old.get()) else { return };
         loop {
             let (done, wait) = async_channel::bounded(1);
             let (path, copy) = (file.clone(), bytes.clone());
@@ -438,7 +447,7 @@
             until: voter.until(now),
             without_lease: total + open,
             voters: self.terms.voters.clone(),
-            votes: self.file.is_some(),
+            votes: voter.votes(),
             trouble: self.trouble.borrow().clone(),
             grants,
             silent,
