Agreement: a voter that has lost its file gets a new one and votes again later

Need: a lost disk cost its voter's vote for ever. violetward settings replace asks a quorum of the other voters for their newest version and makes a file that abstains from votes up to two versions past it: whatever the lost file had voted on came after a version that a quorum had accepted, each of which knew the one before.

On the rig settings-replaced loses the disks of two voters of three in turn and commits with the two of them alone in the end.

--- a/crates/agreement/src/sim.rs
+++ b/crates/agreement/src/sim.rs
@@ -132,6 +132,24 @@
         self.carry_out(n);
     }
 
+    /// Its disk is lost, and it comes back with a new one as an operator would make it: if a quorum of the other voters runs.
+    /// Gives whether it did.
+    pub fn replace(&mut self, n: usize) -> bool {
+        let others = (0..self.voters).filter(|&o| o != n && self.nodes[o].still <= self.now);
+        let newest: Vec<u64> = others
+            .filter_map(|o| self.nodes[o].member.as_ref().map(|m| m.voter().history().newest().0))
+            .collect();
+        if newest.len() <= self.voters / 2 {
+            return false;
+        }
+        let kept = Kept { abstain: crate::abstain_through(&newest), ..Kept::default() };
+        self.nodes[n].member = None;
+        // More writes than its earlier file can have had.
+        self.nodes[n].disk = wire::keep(&kept, 7, self.now);
+        self.start(n);
+        true
+    }
+
     /// Something comes to a gateway at a time.
     pub fn at(&mut self, when: u64, n: usize, what: What) {
         self.order += 1;
--- a/crates/agreement/src/voter.rs
+++ b/crates/agreement/src/voter.rs
@@ -134,6 +134,14 @@
     pub promised: Ballot,
     /// What was accepted for it.
     pub accepted: Option<(Ballot, Version)>,
+    /// No vote on versions up to this number: votes on them may have been lost with an earlier file.
+    pub abstain: u64,
+}
+
+/// Up to which number a voter that has lost its file must not vote, from the newest versions that a quorum of the *others*
+/// know: whatever it had voted on came after a version that a quorum had accepted, each of which knew the one before that.
+pub fn abstain_through(newest_of_others: &[u64]) -> u64 {
+    newest_of_others.iter().max().map_or(0, |newest| newest + 2)
 }
 
 /// What is to be done, in order.
@@ -292,7 +300,7 @@
             // Nor does one that has just started: others may still tell it that it has voted later than its file says.
             Message::Prepare(..) | Message::Accept(..) if now < self.silent_until => {}
             Message::Prepare(number, ballot) => {
-                if self.is_next(from, *number) && *ballot > self.kept.promised {
+                if self.may_vote(from, *number) && *ballot > self.kept.promised {
                     self.kept.promised = *ballot;
                     self.keep();
                     let accepted = self.kept.accepted.clone();
@@ -301,7 +309,7 @@
             }
             Message::Promise(number, ballot, accepted) => self.promised(from, *number, *ballot, accepted),
             Message::Accept(ballot, version) => {
-                if self.is_next(from, version.number) && *ballot >= self.kept.promised {
+                if self.may_vote(from, version.number) && *ballot >= self.kept.promised {
                     self.kept.promised = *ballot;
                     self.kept.accepted = Some((*ballot, version.clone()));
                     self.keep();
@@ -386,6 +394,10 @@
         self.kept.history.newest().0 + 1
     }
 
+    fn may_vote(&mut self, from: u16, number: u64) -> bool {
+        self.is_next(from, number) && number > self.kept.abstain
+    }
+
     /// Whether a number is that of the version that is voted on here; who is behind is told, who is ahead is asked.
     fn is_next(&mut self, from: u16, number: u64) -> bool {
         let next = self.next();
--- a/crates/agreement/src/wire.rs
+++ b/crates/agreement/src/wire.rs
@@ -21,7 +21,7 @@
 /// Octets of one part.
 pub const PART: usize = 896;
 const FORMAT: u8 = 1;
-const MAGIC: &[u8; 8] = b"vwagree1";
+const MAGIC: &[u8; 8] = b"vwagree2";
 
 /// The name of a content.
 pub type Digest32 = [u8; 32];
@@ -315,6 +315,7 @@
     let (base, hash) = kept.history.base();
     out.number(base);
     out.number(hash);
+    out.number(kept.abstain);
     out.number(kept.history.all().len() as u64);
     kept.history.all().iter().for_each(|v| out.version(v, true));
     out.ballot(kept.promised);
@@ -347,7 +348,8 @@
     let mut read = || -> Result<(Kept, u64), Unread> {
         let none = |_: &Digest32| None;
         let writes = c.u64()?;
-        let mut kept = Kept { history: History::since(c.u64()?, c.u64()?), ..Kept::default() };
+        let history = History::since(c.u64()?, c.u64()?);
+        let mut kept = Kept { history, abstain: c.u64()?, ..Kept::default() };
         for _ in 0..c.u64()? {
             let version = c.version(&none)?;
             if !kept.history.add(&version) {
@@ -416,7 +418,7 @@
         let first = Version::after(3, 11, b"first");
         assert!(history.add(&first));
         let accepted = Some((Ballot { turn: 1, by: 0 }, Version::after(4, first.hash, b"second")));
-        let kept_before = Kept { history, promised: Ballot { turn: 2, by: 1 }, accepted };
+        let kept_before = Kept { history, promised: Ballot { turn: 2, by: 1 }, accepted, abstain: 6 };
         let bytes = keep(&kept_before, 5, 9);
         assert_eq!(kept(&bytes, 5), Ok((kept_before, 9)));
         assert_eq!(kept(&bytes, 6), Err(Spoilt::Terms));
--- a/crates/agreement/tests/members.rs
+++ b/crates/agreement/tests/members.rs
@@ -133,6 +133,26 @@
     assert!(world.all_on(newest), "it follows all the same: {:?}", world.acts());
 }
 
+#[test]
+fn one_that_lost_its_file_votes_again_on_what_it_cannot_have_voted_on() {
+    let mut world = fleet(3, 3, 8);
+    world.run(LEASE);
+    world.propose(0, b"one").unwrap();
+    world.run(LEASE);
+    assert!(world.replace(2));
+    world.run(2 * LEASE);
+    // Two versions go through without it, the third needs it.
+    for content in [b"2", b"3"] {
+        world.propose(0, content).unwrap();
+        world.run(LEASE);
+    }
+    world.nodes[1].member = None;
+    world.propose(0, b"4").unwrap();
+    world.run(2 * LEASE);
+    assert_eq!(world.contents.len(), 4, "{:?}", world.nodes[0].outcomes);
+    assert!(!world.replace(2), "one other is no quorum");
+}
+
 #[test]
 fn an_echo_of_an_old_question_keeps_no_version_from_being_acted_on() {
     let mut world = fleet(2, 1, 6);
@@ -163,6 +183,7 @@
                     let m = draw(&mut dice) as usize % 5;
                     world.cut[n][m] = true;
                 }
+                5 if n < 3 => drop(world.replace(n)),
                 4 => world.cut.iter_mut().flatten().for_each(|cut| *cut = false),
                 _ => {}
             }
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -165,12 +165,46 @@
     Ok(file)
 }
 
+/// Makes a new file for a voter that has lost its own, from what a quorum of the other voters say: it votes again from the
+/// version on on which it cannot have voted.
+///
+/// # Errors
+/// If too few of them answer, there is a file that can be used, or the new one cannot be written.
+pub async fn replace(terms: &AgreementTerms, others: &[SocketAddr]) -> Result<PathBuf, String> {
+    let file = terms.folder.join(KEPT);
+    if read(terms).is_ok() {
+        return Err(format!("{} is good; it holds this gateway's votes", file.display()));
+    }
+    let mut newest: BTreeMap<String, u64> = BTreeMap::new();
+    for &address in others {
+        let standing = ask_since(address, u64::MAX).await.map_err(|why| format!("{address}: {why}"))?;
+        if standing.votes && standing.voters == terms.voters && standing.name != terms.name {
+            newest.insert(standing.name, standing.newest);
+        }
+    }
+    let quorum = terms.voters.len() / 2 + 1;
+    if newest.len() < quorum {
+        return Err(format!("{} other voters answer; at least {quorum} have to", newest.len()));
+    }
+    let newest: Vec<u64> = newest.into_values().collect();
+    let kept = Kept { abstain: violetward_agreement::abstain_through(&newest), ..Kept::default() };
+    // Greater than any count of its earlier file, which the others remember.
+    let writes = violetward_net::Clock::new().now();
+    std::fs::create_dir_all(&terms.folder).map_err(|e| e.to_string())?;
+    if file.exists() {
+        let aside = file.with_extension("spoilt");
+        std::fs::rename(&file, &aside).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    write_whole(&file, &wire::keep(&kept, terms.mark(), writes)).map_err(|e| e.to_string())?;
+    Ok(file)
+}
+
 /// Reads what was kept; what keeps this one from voting, if something does.
 fn read(terms: &AgreementTerms) -> Result<(Kept, u64), String> {
     let file = terms.folder.join(KEPT);
     let shown = file.display();
     let bytes = std::fs::read(&file).map_err(|e| {
-        format!("{shown}: {e}. A voter that was never started needs `violetward settings init`; one that lost its file must not vote")
+        format!("{shown}: {e}. A voter that was never started needs `violetward settings init`; one that lost its file, `violetward settings replace`")
     })?;
     wire::kept(&bytes, terms.mark()).map_err(|why: Spoilt| format!("{shown}: {why}"))
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -87,6 +87,15 @@
         /// The configuration.
         file: PathBuf,
     },
+    /// Make a new file for the gateway of the configuration FILE, which votes and has lost its own, while it does not run: from
+    /// what a majority of the voters, this one not among them, say.
+    Replace {
+        /// The configuration.
+        file: PathBuf,
+        /// Where those other voters take statements.
+        #[arg(required = true)]
+        others: Vec<std::net::SocketAddr>,
+    },
     /// Propose the rules in FILE as the next version; tells what they change.
     Propose {
         /// Where a gateway that votes takes statements.
@@ -174,6 +183,11 @@
             }
             println!("{}: made", agreed::init(&terms)?.display());
         }
+        SettingsCommand::Replace { file, others } => {
+            let config = config::load(&file).map_err(|mistakes| mistakes.join("\n"))?;
+            let terms = config.agreement.ok_or("the configuration has no (agreement ...)")?;
+            println!("{}: made", agreed::replace(&terms, &others).await?.display());
+        }
         SettingsCommand::Propose { address, file, key_file, dry_run } => {
             let rules = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
             let newest = agreed::ask(address).await?.newest;
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -574,6 +574,18 @@
                     sleep(every.saturating_sub(begun.elapsed())).await;
                 }
             }
+            Act::Replace(n) => {
+                let file = self.folder.join(format!("g{n}.lisp"));
+                let gateways: Vec<SocketAddr> = self.gateways.borrow().iter().map(|g| g.address).collect();
+                let others: Vec<SocketAddr> =
+                    (0..self.plan.voters).filter(|&o| o != n).map(|o| gateways[o]).collect();
+                let terms = config::load(&file).ok().and_then(|c| c.agreement);
+                let done = match terms {
+                    Some(terms) => agreed::replace(&terms, &others).await.map(|_| ()),
+                    None => Err("no agreement".into()),
+                };
+                done.unwrap_or_else(|why| eprintln!("g{n}: {why}"));
+            }
             Act::Lag(span, all) => {
                 self.lags.borrow_mut().extend(all.into_iter().map(|n| (n, span)));
             }
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -63,6 +63,8 @@
     DrainEngines(Vec<usize>),
     /// The lists of these gateways come so late from now on.
     Lag(Duration, Vec<usize>),
+    /// A voter that has lost its file, and does not run, gets a new one by the command for it.
+    Replace(usize),
     /// Something happens to the file of a voter that does not run.
     Disk(usize, Disk),
 }
@@ -134,7 +136,7 @@
 }
 
 /// The built-in plans: name, what it tries, and its text.
-pub const BUILT_IN: [(&str, &str, &str); 32] = [
+pub const BUILT_IN: [(&str, &str, &str); 33] = [
     (
         "pair-cut",
         "two gateways and one cut between them, both ways, healed",
@@ -337,6 +339,15 @@
         (at "7s" (flips "500ms" 4 0 1)) (at "10s" (kill 2)) (at "10200ms" (disk 2 old)) (at "10400ms" (start 2))
         (at "15s" (flips "500ms" 6 0 1)) (expect (settings "8s" 10) (voteless 2))"#,
     ),
+    (
+        "settings-replaced",
+        "settings: the disks of two voters are lost in turn, and each gets a new one that may vote later",
+        r#"
+        (gateways 4) (engines 3) (span "34s") (load 0.4) (voters 3)
+        (at "1s" (flips "500ms" 4 0)) (at "4s" (kill 2)) (at "4200ms" (disk 2 lose)) (at "4500ms" (replace 2)) (at "5s" (start 2))
+        (at "9s" (flips "500ms" 6 0 1)) (at "13s" (kill 1)) (at "13200ms" (disk 1 lose)) (at "13500ms" (replace 1)) (at "14s" (start 1))
+        (at "19s" (flips "500ms" 6 0 2)) (at "23s" (kill 0)) (at "24s" (flips "800ms" 6 1 2)) (expect (settings "8s" 20))"#,
+    ),
     (
         "settings-grown",
         "settings: three gateways become five and then two, while versions go through",
@@ -473,6 +484,7 @@
             let count = form.rest.get(1)?.value().as_u64()? as usize;
             Act::Flips(every, count, numbers(c, &form.with(form.rest.get(2..)?.to_vec()), gateways))
         }
+        "replace" => Act::Replace(*numbers(c, form, gateways).first()?),
         "drain-engines" => Act::DrainEngines(numbers(c, form, engines)),
         "lag" => {
             let span = c.span(&form.with(vec![*form.rest.first()?]))?;
