--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -253,11 +253,11 @@
 #[test]
 fn narrower_rules_hold_for_what_waits_and_leave_what_is_out() {
     let settings = settings(class(Effect::Repeatable));
-    let rules = |kinds: Option<Vec<KindId>>| Event::Rules {
-        classes: settings.classes.iter().map(|c| Class { kinds: kinds.clone(), ..c.clone() }).collect(),
-        tenants: settings.tenants.clone(),
-        attempts_cap: 1,
-        budget: settings.budget.clone(),
+    let rules = |kinds| match ruled(&settings, kinds, settings.budget.clone()) {
+        Event::Rules { classes, tenants, budget, .. } => {
+            Event::Rules { classes, tenants, attempts_cap: 1, budget }
+        }
+        other => other,
     };
     let mut bed = Bed::new(settings.clone(), vec![entry(1)]);
     let asked: Vec<(u64, Vec<Action>)> = (0..60).map(|id| (id, bed.ask(id))).collect();
@@ -281,3 +281,55 @@
     bed.feed(odd);
     assert!(!refused(&bed.ask(103), 103));
 }
+
+fn ruled(settings: &Settings, kinds: Option<Vec<KindId>>, budget: Option<AttemptBudget>) -> Event {
+    Event::Rules {
+        classes: settings.classes.iter().map(|c| Class { kinds: kinds.clone(), ..c.clone() }).collect(),
+        tenants: settings.tenants.clone(),
+        attempts_cap: settings.attempts_cap,
+        budget,
+    }
+}
+
+/// What was spent under the wider budget counts in the narrower one: nothing more goes out until the window has let it go.
+#[test]
+fn a_budget_that_is_lowered_half_spent_counts_what_was_spent() {
+    let mut s = settings(class(Effect::Repeatable));
+    let budget = |free| Some(AttemptBudget { free, per_request: 0.0, window: 5 * SECOND });
+    s.budget = budget(4.0);
+    let mut bed = Bed::new(s.clone(), (1..9).map(entry).collect());
+    let extras = |bed: &mut Bed, ids: std::ops::Range<u64>| {
+        let one = |id| {
+            bed.ask(id);
+            sent(&bed.answer(id, Outcome::Full)).len()
+        };
+        ids.map(one).sum::<usize>()
+    };
+    assert_eq!(extras(&mut bed, 0..2), 2, "half of four");
+    bed.feed(ruled(&s, None, budget(2.0)));
+    assert_eq!(extras(&mut bed, 2..6), 0, "two of two are spent");
+    bed.feed(ruled(&s, None, budget(3.0)));
+    assert_eq!(extras(&mut bed, 6..10), 1);
+    bed.pass(6 * SECOND);
+    assert_eq!(extras(&mut bed, 10..16), 3);
+}
+
+/// Loads of one key queued across a change: the one that is out ends as it was begun, the next one goes where the newer rules
+/// allow it, in its turn.
+#[test]
+fn a_key_keeps_its_order_across_new_rules() {
+    let mut ordered = class(Effect::Keyed { scope: KeyScope::All, window: 20 * SECOND });
+    ordered.in_order = true;
+    let mut s = settings(ordered);
+    s.kinds.push(s.kinds[0].clone());
+    let mut bed = Bed::new(s.clone(), vec![entry(1), EngineEntry { kind: KindId(1), ..entry(2) }]);
+    let key = |r: &mut Request| r.key = Some(OrderKey("a".into()));
+    let first = sent(&bed.ask_with(1, key))[0];
+    assert!(sent(&bed.ask_with(2, key)).is_empty() && sent(&bed.ask_with(3, key)).is_empty());
+    // From now on only where the first one is not.
+    let other = KindId(if first.1 == 1 { 1 } else { 0 });
+    let actions = bed.feed(ruled(&s, Some(vec![other]), s.budget.clone()));
+    assert!(sent(&actions).is_empty() && !refused(&actions, 2) && !refused(&actions, 3), "{actions:?}");
+    assert_eq!(sent(&bed.answer(1, Outcome::Ok)), [(2, 3 - first.1)]);
+    assert_eq!(sent(&bed.answer(2, Outcome::Ok)), [(3, 3 - first.1)]);
+}
