--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`checker`]: the seven rules, from what passed on the sockets; [`report`]: a day in a table.
 //! - [`cluster`]: several processes, with faults between them.
 //! - [`agreement`]: simulated fleets that agree on settings, in figures.
+//! - [`siteplan`]: what the loss of a site would leave.
 //! - [`membership`]: simulated fleets of gateways in figures.
 //! - [`overhead`]: what the gateway costs against a bare relay; [`speed`]: speeds of its parts.
 //! - [`storm`]: a thousand library clients while gateways restart.
@@ -27,6 +28,7 @@
 pub mod process;
 pub mod report;
 pub mod script;
+pub mod siteplan;
 pub mod speed;
 pub mod storm;
 pub mod trouble;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -23,6 +23,18 @@
     command: Command,
 }
 
+#[derive(Subcommand)]
+enum PlanCommand {
+    /// For each site lost: what is kept, what is refused in which order, the first limit that breaks, engines that would help.
+    SiteLoss {
+        /// The fleet and its demand (S-expressions; see docs/site-loss.md).
+        file: PathBuf,
+        /// Draw it here.
+        #[arg(long)]
+        svg: Option<PathBuf>,
+    },
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Start stand-in engines and a gateway, say how to try them, and show what happens, until stopped.
@@ -179,6 +191,11 @@
         #[arg(long)]
         members: Option<usize>,
     },
+    /// Plans for what has not happened yet.
+    Plan {
+        #[command(subcommand)]
+        what: PlanCommand,
+    },
     /// List the kinds of trouble.
     Troubles,
     /// An engine of a day, as a process of its own.
@@ -260,6 +277,9 @@
             violetward_lab::agreement::table(members);
             Ok(())
         }
+        Command::Plan { what: PlanCommand::SiteLoss { file, svg } } => {
+            violetward_lab::siteplan::command(&file, svg.as_deref())
+        }
         Command::Troubles => {
             trouble::ALL
                 .iter()
