--- a/crates/lab/src/siteplan.rs
+++ b/crates/lab/src/siteplan.rs
@@ -139,9 +139,12 @@
         let breaks = f.limits.first().filter(|l| l.used > 1.0).map_or("none breaks", |l| l.name);
         writeln!(out, "limits, by what is asked for: {}; first to break: {breaks}", limits.join(", ")).ok();
         match f.more {
-            Some(0) => writeln!(out, "no further engine is needed").ok(),
-            Some(more) => writeln!(out, "{more} engines more would keep all that can be kept").ok(),
-            None => writeln!(out, "no number of engines more of the most common kind would keep all").ok(),
+            Some((_, 0)) => writeln!(out, "no further engine is needed").ok(),
+            Some((kind, more)) => {
+                let kind = &fleet.kinds[kind].name;
+                writeln!(out, "{more} engines more of {kind} would keep all that can be kept").ok()
+            }
+            None => writeln!(out, "engines more of no kind alone would keep all").ok(),
         };
         writeln!(
             out,
@@ -239,7 +242,7 @@
         assert!(text.contains("## nothing lost: 100.0% of the worth is kept"), "{text}");
         // 300 and 4 of 330 are kept: two heavy requests of fifteen.
         assert!(text.contains("## b lost: 92.1% of the worth is kept"), "{text}");
-        assert!(text.contains("first to break: cores") && text.contains("2 engines more"), "{text}");
+        assert!(text.contains("first to break: cores") && text.contains("2 engines more of m10"), "{text}");
         assert!(
             text.contains("refused, first to last: heavy of b, then heavy of c, then heavy of a"),
             "{text}"
--- a/crates/site/src/plan.rs
+++ b/crates/site/src/plan.rs
@@ -102,9 +102,9 @@
     pub cores: (f64, f64),
     /// The limits, the one that breaks first in front.
     pub limits: Vec<Limit>,
-    /// Engines of the kind that is most common in what is left, so many more of which would keep all that is not bound to the lost
-    /// site; `None` if none of them would help.
-    pub more: Option<u32>,
+    /// A kind by place, and how many engines of it more at a site that is left would keep all that is not bound to the lost one:
+    /// the kind of which the fewest would; `None` if none alone would.
+    pub more: Option<(usize, u32)>,
 }
 
 impl Fleet {
@@ -197,11 +197,18 @@
         limits
     }
 
-    fn more(&self, lost: Option<usize>, rooms: &[Room]) -> Option<u32> {
-        let largest = rooms.iter().max_by_key(|r| r.engines)?.clone();
+    fn more(&self, lost: Option<usize>, rooms: &[Room]) -> Option<(usize, u32)> {
+        let mut kinds: Vec<Room> = rooms.to_vec();
+        kinds.sort_by_key(|r| r.kind);
+        kinds.dedup_by_key(|r| r.kind);
+        let needed = |room: &Room| Some((room.kind, self.more_of(lost, rooms, room)?));
+        kinds.iter().filter_map(needed).min_by_key(|n| n.1)
+    }
+
+    fn more_of(&self, lost: Option<usize>, rooms: &[Room], kind: &Room) -> Option<u32> {
         let all = |extra: u32| {
             let mut rooms = rooms.to_vec();
-            rooms.push(Room { engines: extra, ..largest.clone() });
+            rooms.push(Room { engines: extra, ..kind.clone() });
             let kept = self.keep(lost, &rooms);
             kept.lines.iter().filter(|l| !l.bound).all(|l| l.kept >= l.asked * (1.0 - 1e-9))
         };
@@ -212,7 +219,7 @@
         while !all(most) {
             most = most.checked_mul(2).filter(|&m| m <= 1 << 16)?;
         }
-        let (mut least, mut most) = (most / 2, most);
+        let mut least = most / 2;
         while least + 1 < most {
             let middle = least + (most - least) / 2;
             (least, most) = if all(middle) { (least, middle) } else { (middle, most) };
@@ -328,12 +335,12 @@
         let demand = (0..3).flat_map(|s| [(s, 0, 100.0), (s, 1, 5.0)]).collect();
         let f = fleet(classes, demand);
         let whole = f.without(None);
-        assert_eq!((whole.worth.1, whole.more), (whole.worth.0, Some(0)));
+        assert_eq!((whole.worth.1, whole.more), (whole.worth.0, Some((0, 0))));
         let lost = f.without(Some(1));
         let kept = |class| lost.lines.iter().filter(|l| l.class == class).map(|l| l.kept).sum::<f64>();
         assert!((kept(0) - 300.0).abs() < 1e-6 && (kept(1) - 2.0).abs() < 1e-6, "{lost:?}");
         assert_eq!(lost.lines.last().map(|l| (l.site, l.class)), Some((1, 1)), "the lost site's go last");
-        assert_eq!((lost.limits[0].name, lost.more), ("cores", Some(2)));
+        assert_eq!((lost.limits[0].name, lost.more), ("cores", Some((0, 2))));
         assert!((lost.limits[0].used - 45.0 / 32.0).abs() < 1e-9);
     }
 
@@ -344,7 +351,7 @@
         let lost = f.without(Some(0));
         let line = |site| lost.lines.iter().find(|l| l.site == site).expect("a line");
         assert_eq!((line(0).kept, line(0).bound, line(1).kept), (0.0, true, 4.0));
-        assert_eq!(lost.more, Some(0), "no engine elsewhere would help");
+        assert_eq!(lost.more, Some((0, 0)), "no engine elsewhere would help");
     }
 
     #[test]
