Agreement: drains are told while a vote waits for its disk

What was said about lists stood in one queue with votes, so that a disk that stalls would have held up a drain by as long. Lists have a queue of their own, carried out at once; a test writes nothing and sees the drain told. One function makes and checks the code of a proposal.

--- a/crates/agreement/src/member.rs
+++ b/crates/agreement/src/member.rs
@@ -101,14 +101,8 @@
     Proposed(Outcome),
     /// A gateway has other terms than this one.
     OtherTerms(String),
-    /// Say something to some of the gateways that live, drawn anew each time.
-    SaySome(Vec<u8>),
-    /// What others' lists say of engines has changed.
-    Claims,
     /// Another one remembers a later vote than what was kept tells: the file is an old copy. No votes from now on.
     OldFile,
-    /// So many of so many engines went from the own list at once: it is obeyed, and not passed on.
-    Mass(usize, usize),
 }
 
 struct Fetch {
@@ -205,14 +199,6 @@
     /// The next effect, once the one before it is done.
     pub fn effect(&mut self, now: Micros) -> Option<Effect> {
         loop {
-            // A drain does not wait for a disk.
-            if let Some(effect) = self.lists.effect() {
-                return Some(match effect {
-                    ListEffect::Tell(claim) => Effect::SaySome(Said::Listed(claim).write()),
-                    ListEffect::Changed => Effect::Claims,
-                    ListEffect::Mass(gone, of) => Effect::Mass(gone, of),
-                });
-            }
             if let Some(effect) = self.effects.pop_front() {
                 return Some(effect);
             }
@@ -261,6 +247,11 @@
         }
     }
 
+    /// What is to be done about lists, at once: a drain does not wait until a vote is on disk.
+    pub fn list_effect(&mut self) -> Option<ListEffect> {
+        self.lists.effect()
+    }
+
     /// Something that another gateway said; who it is has been proved.
     pub fn heard(&mut self, now: Micros, from: &str, bytes: &[u8]) {
         let contents = &self.contents;
@@ -497,3 +488,24 @@
         self.voter.give_back();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_drain_is_told_while_a_vote_waits_for_its_disk() {
+        let name = "g0".to_owned();
+        let voters = vec![name.clone(), "g1".into(), "g2".into()];
+        let terms = MemberTerms { name, voters, votes: true, lease: 1_000_000, drift: 0, check: 0, mark: 7 };
+        let mut member = Member::new(terms, (Kept::default(), 0), 1, 0, Box::new(|_| Ok(())));
+        let list =
+            |state| BTreeMap::from([("e1".to_owned(), (0, state)), ("e2".to_owned(), (0, EngineState::Up))]);
+        member.listed(1, list(EngineState::Up));
+        // The first thing to be done is to write, and nothing else is asked for until that is done.
+        assert!(matches!(member.effect(1), Some(Effect::Keep(_))));
+        member.listed(2, list(EngineState::Draining));
+        let told = std::iter::from_fn(|| member.list_effect()).any(|e| matches!(e, ListEffect::Tell(_)));
+        assert!(told);
+    }
+}
--- a/crates/agreement/src/sim.rs
+++ b/crates/agreement/src/sim.rs
@@ -163,7 +163,7 @@
             match effect {
                 Effect::Keep(bytes) => self.nodes[n].disk = bytes,
                 Effect::Say(to, bytes) => self.send(n, number(&to), bytes),
-                Effect::SayAll(bytes) | Effect::SaySome(bytes) => {
+                Effect::SayAll(bytes) => {
                     (0..self.nodes.len()).filter(|&o| o != n).for_each(|o| self.send(n, o, bytes.clone()))
                 }
                 Effect::Learned(v) => {
@@ -171,7 +171,7 @@
                     assert!(before.is_none_or(|b| b == v.content), "two versions {}", v.number);
                 }
                 Effect::Proposed(outcome) => self.nodes[n].outcomes.push(outcome),
-                Effect::OtherTerms(_) | Effect::Claims | Effect::Mass(..) | Effect::OldFile => {}
+                Effect::OtherTerms(_) | Effect::OldFile => {}
             }
         }
         let due = self.nodes[n].member.as_ref().map_or(Micros::MAX, Member::next_wake);
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -15,8 +15,10 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use violetward::Listed;
-use violetward_agreement::wire::{self, Spoilt};
-use violetward_agreement::{Declined, Effect, EngineState, Kept, Member, MemberTerms, Outcome, Version};
+use violetward_agreement::wire::{self, Said, Spoilt};
+use violetward_agreement::{
+    Declined, Effect, EngineState, Kept, ListEffect, Member, MemberTerms, Outcome, Version,
+};
 use violetward_net::{Alarm, Connection};
 use violetward_statement::http::{Headers, Limits};
 
@@ -127,12 +129,20 @@
 }
 
 /// The code of a proposal: over the version that it was made for and its content.
-pub fn code(secret: &[u8], after: u64, dry: bool, content: &[u8]) -> Vec<u8> {
-    let mut mac = Hmac::<Sha256>::new_from_slice(secret).expect("any length will do");
+fn code(secret: &str, after: u64, dry: bool, content: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any length will do");
     mac.update(&after.to_be_bytes());
     mac.update(&[u8::from(dry)]);
     mac.update(content);
-    mac.finalize().into_bytes().to_vec()
+    mac
+}
+
+fn listed(state: EngineState) -> Listed {
+    match state {
+        EngineState::Up => Listed::Up,
+        EngineState::Draining => Listed::Draining,
+        EngineState::Removed => Listed::Removed,
+    }
 }
 
 fn shown(changes: &[Difference]) -> Vec<String> {
@@ -281,11 +291,40 @@
     fn with<T>(&self, host: &Rc<Host>, act: impl FnOnce(&mut Member, u64) -> T) -> T {
         let result = act(&mut self.member.borrow_mut(), host.now());
         self.refresh(host);
+        self.lists(host);
         self.due.notify(1);
         self.alarm.set(Some(self.member.borrow().next_wake()));
         result
     }
 
+    /// Carries out what lists lead to.
+    fn lists(&self, host: &Rc<Host>) {
+        loop {
+            let effect = self.member.borrow_mut().list_effect();
+            match effect {
+                None => break,
+                Some(ListEffect::Tell(claim)) => {
+                    let said = Said::Listed(claim).write();
+                    host.peers().iter().for_each(|p| p.say_some(host, &said, SOME));
+                }
+                Some(ListEffect::Changed) => {
+                    let claims = self.member.borrow().claimed();
+                    tracing::info!(?claims, at = host.now(), "others' lists");
+                    let listed = |(name, (came_up, state))| (name, (came_up, listed(state)));
+                    let claims = claims.into_iter().map(listed).collect();
+                    host.core(|core, now| core.claims(now, claims));
+                }
+                Some(ListEffect::Mass(gone, of)) => {
+                    tracing::error!(
+                        gone,
+                        of,
+                        "most engines went from the list at once: obeyed here, not passed on"
+                    );
+                }
+            }
+        }
+    }
+
     /// This gateway's own list has been read: what it takes away is told to the others.
     pub fn listed(&self, host: &Rc<Host>, list: &BTreeMap<String, Record>) {
         let state = |listed| match listed {
@@ -370,32 +409,12 @@
                 Effect::Keep(bytes) => self.keep(bytes).await,
                 Effect::Say(to, bytes) => host.peers().iter().for_each(|p| p.say(&host, &to, &bytes)),
                 Effect::SayAll(bytes) => host.peers().iter().for_each(|p| p.say_all(&host, &bytes)),
-                Effect::SaySome(bytes) => host.peers().iter().for_each(|p| p.say_some(&host, &bytes, SOME)),
-                Effect::Claims => {
-                    let claimed = self.member.borrow().claimed();
-                    let state = |state| match state {
-                        EngineState::Up => Listed::Up,
-                        EngineState::Draining => Listed::Draining,
-                        EngineState::Removed => Listed::Removed,
-                    };
-                    let claims: BTreeMap<String, (u64, Listed)> =
-                        claimed.into_iter().map(|(name, (came_up, s))| (name, (came_up, state(s)))).collect();
-                    tracing::info!(?claims, at = host.now(), "others' lists");
-                    host.core(|core, now| core.claims(now, claims));
-                }
                 Effect::OldFile => {
                     let why = "its file is an old copy: others have heard of later votes of this gateway";
                     tracing::error!("this gateway does not vote: {why}");
                     *self.trouble.borrow_mut() = Some(why.into());
                     self.old.set(true);
                 }
-                Effect::Mass(gone, of) => {
-                    tracing::error!(
-                        gone,
-                        of,
-                        "most engines went from the list at once: obeyed here, not passed on"
-                    );
-                }
                 Effect::Learned(version) => {
                     let (number, hash) = (version.number, format!("{:016x}", version.hash));
                     tracing::info!(number, hash, at = host.now(), "a version of the settings is committed");
@@ -510,13 +529,8 @@
         let given = (0..given.len() / 2).map(|i| given.get(2 * i..2 * i + 2));
         let given: Option<Vec<u8>> = given.map(|d| u8::from_str_radix(d?, 16).ok()).collect();
         let known = self.terms.operators.iter().find(|(name, _)| name == key);
-        let good = known.zip(given).is_some_and(|((_, secret), given)| {
-            let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any length will do");
-            mac.update(&after.to_be_bytes());
-            mac.update(&[u8::from(dry)]);
-            mac.update(content);
-            mac.verify_slice(&given).is_ok()
-        });
+        let fits = |secret: &str, given: &[u8]| code(secret, after, dry, content).verify_slice(given).is_ok();
+        let good = known.zip(given).is_some_and(|((_, secret), given)| fits(secret, &given));
         if !good {
             return (403, report("not allowed", None, "no operator's key signed this".into(), vec![]));
         }
@@ -639,8 +653,8 @@
     let mut headers = Headers::default();
     headers.push(AFTER, after.to_string());
     headers.push(KEY, key.0.clone());
-    let digits =
-        code(key.1.as_bytes(), after, dry, content).iter().map(|b| format!("{b:02x}")).collect::<String>();
+    let code = code(&key.1, after, dry, content).finalize().into_bytes();
+    let digits = code.iter().map(|b| format!("{b:02x}")).collect::<String>();
     headers.push(CODE, digits);
     let path = if dry { format!("{PATH}?dry") } else { PATH.to_owned() };
     let body = call(address, "POST", &path, headers, content).await?;
