--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -121,8 +121,7 @@
 
     /// Passes something to the core and carries out what follows.
     pub fn core<T>(self: &Rc<Self>, act: impl FnOnce(&mut Core, Micros) -> T) -> T {
-        self.look_at_rules();
-        let now = self.clock.now();
+        let now = self.look_at_rules();
         let result = act(&mut self.core.borrow_mut(), now);
         loop {
             let effect = self.core.borrow_mut().effect();
@@ -137,11 +136,16 @@
 
     /// The last look at the lease: a process that stood still for longer than its lease must not act on the old rules when it
     /// wakes, whichever of its tasks is first.
-    fn look_at_rules(self: &Rc<Self>) {
-        if self.clock.now() >= self.rules_until.get() {
-            let agreed = self.agreed.borrow().clone();
-            agreed.iter().for_each(|agreed| agreed.refresh(self));
+    /// Gives the time of that look, which is the core's.
+    fn look_at_rules(self: &Rc<Self>) -> Micros {
+        let now = self.clock.now();
+        if now < self.rules_until.get() {
+            return now;
         }
+        let agreed = self.agreed.borrow().clone();
+        agreed.iter().for_each(|agreed| agreed.refresh(self));
+        // The core's time never goes back: new rules have passed it on.
+        self.clock.now()
     }
 
     /// Whether an attempt may still be sent, by the rules of now: to be asked just before it is written.
