Stores in memory and in the files of a folder, on a medium that can be faulty

Need: votes, ends of lives and profiles outlast their process only if a file is never half of the new and half of the old, and if what cannot be trusted is told.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,10 +4,17 @@
 //! A store keeps values by name. A value is replaced as a whole, and each writing of it is counted: by its count an old copy of
 //! a store can be told from a new one by whoever remembers the count.
 
+pub mod faulty;
+pub mod file;
+pub mod medium;
+pub mod memory;
+
 /// Octets of the longest value.
 pub const VALUE: usize = 4 << 20;
-/// Characters of the longest name: lower-case letters, digits, `-` and `.`.
+/// Characters of the longest name: lower-case letters, digits, `-` and `.`; no `.` at the beginning.
 pub const NAME: usize = 64;
+/// Values of one store.
+pub const NAMES: usize = 4_096;
 
 /// A value as it is kept.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,6 +39,9 @@
     Busy,
     /// The medium does not take it; what was kept before stands.
     Io(std::io::Error),
+    /// It is not known whether it is kept: the new value may be there or the one before, each as a whole. The next
+    /// [`Store::get`] that goes well settles it.
+    Unsure(std::io::Error),
 }
 
 impl std::fmt::Display for StoreError {
@@ -42,6 +52,7 @@
             StoreError::Foreign(what) => write!(f, "what is kept is not ours: {what}"),
             StoreError::Busy => f.write_str("another process uses it"),
             StoreError::Io(e) => write!(f, "the medium fails: {e}"),
+            StoreError::Unsure(e) => write!(f, "it may be kept or not: {e}"),
         }
     }
 }
@@ -49,7 +60,7 @@
 impl std::error::Error for StoreError {
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match self {
-            StoreError::Io(e) => Some(e),
+            StoreError::Io(e) | StoreError::Unsure(e) => Some(e),
             _ => None,
         }
     }
@@ -66,6 +77,21 @@
     /// Keeps a value in place of the one before; gives its count of writes. When this returns well, it outlasts the process.
     ///
     /// # Errors
-    /// Why it is not kept; what was kept before stands.
+    /// Why it is not kept; what was kept before stands, but for [`StoreError::Unsure`].
     fn put(&mut self, name: &str, bytes: &[u8]) -> Result<u64, StoreError>;
 }
+
+/// Whether a name and a value of a length are within the bounds.
+///
+/// # Errors
+/// [`StoreError::Unfit`], with what is not.
+pub fn fits(name: &str, length: usize) -> Result<(), StoreError> {
+    let good = |c: u8| c.is_ascii_lowercase() || c.is_ascii_digit() || c == b'-' || c == b'.';
+    if name.is_empty() || name.len() > NAME || name.starts_with('.') || !name.bytes().all(good) {
+        return Err(StoreError::Unfit("a name has 1 to 64 of a-z, 0-9, - and ., and does not begin with ."));
+    }
+    if length > VALUE {
+        return Err(StoreError::Unfit("the value is too long"));
+    }
+    Ok(())
+}
