--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use history::{History, Version, KEPT};
 pub use lists::{Claim, EngineState, ListEffect, Lists, HOLDS};
-pub use member::{Check, Declined, Effect, Member, MemberTerms, Outcome};
+pub use member::{Check, Declined, Effect, Fitness, Member, MemberTerms, Outcome};
 pub use voter::{
     abstain_through, Ballot, Effect as VoterEffect, Kept, Message, Micros, Plant, Terms, Voter, GRANTS,
 };
--- a/crates/agreement/src/member.rs
+++ b/crates/agreement/src/member.rs
@@ -1,7 +1,7 @@
 //! One gateway's whole part, by names: the voter, contents that are fetched in parts, proposals of operators and when what
 //! is due. Free of I/O and clock; whoever holds it carries out one effect after the other.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::history::{Version, KEPT};
 use crate::lists::{EngineState, ListEffect, Lists};
@@ -117,6 +117,8 @@
 struct Proposal {
     content: Vec<u8>,
     number: u64,
+    /// Voters that find it fit as things are; `None` once a quorum of them has, and it is voted on.
+    fit: Option<BTreeSet<String>>,
     again: Micros,
     until: Micros,
     unfit: BTreeMap<String, String>,
@@ -125,11 +127,17 @@
 /// What passes a content before it is voted on.
 pub type Check = Box<dyn Fn(&[u8]) -> Result<(), String>>;
 
+/// What finds a content fit to follow a version, as things are now: whether anything in it depends on when and by whom that is
+/// asked. If so, a quorum has to find it fit before it is voted on. It is not asked again then: a vote that hung on the moment
+/// could leave a number without a version.
+pub type Fitness = Box<dyn Fn(&[u8], Option<&Version>) -> Result<bool, String>>;
+
 /// A gateway's part. See the module's documentation.
 pub struct Member {
     terms: MemberTerms,
     voter: Voter,
     check: Check,
+    fitness: Fitness,
     others: BTreeMap<String, u16>,
     contents: VecDeque<(Digest32, Vec<u8>)>,
     fetches: BTreeMap<Digest32, Fetch>,
@@ -157,6 +165,7 @@
             voter: Voter::new(terms.voter(), kept.0, life, now, fresh),
             terms,
             check,
+            fitness: Box::new(|_, _| Ok(false)),
             others: BTreeMap::new(),
             contents: VecDeque::new(),
             fetches: BTreeMap::new(),
@@ -175,6 +184,28 @@
         member
     }
 
+    /// With what finds contents fit to follow the newest version.
+    #[must_use]
+    pub fn with_fitness(mut self, fitness: Fitness) -> Member {
+        self.fitness = fitness;
+        self
+    }
+
+    /// Whether a content is fit to follow the newest version here and now.
+    ///
+    /// # Errors
+    /// Why not.
+    pub fn fit(&self, content: &[u8]) -> Result<bool, String> {
+        (self.check)(content)?;
+        let history = self.voter.history();
+        let newest = history.newest().0;
+        let before = history.get(newest);
+        if newest > 0 && before.is_none() {
+            return Err("the version before it is not known here".into());
+        }
+        (self.fitness)(content, before)
+    }
+
     /// The voter, to look at.
     pub fn voter(&self) -> &Voter {
         &self.voter
@@ -326,6 +357,31 @@
                     self.effects.push_back(Effect::Proposed(Outcome::Unfit(why.unwrap_or_default())));
                 }
             }
+            Said::Would(mark, version) if mark == self.terms.mark => {
+                let (number, hash) = self.voter.history().newest();
+                // Who asks about another one is behind, or ahead: leases tell.
+                let next = version == Version::after(number, hash, &version.content);
+                if next && self.voter.votes() {
+                    let said = match self.fit(&version.content) {
+                        Ok(_) => Said::Fit(version.number, version.hash),
+                        Err(why) => Said::Unfit(version.number, why),
+                    };
+                    self.effects.push_back(Effect::Say(from.to_owned(), said.write()));
+                }
+            }
+            Said::Would(..) => self.counts[2] += 1,
+            Said::Fit(number, hash) => {
+                let voter = self.terms.voters.iter().any(|v| v == from);
+                let (newest, before) = self.voter.history().newest();
+                let Some(p) = self.proposal.as_mut().filter(|p| p.number == number && voter) else { return };
+                if Version::after(newest, before, &p.content).hash != hash {
+                    return;
+                }
+                if let Some(fit) = &mut p.fit {
+                    fit.insert(from.to_owned());
+                    self.vote(now);
+                }
+            }
             Said::Want(name, at) => {
                 let Some(content) = self.contents.iter().find(|c| c.0 == name).map(|c| &c.1) else { return };
                 // From there to the end of its row of parts, at least one of them.
@@ -415,15 +471,39 @@
         if content.len() > CONTENT {
             return Err(Declined::Unfit(format!("it has over {CONTENT} octets")));
         }
-        (self.check)(content).map_err(Declined::Unfit)?;
+        let asked = self.fit(content).map_err(Declined::Unfit)?;
         self.store(content);
         let (number, until) = (newest + 1, now + PATIENCE);
         let content = content.to_vec();
-        self.proposal = Some(Proposal { content, number, again: now, until, unfit: BTreeMap::new() });
+        let fit = asked.then(|| BTreeSet::from([self.terms.name.clone()]));
+        self.proposal = Some(Proposal { content, number, fit, again: now, until, unfit: BTreeMap::new() });
         self.wake(now);
         Ok(())
     }
 
+    /// Has a proposal voted on once a quorum finds it fit; it is asked about until then.
+    fn vote(&mut self, now: Micros) {
+        let quorum = self.terms.voter().quorum();
+        let (number, hash) = self.voter.history().newest();
+        // What follows another version than the one that it was found fit to follow is not proposed.
+        let Some(p) = self.proposal.as_mut().filter(|p| p.number == number + 1) else { return };
+        match &p.fit {
+            Some(fit) if fit.len() < quorum => {
+                let said = Said::Would(self.terms.mark, Version::after(number, hash, &p.content)).write();
+                let ask = self.terms.voters.iter().filter(|v| !fit.contains(*v));
+                let asked: Vec<Effect> = ask.map(|v| Effect::Say(v.clone(), said.clone())).collect();
+                if p.again <= now {
+                    self.effects.extend(asked);
+                }
+            }
+            _ => {
+                p.fit = None;
+                let content = p.content.clone();
+                self.voter.propose(&content);
+            }
+        }
+    }
+
     /// A version is committed: what that means for the proposal.
     fn ended(&mut self, version: &Version) {
         let Some(p) = self.proposal.take_if(|p| p.number <= version.number) else { return };
@@ -467,9 +547,11 @@
             self.dice ^= self.dice << 13;
             self.dice ^= self.dice >> 7;
             self.dice ^= self.dice << 17;
-            p.again = now + TRY_AGAIN + self.dice % TRY_AGAIN;
-            let content = p.content.clone();
-            self.voter.propose(&content);
+            let again = now + TRY_AGAIN + self.dice % TRY_AGAIN;
+            self.vote(now);
+            if let Some(p) = &mut self.proposal {
+                p.again = again;
+            }
         }
     }
 
--- a/crates/agreement/src/sim.rs
+++ b/crates/agreement/src/sim.rs
@@ -2,11 +2,13 @@
 //! gateways that stand still, are killed and come back with what they kept. Checked at each step ([`Fleet::check`]): whoever acts
 //! has each version that another one acts on in full within its range, and no number has two versions.
 
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
 
 use crate::wire;
-use crate::{Declined, Effect, Kept, Member, MemberTerms, Micros, Outcome};
+use crate::{Declined, Effect, Kept, Member, MemberTerms, Micros, Outcome, Version};
 
 const MS: Micros = 1_000;
 
@@ -28,6 +30,9 @@
     Wake,
 }
 
+/// What finds contents fit at a gateway, as things are there: see [`crate::Fitness`].
+pub type FitnessAt = Box<dyn Fn(usize, &[u8], Option<&Version>) -> Result<bool, String>>;
+
 /// A gateway.
 pub struct Node {
     /// Its part, while its process runs.
@@ -57,6 +62,8 @@
     pub contents: BTreeMap<u64, Vec<u8>>,
     /// Datagrams and octets sent.
     pub sent: (u64, u64),
+    /// What gateways find fit.
+    pub fitness: Rc<RefCell<FitnessAt>>,
     voters: usize,
     lease: Micros,
     drift: u64,
@@ -83,6 +90,7 @@
             cut: vec![vec![false; count]; count],
             contents: BTreeMap::new(),
             sent: (0, 0),
+            fitness: Rc::new(RefCell::new(Box::new(|_, _, _| Ok(false)))),
             voters,
             lease,
             drift,
@@ -128,7 +136,11 @@
         let check = |content: &[u8]| if content == b"unfit" { Err("unfit".to_owned()) } else { Ok(()) };
         let life = draw(&mut self.dice);
         let now = self.clock(n);
-        self.nodes[n].member = Some(Member::new(terms, kept.unwrap_or_default(), life, now, Box::new(check)));
+        let fitness = self.fitness.clone();
+        let member = Member::new(terms, kept.unwrap_or_default(), life, now, Box::new(check));
+        let fitness =
+            Box::new(move |content: &[u8], before: Option<&Version>| fitness.borrow()(n, content, before));
+        self.nodes[n].member = Some(member.with_fitness(fitness));
         self.carry_out(n);
     }
 
--- a/crates/agreement/src/wire.rs
+++ b/crates/agreement/src/wire.rs
@@ -40,6 +40,10 @@
     Remembered(u64),
     /// The content of the version with this number does not pass the check here.
     Unfit(u64, String),
+    /// From one with the same terms (their mark): would this be fit to be the next version?
+    Would(u64, Version),
+    /// The version with this number and hash would be fit here.
+    Fit(u64, u64),
     /// Please send that content from this octet on.
     Want(Digest32, u32),
     /// A part of a content: from which octet, of how many.
@@ -204,6 +208,16 @@
                 }
                 out.bytes(&why.as_bytes()[..end]);
             }
+            Said::Would(terms, version) => {
+                out.0.push(25);
+                out.number(*terms);
+                out.version(version, false);
+            }
+            Said::Fit(number, hash) => {
+                out.0.push(26);
+                out.number(*number);
+                out.number(*hash);
+            }
             Said::Want(name, from) => {
                 out.0.push(21);
                 out.0.extend_from_slice(name);
@@ -244,6 +258,8 @@
                 Said::Unfit(number, String::from_utf8(why.to_vec()).map_err(|_| Unread::Bad)?)
             }
             24 => Said::Remembered(c.u64()?),
+            25 => Said::Would(c.u64()?, c.version(find)?),
+            26 => Said::Fit(c.u64()?, c.u64()?),
             21 => Said::Want(c.array()?, c.u32()?),
             22 => Said::Part(c.array()?, c.u32()?, c.u32()?, c.bytes(PART)?.to_vec()),
             23 => {
@@ -391,6 +407,8 @@
         let mut all: Vec<Said> = messages.into_iter().map(|m| Said::Protocol(77, 3, m)).collect();
         all.push(Said::Remembered(4));
         all.push(Said::Unfit(5, "why".into()));
+        all.push(Said::Would(9, Version::after(4, 5, b"six")));
+        all.push(Said::Fit(5, 6));
         let (teller, engine) = ("g1".to_owned(), "e".repeat(NAME));
         all.push(Said::Listed(Claim { teller, count: 8, engine, came_up: 9, state: EngineState::Removed }));
         all.push(Said::Want([3; 32], 896));
--- a/crates/agreement/tests/members.rs
+++ b/crates/agreement/tests/members.rs
@@ -241,3 +241,27 @@
     println!("{full} histories, {versions} versions");
     assert!(versions > 600, "too few versions to show anything: {versions}");
 }
+
+#[test]
+fn what_depends_on_the_moment_is_voted_on_once_a_quorum_finds_it_fit_and_leaves_no_number_stuck() {
+    let mut world = fleet(4, 3, 9);
+    world.run(LEASE);
+    // Fit at the first voter alone.
+    *world.fitness.borrow_mut() = Box::new(|n, content, before| match content {
+        b"mine" if n > 0 => Err("not by my books".to_owned()),
+        b"next" if before.is_none_or(|b| b.content != b"plain") => Err("follows another one".to_owned()),
+        b"plain" => Ok(false),
+        _ => Ok(true),
+    });
+    world.propose(0, b"mine").unwrap();
+    world.run(2_000 * MS);
+    assert!(matches!(&world.nodes[0].outcomes[..], [Outcome::Unfit(why)] if why.contains("not by my books")));
+    // Nobody has voted for it: with the third one gone the other two go on.
+    world.nodes[2].member = None;
+    world.propose(0, b"plain").unwrap();
+    world.run(2_000 * MS);
+    assert!(matches!(world.propose(1, b"mine"), Err(Declined::Unfit(_))));
+    world.propose(1, b"next").unwrap();
+    world.run(3 * LEASE);
+    assert_eq!(world.contents, [(1, b"plain".to_vec()), (2, b"next".to_vec())].into());
+}
