--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -27,6 +27,8 @@
 const FORWARD: Micros = 1_000 * MS;
 /// Looks at what leaves by its time.
 const SWEEP: Micros = 1_000 * MS;
+/// One in a chain that has said nothing for so long is asked which term it is in.
+const SILENT: Micros = 5_000 * MS;
 /// What is kept for others leaves so long after its deadline: a late poll gets a clear word until then.
 const LINGER: Micros = 30_000 * MS;
 /// Statements that have ended, or went elsewhere, that are remembered.
@@ -617,6 +619,7 @@
 
     /// This term is over, as the voters have it: whatever was in hand is another's, and a new term begins with nothing.
     fn next_term(&mut self, now: Micros) {
+        let others: BTreeSet<String> = self.refs.keys().map(|a| a.life.name.clone()).collect();
         let dropped: Vec<StatementKey> = self.entries.keys().cloned().collect();
         for key in dropped {
             let others: Vec<Life> = self.forget(&key).map_or(Vec::new(), |entry| {
@@ -633,6 +636,7 @@
         self.ended = false;
         self.tenure = Tenure::new(now, self.quorum());
         self.renew = now;
+        others.iter().for_each(|name| self.say(name, &Said::Me));
         let term = self.me.term;
         self.effects
             .push_back(Effect::Log(format!("ended by the voters: term {term} begins with nothing in hand")));
@@ -680,6 +684,9 @@
             return;
         }
         let sender = Actor { life, term };
+        if let Some(peer) = self.peers.get_mut(&sender) {
+            peer.heard = now;
+        }
         match said {
             Said::Ask(asked) => {
                 let answer = self.voter.as_mut().map_or(Answer::Nothing, |v| v.asked(now, &sender));
@@ -697,6 +704,7 @@
                 self.answered(now, from, 0, &Answer::Ended(through));
             }
             Said::Grant(_) | Said::Ended(_) | Said::Me => {}
+            Said::Which => self.say(from, &Said::Me),
             Said::End(who) => self.end_asked(now, from, who),
             Said::Marked(marks) => self.marked(now, from, marks),
             Said::Batch { to, .. } if to != (self.me.life.life, self.me.term) => self.say(from, &Said::Me),
@@ -747,7 +755,6 @@
     ) {
         let over = self.is_over(&sender);
         let Some(peer) = self.peer(&sender) else { return };
-        peer.heard = now;
         // One that comes late or twice would bring back what has been ended since.
         if number <= peer.numbers.0 || over {
             return;
@@ -856,7 +863,6 @@
 
     fn acked(&mut self, now: Micros, sender: &Actor, number: u64, not: &[(u16, Why)]) {
         let Some(peer) = self.peers.get_mut(sender) else { return };
-        peer.heard = now;
         let Some(flight) = peer.flights.remove(&number) else { return };
         peer.lost = 0;
         if !(peer.records.is_empty() && peer.ends.is_empty()) {
@@ -1448,10 +1454,7 @@
     /// Nothing is held any more: whoever counts on this one as a guardian hears that its term is over.
     fn leave(&mut self, now: Micros) {
         self.left = true;
-        let of: BTreeSet<String> = self.refs.keys().map(|a| a.life.name.clone()).collect();
         self.next_term(now);
-        self.tenure.until = 0;
-        of.iter().for_each(|name| self.say(name, &Said::Me));
     }
 
     fn forward(&mut self, now: Micros) {
@@ -1478,6 +1481,10 @@
         }
         self.declined.retain(|_, until| now < *until);
         self.missed(now);
+        // One that was ended and lives has said so, but that may have been lost.
+        let silent = |a: &&Actor| self.peers.get(a).is_none_or(|p| p.heard + SILENT <= now);
+        let silent: Vec<String> = self.refs.keys().filter(silent).map(|a| a.life.name.clone()).collect();
+        silent.iter().for_each(|name| self.say(name, &Said::Which));
         let (refs, lives) = (&self.refs, &self.lives);
         let known = |life: &Life| lives.contains_key(life) || refs.keys().any(|a| a.life == *life);
         self.unlisted.retain(|life, _| known(life));
--- a/crates/custody/src/lib.rs
+++ b/crates/custody/src/lib.rs
@@ -12,6 +12,7 @@
 //! holds and every life before it in the chain is surely over.
 
 mod custodian;
+pub mod sim;
 mod tenure;
 mod wire;
 
--- a/crates/custody/src/wire.rs
+++ b/crates/custody/src/wire.rs
@@ -85,6 +85,8 @@
     Ack { to: (u64, u32), number: u64, not: Vec<(u16, Why)> },
     /// I am in the life and term that this saying names.
     Me,
+    /// Which term are you in?
+    Which,
 }
 
 /// Why octets are not taken.
@@ -328,6 +330,7 @@
             Said::Batch { .. } => 6,
             Said::Ack { .. } => 7,
             Said::Me => 8,
+            Said::Which => 9,
         };
         let mut w = W(vec![FORMAT, kind]);
         w.u64(life);
@@ -365,7 +368,7 @@
                     w.u8(*why as u8);
                 }
             }
-            Said::Me => {}
+            Said::Me | Said::Which => {}
         }
         w.0
     }
@@ -410,6 +413,7 @@
                 Said::Ack { to, number, not }
             }
             8 => Said::Me,
+            9 => Said::Which,
             _ => return Err(Unread::Bad),
         };
         if r.0.is_empty() {
