--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -816,27 +816,30 @@
             self.looks.insert(key);
             return Ok(());
         };
-        // Chains only grow: of two that are true one begins with the other.
-        if !entry.links.iter().zip(&links).all(|(a, b)| a.actor == b.actor) {
+        // Two chains differ only where one names guardians that were never told: whoever stands before them and did not
+        // know of them has become the holder, and named others. What its record says holds then.
+        let common = entry.links.iter().zip(&links).take_while(|(a, b)| a.actor == b.actor).count();
+        if common <= entry.at {
             return Err(Why::Past);
         }
         // One that is over, or has given up, only says so; it is not listened to any more.
-        if entry.links.get(by).is_some_and(|l| l.gone) && !links[by].gone {
+        if entry.links[..common].get(by).is_some_and(|l| l.gone) && !links[by].gone {
             return Err(Why::Past);
         }
         let before = entry.octets();
-        let grown = links.len() > entry.links.len() && self.plant != Plant::ChainForgotten;
-        let mut gone = BTreeSet::new();
-        for (mine, told) in entry.links.iter_mut().zip(&links) {
+        let mut unref = Vec::new();
+        for (mine, told) in entry.links.iter_mut().zip(&links[..common]) {
             if told.gone && !mine.gone {
                 mine.gone = true;
-                gone.insert(mine.actor.clone());
+                unref.push(mine.actor.clone());
             }
         }
         if entry.held().is_none() {
-            if grown {
-                for link in &links[entry.links.len()..] {
+            if record.version > entry.record.version && self.plant != Plant::ChainForgotten {
+                unref.extend(entry.links.split_off(common).into_iter().map(|l| l.actor));
+                for link in &links[common..] {
                     entry.links.push(link.clone());
+                    unref.retain(|a| *a != link.actor);
                     if !link.gone && link.actor != me {
                         self.refs.entry(link.actor.clone()).or_default().insert(key.clone());
                     }
@@ -854,7 +857,7 @@
             }
             self.kept.1 = self.kept.1 + entry.octets() - before;
         }
-        for actor in gone {
+        for actor in unref {
             self.unref(&key, &actor);
         }
         self.looks.insert(key);
@@ -1116,6 +1119,22 @@
         [self.entries.len() - self.kept.0, self.kept.0, self.kept.1, self.waiting.len()]
     }
 
+    /// A statement's chain in words: who in it never acts, and the version that each one behind this one has.
+    pub fn story(&self, key: &StatementKey) -> String {
+        let Some(entry) = self.entries.get(key) else { return "nothing".into() };
+        let links = entry.links.iter().enumerate().map(|(i, link)| {
+            let Actor { life, term } = &link.actor;
+            let gone = if link.gone { " gone" } else { "" };
+            let lost = if self.lost(self.now, life) { " lost" } else { "" };
+            let acked = entry
+                .held()
+                .map_or(String::new(), |h| format!(" has {:x} of {:x}", h.guards[i].acked, h.guards[i].sent));
+            format!("{} {:x}/{term}{gone}{lost}{acked}", life.name, life.life >> 48)
+        });
+        let links: Vec<String> = links.collect();
+        format!("version {:x}, {} of {}", entry.record.version, entry.at, links.join(", "))
+    }
+
     fn forget(&mut self, key: &StatementKey) -> Option<Entry> {
         let entry = self.entries.remove(key)?;
         for link in &entry.links {
--- a/crates/custody/src/sim.rs
+++ b/crates/custody/src/sim.rs
@@ -426,8 +426,7 @@
     }
 
     fn carry_out(&mut self, n: usize) {
-        loop {
-            let Some(effect) = self.nodes[n].custodian.as_mut().and_then(Custodian::effect) else { break };
+        while let Some(effect) = self.nodes[n].custodian.as_mut().and_then(Custodian::effect) {
             match effect {
                 Effect::Keep(bytes) => {
                     // A process that is killed before that has not kept it.
@@ -839,7 +838,7 @@
     fn fault(&mut self, n: usize) {
         let count = self.nodes.len();
         let span = self.within(200 * MS, 5 * SECOND);
-        let kind = draw(&mut self.dice) % 16;
+        let kind = draw(&mut self.dice) % 17;
         match kind {
             0..=3 => {
                 self.kill(n);
@@ -898,7 +897,20 @@
                     self.at(at, n, What::View(o, false));
                 }
             }
-            14 if draw(&mut self.dice) % 8 == 0 => {
+            // Voters blink, and somebody takes a holder for dead at that moment.
+            14 => {
+                let o = self.below(count);
+                if n != o {
+                    self.at(self.now, n, What::View(o, true));
+                    self.at(span, n, What::View(o, false));
+                }
+                for v in 0..self.case.voters {
+                    self.kill(v);
+                    let at = self.within(10 * MS, 60 * MS);
+                    self.at(at, v, What::Start);
+                }
+            }
+            15 if draw(&mut self.dice) % 8 == 0 => {
                 for o in (0..count).filter(|o| o % 10 != n % 10) {
                     self.kill(o);
                     let at = self.within(SECOND, 4 * SECOND);
@@ -1047,9 +1059,9 @@
                     let c = self.nodes[n].custodian.as_ref();
                     let work = self.nodes[n].works.get(key).map(|w| w.stage.clone());
                     format!(
-                        "g{n} {:?} {:?} {work:?}",
+                        "\n  g{n} {:?} {work:?} {:?}",
                         c.map(|c| c.whereabouts(key)),
-                        c.map(|c| c.chain(key).len())
+                        c.map(|c| c.story(key))
                     )
                 })
                 .collect();
