Agreement's file lies on the store's atomic replacement, its octets unchanged

Need: one place that locks a folder, replaces a file as a whole and syncs it, held to one set of contracts.

Change: gateway::agreed writes agreement.kept by store::file::Whole, which keeps its owner's own octets; lock and names stay, so files of earlier programs are read and written as they were. init and replace take the lock too: a new file is not made under a running process. A store settles what is unsure by syncing its folder before it tells anything.

--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -3,10 +3,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::Write;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use event_listener::Event;
@@ -21,15 +21,21 @@
 };
 use violetward_net::{Alarm, Connection};
 use violetward_statement::http::{Headers, Limits};
+use violetward_store::file::Whole;
+use violetward_store::medium::Folder;
+use violetward_store::StoreError;
 
 use crate::config::{AgreementTerms, Names};
 use crate::host::Host;
 use crate::list::Record;
 use crate::rules::{Difference, Rules};
 
-/// The file of what is kept, and the one that a process holds locked while it uses it.
+/// The file of what is kept, the one that it becomes when it cannot be used, and the one that a process holds locked.
 const KEPT: &str = "agreement.kept";
+const ASIDE: &str = "agreement.spoilt";
 const LOCK: &str = "agreement.lock";
+/// Octets of the longest file that is read: twice what the versions that are kept can come to.
+const LONGEST: usize = 2 * violetward_agreement::KEPT * wire::CONTENT;
 /// Gateways that a drain or a removal is told to at once; each of them passes it on.
 const SOME: usize = 4;
 /// Between two tries to write what a disk did not take.
@@ -59,11 +65,11 @@
     alarm: Alarm,
     due: Event,
     waiting: RefCell<Option<async_channel::Sender<Outcome>>>,
-    file: Option<PathBuf>,
-    /// The file is an old copy: it stays as it is.
-    old: Cell<bool>,
+    /// Where a voter's file is; held as long as this lives.
+    folder: Option<Arc<Mutex<Whole<Folder>>>>,
+    /// The file cannot be used, or is an old copy: it stays as it is.
+    stays: Cell<bool>,
     trouble: RefCell<Option<String>>,
-    _lock: Option<std::fs::File>,
 }
 
 /// A version, as `/v1/settings` tells it.
@@ -149,15 +155,14 @@
     changes.iter().map(|c| format!("{} {}", if c.widens { '+' } else { '-' }, c.text)).collect()
 }
 
-/// Writes a file so that it is there whole and for good, or as it was before.
-fn write_whole(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
-    let fresh = path.with_extension("new");
-    let mut file = std::fs::File::create(&fresh)?;
-    file.write_all(bytes)?;
-    file.sync_all()?;
-    std::fs::rename(&fresh, path)?;
-    // The name too must outlive a loss of power.
-    std::fs::File::open(path.parent().unwrap_or(Path::new(".")))?.sync_all()
+/// Takes the folder for this process alone.
+fn open(terms: &AgreementTerms) -> Result<Whole<Folder>, StoreError> {
+    Whole::open(Folder::new(&terms.folder, LOCK)?)
+}
+
+/// What keeps a folder's file from being used.
+fn unusable(terms: &AgreementTerms, why: StoreError) -> String {
+    format!("{}: {why}", terms.folder.display())
 }
 
 /// Makes the file of a voter that has never voted.
@@ -169,9 +174,8 @@
     if file.exists() {
         return Err(format!("{} is there already; it holds this gateway's votes", file.display()));
     }
-    std::fs::create_dir_all(&terms.folder).map_err(|e| e.to_string())?;
     let bytes = wire::keep(&Kept::default(), terms.mark(), 0);
-    write_whole(&file, &bytes).map_err(|e| format!("{}: {e}", file.display()))?;
+    open(terms).and_then(|mut folder| folder.replace(KEPT, &bytes)).map_err(|e| unusable(terms, e))?;
     Ok(file)
 }
 
@@ -182,7 +186,8 @@
 /// If too few of them answer, there is a file that can be used, or the new one cannot be written.
 pub async fn replace(terms: &AgreementTerms, others: &[SocketAddr]) -> Result<PathBuf, String> {
     let file = terms.folder.join(KEPT);
-    if read(terms).is_ok() {
+    let mut folder = open(terms).map_err(|e| unusable(terms, e))?;
+    if read(&mut folder, terms).is_ok() {
         return Err(format!("{} is good; it holds this gateway's votes", file.display()));
     }
     let mut newest: BTreeMap<String, u64> = BTreeMap::new();
@@ -200,21 +205,19 @@
     let kept = Kept { abstain: violetward_agreement::abstain_through(&newest), ..Kept::default() };
     // Greater than any count of its earlier file, which the others remember.
     let writes = violetward_net::Clock::new().now();
-    std::fs::create_dir_all(&terms.folder).map_err(|e| e.to_string())?;
-    if file.exists() {
-        let aside = file.with_extension("spoilt");
-        std::fs::rename(&file, &aside).map_err(|e| format!("{}: {e}", file.display()))?;
-    }
-    write_whole(&file, &wire::keep(&kept, terms.mark(), writes)).map_err(|e| e.to_string())?;
+    let aside = if file.exists() { folder.set_aside(KEPT, ASIDE) } else { Ok(()) };
+    aside
+        .and_then(|()| folder.replace(KEPT, &wire::keep(&kept, terms.mark(), writes)))
+        .map_err(|e| unusable(terms, e))?;
     Ok(file)
 }
 
 /// Reads what was kept; what keeps this one from voting, if something does.
-fn read(terms: &AgreementTerms) -> Result<(Kept, u64), String> {
+fn read(folder: &mut Whole<Folder>, terms: &AgreementTerms) -> Result<(Kept, u64), String> {
     let file = terms.folder.join(KEPT);
     let shown = file.display();
-    let bytes = std::fs::read(&file).map_err(|e| {
-        format!("{shown}: {e}. A voter that was never started needs `violetward settings init`; one that lost its file, `violetward settings replace`")
+    let bytes = folder.read(KEPT, LONGEST).map_err(|e| format!("{shown}: {e}"))?.ok_or_else(|| {
+        format!("{shown} is not there. A voter that was never started needs `violetward settings init`; one that lost its file, `violetward settings replace`")
     })?;
     wire::kept(&bytes, terms.mark()).map_err(|why: Spoilt| format!("{shown}: {why}"))
 }
@@ -227,27 +230,26 @@
     pub fn start(host: &Rc<Host>, terms: &AgreementTerms) -> std::io::Result<Rc<Agreed>> {
         let names = host.config.names.clone();
         let votes = terms.voters.contains(&terms.name);
-        let (mut lock, mut file, mut trouble) = (None, None, None);
+        let (mut folder, mut trouble) = (None, None);
         let mut kept = (Kept::default(), 0);
         if votes {
-            std::fs::create_dir_all(&terms.folder)?;
             // Two processes that vote as one would forget each other's votes.
-            let held = std::fs::File::create(terms.folder.join(LOCK))?;
-            rustix::fs::flock(&held, rustix::fs::FlockOperation::NonBlockingLockExclusive).map_err(|e| {
-                std::io::Error::other(format!("{} is used by another process: {e}", terms.folder.display()))
-            })?;
-            lock = Some(held);
-            match read(terms) {
-                Ok(found) => {
-                    kept = found;
-                    file = Some(terms.folder.join(KEPT));
+            let mut held = open(terms).map_err(|e| match e {
+                StoreError::Busy => {
+                    std::io::Error::other(format!("{} is used by another process", terms.folder.display()))
                 }
+                e => std::io::Error::other(unusable(terms, e)),
+            })?;
+            match read(&mut held, terms) {
+                Ok(found) => kept = found,
                 Err(why) => {
                     tracing::error!("this gateway does not vote: {why}");
                     trouble = Some(why);
                 }
             }
+            folder = Some(Arc::new(Mutex::new(held)));
         }
+        let votes = votes && trouble.is_none();
         let floor = Rules::floor(&terms.floor.0, &terms.floor.1, &names);
         let check = {
             let (floor, names) = (floor.clone(), names.clone());
@@ -256,14 +258,14 @@
         let member_terms = MemberTerms {
             name: terms.name.clone(),
             voters: terms.voters.clone(),
-            votes: file.is_some(),
+            votes,
             lease: terms.lease.as_micros() as u64,
             drift: terms.drift,
             check: terms.check.as_micros() as u64,
             mark: terms.mark(),
         };
         let bound_ms = member_terms.voter().bound() / 1000;
-        tracing::info!(newest = kept.0.history.newest().0, votes = file.is_some(), bound_ms, "agreement");
+        tracing::info!(newest = kept.0.history.newest().0, votes, bound_ms, "agreement");
         let now = host.now();
         let agreed = Rc::new(Agreed {
             member: RefCell::new(Member::new(member_terms, kept, rand::random(), now, check)),
@@ -276,10 +278,9 @@
             alarm: Alarm::default(),
             due: Event::new(),
             waiting: RefCell::default(),
-            file,
-            old: Cell::new(false),
+            folder,
+            stays: Cell::new(!votes),
             trouble: RefCell::new(trouble),
-            _lock: lock,
         });
         *host.agreed.borrow_mut() = Some(agreed.clone());
         agreed.refresh(host);
@@ -413,7 +414,7 @@
                     let why = "its file is an old copy: others have heard of later votes of this gateway";
                     tracing::error!("this gateway does not vote: {why}");
                     *self.trouble.borrow_mut() = Some(why.into());
-                    self.old.set(true);
+                    self.stays.set(true);
                 }
                 Effect::Learned(version) => {
                     let (number, hash) = (version.number, format!("{:016x}", version.hash));
@@ -437,15 +438,18 @@
     /// Writes what is kept, on a thread of its own: a disk that stalls must not hold up statements. Goes on until it is done.
     async fn keep(&self, bytes: Vec<u8>) {
         // A gateway that does not vote has nothing to keep, and one whose file is spoilt must not hide that.
-        let Some(file) = self.file.clone().filter(|_| !self.old.get()) else { return };
+        let Some(folder) = self.folder.clone().filter(|_| !self.stays.get()) else { return };
         loop {
             let (done, wait) = async_channel::bounded(1);
-            let (path, copy) = (file.clone(), bytes.clone());
+            let (folder, copy) = (folder.clone(), bytes.clone());
             let thread = std::thread::Builder::new().name("keep".into());
-            let begun = thread.spawn(move || drop(done.try_send(write_whole(&path, &copy))));
+            let begun = thread.spawn(move || {
+                let mut folder = folder.lock().unwrap_or_else(PoisonError::into_inner);
+                drop(done.try_send(folder.replace(KEPT, &copy)));
+            });
             let result = match begun {
-                Ok(_) => wait.recv().await.unwrap_or_else(|_| Err(std::io::Error::other("no end"))),
-                Err(e) => Err(e),
+                Ok(_) => wait.recv().await.unwrap_or_else(|_| Err(std::io::Error::other("no end").into())),
+                Err(e) => Err(e.into()),
             };
             match result {
                 Ok(()) => {
@@ -453,6 +457,7 @@
                     return;
                 }
                 Err(e) => {
+                    let file = self.terms.folder.join(KEPT);
                     tracing::error!("{}: {e}; nothing is voted on meanwhile", file.display());
                     *self.trouble.borrow_mut() = Some(e.to_string());
                     violetward_net::sleep(WRITE_AGAIN).await;
--- a/crates/store/src/faulty.rs
+++ b/crates/store/src/faulty.rs
@@ -18,7 +18,8 @@
     StopBefore,
     /// The process is gone just after it.
     StopAfter,
-    /// It fails, and the next ones do not. Half of what was to be written is; what was to be synced is never written.
+    /// It fails, and the next ones do not. Half of what was to be written is; octets that were to be synced are never written,
+    /// though the next sync says so; names still may be.
     Fail,
     /// From here on nothing more can be written.
     Full,
@@ -323,11 +324,9 @@
 
     fn sync_folder(&mut self) -> io::Result<()> {
         self.operation(|state, fails| {
-            for (gets, loses) in std::mem::take(&mut state.changes) {
-                // Here too a second sync says that all is well.
-                if !fails {
-                    apply(&mut state.safe, &gets, &loses);
-                }
+            if !fails {
+                state.changes.clear();
+                state.safe = state.now.clone();
             }
             Ok(())
         })
--- a/crates/store/src/file.rs
+++ b/crates/store/src/file.rs
@@ -4,7 +4,7 @@
 //! synced. [`Whole`] does that for files whose octets are their owner's own; [`Files`] is the store, whose files carry name,
 //! count of writes, length and a checksum over all of it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::io::{self, ErrorKind};
 use std::path::Path;
 
@@ -32,6 +32,7 @@
 #[derive(Debug)]
 pub struct Whole<M> {
     medium: M,
+    piece: Vec<u8>,
 }
 
 impl<M: Medium> Whole<M> {
@@ -49,7 +50,7 @@
                 medium.remove(&file)?;
             }
         }
-        Ok(Whole { medium })
+        Ok(Whole { medium, piece: vec![0; PIECE] })
     }
 
     /// The octets of a file of that length at most; `None` if there is none.
@@ -58,12 +59,11 @@
     /// [`StoreError::Foreign`] if it is longer; what the medium says.
     pub fn read(&mut self, file: &str, most: usize) -> Result<Option<Vec<u8>>, StoreError> {
         let mut bytes = Vec::new();
-        let mut piece = vec![0; PIECE.min(most + 1)];
         loop {
-            match self.medium.read(file, bytes.len() as u64, &mut piece) {
+            match self.medium.read(file, bytes.len() as u64, &mut self.piece) {
                 Ok(0) => return Ok(Some(bytes)),
                 // One read may give less than there is.
-                Ok(got) => bytes.extend_from_slice(&piece[..got]),
+                Ok(got) => bytes.extend_from_slice(&self.piece[..got]),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
                 Err(e) => return Err(e.into()),
@@ -109,8 +109,8 @@
 pub struct Files<M> {
     whole: Whole<M>,
     names: BTreeSet<String>,
-    /// Counts used up by writings of which it is not known whether they hold; these names are written again before they are read.
-    unsure: BTreeMap<String, u64>,
+    /// Whether what is read may not outlast a loss of power: the folder is synced before anything is told.
+    unsure: bool,
 }
 
 impl Files<Folder> {
@@ -130,10 +130,9 @@
     /// [`StoreError::Busy`] if another one has it; what the medium says.
     pub fn on(medium: M) -> Result<Files<M>, StoreError> {
         let mut whole = Whole::open(medium)?;
-        // A process that was killed may have left a name that is not safe yet; what is read of it must stay.
-        whole.medium.sync_folder()?;
         let names = whole.medium.list()?.into_iter().filter(|name| fits(name, 0).is_ok()).collect();
-        Ok(Files { whole, names, unsure: BTreeMap::new() })
+        // A process that was killed may have left a name that is not safe yet.
+        Ok(Files { whole, names, unsure: true })
     }
 
     /// The names of what is kept.
@@ -153,24 +152,6 @@
         Ok(())
     }
 
-    fn write(&mut self, name: &str, bytes: &[u8], writes: u64) -> Result<u64, StoreError> {
-        match self.whole.replace(name, &framed(name, bytes, writes)) {
-            Ok(()) => {
-                self.names.insert(name.to_owned());
-                self.unsure.remove(name);
-                Ok(writes)
-            }
-            Err(e) => {
-                // A count that may have been given to this value is never given to another one.
-                if matches!(e, StoreError::Unsure(_)) {
-                    self.names.insert(name.to_owned());
-                    self.unsure.insert(name.to_owned(), writes);
-                }
-                Err(e)
-            }
-        }
-    }
-
     fn read(&mut self, name: &str) -> Result<Option<Kept>, StoreError> {
         self.whole.read(name, LONGEST)?.map(|bytes| unframed(name, &bytes)).transpose()
     }
@@ -179,20 +160,14 @@
 impl<M: Medium> Store for Files<M> {
     fn get(&mut self, name: &str) -> Result<Option<Kept>, StoreError> {
         fits(name, 0)?;
+        // What is told once must stay.
+        if self.unsure {
+            self.whole.medium.sync_folder()?;
+            self.unsure = false;
+        }
         let found = self.read(name)?;
-        if let Some(&burnt) = self.unsure.get(name) {
-            // What is told once must stay.
-            match found {
-                Some(kept) => {
-                    let writes = self.write(name, &kept.bytes, burnt + 1)?;
-                    return Ok(Some(Kept { writes, ..kept }));
-                }
-                None => {
-                    self.whole.medium.sync_folder()?;
-                    self.unsure.remove(name);
-                    self.names.remove(name);
-                }
-            }
+        if found.is_none() {
+            self.names.remove(name);
         }
         Ok(found)
     }
@@ -203,9 +178,15 @@
             return Err(StoreError::Unfit("there are too many values"));
         }
         // What cannot be read is not written over: its count would be lost.
-        let before = self.read(name)?.map_or(0, |kept| kept.writes);
-        let burnt = self.unsure.get(name).copied().unwrap_or(0);
-        self.write(name, bytes, before.max(burnt) + 1)
+        let writes = self.read(name)?.map_or(0, |kept| kept.writes) + 1;
+        let result = self.whole.replace(name, &framed(name, bytes, writes));
+        match result {
+            Ok(()) => self.unsure = false,
+            Err(StoreError::Unsure(_)) => self.unsure = true,
+            Err(_) => return result.map(|()| writes),
+        }
+        self.names.insert(name.to_owned());
+        result.map(|()| writes)
     }
 }
 
--- a/crates/store/src/medium.rs
+++ b/crates/store/src/medium.rs
@@ -51,7 +51,8 @@
     /// Why it is still there.
     fn remove(&mut self, file: &str) -> io::Result<()>;
 
-    /// The names of the files outlast a loss of power.
+    /// The names of the files outlast a loss of power. After an error each change of them may or may not, and a second try
+    /// that goes well says that all do: where it could not, a journalling file system takes no more changes.
     ///
     /// # Errors
     /// Why they may not.
