--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,6 +4,7 @@
 //! A store keeps values by name. A value is replaced as a whole, and each writing of it is counted: by its count an old copy of
 //! a store can be told from a new one by whoever remembers the count.
 
+pub mod copies;
 pub mod faulty;
 pub mod file;
 pub mod medium;
