--- a/crates/contracts/tests/store.rs
+++ b/crates/contracts/tests/store.rs
@@ -3,7 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use violetward_contracts::store::{bounded, keeps, one_opens, tells_old, tells_spoilt, Stage};
 use violetward_store::copies::{
@@ -11,7 +13,7 @@
 };
 use violetward_store::faulty::{Disk, Faulty};
 use violetward_store::file::Files;
-use violetward_store::medium::Medium;
+use violetward_store::medium::{Folder, Medium};
 use violetward_store::memory::Memory;
 use violetward_store::{Kept, Store, StoreError};
 
@@ -68,6 +70,41 @@
     tells_old(good(4)).unwrap();
 }
 
+/// A folder of this machine, gone with the test.
+struct InFolder(PathBuf);
+
+impl InFolder {
+    fn new() -> InFolder {
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        let name =
+            format!("violetward-contracts-{}-{}", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+        InFolder(std::env::temp_dir().join(name))
+    }
+}
+
+impl Drop for InFolder {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+impl Stage for InFolder {
+    type Store = Files<Folder>;
+    fn open(&mut self) -> Result<Files<Folder>, StoreError> {
+        Files::open(&self.0)
+    }
+    fn disks(&self) -> Vec<Disk> {
+        vec![]
+    }
+}
+
+#[test]
+fn a_folder_of_this_machine_keeps_the_contracts_that_need_no_faulty_disk() {
+    keeps(1, 30, |_| InFolder::new()).unwrap();
+    one_opens(InFolder::new()).unwrap();
+    bounded(InFolder::new()).unwrap();
+}
+
 /// What is broken about a medium.
 #[derive(Clone, Copy, PartialEq)]
 enum Broken {
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -4,6 +4,9 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use violetward_agreement::{wire, Kept};
+use violetward_gateway::config;
+
 const PROGRAM: &str = env!("CARGO_BIN_EXE_violetward");
 
 /// A folder of its own, gone with the test.
@@ -96,6 +99,9 @@
     assert!(good && told.contains("T: 2.1s"), "{told}");
     let (good, told) = run(&["settings", "init", &configuration]);
     assert!(good, "{told}");
+    let terms = config::load(configuration.as_ref()).ok().and_then(|c| c.agreement).expect("terms");
+    let kept = || std::fs::read(folder.0.join("votes/agreement.kept")).expect("what is kept");
+    assert_eq!(kept(), wire::keep(&Kept::default(), terms.mark(), 0));
     assert!(!run(&["settings", "init", &configuration]).0, "votes would be forgotten");
 
     let (gateway, at) = serve(&folder, &configuration);
@@ -137,6 +143,9 @@
     let (good, told) = run(&["serve", &configuration]);
     assert!(!good && told.contains("used by another process"), "{told}");
     drop(gateway);
+    // Octet for octet what agreement's own format says: files of earlier programs are read, and theirs read ours.
+    let (read, writes) = wire::kept(&kept(), terms.mark()).expect("a good file");
+    assert_eq!((wire::keep(&read, terms.mark(), writes), read.history.newest().0), (kept(), 3));
     let (_gateway, at) = serve(&folder, &configuration);
     let (_, told) = run(&["settings", "show", &at]);
     assert!(told.contains("newest version 3") && told.contains("(class heavy (kinds m4))"), "{told}");
