Module: a request that another gateway took is adopted, with its attempt that is out

Work in hand is to survive the loss of its gateway, and budgets, quotas, debt, the thread bound and the order by key have to go with it. Event::Adopted hands a request to the module with the attempts spent and the one that is out. It takes no token, earns no further attempt and draws no turn of a cold engine; it holds threads, memory and debt, counts toward the cap, keeps the order of its key, is watched for silence from its adoption on and teaches no slowness. What is unsafe and may have run elsewhere is never sent again nor refused: no outcome proves that another's attempt was not written, and attempts of which nothing is known count as if they had run.

--- a/src/api.rs
+++ b/src/api.rs
@@ -356,6 +356,18 @@
     pub load: Load,
 }
 
+/// An attempt that another gateway sent and this one goes on with. Its number is that of the attempts spent, less one; an
+/// [`Answer`] ends it like any, but none proves that it has not run: its sender may have written it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdoptedAttempt {
+    /// Where it is.
+    pub engine: EngineId,
+    /// When it was sent, at the latest, by this host's clock; never later than it was: a window of keys counts from it.
+    pub sent: Micros,
+    /// When it times out.
+    pub until: Micros,
+}
+
 /// News of an attempt that is out.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Note {
@@ -394,6 +406,17 @@
     },
     /// A client sent a request.
     Request(Request),
+    /// This gateway goes on with a request that another one took, whose quota and first try were counted there. What has
+    /// waited is admitted anew, within the time that is left.
+    Adopted {
+        /// The request, under an id of this gateway.
+        request: Request,
+        /// Attempts that all its holders have spent, the one that is out included. Of all others nothing is known here: any
+        /// may have run.
+        attempts: u32,
+        /// The attempt that is out. Where its engine is not known here or gone it counts as broken: the host lets go of it.
+        out: Option<AdoptedAttempt>,
+    },
     /// The client has left, or the answer is overdue: nothing more is owed.
     Lapsed(RequestId),
     /// An attempt has ended.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -135,6 +135,7 @@
         match event {
             Event::Engines { kind, entries } => self.listed(kind, entries, out),
             Event::Request(request) => self.take(request, out),
+            Event::Adopted { request, attempts, out: sent } => self.adopt(request, attempts, sent, out),
             Event::Lapsed(id) => self.forget(id, out),
             Event::Answer(answer) => self.answered(answer, out),
             Event::Note { id, attempt, note } => self.noted(id, attempt, note, out),
@@ -166,19 +167,10 @@
     // ---- Taking a request and choosing its engine ------------------------------------------------------
 
     fn take(&mut self, request: Request, out: &mut Vec<Action>) {
-        let class = request.class.0;
-        if class >= self.settings.classes.len() || self.open.contains_key(&request.id) {
-            return;
-        }
+        let Some(goal) = self.goal(&request) else { return };
         self.taken.push_back(self.now);
         let over_share = !self.within_share(request.tenant);
-        let cost = self.cost(&request, None);
-        let worth = finite(self.settings.classes[class].worth, 0.0, 1e9);
-        self.note_asked(class, cost, worth, SAMPLE);
-        let settings = self.class(&request);
-        let stretch = settings.aim_stretch.max(0.0) * cost / self.threads(&request);
-        let goal = self.now.saturating_add(settings.aim).saturating_add(stretch as Micros).min(request.due);
-        if let (true, Some(key)) = (settings.in_order, &request.key) {
+        if let (true, Some(key)) = (self.class(&request).in_order, &request.key) {
             self.keys.entry(key.clone()).or_default().queue.push_back(request.id);
         }
         self.scout(out);
@@ -187,6 +179,50 @@
         self.place(id, out);
     }
 
+    /// Notes what is asked for; when the worth of a new request falls.
+    fn goal(&mut self, request: &Request) -> Option<Micros> {
+        let class =
+            self.settings.classes.get(request.class.0).filter(|_| !self.open.contains_key(&request.id))?;
+        let cost = self.cost(request, None);
+        let stretch = class.aim_stretch.max(0.0) * cost / self.threads(request);
+        let goal = self.now.saturating_add(class.aim).saturating_add(stretch as Micros).min(request.due);
+        let worth = finite(class.worth, 0.0, 1e9);
+        self.note_asked(request.class.0, cost, worth, SAMPLE);
+        Some(goal)
+    }
+
+    /// Goes on with what another gateway took and counted: no token is asked for, no further attempt earned
+    /// and no probe paid.
+    fn adopt(&mut self, request: Request, spent: u32, sent: Option<AdoptedAttempt>, out: &mut Vec<Action>) {
+        let Some(goal) = self.goal(&request) else { return };
+        let (id, least) = (request.id, u32::from(sent.is_some()));
+        let is_there = |e: &Engine| e.entry.listed != Listed::Removed;
+        let sent = sent.filter(|s| self.engines.get(&s.engine).is_some_and(is_there));
+        let key = request.key.clone().filter(|_| self.class(&request).in_order);
+        let mut open = Open::new(request, goal, false);
+        open.attempts = spent.clamp(least, u32::MAX - 1) - u32::from(sent.is_some());
+        (open.adopted, open.unknown) = (true, open.attempts > 0);
+        self.open.insert(id, open);
+        key.into_iter().for_each(|key| self.queue_adopted(id, &key, sent.is_some()));
+        match sent {
+            Some(sent) => self.go_on(id, sent),
+            None => self.place(id, out),
+        }
+    }
+
+    /// An attempt that another gateway sent holds and owes what one of this gateway's would. It began in its
+    /// turn, so a cold engine gets nothing new.
+    fn go_on(&mut self, id: RequestId, sent: AdoptedAttempt) {
+        self.drain(sent.engine);
+        self.join(id, sent.engine);
+        let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&sent.engine)) else { return };
+        let span = (sent.sent.min(self.now), sent.until.min(open.request.due));
+        let holds = (self.threads(&open.request), self.grant(&open.request, e));
+        let mut flight = Flight::new(open, sent.engine, span, holds, self.usual(&open.request, e));
+        flight.adopted = Some(self.now);
+        self.sent(id, flight, None, WARM_GROUPS);
+    }
+
     /// A token bucket for each tenant, filled with this gateway's part of the quota.
     fn within_share(&mut self, tenant: TenantId) -> bool {
         let (now, share) = (self.now, self.share());
@@ -539,14 +575,16 @@
 
     /// A request that may have run goes out again only where that is harmless.
     fn effect_allows(&self, open: &Open, e: &Engine) -> bool {
-        let Some((_, zone, cell, sent)) = open.maybe else { return true };
+        if !open.may_have_run() {
+            return true;
+        }
         if open.request.pin.is_some() {
             return false;
         }
-        match self.class(&open.request).effect {
-            Effect::Repeatable => true,
-            Effect::Once => false,
-            Effect::Keyed { scope, window } => {
+        match (self.class(&open.request).effect, open.maybe.filter(|_| !open.unknown)) {
+            (Effect::Repeatable, _) => true,
+            (Effect::Once, _) | (_, None) => false,
+            (Effect::Keyed { scope, window }, Some((_, zone, cell, sent))) => {
                 scope.holds(&e.entry, zone, cell)
                     && self.now + self.settings.quantum < sent.saturating_add(window)
             }
@@ -625,11 +663,8 @@
     fn send(&mut self, id: RequestId, engine: EngineId, out: &mut Vec<Action>) {
         let (Some(open), Some(e)) = (self.open.get(&id), self.engines.get(&engine)) else { return };
         let request = &open.request;
-        let cost = self.cost(request, Some(e));
         let (threads, grant) = (self.threads(request), self.grant(request, e));
-        let slow =
-            self.learned[request.class.0].slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN)).max(1.0);
-        let usual = cost / threads * slow / self.warmth(e);
+        let usual = self.usual(request, e);
         let until = self.until(open, usual);
         let flight = Flight::new(open, engine, (self.now, until), (threads, grant), usual);
         let weight = self.cold_weight(open);
@@ -642,6 +677,13 @@
         self.sent(id, flight, cold, WARM_GROUPS);
     }
 
+    /// How long an attempt should take.
+    fn usual(&self, request: &Request, e: &Engine) -> f64 {
+        let class = &self.learned[request.class.0];
+        let slow = class.slow.leaning(1.0, LEAN).max(e.slow.leaning(1.0, LEAN)).max(1.0);
+        self.cost(request, Some(e)) / self.threads(request) * slow / self.warmth(e)
+    }
+
     /// When to give an attempt up: with the client, or earlier where another may follow and has time.
     fn until(&self, open: &Open, usual: f64) -> Micros {
         let due = open.request.due;
@@ -664,7 +706,8 @@
         self.symptom(&flight, &answer, out);
         if let Some(open) = self.open.get_mut(&answer.id) {
             let proved = matches!(answer.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
-            if proved && open.maybe.is_some_and(|m| m.0 == answer.attempt) {
+            // Nothing tells of another gateway's attempt that it was never written.
+            if proved && flight.adopted.is_none() && open.maybe.is_some_and(|m| m.0 == answer.attempt) {
                 open.maybe = None;
             }
             open.avoid = Some(engine);
@@ -696,7 +739,8 @@
                 e.ghosts.push((self.now + flight.usual as Micros, flight.threads, flight.memory));
             }
         }
-        if answer.outcome == Outcome::Ok {
+        // Between two gateways nobody asked for its pages: its time would say that engines are slow.
+        if answer.outcome == Outcome::Ok && flight.adopted.is_none() {
             self.learn(flight, answer);
         }
     }
@@ -753,7 +797,7 @@
         // A client's next try is a repeat to the engines only if it carries the same mark.
         let harmless = effect == Effect::Repeatable || effect.repeats_anywhere() && open.request.marked;
         let harmless = harmless && open.request.pin.is_none();
-        if harmless || open.maybe.is_none() {
+        if harmless || !open.may_have_run() {
             // When the debt of now has drained, spread by half so that clients don't return together.
             let wait = self.fleet_debt() / self.fleet_rate() * (0.5 + unit(self.draw()));
             let retry_after = (wait as Micros).min(self.settings.retry_advice.unwrap_or(0));
@@ -999,7 +1043,7 @@
             let overdue = OVERDUE * f.usual + OVERDUE_SPAN as f64;
             // A probe shows who was suspected for nothing; without one, only missing notes are sure.
             let patience = missed.map_or(overdue, |m| if probes { m.min(overdue) } else { m });
-            let since = |at: Micros| f.sent.max(at).max(self.awake) as f64;
+            let since = |at: Micros| f.adopted.unwrap_or(f.sent).max(at).max(self.awake) as f64;
             !f.waits && heard.is_some_and(|at| self.now as f64 > since(at) + patience)
         };
         let silent: BTreeSet<EngineId> = self.flights.values().filter(quiet).map(|f| f.engine).collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -203,6 +203,10 @@
     pub attempts: u32,
     /// The first attempt that may have run: its number, zone, cell, and when it was sent.
     pub maybe: Option<(u32, ZoneId, CellId, Micros)>,
+    /// Another gateway took it.
+    pub adopted: bool,
+    /// Others spent attempts of which nothing is known: any may have run, anywhere, at any time.
+    pub unknown: bool,
     /// The engine of the last failed attempt.
     pub avoid: Option<EngineId>,
     /// What it has added to the debt of its engine.
@@ -211,8 +215,22 @@
 
 impl Open {
     pub fn new(request: Request, goal: Micros, over_share: bool) -> Self {
-        let (attempts, charged) = (0, 0.0);
-        Open { request, place: Place::Parked, goal, over_share, attempts, maybe: None, avoid: None, charged }
+        Open {
+            request,
+            place: Place::Parked,
+            goal,
+            over_share,
+            attempts: 0,
+            maybe: None,
+            adopted: false,
+            unknown: false,
+            avoid: None,
+            charged: 0.0,
+        }
+    }
+
+    pub fn may_have_run(&self) -> bool {
+        self.unknown || self.maybe.is_some()
     }
 
     pub fn waits(&self) -> bool {
@@ -225,6 +243,8 @@
     pub engine: EngineId,
     pub request: Request,
     pub sent: Micros,
+    /// Another gateway sent it: when this one began to wait for it.
+    pub adopted: Option<Micros>,
     pub until: Micros,
     pub cost: f64,
     pub memory: f64,
@@ -245,6 +265,7 @@
             engine,
             request: open.request.clone(),
             sent: span.0,
+            adopted: None,
             until: span.1,
             cost: open.charged,
             memory: holds.1,
@@ -457,17 +478,17 @@
 
     /// An attempt has gone out; `cold` is its weight on a cold engine.
     pub(crate) fn sent(&mut self, id: RequestId, flight: Flight, cold: Option<f64>, keep: usize) {
-        let now = self.now;
+        let (now, at) = (self.now, flight.sent);
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(e) = self.engines.get_mut(&flight.engine) else { return };
         e.line.remove(&(open.goal, id));
         e.waiting = (e.waiting - open.charged).max(0.0);
         e.start(&flight, keep);
         e.cold.extend(cold.map(|weight| (now, weight, open.request.class.0)));
-        self.extras.extend((open.attempts > 0).then_some(now));
+        self.extras.extend((open.attempts > 0 && flight.adopted.is_none()).then_some(now));
         open.place = Place::Out;
         open.charged = 0.0;
-        open.maybe = open.maybe.or(Some((open.attempts, e.entry.zone, e.entry.cell, now)));
+        open.maybe = open.maybe.or(Some((open.attempts, e.entry.zone, e.entry.cell, at)));
         self.flights.insert((id, open.attempts), flight);
         open.attempts += 1;
     }
@@ -495,6 +516,18 @@
         self.open.values().any(Open::waits)
     }
 
+    /// What another gateway took came before all that waits here for a turn of its key; what is `out` comes first. What the
+    /// key rested for is not known: it rests anew.
+    pub(crate) fn queue_adopted(&mut self, id: RequestId, key: &OrderKey, out: bool) {
+        let turns = self.keys.entry(key.clone()).or_default();
+        let begun = |id: &&RequestId| self.open.get(id).is_none_or(|o| o.adopted || o.attempts > 0);
+        let at = if out { 0 } else { turns.queue.iter().take_while(begun).count() };
+        let first = turns.queue.front().copied().filter(|_| at == 0);
+        turns.queue.insert(at, id);
+        first.into_iter().for_each(|first| self.leave(first));
+        self.rest_key(Some(key));
+    }
+
     /// Drops what is over from a key's queue; its first request, if that is parked and nothing of it is out.
     pub(crate) fn next_of(&mut self, key: &OrderKey) -> Option<RequestId> {
         loop {
