Transport: datagrams and proved streams on one port, with calls on top

Gateways need more than membership's datagrams: records of up to 2 MiB that come whole, in order and once, and answers. crates/transport proves both ends of a stream to each other under the fleet's ring of keys and fresh nonces, and numbers every frame in its code: what is altered, left out, repeated, moved or sent back ends the stream. The session is free of I/O and clock; sockets move its octets. Caller keeps a few streams to each address and many calls on each; CallError tells what was surely not delivered from what may have been. Ends that prove nothing, say nothing or take nothing are let go in bounded time, and queues are bounded. Beside it a network under a virtual clock with the same session, and queues within a process. The ring of keys moves here from membership.

Five tests over loopback: 400 calls at once with records of 2 MiB among them, 300 silent ends, a relay that stops passing on (memory stays under 8 MiB, the stream ends).

--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -4,11 +4,10 @@
 //! with one octet of length. A record has its length before it: what a newer format adds at its end is passed over, and
 //! what an older one leaves out reads as nothing told.
 
-use std::fmt;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 
-use hmac::{Hmac, Mac};
-use sha2::Sha256;
+use hmac::Mac;
+pub use violetward_transport::{mark, Key, Keys};
 
 /// Octets of a datagram at most: it passes every usual path whole.
 pub const DATAGRAM: usize = 1_200;
@@ -27,75 +26,24 @@
 /// Octets of the code.
 const CODE: usize = 16;
 
-/// A key and its name.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Key {
-    /// Its name.
-    pub name: String,
-    /// The secret.
-    pub secret: Vec<u8>,
+fn seal(keys: &Keys, out: &mut Vec<u8>) {
+    let code = keys.first().code(&[out]).finalize().into_bytes();
+    out.extend_from_slice(&code[..CODE]);
 }
 
-impl fmt::Debug for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Key({})", self.name)
+fn open<'a>(keys: &Keys, bytes: &'a [u8]) -> Result<&'a [u8], Refused> {
+    if bytes.len() > DATAGRAM {
+        return Err(Refused::Oversized);
     }
-}
-
-/// A ring of keys: the first signs, all are believed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Keys(Vec<Key>);
-
-impl Keys {
-    /// A ring.
-    ///
-    /// # Errors
-    /// If it is empty, a secret is under sixteen octets, or a name stands twice.
-    pub fn new(keys: Vec<Key>) -> Result<Self, String> {
-        if keys.is_empty() {
-            return Err("expected at least one (key NAME \"secret\")".into());
-        }
-        for (i, key) in keys.iter().enumerate() {
-            if key.secret.len() < 16 {
-                return Err(format!("the secret of {} is under sixteen octets", key.name));
-            }
-            if keys[..i].iter().any(|k| k.name == key.name) {
-                return Err(format!("the key {} stands twice", key.name));
-            }
-        }
-        Ok(Keys(keys))
+    let at = bytes.len().checked_sub(CODE).filter(|&at| at >= 5).ok_or(Refused::Short)?;
+    let (body, code) = bytes.split_at(at);
+    let id = u32::from_be_bytes(body[1..5].try_into().map_err(|_| Refused::Short)?);
+    let mut known = keys.marked(id).peekable();
+    if known.peek().is_none() {
+        return Err(Refused::Key);
     }
-
-    fn code(key: &Key, bytes: &[u8]) -> Hmac<Sha256> {
-        let mut mac = Hmac::<Sha256>::new_from_slice(&key.secret).expect("any length will do");
-        mac.update(bytes);
-        mac
-    }
-
-    fn seal(&self, out: &mut Vec<u8>) {
-        let code = Self::code(&self.0[0], out).finalize().into_bytes();
-        out.extend_from_slice(&code[..CODE]);
-    }
-
-    fn open<'a>(&self, bytes: &'a [u8]) -> Result<&'a [u8], Refused> {
-        if bytes.len() > DATAGRAM {
-            return Err(Refused::Oversized);
-        }
-        let at = bytes.len().checked_sub(CODE).filter(|&at| at >= 5).ok_or(Refused::Short)?;
-        let (body, code) = bytes.split_at(at);
-        let id = u32::from_be_bytes(body[1..5].try_into().map_err(|_| Refused::Short)?);
-        let mut known = self.0.iter().filter(|k| mark(&k.name) == id).peekable();
-        if known.peek().is_none() {
-            return Err(Refused::Key);
-        }
-        let good = known.any(|key| Self::code(key, body).verify_truncated_left(code).is_ok());
-        good.then_some(body).ok_or(Refused::Forged)
-    }
-}
-
-/// A short mark of a name (FNV-1a).
-pub fn mark(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+    let good = known.any(|key| key.code(&[body]).verify_truncated_left(code).is_ok());
+    good.then_some(body).ok_or(Refused::Forged)
 }
 
 /// Why a datagram is not taken.
@@ -285,7 +233,7 @@
     pub fn seal(&self, keys: &Keys, out: &mut Vec<u8>) -> usize {
         out.clear();
         out.push(VERSION);
-        out.extend_from_slice(&mark(&keys.0[0].name).to_be_bytes());
+        out.extend_from_slice(&mark(&keys.first().name).to_be_bytes());
         out.extend_from_slice(&self.life.to_be_bytes());
         out.extend_from_slice(&self.number.to_be_bytes());
         text(out, &self.from);
@@ -345,7 +293,7 @@
             told += 1;
         }
         out[count] = told as u8;
-        keys.seal(out);
+        seal(keys, out);
         told
     }
 
@@ -354,7 +302,7 @@
     /// # Errors
     /// Why it is not taken.
     pub fn open(keys: &Keys, bytes: &[u8]) -> Result<Option<Datagram>, Refused> {
-        let body = keys.open(bytes)?;
+        let body = open(keys, bytes)?;
         let mut c = Cursor(body);
         read(&mut c).ok_or(Refused::Short)
     }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,6 +3,20 @@
 //!
 //! A gateway is named; where it is reached is for the implementation to know. Nothing here waits: what cannot be taken now is
 //! refused or lost, and a task that moves bytes stands behind implementations on sockets.
+//!
+//! [`session`] proves both ends of a stream to each other and keeps its records whole, free of I/O and clock; [`seal`] does it for
+//! single messages. `sockets` moves both over UDP and TCP (feature `sockets`, on by default), with calls and answers on top; [`sim`] is a
+//! network under a virtual clock, [`local`] joins gateways of one process. See `docs/transport.md`.
+
+mod keys;
+pub mod local;
+pub mod seal;
+pub mod session;
+pub mod sim;
+#[cfg(feature = "sockets")]
+pub mod sockets;
+
+pub use keys::{mark, Key, Keys};
 
 /// Octets of the longest message.
 pub const MESSAGE: usize = 1_200;
