--- a/crates/site/src/plan.rs
+++ b/crates/site/src/plan.rs
@@ -229,21 +229,21 @@
 }
 
 /// Work of classes in rooms; what was let in stays in, but may move.
-struct Flow {
+pub(crate) struct Flow {
     room: Vec<f64>,
     /// For each class let in: where it may run, and how much of it is where.
-    classes: Vec<(Vec<bool>, Vec<f64>)>,
+    pub(crate) classes: Vec<(Vec<bool>, Vec<f64>)>,
 }
 
 const NOTHING: f64 = 1e-9;
 
 impl Flow {
-    fn new(room: Vec<f64>) -> Flow {
+    pub(crate) fn new(room: Vec<f64>) -> Flow {
         Flow { room, classes: Vec::new() }
     }
 
     /// Lets in as much of a class's work as there is room for, others moving aside; gives how much.
-    fn add(&mut self, open: Vec<bool>, work: f64) -> f64 {
+    pub(crate) fn add(&mut self, open: Vec<bool>, work: f64) -> f64 {
         let nowhere = vec![0.0; open.len()];
         self.classes.push((open, nowhere));
         let own = self.classes.len() - 1;
