--- a/crates/site/examples/outages.rs
+++ b/crates/site/examples/outages.rs
@@ -1,7 +1,7 @@
-//! Prints the tables of `docs/site-loss.md`: `cargo run --release -p violetward-site --example outages [forecast|cases|seconds|week|cost]`.
+//! Prints the tables of `docs/site-loss.md`: `cargo run --release -p violetward-site --example outages [forecast|learned|cases|seconds|week|cost]`.
 
 use violetward_site::projection::{Learned, Loss};
-use violetward_site::sim::{cases, known, measured, play, week, Policy, Setting};
+use violetward_site::sim::{cases, known, learn, measured, play, week, Policy, Setting};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 const POLICIES: [Policy; 3] = [Policy::Own, Policy::Levels, Policy::Projected];
@@ -41,6 +41,22 @@
     }
 }
 
+/// Outages one after the other, of a fleet whose engines report no load: what the projection learns from them.
+fn learned() {
+    println!("| outage | forecast of worth | seen |\n| --- | --- | --- |");
+    for load in [0.6, 0.9] {
+        let lost = Setting { until: 60_000_000, window: (20_000_000, 55_000_000), ..Setting::lost(load) };
+        let setting = Setting { reports: false, ..lost };
+        let mut learned = Learned::new(3_600_000_000, 100);
+        for outage in 1..=4 {
+            let p = measured(&setting).project(&Loss::of(0), &learned, 0);
+            let day = play(&setting, Policy::Projected, 20 + outage);
+            println!("| {load}, number {outage} | {:.3} | {:.3} |", p.served / p.asked, day.part());
+            learn(&mut learned, &measured(&setting), &day);
+        }
+    }
+}
+
 fn table() {
     println!("| case | own evidence | adaptive levels | projection | reversals | cold engines fallen | sum of turns |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
@@ -112,8 +128,14 @@
 
 fn main() {
     let what: Vec<String> = std::env::args().skip(1).collect();
-    let all: [(&str, fn()); 5] =
-        [("forecast", forecast), ("cases", table), ("seconds", seconds), ("week", weeks), ("cost", cost)];
+    let all: [(&str, fn()); 6] = [
+        ("forecast", forecast),
+        ("learned", learned),
+        ("cases", table),
+        ("seconds", seconds),
+        ("week", weeks),
+        ("cost", cost),
+    ];
     for (name, print) in all {
         if what.is_empty() || what.iter().any(|w| w == name) {
             println!("\n## {name}\n");
--- a/crates/site/src/act.rs
+++ b/crates/site/src/act.rs
@@ -285,6 +285,14 @@
         }
     }
 
+    /// What was seen for a span of the present loss: by class and clients' site, requests asked for and served. What is projected
+    /// is corrected by it from now on.
+    pub fn seen(&mut self, now: Micros, span: Micros, rows: &[((usize, usize), f64, f64)]) {
+        if let Some(opening) = &self.opening {
+            opening.teach(&mut self.learned, now, span, rows);
+        }
+    }
+
     /// Ends the limits once nothing is lost and nothing is refused any more.
     fn settle(&mut self, _now: Micros) {
         let calm = |s: &(State, Why, Micros)| matches!(s.0, State::Whole | State::Doubtful);
--- a/crates/site/src/projection.rs
+++ b/crates/site/src/projection.rs
@@ -176,6 +176,31 @@
     pub room: f64,
 }
 
+impl Projection {
+    /// Teaches what was seen in its place over a span: by class and clients' site, requests asked for and served. Where each one
+    /// went is the gateways' choice: the pairs of a line learn alike.
+    pub fn teach(
+        &self,
+        learned: &mut Learned,
+        now: Micros,
+        span: Micros,
+        rows: &[((usize, usize), f64, f64)],
+    ) {
+        let seconds = span.max(1) as f64 / 1e6;
+        for &(key, asked, served) in rows {
+            let Some(line) = self.lines.iter().find(|l| (l.class, l.site) == key) else { continue };
+            let all: f64 = line.parts.iter().map(|p| p.served).sum();
+            for part in &line.parts {
+                let pair = (line.class, line.site, part.site);
+                // As it was projected before it was corrected: else the correction would correct itself.
+                let plain = part.served / line.asked.max(1e-12) / learned.ratio(now, pair);
+                let seen = served * part.served / all.max(1e-12);
+                learned.saw(now, pair, asked * plain / seconds, seen / seconds, span);
+            }
+        }
+    }
+}
+
 /// Ratios of seen to projected service, by class and pair of sites.
 ///
 /// Each sample is clipped to a factor of [`Learned::CLIP`], weighs as much as the requests it stands for against
@@ -711,6 +736,21 @@
         assert!(learned.rows.len() <= 2);
     }
 
+    #[test]
+    fn a_correction_does_not_correct_itself() {
+        let known = known(0.6);
+        let mut learned = Learned::new(3_600_000_000, 100);
+        for _ in 0..20 {
+            let p = known.project(&Loss::of(0), &learned, 0);
+            // Four fifths of the light ones are served, time and again.
+            let rows: Vec<_> = (0..3).map(|site| ((0, site), 3_000.0, 2_400.0)).collect();
+            p.teach(&mut learned, 0, 30_000_000, &rows);
+        }
+        let p = known.project(&Loss::of(0), &learned, 0);
+        let light = line(&p, 1, 0);
+        assert!((light.served / light.asked - 0.8).abs() < 0.01, "{light:?}");
+    }
+
     #[test]
     fn one_member_that_tells_tenfold_moves_the_sum_by_one_member_more_at_most() {
         let told = [10.0, 11.0, 9.0, 100.0, 10.0];
--- a/crates/site/src/sim.rs
+++ b/crates/site/src/sim.rs
@@ -192,6 +192,8 @@
     pub turns: f64,
     /// Core seconds done in the window, and those of them that served.
     pub work: (f64, f64),
+    /// Requests of the window by class and clients' site, asked for and in time.
+    pub by_site: BTreeMap<(usize, usize), (f64, f64)>,
     /// What the gateways knew just before the window, and projected for the loss of the first site.
     pub projected: Option<Projection>,
 }
@@ -398,6 +400,7 @@
         if self.counted(self.now) {
             self.outcome.asked += c.worth;
             self.outcome.classes[class][0] += 1;
+            self.outcome.by_site.entry((class, site)).or_default().0 += 1.0;
         }
         self.outcome.seconds[(self.now / S) as usize].0 += c.worth;
         self.arrive(self.requests.len() - 1);
@@ -437,12 +440,13 @@
         if std::mem::replace(&mut r.over, true) {
             return;
         }
-        let (class, at) = (r.class, r.at);
+        let (class, site, at) = (r.class, r.site, r.at);
         let worth = if how == 1 { self.setting.classes[class].worth } else { 0.0 };
         if self.counted(at) {
             self.outcome.classes[class][how] += 1;
             self.outcome.served += worth;
             if how == 1 {
+                self.outcome.by_site.entry((class, site)).or_default().1 += 1.0;
                 self.outcome.work.1 += self.requests[request].work;
             }
         }
@@ -1009,6 +1013,13 @@
     known(s, demand.collect())
 }
 
+/// Learns from a day on which the first site was lost.
+pub fn learn(learned: &mut Learned, known: &Known, day: &Outcome) {
+    let p = known.project(&crate::projection::Loss::of(0), learned, 0);
+    let rows: Vec<_> = day.by_site.iter().map(|(&key, &(asked, served))| (key, asked, served)).collect();
+    p.teach(learned, 0, S, &rows);
+}
+
 /// The hard cases, by name.
 pub fn cases() -> Vec<(&'static str, Setting)> {
     use Blow::{Cut, Demand, KillEngines, KillGateways, Liar, Roll, Stale, StartEngines, StartGateways};
