--- a/clients/python/violetward_client/choice.py
+++ b/clients/python/violetward_client/choice.py
@@ -32,6 +32,10 @@
         self.gateways[picked].in_flight += 1
         return picked
 
+    def join(self, which):
+        """A statement that another gateway took is asked for here from now on."""
+        self.gateways[which].in_flight += 1
+
     def done(self, which, now, took, good):
         g = self.gateways[which]
         g.in_flight = max(g.in_flight - 1, 0)
--- a/clients/python/violetward_client/resend.py
+++ b/clients/python/violetward_client/resend.py
@@ -25,6 +25,7 @@
     advice: float = 0.0
     delivered: bool = False  # rows have been handed to the caller: a further try would give some of them twice
     cancelled: bool = False
+    anywhere: bool = False  # the service said that any of its gateways gives the statement's pages
     may_resend: bool = False
 
 
@@ -60,6 +61,7 @@
         self.rows = {row["stop"]: row for row in table["rows"]}
         self.gateway_alone = set(table["gateway_alone"])
         self.polls_again, self.sends_most = table["polls_again"], table["sends_most"]
+        self.polls_anywhere, self.anywhere = table["polls_anywhere"], table["pause_anywhere_millis"] / 1e3
         self.first, self.longest = table["pause_first_millis"] / 1e3, table["pause_longest_millis"] / 1e3
 
     def decide(self, stop, case, now, budget, dice):
@@ -69,8 +71,10 @@
         if verdict in (END, UNKNOWN):
             return verdict, 0.0
         if verdict == POLL:
-            after = self._pause(case.broken_polls, dice)
-            if case.broken_polls < self.polls_again and now + after < case.due:
+            after, most = self._pause(case.broken_polls, dice), self.polls_again
+            if case.anywhere:  # while one takes it over from another it is worth asking on
+                after, most = min(after, self.anywhere), self.polls_anywhere
+            if case.broken_polls < most and now + after < case.due:
                 return POLL, after
             return self.decide("lost", case, now, budget, dice)
         after = max(self._pause(max(case.sends - 1, 0), dice), case.advice)
--- a/clients/python/violetward_client/statement.py
+++ b/clients/python/violetward_client/statement.py
@@ -244,6 +244,7 @@
         window = response.headers.get("X-Violetward-Repeat-Window-Millis")
         if window is not None:
             case.window = int(window) / 1e3
+        case.anywhere = response.headers.get("X-Violetward-Any-Gateway") == "true"
         self._state, self._connection = "open", connection
         batch = self._take(body)
         if self._cancelled and self._at is not None:
@@ -264,6 +265,8 @@
                 self._connection.request("GET", self._next)
                 response = self._connection.getresponse()
                 body = response.read()
+                if case.anywhere and response.status in (502, 503, 504):
+                    raise OSError(body.decode(errors="replace").strip())
                 if response.status != 200:
                     raise _Stopped("lost", Unknown(f"{response.status} to a poll: {body.decode(errors='replace').strip()}"))
                 break
@@ -274,12 +277,22 @@
                     raise _Stopped("lost", Unknown(f"a poll broke: {e!r}"))
                 case.broken_polls += 1
                 time.sleep(after)
+                if case.anywhere and case.broken_polls > 1:
+                    self._elsewhere()
         batch = self._take(body)
         pause = self._pace.pause(time.monotonic() - asked, bool(batch.rows), random.random())
         if self._next is not None and pause > 0:
             time.sleep(pause)
         return batch
 
+    def _elsewhere(self):
+        """The next gateway of the list has it as well."""
+        client, now = self.client, time.monotonic()
+        with client._lock:
+            client.choice.done(self._which, now, now - self._begun, False)
+            self._which = (self._which + 1) % len(client.gateways)
+            client.choice.join(self._which)
+
     def _take(self, body):
         try:
             results = json.loads(body)
--- a/crates/client/src/choice.rs
+++ b/crates/client/src/choice.rs
@@ -1,5 +1,6 @@
 //! Which gateway takes a statement: power of two choices by in-flight and latency, outlier ejection, slow return. Free of
-//! I/O and clock. A statement that was taken is never moved.
+//! I/O and clock. A statement that was taken is moved only
+//! where the service says that any gateway has it.
 
 use std::time::Duration;
 
@@ -65,6 +66,11 @@
         Some(picked)
     }
 
+    /// A statement that another gateway took is asked for here from now on.
+    pub fn join(&mut self, which: usize) {
+        self.gateways.iter_mut().skip(which).take(1).for_each(|g| g.in_flight += 1);
+    }
+
     /// A try through a gateway has ended; `good` means that the gateway answered as one that is well does, whatever it
     /// said of the statement.
     pub fn done(&mut self, which: usize, now: Micros, took: Duration, good: bool) {
--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -433,6 +433,7 @@
         }
         let told = message.headers.get("X-Violetward-Repeat-Window-Millis").and_then(|w| w.parse().ok());
         self.case.window = told.map(Duration::from_millis).or(self.case.window);
+        self.case.anywhere = message.headers.get("X-Violetward-Any-Gateway") == Some("true");
         counted.good = None;
         self.state = State::Open { which, connection: Box::new(connection), next: None, begun };
         let batch = self.take(&message)?;
@@ -449,19 +450,19 @@
     /// Asks for the next page; the table says how often a broken poll is asked again.
     async fn follow(&mut self) -> Result<Option<Batch>, Stopped> {
         let client = self.client;
-        let State::Open { which, connection, next, .. } = &mut self.state else { return Ok(None) };
+        let State::Open { which, connection, next, begun } = &mut self.state else { return Ok(None) };
         let Some(path) = next.clone() else {
             self.close(true);
             return Ok(None);
         };
-        let pool = &client.pools[*which];
-        let mut headers = Headers::default();
-        headers.push("Host", pool.address().to_string());
         self.case.broken_polls = 0;
         let asked = Instant::now();
         let message = loop {
+            let mut headers = Headers::default();
+            headers.push("Host", client.pools[*which].address().to_string());
             let why = match connection.call("GET", &path, &headers, b"").await {
                 Ok(message) if message.status() == 200 => break message,
+                Ok(message) if self.case.anywhere && matches!(message.status(), 502..=504) => body(&message),
                 Ok(message) => {
                     let why = format!("{} to a poll: {}", message.status(), body(&message));
                     return Err(Stopped::new(Stop::Lost, why));
@@ -482,7 +483,13 @@
                 };
                 self.case.broken_polls += 1;
                 sleep(after).await;
-                if let Ok(fresh) = pool.fresh(Duration::from_secs(1)).await {
+                if self.case.anywhere && self.case.broken_polls > 1 {
+                    let mut choice = client.choice.borrow_mut();
+                    choice.done(*which, client.now(), begun.elapsed(), false);
+                    *which = (*which + 1) % client.pools.len();
+                    choice.join(*which);
+                }
+                if let Ok(fresh) = client.pools[*which].fresh(Duration::from_secs(1)).await {
                     **connection = fresh;
                     break;
                 }
--- a/crates/client/src/resend.rs
+++ b/crates/client/src/resend.rs
@@ -66,9 +66,11 @@
     rows: Vec<Row>,
     gateway_alone: Vec<Stop>,
     polls_again: u32,
+    polls_anywhere: u32,
     sends_most: u32,
     pause_first_millis: u64,
     pause_longest_millis: u64,
+    pause_anywhere_millis: u64,
 }
 
 impl Default for Table {
@@ -101,6 +103,8 @@
     pub delivered: bool,
     /// The caller wants no more.
     pub cancelled: bool,
+    /// The service said that any of its gateways gives the statement's pages.
+    pub anywhere: bool,
     /// The caller lets the library make attempts of its own; else the gateway alone makes them.
     pub may_resend: bool,
 }
@@ -113,7 +117,7 @@
         /// The pause.
         after: Duration,
     },
-    /// Ask the same gateway for the same page again.
+    /// Ask for the same page again: the same gateway, and another one where any of them gives it.
     Poll {
         /// The pause.
         after: Duration,
@@ -142,8 +146,14 @@
             Verdict::End => Next::End,
             Verdict::Unknown => Next::Unknown,
             Verdict::Poll => {
-                let after = self.pause(case.broken_polls, dice);
-                if case.broken_polls < self.polls_again && now + micros(after) < case.due {
+                let mut after = self.pause(case.broken_polls, dice);
+                let mut most = self.polls_again;
+                if case.anywhere {
+                    // While one takes it over from another it is worth asking on.
+                    most = self.polls_anywhere;
+                    after = after.min(Duration::from_millis(self.pause_anywhere_millis));
+                }
+                if case.broken_polls < most && now + micros(after) < case.due {
                     Next::Poll { after }
                 } else {
                     // As good as lost.
--- a/crates/client/tests/decisions.rs
+++ b/crates/client/tests/decisions.rs
@@ -156,3 +156,12 @@
     assert_eq!((pace.pause(ms(900), false, 1.0), pace.pause(ms(1), false, 0.0)), (ms(0), ms(0)));
     assert_eq!(pace.pause(ms(1), false, 0.0), ms(5));
 }
+
+#[test]
+fn a_statement_that_any_gateway_gives_is_asked_for_longer() {
+    let broken = |n, anywhere| Case { broken_polls: n, anywhere, ..case(Effect::Once) };
+    assert_eq!(decide(Stop::PollBroken, &broken(4, false)), Next::Unknown);
+    let Next::Poll { after } = decide(Stop::PollBroken, &broken(40, true)) else { panic!("it is given up") };
+    assert!(after <= Duration::from_millis(250));
+    assert_eq!(decide(Stop::PollBroken, &broken(64, true)), Next::Unknown);
+}
--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -150,7 +150,7 @@
 }
 
 /// Writes a file so that it is there whole and for good, or as it was before.
-fn write_whole(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
+pub(crate) fn write_whole(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
     let fresh = path.with_extension("new");
     let mut file = std::fs::File::create(&fresh)?;
     file.write_all(bytes)?;
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -6,6 +6,7 @@
 
 use violetward::*;
 
+use crate::custody_terms::{self, CustodyTerms};
 use crate::forms::{self, Checker, Form, Mistake};
 use crate::notebook::KernelConfig;
 
@@ -26,6 +27,8 @@
     pub peers: Option<PeerTerms>,
     /// Settings on which the gateways agree, where they are to.
     pub agreement: Option<AgreementTerms>,
+    /// Statements that outlive their gateway, where some are to.
+    pub custody: Option<CustodyTerms>,
     /// How the host carries things out.
     pub host: HostLimits,
     /// Sessions that live on one engine.
@@ -470,8 +473,9 @@
     pub first_words: Vec<String>,
 }
 
-const SECTIONS: [&str; 12] = [
+const SECTIONS: [&str; 13] = [
     "agreement",
+    "custody",
     "gateway",
     "dns",
     "membership",
@@ -619,6 +623,7 @@
         c.at(classes, "classes: expected at least one (class NAME ...)");
     }
     let agreement = section("agreement").and_then(|f| agreement_terms(c, f, peers.as_ref(), &names, folder));
+    let custody = section("custody").and_then(|f| custody_terms::read(c, f, peers.as_ref(), &names, folder));
     let mut selection = Selection {
         selectors: Vec::new(),
         key_tag: g.word(c, "key-tag", "key="),
@@ -646,6 +651,7 @@
         kernel,
         peers,
         agreement,
+        custody,
         sessions,
         host,
         selection,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -27,6 +27,12 @@
 use crate::rules::{self, Rules};
 use crate::sessions::{self, Admit, Member, Sessions};
 
+pub(crate) mod guard;
+
+use guard::Guard;
+pub(crate) use guard::{ended, recorded};
+pub use guard::{Follow, Taken};
+
 pub use violetward::Decide;
 
 /// A statement in this gateway.
@@ -61,6 +67,8 @@
     pub text: Rc<str>,
     /// What travels with it, terms of the attempt included.
     pub context: Context,
+    /// When it is given up.
+    pub until: Micros,
     /// A connection that has been used before must not be taken: if it broke, it would not be known whether the
     /// statement was read.
     pub fresh: bool,
@@ -75,6 +83,20 @@
     Pull(AttemptId),
     /// Stop the attempt, and its work where the engine heeds that. Nothing more is heard of it.
     Withdraw(AttemptId),
+    /// Go on with what another gateway began: ask its engine for the next page.
+    Follow(Box<Follow>),
+    /// Stop the attempt; its work at the engine goes on, for another gateway.
+    Leave(AttemptId),
+    /// A statement has been taken that is to outlive this gateway.
+    Guard(StatementId),
+    /// What is known of such a statement has changed.
+    Noted(StatementId),
+    /// This end was decided here after an attempt was out: it is told once it is recorded, see [`Core::decided`].
+    Decide(StatementId, Ending),
+    /// Nobody will come back for such a statement.
+    Forget(StatementId),
+    /// Such a statement is not known here any more.
+    Gone(StatementId),
     /// Ask an engine for its status.
     Probe(EngineId, SocketAddr),
     /// An engine holds what nobody will come back for: a transaction to be rolled back, or temporary tables to be dropped.
@@ -124,6 +146,8 @@
     pub session: Vec<(String, String)>,
     /// The life of the engine's process, where it tells that.
     pub epoch: Option<String>,
+    /// The engine's own address of the next page.
+    pub next: Option<String>,
 }
 
 #[derive(Debug)]
@@ -135,6 +159,8 @@
     paused: bool,
     heard: Micros,
     noted: (bool, u64),
+    /// The engine's own address of the next page.
+    next: Option<String>,
 }
 
 struct Statement {
@@ -164,6 +190,8 @@
     rebuild: Option<Box<Rebuild>>,
     /// It is a step of the rebuilding for that statement.
     step_for: Option<StatementId>,
+    /// What it takes to outlive this gateway.
+    guard: Option<Box<Guard>>,
 }
 
 /// A session that is rebuilt before a statement can run in it.
@@ -189,6 +217,7 @@
     Client(StatementId),
     Overdue(StatementId),
     Stream(AttemptId),
+    Forget(StatementId),
 }
 
 /// Counts of what has happened, for the operators.
@@ -212,6 +241,10 @@
     pub attempts: u64,
     /// Statements that the module had not ended by their deadline: always 0, or there is a fault.
     pub overdue: u64,
+    /// Statements taken over from other gateways, and left to them.
+    pub adopted: u64,
+    /// See `adopted`.
+    pub left: u64,
 }
 
 /// The state machine. See the module's documentation.
@@ -225,6 +258,8 @@
     offered: Vec<f64>,
     grants: bool,
     priorities: bool,
+    /// Classes whose statements are to outlive this gateway.
+    guarded: Vec<bool>,
     /// Who this is, for the keys of repeats.
     life: String,
     statements: HashMap<StatementId, Statement>,
@@ -268,6 +303,7 @@
             sessions: Sessions::new(terms.limits.clone(), terms.reserve, keys, life, 0),
             offered: vec![0.0; settings.classes.len()],
             classes: settings.classes.clone(),
+            guarded: vec![false; settings.classes.len()],
             grants: settings.grants,
             priorities: settings.priorities,
             gateway,
@@ -344,6 +380,11 @@
     /// Takes a statement. What is safe to repeat begins at once; the rest when the first page is asked for: until
     /// then its client knows no address of it, and might post it again if our answer were lost.
     pub fn submit(&mut self, now: Micros, submission: Submission) -> StatementId {
+        self.submit_as(now, submission, true)
+    }
+
+    /// The same; `guards` if it may be protected.
+    pub fn submit_as(&mut self, now: Micros, submission: Submission, guards: bool) -> StatementId {
         self.pass(now);
         let id = StatementId(self.next_id);
         self.next_id += 1;
@@ -364,6 +405,9 @@
             }
         }
         let rebuilds = rebuild.is_some();
+        // Sessions live on one engine and in one gateway's table.
+        let guards = guards && self.guarded[class] && !rebuilds && member.is_none() && ended.is_none();
+        let guard = guards.then(|| Box::new(Guard::taken(format!("{}.{}", self.life, id.0))));
         // What belongs to a session is never repeated behind its client's back.
         let pending = self.classes[class].effect != violetward::Effect::Repeatable || member.is_some();
         let pending = pending && !rebuilds;
@@ -371,6 +415,7 @@
             member,
             rebuild,
             step_for: None,
+            guard,
             public_id: submission.public_id,
             text: submission.text.into(),
             context: submission.context,
@@ -392,6 +437,9 @@
         self.open += 1;
         self.statements.insert(id, statement);
         self.arm(now + self.abandon_after(), Timer::Client(id));
+        if guards && !full {
+            self.effects.push_back(Effect::Guard(id));
+        }
         if full {
             self.finish(id, Ending::Refused(QueryError::refused("too many statements are open here", 1000)));
         } else if let Some((ending, headers)) = ended {
@@ -470,6 +518,7 @@
             member,
             rebuild: None,
             step_for: Some(client),
+            guard: None,
         };
         self.open += 1;
         self.statements.insert(id, statement);
@@ -530,7 +579,20 @@
 
     /// Hands a page out; `patient` if the caller would rather wait than get an empty one.
     pub fn page(&mut self, now: Micros, id: StatementId, token: u64, patient: bool) -> Turn {
+        self.page_after(now, id, token, None, patient)
+    }
+
+    /// The same for a client that says up to which page of the engine it has rows, of whichever gateway it got them.
+    pub fn page_after(
+        &mut self,
+        now: Micros,
+        id: StatementId,
+        token: u64,
+        after: Option<u64>,
+        patient: bool,
+    ) -> Turn {
         self.pass(now);
+        self.go_on(id, token, after);
         let Some(statement) = self.statements.get_mut(&id) else { return Turn::Unknown };
         statement.polled = now;
         if std::mem::take(&mut statement.pending) {
@@ -550,7 +612,11 @@
                 self.arm(heard + idle, Timer::Stream(AttemptId(id, attempt)));
             }
         }
-        if matches!(turn, Turn::Page(_)) {
+        if let Turn::Page(page) = &turn {
+            self.passed_on(id, page.end.is_some());
+            self.pull(id);
+        } else if self.statements.get(&id).is_some_and(|s| s.guard.is_some()) {
+            // That it is asked for says that the page before it has come.
             self.pull(id);
         }
         self.run();
@@ -638,7 +704,8 @@
             due: s.due.saturating_sub(margin),
         };
         self.offered[s.class] += request.cost as f64 / 1e3;
-        self.inbox.push_back(Event::Request(request));
+        let event = self.begins(id, request);
+        self.inbox.push_back(event);
     }
 
     // ---- Engine connections ----------------------------------------------------------------------------
@@ -649,6 +716,9 @@
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         attempt.heard = now;
         attempt.paused = !arrived.last;
+        // The last page can still be asked for by the address that it came from.
+        attempt.next = arrived.next.clone().or(attempt.next.take());
+        arrived.part.next = arrived.next.as_deref().and_then(guard::number);
         let engine = attempt.engine;
         if let Some(epoch) = &arrived.epoch {
             self.epoch(now, engine, epoch);
@@ -660,6 +730,10 @@
             self.effects.push_back(Effect::Withdraw(id));
             return self.close(id, Outcome::Cancelled, true, None);
         }
+        if self.statements.get(&id.0).is_some_and(|s| s.member.is_some()) {
+            // It has become part of a session, which lives here alone.
+            self.forget(id.0);
+        }
         let Some(s) = self.statements.get_mut(&id.0) else { return };
         if let Some(error) = arrived.error {
             let (outcome, what) = verdict(&error);
@@ -680,6 +754,7 @@
             return self.close(id, Outcome::Ok, true, Some(&arrived.stats));
         }
         self.effects.push_back(Effect::Wake(id.0));
+        self.noted(id.0);
         self.note(id, &arrived.stats);
         self.pull(id.0);
         self.run();
@@ -779,6 +854,10 @@
     fn pull(&mut self, id: StatementId) {
         let Some(s) = self.statements.get(&id) else { return };
         let (Some(number), true) = (s.current, s.pages.held() < self.host.buffer) else { return };
+        // What was read ahead would be lost with this gateway.
+        if s.guard.is_some() && !s.pages.may_advance() {
+            return;
+        }
         let Some(attempt) = self.attempts.get_mut(&AttemptId(id, number)) else { return };
         if std::mem::take(&mut attempt.paused) {
             attempt.heard = self.now;
@@ -812,6 +891,7 @@
         if let Some(s) = self.statements.get_mut(&id.0).filter(|s| s.current == Some(id.1)) {
             s.current = None;
         }
+        self.closed(id, &attempt, outcome);
         let told = stats.filter(|_| outcome == Outcome::Ok);
         let work = told.map(|s| s.cpu_time_millis * 1000).filter(|&w| w > 0);
         let memory_mb = told.map(|s| s.peak_memory_bytes as f64 / f64::from(1 << 20)).filter(|&m| m > 0.0);
@@ -943,12 +1023,17 @@
                 Timer::Client(id) => self.look_after(id),
                 Timer::Overdue(id) => self.overdue(id),
                 Timer::Stream(id) => self.look_at_stream(id),
+                Timer::Forget(id) => self.forget(id),
             }
             self.run();
         }
     }
 
     fn out_of_time(&mut self, id: AttemptId) {
+        if self.expects(id.0) {
+            // Nothing is begun again for a client that may have its end already.
+            return self.arm(self.now + 500_000, Timer::Attempt(id));
+        }
         let bound = self.statements.get(&id.0).is_some_and(|s| s.bound && s.current == Some(id.1));
         if self.attempts.contains_key(&id) && !bound {
             self.effects.push_back(Effect::Withdraw(id));
@@ -987,21 +1072,27 @@
         }
         if s.pages.end().is_none() {
             self.counts.abandoned += 1;
+            if let Some(guard) = self.statements.get_mut(&id).and_then(|s| s.guard.as_mut()) {
+                guard.needs_no_record();
+            }
             let error =
                 QueryError::new(ErrorType::UserError, 7, "ABANDONED_QUERY", "its client stopped polling");
             self.finish(id, Ending::Cancelled(error));
             self.inbox.push_back(Event::Lapsed(RequestId(id.0)));
         }
-        self.statements.remove(&id);
+        self.forget(id);
+        if self.statements.remove(&id).is_some_and(|s| s.guard.is_some()) {
+            self.effects.push_back(Effect::Gone(id));
+        }
     }
 
     /// The module ends everything before its deadline; if it ever did not, the client is told all the same.
     fn overdue(&mut self, id: StatementId) {
         let Some(s) = self.statements.get(&id) else { return };
-        if s.pages.end().is_some() || s.bound {
+        if s.pages.end().is_some() || s.bound || s.guard.as_ref().is_some_and(|g| g.deciding()) {
             return;
         }
-        if !s.pending {
+        if !s.pending && !s.guard.as_ref().is_some_and(|g| g.expects()) {
             self.counts.overdue += 1;
             self.effects.push_back(Effect::Say(format!("statement {} is overdue: a fault", s.public_id)));
         }
@@ -1143,7 +1234,11 @@
             // A client's own mark travels, so that its further tries are repeats too, whichever gateway they go through.
             let mark =
                 s.context.tagged(&self.selection.repeat_tag).map(|m| format!("{}.{m}", s.context.user));
-            set(&self.host.repeat_property, mark.unwrap_or_else(|| format!("{}.{}", self.life, id.0)));
+            let own = || match &s.guard {
+                Some(guard) => guard.mark.clone(),
+                None => format!("{}.{}", self.life, id.0),
+            };
+            set(&self.host.repeat_property, mark.unwrap_or_else(own));
         }
         let launch = Launch {
             attempt,
@@ -1151,18 +1246,24 @@
             address: record.address,
             text: s.text.clone(),
             context,
+            until,
             fresh: effect != violetward::Effect::Repeatable || is_member,
         };
         self.counts.attempts += 1;
         let (sent, heard) = (self.now, self.now);
-        self.attempts
-            .insert(attempt, Attempt { engine, sent, until, paused: false, heard, noted: (false, 0) });
+        self.attempts.insert(
+            attempt,
+            Attempt { engine, sent, until, paused: false, heard, noted: (false, 0), next: None },
+        );
         self.arm(until, Timer::Attempt(attempt));
         self.effects.push_back(Effect::Launch(Box::new(launch)));
     }
 
     /// Fixes a statement's end, once.
     fn finish(&mut self, id: StatementId, ending: Ending) {
+        if self.decides_first(id, &ending) {
+            return;
+        }
         let Some(s) = self.statements.get_mut(&id) else { return };
         let mut ending = ending;
         if let (Some(member), None) = (&s.member, s.pages.end()) {
--- /dev/null
+++ b/crates/gateway/src/custody.rs
@@ -0,0 +1,849 @@
+//! Carries out custody of statements: moves its sayings and records to other gateways, keeps on disk what has to be kept, makes
+//! and checks tokens that any gateway can read, and passes polls on to whoever holds a statement. Decides nothing about who
+//! that is: that is `violetward-custody`.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_io::Async;
+use event_listener::Event;
+use futures_lite::future;
+use hmac::Mac;
+use serde::{Deserialize, Serialize};
+use violetward_custody::{
+    Custodian, Effect, Leave, Life, Member, Out, Record, State, StatementKey, Terms, Whereabouts,
+};
+use violetward_net::{Alarm, Connection};
+use violetward_statement::http::{Headers, Limits};
+use violetward_statement::pages::Ending;
+use violetward_statement::results::PageRef;
+use violetward_statement::session::{decode, encode};
+use violetward_transport::sockets::{self, Caller, Station};
+use violetward_transport::{mark, Keys};
+
+use crate::agreed::write_whole;
+use crate::core::{recorded, AttemptId, Launch, StatementId};
+use crate::custody_terms::CustodyTerms;
+use crate::host::Host;
+
+/// The first octet of what custody says over membership, where agreement's sayings begin with their format.
+pub const SAID: u8 = 0xC5;
+/// First octets of records: of the machine, and a request passed on.
+const MACHINE: u8 = 1;
+const ASKED: u8 = 2;
+/// How long a record may take to another gateway.
+const SEND: Duration = Duration::from_secs(1);
+/// Records that wait for one gateway.
+const WAITING: usize = 4_096;
+/// Octets of an answer that travel at once.
+const PART: usize = 1 << 20;
+/// Between two looks at what membership believes, beside those when it changes.
+const LOOK: Duration = Duration::from_millis(200);
+/// Gateways that are asked at most if nobody of those does that a token names.
+const WIDE: usize = 32;
+/// Leases after its holder's death until a statement that nobody knows is given up.
+const SETTLED: u64 = 5;
+/// Gateways told of in a token.
+const CHAIN: usize = 6;
+/// Until what may not be done now is asked for again.
+const REST: Duration = Duration::from_millis(50);
+/// The file of what is kept, and the one that a process holds locked while it uses it.
+const KEPT: &str = "custody.ends";
+const LOCK: &str = "custody.lock";
+/// How long an operator's command waits.
+const ASK: Duration = Duration::from_secs(2);
+const USE: &[u8] = b"violetward page";
+
+/// What a page's path says, once its code has been checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Token {
+    /// Which statement.
+    pub key: StatementKey,
+    /// The page asked for.
+    pub page: PageRef,
+    /// The engine's page after the rows that its client has got; `None`: it has none.
+    pub after: Option<u64>,
+    /// Names of gateways that may hold it, the one that took it first.
+    pub chain: Vec<String>,
+}
+
+/// A request that is passed on to another gateway.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Asked {
+    /// `GET` or `DELETE`.
+    pub method: String,
+    /// The path as the client sent it.
+    pub path: String,
+    /// The host as its client calls it: addresses of further pages keep it.
+    pub host: String,
+    /// How long the answer may wait for news, milliseconds.
+    pub wait_millis: u64,
+    /// From which octet on the body is wanted.
+    pub from: usize,
+}
+
+/// What is answered to it; the part of the body follows.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Told {
+    /// The status; 0: it isn't here.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Octets of the whole body, and their hash.
+    pub whole: (usize, u64),
+    /// Who may hold it instead.
+    pub at: Option<String>,
+}
+
+/// What passing a request on led to.
+pub enum Passed {
+    /// The answer of whoever holds it.
+    Told(Told, Vec<u8>),
+    /// Somebody may hold it who cannot be reached now.
+    Later,
+    /// Whoever took it lives and knows nothing of it any more.
+    Gone,
+    /// Whoever took it is gone, and nobody of those that were to know of it does.
+    Lost,
+}
+
+/// How a new statement is taken.
+pub enum Takes {
+    /// As one that is to outlive this gateway.
+    Protected,
+    /// As one that ends with this gateway: it has no tenure.
+    Unprotected,
+    /// Not at all.
+    No(&'static str),
+}
+
+/// Records on their way to one gateway.
+struct Line {
+    queue: async_channel::Sender<Vec<u8>>,
+}
+
+/// Custody in a running gateway.
+pub struct Custody {
+    machine: RefCell<Custodian>,
+    me: Life,
+    terms: CustodyTerms,
+    station: Rc<Station>,
+    caller: Caller,
+    keys: RefCell<Keys>,
+    locals: RefCell<HashMap<StatementKey, StatementId>>,
+    names: RefCell<HashMap<StatementId, StatementKey>>,
+    /// Attempts that wait for leave, and since when.
+    parked: RefCell<HashMap<AttemptId, (u64, Box<Launch>)>>,
+    lines: RefCell<HashMap<String, Line>>,
+    keeps: async_channel::Sender<Vec<u8>>,
+    alarm: Alarm,
+    /// Something about who holds what may have changed.
+    pub(crate) changed: Event,
+    /// It has held its tenure.
+    ready: Cell<bool>,
+    unprotected: Cell<u64>,
+    passed_on: Cell<u64>,
+    waited: Cell<(u64, u64)>,
+    _lock: std::fs::File,
+}
+
+/// What `/v1/custody` tells.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Standing {
+    /// This gateway, and its life.
+    pub name: String,
+    /// See `name`.
+    pub life: String,
+    /// It may begin attempts now.
+    pub tenure: bool,
+    /// Statements held here that are protected.
+    pub held: usize,
+    /// Records kept for others, and their octets.
+    pub guarded: usize,
+    /// See `guarded`.
+    pub octets: usize,
+    /// Attempts that wait until another gateway knows of them.
+    pub waiting: usize,
+    /// Statements taken over from others, and left to others.
+    pub adopted: u64,
+    /// See `adopted`.
+    pub left: u64,
+    /// Statements for which there was no guardian.
+    pub unprotected: u64,
+    /// Requests passed on.
+    pub passed_on: u64,
+    /// Attempts that had to have leave, and how long they waited for it in all, microseconds.
+    pub intents: (u64, u64),
+}
+
+impl std::fmt::Display for Standing {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "custody: tenure {}; {} held, {} kept for others ({} octets), {} intents wait; {} taken over, {} left, {} without a guardian, {} requests passed on",
+            if self.tenure { "held" } else { "not held" },
+            self.held,
+            self.guarded,
+            self.octets,
+            self.waiting,
+            self.adopted,
+            self.left,
+            self.unprotected,
+            self.passed_on
+        )
+    }
+}
+
+/// Asks a gateway how custody stands there.
+///
+/// # Errors
+/// What it answers instead, or why it does not.
+pub async fn ask(address: SocketAddr) -> Result<Standing, String> {
+    let asked = async {
+        let mut connection =
+            Connection::connect(address, Limits::default()).await.map_err(|e| e.to_string())?;
+        let mut headers = Headers::default();
+        headers.push("Host", address.to_string());
+        connection.call("GET", "/v1/custody", &headers, b"").await.map_err(|e| e.to_string())
+    };
+    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
+    if message.status() != 200 {
+        return Err(String::from_utf8_lossy(&message.body).trim().to_owned());
+    }
+    serde_json::from_slice(&message.body).map_err(|e| e.to_string())
+}
+
+fn state(state: violetward_membership::State) -> State {
+    match state {
+        violetward_membership::State::Alive => State::Alive,
+        violetward_membership::State::Suspect => State::Suspect,
+        violetward_membership::State::Dead => State::Dead,
+        violetward_membership::State::Left => State::Left,
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    span.as_micros() as u64
+}
+
+/// A name as it stands in a token, where dots part the fields.
+fn word(name: &str) -> String {
+    encode(name).replace('.', "%2E").replace('~', "%7E")
+}
+
+impl Custody {
+    /// Starts custody; its tasks run as long as the host's executor does. Membership must run.
+    ///
+    /// # Errors
+    /// If another process uses the same folder, or what was kept cannot be read.
+    pub fn start(
+        host: &Rc<Host>,
+        terms: &CustodyTerms,
+        station: Rc<Station>,
+        keys: Keys,
+        listener: Async<TcpListener>,
+    ) -> std::io::Result<Rc<Custody>> {
+        let peers = host.peers().ok_or_else(|| std::io::Error::other("custody needs membership"))?;
+        std::fs::create_dir_all(&terms.folder)?;
+        let lock = std::fs::File::create(terms.folder.join(LOCK))?;
+        rustix::fs::flock(&lock, rustix::fs::FlockOperation::NonBlockingLockExclusive).map_err(|e| {
+            std::io::Error::other(format!("{} is used by another process: {e}", terms.folder.display()))
+        })?;
+        let file = terms.folder.join(KEPT);
+        let ends = match std::fs::read(&file) {
+            Ok(bytes) => Some(bytes),
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => None,
+            Err(e) => return Err(e),
+        };
+        let (me, site) = peers.me();
+        let known = Terms {
+            me: me.clone(),
+            site,
+            voters: terms.voters.clone(),
+            lease: micros(terms.lease),
+            drift: terms.drift,
+            check: micros(terms.check),
+            copies: terms.copies,
+            most: terms.most.0,
+            most_octets: terms.most.1,
+        };
+        let machine = Custodian::new(known, ends.as_deref(), host.now())
+            .map_err(|why| std::io::Error::other(format!("{}: {why}", file.display())))?;
+        tracing::info!(name = me.name, life = format!("{:016x}", me.life), "custody");
+        let (keeps, kept) = async_channel::unbounded();
+        let custody = Rc::new(Custody {
+            machine: RefCell::new(machine),
+            me,
+            terms: terms.clone(),
+            caller: Caller::new(&station),
+            station: station.clone(),
+            keys: RefCell::new(keys),
+            locals: RefCell::default(),
+            names: RefCell::default(),
+            parked: RefCell::default(),
+            lines: RefCell::default(),
+            keeps,
+            alarm: Alarm::default(),
+            changed: Event::new(),
+            ready: Cell::default(),
+            unprotected: Cell::default(),
+            passed_on: Cell::default(),
+            waited: Cell::default(),
+            _lock: lock,
+        });
+        *host.custody.borrow_mut() = Some(custody.clone());
+        host.core(|core, _| core.guard(terms.protect.clone()));
+        host.spawn(custody.clone().keep(host.clone(), file, kept));
+        host.spawn(custody.clone().wake(host.clone()));
+        host.spawn(custody.clone().look(host.clone()));
+        let (of, to) = (custody.clone(), host.clone());
+        host.spawn(async move {
+            let handler = move |from: String, record: Vec<u8>| {
+                let (custody, host) = (of.clone(), to.clone());
+                async move { custody.record(&host, &from, &record).await }
+            };
+            sockets::serve(station, listener, handler).await;
+        });
+        Ok(custody)
+    }
+
+    /// The keys of the fleet are these from now on.
+    pub fn set_keys(&self, keys: Keys) {
+        self.station.keys(keys.clone());
+        *self.keys.borrow_mut() = keys;
+    }
+
+    fn with<T>(&self, host: &Rc<Host>, act: impl FnOnce(&mut Custodian, u64) -> T) -> T {
+        let result = act(&mut self.machine.borrow_mut(), host.now());
+        loop {
+            let effect = self.machine.borrow_mut().effect();
+            match effect {
+                Some(effect) => self.carry_out(host, effect),
+                None => break,
+            }
+        }
+        self.alarm.set(self.machine.borrow().next_wake());
+        result
+    }
+
+    fn carry_out(&self, host: &Rc<Host>, effect: Effect) {
+        match effect {
+            Effect::Say(to, bytes) => {
+                let mut said = Vec::with_capacity(bytes.len() + 1);
+                said.push(SAID);
+                said.extend_from_slice(&bytes);
+                host.peers().iter().for_each(|peers| peers.say(host, &to, &said));
+            }
+            Effect::Send(to, bytes) => self.send(host, to, bytes),
+            Effect::Keep(bytes) => drop(self.keeps.try_send(bytes)),
+            Effect::Go(key, attempts) => {
+                let id = self.local(&key).map(|id| AttemptId(id, attempts.saturating_sub(1)));
+                let launch = id.and_then(|id| self.unpark(host, id));
+                launch.into_iter().for_each(|launch| host.launch(*launch));
+            }
+            Effect::Tell(key) => {
+                if let Some(id) = self.local(&key) {
+                    host.core(|core, now| core.decided(now, id));
+                }
+            }
+            Effect::Adopt(record) => self.adopt(host, &record),
+            Effect::Dropped(key) => {
+                if let Some(id) = self.local(&key) {
+                    tracing::info!(n = id.0, at = host.now(), "another gateway holds it");
+                    self.gone(id);
+                    host.core(|core, now| core.leave(now, id));
+                }
+                self.changed.notify(usize::MAX);
+            }
+            Effect::Unprotected(key) => {
+                self.unprotected.set(self.unprotected.get() + 1);
+                if let Some(id) = self.local(&key).filter(|_| self.terms.refuses) {
+                    let why = "no other gateway could keep it";
+                    host.core(|core, now| core.refuse_unguarded(now, id, why));
+                }
+            }
+            Effect::Log(text) => tracing::info!(target: "violetward::custody", at = host.now(), "{text}"),
+        }
+    }
+
+    fn adopt(&self, host: &Rc<Host>, record: &Record) {
+        let (number, key) = (record.key.number, record.key.clone());
+        let adopted = host.core_alone(|core, now| core.adopt(now, record));
+        match adopted {
+            Ok(id) => {
+                tracing::info!(n = id.0, from = key.taken_by.name, number, at = host.now(), "taken over");
+                self.locals.borrow_mut().insert(key.clone(), id);
+                self.names.borrow_mut().insert(id, key);
+                // Only now it is known whose the effects of that are.
+                host.core(|_, _| ());
+            }
+            Err(why) => {
+                tracing::error!(
+                    from = key.taken_by.name,
+                    number,
+                    "what was taken over cannot be read: {why}"
+                );
+                self.with(host, |m, now| m.end(now, &key));
+            }
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    fn local(&self, key: &StatementKey) -> Option<StatementId> {
+        self.locals.borrow().get(key).copied()
+    }
+
+    fn key(&self, id: StatementId) -> Option<StatementKey> {
+        self.names.borrow().get(&id).cloned()
+    }
+
+    // ---- What the core says ----------------------------------------------------------------------------
+
+    /// A statement has been taken here.
+    pub(crate) fn taken(&self, host: &Rc<Host>, id: StatementId) {
+        let Some(taken) = host.look(|core| core.taken(id)) else { return };
+        let key = StatementKey { taken_by: self.me.clone(), number: id.0 };
+        self.locals.borrow_mut().insert(key.clone(), id);
+        self.names.borrow_mut().insert(id, key.clone());
+        let record = Record {
+            key,
+            version: 1,
+            body: taken.body,
+            repeat: taken.repeat,
+            left: taken.left,
+            attempts: 0,
+            out: None,
+            passed: 0,
+            ending: None,
+        };
+        self.with(host, |m, now| m.take(now, record));
+    }
+
+    /// How a new statement is taken now. A gateway that has just started waits for its first tenure, as long as that can take.
+    pub(crate) fn takes(&self, host: &Rc<Host>) -> Takes {
+        if self.may_act(host) {
+            self.ready.set(true);
+            return Takes::Protected;
+        }
+        if !self.ready.get() && host.started.elapsed() < self.terms.lease * 2 {
+            return Takes::No("this gateway has just started; the statement was not taken");
+        }
+        match self.terms.refuses {
+            true => Takes::No("this gateway may not act now; the statement was not taken"),
+            false => Takes::Unprotected,
+        }
+    }
+
+    /// Whether this life took a statement.
+    pub(crate) fn took(&self, key: &StatementKey) -> bool {
+        key.taken_by == self.me
+    }
+
+    /// Whether a statement is protected.
+    pub(crate) fn knows(&self, id: StatementId) -> bool {
+        self.names.borrow().contains_key(&id)
+    }
+
+    /// An attempt is to be begun; it waits here until it may. Gives it back if it may go at once, or is none of a statement
+    /// that is protected.
+    pub(crate) fn intend(&self, host: &Rc<Host>, launch: Box<Launch>) -> Option<Box<Launch>> {
+        let attempt = launch.attempt;
+        if self.key(attempt.0).is_none() {
+            return Some(launch);
+        }
+        // Parked first: the machine may give leave while it is asked.
+        self.parked.borrow_mut().insert(attempt, (host.now(), launch));
+        self.ask_leave(host, attempt)
+    }
+
+    fn ask_leave(&self, host: &Rc<Host>, attempt: AttemptId) -> Option<Box<Launch>> {
+        let key = self.key(attempt.0)?;
+        let out = {
+            let parked = self.parked.borrow();
+            let (_, launch) = parked.get(&attempt)?;
+            let within = launch.until.saturating_sub(host.now());
+            Out { number: attempt.1, engine: launch.engine.clone(), next: None, page: 0, sent: 0, within }
+        };
+        match self.with(host, |m, now| m.intend(now, &key, attempt.1 + 1, out)) {
+            Leave::Go => self.unpark(host, attempt),
+            Leave::Wait => None,
+            Leave::Never => {
+                // Without a tenure nothing is begun; one comes back, or the statement goes to another gateway.
+                let host = host.clone();
+                host.clone().spawn(async move {
+                    violetward_net::sleep(REST).await;
+                    let launch = host.custody().and_then(|custody| custody.ask_leave(&host, attempt));
+                    launch.into_iter().for_each(|launch| host.launch(*launch));
+                });
+                None
+            }
+        }
+    }
+
+    fn unpark(&self, host: &Rc<Host>, attempt: AttemptId) -> Option<Box<Launch>> {
+        let (since, launch) = self.parked.borrow_mut().remove(&attempt)?;
+        let (count, span) = self.waited.get();
+        self.waited.set((count + 1, span + host.now().saturating_sub(since)));
+        Some(launch)
+    }
+
+    /// An attempt that may still wait for leave is not wanted any more. Whether it did.
+    pub(crate) fn withdrawn(&self, attempt: AttemptId) -> bool {
+        self.parked.borrow_mut().remove(&attempt).is_some()
+    }
+
+    /// What is known of a statement has changed.
+    pub(crate) fn noted(&self, host: &Rc<Host>, id: StatementId) {
+        let Some(key) = self.key(id) else { return };
+        if let Some((_, out, passed)) = host.look(|core| core.progress(id)) {
+            self.with(host, |m, now| m.note(now, &key, out, passed));
+        }
+    }
+
+    /// An end was decided here.
+    pub(crate) fn decide(&self, host: &Rc<Host>, id: StatementId, ending: &Ending) {
+        let Some(key) = self.key(id) else {
+            return host.core(|core, now| core.decided(now, id));
+        };
+        match self.with(host, |m, now| m.decide(now, &key, recorded(ending))) {
+            Leave::Go => host.core(|core, now| core.decided(now, id)),
+            Leave::Wait => {}
+            // It's another gateway's: that one is told by `Effect::Dropped`. Without a tenure it has to wait.
+            Leave::Never if matches!(self.find(&key).0, Whereabouts::Here) => {
+                let (host, ending) = (host.clone(), ending.clone());
+                host.clone().spawn(async move {
+                    violetward_net::sleep(REST).await;
+                    host.custody().iter().for_each(|custody| custody.decide(&host, id, &ending));
+                });
+            }
+            Leave::Never => {}
+        }
+    }
+
+    /// Nobody needs to know of a statement any more.
+    pub(crate) fn forget(&self, host: &Rc<Host>, id: StatementId) {
+        if let Some(key) = self.key(id) {
+            self.with(host, |m, now| m.end(now, &key));
+        }
+    }
+
+    /// The core has let go of a statement.
+    pub(crate) fn gone(&self, id: StatementId) {
+        if let Some(key) = self.names.borrow_mut().remove(&id) {
+            self.locals.borrow_mut().remove(&key);
+        }
+        self.parked.borrow_mut().retain(|attempt, _| attempt.0 != id);
+    }
+
+    /// Whether an attempt of a statement may be written now.
+    pub(crate) fn may_go(&self, host: &Rc<Host>, id: StatementId) -> bool {
+        !self.names.borrow().contains_key(&id) || self.may_act(host)
+    }
+
+    /// Whether this gateway may act for what it holds now.
+    pub(crate) fn may_act(&self, host: &Rc<Host>) -> bool {
+        self.machine.borrow().may_act(host.now())
+    }
+
+    // ---- Tokens ----------------------------------------------------------------------------------------
+
+    /// The part of a page's path that can't be guessed, for a statement that is protected.
+    pub fn slug(&self, id: StatementId, public_id: &str, after: Option<u64>) -> Option<String> {
+        let key = self.key(id)?;
+        let chain = self.machine.borrow().chain(&key);
+        let mut names = vec![word(&key.taken_by.name)];
+        names.extend(chain.iter().filter(|l| **l != key.taken_by).map(|l| word(&l.name)));
+        // The holder, and those who joined last: who is gone is not needed.
+        if names.len() > CHAIN {
+            names.drain(1..names.len() - CHAIN + 1);
+        }
+        let says = format!(
+            "{:016x}.{}.{}",
+            key.taken_by.life,
+            after.map_or_else(|| "-".to_owned(), |n| n.to_string()),
+            names.join(".")
+        );
+        let keys = self.keys.borrow();
+        let key = keys.first();
+        let code = key.code(&[USE, public_id.as_bytes(), b"/", says.as_bytes()]).finalize().into_bytes();
+        let code: String = code[..16].iter().map(|b| format!("{b:02x}")).collect();
+        Some(format!("{:08x}{code}.{says}", mark(&key.name)))
+    }
+
+    /// What a path says; `None` if no gateway of this fleet has made it.
+    pub fn token(&self, path: &str) -> Option<Token> {
+        let page = PageRef::parse(path)?;
+        let (code, says) = page.slug.split_once('.')?;
+        let code = code.is_ascii().then(|| code.split_at_checked(8)).flatten()?;
+        let of = u32::from_str_radix(code.0, 16).ok()?;
+        let code = crate::front::unhex(code.1)?;
+        let believed = |key: &violetward_transport::Key| {
+            let said = key.code(&[USE, page.id.as_bytes(), b"/", says.as_bytes()]);
+            said.verify_truncated_left(&code).is_ok()
+        };
+        if !self.keys.borrow().marked(of).any(believed) {
+            return None;
+        }
+        let mut fields = says.split('.');
+        let life = u64::from_str_radix(fields.next()?, 16).ok()?;
+        let after = Some(fields.next()?).filter(|n| *n != "-").map(str::parse).transpose().ok()?;
+        let chain: Vec<String> = fields.map(decode).collect::<Option<_>>()?;
+        let number = page.id.rsplit('_').nth(1)?.parse().ok()?;
+        let taken_by = Life { name: chain.first()?.clone(), life };
+        Some(Token { key: StatementKey { taken_by, number }, after, chain, page })
+    }
+
+    /// Where a statement is, and under which number if it is here.
+    pub fn find(&self, key: &StatementKey) -> (Whereabouts, Option<StatementId>) {
+        (self.machine.borrow().whereabouts(key), self.local(key))
+    }
+
+    // ---- Other gateways --------------------------------------------------------------------------------
+
+    /// Something came from a member by datagram.
+    pub fn heard(&self, host: &Rc<Host>, from: &str, bytes: &[u8]) {
+        self.with(host, |m, now| m.heard(now, from, bytes));
+    }
+
+    /// What membership believes may have changed.
+    pub fn members(&self, host: &Rc<Host>) {
+        let Some(peers) = host.peers() else { return };
+        let of = |seen: violetward_membership::Seen| Member {
+            life: Life { name: seen.record.name, life: seen.record.life },
+            site: seen.record.site,
+            state: state(seen.record.state),
+        };
+        let members = peers.seen().into_iter().map(of).collect();
+        self.with(host, |m, now| m.members(now, members));
+    }
+
+    async fn look(self: Rc<Self>, host: Rc<Host>) {
+        loop {
+            self.members(&host);
+            // Who is not known any more needs no line.
+            let known: Vec<String> = host.peers().map_or(Vec::new(), |p| p.names());
+            self.lines.borrow_mut().retain(|name, _| known.contains(name));
+            violetward_net::sleep(LOOK).await;
+        }
+    }
+
+    async fn wake(self: Rc<Self>, host: Rc<Host>) {
+        loop {
+            self.alarm.wait(&host.clock, || self.machine.borrow().next_wake()).await;
+            self.with(&host, Custodian::wake);
+            future::yield_now().await;
+        }
+    }
+
+    /// Writes what is to be kept, the newest only, on a thread of its own: a disk that stalls must not hold up statements.
+    async fn keep(self: Rc<Self>, host: Rc<Host>, file: PathBuf, kept: async_channel::Receiver<Vec<u8>>) {
+        while let Ok(mut bytes) = kept.recv().await {
+            while let Ok(newer) = kept.try_recv() {
+                bytes = newer;
+            }
+            while let Err(e) = write(&file, bytes.clone()).await {
+                tracing::error!("{}: {e}", file.display());
+                violetward_net::sleep(Duration::from_secs(1)).await;
+            }
+            if kept.is_empty() {
+                self.with(&host, Custodian::kept);
+            }
+        }
+    }
+
+    /// Records go to each gateway in order, one after the other.
+    fn send(&self, host: &Rc<Host>, to: String, bytes: Vec<u8>) {
+        let mut lines = self.lines.borrow_mut();
+        let line = lines.entry(to.clone()).or_insert_with(|| {
+            let (queue, wanted) = async_channel::bounded(WAITING);
+            host.spawn(carry(host.clone(), to.clone(), wanted));
+            Line { queue }
+        });
+        if line.queue.try_send(bytes).is_err() {
+            let host = host.clone();
+            drop(lines);
+            host.clone().spawn(async move {
+                let custody = host.custody();
+                custody.iter().for_each(|c| c.with(&host, |m, now| m.unsent(now, &to)));
+            });
+        }
+    }
+
+    /// A record has come over a stream.
+    async fn record(&self, host: &Rc<Host>, from: &str, record: &[u8]) -> Vec<u8> {
+        match record.split_first() {
+            Some((&MACHINE, bytes)) => {
+                self.heard(host, from, bytes);
+                Vec::new()
+            }
+            Some((&ASKED, bytes)) => {
+                let Ok(asked) = serde_json::from_slice::<Asked>(bytes) else { return Vec::new() };
+                let front = host.front();
+                let Some(front) = front else { return Vec::new() };
+                let (told, body) = front.asked(&asked).await;
+                told_and(&told, &body, asked.from)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Passes a request on to whoever holds the statement: who is said to, then those that its token names.
+    pub(crate) async fn pass_on(
+        &self,
+        host: &Rc<Host>,
+        token: &Token,
+        asked: &Asked,
+        first: Option<String>,
+    ) -> Passed {
+        let Some(peers) = host.peers() else { return Passed::Later };
+        self.passed_on.set(self.passed_on.get() + 1);
+        let mut next: Vec<String> = first.into_iter().chain(token.chain.iter().cloned()).collect();
+        next.dedup();
+        next.reverse();
+        let mut tried: Vec<String> = vec![self.me.name.clone()];
+        let (mut unsure, mut wide) = (false, false);
+        loop {
+            let Some(name) = next.pop() else {
+                // Nobody of them knows. It may have gone on from one to another since the token was made.
+                if unsure || wide || peers.may_live(&token.key.taken_by) {
+                    break;
+                }
+                wide = true;
+                next.extend(peers.names().into_iter().take(WIDE));
+                continue;
+            };
+            if tried.len() > CHAIN + WIDE || tried.contains(&name) {
+                continue;
+            }
+            tried.push(name.clone());
+            let seen = peers.seen().into_iter().find(|s| s.record.name == name);
+            let lives = seen.is_some_and(|s| {
+                let right = name != token.key.taken_by.name || s.record.life == token.key.taken_by.life;
+                right && s.record.state <= violetward_membership::State::Suspect
+            });
+            let Some(address) = peers.reached_at(&name).filter(|_| lives) else { continue };
+            match self.ask(&name, address, asked).await {
+                Some((told, body)) if told.status != 0 => return Passed::Told(told, body),
+                Some((told, _)) if told.at.is_none() && name == token.key.taken_by.name => {
+                    return Passed::Gone;
+                }
+                Some((told, _)) => next.extend(told.at),
+                None => unsure = true,
+            }
+        }
+        // Somebody may be about to hold it: only long after the death nobody is.
+        if unsure || !peers.gone_for(&token.key.taken_by, host.now(), micros(self.terms.lease) * SETTLED) {
+            Passed::Later
+        } else {
+            Passed::Lost
+        }
+    }
+
+    async fn ask(&self, name: &str, address: SocketAddr, asked: &Asked) -> Option<(Told, Vec<u8>)> {
+        let within = Duration::from_millis(asked.wait_millis) + SEND;
+        let mut asked = asked.clone();
+        let mut body: Vec<u8> = Vec::new();
+        let mut first: Option<Told> = None;
+        loop {
+            asked.from = body.len();
+            let mut record = vec![ASKED];
+            serde_json::to_writer(&mut record, &asked).ok()?;
+            let answer = self.caller.call_named(name, address, &record, within).await.ok()?;
+            let (length, rest) = answer.split_first_chunk::<4>()?;
+            let (head, part) = rest.split_at_checked(u32::from_be_bytes(*length) as usize)?;
+            let told: Told = serde_json::from_slice(head).ok()?;
+            // A page that changed between two parts would be put together wrongly.
+            if first.as_ref().is_some_and(|f| f.whole != told.whole) {
+                return None;
+            }
+            body.extend_from_slice(part);
+            if body.len() >= told.whole.0 {
+                return Some((told, body));
+            }
+            if part.is_empty() {
+                return None;
+            }
+            first = Some(told);
+        }
+    }
+
+    /// Everything held goes to others; nothing is begun any more.
+    pub fn hand_over(&self, host: &Rc<Host>) {
+        self.with(host, Custodian::hand_over);
+    }
+
+    /// Nothing is held here any more.
+    pub fn handed_over(&self) -> bool {
+        self.machine.borrow().handed_over()
+    }
+
+    /// How it stands.
+    pub fn standing(&self, host: &Rc<Host>) -> Standing {
+        let [held, guarded, octets, waiting] = self.machine.borrow().held();
+        let counts = host.look(|core| core.counts);
+        Standing {
+            name: self.me.name.clone(),
+            life: format!("{:016x}", self.me.life),
+            tenure: self.may_act(host),
+            held,
+            guarded,
+            octets,
+            waiting,
+            adopted: counts.adopted,
+            left: counts.left,
+            unprotected: self.unprotected.get(),
+            passed_on: self.passed_on.get(),
+            intents: self.waited.get(),
+        }
+    }
+}
+
+fn told_and(told: &Told, body: &[u8], from: usize) -> Vec<u8> {
+    let head = serde_json::to_vec(told).unwrap_or_default();
+    let part = &body[from.min(body.len())..];
+    let part = &part[..part.len().min(PART)];
+    let mut out = Vec::with_capacity(4 + head.len() + part.len());
+    out.extend_from_slice(&(head.len() as u32).to_be_bytes());
+    out.extend_from_slice(&head);
+    out.extend_from_slice(part);
+    out
+}
+
+/// Brings records to one gateway.
+async fn carry(host: Rc<Host>, to: String, wanted: async_channel::Receiver<Vec<u8>>) {
+    while let Ok(bytes) = wanted.recv().await {
+        let Some(custody) = host.custody() else { return };
+        let mut record = Vec::with_capacity(bytes.len() + 1);
+        record.push(MACHINE);
+        record.extend_from_slice(&bytes);
+        let address = host.peers().and_then(|peers| peers.reached_at(&to));
+        let sent = match address {
+            Some(address) => custody.caller.call_named(&to, address, &record, SEND).await.is_ok(),
+            None => false,
+        };
+        if !sent {
+            custody.with(&host, |m, now| m.unsent(now, &to));
+        }
+    }
+}
+
+async fn write(file: &Path, bytes: Vec<u8>) -> std::io::Result<()> {
+    let (done, wait) = async_channel::bounded(1);
+    let path = file.to_owned();
+    std::thread::Builder::new()
+        .name("custody".into())
+        .spawn(move || drop(done.try_send(write_whole(&path, &bytes))))?;
+    wait.recv().await.unwrap_or_else(|_| Err(std::io::Error::other("the writing thread ended")))
+}
+
+/// Waits for news of who holds what, at most until then and for so long.
+pub(crate) async fn news(custody: &Custody, until: Instant, most: Duration) {
+    let listener = custody.changed.listen();
+    let until = until.min(Instant::now() + most);
+    future::or(listener, violetward_net::sleep_until(until)).await;
+}
--- /dev/null
+++ b/crates/gateway/src/custody_terms.rs
@@ -0,0 +1,103 @@
+//! The configuration of custody: `(custody (voters NAME ...) (folder PATH) (protect CLASS ...) ...)`.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use crate::config::{Names, PeerTerms};
+use crate::forms::{Checker, Form};
+
+/// Custody of statements among gateways; see `docs/custody.md`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CustodyTerms {
+    /// The names of the gateways that grant tenures.
+    pub voters: Vec<String>,
+    /// How long a tenure lasts.
+    pub lease: Duration,
+    /// Parts of a million by which any clock may run too fast or too slow.
+    pub drift: u64,
+    /// The longest time from the last look at the tenure to the end of what is done on it.
+    pub check: Duration,
+    /// Guardians of a statement.
+    pub copies: usize,
+    /// Where marks of ended lives are kept.
+    pub folder: PathBuf,
+    /// For each class, whether its statements are to outlive their gateway.
+    pub protect: Vec<bool>,
+    /// Without a guardian, what is to be protected is refused.
+    pub refuses: bool,
+    /// Records kept for others, and octets of them.
+    pub most: (usize, usize),
+}
+
+/// Reads the section.
+pub fn read(
+    c: &mut Checker,
+    form: &Form<'_>,
+    peers: Option<&PeerTerms>,
+    names: &Names,
+    folder: &Path,
+) -> Option<CustodyTerms> {
+    let known = [
+        "voters",
+        "lease",
+        "drift",
+        "check",
+        "copies",
+        "folder",
+        "protect",
+        "unguarded",
+        "records",
+        "octets",
+    ];
+    let f = c.fields(form, 0, &known);
+    if peers.is_none() {
+        c.at(
+            form,
+            "custody needs (membership ...): who lives, and what gateways say to each other, come from there",
+        );
+        return None;
+    }
+    let voters = f.need(c, "voters").cloned().map(|v| (c.words(&v), v));
+    if let Some((voters, form)) = &voters {
+        let repeated = voters.iter().enumerate().any(|(i, v)| voters[..i].contains(v));
+        if repeated || !(1..=9).contains(&voters.len()) {
+            c.at(form, "voters: expected one to nine names, each once");
+        }
+    }
+    let lease = f.span(c, "lease", Duration::from_secs(2));
+    let check = f.span(c, "check", Duration::from_millis(100));
+    let drift = f.whole(c, "drift", (0, 100_000), 1_000);
+    if lease < Duration::from_millis(400) || check > lease / 4 {
+        c.at(form, "custody: expected lease >= \"400ms\" and check <= a quarter of it");
+    }
+    let copies = f.whole(c, "copies", (1, 8), 2) as usize;
+    let path = f.need(c, "folder").cloned().and_then(|v| c.word(&v, "a path"));
+    let mut protect = vec![f.get("protect").is_none(); names.classes.len()];
+    if let Some(form) = f.get("protect").cloned() {
+        for class in c.words(&form) {
+            match names.classes.iter().position(|n| *n == class) {
+                Some(n) => protect[n] = true,
+                None => c.at(
+                    &form,
+                    format!("protect: there is no class {class}; classes: {}", names.classes.join(", ")),
+                ),
+            }
+        }
+    }
+    let choices = [("go", false), ("refuse", true)];
+    let refuses = f.get("unguarded").cloned().and_then(|f| c.choice(&f, &choices)).unwrap_or(false);
+    let records = f.whole(c, "records", (1, 10_000_000), 50_000) as usize;
+    let octets = f.size(c, "octets", 256 << 20) as usize;
+    let (voters, folder) = (voters?.0, folder.join(path?));
+    Some(CustodyTerms {
+        voters,
+        lease,
+        drift,
+        check,
+        copies,
+        folder,
+        protect,
+        refuses,
+        most: (records, octets),
+    })
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -16,12 +16,16 @@
 
 use violetward_session::kind::PROPERTY;
 
-use crate::core::{Arrived, AttemptId, Launch};
+use crate::core::guard as guarded;
+use crate::core::{Arrived, AttemptId, Follow, Launch};
 use crate::host::Host;
 
 /// How long a withdrawn attempt's first answer is awaited, so that its work can still be cancelled.
 const CLEAN_UP: Duration = Duration::from_secs(10);
 
+/// Pages without rows that another gateway may have passed over since it last told of one.
+const PASSED_OVER: usize = 64;
+
 /// What an answer's headers say: changes of the session, and the life of the engine's process.
 #[derive(Default)]
 struct Session {
@@ -33,7 +37,7 @@
 struct Broken(Outcome, String);
 
 /// Runs an attempt until it has ended or is stopped.
-pub(crate) async fn attempt(host: Rc<Host>, launch: Launch, pulled: Receiver<()>, stopped: Receiver<()>) {
+pub(crate) async fn attempt(host: Rc<Host>, launch: Launch, pulled: Receiver<()>, stopped: Receiver<bool>) {
     let id = launch.attempt;
     let pool = host.pool(launch.address);
     let (posted, first) = async_channel::bounded::<Result<Arrived, Broken>>(1);
@@ -54,22 +58,82 @@
             }
         });
     }
+    go_on(&host, id, &pool, &first, &pulled, &stopped, &next).await;
+}
+
+/// Goes on with another gateway's attempt until it has ended or is stopped.
+pub(crate) async fn resume(host: Rc<Host>, at: Follow, pulled: Receiver<()>, stopped: Receiver<bool>) {
+    let pool = host.pool(at.address);
+    let (posted, first) = async_channel::bounded::<Result<Arrived, Broken>>(1);
+    let next: Rc<std::cell::RefCell<Option<String>>> = Rc::new(Some(at.uri.clone()).into());
+    {
+        let (host, next, pool, id) = (host.clone(), next.clone(), pool.clone(), at.attempt);
+        let owner = host.clone();
+        owner.spawn(async move {
+            let result = poll_from(&host, &pool, id, &at.uri).await.map(|(results, session)| {
+                *next.borrow_mut() = results.next_uri.clone();
+                arrived(results, session)
+            });
+            posted.try_send(result).ok();
+        });
+    }
+    go_on(&host, at.attempt, &pool, &first, &pulled, &stopped, &next).await;
+}
+
+/// Asks for a page from which on its client has nothing. Pages of no rows that the other gateway has passed over are gone: it
+/// asked for none after one with rows before that one had come.
+async fn poll_from(
+    host: &Rc<Host>,
+    pool: &Pool,
+    id: AttemptId,
+    uri: &str,
+) -> Result<(QueryResults, Session), Broken> {
+    let mut uri = uri.to_owned();
+    for _ in 0..PASSED_OVER {
+        match poll_once(host, pool, &uri).await {
+            Err(Missed::Gone) => {}
+            Err(Missed::Broken(broken)) => return Err(broken),
+            Ok(found) => return Ok(found),
+        }
+        let next = guarded::number(&uri).and_then(|n| guarded::numbered(&uri, n + 1));
+        uri = next.ok_or_else(forgotten)?;
+    }
+    tracing::warn!(n = id.0 .0, "an engine's page was not found again");
+    Err(forgotten())
+}
+
+fn forgotten() -> Broken {
+    Broken(Outcome::Reset, "it no longer knows the statement".into())
+}
+
+async fn go_on(
+    host: &Rc<Host>,
+    id: AttemptId,
+    pool: &Pool,
+    first: &Receiver<Result<Arrived, Broken>>,
+    pulled: &Receiver<()>,
+    stopped: &Receiver<bool>,
+    next: &Rc<std::cell::RefCell<Option<String>>>,
+) {
     let work = async {
-        let outcome = follow(&host, id, &pool, &first, &pulled, &next).await;
+        let outcome = follow(host, id, pool, first, pulled, next).await;
         if let Err(Broken(outcome, why)) = outcome {
             host.core(|core, now| core.ended(now, id, outcome, &why));
         }
-        false
-    };
-    let stop = async {
-        // A closed channel is no stop: the core has dropped the attempt because it is over.
-        stopped.recv().await.is_ok()
+        None
     };
+    // A closed channel is no stop: the core has dropped the attempt because it is over.
+    let stop = async { stopped.recv().await.ok() };
     let was_stopped = future::or(work, stop).await;
     host.forget_attempt(id);
-    if was_stopped {
-        first.close();
-        cancel(&host, &pool, &next).await;
+    match was_stopped {
+        Some(true) => {
+            first.close();
+            cancel(host, pool, next).await;
+        }
+        // Another gateway goes on with it: a post that is on its way is not cancelled when its answer comes.
+        Some(false) => drop(first.recv().await),
+        None => {}
     }
 }
 
@@ -134,13 +198,19 @@
 fn arrived(results: QueryResults, session: Session) -> Arrived {
     let bytes = results.data.as_ref().map_or(0, |d| d.get().len());
     Arrived {
-        part: Part { columns: results.columns.map(Into::into), data: results.data.map(Into::into), bytes },
+        part: Part {
+            columns: results.columns.map(Into::into),
+            data: results.data.map(Into::into),
+            bytes,
+            next: None,
+        },
         stats: results.stats,
         last: results.next_uri.is_none(),
         error: results.error,
         update: results.update_type.map(|u| (u, results.update_count)),
         session: session.changes,
         epoch: session.epoch,
+        next: results.next_uri,
     }
 }
 
@@ -171,8 +241,28 @@
     }
 }
 
-/// Asks for a page; asking twice gives the same page, so that a broken connection is tried once more.
 async fn poll(host: &Host, pool: &Pool, uri: &str) -> Result<(QueryResults, Session), Broken> {
+    poll_once(host, pool, uri).await.map_err(|missed| match missed {
+        Missed::Gone => forgotten(),
+        Missed::Broken(broken) => broken,
+    })
+}
+
+/// Why there is no page.
+enum Missed {
+    /// It was there and is gone: a later one has been asked for.
+    Gone,
+    Broken(Broken),
+}
+
+impl From<Broken> for Missed {
+    fn from(broken: Broken) -> Self {
+        Missed::Broken(broken)
+    }
+}
+
+/// Asks for a page; asking twice gives the same page, so that a broken connection is tried once more.
+async fn poll_once(host: &Host, pool: &Pool, uri: &str) -> Result<(QueryResults, Session), Missed> {
     let target = path(uri);
     let mut tries = 0;
     loop {
@@ -182,18 +272,23 @@
         let mut connection = connection
             .map_err(|e| Broken(Outcome::Reset, format!("no connection for the next page: {e}")))?;
         match connection.call("GET", target, &host_header(pool.address()), b"").await {
-            Ok(message) if message.status() == 200 => return read(pool, connection, message),
-            Ok(message) if matches!(message.status(), 404 | 410) => {
-                return Err(Broken(Outcome::Reset, "it no longer knows the statement".into()));
+            Ok(message) if message.status() == 200 => return Ok(read(pool, connection, message)?),
+            Ok(message) if message.status() == 404 => return Err(forgotten().into()),
+            Ok(message) if message.status() == 410 => {
+                if message.keep_alive {
+                    pool.put(connection);
+                }
+                return Err(Missed::Gone);
             }
             Ok(message) if message.status() == 503 && tries < 5 => {
                 violetward_net::sleep(Duration::from_millis(50 << tries)).await;
             }
             Ok(message) => {
-                return Err(Broken(Outcome::Error, format!("answered {} to a poll", message.status())));
+                let why = format!("answered {} to a poll", message.status());
+                return Err(Broken(Outcome::Error, why).into());
             }
             Err(NetError::Io(_)) if tries < 2 => pool.clear(),
-            Err(e) => return Err(broke(&e)),
+            Err(e) => return Err(broke(&e).into()),
         }
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -10,20 +10,29 @@
 use hmac::{Hmac, Mac};
 use serde::Serialize;
 use sha2::Sha256;
+use violetward_custody::Whereabouts;
 use violetward_net::{sleep, timeout, Connection, NetError};
 use violetward_statement::http::{self, Headers, Limits, Message};
-use violetward_statement::pages::{self, Page, Turn};
+use violetward_statement::pages::{self, Ending, Page, Turn};
 use violetward_statement::results::{NodeStatus, PageRef, STATEMENT};
 use violetward_statement::session::Context;
 
 use crate::agreed;
 use crate::core::{StatementId, Submission};
+use crate::custody::{self, Asked, Custody, Passed, Takes, Token, Told};
 use crate::host::Host;
 
 /// Header of the answer to a post: for how many milliseconds engines drop a repeat of this statement's mark, counted from
 /// its first sending. Absent where they drop none. Clients that don't know it pass it over.
 pub const REPEAT_WINDOW: &str = "X-Violetward-Repeat-Window-Millis";
 
+/// Header of the answer to a post: any gateway of the fleet gives the statement's pages. Clients that don't know it pass it over.
+pub const ANY_GATEWAY: &str = "X-Violetward-Any-Gateway";
+
+/// Between two looks at who holds a statement: here, and at others.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+const ASK_AGAIN: Duration = Duration::from_millis(200);
+
 /// The front. One for each listening socket.
 pub struct Front {
     host: Rc<Host>,
@@ -60,7 +69,9 @@
 impl Front {
     /// A front on a host, with a secret that must be new at every start.
     pub fn new(host: Rc<Host>, secret: [u8; 32]) -> Rc<Self> {
-        Rc::new(Front { host, secret, connections: Cell::new(0) })
+        let front = Rc::new(Front { host, secret, connections: Cell::new(0) });
+        *front.host.answers.borrow_mut() = Rc::downgrade(&front);
+        front
     }
 
     /// Takes connections. Never ends.
@@ -127,6 +138,157 @@
         matches!(sent, Some(Ok(())))
     }
 
+    /// Answers a request that another gateway has passed on.
+    pub(crate) async fn asked(&self, asked: &Asked) -> (Told, Vec<u8>) {
+        let path = asked.path.split('?').next().unwrap_or_default();
+        let host = format!("http://{}", asked.host);
+        let until = Instant::now() + Duration::from_millis(asked.wait_millis);
+        let Some((custody, token)) = self.token(path) else { return Default::default() };
+        let request = Request { method: &asked.method, base: &host, until };
+        match self.held(&custody, &token, &request, None).await {
+            Held::Reply(reply) => {
+                let headers = reply.headers.iter().map(|(n, v)| (n.to_owned(), v.to_owned())).collect();
+                let whole = (reply.body.len(), crate::list::hash(&String::from_utf8_lossy(&reply.body)));
+                (Told { status: reply.status, headers, whole, at: None }, reply.body)
+            }
+            Held::Elsewhere(at) => (Told { at, ..Told::default() }, Vec::new()),
+            Held::Left => Default::default(),
+        }
+    }
+
+    fn token(&self, path: &str) -> Option<(Rc<Custody>, Token)> {
+        let custody = self.host.custody()?;
+        let token = custody.token(path)?;
+        Some((custody, token))
+    }
+
+    /// The reply for a statement that any gateway may hold.
+    async fn anywhere(
+        &self,
+        (custody, token): (Rc<Custody>, Token),
+        message: &Message,
+        query: &str,
+        connection: &Connection,
+    ) -> Option<Reply> {
+        let (method, target) = message.request();
+        let base = base(message);
+        let until = Instant::now() + self.hold(query);
+        let request = Request { method, base: &base, until };
+        loop {
+            let at = match self.held(&custody, &token, &request, Some(connection)).await {
+                Held::Reply(reply) => return Some(reply),
+                Held::Left => return None,
+                Held::Elsewhere(at) => at,
+            };
+            let asked = Asked {
+                method: method.to_owned(),
+                path: target.to_owned(),
+                host: message.headers.get("host").unwrap_or("localhost").to_owned(),
+                wait_millis: until.saturating_duration_since(Instant::now()).as_millis() as u64,
+                from: 0,
+            };
+            match custody.pass_on(&self.host, &token, &asked, at).await {
+                Passed::Told(told, body) => {
+                    let mut headers = Headers::default();
+                    told.headers.iter().for_each(|(name, value)| headers.push(name, value));
+                    return Some(Reply { status: told.status, headers, body });
+                }
+                Passed::Lost => return Some(lost()),
+                Passed::Gone => return Some(gone()),
+                Passed::Later if Instant::now() >= until || self.host.is_draining() => return Some(later()),
+                // It may come to be held here, or somebody may be told of.
+                Passed::Later => custody::news(&custody, until, ASK_AGAIN).await,
+            }
+        }
+    }
+
+    /// The reply for a statement that is held here, or who holds it as far as is known here.
+    async fn held(
+        &self,
+        custody: &Rc<Custody>,
+        token: &Token,
+        request: &Request<'_>,
+        connection: Option<&Connection>,
+    ) -> Held {
+        loop {
+            let (place, local) = custody.find(&token.key);
+            match (place, local) {
+                // This one may come to hold it: whoever holds it is doubted.
+                (Whereabouts::At(life), None) if Instant::now() < request.until && !self.lives(&life) => {
+                    custody::news(custody, request.until, LOOK_AGAIN).await;
+                }
+                (Whereabouts::At(life), _) => return Held::Elsewhere(Some(life.name)),
+                (Whereabouts::Taking | Whereabouts::Here, None) if Instant::now() < request.until => {
+                    custody::news(custody, request.until, LOOK_AGAIN).await;
+                }
+                (Whereabouts::Taking | Whereabouts::Here, None) => return Held::Reply(later()),
+                // A gateway that stood still does nothing for what it holds before it knows that it still does.
+                (Whereabouts::Here, Some(_)) if !custody.may_act(&self.host) => {
+                    if Instant::now() >= request.until {
+                        return Held::Reply(later());
+                    }
+                    custody::news(custody, request.until, LOOK_AGAIN).await;
+                }
+                (_, Some(id)) if request.method == "DELETE" => {
+                    let known = self.host.core(|core, now| core.cancel(now, id));
+                    let headers = Headers::default();
+                    return Held::Reply(if known {
+                        Reply { status: 204, headers, body: Vec::new() }
+                    } else {
+                        unknown()
+                    });
+                }
+                (_, Some(id)) => match self.poll(request, id, &token.page, token.after, connection).await {
+                    // Another gateway has come to hold it meanwhile.
+                    Some(reply) if reply.status == 404 && custody.find(&token.key).1.is_none() => {}
+                    Some(reply) => return Held::Reply(reply),
+                    None => return Held::Left,
+                },
+                (Whereabouts::Over(ending), None) => return Held::Reply(self.over(token, request, ending)),
+                (Whereabouts::Unknown, None) if custody.took(&token.key) => return Held::Reply(gone()),
+                (Whereabouts::Unknown, None) => return Held::Elsewhere(None),
+            }
+        }
+    }
+
+    /// The reply for a statement that has ended and is not kept any more.
+    fn over(
+        &self,
+        token: &Token,
+        request: &Request<'_>,
+        ending: Option<violetward_custody::Ending>,
+    ) -> Reply {
+        match ending {
+            Some(ending) => self.last(token, request, crate::core::ended(&ending)),
+            None => gone(),
+        }
+    }
+
+    fn lives(&self, life: &violetward_custody::Life) -> bool {
+        self.host.peers().is_some_and(|peers| peers.lives(life))
+    }
+
+    fn last(&self, token: &Token, request: &Request<'_>, ending: Ending) -> Reply {
+        if request.method == "DELETE" {
+            return Reply { status: 204, headers: Headers::default(), body: Vec::new() };
+        }
+        let mut made = pages::Pages::default();
+        made.resume(token.page.token, None);
+        made.finish(ending);
+        match made.take(token.page.token, true) {
+            Turn::Page(made) => self.document(request.base, &token.page, &made),
+            _ => unknown(),
+        }
+    }
+
+    /// How long a poll may wait.
+    fn hold(&self, query: &str) -> Duration {
+        let wanted = query.split('&').find_map(|p| p.strip_prefix("maxWait="));
+        let wanted = wanted.and_then(violetward_statement::session::duration);
+        let hold = self.host.config.host.long_poll;
+        wanted.map_or(hold, |wanted| hold.min(wanted))
+    }
+
     /// The reply to a request; `None` if its client has left meanwhile.
     async fn answer(&self, message: &Message, connection: &Connection) -> Option<Reply> {
         let (method, target) = message.request();
@@ -138,14 +300,22 @@
             ("GET", "/v1/members") => Some(self.members()),
             ("GET", agreed::PATH) => Some(self.settings(query)),
             ("POST", agreed::PATH) => Some(self.propose(message, query == "dry").await),
+            ("GET", "/v1/custody") => Some(self.custody()),
             ("GET" | "DELETE", _) => match self.find(path) {
-                Some((id, page)) if method == "GET" => self.poll(message, query, id, &page, connection).await,
+                Some((id, page)) if method == "GET" => {
+                    let until = Instant::now() + self.hold(query);
+                    let request = Request { method, base: &base(message), until };
+                    self.poll(&request, id, &page, None, Some(connection)).await
+                }
                 Some((id, _)) => {
                     let known = self.host.core(|core, now| core.cancel(now, id));
                     let headers = Headers::default();
                     Some(if known { Reply { status: 204, headers, body: Vec::new() } } else { unknown() })
                 }
-                None => Some(unknown()),
+                None => match self.token(path) {
+                    Some(token) => self.anywhere(token, message, query, connection).await,
+                    None => Some(unknown()),
+                },
             },
             ("POST" | "PUT", _) => Some(Reply::text(404, "statements are posted to /v1/statement")),
             ("HEAD", _) => Some(Reply { status: 405, headers: Headers::default(), body: Vec::new() }),
@@ -170,14 +340,22 @@
         // Named after the number that the core gives next, so that a path leads back without a table.
         let public_id = self.host.next_public_id();
         let submission = Submission { public_id: public_id.clone(), text, context };
-        let id = self.host.core(|core, now| core.submit(now, submission));
-        let page = PageRef { slug: self.slug(&public_id), id: public_id, token: 0 };
+        let protects = match self.host.custody().map(|custody| custody.takes(&self.host)) {
+            Some(Takes::No(why)) => return Reply::text(503, why),
+            Some(Takes::Unprotected) => false,
+            Some(Takes::Protected) | None => true,
+        };
+        let id = self.host.core(|core, now| core.submit_as(now, submission, protects));
+        let page = PageRef { slug: self.slug_of(id, &public_id, None), id: public_id, token: 0 };
         if self.host.look(|core| core.has_ended(id)) {
             if let Turn::Page(made) = self.host.core(|core, now| core.page(now, id, 0, true)) {
-                return self.document(message, &page, &made);
+                return self.document(&base(message), &page, &made);
             }
         }
         let mut reply = Reply::document(pages::queued(&base(message), &page));
+        if self.host.custody().is_some_and(|custody| custody.knows(id)) {
+            reply.headers.push(ANY_GATEWAY, "true");
+        }
         if let Some(window) = self.host.look(|core| core.repeat_window(id)) {
             reply.headers.push(REPEAT_WINDOW, window.as_millis().to_string());
         }
@@ -186,24 +364,26 @@
 
     async fn poll(
         &self,
-        message: &Message,
-        query: &str,
+        request: &Request<'_>,
         id: StatementId,
         page: &PageRef,
-        connection: &Connection,
+        after: Option<u64>,
+        connection: Option<&Connection>,
     ) -> Option<Reply> {
-        let mut hold = self.host.config.host.long_poll;
-        let wanted = query.split('&').find_map(|p| p.strip_prefix("maxWait="));
-        if let Some(wanted) = wanted.and_then(violetward_statement::session::duration) {
-            hold = hold.min(wanted);
-        }
-        let until = Instant::now() + hold;
+        let until = request.until;
         self.host.core(|core, now| core.waits(now, id, true));
         let reply = loop {
             let heard = self.host.listen(id);
             let patient = Instant::now() < until;
-            match self.host.core(|core, now| core.page(now, id, page.token, patient)) {
-                Turn::Page(made) => break Some(self.document(message, page, &made)),
+            match self.host.core(|core, now| core.page_after(now, id, page.token, after, patient)) {
+                Turn::Page(made) => {
+                    // The page after it is named by what its client has then, and by who may hold it then.
+                    let slug = match made.end {
+                        None => self.slug_of(id, &page.id, made.after),
+                        Some(_) => page.slug.clone(),
+                    };
+                    break Some(self.document(request.base, &PageRef { slug, ..page.clone() }, &made));
+                }
                 Turn::Gone => break Some(Reply::text(410, "this page has been taken and is gone")),
                 Turn::Unknown => break Some(unknown()),
                 Turn::Wait => {}
@@ -213,6 +393,7 @@
                 true
             };
             let left = async {
+                let Some(connection) = connection else { return future::pending().await };
                 connection.wait_readable().await;
                 if connection.is_closed() {
                     return false;
@@ -229,9 +410,9 @@
         reply
     }
 
-    fn document(&self, message: &Message, page: &PageRef, made: &Page) -> Reply {
+    fn document(&self, base: &str, page: &PageRef, made: &Page) -> Reply {
         let error = made.end.as_ref().and_then(|e| e.error());
-        let mut reply = Reply::document(pages::document(&base(message), page, made));
+        let mut reply = Reply::document(pages::document(base, page, made));
         for (name, value) in &made.session {
             reply.headers.push(name, value.clone());
         }
@@ -257,6 +438,12 @@
         mac
     }
 
+    /// The slug of a statement's next page: one that all gateways read if it is protected.
+    fn slug_of(&self, id: StatementId, public_id: &str, after: Option<u64>) -> String {
+        let guarded = || self.host.custody()?.slug(id, public_id, after);
+        guarded().unwrap_or_else(|| self.slug(public_id))
+    }
+
     fn slug(&self, id: &str) -> String {
         self.mac(id).finalize().into_bytes()[..16].iter().map(|b| format!("{b:02x}")).collect()
     }
@@ -281,6 +468,17 @@
         }
     }
 
+    fn custody(&self) -> Reply {
+        match self.host.custody() {
+            Some(custody) => {
+                Reply::json(&serde_json::to_value(custody.standing(&self.host)).unwrap_or_default())
+            }
+            None => {
+                Reply::text(404, "statements end with this gateway: its configuration has no (custody ...)")
+            }
+        }
+    }
+
     fn settings(&self, query: &str) -> Reply {
         let since = query.split('&').find_map(|p| p.strip_prefix("since=")).and_then(|n| n.parse().ok());
         match &*self.host.agreed.borrow() {
@@ -315,6 +513,9 @@
             "cancelled": counts.cancelled, "abandoned": counts.abandoned, "attempts": counts.attempts,
             "overdue": counts.overdue,
         });
+        if let Some(custody) = self.host.custody() {
+            value["custody"] = serde_json::to_value(custody.standing(&self.host)).unwrap_or_default();
+        }
         if let Some(peers) = &*self.host.peers.borrow() {
             let view = peers.view();
             let count = |state: &str| view.members.iter().filter(|m| m.state == state).count();
@@ -335,6 +536,39 @@
     }
 }
 
+/// A request for a page, its client's or one passed on.
+struct Request<'a> {
+    method: &'a str,
+    /// The address of this service as the client calls it.
+    base: &'a str,
+    until: Instant,
+}
+
+/// What came of asking here for a statement.
+enum Held {
+    Reply(Reply),
+    /// It is not here; who may hold it.
+    Elsewhere(Option<String>),
+    /// The client has left.
+    Left,
+}
+
+/// It is known neither where the statement is nor that it is nowhere. By the protocol the client asks again.
+fn later() -> Reply {
+    let mut reply = Reply::text(503, "whoever holds this statement cannot be reached now; ask again");
+    reply.headers.push("Retry-After", "1");
+    reply
+}
+
+/// Not an ending: nobody can say any more whether it ran.
+fn lost() -> Reply {
+    Reply::text(410, "this statement was lost with the gateways that knew of it; it may have run")
+}
+
+fn gone() -> Reply {
+    Reply::text(410, "this statement has ended, and its pages are gone")
+}
+
 fn no_agreement() -> Reply {
     Reply::text(404, "this gateway agrees on no settings: its configuration has no (agreement ...)")
 }
@@ -347,7 +581,7 @@
     format!("http://{}", message.headers.get("host").unwrap_or("localhost"))
 }
 
-fn unhex(text: &str) -> Option<[u8; 16]> {
+pub(crate) fn unhex(text: &str) -> Option<[u8; 16]> {
     let mut out = [0; 16];
     if text.len() != 32 || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
         return None;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -15,8 +15,10 @@
 
 use crate::agreed::Agreed;
 use crate::config::Config;
-use crate::core::{AttemptId, Core, Effect, StatementId};
+use crate::core::{AttemptId, Core, Effect, Launch, StatementId};
+use crate::custody::Custody;
 use crate::engine;
+use crate::front::Front;
 use crate::peers::Peers;
 
 /// Sessions that may wait to be freed.
@@ -25,7 +27,15 @@
 /// What an attempt's task is told.
 pub(crate) struct Reins {
     pub pull: async_channel::Sender<()>,
-    pub stop: async_channel::Sender<()>,
+    /// Whether its work is to be ended at the engine too.
+    pub stop: async_channel::Sender<bool>,
+}
+
+impl Reins {
+    /// Stops it; its work at the engine goes on.
+    fn leave(&self) {
+        self.stop.try_send(false).ok();
+    }
 }
 
 /// The host. Fronts and engine connections share it.
@@ -40,6 +50,9 @@
     /// The settings on which they agree, and until when the core's rules hold without a look at them.
     pub(crate) agreed: RefCell<Option<Rc<Agreed>>>,
     pub(crate) rules_until: Cell<Micros>,
+    /// Statements that outlive their gateway, where some do; and the front that answers for those passed on.
+    pub(crate) custody: RefCell<Option<Rc<Custody>>>,
+    pub(crate) answers: RefCell<std::rc::Weak<Front>>,
     core: RefCell<Core>,
     executor: Rc<LocalExecutor<'static>>,
     attempts: RefCell<HashMap<AttemptId, Reins>>,
@@ -66,6 +79,8 @@
             peers: RefCell::default(),
             agreed: RefCell::default(),
             rules_until: Cell::new(Micros::MAX),
+            custody: RefCell::default(),
+            answers: RefCell::default(),
             executor,
             attempts: RefCell::default(),
             pollers: RefCell::default(),
@@ -134,6 +149,12 @@
         result
     }
 
+    /// Passes something to the core; what follows from it is carried out later, by [`Host::core`].
+    pub(crate) fn core_alone<T>(self: &Rc<Self>, act: impl FnOnce(&mut Core, Micros) -> T) -> T {
+        let now = self.look_at_rules();
+        act(&mut self.core.borrow_mut(), now)
+    }
+
     /// The last look at the lease: a process that stood still for longer than its lease must not act on the old rules when it
     /// wakes, whichever of its tasks is first.
     /// Gives the time of that look, which is the core's.
@@ -151,7 +172,28 @@
     /// Whether an attempt may still be sent, by the rules of now: to be asked just before it is written.
     pub(crate) fn may_go(self: &Rc<Self>, attempt: AttemptId, engine: &str) -> bool {
         self.look_at_rules();
-        self.look(|core| core.may_go(attempt, engine))
+        // What another gateway holds now must not be written by a task that was connecting when it was left.
+        let wanted = || self.attempts.borrow().contains_key(&attempt);
+        let held = self.custody().is_none_or(|custody| wanted() && custody.may_go(self, attempt.0));
+        held && self.look(|core| core.may_go(attempt, engine))
+    }
+
+    /// Custody of statements, where there is any.
+    pub(crate) fn custody(&self) -> Option<Rc<Custody>> {
+        self.custody.borrow().clone()
+    }
+
+    /// The front that answers for statements here.
+    pub(crate) fn front(&self) -> Option<Rc<Front>> {
+        self.answers.borrow().upgrade()
+    }
+
+    /// Begins an attempt.
+    pub(crate) fn launch(self: &Rc<Self>, launch: Launch) {
+        let (pull, pulled) = async_channel::bounded(1);
+        let (stop, stopped) = async_channel::bounded(1);
+        self.attempts.borrow_mut().insert(launch.attempt, Reins { pull, stop });
+        self.spawn(engine::attempt(self.clone(), launch, pulled, stopped));
     }
 
     /// This gateway's own list has been read.
@@ -229,19 +271,43 @@
     fn carry_out(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Launch(launch) => {
+                let launch = match self.custody() {
+                    Some(custody) => custody.intend(self, launch),
+                    None => Some(launch),
+                };
+                launch.into_iter().for_each(|launch| self.launch(*launch));
+            }
+            Effect::Follow(follow) => {
                 let (pull, pulled) = async_channel::bounded(1);
                 let (stop, stopped) = async_channel::bounded(1);
-                self.attempts.borrow_mut().insert(launch.attempt, Reins { pull, stop });
-                self.spawn(engine::attempt(self.clone(), *launch, pulled, stopped));
+                self.attempts.borrow_mut().insert(follow.attempt, Reins { pull, stop });
+                self.spawn(engine::resume(self.clone(), *follow, pulled, stopped));
+            }
+            Effect::Leave(id) => {
+                let parked = self.custody().is_some_and(|custody| custody.withdrawn(id));
+                if let (Some(reins), false) = (self.attempts.borrow_mut().remove(&id), parked) {
+                    reins.leave();
+                }
             }
+            Effect::Guard(id) => self.custody().iter().for_each(|c| c.taken(self, id)),
+            Effect::Noted(id) => self.custody().iter().for_each(|c| c.noted(self, id)),
+            Effect::Decide(id, ending) => match self.custody() {
+                Some(custody) => custody.decide(self, id, &ending),
+                None => self.core(|core, now| core.decided(now, id)),
+            },
+            Effect::Forget(id) => self.custody().iter().for_each(|c| c.forget(self, id)),
+            Effect::Gone(id) => self.custody().iter().for_each(|c| c.gone(id)),
             Effect::Pull(id) => {
                 if let Some(reins) = self.attempts.borrow().get(&id) {
                     reins.pull.try_send(()).ok();
                 }
             }
             Effect::Withdraw(id) => {
+                if let Some(custody) = self.custody() {
+                    custody.withdrawn(id);
+                }
                 if let Some(reins) = self.attempts.borrow_mut().remove(&id) {
-                    reins.stop.try_send(()).ok();
+                    reins.stop.try_send(true).ok();
                 }
             }
             Effect::Probe(engine, address) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod agreed;
 pub mod config;
 pub mod core;
+pub mod custody;
+pub mod custody_terms;
 pub mod engine;
 pub mod forms;
 pub mod front;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -334,7 +334,12 @@
 fn members(address: std::net::SocketAddr, json: bool) -> ExitCode {
     match futures_lite::future::block_on(peers::ask(address)) {
         Ok(view) if json => println!("{}", serde_json::to_string_pretty(&view).unwrap_or_default()),
-        Ok(view) => println!("{view}"),
+        Ok(view) => {
+            println!("{view}");
+            // Without custody there is nothing to tell.
+            let custody = futures_lite::future::block_on(violetward_gateway::custody::ask(address));
+            custody.iter().for_each(|standing| println!("{standing}"));
+        }
         Err(why) => {
             eprintln!("violetward: {address}: {why}");
             return ExitCode::FAILURE;
@@ -383,6 +388,11 @@
     let Command::Serve { address_file, .. } = cli.command else {
         let (classes, kinds) = (config.names.classes.join(", "), config.names.kinds.join(", "));
         println!("{}: good. Classes: {classes}. Kinds: {kinds}.", file.display());
+        if let Some(terms) = &config.custody {
+            let kept = config.names.classes.iter().zip(&terms.protect).filter(|c| *c.1);
+            let kept: Vec<&str> = kept.map(|c| c.0.as_str()).collect();
+            println!("Statements outlive their gateway: {}.", kept.join(", "));
+        }
         if let Some(terms) = &config.agreement {
             let bound = std::time::Duration::from_micros(terms.bound());
             println!("T: {bound:.1?} after a version is committed nobody acts on an earlier one alone.");
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -2,7 +2,7 @@
 //! the log. Decides nothing.
 
 use std::cell::RefCell;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +13,10 @@
 use violetward_net::{Alarm, Connection};
 use violetward_statement::http::{Headers, Limits};
 
+use violetward_custody::Life;
+
 use crate::config::{read_ring, PeerTerms};
+use crate::custody;
 use crate::host::Host;
 use crate::watch;
 
@@ -27,6 +30,9 @@
 /// The other gateways, as this one knows them.
 pub struct Peers {
     membership: RefCell<Membership>,
+    /// Where to reach members that are not reached where they say.
+    via: std::collections::BTreeMap<String, SocketAddr>,
+    streams: RefCell<Option<Async<TcpListener>>>,
     socket: Async<UdpSocket>,
     alarm: Alarm,
 }
@@ -103,13 +109,34 @@
     }
 }
 
+/// The sockets of datagrams and, where they are wanted, of streams: on one port.
+fn bind(
+    listen: SocketAddr,
+    streams: bool,
+) -> std::io::Result<(Async<UdpSocket>, Option<Async<TcpListener>>)> {
+    let mut tries = 0;
+    loop {
+        let socket = Async::<UdpSocket>::bind(listen)?;
+        if !streams {
+            return Ok((socket, None));
+        }
+        tries += 1;
+        match Async::<TcpListener>::bind(socket.get_ref().local_addr()?) {
+            Ok(listener) => return Ok((socket, Some(listener))),
+            // A free port for the one may be taken for the other.
+            Err(_) if listen.port() == 0 && tries < 20 => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 impl Peers {
     /// Starts the tasks of membership; they run as long as the host's executor does.
     ///
     /// # Errors
     /// If it cannot listen.
     pub fn start(host: &Rc<Host>, terms: &PeerTerms) -> std::io::Result<Rc<Peers>> {
-        let socket = Async::<UdpSocket>::bind(terms.listen)?;
+        let (socket, streams) = bind(terms.listen, host.config.custody.is_some())?;
         let address = match terms.advertise {
             Some(address) => address,
             None => socket.get_ref().local_addr()?,
@@ -130,13 +157,24 @@
         };
         tracing::info!(name = terms.name, site = terms.site, %address, "membership");
         let membership = RefCell::new(Membership::new(known, rand::random(), host.now()));
-        let peers = Rc::new(Peers { membership, socket, alarm: Alarm::default() });
+        let peers = Rc::new(Peers {
+            membership,
+            via: terms.via.clone(),
+            streams: RefCell::new(streams),
+            socket,
+            alarm: Alarm::default(),
+        });
         host.spawn(peers.clone().read(host.clone()));
         host.spawn(peers.clone().wake(host.clone()));
         host.spawn(peers.clone().demand(host.clone()));
         if let Some(file) = terms.key_file.clone() {
-            let of = peers.clone();
-            let take = move |text: &str| read_ring(text).map(|keys| of.membership.borrow_mut().keys(keys));
+            let (of, to) = (peers.clone(), host.clone());
+            let take = move |text: &str| {
+                let keys = read_ring(text)?;
+                to.custody().iter().for_each(|custody| custody.set_keys(keys.clone()));
+                of.membership.borrow_mut().keys(keys);
+                Ok(())
+            };
             host.spawn(watch::keys(file, host.config.host.list_every, take));
         }
         Ok(peers)
@@ -168,6 +206,9 @@
                 tracing::debug!(part, "share of the fleet");
                 host.core(|core, now| core.share(now, part));
             }
+            Effect::Heard(from, bytes) if bytes.first() == Some(&custody::SAID) => {
+                host.custody().iter().for_each(|custody| custody.heard(host, &from, &bytes[1..]));
+            }
             Effect::Heard(from, bytes) => {
                 let agreed = host.agreed.borrow().clone();
                 agreed.iter().for_each(|agreed| agreed.heard(host, &from, &bytes));
@@ -179,6 +220,7 @@
                         let was = was.map_or("unknown", word);
                         let state = word(state);
                         tracing::info!(member = name, was, state, incarnation, at, "member");
+                        host.custody().iter().for_each(|custody| custody.members(host));
                     }
                     Change::Standing(standing) => tracing::info!(standing = standing.word(), at, "standing"),
                     Change::Paused(span) => tracing::warn!(ms = span / 1000, at, "this process stood still"),
@@ -257,6 +299,54 @@
         }
     }
 
+    /// This one's life and site.
+    pub fn me(&self) -> (Life, String) {
+        let m = self.membership.borrow();
+        (Life { name: m.me().name.clone(), life: m.me().life }, m.me().site.clone())
+    }
+
+    /// All other members that are remembered.
+    pub fn seen(&self) -> Vec<violetward_membership::Seen> {
+        self.membership.borrow().view().collect()
+    }
+
+    /// The names of all other members that are remembered.
+    pub fn names(&self) -> Vec<String> {
+        self.seen().into_iter().map(|seen| seen.record.name).collect()
+    }
+
+    /// Where a member is reached by streams.
+    pub fn reached_at(&self, name: &str) -> Option<SocketAddr> {
+        let known = self.membership.borrow().view().find(|seen| seen.record.name == name);
+        known.map(|seen| self.via.get(name).copied().unwrap_or(seen.record.address))
+    }
+
+    /// Whether nobody can say yet that this life of a gateway is over.
+    pub fn may_live(&self, life: &Life) -> bool {
+        let known = self.membership.borrow().view().find(|seen| seen.record.name == life.name);
+        known.is_some_and(|seen| seen.record.life == life.life && seen.record.state <= State::Suspect)
+    }
+
+    /// Whether this life of a gateway has been over for so long, as far as is known here.
+    pub fn gone_for(&self, life: &Life, now: u64, span: u64) -> bool {
+        let known = self.membership.borrow().view().find(|seen| seen.record.name == life.name);
+        known.is_none_or(|seen| {
+            let over = seen.record.life != life.life || seen.record.state > State::Suspect;
+            over && now >= seen.since + span
+        })
+    }
+
+    /// Whether nobody doubts that this life of a gateway goes on.
+    pub fn lives(&self, life: &Life) -> bool {
+        let known = self.membership.borrow().view().find(|seen| seen.record.name == life.name);
+        known.is_some_and(|seen| seen.record.life == life.life && seen.record.state == State::Alive)
+    }
+
+    /// Where streams of records are taken: on the port of datagrams, once.
+    pub fn streams(&self) -> Option<Async<TcpListener>> {
+        self.streams.borrow_mut().take()
+    }
+
     /// Says good-bye: others take this one's share at once.
     pub fn leave(&self, host: &Rc<Host>) {
         self.with(host, Membership::leave);
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -11,10 +11,14 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{future, StreamExt};
 use violetward::Gateway;
+use violetward_transport::session::{Me, Patience};
+use violetward_transport::sockets::Station;
 
 use crate::agreed::Agreed;
 use crate::config::Config;
 use crate::core::{Core, Decide};
+use crate::custody::Custody;
+use crate::custody_terms::CustodyTerms;
 use crate::front::Front;
 use crate::host::Host;
 use crate::membership::Membership;
@@ -90,6 +94,9 @@
     if let Some(terms) = host.config.agreement.clone() {
         Agreed::start(&host, &terms)?;
     }
+    if let Some(terms) = host.config.custody.clone() {
+        start_custody(&host, &terms, executor.clone())?;
+    }
     if let Some((listen, keys)) = host.config.zone_front.clone() {
         ZoneFront::start(host.clone(), membership, Updates::new(keys), listen)?;
     }
@@ -113,6 +120,21 @@
     Ok((host, address))
 }
 
+fn start_custody(
+    host: &Rc<Host>,
+    terms: &CustodyTerms,
+    executor: Rc<LocalExecutor<'static>>,
+) -> std::io::Result<()> {
+    let missing = || std::io::Error::other("custody needs membership");
+    let (peers, ring) = host.peers().zip(host.config.peers.as_ref()).ok_or_else(missing)?;
+    let keys = ring.keys.clone();
+    let (life, _) = peers.me();
+    let me = Me { name: life.name, life: life.life };
+    let station = Station::new(executor, host.clock.clone(), me, keys.clone(), Patience::default());
+    let listener = peers.streams().ok_or_else(missing)?;
+    Custody::start(host, terms, station, keys, listener).map(|_| ())
+}
+
 /// Waits for the first lease, where there is to be one, for as long as the configuration says; then clients are served
 /// narrowly. Connections wait meanwhile.
 async fn wait_for_lease(host: &Rc<Host>) {
@@ -127,14 +149,21 @@
 /// Takes nothing new, and returns once every client has its answer, or has stopped asking, or the time is up.
 pub async fn stop(host: &Rc<Host>, within: Duration) {
     host.drain();
-    let peers = host.peers.borrow().clone();
-    peers.iter().for_each(|peers| peers.leave(host));
+    let (peers, custody) = (host.peers(), host.custody());
+    // Others take its share at once; but what it holds can only go to them while it counts as living.
+    let leave = || peers.iter().for_each(|peers| peers.leave(host));
+    match &custody {
+        Some(custody) => custody.hand_over(host),
+        None => leave(),
+    }
     let open = host.look(|core| core.open());
-    tracing::info!(open, "stopping: no new statements; those taken get their answer");
+    tracing::info!(open, "stopping: no new statements; those taken get their answer here or elsewhere");
     let until = Instant::now() + within;
-    while host.look(|core| core.undelivered()) > 0 && Instant::now() < until {
+    let handed_over = || custody.as_ref().is_none_or(|custody| custody.handed_over());
+    while (host.look(|core| core.undelivered()) > 0 || !handed_over()) && Instant::now() < until {
         violetward_net::sleep(Duration::from_millis(10)).await;
     }
+    custody.iter().for_each(|_| leave());
     let agreed = host.agreed.borrow().clone();
     agreed.iter().for_each(|agreed| agreed.leave(host));
     // The last answers are on their way out of this process.
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -386,7 +386,7 @@
     /// One client: a front sends it to a gateway, and to another while none has taken the statement.
     async fn ask(self: Rc<Self>, mut ask: client::Ask) -> Record {
         let addresses = || self.gateways.borrow().iter().map(|g| g.address).collect::<Vec<_>>();
-        client::run_somewhere(addresses, |address| self.pool(address), &mut ask).await
+        client::run_somewhere(addresses, |address| self.pool(address), &mut ask, false).await
     }
 }
 
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -240,6 +240,7 @@
             contradicted: None,
             rows: 0,
             session: None,
+            moved: Vec::new(),
         };
         let pinned = self.pinned > 0.0
             && !kind.keyed
--- a/crates/statement/src/pages.rs
+++ b/crates/statement/src/pages.rs
@@ -56,6 +56,8 @@
     pub data: Option<Rc<RawValue>>,
     /// Bytes that it holds.
     pub bytes: usize,
+    /// The number that the engine gave to the page after it, where one is known.
+    pub next: Option<u64>,
 }
 
 /// A page as it is handed out; the same for every asking.
@@ -67,6 +69,8 @@
     pub columns: Option<Rc<RawValue>>,
     /// Rows.
     pub data: Option<Rc<RawValue>>,
+    /// The number of the engine's page after the rows handed out so far; `None` before any.
+    pub after: Option<u64>,
     /// How the statement got on when the page was made.
     pub stats: Stats,
     /// The end; the last page has one.
@@ -99,6 +103,12 @@
     columns: Option<Rc<RawValue>>,
     /// Rows have been handed out.
     pub begun: bool,
+    /// The number of the first page here: pages before it were handed out elsewhere.
+    first: u64,
+    /// See [`Page::after`].
+    after: Option<u64>,
+    /// The client has asked for what follows the last page: it has got that one.
+    confirmed: bool,
     /// How it gets on.
     pub stats: Stats,
     /// What a statement that is no query did.
@@ -170,7 +180,27 @@
     }
 
     fn next_token(&self) -> u64 {
-        self.last.as_ref().map_or(0, |l| l.token + 1)
+        self.last.as_ref().map_or(self.first, |l| l.token + 1)
+    }
+
+    /// Pages handed out so far, those of others included.
+    pub fn passed(&self) -> u64 {
+        self.next_token()
+    }
+
+    /// Goes on where another one has stopped: the next page is this one, and the rows handed out end before that page of the
+    /// engine. Only while nothing has been handed out here.
+    pub fn resume(&mut self, token: u64, after: Option<u64>) {
+        if self.last.is_none() {
+            (self.first, self.after, self.begun) = (token, after, after.is_some());
+        }
+    }
+
+    /// Nothing that its client may not have got would be lost if the engine were asked for its next page: engines give the last
+    /// page again, and no earlier one.
+    pub fn may_advance(&self) -> bool {
+        let got = self.confirmed || self.last.as_ref().is_none_or(|l| l.data.is_none());
+        self.parts.is_empty() && got
     }
 
     /// Hands a page out. With `now_or_empty`, an empty page is given if there is nothing new.
@@ -182,17 +212,21 @@
         if token != next || self.last.as_ref().is_some_and(|l| l.end.is_some()) {
             return if token < next { Turn::Gone } else { Turn::Unknown };
         }
+        self.confirmed = true;
         if !self.is_ready(token) && !now_or_empty {
             return Turn::Wait;
         }
         let part = self.parts.pop_front().unwrap_or_default();
         self.held -= part.bytes.min(self.held);
-        self.begun |= part.data.is_some();
+        if part.data.is_some() {
+            (self.begun, self.after, self.confirmed) = (true, part.next, false);
+        }
         let end = self.end.clone().filter(|_| self.parts.is_empty());
         let update = self.update.clone().filter(|_| end.is_some());
         let session = if end.is_some() { self.session.clone() } else { Vec::new() };
         let (columns, stats) = (self.columns.clone(), self.stats.clone());
-        let page = Rc::new(Page { token, columns, data: part.data, stats, end, update, session });
+        let after = self.after;
+        let page = Rc::new(Page { token, columns, data: part.data, after, stats, end, update, session });
         self.last = Some(page.clone());
         Turn::Page(page)
     }
@@ -268,7 +302,7 @@
 
     fn rows(text: &str) -> Part {
         let raw = RawValue::from_string(text.to_owned()).unwrap();
-        Part { columns: None, bytes: text.len(), data: Some(raw.into()) }
+        Part { bytes: text.len(), data: Some(raw.into()), ..Part::default() }
     }
 
     fn page(turn: Turn) -> Rc<Page> {
@@ -312,6 +346,29 @@
         assert!(matches!(pages.take(1, true), Turn::Unknown));
     }
 
+    #[test]
+    fn the_engine_is_not_asked_on_while_its_last_rows_may_not_have_come() {
+        let mut pages = Pages::default();
+        assert!(pages.may_advance());
+        pages.push(rows("[[1]]"));
+        assert!(!pages.may_advance(), "rows that wait here would be lost");
+        page(pages.take(0, false));
+        assert!(!pages.may_advance(), "the answer with them may have been lost");
+        assert!(matches!(pages.take(1, false), Turn::Wait));
+        assert!(pages.may_advance());
+    }
+
+    #[test]
+    fn pages_are_numbered_on_from_those_of_another_one() {
+        let mut pages = Pages::default();
+        pages.resume(7, Some(4));
+        assert!(pages.begun && !pages.restart());
+        assert!(matches!(pages.take(6, true), Turn::Gone));
+        pages.push(Part { next: Some(5), ..rows("[[1]]") });
+        let next = page(pages.take(7, false));
+        assert_eq!((next.token, next.after), (7, Some(5)));
+    }
+
     #[test]
     fn what_has_been_handed_out_cannot_start_again() {
         let mut pages = Pages::default();
--- a/crates/statement/src/results.rs
+++ b/crates/statement/src/results.rs
@@ -211,6 +211,9 @@
     pub token: u64,
 }
 
+/// Octets of the longest part of a path that can't be guessed.
+const SLUG: usize = 512;
+
 impl PageRef {
     /// The path of the page.
     pub fn path(&self) -> String {
@@ -226,7 +229,7 @@
             return None;
         }
         let (id, slug, token) = (parts.next()?, parts.next()?, parts.next()?);
-        if parts.next().is_some() || id.is_empty() || id.len() > 64 || slug.len() > 64 || token.len() > 19 {
+        if parts.next().is_some() || id.is_empty() || id.len() > 64 || slug.len() > SLUG || token.len() > 19 {
             return None;
         }
         if !token.bytes().all(|b| b.is_ascii_digit()) {
