Requests wait with their engine for any connection; late dials get one beside them

Seen, by a trace of before the change: 1,122 dials, 105 of them given up after the 250 ms of the settings, 16 refused, at the crash of one engine alone. Each of the 105 was told to the module as a failed connection: 87 attempts so ended, engines were taken for restarted and cold 87 times and left alone 17 times, 16 of them sound. From request to launch 543 ms at the third quarter, 30% refused, engines idle. Ruled out: engines (no answer `full`, 10 resets, half of them from the one crash), pages (0.9 ms from the answer to the client at the median), the wait for connections itself (0.7 ms at the median, 220 ms at the 99th). Lines at fault: `run` in engine.rs took "not up in time" for a refusal; `connect` bound each request to its own dial.

Change: what finds no connection ready waits in a queue of its engine; the first connection that comes up or gets free carries it. A dial that is late goes on, and one more goes beside it after four times what is usual there, another after sixteen; a late one that nothing waits for any more is dropped, so that it costs no handshake. A dial that is not up in time ends what waits only if the engine was not heard meanwhile. After a break, a dial that is neither up nor refused proves that the process stands. The time spent waiting for a connection is not told as the engine's. Fresh connections are preferred only where used ones break more often than fresh ones; one break alone closed all idle ones for 5 s.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -327,6 +327,15 @@
         }
     }
 
+    /// An attempt goes out on its connection only now: what it has waited for that is no time of its engine's. Counted as
+    /// such, a late connection would make a sound engine look slow.
+    pub fn written(&mut self, now: Micros, attempt: AttemptId) {
+        self.pass(now);
+        if let Some(out) = self.attempts.get_mut(&attempt) {
+            out.sent = self.now;
+        }
+    }
+
     /// An attempt has ended on its connection. One that had been given up is not known any more.
     pub fn ended(&mut self, now: Micros, attempt: AttemptId, ending: Ending) {
         self.pass(now);
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -1,16 +1,18 @@
 //! Connections to engines, kept by engine and not by address: a new engine may have a gone one's.
 //!
 //! A request has a connection to itself where descriptors allow it, since what is spoilt on one ends all that is open
-//! there; where they do not, up to the settings' streams share one.
+//! there; where they do not, up to the settings' streams share one. What finds none ready waits with its engine, not with
+//! the connection that is dialled for it: the first one that comes up or gets free carries it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::Async;
+use event_listener::Event;
 use futures_lite::future;
 use violetward::{EngineId, Listed, Load, Outcome};
 use violetward_net::Duplex;
@@ -30,35 +32,60 @@
 /// How often a connection is dialled that is reset before anything could be asked on it.
 const DIALS: u32 = 4;
 
-/// Weight of one break of a used connection under a request in the share of such breaks, the share from which requests
-/// get fresh ones, and how fast what was seen fades.
-const WORN: (f64, f64, Duration) = (0.05, 0.03, Duration::from_secs(10));
+/// Weight of one break of a connection under a request in the share of such breaks, how far the share of used ones has to
+/// lie over that of fresh ones for requests to get fresh ones, and how fast what was seen fades. One break alone is less.
+const WORN: (f64, f64, Duration) = (0.02, 0.03, Duration::from_secs(10));
+
+/// A dial is late after this many times what dials to its engine usually take; then one more goes beside it, and after
+/// each further such multiple, up to a number. No dial is late before this part of the time-out: what is lost until then
+/// is not worth a handshake. Weight of one dial in what is usual.
+const LATE: (u32, u32) = (4, 2);
+const LATE_LEAST: u32 = 100;
+const DIAL_SAMPLE: u32 = 8;
+
+/// What waits for a connection.
+struct Waiting {
+    what: What,
+    since: Instant,
+    /// Connections that it has found reset before anything of it was written.
+    resets: u32,
+}
 
-enum Waiting {
-    /// With the connections that it has found reset before anything of it was written.
-    Launch(Launch, u32),
+enum What {
+    Launch(Launch),
     Probe,
 }
 
+impl Waiting {
+    fn attempt(&self) -> Option<AttemptId> {
+        match &self.what {
+            What::Launch(launch) => Some(launch.attempt),
+            What::Probe => None,
+        }
+    }
+}
+
 /// A connection, or one that is coming up.
 struct Line {
     duplex: RefCell<Option<Rc<Duplex>>>,
     link: RefCell<Link>,
-    waiting: RefCell<Vec<Waiting>>,
     /// Something was last read from it.
     heard: Cell<Instant>,
     /// Since when nothing is open on it.
     idle: Cell<Instant>,
     /// Nothing new goes on it: it was silent to a request given up, or its engine has another address now.
     spent: Cell<bool>,
-    /// When it came up, for the log, and how many requests it has carried.
+    /// Another one was dialled because this one is late; told when nothing waits for it any more.
+    passed: Cell<bool>,
+    unneeded: Event,
+    /// When it came up, or was dialled, and how many requests it has carried.
     up: Cell<Instant>,
     carried: Cell<u32>,
 }
 
 impl Line {
     fn load(&self) -> usize {
-        self.link.borrow().load() + self.waiting.borrow().len()
+        self.link.borrow().load()
     }
 
     fn send(&self, bytes: &[u8]) -> bool {
@@ -72,14 +99,22 @@
         }
     }
 
-    fn takes(&self, attempt: AttemptId) -> bool {
-        let waits = |w: &Waiting| matches!(w, Waiting::Launch(l, _) if l.attempt.0 == attempt.0);
-        !self.spent.get() && self.link.borrow().takes(attempt) && !self.waiting.borrow().iter().any(waits)
+    fn takes(&self, attempt: Option<AttemptId>) -> bool {
+        !self.spent.get() && attempt.is_none_or(|attempt| self.link.borrow().takes(attempt))
     }
 
     fn is_up(&self) -> bool {
         self.duplex.borrow().is_some()
     }
+
+    fn is_quiet(&self) -> bool {
+        self.duplex.borrow().as_ref().is_some_and(|d| d.is_quiet())
+    }
+
+    /// It is being dialled, for whatever waits.
+    fn is_coming(&self) -> bool {
+        !self.is_up() && !self.spent.get()
+    }
 }
 
 struct Engine {
@@ -87,31 +122,64 @@
     address: Cell<SocketAddr>,
     listed: Cell<Listed>,
     lines: RefCell<Vec<Rc<Line>>>,
-    /// Where each attempt went, and when.
+    /// Where each attempt was written, and when.
     places: RefCell<HashMap<AttemptId, (Rc<Line>, Instant)>>,
+    /// What waits for a connection, in order. It leaves when it is written, given up, or its engine refuses.
+    waiting: RefCell<VecDeque<Waiting>>,
+    /// How long a dial usually takes; late ones count for twice that at most.
+    dial: Cell<Option<Duration>>,
+    /// When something last came from it, were it a connection that came up, and when it last refused one.
+    heard: Cell<Instant>,
+    refused: Cell<Option<Instant>>,
 }
 
 impl Engine {
-    /// Nothing new goes on the connections there are. What waits for one to come up has not been sent; probes wait on,
-    /// and end with it.
+    /// Nothing new goes on the connections there are. What waits for one has not been sent; probes wait on.
     fn retire(&self, unsent: &mut Vec<(AttemptId, Ending)>) {
-        for line in self.lines.borrow().iter() {
-            line.spent.set(true);
-            line.waiting.borrow_mut().retain(|waiting| {
-                let Waiting::Launch(launch, _) = waiting else { return true };
-                self.places.borrow_mut().remove(&launch.attempt);
-                unsent.push((launch.attempt, Ending::of(Outcome::ConnectFailed)));
-                false
-            });
-        }
+        self.lines.borrow().iter().for_each(|line| line.spent.set(true));
+        self.waiting.borrow_mut().retain(|waiting| {
+            unsent.extend(waiting.attempt().map(|a| (a, Ending::of(Outcome::ConnectFailed))));
+            waiting.attempt().is_none()
+        });
+    }
+
+    fn is_coming(&self) -> bool {
+        self.lines.borrow().iter().any(|l| l.is_coming())
+    }
+
+    /// Fewer dials are out that are not late yet than there is waiting.
+    fn needs_dial(&self, late: Duration) -> bool {
+        let punctual = |l: &&Rc<Line>| l.is_coming() && l.up.get().elapsed() < late;
+        self.lines.borrow().iter().filter(punctual).count() < self.waiting.borrow().len()
+    }
+
+    /// After how long a dial is late.
+    fn late(&self, within: Duration) -> Duration {
+        (self.dial.get().unwrap_or_default() * LATE.0).max(within / LATE_LEAST)
+    }
+
+    fn note_dial(&self, took: Duration) {
+        let usual = self.dial.get().unwrap_or(took);
+        self.dial.set(Some((usual * (DIAL_SAMPLE - 1) + took.min(usual * 2)) / DIAL_SAMPLE));
+    }
+
+    /// What waits and is such, as never sent.
+    fn unserved(&self, is_such: impl Fn(&Waiting) -> bool) -> Vec<Told> {
+        let never = |waiting: Waiting| match waiting.what {
+            What::Launch(launch) => Told::Ended(launch.attempt, Ending::of(Outcome::ConnectFailed)),
+            What::Probe => Told::Probed(false, Load::default()),
+        };
+        let (ended, kept): (VecDeque<_>, _) = self.waiting.take().into_iter().partition(is_such);
+        *self.waiting.borrow_mut() = kept;
+        ended.into_iter().map(never).collect()
     }
 }
 
 /// All engines that are listed or still owe an answer.
 pub struct Engines {
     most: usize,
-    /// How often used connections broke under a request of late, and when that was last seen.
-    worn: Cell<(f64, Instant)>,
+    /// How often fresh and used connections broke under a request of late, and when that was last seen.
+    breaks: [Cell<(f64, Instant)>; 2],
     terms: Connections,
     engines: RefCell<HashMap<EngineId, Rc<Engine>>>,
 }
@@ -119,7 +187,12 @@
 impl Engines {
     /// None yet; up to `most` connections in all.
     pub fn new(most: usize, terms: Connections) -> Self {
-        Engines { most, worn: Cell::new((0.0, Instant::now())), terms, engines: RefCell::default() }
+        Engines {
+            most,
+            breaks: [0; 2].map(|_| Cell::new((0.0, Instant::now()))),
+            terms,
+            engines: RefCell::default(),
+        }
     }
 
     /// Connections there are.
@@ -147,6 +220,10 @@
                     listed: Cell::new(Listed::Up),
                     lines: RefCell::default(),
                     places: RefCell::default(),
+                    waiting: RefCell::default(),
+                    dial: Cell::new(None),
+                    heard: Cell::new(Instant::now()),
+                    refused: Cell::new(None),
                 })
             });
             engine.listed.set(listing.entry.listed);
@@ -162,77 +239,117 @@
 
     /// Begins an attempt; its end, if it has ended already.
     pub fn launch(&self, host: &Rc<Host>, launch: Launch) -> Option<Ending> {
-        self.launch_again(host, launch, 0)
-    }
-
-    fn launch_again(&self, host: &Rc<Host>, launch: Launch, resets: u32) -> Option<Ending> {
         tracing::debug!(engine = %format_args!("{:x}", launch.engine.0), id = %crate::link::id_text(launch.attempt),
             attempt = launch.attempt.1, memory = launch.memory_mb, rank = launch.rank, "launch");
         let engine = self.engines.borrow().get(&launch.engine).cloned();
-        let failed = || Some(Ending::of(Outcome::ConnectFailed));
-        let Some(engine) = engine.filter(|e| e.listed.get() == Listed::Up) else { return failed() };
-        // A connection that turns out to be dead before anything was written proves nothing of the engine.
-        while let Some(line) = self.line(host, &engine, Some(launch.attempt)) {
-            engine.places.borrow_mut().insert(launch.attempt, (line.clone(), Instant::now()));
-            if !line.is_up() {
-                line.waiting.borrow_mut().push(Waiting::Launch(launch, resets));
-                return None;
-            }
-            let was_idle = line.load() == 0;
-            if was_idle && !line.duplex.borrow().as_ref().is_some_and(|d| d.is_quiet()) {
-                line.close();
+        let engine = engine.filter(|e| e.listed.get() == Listed::Up);
+        let attempt = launch.attempt;
+        let taken = engine.is_some_and(|engine| self.ask(host, &engine, What::Launch(launch)));
+        (!taken).then(|| {
+            tracing::debug!(id = %crate::link::id_text(attempt), attempt = attempt.1, "no way to it");
+            Ending::of(Outcome::ConnectFailed)
+        })
+    }
+
+    /// Has something written on a connection to an engine, now or as soon as there is one; false if there is no way.
+    fn ask(&self, host: &Rc<Host>, engine: &Rc<Engine>, what: What) -> bool {
+        engine.waiting.borrow_mut().push_back(Waiting { what, since: Instant::now(), resets: 0 });
+        self.serve(host, engine);
+        if engine.needs_dial(engine.late(within(host))) && self.may_dial(engine) {
+            dial(host, engine, true);
+        }
+        let ready = |line: &Rc<Line>| line.is_coming() || line.is_up() && !line.spent.get();
+        engine.lines.borrow().iter().any(ready) || engine.waiting.borrow_mut().pop_back().is_none()
+    }
+
+    /// Writes what waits on the connections that are ready, and dials for the rest.
+    fn serve(&self, host: &Rc<Host>, engine: &Rc<Engine>) {
+        let mut at = 0;
+        while at < engine.waiting.borrow().len() {
+            let attempt = engine.waiting.borrow()[at].attempt();
+            let Some(line) = self.ready(engine, attempt) else {
+                at += 1;
                 continue;
+            };
+            let Some(waiting) = engine.waiting.borrow_mut().remove(at) else { return };
+            match waiting.what {
+                What::Probe => probe(host, engine, &line),
+                What::Launch(launch) => {
+                    engine.places.borrow_mut().insert(launch.attempt, (line.clone(), Instant::now()));
+                    tracing::debug!(id = %crate::link::id_text(launch.attempt), attempt = launch.attempt.1,
+                        waited = ?waiting.since.elapsed(), carried = line.carried.get(), age = ?line.up.get().elapsed(), "write");
+                    if write(host, &line, &launch) {
+                        continue;
+                    }
+                    // It turns out to be dead before anything was written: that proves nothing of the engine.
+                    engine.places.borrow_mut().remove(&launch.attempt);
+                    line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
+                    line.close();
+                    let (what, resets) = (What::Launch(launch), waiting.resets + 1);
+                    engine.waiting.borrow_mut().insert(at, Waiting { what, resets, ..waiting });
+                }
             }
-            if write(host, &line, &launch) {
-                return None;
+        }
+        if engine.waiting.borrow().is_empty() {
+            // A late dial whose request went another way would only cost a handshake.
+            for line in engine.lines.borrow().iter().filter(|l| l.is_coming() && l.passed.get()) {
+                line.spent.set(true);
+                line.unneeded.notify(1);
             }
-            line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
-            line.close();
         }
-        engine.places.borrow_mut().remove(&launch.attempt);
-        failed()
+        // Whatever took its dial away, what waits must not wait for nothing.
+        if !engine.waiting.borrow().is_empty() && !engine.is_coming() && self.may_dial(engine) {
+            dial(host, engine, true);
+        }
     }
 
+    /// How much more often used connections break than fresh ones.
     fn worn(&self) -> f64 {
-        let (share, at) = self.worn.get();
+        let [fresh, used] = [0, 1].map(|kind| self.breaks(kind));
+        used - fresh
+    }
+
+    fn breaks(&self, kind: usize) -> f64 {
+        let (share, at) = self.breaks[kind].get();
         share * (-at.elapsed().as_secs_f64() / WORN.2.as_secs_f64()).exp()
     }
 
-    /// A request on a used connection has ended, or its connection has broken under it.
-    fn note_used(&self, broke: bool) {
-        let share = self.worn();
-        self.worn.set((share + WORN.0 * (f64::from(u8::from(broke)) - share), Instant::now()));
+    /// A request on a connection has ended, or its connection has broken under it.
+    fn note_break(&self, line: &Line, broke: bool) {
+        let kind = usize::from(line.carried.get() > 1);
+        let share = self.breaks(kind);
+        self.breaks[kind].set((share + WORN.0 * (f64::from(u8::from(broke)) - share), Instant::now()));
     }
 
-    /// The best connection for an attempt or a probe, a new one if need be.
-    fn line(&self, host: &Rc<Host>, engine: &Rc<Engine>, attempt: Option<AttemptId>) -> Option<Rc<Line>> {
+    /// The best connection that is up and free for an attempt or a probe; where there may be no more, one that others use.
+    fn ready(&self, engine: &Rc<Engine>, attempt: Option<AttemptId>) -> Option<Rc<Line>> {
         let lines = engine.lines.borrow();
-        let fits = |line: &&Rc<Line>| match attempt {
-            Some(attempt) => line.takes(attempt) && line.load() < self.terms.streams,
-            None => !line.spent.get() && line.load() < self.terms.streams,
-        };
+        let idle = |l: &&Rc<Line>| l.is_up() && l.load() == 0;
         if self.worn() > WORN.1 {
             // Where used connections break as soon as something is asked on them, a fresh one costs a handshake, and a
             // used one an attempt that may have run.
-            lines
-                .iter()
-                .filter(|l| l.is_up() && l.load() == 0 && l.carried.get() > 0)
-                .for_each(|l| l.close());
+            lines.iter().filter(idle).filter(|l| l.carried.get() > 0).for_each(|l| l.close());
         }
+        lines.iter().filter(idle).filter(|l| !l.is_quiet()).for_each(|l| l.close());
+        let fits = |l: &&Rc<Line>| l.is_up() && l.takes(attempt) && l.load() < self.terms.streams;
         // The one used last is the least likely to have been closed by its engine.
-        let idle =
-            lines.iter().filter(fits).filter(|l| l.is_up() && l.load() == 0).max_by_key(|l| l.idle.get());
-        if let Some(line) = idle {
-            return Some(line.clone());
-        }
-        let each = (self.most / self.engines.borrow().len().max(1)).max(1);
-        let least = lines.iter().filter(fits).min_by_key(|l| (l.load(), !l.is_up())).cloned();
-        let count = lines.len();
-        drop(lines);
-        if (count >= each && least.is_some()) || (self.connections() >= self.most && !self.make_room()) {
-            return least;
-        }
-        Some(connect(host, engine))
+        let best = lines.iter().filter(fits).filter(idle).max_by_key(|l| l.idle.get());
+        let shared = || lines.iter().filter(fits).min_by_key(|l| l.load());
+        best.or_else(|| if lines.len() < self.each() { None } else { shared() }).cloned()
+    }
+
+    /// Connections that an engine may have.
+    fn each(&self) -> usize {
+        (self.most / self.engines.borrow().len().max(1)).max(1)
+    }
+
+    /// Whether there is room for one more connection to an engine. Its last one may be of no use any more.
+    fn may_dial(&self, engine: &Rc<Engine>) -> bool {
+        let (count, useless) = {
+            let lines = engine.lines.borrow();
+            (lines.len(), lines.iter().all(|l| l.spent.get()))
+        };
+        (count < self.each() || useless) && (self.connections() < self.most || self.make_room())
     }
 
     /// Closes the connection that has been idle for longest; false if there is none.
@@ -250,10 +367,10 @@
     }
 
     /// Gives an attempt up.
-    pub fn withdraw(&self, engine: EngineId, attempt: AttemptId) {
+    pub fn withdraw(&self, host: &Rc<Host>, engine: EngineId, attempt: AttemptId) {
         let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
+        engine.waiting.borrow_mut().retain(|w| w.attempt() != Some(attempt));
         let Some((line, since)) = engine.places.borrow_mut().remove(&attempt) else { return };
-        line.waiting.borrow_mut().retain(|w| !matches!(w, Waiting::Launch(l, _) if l.attempt == attempt));
         let mut out = Vec::new();
         line.link.borrow_mut().withdraw(attempt, &mut out);
         line.send(&out);
@@ -262,17 +379,18 @@
             line.spent.set(true);
         }
         line.idle.set(Instant::now());
+        self.serve(host, &engine);
     }
 
     /// Gives an attempt another priority.
     pub fn renice(&self, engine: EngineId, attempt: AttemptId, rank: u8) {
         let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
-        let Some((line, _)) = engine.places.borrow().get(&attempt).cloned() else { return };
-        for waiting in line.waiting.borrow_mut().iter_mut() {
-            if let Waiting::Launch(launch, _) = waiting {
+        for waiting in engine.waiting.borrow_mut().iter_mut() {
+            if let What::Launch(launch) = &mut waiting.what {
                 launch.rank = if launch.attempt == attempt { rank } else { launch.rank };
             }
         }
+        let Some((line, _)) = engine.places.borrow().get(&attempt).cloned() else { return };
         let mut out = Vec::new();
         line.link.borrow_mut().renice(attempt, rank, &mut out);
         line.send(&out);
@@ -281,17 +399,11 @@
     /// Checks an engine.
     pub fn probe(&self, host: &Rc<Host>, id: EngineId) {
         let engine = self.engines.borrow().get(&id).cloned();
-        let line = engine.as_ref().and_then(|e| self.line(host, e, None));
-        let Some((engine, line)) = engine.zip(line) else {
+        if !engine.is_some_and(|engine| self.ask(host, &engine, What::Probe)) {
             let host = host.clone();
-            return host.clone().spawn(async move {
+            host.clone().spawn(async move {
                 host.core(|core, now| core.probed(now, id, false, Load::default()));
             });
-        };
-        if line.is_up() {
-            ask(host, &engine, &line);
-        } else {
-            line.waiting.borrow_mut().push(Waiting::Probe);
         }
     }
 
@@ -320,11 +432,12 @@
     let class = &host.config.names.classes[launch.class];
     line.link.borrow_mut().fetch(launch, class, left, &mut out);
     line.carried.set(line.carried.get() + 1);
+    host.written(launch.attempt);
     line.send(&out)
 }
 
 /// Sends a probe on a connection that is up, and sees to its time-out.
-fn ask(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+fn probe(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
     let mut out = Vec::new();
     let tag = line.link.borrow_mut().probe(&mut out);
     line.send(&out);
@@ -339,75 +452,122 @@
     });
 }
 
-/// Begins a connection and the task that reads from it.
-fn connect(host: &Rc<Host>, engine: &Rc<Engine>) -> Rc<Line> {
+fn within(host: &Host) -> Duration {
+    Duration::from_micros(host.config.connections.connect_timeout)
+}
+
+/// Begins a connection and the task that reads from it. Others may go beside it when it is late.
+fn dial(host: &Rc<Host>, engine: &Rc<Engine>, first: bool) {
     let now = Instant::now();
     let line = Rc::new(Line {
         duplex: RefCell::new(None),
         link: RefCell::new(Link::new()),
-        waiting: RefCell::default(),
         heard: Cell::new(now),
         idle: Cell::new(now),
         spent: Cell::new(false),
+        passed: Cell::new(false),
+        unneeded: Event::new(),
         up: Cell::new(now),
         carried: Cell::new(0),
     });
     engine.lines.borrow_mut().push(line.clone());
-    host.spawn(run(host.clone(), engine.clone(), line.clone()));
-    line
+    host.spawn(run(host.clone(), engine.clone(), line, first));
+}
+
+/// Dials beside one that is late as long as something waits for it. Never ends.
+async fn dial_beside(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+    let late = engine.late(within(host));
+    for turn in 0..LATE.1 {
+        violetward_net::sleep(late * LATE.0.pow(turn)).await;
+        if engine.needs_dial(late) && host.engines.may_dial(engine) {
+            line.passed.set(true);
+            dial(host, engine, false);
+        }
+    }
+    future::pending().await
 }
 
-async fn run(host: Rc<Host>, engine: Rc<Engine>, line: Rc<Line>) {
-    let within = Duration::from_micros(host.config.connections.connect_timeout);
+/// A socket to an engine, if it is up in time and before it is not needed any more.
+async fn reach(
+    host: &Rc<Host>,
+    engine: &Rc<Engine>,
+    line: &Rc<Line>,
+    first: bool,
+) -> Result<Async<TcpStream>, Missed> {
     let connecting = async {
         let mut dials = 1;
         loop {
             match Async::<TcpStream>::connect(engine.address.get()).await {
-                Ok(socket) => break Some(socket),
+                Ok(socket) => return Ok(socket),
                 // Reset while it came up: somebody is there, and nothing has been asked yet. A refusal is final.
                 Err(e) if e.kind() == ErrorKind::ConnectionReset && dials < DIALS => dials += 1,
                 Err(e) => {
                     tracing::debug!(engine = %format_args!("{:x}", engine.id.0), %e, dials, "no connection");
-                    break None;
+                    if e.kind() == ErrorKind::ConnectionRefused {
+                        engine.refused.set(Some(Instant::now()));
+                    }
+                    return Err(Missed::Failed);
                 }
             }
         }
     };
-    let socket = violetward_net::timeout(within, connecting).await.flatten();
-    let came_up = socket.is_some();
-    if let Some(socket) = socket {
-        let duplex = Rc::new(Duplex::new(socket, KEPT));
-        *line.duplex.borrow_mut() = Some(duplex.clone());
-        begin(&host, &engine, &line);
-        future::or(read(&host, &engine, &line, &duplex), async {
-            duplex.drain().await;
-        })
-        .await;
-        // Held by its state no longer: the socket closes with this task.
-        duplex.close();
-        line.duplex.borrow_mut().take();
-    }
-    end(&host, &engine, &line, came_up).await;
+    let beside = async {
+        if first {
+            dial_beside(host, engine, line).await;
+        }
+        future::pending().await
+    };
+    let unneeded = async {
+        line.unneeded.listen().await;
+        Err(Missed::Late)
+    };
+    let reached = future::or(connecting, future::or(beside, unneeded));
+    violetward_net::timeout(within(host), reached).await.unwrap_or(Err(Missed::Late))
 }
 
-/// Writes what has waited for the connection to come up.
-fn begin(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
-    let waiting = line.waiting.take();
-    line.heard.set(Instant::now());
-    line.up.set(Instant::now());
-    for (at, what) in waiting.iter().enumerate() {
-        match what {
-            Waiting::Launch(launch, _) => {
-                if !write(host, line, launch) {
-                    // The rest was not written: it ends with the connection, as never sent.
-                    line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
-                    line.waiting.borrow_mut().extend(waiting.into_iter().skip(at));
-                    return;
-                }
+/// Why a dial gave no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Missed {
+    /// It failed at once.
+    Failed,
+    /// It was not up in time.
+    Late,
+}
+
+async fn run(host: Rc<Host>, engine: Rc<Engine>, line: Rc<Line>, first: bool) {
+    let reached = reach(&host, &engine, &line, first).await;
+    let (began, took) = (line.up.get(), line.up.get().elapsed());
+    let socket = match reached {
+        Ok(socket) => socket,
+        Err(why) => {
+            engine.lines.borrow_mut().retain(|l| !Rc::ptr_eq(l, &line));
+            tracing::debug!(engine = %format_args!("{:x}", engine.id.0), ?why, ?took, heard = ?engine.heard.get().elapsed(),
+                spent = line.spent.get(), "not up");
+            // What was dialled for an address that is not its engine's any more says nothing of it. Neither does a dial
+            // that is not up in time, if the engine was heard meanwhile: the way there is bad. What waits is better
+            // served by the next dial than told that its engine is gone: the module takes that for a restart.
+            if !line.spent.get() && (why == Missed::Failed || engine.heard.get() < began) {
+                tell(&host, &engine, &line, engine.unserved(|_| true));
             }
-            Waiting::Probe => ask(host, engine, line),
+            return host.engines.serve(&host, &engine);
         }
+    };
+    tracing::debug!(engine = %format_args!("{:x}", engine.id.0), ?took, first, "up");
+    engine.note_dial(took);
+    let duplex = Rc::new(Duplex::new(socket, KEPT));
+    *line.duplex.borrow_mut() = Some(duplex.clone());
+    for at in [&line.heard, &line.up, &line.idle, &engine.heard] {
+        at.set(Instant::now());
     }
+    host.engines.serve(&host, &engine);
+    future::or(read(&host, &engine, &line, &duplex), async {
+        duplex.drain().await;
+    })
+    .await;
+    // Held by its state no longer: the socket closes with this task.
+    duplex.close();
+    line.duplex.borrow_mut().take();
+    end(&host, &engine, &line).await;
 }
 
 async fn read(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, duplex: &Duplex) {
@@ -423,6 +583,7 @@
             return;
         }
         line.heard.set(Instant::now());
+        engine.heard.set(Instant::now());
         line.send(&out);
         if let Some(why) = fault {
             if host.quotas[1].allows(host.clock.now()) {
@@ -446,14 +607,16 @@
     line.idle.set(Instant::now());
     for told in &told {
         if let Told::Ended(attempt, ending) = told {
-            if line.carried.get() > 1 && ending.outcome == Outcome::Ok {
-                host.engines.note_used(false);
+            if ending.outcome == Outcome::Ok {
+                host.engines.note_break(line, false);
             }
             tracing::debug!(engine = %format_args!("{:x}", engine.id.0), id = %crate::link::id_text(*attempt), attempt = attempt.1,
                 outcome = ?ending.outcome, work = ?ending.work, load = ?ending.load, "ended");
             engine.places.borrow_mut().remove(attempt);
         }
     }
+    // What waits is older than what the module sends next.
+    host.engines.serve(host, engine);
     host.core(|core, now| {
         for told in told {
             match told {
@@ -465,55 +628,45 @@
 }
 
 /// Ends what is left on a connection that is gone, and forgets it.
-async fn end(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, came_up: bool) {
+async fn end(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
     line.spent.set(true);
     engine.lines.borrow_mut().retain(|l| !Rc::ptr_eq(l, line));
-    let mut told = Vec::new();
-    let (load, waiting) = (line.link.borrow().load(), line.waiting.borrow().len());
-    tracing::debug!(engine = %format_args!("{:x}", engine.id.0), load, waiting, came_up, carried = line.carried.get(),
-        age = ?line.up.get().elapsed(), idle = ?line.idle.get().elapsed(), lines = engine.lines.borrow().len(), "connection over");
+    let (load, mut told) = (line.link.borrow().load(), Vec::new());
+    tracing::debug!(engine = %format_args!("{:x}", engine.id.0), load, carried = line.carried.get(), age = ?line.up.get().elapsed(),
+        idle = ?line.idle.get().elapsed(), lines = engine.lines.borrow().len(), "connection over");
     if load > 0 {
         let outcome = if stands(host, engine).await { Outcome::Broken } else { Outcome::Reset };
-        if outcome == Outcome::Broken && line.carried.get() > 1 {
-            host.engines.note_used(true);
+        if outcome == Outcome::Broken {
+            host.engines.note_break(line, true);
         }
         line.link.borrow_mut().broken(outcome, &mut told);
     }
-    for waiting in line.waiting.take() {
-        let (launch, resets) = match waiting {
-            Waiting::Launch(launch, resets) => (launch, resets + 1),
-            Waiting::Probe => {
-                told.push(Told::Probed(false, Load::default()));
-                continue;
-            }
-        };
-        // The connection was up and broke before anything of this was written: nothing of it has reached the engine,
-        // and somebody was there.
-        let attempt = launch.attempt;
-        let again = came_up && resets < DIALS && launch.until > host.clock.now();
-        let ending = if again {
-            host.engines.launch_again(host, launch, resets)
-        } else {
-            Some(Ending::of(Outcome::ConnectFailed))
-        };
-        told.extend(ending.map(|ending| Told::Ended(attempt, ending)));
+    if line.carried.get() == 0 {
+        // Somebody was there and closed before anything was asked: what waits is dialled for again, but not for ever.
+        engine.waiting.borrow_mut().iter_mut().for_each(|w| w.resets += 1);
+        told.extend(engine.unserved(|w| w.resets >= DIALS));
     }
     tell(host, engine, line, told);
+    host.engines.serve(host, engine);
 }
 
 /// Whether an engine's process goes on after one of its connections broke. All connections of a process that dies are
 /// reset with it, and new ones are refused: another one that is still quiet a moment later, or a new one that comes up,
-/// proves that it stands.
+/// proves that it stands. So does a new one that is late: a refusal would have come by then.
 async fn stands(host: &Rc<Host>, engine: &Rc<Engine>) -> bool {
+    let broke = Instant::now();
     let witness = |line: &Rc<Line>| line.duplex.borrow().as_ref().is_some_and(|d| d.is_alive());
     for turn in 0..WITNESS.1 {
         violetward_net::sleep(WITNESS.0).await;
         if engine.lines.borrow().iter().any(witness) {
             return true;
         }
-        if turn == 0 && engine.lines.borrow().is_empty() && engine.listed.get() == Listed::Up {
-            connect(host, engine);
+        if engine.refused.get().is_some_and(|at| at >= broke) {
+            return false;
+        }
+        if turn == 0 && !engine.is_coming() && engine.listed.get() == Listed::Up {
+            dial(host, engine, true);
         }
     }
-    false
+    engine.is_coming()
 }
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -11,7 +11,7 @@
 use violetward_net::{Alarm, Clock};
 
 use crate::config::Config;
-use crate::core::{ClientId, Core, Effect};
+use crate::core::{AttemptId, ClientId, Core, Effect};
 use crate::engine::Engines;
 use crate::front::{self, Client};
 use crate::list::List;
@@ -98,6 +98,11 @@
         look(&self.core.borrow())
     }
 
+    /// An attempt goes out on its connection now.
+    pub(crate) fn written(&self, attempt: AttemptId) {
+        self.core.borrow_mut().written(self.clock.now(), attempt);
+    }
+
     /// A new list: connections first, so that nothing goes to an engine that has left.
     pub fn listed(self: &Rc<Self>, list: &List, known: bool) {
         let unsent = self.engines.listed(list);
@@ -119,7 +124,7 @@
                     self.core.borrow_mut().ended(now, attempt, ending);
                 }
             }
-            Effect::Withdraw(engine, attempt) => self.engines.withdraw(engine, attempt),
+            Effect::Withdraw(engine, attempt) => self.engines.withdraw(self, engine, attempt),
             Effect::Renice(engine, attempt, rank) => self.engines.renice(engine, attempt, rank),
             Effect::Probe(engine) => self.engines.probe(self, engine),
             Effect::Answer(client, seqid, verdict) => front::answer_to(self, client, seqid, &verdict),
--- a/crates/platform/tests/bed/mod.rs
+++ b/crates/platform/tests/bed/mod.rs
@@ -14,6 +14,9 @@
  "Prices": {"LateFail": 0.08, "Probe": 0.01, "Waste": 0.08},
  "Report": {"How": "answers", "Names": ["load_share"]}, "Zone": 0, "Zones": ["east"]}"#;
 
+/// How long a connection to an engine may take by [`SETTINGS`].
+pub const CONNECT_TIMEOUT: &str = "\"ConnectTimeoutUs\": 250000";
+
 /// A configuration that listens on a free port of loopback and knows these engines.
 pub fn config(resolver: &str, engines: &[(&str, String)]) -> String {
     let servers = engines.iter().map(|(id, address)| {
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -2,11 +2,13 @@
 
 mod bed;
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use violetward::{Gateway, GroupId, Load, Micros, OrderKey, Outcome, RequestId};
+use violetward::{Action, Decide, Event, Gateway, GroupId, Load, Micros, OrderKey, Outcome, RequestId};
 use violetward_platform::call::Call;
 use violetward_platform::config::{self, Config};
 use violetward_platform::core::{AttemptId, ClientId, Core, Effect, Ending, Taken, Terms, Verdict};
@@ -19,6 +21,7 @@
     seed: u64,
     rng: StdRng,
     core: Core,
+    terms: Terms,
     config: Config,
     now: Micros,
     out: BTreeMap<AttemptId, Micros>,
@@ -27,6 +30,38 @@
     answers: [u32; 3],
 }
 
+/// Sends each request to one engine and remembers how long its attempts took.
+struct Watcher(Rc<RefCell<Vec<Micros>>>);
+
+impl Decide for Watcher {
+    fn handle(&mut self, _: Micros, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => {
+                let engine = list(1, 0, 1).engines.values().map(|l| l.entry.engine).next();
+                let engine = engine.expect("one engine");
+                out.push(Action::Dispatch { id: request.id, engine, until: 0 });
+            }
+            Event::Answer(answer) => self.0.borrow_mut().push(answer.took),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn what_an_attempt_waits_for_its_connection_is_no_time_of_its_engine() {
+    let mut history = History::new(1);
+    let (call, now) = (history.call(), history.now);
+    let took = Rc::default();
+    history.core = Core::new(Box::new(Watcher(Rc::clone(&took))), history.terms.clone(), now);
+    history.core.engines(now, &list(1, 0, 1), true);
+    let attempt = AttemptId(call.id, 0);
+    let call = Call { wait: 5_000_000, ..call };
+    assert_eq!(history.core.request(now, ClientId(1), 1, call), Taken::Yes);
+    history.core.written(now + 200_000, attempt);
+    history.core.ended(now + 230_000, attempt, Ending::of(Outcome::Ok));
+    assert_eq!(*took.borrow(), [30_000]);
+}
+
 fn list(number: u32, from: u64, engines: u64) -> List {
     let address = |n: u64| format!("10.0.{}.{}:4100", n / 250 % 250, n % 250 + 1);
     let named: Vec<(String, String)> =
@@ -45,11 +80,11 @@
         let terms =
             Terms { attempts_cap: 3, open_cap: 1_000, body_bytes: 1 << 20, margin: MARGIN, held: HELD };
         let now = 1_700_000_000_000_000;
-        let mut core = Core::new(Box::new(gateway), terms, now);
+        let mut core = Core::new(Box::new(gateway), terms.clone(), now);
         core.engines(now, &list(1, 0, 4), true);
         let rng = StdRng::seed_from_u64(seed);
         let (out, owed) = (BTreeMap::new(), HashMap::new());
-        History { seed, rng, core, config, now, out, owed, next: 1, answers: [0; 3] }
+        History { seed, rng, core, terms, config, now, out, owed, next: 1, answers: [0; 3] }
     }
 
     fn call(&mut self) -> Call {
--- a/crates/platform/tests/sockets.rs
+++ b/crates/platform/tests/sockets.rs
@@ -28,12 +28,17 @@
 
 /// Starts a gateway and its surroundings; they end with the process.
 fn bed(engines: usize) -> Bed {
+    bed_of(engines, bed::CONNECT_TIMEOUT)
+}
+
+fn bed_of(engines: usize, connect_timeout: &str) -> Bed {
     let engines: Vec<_> = (0..engines).map(|_| PlatformEngine::start().unwrap()).collect();
     let resolver = PlatformResolver::start("east", "std").unwrap();
     resolver.tell(1, names(&engines));
     let listed = names(&engines);
     let listed: Vec<_> = listed.iter().map(|l| (l.id.as_str(), l.address.to_string())).collect();
     let text = bed::config(&resolver.address.to_string(), &listed);
+    let text = text.replace(bed::CONNECT_TIMEOUT, connect_timeout);
     let (tell, told) = std::sync::mpsc::channel();
     let (moves, moved) = async_channel::unbounded();
     std::thread::spawn(move || {
@@ -238,6 +243,41 @@
     assert_eq!(commands(&bed, "fetch").len(), 30, "each was sent once");
 }
 
+#[test]
+fn what_waits_for_a_late_connection_goes_on_the_first_one_that_gets_free() {
+    let bed = bed(1);
+    let mut client = Client::new(&bed);
+    assert_eq!(client.ask(&id(1), "look", "pages 1", &[]), result(&id(1), 1));
+    let slow: Vec<_> = (2..=4).map(id).collect();
+    slow.iter().for_each(|_| bed.engines[0].order(Fault::Slow));
+    client.send(&dispatch(2, &slow[0], "look", "pages 1", &[]));
+    wait_for("the first", || commands(&bed, "fetch").len() == 2);
+    bed.engines[0].hold().unwrap();
+    // The third is asked when the time for connecting is over; the engine has been heard meanwhile.
+    client.send(&dispatch(3, &slow[1], "look", "pages 1", &[]));
+    client.send(&dispatch(4, &slow[2], "look", "pages 1", &[]));
+    for (seqid, id) in (2..).zip(&slow) {
+        assert_eq!(client.read(), (seqid, result(id, 1)));
+    }
+    assert_eq!(commands(&bed, "fetch").len(), 4, "each was sent once");
+    // Its engine is neither cold nor left alone.
+    assert_eq!(client.ask(&id(5), "look", "pages 1", &[("id", &id(5))]), result(&id(5), 1));
+}
+
+#[test]
+fn beside_a_late_dial_goes_another() {
+    // Late is what takes a hundredth of that, and a first packet that was lost comes again after a second.
+    let bed = bed_of(1, "\"ConnectTimeoutUs\": 20000000");
+    let mut client = Client::new(&bed);
+    bed.engines[0].hold().unwrap();
+    let asked = Instant::now();
+    client.send(&dispatch(1, &id(1), "look", "pages 1", &[]));
+    std::thread::sleep(Duration::from_millis(50));
+    bed.engines[0].release().unwrap();
+    assert_eq!(client.read(), (1, result(&id(1), 1)));
+    assert!(asked.elapsed() < Duration::from_millis(900), "after {:?}", asked.elapsed());
+}
+
 #[test]
 fn a_broken_connection_leaves_its_engine_warm() {
     let bed = bed(1);
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,6 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 use violetward_dns::message::{Entry, Message, Rcode};
 use violetward_dns::name::Name;
@@ -45,14 +46,21 @@
     Error,
     /// The connection ends right after the answer.
     CloseAfter,
+    /// The answer takes [`SLOW`].
+    Slow,
 }
 
+/// How long a slow answer takes.
+pub const SLOW: Duration = Duration::from_millis(200);
+
 #[derive(Debug, Default)]
 struct EngineState {
     faults: VecDeque<Fault>,
     journal: Vec<Vec<String>>,
     connections: usize,
     wears: bool,
+    /// Connections that fill the queue, so that no other comes up.
+    held: Option<Vec<TcpStream>>,
 }
 
 /// An engine. A statement `pages N` has a result of that many pages, every other one of one page.
@@ -61,6 +69,7 @@
     /// Where it listens.
     pub address: SocketAddrV4,
     state: Arc<Mutex<EngineState>>,
+    listener: Arc<TcpListener>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -84,10 +93,13 @@
     pub fn start() -> std::io::Result<PlatformEngine> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let address = loopback(listener.local_addr()?);
-        let engine = PlatformEngine { address, state: Arc::default() };
+        let engine = PlatformEngine { address, state: Arc::default(), listener: Arc::new(listener) };
         let mine = engine.clone();
         thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
+            for socket in mine.listener.incoming().flatten() {
+                while lock(&mine.state).held.is_some() {
+                    thread::sleep(Duration::from_millis(1));
+                }
                 let mine = mine.clone();
                 lock(&mine.state).connections += 1;
                 thread::spawn(move || mine.serve(socket));
@@ -96,6 +108,29 @@
         Ok(engine)
     }
 
+    /// From now on new connections don't come up, as if their first packets were lost; those there are go on.
+    ///
+    /// # Errors
+    /// The listener's.
+    pub fn hold(&self) -> std::io::Result<()> {
+        lock(&self.state).held = Some(Vec::new());
+        rustix::net::listen(&*self.listener, 0)?;
+        let fill = || TcpStream::connect_timeout(&self.address.into(), Duration::from_millis(100));
+        while let Ok(socket) = fill() {
+            lock(&self.state).held.get_or_insert_with(Vec::new).push(socket);
+        }
+        Ok(())
+    }
+
+    /// New connections come up again.
+    ///
+    /// # Errors
+    /// The listener's.
+    pub fn release(&self) -> std::io::Result<()> {
+        lock(&self.state).held = None;
+        Ok(rustix::net::listen(&*self.listener, 128)?)
+    }
+
     /// Orders a fault.
     pub fn order(&self, fault: Fault) {
         lock(&self.state).faults.push_back(fault);
@@ -187,6 +222,10 @@
         let whole = good(page(id, 0).as_bytes());
         match fault {
             None => (whole, true),
+            Some(Fault::Slow) => {
+                thread::sleep(SLOW);
+                (whole, true)
+            }
             Some(Fault::Noise) => (b"\x00\xffnoise".repeat(40), true),
             Some(Fault::EndlessLine) => ([b"*".as_slice(), &b"1".repeat(4_000)].concat(), true),
             Some(Fault::HugeLength) => (format!("*4\r\n$16\r\n{id}\r\n$3000000000\r\n").into_bytes(), true),
