--- /dev/null
+++ b/crates/custody/examples/fleet.rs
@@ -0,0 +1,153 @@
+//! What custody costs: a fleet at rest and with statements, one gateway killed, and all of them restarted in turn.
+
+use std::time::Instant;
+
+use violetward_custody::sim::{Case, Fleet};
+use violetward_custody::{Custodian, Effect, Life, Member, Out, Record, Repeat, State, StatementKey, Terms};
+
+const SECOND: u64 = 1_000_000;
+
+fn at(times: &[u64], part: usize) -> f64 {
+    let mut times = times.to_vec();
+    times.sort_unstable();
+    times.get(times.len().saturating_sub(1) * part / 100).map_or(0.0, |&t| t as f64 / 1_000.0)
+}
+
+fn fleet(gateways: usize, unsafe_ones: u64, statements: usize) {
+    let case = Case {
+        gateways,
+        voters: 5,
+        sites: 3,
+        lease: 3 * SECOND,
+        drift: 200,
+        loss: 0,
+        body: 600,
+        unsafe_ones,
+        most: 20_000,
+        ..Case::default()
+    };
+    let mut fleet = Fleet::new(case, 7);
+    fleet.run(10 * SECOND);
+    let start = fleet.counts().sent;
+    fleet.run(30 * SECOND);
+    let rest: Vec<f64> =
+        fleet.counts().sent.iter().zip(start).map(|(a, b)| (a - b) as f64 / 30.0 / gateways as f64).collect();
+    println!(
+        "{gateways} gateways at rest, a gateway and second: {:.1} datagrams, {:.0} octets",
+        rest[0], rest[1]
+    );
+    let start = fleet.counts().sent;
+    fleet.load(statements, 0, 10 * SECOND);
+    fleet.run(40 * SECOND);
+    let cost: Vec<f64> = fleet.counts().sent.iter().zip(start).map(|(a, b)| (a - b) as f64).collect();
+    let less = |i: usize| (cost[i] - rest[i] * 40.0 * gateways as f64) / statements as f64;
+    println!(
+        "{statements} statements, {unsafe_ones} of 100 unsafe, each: {:.1} datagrams of {:.0} octets, {:.1} sendings of {:.0} octets; intent to word {:.1} ms, {:.1} ms (99th)",
+        less(0), less(1) / less(0), less(2), less(3) / less(2).max(0.01), at(&fleet.counts().intent_after, 50), at(&fleet.counts().intent_after, 99)
+    );
+    fleet.load(statements, 0, 2 * SECOND);
+    fleet.run(2 * SECOND);
+    let before = fleet.held();
+    let n = (0..gateways).max_by_key(|&n| before[n]).unwrap_or(0);
+    fleet.fell(n);
+    fleet.run(6 * SECOND);
+    let after = &fleet.counts().adopted_after;
+    println!(
+        "g{n} killed with {} in hand: {} adopted, {:.0} ms after its fall at the median, {:.0} ms the last",
+        before[n],
+        after.len(),
+        at(after, 50),
+        at(after, 100)
+    );
+    fleet.run(40 * SECOND);
+    let lost = fleet.ended().map(|c| c.statements);
+    println!("taken, ended, lost: {lost:?}");
+}
+
+/// Three custodians whose datagrams come at once: what a statement costs a holder and its guardians, in microseconds.
+fn microseconds(repeat: Repeat, count: u64) {
+    let life = |n: usize| Life { name: format!("g{n}"), life: n as u64 + 1 };
+    let members: Vec<Member> = (0..300)
+        .map(|n| Member { life: life(n), site: format!("s{}", n % 3), state: State::Alive })
+        .collect();
+    let mut now = SECOND;
+    let mut all: Vec<Custodian> = (0..300)
+        .filter_map(|n| {
+            let terms = Terms {
+                me: life(n),
+                site: format!("s{}", n % 3),
+                voters: (0..5).map(|v| format!("g{v}")).collect(),
+                lease: 3_600 * SECOND,
+                drift: 200,
+                check: 0,
+                copies: 2,
+                most: 10_000,
+                most_octets: 1 << 30,
+            };
+            Custodian::new(terms, None, now).ok()
+        })
+        .collect();
+    all.iter_mut().for_each(|c| c.members(now, members.clone()));
+    let deliver = |all: &mut Vec<Custodian>, now: u64, first: usize| {
+        let mut touched = vec![first];
+        while let Some(n) = touched.pop() {
+            while let Some(effect) = all[n].effect() {
+                match effect {
+                    Effect::Say(to, bytes) | Effect::Send(to, bytes) => {
+                        let to: usize = to[1..].parse().unwrap_or(0);
+                        all[to].heard(now, &format!("g{n}"), &bytes);
+                        touched.push(to);
+                    }
+                    Effect::Keep(_) => {
+                        all[n].kept(now);
+                        touched.push(n);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    };
+    for n in (0..300).chain(0..300) {
+        all[n].wake(now);
+        deliver(&mut all, now, n);
+    }
+    now += 100_000;
+    for n in 0..300 {
+        all[n].wake(now);
+        deliver(&mut all, now, n);
+    }
+    let started = Instant::now();
+    for number in 1..=count {
+        now += 1_000;
+        let key = StatementKey { taken_by: life(9), number };
+        let record = Record {
+            key: key.clone(),
+            version: 0,
+            body: vec![0; 600],
+            repeat,
+            left: 60 * SECOND,
+            attempts: 0,
+            out: None,
+            passed: 0,
+            ending: None,
+        };
+        all[9].take(now, record);
+        let out = Out { number: 0, engine: "e".into(), next: None, page: 0, sent: 0, within: SECOND };
+        all[9].intend(now, &key, 1, out);
+        deliver(&mut all, now, 9);
+        all[9].end(now, &key);
+        all[9].wake(now);
+        deliver(&mut all, now, 9);
+    }
+    let each = started.elapsed().as_secs_f64() * 1e6 / count as f64;
+    println!("{repeat:?}: {each:.1} microseconds a statement, at its holder and its guardians together");
+}
+
+fn main() {
+    for (gateways, statements) in [(24, 3_000), (300, 3_000)] {
+        fleet(gateways, 0, statements);
+        fleet(gateways, 100, statements);
+    }
+    microseconds(Repeat::Harmless, 20_000);
+    microseconds(Repeat::Unsafe, 20_000);
+}
--- a/crates/custody/examples/histories.rs
+++ b/crates/custody/examples/histories.rs
@@ -39,7 +39,8 @@
                 if seed >= to || (plant != Plant::None && found) {
                     break;
                 }
-                let case = Case { plant, ..Case::default() };
+                let case =
+                    Case { plant, ..if plant == Plant::None { Case::drawn(seed) } else { Case::default() } };
                 match (play(&case, seed), all.lock(), broken.lock()) {
                     (Ok(counts), Ok(mut all), _) => all.add(counts),
                     (Err(why), _, Ok(mut broken)) => broken.push((seed, why)),
--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -33,6 +33,11 @@
 const LINGER: Micros = 30_000 * MS;
 /// Statements that have ended, or went elsewhere, that are remembered.
 const PAST: usize = 16_384;
+/// Statements for which there was no room here, each until it cannot run any more: none of them may be taken later, when
+/// its holder counts on that.
+const DECLINED: usize = 65_536;
+/// One that had no room is not chosen for so long.
+const FULL: Micros = 1_000 * MS;
 /// Processes that are known at once.
 const PEERS: usize = 4_096;
 /// A process that is not listed and of which nothing is held leaves after so long, and with it the number of its last sending.
@@ -282,6 +287,8 @@
     due: Option<Micros>,
     lost: u32,
     heard: Micros,
+    /// It had no room at that time.
+    full: Option<Micros>,
 }
 
 #[derive(Debug, Clone)]
@@ -800,7 +807,7 @@
             let entry = Entry { record, links, at, role: Role::Kept, deadline, stamped: now };
             let octets = entry.octets();
             if self.kept.0 >= self.terms.most || self.kept.1 + octets > self.terms.most_octets {
-                if self.declined.len() < 4 * self.terms.most {
+                if self.declined.len() < DECLINED {
                     self.declined.insert(key, deadline.saturating_add(LINGER));
                     return Err(Why::Full);
                 }
@@ -868,6 +875,9 @@
         let Some(peer) = self.peers.get_mut(sender) else { return };
         let Some(flight) = peer.flights.remove(&number) else { return };
         peer.lost = 0;
+        if not.iter().any(|n| n.1 == Why::Full) {
+            peer.full = Some(now);
+        }
         if !(peer.records.is_empty() && peer.ends.is_empty()) {
             peer.due = Some(peer.due.map_or(now, |due| due.min(now)));
         }
@@ -1307,12 +1317,18 @@
             return;
         }
         let living = entry.behind().filter(|&i| !self.lost(now, &entry.links[i].actor.life)).count();
+        let full: BTreeSet<&Life> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| p.full.is_some_and(|at| now < at + FULL))
+            .map(|(a, _)| &a.life)
+            .collect();
         let room = CHAIN - entry.links.len().min(CHAIN);
         let salt = scramble(hash(&key.taken_by) ^ key.number);
         let mut best: Vec<(bool, u64, &Life)> = self
             .candidates
             .iter()
-            .filter(|c| !self.other.contains(&c.2))
+            .filter(|c| !self.other.contains(&c.2) && !full.contains(&c.2))
             .filter(|c| {
                 !entry.links.iter().any(|l| l.actor.life == c.2 && !(l.gone && self.is_over(&l.actor)))
             })
--- a/crates/custody/src/sim.rs
+++ b/crates/custody/src/sim.rs
@@ -46,6 +46,8 @@
     pub most: usize,
     /// Octets of a statement.
     pub body: usize,
+    /// Statements of a hundred that are unsafe to repeat.
+    pub unsafe_ones: u64,
     /// A planted fault.
     pub plant: Plant,
 }
@@ -65,11 +67,41 @@
             copies: 2,
             most: 1_000,
             body: 300,
+            unsafe_ones: 50,
             plant: Plant::None,
         }
     }
 }
 
+impl Case {
+    /// A case whose shape is drawn too: small and larger fleets, one to three guardians, guardians without room, calm and
+    /// bad networks.
+    pub fn drawn(seed: u64) -> Case {
+        let mut dice = seed ^ 0x5eed;
+        let mut of = |all: &[u64]| all[(draw(&mut dice) % all.len() as u64) as usize];
+        Case {
+            gateways: of(&[3, 5, 6, 9, 12]) as usize,
+            voters: of(&[3, 3, 5]) as usize,
+            sites: of(&[1, 2, 3]) as usize,
+            lease: of(&[500, 1_000, 2_000]) * MS,
+            drift: of(&[200, 10_000, 50_000]),
+            statements: of(&[8, 16, 32]) as usize,
+            faults: of(&[2, 6, 12]) as usize,
+            loss: of(&[0, 50, 250]),
+            copies: of(&[1, 2, 2, 3]) as usize,
+            most: of(&[2, 1_000, 1_000]) as usize,
+            body: of(&[0, 300, 3_000]) as usize,
+            ..Case::default()
+        }
+        .fitting()
+    }
+
+    fn fitting(mut self) -> Case {
+        self.voters = self.voters.min(self.gateways);
+        self
+    }
+}
+
 /// What happened in a history.
 #[derive(Debug, Clone, Default)]
 pub struct Counts {
@@ -124,6 +156,7 @@
     Poll(StatementKey),
     Take,
     Fault,
+    Roll,
     Still(Micros),
     /// All cuts are mended.
     Mend,
@@ -182,6 +215,8 @@
     told: Option<Option<Ending>>,
     got: bool,
     asks: usize,
+    /// Holder and guardians, as its token names them.
+    token: Vec<usize>,
     /// Somebody had it after all faults had ended and been found out.
     living: bool,
     holder: usize,
@@ -220,11 +255,7 @@
 pub fn play(case: &Case, seed: u64) -> Result<Counts, String> {
     let mut fleet = Fleet::new(case.clone(), seed);
     let span = case.span;
-    for _ in 0..case.statements {
-        let at = fleet.within(span / 8, span * 3 / 4);
-        let n = fleet.below(case.gateways);
-        fleet.at(at, n, What::Take);
-    }
+    fleet.load(case.statements, span / 8, span * 3 / 4);
     for _ in 0..case.faults {
         let at = fleet.within(span / 8, span);
         let n = fleet.below(case.gateways);
@@ -287,6 +318,43 @@
         fleet
     }
 
+    /// Statements come, spread over a time from now and over all gateways.
+    pub fn load(&mut self, count: usize, from: Micros, to: Micros) {
+        for _ in 0..count {
+            let at = self.within(from, to);
+            let n = self.below(self.nodes.len());
+            self.at(at, n, What::Take);
+        }
+    }
+
+    /// A process is killed.
+    pub fn fell(&mut self, n: usize) {
+        self.kill(n);
+    }
+
+    /// Every gateway in turn hands over, leaves and comes back, one each `every`.
+    pub fn roll(&mut self, every: Micros) {
+        for n in 0..self.nodes.len() {
+            let at = self.now + every * n as u64;
+            self.at(at, n, What::Roll);
+        }
+    }
+
+    /// Of what is held, how much at each gateway.
+    pub fn held(&self) -> Vec<usize> {
+        self.nodes.iter().map(|n| n.works.len()).collect()
+    }
+
+    fn hand_over(&mut self, n: usize) {
+        self.counts.faults[4] += 1;
+        let clock = self.clock(n);
+        if let Some(custodian) = &mut self.nodes[n].custodian {
+            custodian.hand_over(clock);
+            self.nodes[n].leaving = true;
+        }
+        self.carry_out(n);
+    }
+
     fn below(&mut self, n: usize) -> usize {
         (draw(&mut self.dice) % n.max(1) as u64) as usize
     }
@@ -556,7 +624,7 @@
             return;
         }
         let wait = self.within(3 * SECOND, 25 * SECOND);
-        let unsafe_one = draw(&mut self.dice) % 2 == 0;
+        let unsafe_one = draw(&mut self.dice) % 100 < self.case.unsafe_ones;
         let repeat = if unsafe_one { Repeat::Unsafe } else { Repeat::Harmless };
         self.nodes[n].taken += 1;
         let key = StatementKey { taken_by: self.life(n), number: self.nodes[n].taken };
@@ -572,8 +640,9 @@
             ending: None,
         };
         let now = self.clock(n);
+        let mut token = vec![n];
         if let Some(custodian) = &mut self.nodes[n].custodian {
-            custodian.take(now, record);
+            token.extend(custodian.take(now, record).iter().map(|life| number(&life.name)));
         }
         let work = Work { stage: Stage::Open, attempts: 0, deadline: wait, repeat, step: 0 };
         self.nodes[n].works.insert(key.clone(), work);
@@ -585,6 +654,7 @@
             told: None,
             got: false,
             asks: n,
+            token,
             living: false,
             holder: n,
         };
@@ -780,7 +850,13 @@
             return;
         }
         let n = statement.asks;
+        let token = statement.token.clone();
         let (mut next, mut late) = (n, 250 * MS);
+        // Whoever knows nothing of it, or does not answer, is left for one that the token names, or for any.
+        let other = match self.below(4) {
+            0 => self.below(self.nodes.len()),
+            _ => token[self.below(token.len())],
+        };
         let up = self.nodes[n].custodian.is_some() && self.nodes[n].still <= self.now;
         if up {
             let clock = self.clock(n);
@@ -788,18 +864,18 @@
             let may = custodian.is_some_and(|c| c.may_act(clock));
             match custodian.map(|c| c.whereabouts(key)) {
                 Some(Whereabouts::At(life)) => (next, late) = (number(&life.name), 30 * MS),
-                Some(Whereabouts::Unknown | Whereabouts::Over(_)) => next = self.below(self.nodes.len()),
+                Some(Whereabouts::Unknown | Whereabouts::Over(_)) => next = other,
                 Some(Whereabouts::Here | Whereabouts::Taking) | None => {}
             }
-            if next == n && draw(&mut self.dice) % 10 == 0 {
-                next = self.below(self.nodes.len());
+            if draw(&mut self.dice) % 10 == 0 {
+                next = other;
             }
             let over = self.nodes[n].works.get(key).map(|w| w.stage.clone());
             if let (true, Some(Stage::Over(end))) = (may, over) {
                 self.tell(n, key, end);
             }
         } else {
-            next = self.below(self.nodes.len());
+            next = other;
         }
         let at = self.now + late;
         if let Some(statement) = self.statements.get_mut(key).filter(|s| !s.got) {
@@ -814,7 +890,9 @@
         let Some(statement) = self.statements.get_mut(key) else { return };
         // What an engine fixed is told by the engine's own pages, and counts once its client has it.
         let before = statement.told.clone();
-        if end.is_some() || !lost {
+        // Without an attempt nothing may have run: then only what its client gets counts.
+        let recorded = statement.repeat == Repeat::Unsafe || !statement.attempts.is_empty();
+        if (end.is_some() && recorded) || !lost {
             statement.told = Some(end.clone());
         }
         statement.got = !lost;
@@ -918,13 +996,7 @@
                 }
             }
             _ => {
-                self.counts.faults[4] += 1;
-                let clock = self.clock(n);
-                if let Some(custodian) = &mut self.nodes[n].custodian {
-                    custodian.hand_over(clock);
-                    self.nodes[n].leaving = true;
-                }
-                self.carry_out(n);
+                self.hand_over(n);
             }
         }
     }
@@ -981,6 +1053,7 @@
             What::Take => self.take(n),
             What::Fault if !self.healed => self.fault(n),
             What::Fault => {}
+            What::Roll => self.hand_over(n),
             What::Still(until) => {
                 if self.nodes[n].custodian.is_some() && !self.healed {
                     self.counts.faults[1] += 1;
@@ -1044,14 +1117,18 @@
     }
 
     /// All faults are over and found out: who has something in hand now has to bring it to its end.
-    fn settled(&mut self) {
+    pub fn settled(&mut self) {
         for (key, statement) in &mut self.statements {
             let has = |n: &Node| n.custodian.as_ref().is_some_and(|c| !c.chain(key).is_empty());
             statement.living = !statement.got && self.nodes.iter().any(has);
         }
     }
 
-    fn ended(mut self) -> Result<Counts, String> {
+    /// What happened, at the end.
+    ///
+    /// # Errors
+    /// What was wrong at any time, or is now.
+    pub fn ended(mut self) -> Result<Counts, String> {
         let stuck = self.statements.iter().find(|(_, s)| !s.got && s.living);
         if let Some((key, s)) = stuck {
             let places: Vec<String> = (0..self.nodes.len())
--- /dev/null
+++ b/crates/custody/tests/words.rs
@@ -0,0 +1,233 @@
+//! What custodians say and keep, where it is not what it should be: other formats, spoilt octets, late sendings, no room.
+
+use violetward_custody::{
+    Custodian, Effect, Leave, Life, Member, Out, Record, Repeat, Spoilt, State, StatementKey, Terms,
+};
+
+const SECOND: u64 = 1_000_000;
+
+fn life(n: usize) -> Life {
+    Life { name: format!("g{n}"), life: 100 + n as u64 }
+}
+
+fn key(number: u64) -> StatementKey {
+    StatementKey { taken_by: life(0), number }
+}
+
+fn record(number: u64) -> Record {
+    Record {
+        key: key(number),
+        version: 0,
+        body: b"select 1".to_vec(),
+        repeat: Repeat::Unsafe,
+        left: 60 * SECOND,
+        attempts: 0,
+        out: None,
+        passed: 0,
+        ending: None,
+    }
+}
+
+fn out() -> Out {
+    Out { number: 0, engine: "e1".into(), next: None, page: 0, sent: 0, within: SECOND }
+}
+
+/// Three gateways whose sayings come at once.
+struct Three {
+    all: Vec<Custodian>,
+    now: u64,
+    /// What was done besides saying, by whom, and all sendings.
+    done: Vec<(usize, Effect)>,
+    sent: Vec<(usize, String, Vec<u8>)>,
+}
+
+impl Three {
+    fn new(most: usize) -> Three {
+        let members: Vec<Member> =
+            (0..3).map(|n| Member { life: life(n), site: format!("s{n}"), state: State::Alive }).collect();
+        let custodian = |n: usize| {
+            let terms = Terms {
+                me: life(n),
+                site: format!("s{n}"),
+                voters: (0..3).map(|v| format!("g{v}")).collect(),
+                lease: 3 * SECOND,
+                drift: 200,
+                check: 0,
+                copies: 2,
+                most,
+                most_octets: 1 << 20,
+            };
+            let mut custodian = Custodian::new(terms, None, SECOND).expect("a first start");
+            custodian.members(SECOND, members.clone());
+            custodian
+        };
+        let mut three =
+            Three { all: (0..3).map(custodian).collect(), now: SECOND, done: Vec::new(), sent: Vec::new() };
+        three.run(SECOND / 2);
+        assert!(three.all.iter().all(|c| c.may_act(three.now)));
+        three
+    }
+
+    fn deliver(&mut self) {
+        let mut n = 0;
+        while n < 3 {
+            let Some(effect) = self.all[n].effect() else {
+                n += 1;
+                continue;
+            };
+            match effect {
+                Effect::Say(to, bytes) => self.hear(&format!("g{n}"), &to, &bytes),
+                Effect::Send(to, bytes) => {
+                    self.hear(&format!("g{n}"), &to, &bytes);
+                    self.sent.push((n, to, bytes));
+                }
+                Effect::Keep(_) => self.all[n].kept(self.now),
+                other => self.done.push((n, other)),
+            }
+            n = 0;
+        }
+    }
+
+    fn hear(&mut self, from: &str, to: &str, bytes: &[u8]) {
+        let n: usize = to[1..].parse().expect("a number");
+        self.all[n].heard(self.now, from, bytes);
+    }
+
+    fn run(&mut self, span: u64) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += 5_000;
+            (0..3).for_each(|n| self.all[n].wake(self.now));
+            self.deliver();
+        }
+    }
+}
+
+#[test]
+fn an_intent_waits_for_both_guardians() {
+    let mut three = Three::new(100);
+    assert_eq!(three.all[0].take(three.now, record(1)).len(), 2);
+    assert_eq!(three.all[0].intend(three.now, &key(1), 1, out()), Leave::Wait);
+    three.deliver();
+    assert!(three.done.contains(&(0, Effect::Go(key(1), 1))));
+    assert_eq!((three.all[1].held()[1], three.all[2].held()[1]), (1, 1));
+}
+
+#[test]
+fn a_program_that_reads_another_format_is_told_and_is_no_guardian() {
+    let mut three = Three::new(100);
+    // What a later format says is answered with the one that is known here, and changes nothing.
+    three.all[0].heard(three.now, "g1", &[9, 6, 1, 2, 3]);
+    let answer = std::iter::from_fn(|| three.all[0].effect()).find(|e| matches!(e, Effect::Say(..)));
+    assert_eq!(answer, Some(Effect::Say("g1".into(), vec![1, 255])));
+    three.all[0].take(three.now, record(1));
+    three.all[0].intend(three.now, &key(1), 1, out());
+    // One guardian has the record; the other one says that it reads another format, and is not waited for.
+    while let Some(effect) = three.all[0].effect() {
+        match effect {
+            Effect::Send(to, bytes) if to == "g2" => three.hear("g0", "g2", &bytes),
+            Effect::Send(..) => three.all[0].heard(three.now, "g1", &[0, 255]),
+            _ => {}
+        }
+    }
+    three.deliver();
+    assert!(three.done.contains(&(0, Effect::Go(key(1), 1))));
+    assert_eq!(three.all[1].held()[1], 0);
+}
+
+#[test]
+fn octets_that_are_spoilt_change_nothing_and_stop_nobody() {
+    let mut three = Three::new(100);
+    three.all[0].take(three.now, record(1));
+    three.all[0].intend(three.now, &key(1), 1, out());
+    three.deliver();
+    let sent: Vec<Vec<u8>> = three.sent.iter().map(|s| s.2.clone()).collect();
+    for bytes in sent {
+        for cut in 0..bytes.len() {
+            three.all[1].heard(three.now, "g0", &bytes[..cut]);
+        }
+        // A length that is not there must not be believed.
+        for at in 14..bytes.len() {
+            let mut turned = bytes.clone();
+            turned[at] = 0xff;
+            three.all[2].heard(three.now, "g7", &turned);
+        }
+    }
+    assert_eq!(three.all[1].held()[1], 1);
+    let before = three.all[2].held()[1];
+    assert_eq!(before, 1, "a stranger is in no chain");
+}
+
+#[test]
+fn a_sending_that_comes_late_brings_nothing_back() {
+    let mut three = Three::new(100);
+    three.all[0].take(three.now, record(1));
+    three.all[0].intend(three.now, &key(1), 1, out());
+    three.deliver();
+    let late = three.sent.clone();
+    three.all[0].end(three.now, &key(1));
+    three.run(SECOND);
+    assert_eq!((three.all[1].held()[1], three.all[2].held()[1]), (0, 0));
+    for (from, to, bytes) in late {
+        three.hear(&format!("g{from}"), &to, &bytes);
+    }
+    assert_eq!((three.all[1].held()[1], three.all[2].held()[1]), (0, 0));
+}
+
+#[test]
+fn without_room_a_guardian_declines_and_the_statement_goes_on_with_the_other_word() {
+    let mut three = Three::new(2);
+    for number in 1..=5 {
+        three.all[0].take(three.now, record(number));
+        let leave = three.all[0].intend(three.now, &key(number), 1, out());
+        assert_eq!(leave, Leave::Wait);
+        three.deliver();
+        three.run(SECOND / 10);
+        assert!(three.done.contains(&(0, Effect::Go(key(number), 1))), "{number}");
+    }
+    assert_eq!((three.all[1].held()[1], three.all[2].held()[1]), (2, 2));
+    assert!(three.done.contains(&(0, Effect::Unprotected(key(5)))));
+}
+
+#[test]
+fn marks_that_were_kept_are_told_spoilt_foreign_or_of_another_format() {
+    let mut three = Three::new(2);
+    let gone = |state| Member { life: life(2), site: "s2".into(), state };
+    three.all[0].take(three.now, record(1));
+    three.run(SECOND);
+    three.all[1].members(three.now, vec![gone(State::Dead)]);
+    let mut kept = None;
+    for _ in 0..400 {
+        three.now += 5_000;
+        three.all[1].wake(three.now);
+        while let Some(effect) = three.all[1].effect() {
+            if let Effect::Keep(bytes) = effect {
+                three.all[1].kept(three.now);
+                kept = Some(bytes);
+            }
+        }
+    }
+    let kept = kept.expect("a mark is kept");
+    let start = |bytes: &[u8]| {
+        let terms = Terms {
+            me: Life { name: "g1".into(), life: 7 },
+            site: String::new(),
+            voters: vec!["g1".into()],
+            lease: SECOND,
+            drift: 200,
+            check: 0,
+            copies: 2,
+            most: 1,
+            most_octets: 1,
+        };
+        Custodian::new(terms, Some(bytes), 0).err()
+    };
+    assert_eq!(start(&kept), None);
+    for at in 0..kept.len() {
+        let mut turned = kept.clone();
+        turned[at] ^= 4;
+        assert!(start(&turned).is_some(), "bit of octet {at}");
+        assert!(start(&kept[..at]).is_some(), "cut at {at}");
+    }
+    assert_eq!(start(b"something else"), Some(Spoilt::Foreign));
+}
