--- a/crates/windows/src/held.rs
+++ b/crates/windows/src/held.rs
@@ -291,7 +291,7 @@
 /// A read of both clocks takes so long at most.
 const READ: Micros = 100_000;
 /// A window that is to be called off is told again after so long.
-const AGAIN: Micros = 1_000_000;
+const AGAIN: Micros = 2_000_000;
 
 /// One gateway's part. See the module's documentation.
 #[derive(Debug, Clone)]
@@ -507,7 +507,9 @@
     fn still(&self, window: &Window, at: Wall, outlook: &Outlook<'_>) -> Result<(), Why> {
         let (cover, margins) = (outlook.cover(), outlook.margins());
         let Some((_, seen)) = self.evidence.as_ref() else { return Ok(()) };
-        let known: Vec<&Grant> = self.windows.values().map(|w| &w.grant).collect();
+        let alone = self.terms.plant == Plant::Alone;
+        let others = self.windows.values().map(|w| &w.grant);
+        let known: Vec<&Grant> = others.filter(|g| !alone || g.name == window.grant.name).collect();
         let own: BTreeSet<&String> = known
             .iter()
             .filter(|g| {
