--- a/crates/gateway/src/custody.rs
+++ b/crates/gateway/src/custody.rs
@@ -105,8 +105,6 @@
     Told(Told, Vec<u8>),
     /// Somebody may hold it who cannot be reached now.
     Later,
-    /// Whoever took it lives and knows nothing of it any more.
-    Gone,
     /// Whoever took it is gone, and nobody of those that were to know of it does.
     Lost,
 }
@@ -439,11 +437,6 @@
         }
     }
 
-    /// Whether this life took a statement.
-    pub(crate) fn took(&self, key: &StatementKey) -> bool {
-        key.taken_by == self.me
-    }
-
     /// Whether a statement is protected.
     pub(crate) fn knows(&self, id: StatementId) -> bool {
         self.names.borrow().contains_key(&id)
@@ -729,15 +722,16 @@
             let Some(address) = peers.reached_at(&name).filter(|_| lives) else { continue };
             match self.ask(&name, address, asked).await {
                 Some((told, body)) if told.status != 0 => return Passed::Told(told, body),
-                Some((told, _)) if told.at.is_none() && name == token.key.taken_by.name => {
-                    return Passed::Gone;
-                }
                 Some((told, _)) => next.extend(told.at),
                 None => unsure = true,
             }
         }
         // Somebody may be about to hold it: only long after the death nobody is.
-        if unsure || !peers.gone_for(&token.key.taken_by, host.now(), micros(self.terms.lease) * SETTLED) {
+        let here = token.key.taken_by == self.me;
+        if unsure
+            || here
+            || !peers.gone_for(&token.key.taken_by, host.now(), micros(self.terms.lease) * SETTLED)
+        {
             Passed::Later
         } else {
             Passed::Lost
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -194,7 +194,6 @@
                     return Some(Reply { status: told.status, headers, body });
                 }
                 Passed::Lost => return Some(lost()),
-                Passed::Gone => return Some(gone()),
                 Passed::Later if Instant::now() >= until || self.host.is_draining() => return Some(later()),
                 // It may come to be held here, or somebody may be told of.
                 Passed::Later => custody::news(&custody, until, ASK_AGAIN).await,
@@ -245,7 +244,6 @@
                     None => return Held::Left,
                 },
                 (Whereabouts::Over(ending), None) => return Held::Reply(self.over(token, request, ending)),
-                (Whereabouts::Unknown, None) if custody.took(&token.key) => return Held::Reply(gone()),
                 (Whereabouts::Unknown, None) => return Held::Elsewhere(None),
             }
         }
