--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -1255,8 +1255,9 @@
         if !guarded && !held.unprotected {
             self.effects.push_back(Effect::Unprotected(key.clone()));
         }
+        // One that has the record cannot decline it any more.
         let living =
-            entry.behind().any(|i| !self.lost(now, &entry.links[i].actor.life) && entry.tellable(held, i));
+            entry.behind().any(|i| !self.lost(now, &entry.links[i].actor.life) && held.guards[i].acked > 0);
         if self.leaving && living {
             return self.give(now, key);
         }
