--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -22,10 +22,10 @@
 use violetward_statement::session::Context;
 use violetward_statement::text;
 
-use crate::config::{Config, HostLimits, Names, Selection};
-use crate::list::{hash, Record};
+use crate::record::{hash, Record};
 use crate::rules::{self, Rules};
 use crate::sessions::{self, Admit, Member, Sessions};
+use crate::terms::{Config, HostLimits, Names, Selection};
 
 pub(crate) mod guard;
 
--- a/crates/gateway/src/custody_terms.rs
+++ b/crates/gateway/src/custody_terms.rs
@@ -1,33 +1,11 @@
 //! The configuration of custody: `(custody (voters NAME ...) (folder PATH) (protect CLASS ...) ...)`.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
-use crate::config::{Names, PeerTerms};
 use crate::forms::{Checker, Form};
-
-/// Custody of statements among gateways; see `docs/custody.md`.
-#[derive(Debug, Clone, PartialEq)]
-pub struct CustodyTerms {
-    /// The names of the gateways that grant tenures.
-    pub voters: Vec<String>,
-    /// How long a tenure lasts.
-    pub lease: Duration,
-    /// Parts of a million by which any clock may run too fast or too slow.
-    pub drift: u64,
-    /// The longest time from the last look at the tenure to the end of what is done on it.
-    pub check: Duration,
-    /// Guardians of a statement.
-    pub copies: usize,
-    /// Where marks of ended lives are kept.
-    pub folder: PathBuf,
-    /// For each class, whether its statements are to outlive their gateway.
-    pub protect: Vec<bool>,
-    /// Without a guardian, what is to be protected is refused.
-    pub refuses: bool,
-    /// Records kept for others, and octets of them.
-    pub most: (usize, usize),
-}
+pub use crate::terms::CustodyTerms;
+use crate::terms::{Names, PeerTerms};
 
 /// Reads the section.
 pub fn read(
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -14,12 +14,12 @@
 use violetward_statement::http::Limits;
 
 use crate::agreed::Agreed;
-use crate::config::Config;
 use crate::core::{AttemptId, Core, Effect, Launch, StatementId};
 use crate::custody::Custody;
 use crate::engine;
 use crate::front::Front;
 use crate::peers::Peers;
+use crate::terms::Config;
 
 /// Sessions that may wait to be freed.
 const RELEASES_WAITING: usize = 10_000;
@@ -197,7 +197,7 @@
     }
 
     /// This gateway's own list has been read.
-    pub(crate) fn listed(self: &Rc<Self>, list: &std::collections::BTreeMap<String, crate::list::Record>) {
+    pub(crate) fn listed(self: &Rc<Self>, list: &std::collections::BTreeMap<String, crate::record::Record>) {
         self.core(|core, now| core.listed(now, list));
         let agreed = self.agreed.borrow().clone();
         agreed.iter().for_each(|agreed| agreed.listed(self, list));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The query gateway: fronts that clients speak to, the core that owns the decisions, and engine connections.
 //!
-//! Free of I/O and clock: [`core`], [`config`], [`list`], [`forms`]. What moves bytes: [`host`] (the core's
+//! Free of I/O and clock: [`core`] and what it stands on, [`terms`], [`record`] and [`rules`], which know no syntax; [`forms`]
+//! and what is read from it, [`config`] and [`list`]. What moves bytes: [`host`] (the core's
 //! effects, timers, probes), [`engine`] (one attempt on one engine), [`front`] (the statement API), [`notebook`]
 //! (a notebook kernel), [`watch`] (the
 //! engine list's file), [`peers`] (datagrams among gateways); [`service`] ties them together.
@@ -18,9 +19,11 @@
 pub mod membership;
 pub mod notebook;
 pub mod peers;
+pub mod record;
 pub mod rules;
 pub mod service;
 pub mod sessions;
+pub mod terms;
 pub mod updates;
 pub mod watch;
 pub mod zonefront;
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -1,39 +1,12 @@
 //! The file that lists the engines. A damaged record never costs a good one its place.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use violetward::*;
 
-use crate::config::Names;
 use crate::forms::{self, Checker, Form, Mistake};
-
-/// An engine as the file has it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Record {
-    /// Its name; the module's number is made from it, so it is the same at every gateway.
-    pub name: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// What the module is told.
-    pub entry: EngineEntry,
-}
-
-/// The number of an engine: FNV-1a of its name, 64 bits.
-pub fn engine_id(name: &str) -> EngineId {
-    EngineId(hash(name))
-}
-
-/// FNV-1a, 64 bits: the same at every gateway and in every build.
-pub fn hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
-/// The number of a zone. One that the configuration does not name is a zone all the same: far from every class bound to one.
-pub fn zone_id(zone: &str, names: &Names) -> ZoneId {
-    let place = names.zones.iter().position(|z| z == zone);
-    ZoneId(place.unwrap_or_else(|| names.zones.len() + hash(zone) as usize % 65_536))
-}
+pub use crate::record::{engine_id, hash, zone_id, Record};
+use crate::terms::Names;
 
 /// What a reading of the file gave.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -17,8 +17,8 @@
 use violetward_dns::update;
 use violetward_dns::zone::Zone;
 
-use crate::config::Names;
 use crate::list::{self, Reading, Record};
+use crate::terms::Names;
 
 /// Parameters of SVCB records, from the range for private use (RFC 9460, section 14.3.1), and their names in TXT records.
 const PARAMETERS: [(u16, &str); 5] =
--- a/crates/gateway/src/notebook.rs
+++ b/crates/gateway/src/notebook.rs
@@ -4,7 +4,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
@@ -33,16 +32,7 @@
 /// Signatures remembered against replays.
 const SIGNATURES: usize = 65_536;
 
-/// How the front is set up.
-#[derive(Debug, Clone, PartialEq)]
-pub struct KernelConfig {
-    /// Where the connection file is written.
-    pub connection_file: PathBuf,
-    /// The user that cells run as, for selectors and engines.
-    pub user: String,
-    /// Rows shown of a result; the rest is counted.
-    pub rows: usize,
-}
+pub use crate::terms::KernelConfig;
 
 type Peer = Sender<Vec<u8>>;
 
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -8,8 +8,8 @@
 use violetward_dns::tsig::{self, Key, Seconds};
 use violetward_dns::zone::Zone;
 
-use crate::config::Names;
 use crate::membership::Membership;
+use crate::terms::Names;
 
 /// Signatures that are remembered against replays, for as long as one could be believed.
 const REMEMBERED: usize = 10_000;
