--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -4,6 +4,7 @@
 
 use violetward::{EngineEntry, EngineId, ZoneId};
 
+pub use crate::terms::hash;
 use crate::terms::Names;
 
 /// An engine as the list has it.
@@ -22,11 +23,6 @@
     EngineId(hash(name))
 }
 
-/// FNV-1a, 64 bits: the same at every gateway and in every build.
-pub fn hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 /// The number of a zone. One that the configuration does not name is a zone all the same: far from every class bound to one.
 pub fn zone_id(zone: &str, names: &Names) -> ZoneId {
     let place = names.zones.iter().position(|z| z == zone);
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -98,7 +98,7 @@
         classes.sort();
         engines.sort();
         let common = (&self.voters, self.lease, self.drift, self.check, classes, engines);
-        crate::record::hash(&format!("{common:?}"))
+        hash(&format!("{common:?}"))
     }
 
     /// The bound *T* in microseconds.
@@ -251,6 +251,11 @@
     pub rows: usize,
 }
 
+/// FNV-1a, 64 bits: the same at every gateway and in every build.
+pub fn hash(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
 pub(crate) fn micros(span: Duration) -> Micros {
     span.as_micros() as Micros
 }
