What another gateway took is adopted even if it never ran; lints of the joined parts

Need: a statement taken over with no attempt spent was told to the module as a new request: its tenant paid for it again, and it went behind the taker's own ones of its key. And four lints stood in the joined parts. Change: whether a statement is adopted goes by who took it, not by attempts spent (core/guard.rs, `begins`).

--- a/crates/gateway/src/core/guard.rs
+++ b/crates/gateway/src/core/guard.rs
@@ -65,6 +65,8 @@
     decision: Decision,
     /// It came from another gateway, and its client has not asked here yet.
     expects: bool,
+    /// Another gateway took it: the module has been asked for it once already, there.
+    adopted: bool,
     resume: Option<Follow>,
     /// The attempt that has ended with its rows, or the last one that may have run where a repeat is not harmless.
     ran: Option<custody::Out>,
@@ -73,7 +75,15 @@
 
 impl Guard {
     pub(super) fn taken(mark: String) -> Guard {
-        Guard { mark, decision: Decision::Open, expects: false, resume: None, ran: None, forgotten: false }
+        Guard {
+            mark,
+            decision: Decision::Open,
+            expects: false,
+            adopted: false,
+            resume: None,
+            ran: None,
+            forgotten: false,
+        }
     }
 
     /// It came from another gateway, and its client has not asked here yet.
@@ -263,9 +273,11 @@
         }
     }
 
-    /// The event by which the module hears of a statement: one on which attempts were spent elsewhere is adopted.
+    /// The event by which the module hears of a statement: one that another gateway took is adopted, so that its tenant is not
+    /// charged for it again and its turn among those of its key is kept.
     pub(super) fn begins(&self, id: StatementId, request: Request) -> Event {
-        let Some(s) = self.statements.get(&id).filter(|s| s.attempts > 0) else {
+        let adopted = |s: &&Statement| s.guard.as_ref().is_some_and(|g| g.adopted);
+        let Some(s) = self.statements.get(&id).filter(adopted) else {
             return Event::Request(request);
         };
         let out = s.current.and_then(|number| self.attempts.get(&AttemptId(id, number)));
@@ -292,6 +304,7 @@
         let harmless = self.classes[class].effect == Repeats::Repeatable;
         let mut guard = Guard::taken(body.mark);
         guard.expects = true;
+        guard.adopted = true;
         if record.ending.is_some() {
             guard.needs_no_record();
         }
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -130,7 +130,7 @@
     let keys = ring.keys.clone();
     let (life, _) = peers.me();
     let me = Me { name: life.name, life: life.life };
-    let station = Station::new(executor, host.clock.clone(), me, keys.clone(), Patience::default());
+    let station = Station::new(executor, host.clock, me, keys.clone(), Patience::default());
     let listener = peers.streams().ok_or_else(missing)?;
     Custody::start(host, terms, station, keys, listener).map(|_| ())
 }
--- a/crates/gateway/tests/guarded.rs
+++ b/crates/gateway/tests/guarded.rs
@@ -1,10 +1,11 @@
 //! The core with statements that outlive their gateway: a clock by hand, engines and custody played by the test.
 
+use std::cell::RefCell;
 use std::path::Path;
 use std::rc::Rc;
 
 use serde_json::value::RawValue;
-use violetward::{Load, Micros};
+use violetward::{Action, Decide, Event, Load, Micros};
 use violetward_custody::{self as custody, Life, Out, StatementKey};
 use violetward_gateway::config;
 use violetward_gateway::core::{Arrived, AttemptId, Core, Effect, StatementId, Submission};
@@ -246,3 +247,28 @@
     assert!(matches!(&page.end, Some(Ending::Refused(e)) if e.message.contains("for the test")));
     assert!(taker.launched().is_empty());
 }
+
+/// A module that keeps what it is told, and decides nothing.
+struct Ear(Rc<RefCell<Vec<Event>>>);
+
+impl Decide for Ear {
+    fn handle(&mut self, _: Micros, event: Event, _: &mut Vec<Action>) {
+        self.0.borrow_mut().push(event);
+    }
+}
+
+#[test]
+fn what_was_never_sent_is_adopted_too_so_that_its_tenant_is_not_charged_again() {
+    let (bed, id, _) = running("lookup");
+    let record = custody::Record { attempts: 0, out: None, ..bed.recorded(id) };
+    let heard = Rc::<RefCell<Vec<Event>>>::default();
+    let config = config::parse(SETUP, Path::new(".")).expect("good");
+    let mut core = Core::with(&config, "other", Box::new(Ear(heard.clone())));
+    core.guard(vec![true, true]);
+    let mut taker = Bed { core, now: 1_001 * S, effects: Vec::new() };
+    let there = taker.core.adopt(taker.now, &record).expect("readable");
+    taker.page(there, 0, None);
+    let heard = heard.borrow();
+    assert!(heard.iter().any(|e| matches!(e, Event::Adopted { attempts: 0, out: None, .. })), "{heard:?}");
+    assert!(!heard.iter().any(|e| matches!(e, Event::Request(_))));
+}
--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -320,7 +320,7 @@
     }
 
     /// The next record that has come. What came whole before the end is still given after it.
-    pub fn next(&mut self) -> Option<Vec<u8>> {
+    pub fn take(&mut self) -> Option<Vec<u8>> {
         let record = self.records.pop_front()?;
         self.kept -= record.len();
         Some(record)
--- a/crates/transport/src/sim.rs
+++ b/crates/transport/src/sim.rs
@@ -416,7 +416,7 @@
     }
 
     fn next(&mut self) -> Option<Vec<u8>> {
-        self.with(Session::next).flatten()
+        self.with(Session::take).flatten()
     }
 
     /// Empty until it is proved.
--- a/crates/transport/src/sockets.rs
+++ b/crates/transport/src/sockets.rs
@@ -132,20 +132,20 @@
     }
 }
 
-type Come = Rc<RefCell<VecDeque<(String, Vec<u8>)>>>;
+type Come = RefCell<VecDeque<(String, Vec<u8>)>>;
 
 /// Messages by name over datagrams.
 pub struct Post {
     station: Rc<Station>,
     datagrams: Rc<Datagrams>,
     places: BTreeMap<String, SocketAddr>,
-    come: Come,
+    come: Rc<Come>,
 }
 
 impl Post {
     /// Takes messages from now on, until it is dropped.
     pub fn start(station: &Rc<Station>, datagrams: Datagrams) -> Post {
-        let (datagrams, come) = (Rc::new(datagrams), Come::default());
+        let (datagrams, come) = (Rc::new(datagrams), Rc::<Come>::default());
         station.spawn(read(Rc::downgrade(station), datagrams.clone(), Rc::downgrade(&come)));
         Post { station: station.clone(), datagrams, places: BTreeMap::new(), come }
     }
@@ -168,11 +168,7 @@
     }
 }
 
-async fn read(
-    station: Weak<Station>,
-    datagrams: Rc<Datagrams>,
-    come: Weak<RefCell<VecDeque<(String, Vec<u8>)>>>,
-) {
+async fn read(station: Weak<Station>, datagrams: Rc<Datagrams>, come: Weak<Come>) {
     // One octet more than any good one tells a longer one.
     let mut bytes = vec![0; MESSAGE + AROUND + 1];
     loop {
