Peers and simulated fleets stand on the transport; what is said has an addressee

Nobody but the transport opens sockets for messages among gateways: gateway::peers hands membership's datagrams to sockets::Datagrams.

The contract of messages found that what stands on membership could be led to another member by somebody in between, since a datagram did not name its addressee: Kind::Said now ends with the mark of the addressee's name. Older programs pass over it, and are believed without it.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,8 +1,8 @@
-//! Moves the datagrams of membership, and passes on what follows from them: this gateway's share to its core, changes to
-//! the log. Decides nothing.
+//! Hands datagrams between the transport and membership, and passes on what follows from them: this gateway's share to its
+//! core, changes to the log. Decides nothing.
 
 use std::cell::RefCell;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use violetward_membership::{Change, Demand, Effect, Link, Membership, Standing, State, Terms};
 use violetward_net::{Alarm, Connection};
 use violetward_statement::http::{Headers, Limits};
+use violetward_transport::sockets::{self, Datagrams};
 
 use violetward_custody::Life;
 
@@ -33,7 +34,7 @@
     /// Where to reach members that are not reached where they say.
     via: std::collections::BTreeMap<String, SocketAddr>,
     streams: RefCell<Option<Async<TcpListener>>>,
-    socket: Async<UdpSocket>,
+    datagrams: Datagrams,
     alarm: Alarm,
 }
 
@@ -109,37 +110,20 @@
     }
 }
 
-/// The sockets of datagrams and, where they are wanted, of streams: on one port.
-fn bind(
-    listen: SocketAddr,
-    streams: bool,
-) -> std::io::Result<(Async<UdpSocket>, Option<Async<TcpListener>>)> {
-    let mut tries = 0;
-    loop {
-        let socket = Async::<UdpSocket>::bind(listen)?;
-        if !streams {
-            return Ok((socket, None));
-        }
-        tries += 1;
-        match Async::<TcpListener>::bind(socket.get_ref().local_addr()?) {
-            Ok(listener) => return Ok((socket, Some(listener))),
-            // A free port for the one may be taken for the other.
-            Err(_) if listen.port() == 0 && tries < 20 => {}
-            Err(e) => return Err(e),
-        }
-    }
-}
-
 impl Peers {
     /// Starts the tasks of membership; they run as long as the host's executor does.
     ///
     /// # Errors
     /// If it cannot listen.
     pub fn start(host: &Rc<Host>, terms: &PeerTerms) -> std::io::Result<Rc<Peers>> {
-        let (socket, streams) = bind(terms.listen, host.config.custody.is_some())?;
+        // Streams of records are taken on the port of datagrams, where something stands on them.
+        let (datagrams, streams) = match host.config.custody {
+            Some(_) => sockets::bind(terms.listen).map(|(datagrams, streams)| (datagrams, Some(streams)))?,
+            None => (Datagrams::bind(terms.listen)?, None),
+        };
         let address = match terms.advertise {
             Some(address) => address,
-            None => socket.get_ref().local_addr()?,
+            None => datagrams.address()?,
         };
         let known = Terms {
             name: terms.name.clone(),
@@ -161,7 +145,7 @@
             membership,
             via: terms.via.clone(),
             streams: RefCell::new(streams),
-            socket,
+            datagrams,
             alarm: Alarm::default(),
         });
         host.spawn(peers.clone().read(host.clone()));
@@ -201,7 +185,7 @@
     fn carry_out(&self, host: &Rc<Host>, effect: Effect) {
         match effect {
             // A full buffer, or a port that nobody listens on, is a datagram lost: the protocol bears that.
-            Effect::Send(to, bytes) => drop(self.socket.get_ref().send_to(&bytes, to)),
+            Effect::Send(to, bytes) => self.datagrams.send(to, &bytes),
             Effect::Share(part) => {
                 tracing::debug!(part, "share of the fleet");
                 host.core(|core, now| core.share(now, part));
@@ -238,19 +222,12 @@
     async fn read(self: Rc<Self>, host: Rc<Host>) {
         let mut bytes = vec![0; READ];
         loop {
-            match self.socket.recv_from(&mut bytes).await {
-                Ok((size, from)) => {
-                    // What is due comes first: after a pause it is the wake-up that tells of it, not old datagrams.
-                    if self.membership.borrow().next_wake() <= host.now() {
-                        self.with(&host, Membership::wake);
-                    }
-                    self.with(&host, |m, now| m.datagram(now, from, &bytes[..size]));
-                }
-                // An earlier datagram found nobody: told here by some systems.
-                Err(_) => violetward_net::sleep(Duration::from_millis(1)).await,
+            let (from, bytes) = self.datagrams.next(&mut bytes).await;
+            // What is due comes first: after a pause it is the wake-up that tells of it, not old datagrams.
+            if self.membership.borrow().next_wake() <= host.now() {
+                self.with(&host, Membership::wake);
             }
-            // A flood must not keep requests waiting.
-            future::yield_now().await;
+            self.with(&host, |m, now| m.datagram(now, from, bytes));
         }
     }
 
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -403,7 +403,7 @@
         self.pass(now);
         let known = bytes.len() <= SAID && self.members.contains_key(name);
         if known {
-            self.send_to(name, Kind::Said(bytes.to_vec()), Vec::new());
+            self.send_to(name, Kind::Said(bytes.to_vec(), mark(name)), Vec::new());
         }
         self.planned = self.next_wake();
         known
@@ -594,9 +594,13 @@
     fn take(&mut self, from: SocketAddr, bytes: &[u8]) -> Result<(), Refused> {
         let Some(datagram) = Datagram::open(&self.terms.keys, bytes)? else { return Ok(()) };
         // What stands on membership may still have to be ended in order; nothing else is heard any more.
-        if self.left && !matches!(datagram.kind, Kind::Said(_)) {
+        if self.left && !matches!(datagram.kind, Kind::Said(..)) {
             return Ok(());
         }
+        // Guards against what was said to another one and is led here by somebody in between.
+        if matches!(datagram.kind, Kind::Said(_, to) if to != 0 && to != mark(&self.me.name)) {
+            return Err(Refused::Replayed);
+        }
         if let Kind::Challenge(nonce) = datagram.kind {
             // Whoever asks is answered where the question came from: a name is not believed yet.
             self.send(from, Kind::Proof(nonce), Vec::new());
@@ -692,7 +696,7 @@
                     self.send(back, Kind::Digest(digest, false), Vec::new());
                 }
             }
-            Kind::Said(bytes) => self.effects.push_back(Effect::Heard(from.to_owned(), bytes)),
+            Kind::Said(bytes, _) => self.effects.push_back(Effect::Heard(from.to_owned(), bytes)),
             Kind::News | Kind::Challenge(_) | Kind::Proof(_) => {}
         }
     }
@@ -709,7 +713,7 @@
     /// Sends; gives how many of the records have found room. Others' news ride along where none of its own fill it.
     fn send(&mut self, to: SocketAddr, kind: Kind, mut records: Vec<Record>) -> usize {
         let own = records.len();
-        let plain = matches!(kind, Kind::News | Kind::Challenge(_) | Kind::Proof(_) | Kind::Said(_));
+        let plain = matches!(kind, Kind::News | Kind::Challenge(_) | Kind::Proof(_) | Kind::Said(..));
         if !plain {
             records.extend(self.riders());
         }
--- a/crates/membership/src/sim.rs
+++ b/crates/membership/src/sim.rs
@@ -3,31 +3,14 @@
 //! A history is a list of [`Act`]s at their times; what holds at each step is checked as it runs. The same seed and acts
 //! give the same history, so that a failing one replays, and [`shrink`] drops acts that it does not need.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
-use crate::machine::{draw, Change, Effect, Membership, Micros, Standing, Terms};
-use crate::wire::{Key, Keys, State};
-
-/// What the network does.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Weather {
-    /// Share of datagrams that get lost.
-    pub loss: f64,
-    /// Least and most delay.
-    pub delay: (Micros, Micros),
-    /// Share that comes twice, and share with an octet spoilt.
-    pub copies: f64,
-    /// See `copies`.
-    pub spoilt: f64,
-}
+pub use violetward_transport::sim::Weather;
+use violetward_transport::sim::{Dice, Queue};
 
-impl Default for Weather {
-    fn default() -> Self {
-        Weather { loss: 0.0, delay: (500, 3_000), copies: 0.0, spoilt: 0.0 }
-    }
-}
+use crate::machine::{Change, Effect, Membership, Micros, Standing, Terms};
+use crate::wire::{Key, Keys, State};
 
 /// Something that happens to a fleet. Members are told by number.
 #[derive(Debug, Clone, PartialEq)]
@@ -86,14 +69,13 @@
 pub struct Fleet {
     nodes: Vec<Node>,
     terms: Box<dyn Fn(usize) -> Terms>,
-    dice: u64,
+    dice: Dice,
     /// The virtual time.
     pub now: Micros,
     weather: Weather,
     cuts: HashSet<(usize, usize)>,
     groups: Vec<usize>,
-    queue: BinaryHeap<Reverse<(Micros, u64, Event)>>,
-    numbers: u64,
+    queue: Queue<Event>,
     addresses: HashMap<SocketAddr, usize>,
     known_dead: BTreeMap<usize, HashSet<usize>>,
     /// What has been seen.
@@ -133,13 +115,12 @@
         let mut fleet = Fleet {
             nodes: Vec::new(),
             terms: Box::new(terms),
-            dice: seed,
+            dice: Dice(seed),
             now: 1_000_000,
             weather: Weather::default(),
             cuts: HashSet::new(),
             groups: vec![0; count],
-            queue: BinaryHeap::new(),
-            numbers: 0,
+            queue: Queue::new(1_000_000),
             addresses,
             known_dead: BTreeMap::new(),
             findings: Findings::default(),
@@ -193,17 +174,8 @@
         })
     }
 
-    fn roll(&mut self) -> f64 {
-        (draw(&mut self.dice) >> 11) as f64 / (1u64 << 53) as f64
-    }
-
-    fn push(&mut self, at: Micros, event: Event) {
-        self.numbers += 1;
-        self.queue.push(Reverse((at, self.numbers, event)));
-    }
-
     fn start(&mut self, n: usize) {
-        let seed = draw(&mut self.dice);
+        let seed = self.dice.draw();
         let member = Membership::new((self.terms)(n), seed, self.now);
         self.nodes[n].member = Some(member);
         (self.nodes[n].killed, self.nodes[n].stopped) = (None, false);
@@ -235,7 +207,7 @@
                 // What was due fires first, then the socket's buffer is read.
                 self.plan(*n, true);
                 for (from, bytes) in std::mem::take(&mut self.nodes[*n].waiting) {
-                    self.push(self.now, Event::Arrive(*n, from, bytes));
+                    self.queue.push(self.now, Event::Arrive(*n, from, bytes));
                 }
             }
             Act::Cut(a, b) => {
@@ -258,7 +230,7 @@
         let at = if now { self.now } else { member.next_wake().max(self.now) };
         if at < u64::MAX && (now || at != self.nodes[n].planned) {
             self.nodes[n].planned = at;
-            self.push(at, Event::Wake(n, at));
+            self.queue.push(at, Event::Wake(n, at));
         }
     }
 
@@ -278,27 +250,19 @@
     fn carry_out(&mut self, n: usize) {
         while let Some(effect) = self.nodes[n].member.as_mut().and_then(Membership::effect) {
             match effect {
-                Effect::Send(to, mut bytes) => {
+                Effect::Send(to, bytes) => {
                     self.findings.sent.0 += 1;
                     self.findings.sent.1 += bytes.len() as u64;
                     let Some(&target) = self.addresses.get(&to) else { continue };
-                    if !self.passes(n, target) || self.roll() < self.weather.loss {
-                        continue;
-                    }
                     if bytes.len() > crate::wire::DATAGRAM {
                         self.broke(format!("g{n} sent {} octets", bytes.len()));
                     }
-                    if self.weather.spoilt > 0.0 && self.roll() < self.weather.spoilt {
-                        let at = draw(&mut self.dice) as usize % bytes.len();
-                        bytes[at] ^= 1 << (draw(&mut self.dice) % 8);
+                    if !self.passes(n, target) {
+                        continue;
                     }
                     let from = (self.terms)(n).address;
-                    let copies =
-                        1 + usize::from(self.weather.copies > 0.0 && self.roll() < self.weather.copies);
-                    for _ in 0..copies {
-                        let (least, most) = self.weather.delay;
-                        let delay = least + (self.roll() * (most - least) as f64) as Micros;
-                        self.push(self.now + delay, Event::Arrive(target, from, bytes.clone()));
+                    for (delay, bytes) in self.weather.carry(&mut self.dice, bytes) {
+                        self.queue.push(self.now + delay, Event::Arrive(target, from, bytes));
                     }
                 }
                 Effect::Told(Change::Member { name, state: State::Dead, was: Some(_), .. }) => {
@@ -342,11 +306,8 @@
     /// Lets virtual time pass.
     pub fn run(&mut self, span: Micros) {
         let until = self.now + span;
-        while let Some(Reverse((at, _, _))) = self.queue.peek() {
-            if *at > until {
-                break;
-            }
-            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
+        while let Some(event) = self.queue.pop(until) {
+            let at = self.queue.now;
             self.now = at;
             let n = match event {
                 Event::Wake(n, planned) => {
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -1,6 +1,6 @@
 //! Datagrams: their layout, their signatures and their bounds.
 //!
-//! `version 1 | key 4 | life 8 | number 8 | sender | kind and its fields | records | code 16`, integers big-endian, texts
+//! `version 1 | key 4 | life 8 | number 8 | sender | kind and its fields | records | addressee 4 | code 16`, integers big-endian, texts
 //! with one octet of length. A record has its length before it: what a newer format adds at its end is passed over, and
 //! what an older one leaves out reads as nothing told.
 
@@ -169,8 +169,9 @@
     Digest([u32; BUCKETS], bool),
     /// Records alone.
     News,
-    /// Something that is not membership's own: for what stands on it.
-    Said(Vec<u8>),
+    /// Something that is not membership's own, for what stands on it; and the mark of the name of whom it is for, 0 where an older
+    /// format does not tell it.
+    Said(Vec<u8>, u32),
 }
 
 /// A datagram.
@@ -274,7 +275,7 @@
                 parts.iter().for_each(|part| out.extend_from_slice(&part.to_be_bytes()));
             }
             Kind::News => out.push(10),
-            Kind::Said(bytes) => {
+            Kind::Said(bytes, _) => {
                 out.push(11);
                 out.extend_from_slice(&(bytes.len() as u16).to_be_bytes());
                 out.extend_from_slice(bytes);
@@ -293,6 +294,9 @@
             told += 1;
         }
         out[count] = told as u8;
+        if let Kind::Said(_, to) = self.kind {
+            out.extend_from_slice(&to.to_be_bytes());
+        }
         seal(keys, out);
         told
     }
@@ -344,7 +348,7 @@
     let version = c.u8()?;
     c.u32()?;
     let (life, number, from) = (c.u64()?, c.u64()?, c.text()?);
-    let kind = match c.u8()? {
+    let mut kind = match c.u8()? {
         1 => Kind::Ping(c.u32()?),
         2 => Kind::Ack(c.u32()?, c.u8()? == 1),
         3 => Kind::Ask(c.u32()?, c.text()?),
@@ -367,7 +371,7 @@
         10 => Kind::News,
         11 => {
             let n = c.u16()? as usize;
-            Kind::Said(c.take(n)?.to_vec())
+            Kind::Said(c.take(n)?.to_vec(), 0)
         }
         _ => return Some(None),
     };
@@ -381,6 +385,9 @@
         let mut c = Cursor(c.take(n)?);
         records.push(read_record(&mut c)?);
     }
+    if let Kind::Said(_, to) = &mut kind {
+        *to = c.u32().unwrap_or(0);
+    }
     Some(Some(Datagram { from, life, number, kind, records }))
 }
 
--- a/crates/membership/tests/datagrams.rs
+++ b/crates/membership/tests/datagrams.rs
@@ -86,7 +86,7 @@
         Kind::Proof(9),
         Kind::Digest([10; 16], true),
         Kind::News,
-        Kind::Said(vec![3; 700]),
+        Kind::Said(vec![3; 700], 4),
     ];
     for kind in kinds {
         let whole = Datagram { from: "g1".into(), life: 1, number: 2, kind, records: vec![record("g2")] };
--- a/crates/transport/src/session.rs
+++ b/crates/transport/src/session.rs
@@ -230,9 +230,9 @@
             if let Err(why) = self.frame(frame) {
                 return self.end(why);
             }
-            self.heard = now;
             rest = behind;
         }
+        self.heard = now;
         // A long record's room is given back: what is left is copied.
         self.come = rest.to_vec();
     }
@@ -320,7 +320,7 @@
     }
 
     /// The next record that has come. What came whole before the end is still given after it.
-    pub fn take(&mut self) -> Option<Vec<u8>> {
+    pub fn record(&mut self) -> Option<Vec<u8>> {
         let record = self.records.pop_front()?;
         self.kept -= record.len();
         Some(record)
--- a/crates/transport/src/sim.rs
+++ b/crates/transport/src/sim.rs
@@ -416,7 +416,7 @@
     }
 
     fn next(&mut self) -> Option<Vec<u8>> {
-        self.with(Session::take).flatten()
+        self.with(Session::record).flatten()
     }
 
     /// Empty until it is proved.
--- a/crates/transport/src/sockets.rs
+++ b/crates/transport/src/sockets.rs
@@ -185,10 +185,9 @@
 
 impl Messages for Post {
     fn send(&mut self, to: &str, bytes: &[u8]) -> Result<(), Unsent> {
-        let place = *self.places.get(to).ok_or(Unsent::Unknown)?;
         let keys = self.station.keys.borrow();
         let sealed = seal::seal(&keys, &self.station.me.name, to, bytes).ok_or(Unsent::TooLong)?;
-        self.datagrams.send(place, &sealed);
+        self.datagrams.send(*self.places.get(to).ok_or(Unsent::Unknown)?, &sealed);
         Ok(())
     }
 
--- a/crates/transport/src/sockets/stream.rs
+++ b/crates/transport/src/sockets/stream.rs
@@ -194,7 +194,7 @@
     pub async fn recv(&self) -> Option<Vec<u8>> {
         loop {
             let come = self.line.come.listen();
-            if let Some(record) = self.line.touch(|session, _| session.take()) {
+            if let Some(record) = self.line.touch(|session, _| session.record()) {
                 return Some(record);
             }
             if self.line.look(Session::ended).is_some() {
@@ -256,7 +256,7 @@
     }
 
     fn next(&mut self) -> Option<Vec<u8>> {
-        self.line.touch(|session, _| session.take())
+        self.line.touch(|session, _| session.record())
     }
 
     fn peer(&self) -> &str {
