--- a/crates/contracts/src/lib.rs
+++ b/crates/contracts/src/lib.rs
@@ -3,3 +3,4 @@
 //! implementations stand in the tests: a contract that does not find its own is no contract.
 
 pub mod store;
+pub mod transport;
