--- a/crates/digest/src/page.rs
+++ b/crates/digest/src/page.rs
@@ -66,7 +66,7 @@
     Summary { work, k, weight, room, crossing }
 }
 
-/// Some cells of one origin, all of one version. Pages of one origin and number are in order: see [`Page::rank`].
+/// Some cells of one origin, all of one version.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
     /// Who says it.
