--- a/crates/store/src/copies.rs
+++ b/crates/store/src/copies.rs
@@ -1,4 +1,4 @@
-//! Values that several others keep. [`Keeper`] is the part of the one whose values they are, [`Copy`] that of each other; both are
+//! Values that several others keep. [`Keeper`] is the part of the one whose values they are, [`struct@Copy`] that of each other; both are
 //! free of I/O and clock. [`Copies`] is a [`Store`] made of them where a question can be waited for.
 //!
 //! A process claims its name with an *epoch* greater than any that a copy has promised; a copy writes the promise down and takes
