Contract of a slow reader: the newest message is said again until it must have come

Seen: one failure on a loaded machine, 'the newest message was let go for older ones', over datagrams on loopback. Cause: the contract sends 128 datagrams between two turns of the tasks that read them, the system's buffers of the relay and of the reader hold fewer, and whichever finds them full is lost by the system, the last one too; nothing of ours let it go. Ruled out: the queue itself, which drops its oldest (simulated and in-process transports pass, and the broken one that drops the newest is found).

Change: after the burst the newest is said a hundred times with turns in between, and one of them has to be kept; it holds for networks that lose, too, where it was not asked before.

--- a/crates/contracts/src/transport.rs
+++ b/crates/contracts/src/transport.rs
@@ -15,6 +15,8 @@
 
 /// Times that a contract lets time pass for something that has to come.
 const PATIENCE: usize = 400;
+/// Times that something is said again where any one may get lost on the way.
+const AGAIN: usize = 100;
 
 /// An implementation with three gateways on it, `g0` to `g2`, between which every way is clear.
 pub trait Ground {
@@ -193,10 +195,15 @@
             });
             ensure(came, || format!("g{from} does not reach g{to} while g1 takes nothing"))?;
         }
+        // A system's buffer may have been full at any one of them, or still hold it: the newest is said again and again.
+        let newest = content(all, 100);
+        for _ in 0..AGAIN {
+            ground.post(0).send("g1", &newest).ok();
+            ground.pass();
+        }
         let kept: Vec<_> = std::iter::from_fn(|| ground.post(1).next()).map(|(_, bytes)| bytes).collect();
         ensure(kept.len() <= WAITING.0, || format!("{} messages were kept", kept.len()))?;
-        let newest = kept.contains(&content(all - 1, 100));
-        ensure(newest || ground.loses(), || "the newest message was let go for older ones".to_owned())
+        ensure(kept.contains(&newest), || "the newest message was let go for older ones".to_owned())
     })
 }
 
