Gateway: the core split by concern into files of its own

Change: fronts, attempts, listing, rebuilding, time and deciding stand in files of their own; lines are moved, none differs but in who may call a function.

--- /dev/null
+++ b/crates/gateway/src/core/listing.rs
@@ -0,0 +1,85 @@
+//! The list of engines, the rules that narrow it, and what engines tell of their load.
+
+use super::*;
+
+impl Core {
+    /// A new reading of the list: the whole of it.
+    pub fn listed(&mut self, now: Micros, records: &BTreeMap<String, Record>) {
+        self.pass(now);
+        if self.list != *records {
+            self.list.clone_from(records);
+        }
+        let claimed = |r: &Record| self.claimed(r);
+        let entry = |r: &Record| {
+            let listed = rules::worse(claimed(r), self.rules.engine(&r.name));
+            violetward::EngineEntry { listed, ..r.entry.clone() }
+        };
+        let entries = records.values().map(entry).collect();
+        for record in records.values() {
+            self.records.insert(record.entry.engine, record.clone());
+        }
+        let listed: BTreeSet<EngineId> = records.values().map(|r| r.entry.engine).collect();
+        let gone: Vec<EngineId> = self.records.keys().filter(|id| !listed.contains(id)).copied().collect();
+        let mut lost: Vec<Loss> = Vec::new();
+        for &engine in &gone {
+            lost.extend(self.sessions.listed(self.now, engine, None));
+        }
+        for record in records.values() {
+            let drains = match rules::worse(self.claimed(record), self.rules.told(&record.name)) {
+                violetward::Listed::Up => Some(false),
+                violetward::Listed::Draining => Some(true),
+                violetward::Listed::Removed => None,
+            };
+            lost.extend(self.sessions.listed(self.now, record.entry.engine, drains));
+        }
+        self.lose(lost);
+        self.records.retain(|id, _| listed.contains(id));
+        self.inbox.push_back(Event::Engines { kind: ListKind::Whole, entries });
+        self.run();
+    }
+
+    /// The state of an engine by the own list and by what others' lists say of the same life of it.
+    pub(super) fn claimed(&self, record: &Record) -> violetward::Listed {
+        let claim = self.claims.get(&record.name).filter(|c| c.0 >= record.entry.came_up);
+        claim.map_or(record.entry.listed, |c| rules::worse(record.entry.listed, c.1))
+    }
+
+    /// What other gateways' lists say of engines. It only takes away.
+    pub fn claims(&mut self, now: Micros, claims: BTreeMap<String, (Micros, violetward::Listed)>) {
+        self.claims = claims;
+        let list = std::mem::take(&mut self.list);
+        self.listed(now, &list);
+    }
+
+    /// The rules that hold from now on. What was sent goes on; what waits, and further attempts, go by them.
+    pub fn rules(&mut self, now: Micros, rules: Rules) {
+        self.pass(now);
+        let (classes, tenants, attempts_cap, budget) = rules.narrow(&self.configured, &self.names);
+        self.classes.clone_from(&classes);
+        self.rules = rules;
+        self.inbox.push_back(Event::Rules { classes, tenants, attempts_cap, budget });
+        let list = std::mem::take(&mut self.list);
+        self.listed(now, &list);
+    }
+
+    /// Whether an attempt that has not been written yet may still go to its engine.
+    pub fn may_go(&self, id: AttemptId, engine: &str) -> bool {
+        let (Some(s), Some(r)) = (self.statements.get(&id.0), self.list.get(engine)) else { return true };
+        let class = &self.classes[s.class];
+        let kind = class.kinds.as_ref().is_none_or(|k| k.contains(&r.entry.kind));
+        let zone = class.zones.as_ref().is_none_or(|z| z.contains(&r.entry.zone));
+        // What belongs to a session may end where it lives.
+        let state = if s.member.is_some() { self.rules.told(engine) } else { self.rules.engine(engine) };
+        let up =
+            state == violetward::Listed::Up || s.member.is_some() && state != violetward::Listed::Removed;
+        kind && zone && up
+    }
+
+    /// An engine told its load, asked by the host or by a probe; `None`: it did not answer a probe.
+    pub fn status(&mut self, now: Micros, engine: EngineId, load: Option<Load>) {
+        self.pass(now);
+        let ok = load.is_some();
+        self.inbox.push_back(Event::Probed { engine, ok, load: load.unwrap_or_default() });
+        self.run();
+    }
+}
