--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod custody;
 pub mod plan;
+pub mod plans;
 pub mod relay;
 pub mod settings;
 pub mod timeline;
@@ -111,7 +112,7 @@
 /// If the plan can't be read, or a process does not start.
 pub fn command(name: &str, options: &Options) -> std::io::Result<bool> {
     if name == "list" {
-        plan::BUILT_IN.iter().for_each(|(name, what, _)| println!("{name:<14} {what}"));
+        plans::all().for_each(|(name, what, _)| println!("{name:<18} {what}"));
         return Ok(true);
     }
     let plan = plan::find(name).map_err(std::io::Error::other)?;
--- /dev/null
+++ b/crates/lab/src/cluster/plans/windows.rs
@@ -0,0 +1,6 @@
+//! Plans of windows of maintenance.
+
+use super::BuiltIn;
+
+/// See the module.
+pub const PLANS: &[BuiltIn] = &[];
