Agreement's simulated fleets stand on the transport's network

Need: nobody keeps a network for himself; agreement's simulation had dice, weather and a queue of its own, the same in all but their names. Change: it draws, carries and queues by violetward_transport::sim, as membership's does; what a history may do is as before (loss in thousandths, 1 to 21 ms, one in twenty twice where anything gets lost). Seeds draw other histories now.

--- a/crates/agreement/src/sim.rs
+++ b/crates/agreement/src/sim.rs
@@ -3,24 +3,17 @@
 //! has each version that another one acts on in full within its range, and no number has two versions.
 
 use std::cell::RefCell;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
+pub use violetward_transport::sim::draw;
+use violetward_transport::sim::{Dice, Queue, Weather};
+
 use crate::wire;
 use crate::{Declined, Effect, Kept, Member, MemberTerms, Micros, Outcome, Version};
 
 const MS: Micros = 1_000;
 
-/// The next number of a sequence.
-pub fn draw(dice: &mut u64) -> u64 {
-    *dice = dice.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let mut z = *dice;
-    z = (z ^ z >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ z >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ z >> 31
-}
-
 /// What comes to a gateway.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum What {
@@ -67,9 +60,8 @@
     voters: usize,
     lease: Micros,
     drift: u64,
-    events: BinaryHeap<Reverse<(Micros, u64, usize, What)>>,
-    order: u64,
-    dice: u64,
+    events: Queue<(usize, What)>,
+    dice: Dice,
 }
 
 fn name(n: usize) -> String {
@@ -94,9 +86,8 @@
             voters,
             lease,
             drift,
-            events: BinaryHeap::new(),
-            order: 0,
-            dice: seed,
+            events: Queue::new(1_000_000_000),
+            dice: Dice(seed),
         };
         for n in 0..count {
             let rate = if n % 2 == 0 { drift as i64 } else { -(drift as i64) };
@@ -134,7 +125,7 @@
             mark: 7,
         };
         let check = |content: &[u8]| if content == b"unfit" { Err("unfit".to_owned()) } else { Ok(()) };
-        let life = draw(&mut self.dice);
+        let life = self.dice.draw();
         let now = self.clock(n);
         let fitness = self.fitness.clone();
         let member = Member::new(terms, kept.unwrap_or_default(), life, now, Box::new(check));
@@ -164,8 +155,7 @@
 
     /// Something comes to a gateway at a time.
     pub fn at(&mut self, when: u64, n: usize, what: What) {
-        self.order += 1;
-        self.events.push(Reverse((when, self.order, n, what)));
+        self.events.push(when, (n, what));
     }
 
     fn carry_out(&mut self, n: usize) {
@@ -201,22 +191,21 @@
     fn send(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
         assert!(bytes.len() <= 1_000);
         self.sent = (self.sent.0 + 1, self.sent.1 + bytes.len() as u64);
-        if self.cut[from][to] || draw(&mut self.dice) % 1000 < self.loss {
+        if self.cut[from][to] {
             return;
         }
-        let copies = 1 + usize::from(self.loss > 0 && draw(&mut self.dice) % 20 == 0);
-        for _ in 0..copies {
-            let late = MS + draw(&mut self.dice) % (20 * MS);
-            self.at(self.now + late, to, What::Comes(name(from), bytes.clone()));
+        let copies = if self.loss > 0 { 0.05 } else { 0.0 };
+        let weather = Weather { loss: self.loss as f64 / 1e3, delay: (MS, 21 * MS), copies, spoilt: 0.0 };
+        for (late, bytes) in weather.carry(&mut self.dice, bytes) {
+            self.at(self.now + late, to, What::Comes(name(from), bytes));
         }
     }
 
-    fn step(&mut self) {
-        let Some(Reverse((when, _, n, what))) = self.events.pop() else { return };
-        if self.nodes[n].still > when {
+    fn step(&mut self, n: usize, what: What) {
+        if self.nodes[n].still > self.events.now {
             return self.at(self.nodes[n].still, n, what);
         }
-        self.now = self.now.max(when);
+        self.now = self.events.now;
         if what == What::Wake {
             self.nodes[n].woken = Micros::MAX;
         }
@@ -255,10 +244,10 @@
     /// Lets a span pass.
     pub fn run(&mut self, span: u64) {
         let until = self.now + span;
-        while self.events.peek().is_some_and(|e| e.0 .0 <= until) {
-            self.step();
+        while let Some((n, what)) = self.events.pop(until) {
+            self.step(n, what);
         }
-        self.now = until;
+        (self.now, self.events.now) = (until, until);
         self.check();
     }
 
