--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -21,6 +21,7 @@
 use crate::core::{StatementId, Submission};
 use crate::custody::{self, Asked, Custody, Passed, Takes, Token, Told};
 use crate::host::Host;
+use crate::metrics;
 
 /// Header of the answer to a post: for how many milliseconds engines drop a repeat of this statement's mark, counted from
 /// its first sending. Absent where they drop none. Clients that don't know it pass it over.
@@ -295,6 +296,7 @@
             ("POST", STATEMENT) => Some(self.post(message)),
             ("GET", "/v1/info") => Some(self.info()),
             ("GET", "/v1/status") => Some(self.status()),
+            ("GET", "/metrics") => Some(self.metrics()),
             ("GET", "/v1/members") => Some(self.members()),
             ("GET", agreed::PATH) => Some(self.settings(query)),
             ("POST", agreed::PATH) => Some(self.propose(message, query == "dry").await),
@@ -457,6 +459,12 @@
         }))
     }
 
+    fn metrics(&self) -> Reply {
+        let mut headers = Headers::default();
+        headers.push("Content-Type", metrics::TYPE);
+        Reply { status: 200, headers, body: metrics::text(&self.host, self.connections.get()).into_bytes() }
+    }
+
     fn members(&self) -> Reply {
         match &*self.host.peers.borrow() {
             Some(peers) => Reply::json(&serde_json::to_value(peers.view()).unwrap_or_default()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod host;
 pub mod list;
 pub mod membership;
+pub mod metrics;
 pub mod notebook;
 pub mod peers;
 pub mod record;
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -287,6 +287,30 @@
     });
 }
 
+#[test]
+fn counts_are_told_in_the_usual_exposition() {
+    with(1, "", |bed| async move {
+        for _ in 0..3 {
+            assert_eq!(bed.run("SELECT 1", "lookup").await, (None, 1));
+        }
+        let mut c = bed.connect().await;
+        let page = bed.get(&mut c, "/metrics").await;
+        assert_eq!(page.headers.get("content-type"), Some(violetward_gateway::metrics::TYPE));
+        let text = String::from_utf8(page.body).unwrap();
+        for line in [
+            "# TYPE violetward_statements_ended counter",
+            "violetward_statements_ended_total{ending=\"served\"} 3",
+            "violetward_statements_ended_total{ending=\"failed\"} 0",
+            "violetward_statements_taken_total 3",
+            "violetward_statements_open 0.0",
+        ] {
+            assert!(text.lines().any(|l| l == line), "{line:?} is not in {text}");
+        }
+        assert!(text.ends_with("# EOF\n"), "{text}");
+        assert!(!text.contains("members"), "what the configuration lacks is not told: {text}");
+    });
+}
+
 #[test]
 fn bad_engines_are_told_from_good_ones_and_clients_are_served() {
     for bad in [
