Gateway: agreement's I/O split by concern: reports, disk, operators' questions

agreed.rs held 692 lines of several concerns, and windows of maintenance touch it next. What it tells of the settings is in agreed/report.rs now, the file of a voter in agreed/disk.rs, operators' questions and proposals in agreed/asking.rs; what carries agreement out stays (300 lines).

--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -1,26 +1,21 @@
 //! Carries out agreement on settings: moves its sayings over membership, keeps on disk what has to be kept before it is told,
 //! and hands the rules that hold to the core. Decides nothing about versions: that is `violetward-agreement`.
 
+mod asking;
+mod disk;
+mod report;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
 
 use event_listener::Event;
 use futures_lite::future;
-use hmac::{Hmac, Mac};
-use serde::{Deserialize, Serialize};
-use sha2::Sha256;
 use violetward::Listed;
-use violetward_agreement::wire::{self, Said, Spoilt};
-use violetward_agreement::{
-    Declined, Effect, EngineState, Kept, ListEffect, Member, MemberTerms, Outcome, Version,
-};
-use violetward_net::{Alarm, Connection};
-use violetward_statement::http::{Headers, Limits};
+use violetward_agreement::wire::Said;
+use violetward_agreement::{Effect, EngineState, Kept, ListEffect, Member, MemberTerms, Outcome};
+use violetward_net::Alarm;
 use violetward_store::file::Whole;
 use violetward_store::medium::Folder;
 use violetward_store::StoreError;
@@ -28,28 +23,14 @@
 use crate::config::{AgreementTerms, Names};
 use crate::host::Host;
 use crate::list::Record;
-use crate::rules::{Difference, Rules};
+use crate::rules::Rules;
+pub use asking::{ask, ask_since, propose, AFTER, CODE, KEY, PATH};
+pub use disk::{init, replace};
+use disk::{open, read, unusable};
+pub use report::{Report, Standing, VersionRow};
 
-/// The file of what is kept, the one that it becomes when it cannot be used, and the one that a process holds locked.
-const KEPT: &str = "agreement.kept";
-const ASIDE: &str = "agreement.spoilt";
-const LOCK: &str = "agreement.lock";
-/// Octets of the longest file that is read: twice what the versions that are kept can come to.
-const LONGEST: usize = 2 * violetward_agreement::KEPT * wire::CONTENT;
 /// Gateways that a drain or a removal is told to at once; each of them passes it on.
 const SOME: usize = 4;
-/// Between two tries to write what a disk did not take.
-const WRITE_AGAIN: Duration = Duration::from_secs(1);
-/// How long an operator's command waits for its answer.
-const ASK: Duration = Duration::from_secs(10);
-/// Path and headers of the operators' questions.
-pub const PATH: &str = "/v1/settings";
-/// The newest version that the proposal was made for.
-pub const AFTER: &str = "X-Violetward-After";
-/// The name of the key, and the code of the proposal in hexadecimal digits.
-pub const KEY: &str = "X-Violetward-Key";
-/// See `KEY`.
-pub const CODE: &str = "X-Violetward-Code";
 
 /// The settings on which this gateway agrees with the others.
 pub struct Agreed {
@@ -72,77 +53,6 @@
     trouble: RefCell<Option<String>>,
 }
 
-/// A version, as `/v1/settings` tells it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct VersionRow {
-    /// Its number.
-    pub number: u64,
-    /// The hash of its content and of its predecessor's hash.
-    pub hash: String,
-    /// Its content.
-    pub content: String,
-    /// What it changed, as this gateway reads it; a line that begins with `+` lets something in anew.
-    pub changes: Vec<String>,
-}
-
-/// What `/v1/settings` tells.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Standing {
-    /// This gateway.
-    pub name: String,
-    /// The newest version that it knows; 0: none.
-    pub newest: u64,
-    /// The range of versions that it acts on; `None`: it has no lease and does what the floor allows.
-    pub acts: Option<(u64, u64)>,
-    /// Since when, and until when it may without a renewal: microseconds since the Unix epoch, by its clock.
-    pub since: u64,
-    /// See `since`.
-    pub until: Option<u64>,
-    /// How long it was without a lease since its start, microseconds.
-    pub without_lease: u64,
-    /// Those that vote, and whether this one does.
-    pub voters: Vec<String>,
-    /// See `voters`.
-    pub votes: bool,
-    /// What keeps it from voting.
-    pub trouble: Option<String>,
-    /// Grants that it remembers, and whether it keeps still after its start.
-    pub grants: usize,
-    /// See `grants`.
-    pub silent: bool,
-    /// The bound in microseconds.
-    pub bound: u64,
-    /// Sayings taken, unreadable, of gateways with other terms.
-    pub counts: [u64; 3],
-    /// The versions that it keeps, the oldest first.
-    pub history: Vec<VersionRow>,
-}
-
-/// What a proposal leads to.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Report {
-    /// `committed`, `would commit`, `conflict`, `stale`, `unfit`, `unknown`, `busy` or `not a voter`.
-    pub outcome: String,
-    /// The version, where there is one.
-    pub number: Option<u64>,
-    /// More for people.
-    pub text: String,
-    /// What it changes.
-    pub changes: Vec<String>,
-}
-
-/// The code of a proposal: over the version that it was made for and its content.
-fn code(secret: &str, after: u64, dry: bool, content: &[u8]) -> Hmac<Sha256> {
-    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any length will do");
-    mac.update(&after.to_be_bytes());
-    mac.update(&[u8::from(dry)]);
-    mac.update(content);
-    mac
-}
-
 fn listed(state: EngineState) -> Listed {
     match state {
         EngineState::Up => Listed::Up,
@@ -151,77 +61,6 @@
     }
 }
 
-fn shown(changes: &[Difference]) -> Vec<String> {
-    changes.iter().map(|c| format!("{} {}", if c.widens { '+' } else { '-' }, c.text)).collect()
-}
-
-/// Takes the folder for this process alone.
-fn open(terms: &AgreementTerms) -> Result<Whole<Folder>, StoreError> {
-    Whole::open(Folder::new(&terms.folder, LOCK)?)
-}
-
-/// What keeps a folder's file from being used.
-fn unusable(terms: &AgreementTerms, why: StoreError) -> String {
-    format!("{}: {why}", terms.folder.display())
-}
-
-/// Makes the file of a voter that has never voted.
-///
-/// # Errors
-/// If there is one already, or it cannot be written.
-pub fn init(terms: &AgreementTerms) -> Result<PathBuf, String> {
-    let file = terms.folder.join(KEPT);
-    if file.exists() {
-        return Err(format!("{} is there already; it holds this gateway's votes", file.display()));
-    }
-    let bytes = wire::keep(&Kept::default(), terms.mark(), 0);
-    open(terms).and_then(|mut folder| folder.replace(KEPT, &bytes)).map_err(|e| unusable(terms, e))?;
-    Ok(file)
-}
-
-/// Makes a new file for a voter that has lost its own, from what a quorum of the other voters say: it votes again from the
-/// version on on which it cannot have voted.
-///
-/// # Errors
-/// If too few of them answer, there is a file that can be used, or the new one cannot be written.
-pub async fn replace(terms: &AgreementTerms, others: &[SocketAddr]) -> Result<PathBuf, String> {
-    let file = terms.folder.join(KEPT);
-    let mut folder = open(terms).map_err(|e| unusable(terms, e))?;
-    if read(&mut folder, terms).is_ok() {
-        return Err(format!("{} is good; it holds this gateway's votes", file.display()));
-    }
-    let mut newest: BTreeMap<String, u64> = BTreeMap::new();
-    for &address in others {
-        let standing = ask_since(address, u64::MAX).await.map_err(|why| format!("{address}: {why}"))?;
-        if standing.votes && standing.voters == terms.voters && standing.name != terms.name {
-            newest.insert(standing.name, standing.newest);
-        }
-    }
-    let quorum = terms.voters.len() / 2 + 1;
-    if newest.len() < quorum {
-        return Err(format!("{} other voters answer; at least {quorum} have to", newest.len()));
-    }
-    let newest: Vec<u64> = newest.into_values().collect();
-    let kept = Kept { abstain: violetward_agreement::abstain_through(&newest), ..Kept::default() };
-    // Greater than any count of its earlier file, which the others remember.
-    let writes = violetward_net::Clock::new().now();
-    let aside = if file.exists() { folder.set_aside(KEPT, ASIDE) } else { Ok(()) };
-    aside
-        .and_then(|()| folder.replace(KEPT, &wire::keep(&kept, terms.mark(), writes)))
-        .map_err(|e| unusable(terms, e))?;
-    Ok(file)
-}
-
-/// Reads what was kept; what keeps this one from voting, if something does.
-fn read(folder: &mut Whole<Folder>, terms: &AgreementTerms) -> Result<(Kept, u64), String> {
-    let file = terms.folder.join(KEPT);
-    let shown = file.display();
-    let bytes = folder.read(KEPT, LONGEST).map_err(|e| format!("{shown}: {e}"))?.ok_or_else(|| {
-        format!("{shown} is not there. A voter that was never started needs `violetward settings init`; one that lost its file, `violetward settings replace`")
-    })?;
-    wire::kept(&bytes, terms.mark()).map_err(|why: Spoilt| format!("{shown}: {why}"))
-}
-
 impl Agreed {
     /// Starts the tasks of agreement; they run as long as the host's executor does.
     ///
@@ -435,37 +274,6 @@
         }
     }
 
-    /// Writes what is kept, on a thread of its own: a disk that stalls must not hold up statements. Goes on until it is done.
-    async fn keep(&self, bytes: Vec<u8>) {
-        // A gateway that does not vote has nothing to keep, and one whose file is spoilt must not hide that.
-        let Some(folder) = self.folder.clone().filter(|_| !self.stays.get()) else { return };
-        loop {
-            let (done, wait) = async_channel::bounded(1);
-            let (folder, copy) = (folder.clone(), bytes.clone());
-            let thread = std::thread::Builder::new().name("keep".into());
-            let begun = thread.spawn(move || {
-                let mut folder = folder.lock().unwrap_or_else(PoisonError::into_inner);
-                drop(done.try_send(folder.replace(KEPT, &copy)));
-            });
-            let result = match begun {
-                Ok(_) => wait.recv().await.unwrap_or_else(|_| Err(std::io::Error::other("no end").into())),
-                Err(e) => Err(e.into()),
-            };
-            match result {
-                Ok(()) => {
-                    *self.trouble.borrow_mut() = None;
-                    return;
-                }
-                Err(e) => {
-                    let file = self.terms.folder.join(KEPT);
-                    tracing::error!("{}: {e}; nothing is voted on meanwhile", file.display());
-                    *self.trouble.borrow_mut() = Some(e.to_string());
-                    violetward_net::sleep(WRITE_AGAIN).await;
-                }
-            }
-        }
-    }
-
     async fn wake(self: Rc<Self>, host: Rc<Host>) {
         loop {
             self.alarm.wait(&host.clock, || Some(self.member.borrow().next_wake())).await;
@@ -478,119 +286,6 @@
     pub fn leave(&self, host: &Rc<Host>) {
         self.with(host, |member, _| member.give_back());
     }
-
-    /// What is known, with the versions from a number on.
-    pub fn standing(&self, now: u64, since: u64) -> Standing {
-        let member = self.member.borrow();
-        let voter = member.voter();
-        let (grants, silent) = voter.granting(now);
-        let history = voter.history();
-        let read = |v: &Version| check(&v.content, &self.names, &Rules::floor(&[], &[], &self.names));
-        let row = |v: &Version| {
-            let before = history.get(v.number - 1).and_then(|v| read(v).ok()).unwrap_or_default();
-            let changes = match read(v) {
-                Ok(rules) => shown(&before.differences(&rules)),
-                Err(why) => vec![format!("! cannot be read here: {why}")],
-            };
-            let content = String::from_utf8_lossy(&v.content).into_owned();
-            VersionRow { number: v.number, hash: format!("{:016x}", v.hash), content, changes }
-        };
-        let (total, from) = self.lapsed.get();
-        let open = if self.applied.get().is_none() { now.saturating_sub(from) } else { 0 };
-        Standing {
-            name: self.terms.name.clone(),
-            newest: voter.history().newest().0,
-            acts: self.applied.get(),
-            since: self.since.get(),
-            until: voter.until(now),
-            without_lease: total + open,
-            voters: self.terms.voters.clone(),
-            votes: voter.votes(),
-            trouble: self.trouble.borrow().clone(),
-            grants,
-            silent,
-            bound: self.terms.bound(),
-            counts: member.counts,
-            history: history.all().iter().filter(|v| v.number >= since).map(row).collect(),
-        }
-    }
-
-    /// Takes an operator's proposal, or only tells what it would change. The status to answer with, and the report.
-    pub async fn proposed(
-        &self,
-        host: &Rc<Host>,
-        content: &[u8],
-        after: u64,
-        dry: bool,
-        key: &str,
-        given: &str,
-    ) -> (u16, Report) {
-        let report = |outcome: &str, number, text: String, changes| Report {
-            outcome: outcome.to_owned(),
-            number,
-            text,
-            changes,
-        };
-        let given = (0..given.len() / 2).map(|i| given.get(2 * i..2 * i + 2));
-        let given: Option<Vec<u8>> = given.map(|d| u8::from_str_radix(d?, 16).ok()).collect();
-        let known = self.terms.operators.iter().find(|(name, _)| name == key);
-        let fits = |secret: &str, given: &[u8]| code(secret, after, dry, content).verify_slice(given).is_ok();
-        let good = known.zip(given).is_some_and(|((_, secret), given)| fits(secret, &given));
-        if !good {
-            return (403, report("not allowed", None, "no operator's key signed this".into(), vec![]));
-        }
-        let (newest, before) = {
-            let member = self.member.borrow();
-            let history = member.voter().history();
-            let (newest, _) = history.newest();
-            let before = history.get(newest).and_then(|v| check(&v.content, &self.names, &self.floor).ok());
-            (newest, before.unwrap_or_default())
-        };
-        let rules = match check(content, &self.names, &self.floor) {
-            Ok(rules) => rules,
-            Err(why) => return (422, report("unfit", None, why, vec![])),
-        };
-        let changes = shown(&before.differences(&rules));
-        if dry {
-            return (200, report("would commit", Some(newest + 1), String::new(), changes));
-        }
-        let (send, wait) = async_channel::bounded(1);
-        let begun = self.with(host, |member, now| {
-            let begun = member.propose(now, content, Some(after));
-            if begun.is_ok() {
-                *self.waiting.borrow_mut() = Some(send);
-            }
-            begun
-        });
-        match begun {
-            Ok(()) => {}
-            Err(Declined::NotVoter(voters)) => {
-                let text = format!("this gateway does not vote; ask one of {}", voters.join(", "));
-                return (409, report("not a voter", None, text, changes));
-            }
-            Err(Declined::Unfit(why)) => return (422, report("unfit", None, why, changes)),
-            Err(Declined::Busy) => {
-                return (409, report("busy", None, "another proposal is under way here".into(), changes))
-            }
-            Err(Declined::Stale(newest)) => {
-                let text = format!("it was made for version {after}, but {newest} is the newest");
-                return (409, report("stale", Some(newest), text, changes));
-            }
-        }
-        match wait.recv().await.unwrap_or(Outcome::Unknown) {
-            Outcome::Committed(number) => (200, report("committed", Some(number), String::new(), changes)),
-            Outcome::Conflict(number) => {
-                let text = format!("another proposal became version {number}");
-                (409, report("conflict", Some(number), text, changes))
-            }
-            Outcome::Unfit(why) => (422, report("unfit", None, why, changes)),
-            Outcome::Unknown => {
-                let text =
-                    "no quorum answered in time; it may still become a version: see the history".into();
-                (504, report("unknown", None, text, changes))
-            }
-        }
-    }
 }
 
 /// Reads a content, and that it allows the floor.
@@ -603,90 +298,3 @@
     }
     Ok(rules)
 }
-
-async fn call(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: Headers,
-    body: &[u8],
-) -> Result<Vec<u8>, String> {
-    let asked = async {
-        let limits = Limits { body: 16 << 20, ..Limits::default() };
-        let mut connection = Connection::connect(address, limits).await.map_err(|e| e.to_string())?;
-        let mut all = Headers::default();
-        all.push("Host", address.to_string());
-        headers.iter().for_each(|(name, value)| all.push(name, value));
-        connection.call(method, path, &all, body).await.map_err(|e| e.to_string())
-    };
-    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
-    match message.status() {
-        200 | 409 | 422 | 504 if method == "POST" => Ok(message.body),
-        200 => Ok(message.body),
-        _ => Err(String::from_utf8_lossy(&message.body).trim().to_owned()),
-    }
-}
-
-/// Asks a gateway how it stands.
-///
-/// # Errors
-/// What it answers instead, or why it does not.
-pub async fn ask(address: SocketAddr) -> Result<Standing, String> {
-    ask_since(address, 0).await
-}
-
-/// The same, with the versions from a number on alone.
-///
-/// # Errors
-/// What it answers instead, or why it does not.
-pub async fn ask_since(address: SocketAddr, since: u64) -> Result<Standing, String> {
-    let body = call(address, "GET", &format!("{PATH}?since={since}"), Headers::default(), b"").await?;
-    serde_json::from_slice(&body).map_err(|e| e.to_string())
-}
-
-/// Proposes a content as the version after `after`, or has told what it would change.
-///
-/// # Errors
-/// What the gateway answers instead of a report, or why it does not.
-pub async fn propose(
-    address: SocketAddr,
-    content: &[u8],
-    after: u64,
-    dry: bool,
-    key: &(String, String),
-) -> Result<Report, String> {
-    let mut headers = Headers::default();
-    headers.push(AFTER, after.to_string());
-    headers.push(KEY, key.0.clone());
-    let code = code(&key.1, after, dry, content).finalize().into_bytes();
-    let digits = code.iter().map(|b| format!("{b:02x}")).collect::<String>();
-    headers.push(CODE, digits);
-    let path = if dry { format!("{PATH}?dry") } else { PATH.to_owned() };
-    let body = call(address, "POST", &path, headers, content).await?;
-    serde_json::from_slice(&body).map_err(|e| e.to_string())
-}
-
-impl std::fmt::Display for Standing {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self.acts {
-            Some((low, top)) if low == top => writeln!(f, "{} acts on version {top}", self.name)?,
-            Some((low, top)) => {
-                writeln!(f, "{} acts on what all versions from {low} to {top} allow", self.name)?
-            }
-            None => writeln!(f, "{} has no lease: it does what the floor allows", self.name)?,
-        }
-        let vote = match (&self.trouble, self.votes) {
-            (Some(why), _) => format!("does not vote: {why}"),
-            (None, true) => format!("votes; {} grants are out", self.grants),
-            (None, false) => "does not vote".into(),
-        };
-        writeln!(f, "it {vote}; voters: {}", self.voters.join(" "))?;
-        write!(
-            f,
-            "newest version {}; {:.1} s without a lease since its start; T {:.1} s",
-            self.newest,
-            self.without_lease as f64 / 1e6,
-            self.bound as f64 / 1e6
-        )
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/agreed/asking.rs
@@ -0,0 +1,176 @@
+//! Operators' questions and proposals: how they are signed, asked and answered.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use violetward_agreement::{Declined, Outcome};
+use violetward_net::Connection;
+use violetward_statement::http::{Headers, Limits};
+
+use super::report::{shown, Report, Standing};
+use super::{check, Agreed};
+use crate::host::Host;
+
+/// How long an operator's command waits for its answer.
+const ASK: Duration = Duration::from_secs(10);
+/// Path and headers of the operators' questions.
+pub const PATH: &str = "/v1/settings";
+/// The newest version that the proposal was made for.
+pub const AFTER: &str = "X-Violetward-After";
+/// The name of the key, and the code of the proposal in hexadecimal digits.
+pub const KEY: &str = "X-Violetward-Key";
+/// See `KEY`.
+pub const CODE: &str = "X-Violetward-Code";
+
+/// The code of a proposal: over the version that it was made for and its content.
+fn code(secret: &str, after: u64, dry: bool, content: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any length will do");
+    mac.update(&after.to_be_bytes());
+    mac.update(&[u8::from(dry)]);
+    mac.update(content);
+    mac
+}
+
+impl Agreed {
+    /// Takes an operator's proposal, or only tells what it would change. The status to answer with, and the report.
+    pub async fn proposed(
+        &self,
+        host: &Rc<Host>,
+        content: &[u8],
+        after: u64,
+        dry: bool,
+        key: &str,
+        given: &str,
+    ) -> (u16, Report) {
+        let report = |outcome: &str, number, text: String, changes| Report {
+            outcome: outcome.to_owned(),
+            number,
+            text,
+            changes,
+        };
+        let given = (0..given.len() / 2).map(|i| given.get(2 * i..2 * i + 2));
+        let given: Option<Vec<u8>> = given.map(|d| u8::from_str_radix(d?, 16).ok()).collect();
+        let known = self.terms.operators.iter().find(|(name, _)| name == key);
+        let fits = |secret: &str, given: &[u8]| code(secret, after, dry, content).verify_slice(given).is_ok();
+        let good = known.zip(given).is_some_and(|((_, secret), given)| fits(secret, &given));
+        if !good {
+            return (403, report("not allowed", None, "no operator's key signed this".into(), vec![]));
+        }
+        let (newest, before) = {
+            let member = self.member.borrow();
+            let history = member.voter().history();
+            let (newest, _) = history.newest();
+            let before = history.get(newest).and_then(|v| check(&v.content, &self.names, &self.floor).ok());
+            (newest, before.unwrap_or_default())
+        };
+        let rules = match check(content, &self.names, &self.floor) {
+            Ok(rules) => rules,
+            Err(why) => return (422, report("unfit", None, why, vec![])),
+        };
+        let changes = shown(&before.differences(&rules));
+        if dry {
+            return (200, report("would commit", Some(newest + 1), String::new(), changes));
+        }
+        let (send, wait) = async_channel::bounded(1);
+        let begun = self.with(host, |member, now| {
+            let begun = member.propose(now, content, Some(after));
+            if begun.is_ok() {
+                *self.waiting.borrow_mut() = Some(send);
+            }
+            begun
+        });
+        match begun {
+            Ok(()) => {}
+            Err(Declined::NotVoter(voters)) => {
+                let text = format!("this gateway does not vote; ask one of {}", voters.join(", "));
+                return (409, report("not a voter", None, text, changes));
+            }
+            Err(Declined::Unfit(why)) => return (422, report("unfit", None, why, changes)),
+            Err(Declined::Busy) => {
+                return (409, report("busy", None, "another proposal is under way here".into(), changes))
+            }
+            Err(Declined::Stale(newest)) => {
+                let text = format!("it was made for version {after}, but {newest} is the newest");
+                return (409, report("stale", Some(newest), text, changes));
+            }
+        }
+        match wait.recv().await.unwrap_or(Outcome::Unknown) {
+            Outcome::Committed(number) => (200, report("committed", Some(number), String::new(), changes)),
+            Outcome::Conflict(number) => {
+                let text = format!("another proposal became version {number}");
+                (409, report("conflict", Some(number), text, changes))
+            }
+            Outcome::Unfit(why) => (422, report("unfit", None, why, changes)),
+            Outcome::Unknown => {
+                let text =
+                    "no quorum answered in time; it may still become a version: see the history".into();
+                (504, report("unknown", None, text, changes))
+            }
+        }
+    }
+}
+
+async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: Headers,
+    body: &[u8],
+) -> Result<Vec<u8>, String> {
+    let asked = async {
+        let limits = Limits { body: 16 << 20, ..Limits::default() };
+        let mut connection = Connection::connect(address, limits).await.map_err(|e| e.to_string())?;
+        let mut all = Headers::default();
+        all.push("Host", address.to_string());
+        headers.iter().for_each(|(name, value)| all.push(name, value));
+        connection.call(method, path, &all, body).await.map_err(|e| e.to_string())
+    };
+    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
+    match message.status() {
+        200 | 409 | 422 | 504 if method == "POST" => Ok(message.body),
+        200 => Ok(message.body),
+        _ => Err(String::from_utf8_lossy(&message.body).trim().to_owned()),
+    }
+}
+
+/// Asks a gateway how it stands.
+///
+/// # Errors
+/// What it answers instead, or why it does not.
+pub async fn ask(address: SocketAddr) -> Result<Standing, String> {
+    ask_since(address, 0).await
+}
+
+/// The same, with the versions from a number on alone.
+///
+/// # Errors
+/// What it answers instead, or why it does not.
+pub async fn ask_since(address: SocketAddr, since: u64) -> Result<Standing, String> {
+    let body = call(address, "GET", &format!("{PATH}?since={since}"), Headers::default(), b"").await?;
+    serde_json::from_slice(&body).map_err(|e| e.to_string())
+}
+
+/// Proposes a content as the version after `after`, or has told what it would change.
+///
+/// # Errors
+/// What the gateway answers instead of a report, or why it does not.
+pub async fn propose(
+    address: SocketAddr,
+    content: &[u8],
+    after: u64,
+    dry: bool,
+    key: &(String, String),
+) -> Result<Report, String> {
+    let mut headers = Headers::default();
+    headers.push(AFTER, after.to_string());
+    headers.push(KEY, key.0.clone());
+    let code = code(&key.1, after, dry, content).finalize().into_bytes();
+    let digits = code.iter().map(|b| format!("{b:02x}")).collect::<String>();
+    headers.push(CODE, digits);
+    let path = if dry { format!("{PATH}?dry") } else { PATH.to_owned() };
+    let body = call(address, "POST", &path, headers, content).await?;
+    serde_json::from_slice(&body).map_err(|e| e.to_string())
+}
