--- a/crates/windows/src/find.rs
+++ b/crates/windows/src/find.rs
@@ -1,6 +1,7 @@
 //! Windows that are safe: for some engines and a duration all of them within a week, for a whole fleet a schedule of few of
 //! them that takes every engine once.
 
+use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -90,7 +91,7 @@
 
 /// What is projected for the quarter hours of a week to come.
 pub struct Outlook<'a> {
-    cover: &'a Cover,
+    cover: Cow<'a, Cover>,
     shape: Shape,
     margins: Margins,
     now: Wall,
@@ -114,6 +115,27 @@
         named: &[Cell],
         margins: Margins,
         now: Wall,
+    ) -> Outlook<'a> {
+        Outlook::of(Cow::Borrowed(cover), profile, named, margins, now)
+    }
+
+    /// The same for a fleet that nobody else holds.
+    pub fn owning(
+        cover: Cover,
+        profile: &Profile,
+        named: &[Cell],
+        margins: Margins,
+        now: Wall,
+    ) -> Outlook<'static> {
+        Outlook::of(Cow::Owned(cover), profile, named, margins, now)
+    }
+
+    fn of(
+        cover: Cow<'a, Cover>,
+        profile: &Profile,
+        named: &[Cell],
+        margins: Margins,
+        now: Wall,
     ) -> Outlook<'a> {
         let shape = cover.shape(profile.cells().chain(named.iter().copied()));
         let base = now / QUARTER;
@@ -157,7 +179,7 @@
 
     /// The fleet.
     pub fn cover(&self) -> &Cover {
-        self.cover
+        &self.cover
     }
 
     /// What windows take beyond their own span.
--- a/crates/windows/src/held.rs
+++ b/crates/windows/src/held.rs
@@ -11,6 +11,7 @@
 
 use crate::cover::Part;
 use crate::find::{Outlook, Why};
+use crate::profile::QUARTER;
 use crate::{Cell, Micros, Wall};
 
 /// Windows in one version at most.
@@ -162,15 +163,37 @@
             Plant::Alone => vec![grant],
             _ => asked.iter().collect(),
         };
-        for quarter in outlook.quarters(span).ok_or_else(|| Refused::Far(name()))? {
+        let stretches = stretches(&all, outlook, span).ok_or_else(|| Refused::Far(name()))?;
+        for (quarter, stretch) in stretches {
             let mut parts = cover.all_up();
-            lay(&all, outlook, outlook.span_of(quarter), &mut parts);
+            lay(&all, outlook, stretch, &mut parts);
             outlook.judge_at(quarter, &parts, &[]).map_err(|why| Refused::Uncovered(name(), why))?;
         }
     }
     Ok(!new.is_empty())
 }
 
+/// A span of time in stretches in which no window begins or ends, each with its quarter hour: windows that follow each other
+/// within one are not taken for windows at once. `None`: it reaches beyond what is projected.
+fn stretches(
+    windows: &[&Grant],
+    outlook: &Outlook<'_>,
+    span: (Wall, Wall),
+) -> Option<Vec<(usize, (Wall, Wall))>> {
+    let (margins, warm) = (outlook.margins(), outlook.cover().terms().warm);
+    let mut ends: BTreeSet<Wall> = BTreeSet::from([span.0, span.1]);
+    for g in windows {
+        let (away, cold) = (margins.away(g.from, g.until), margins.cold(g.until, warm));
+        ends.extend([away.0, away.1, cold.0, cold.1]);
+    }
+    let quarters = outlook.quarters(span)?;
+    ends.extend(quarters.clone().map(|q| outlook.span_of(q).0));
+    let ends: Vec<Wall> = ends.into_iter().filter(|at| (span.0..=span.1).contains(at)).collect();
+    let first = outlook.span_of(quarters.start).0;
+    let place = |at: Wall| quarters.start + ((at - first) / QUARTER) as usize;
+    Some(ends.windows(2).map(|w| (place(w[0]), (w[0], w[1]))).collect())
+}
+
 /// How windows leave engines at their worst in a span of time.
 fn lay(windows: &[&Grant], outlook: &Outlook<'_>, span: (Wall, Wall), parts: &mut [Part]) {
     let (cover, margins) = (outlook.cover(), outlook.margins());
@@ -371,6 +394,11 @@
         time.wall + (now - time.mono)
     }
 
+    /// Whether the wall clock was set since it was last known to be right: nothing begins by it, and nothing new is granted.
+    pub fn clock_was_set(&self) -> bool {
+        self.time.is_some_and(|t| t.set)
+    }
+
     /// The wall clock was set on purpose and is right: windows go by it again.
     pub fn clock_is_right(&mut self) {
         self.time = None;
@@ -519,13 +547,12 @@
             .flat_map(|g| &g.engines)
             .collect();
         let end = margins.cold(window.grant.until, cover.terms().warm).1;
-        let Some(quarters) = outlook.quarters((at, end)) else { return Ok(()) };
+        let Some(stretches) = stretches(&known, outlook, (at, end)) else { return Ok(()) };
         let beyond = outlook.beyond(at, &seen.demand)?;
-        for quarter in quarters {
+        for (quarter, stretch) in stretches {
             let mut parts = cover.all_up();
-            let span = outlook.span_of(quarter);
             // As granted, what was called off too: it may have come back cold, and others may not know of it yet.
-            lay(&known, outlook, (span.0.max(at), span.1), &mut parts);
+            lay(&known, outlook, stretch, &mut parts);
             for (e, part) in cover.engines().iter().zip(&mut parts) {
                 let failed = seen.down.contains(&e.name) && !own.contains(&e.name);
                 if failed || seen.doubtful.contains(&e.site) {
--- a/crates/windows/src/profile.rs
+++ b/crates/windows/src/profile.rs
@@ -35,7 +35,7 @@
     /// A week that is off its quarter hour's mean by more than this part of it, and by more than those deviations, is odd: a
     /// holiday, or a change that is not known to last.
     pub odd: f64,
-    /// A cell that nobody has asked for leaves after as many quarter hours that were seen as so many weeks have.
+    /// A cell that no sample has named leaves after as many quarter hours that were seen as so many weeks have.
     pub forget: u32,
 }
 
@@ -128,7 +128,7 @@
 
 #[derive(Debug, Clone, PartialEq)]
 struct Learned {
-    /// The first week, and the quarter hours that were seen since anybody asked for it.
+    /// The first week, and the quarter hours that were seen since it was last named.
     first: u64,
     idle: u64,
     buckets: Vec<Bucket>,
@@ -164,7 +164,7 @@
         self.cells.keys().copied()
     }
 
-    /// A sample of all cells at a time: core seconds a second of each. What is not named was not asked for; a time of which
+    /// A sample of all cells at a time: core seconds a second of each. What is not named was not asked for, and leaves in the end; a time of which
     /// there is no sample was not seen. Gives how many cells found no place.
     pub fn sample(&mut self, at: Wall, demand: &[(Cell, f64)]) -> usize {
         let quarter = at / QUARTER;
@@ -214,7 +214,7 @@
         for (cell, learned) in &mut self.cells {
             let (sum, squares) = open.sums.get(cell).copied().unwrap_or_default();
             let mean = sum / samples;
-            learned.idle = if mean > 0.0 { 0 } else { learned.idle + 1 };
+            learned.idle = if open.sums.contains_key(cell) { 0 } else { learned.idle + 1 };
             learned.buckets[place].learn(&terms, short, mean, (squares / samples - mean * mean).max(0.0));
         }
         // Not by the calendar: a clock that is set ahead by a year must not empty a profile.
