Gateway: windows of maintenance, held by versions and carried out as drains

With (windows ...), which needs (agreement ...), gateways hold them: windows.rs feeds `Held` with the versions that are acted on, engines that are sick, listed out or cold, and the demand that members tell; what it leaves out drains by the same path as (engine E (state draining)), ahead of the start, sessions included, and never without a lease. A window that has to go is called off here at once, and by a version that voters propose in turn. Profiles of demand are learned from what members tell and kept in crates/store; without one no window is granted. /v1/windows tells all of it. Without (windows ...) a version that has one is unfit, and nothing else differs. `Decide` tells which engines the module leaves alone.

--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -6,7 +6,7 @@
 mod report;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 
@@ -14,16 +14,18 @@
 use futures_lite::future;
 use violetward::Listed;
 use violetward_agreement::wire::Said;
-use violetward_agreement::{Effect, EngineState, Kept, ListEffect, Member, MemberTerms, Outcome};
+use violetward_agreement::{Effect, EngineState, Fitness, Kept, ListEffect, Member, MemberTerms, Outcome};
 use violetward_net::Alarm;
 use violetward_store::file::Whole;
 use violetward_store::medium::Folder;
 use violetward_store::StoreError;
+use violetward_windows::held::Grant;
 
 use crate::config::{AgreementTerms, Names};
 use crate::host::Host;
 use crate::list::Record;
-use crate::rules::Rules;
+use crate::rules::{self, Rules};
+pub(crate) use asking::get;
 pub use asking::{ask, ask_since, propose, AFTER, CODE, KEY, PATH};
 pub use disk::{init, replace};
 use disk::{open, read, unusable};
@@ -51,6 +53,8 @@
     /// The file cannot be used, or is an old copy: it stays as it is.
     stays: Cell<bool>,
     trouble: RefCell<Option<String>>,
+    /// Engines that nothing new is sent to because of windows, as the core has been told.
+    away: RefCell<BTreeSet<String>>,
 }
 
 fn listed(state: EngineState) -> Listed {
@@ -91,9 +95,13 @@
         let votes = votes && trouble.is_none();
         let floor = Rules::floor(&terms.floor.0, &terms.floor.1, &names);
         let check = {
-            let (floor, names) = (floor.clone(), names.clone());
-            Box::new(move |content: &[u8]| check(content, &names, &floor).map(|_| ()))
+            let (floor, names, holds) = (floor.clone(), names.clone(), terms.windows.is_some());
+            Box::new(move |content: &[u8]| match check(content, &names, &floor)? {
+                rules if holds || rules.windows().is_empty() => Ok(()),
+                _ => Err("windows are not held here: the configuration has no (windows ...)".into()),
+            })
         };
+        let fitness = fitness(host, &names, &floor);
         let member_terms = MemberTerms {
             name: terms.name.clone(),
             voters: terms.voters.clone(),
@@ -107,7 +115,9 @@
         tracing::info!(newest = kept.0.history.newest().0, votes, bound_ms, "agreement");
         let now = host.now();
         let agreed = Rc::new(Agreed {
-            member: RefCell::new(Member::new(member_terms, kept, rand::random(), now, check)),
+            member: RefCell::new(
+                Member::new(member_terms, kept, rand::random(), now, check).with_fitness(fitness),
+            ),
             terms: terms.clone(),
             floor,
             names,
@@ -120,6 +130,7 @@
             folder,
             stays: Cell::new(!votes),
             trouble: RefCell::new(trouble),
+            away: RefCell::default(),
         });
         *host.agreed.borrow_mut() = Some(agreed.clone());
         agreed.refresh(host);
@@ -186,12 +197,18 @@
     /// does anything at or after the time that this leaves behind.
     pub fn refresh(&self, host: &Rc<Host>) {
         let now = host.now();
+        let windows = host.windows.borrow().clone();
         let (range, until) = {
             let member = self.member.borrow();
             (member.acts_on(now), member.voter().until(now))
         };
         host.rules_until.set(until.unwrap_or(u64::MAX));
-        if self.applied.get() == range {
+        if self.applied.get() != range {
+            windows.iter().for_each(|w| w.versions(range.and_then(|range| self.windows_of(range))));
+        }
+        // Without a lease nobody may leave out anything.
+        let away = windows.filter(|_| range.is_some()).map(|w| w.away()).unwrap_or_default();
+        if self.applied.get() == range && *self.away.borrow() == away {
             return;
         }
         if self.applied.get().is_none() {
@@ -202,8 +219,12 @@
         }
         self.applied.set(range);
         self.since.set(now);
-        let rules = self.rules_of(range);
-        tracing::info!(?range, at = now, "rules");
+        let mut rules = self.rules_of(range);
+        if !away.is_empty() {
+            rules = rules.meet(&Rules::draining(&away));
+        }
+        tracing::info!(?range, ?away, at = now, "rules");
+        *self.away.borrow_mut() = away;
         host.core(|core, now| core.rules(now, rules));
     }
 
@@ -228,6 +249,34 @@
         all.iter().fold(Rules::default(), |rules, more| rules.meet(more))
     }
 
+    /// The windows of each version of a range; `None` if one of them cannot be used here.
+    fn windows_of(&self, (low, top): (u64, u64)) -> Option<Vec<Vec<Grant>>> {
+        let member = self.member.borrow();
+        let history = member.voter().history();
+        let read = |number: u64| match number {
+            0 => Some(Vec::new()),
+            _ => {
+                let version = history.get(number)?;
+                check(&version.content, &self.names, &self.floor).ok().map(|r| r.windows().to_vec())
+            }
+        };
+        (low..=top).map(read).collect()
+    }
+
+    /// Proposes a version that calls a window off, where the newest does not say so. What comes of it is seen in the versions.
+    pub fn call_off(&self, host: &Rc<Host>, window: &str) {
+        let (newest, content) = {
+            let member = self.member.borrow();
+            let history = member.voter().history();
+            let newest = history.newest().0;
+            (newest, history.get(newest).map(|v| v.content.clone()))
+        };
+        let content = content.and_then(|c| String::from_utf8(c).ok());
+        let Some(content) = content.and_then(|text| rules::call_off(&text, window)) else { return };
+        let begun = self.with(host, |member, now| member.propose(now, content.as_bytes(), Some(newest)));
+        tracing::error!(window, newest, ?begun, at = host.now(), "a window is to be called off by a version");
+    }
+
     /// Whether this gateway acts under a lease.
     pub fn has_lease(&self) -> bool {
         self.applied.get().is_some()
@@ -288,6 +337,22 @@
     }
 }
 
+/// What finds a content fit to follow a version: its windows have to be safe beside each other.
+fn fitness(host: &Rc<Host>, names: &Names, floor: &Rules) -> Fitness {
+    let (host, names, floor) = (Rc::downgrade(host), names.clone(), floor.clone());
+    Box::new(move |content, before| {
+        let Some(host) = host.upgrade() else { return Ok(false) };
+        let Some(windows) = host.windows.borrow().clone() else { return Ok(false) };
+        let asked = check(content, &names, &floor)?;
+        // One that cannot be read here may have any windows.
+        let before = before.map_or(Ok(Rules::default()), |v| check(&v.content, &names, &floor))?;
+        if before.windows().is_empty() && asked.windows().is_empty() {
+            return Ok(false);
+        }
+        windows.fit(&host, &before, &asked)
+    })
+}
+
 /// Reads a content, and that it allows the floor.
 fn check(content: &[u8], names: &Names, floor: &Rules) -> Result<Rules, String> {
     let text = std::str::from_utf8(content).map_err(|_| "it is not UTF-8".to_owned())?;
--- a/crates/gateway/src/agreed/asking.rs
+++ b/crates/gateway/src/agreed/asking.rs
@@ -136,6 +136,11 @@
     }
 }
 
+/// What a gateway answers to a question for one of its resources.
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Result<Vec<u8>, String> {
+    call(address, "GET", path, Headers::default(), b"").await
+}
+
 /// Asks a gateway how it stands.
 ///
 /// # Errors
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -6,6 +6,7 @@
 mod membership;
 mod policy;
 mod sessions;
+mod windows;
 mod zone;
 
 use std::net::SocketAddr;
@@ -19,7 +20,7 @@
 use crate::terms::micros;
 pub use crate::terms::{
     AgreementTerms, Config, CustodyTerms, HostLimits, KernelConfig, Names, PeerTerms, Selection, Selector,
-    SessionTerms,
+    SessionTerms, WindowTerms,
 };
 use agreement::agreement_terms;
 pub use keys::{read_keys, read_operators, read_ring};
@@ -27,11 +28,13 @@
 use membership::peer_terms;
 use policy::{class, policy};
 use sessions::session_terms;
+use windows::window_terms;
 use zone::zone_front;
 
-const SECTIONS: [&str; 13] = [
+const SECTIONS: [&str; 14] = [
     "agreement",
     "custody",
+    "windows",
     "gateway",
     "dns",
     "membership",
@@ -174,7 +177,9 @@
     if settings.classes.is_empty() {
         c.at(classes, "classes: expected at least one (class NAME ...)");
     }
-    let agreement = section("agreement").and_then(|f| agreement_terms(c, f, peers.as_ref(), &names, folder));
+    let mut agreement =
+        section("agreement").and_then(|f| agreement_terms(c, f, peers.as_ref(), &names, folder));
+    let windows = section("windows").and_then(|f| window_terms(c, f, agreement.as_mut(), folder));
     let custody = section("custody").and_then(|f| custody_terms::read(c, f, peers.as_ref(), &names, folder));
     let mut selection = Selection {
         selectors: Vec::new(),
@@ -203,6 +208,7 @@
         kernel,
         peers,
         agreement,
+        windows,
         custody,
         sessions,
         host,
--- a/crates/gateway/src/config/agreement.rs
+++ b/crates/gateway/src/config/agreement.rs
@@ -52,5 +52,17 @@
         }
     }
     let (voters, name, folder) = (voters?.0, peers.name.clone(), folder.join(path?));
-    Some(AgreementTerms { name, voters, folder, lease, drift, check, floor, wait_at_start, operators })
+    let windows = None;
+    Some(AgreementTerms {
+        name,
+        voters,
+        folder,
+        lease,
+        drift,
+        check,
+        floor,
+        wait_at_start,
+        operators,
+        windows,
+    })
 }
--- a/crates/gateway/src/core/listing.rs
+++ b/crates/gateway/src/core/listing.rs
@@ -44,6 +44,21 @@
         claim.map_or(record.entry.listed, |c| rules::worse(record.entry.listed, c.1))
     }
 
+    /// The engines that are listed, those of them that are not to get anything new but for windows (`away`), and the classes
+    /// as the rules leave them.
+    pub fn fleet(&self, away: &BTreeSet<String>) -> (Vec<Record>, BTreeSet<String>, Vec<Class>) {
+        let up = violetward::Listed::Up;
+        let told = |name: &String| self.rules.told(name) != up && !away.contains(name);
+        let out = |r: &&Record| self.claimed(r) != up || told(&r.name);
+        let out = self.list.values().filter(out).map(|r| r.name.clone()).collect();
+        (self.list.values().cloned().collect(), out, self.classes.clone())
+    }
+
+    /// The engines that the module leaves alone since they are sick.
+    pub fn unwell(&self) -> Vec<String> {
+        self.gateway.left_alone().into_iter().map(|engine| self.name(engine)).collect()
+    }
+
     /// What other gateways' lists say of engines. It only takes away.
     pub fn claims(&mut self, now: Micros, claims: BTreeMap<String, (Micros, violetward::Listed)>) {
         self.claims = claims;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -299,6 +299,7 @@
             ("GET", agreed::PATH) => Some(self.settings(query)),
             ("POST", agreed::PATH) => Some(self.propose(message, query == "dry").await),
             ("GET", "/v1/custody") => Some(self.custody()),
+            ("GET", crate::windows::PATH) => Some(self.windows()),
             ("GET" | "DELETE", _) => match self.find(path) {
                 Some((id, page)) if method == "GET" => {
                     let until = Instant::now() + self.hold(query);
@@ -477,6 +478,13 @@
         }
     }
 
+    fn windows(&self) -> Reply {
+        match &*self.host.windows.borrow() {
+            Some(windows) => Reply::json(&windows.standing(&self.host)),
+            None => Reply::text(404, "this gateway holds no windows: its configuration has no (windows ...)"),
+        }
+    }
+
     fn settings(&self, query: &str) -> Reply {
         let since = query.split('&').find_map(|p| p.strip_prefix("since=")).and_then(|n| n.parse().ok());
         match &*self.host.agreed.borrow() {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -20,6 +20,7 @@
 use crate::front::Front;
 use crate::peers::Peers;
 use crate::terms::Config;
+use crate::windows::Windows;
 
 /// Sessions that may wait to be freed.
 const RELEASES_WAITING: usize = 10_000;
@@ -50,6 +51,8 @@
     /// The settings on which they agree, and until when the core's rules hold without a look at them.
     pub(crate) agreed: RefCell<Option<Rc<Agreed>>>,
     pub(crate) rules_until: Cell<Micros>,
+    /// Windows of maintenance, where gateways hold them.
+    pub(crate) windows: RefCell<Option<Rc<Windows>>>,
     /// Statements that outlive their gateway, where some do; and the front that answers for those passed on.
     pub(crate) custody: RefCell<Option<Rc<Custody>>>,
     pub(crate) answers: RefCell<std::rc::Weak<Front>>,
@@ -79,6 +82,7 @@
             peers: RefCell::default(),
             agreed: RefCell::default(),
             rules_until: Cell::new(Micros::MAX),
+            windows: RefCell::default(),
             custody: RefCell::default(),
             answers: RefCell::default(),
             executor,
@@ -116,17 +120,7 @@
     }
 
     fn calendar(&self) -> [u64; 6] {
-        let seconds = self.clock.now() / 1_000_000;
-        let (days, rest) = (seconds / 86_400, seconds % 86_400);
-        // Days to a date in the Gregorian calendar, counted from a March (H. Hinnant, "chrono-compatible dates").
-        let z = days + 719_468;
-        let (era, doe) = (z / 146_097, z % 146_097);
-        let yoe = (doe - doe / 1_460 + doe / 36_524 - doe / 146_096) / 365;
-        let doy = doe - (365 * yoe + yoe / 4 - yoe / 100);
-        let mp = (5 * doy + 2) / 153;
-        let (day, month) = (doy - (153 * mp + 2) / 5 + 1, if mp < 10 { mp + 3 } else { mp - 9 });
-        let year = yoe + era * 400 + u64::from(month <= 2);
-        [year, month, day, rest / 3600, rest / 60 % 60, rest % 60]
+        crate::moment::calendar(self.clock.now())
     }
 
     /// Runs a task on the gateway's thread.
--- /dev/null
+++ b/crates/gateway/src/moment.rs
@@ -0,0 +1,85 @@
+//! Dates and times of day (UTC) as people write them: `2026-12-02T03:00:00Z`.
+
+/// Year, month, day, hour, minute and second of a time in microseconds since the Unix epoch.
+pub fn calendar(at: u64) -> [u64; 6] {
+    let seconds = at / 1_000_000;
+    let (days, rest) = (seconds / 86_400, seconds % 86_400);
+    // Days to a date in the Gregorian calendar, counted from a March (H. Hinnant, "chrono-compatible dates").
+    let z = days + 719_468;
+    let (era, doe) = (z / 146_097, z % 146_097);
+    let yoe = (doe - doe / 1_460 + doe / 36_524 - doe / 146_096) / 365;
+    let doy = doe - (365 * yoe + yoe / 4 - yoe / 100);
+    let mp = (5 * doy + 2) / 153;
+    let (day, month) = (doy - (153 * mp + 2) / 5 + 1, if mp < 10 { mp + 3 } else { mp - 9 });
+    let year = yoe + era * 400 + u64::from(month <= 2);
+    [year, month, day, rest / 3600, rest / 60 % 60, rest % 60]
+}
+
+/// The time as people write it; parts of a second to the millisecond where there are any.
+pub fn shown(at: u64) -> String {
+    let [year, month, day, hour, minute, second] = calendar(at);
+    let millis = match at / 1000 % 1000 {
+        0 => String::new(),
+        millis => format!(".{millis:03}"),
+    };
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}{millis}Z")
+}
+
+/// Reads that form, in microseconds since the Unix epoch; `None` if it is another one, or no date.
+pub fn read(text: &str) -> Option<u64> {
+    let (date, time) = text.strip_suffix('Z')?.split_once('T')?;
+    let (time, part) = time.split_once('.').unwrap_or((time, "0"));
+    let number = |text: &str, digits: usize| {
+        let good = text.len() == digits && text.bytes().all(|b| b.is_ascii_digit());
+        good.then(|| text.parse::<u64>().ok()).flatten()
+    };
+    let three = |text: &str, mark: char, digits: [usize; 3]| {
+        let mut parts = text.split(mark);
+        let mut next = |digits| number(parts.next()?, digits);
+        let found = [next(digits[0])?, next(digits[1])?, next(digits[2])?];
+        parts.next().is_none().then_some(found)
+    };
+    let [year, month, day] = three(date, '-', [4, 2, 2])?;
+    let [hour, minute, second] = three(time, ':', [2, 2, 2])?;
+    let micros = (1..=6).contains(&part.len()).then(|| number(part, part.len())).flatten()?;
+    let micros = micros * 10u64.pow(6 - part.len() as u32);
+    if year < 1970 || !(1..=12).contains(&month) || hour > 23 || minute > 59 || second > 59 {
+        return None;
+    }
+    let y = year - u64::from(month <= 2);
+    let (era, yoe) = (y / 400, y % 400);
+    let doy = (153 * ((month + 9) % 12) + 2) / 5 + day.checked_sub(1)?;
+    let days = era * 146_097 + yoe * 365 + yoe / 4 - yoe / 100 + doy - 719_468;
+    let at = ((days * 24 + hour) * 60 + minute) * 60_000_000 + second * 1_000_000 + micros;
+    // A 31st of April is the 1st of May there.
+    (calendar(at)[..3] == [year, month, day]).then_some(at)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_shown_is_read_and_nothing_that_is_no_date() {
+        for (text, at) in [
+            ("1970-01-01T00:00:00Z", 0),
+            ("2024-02-29T23:59:59Z", 1_709_251_199_000_000),
+            ("2026-12-02T03:00:00.250Z", 1_796_180_400_250_000),
+        ] {
+            assert_eq!((read(text), shown(at).as_str()), (Some(at), text));
+        }
+        for bad in [
+            "",
+            "2026-12-02",
+            "2026-12-02T03:00:00",
+            "2026-02-29T03:00:00Z",
+            "2026-13-01T03:00:00Z",
+            "2026-12-00T03:00:00Z",
+            "2026-12-02T24:00:00Z",
+            "26-12-02T03:00:00Z",
+            "2026-12-02T03:00:00.Z",
+        ] {
+            assert_eq!(read(bad), None, "{bad}");
+        }
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use async_io::Async;
 use futures_lite::future;
 use serde::{Deserialize, Serialize};
+use violetward_membership::wire::CLASSES;
 use violetward_membership::{Change, Demand, Effect, Link, Membership, Standing, State, Terms};
 use violetward_net::{Alarm, Connection};
 use violetward_statement::http::{Headers, Limits};
@@ -282,6 +283,18 @@
         (Life { name: m.me().name.clone(), life: m.me().life }, m.me().site.clone())
     }
 
+    /// Work that clients ask for at all that live, by class: core milliseconds a second.
+    pub fn demand_of_all(&self) -> Vec<f64> {
+        let m = self.membership.borrow();
+        let others: Vec<Demand> = m
+            .view()
+            .filter(|seen| seen.record.state <= State::Suspect)
+            .map(|seen| seen.record.demand)
+            .chain([m.me().demand])
+            .collect();
+        (0..CLASSES).map(|class| others.iter().map(|d| d.class(class)).sum()).collect()
+    }
+
     /// All other members that are remembered.
     pub fn seen(&self) -> Vec<violetward_membership::Seen> {
         self.membership.borrow().view().collect()
--- a/crates/gateway/src/rules.rs
+++ b/crates/gateway/src/rules.rs
@@ -5,18 +5,24 @@
 //! (tenant NAME (per-second R))
 //! (attempts (cap N) (free F) (per-request P))
 //! (engine NAME (state draining|removed))
+//! (window NAME (engines E ...) (from "2026-12-02T03:00:00Z") (until "...") (by WHO) (off yes))
 //! ```
 //!
 //! What a version does not name stays as configured, and nothing that it names goes beyond that. So any two versions have a
-//! narrower of both ([`Rules::meet`]), which allows just what each of them allows.
+//! narrower of both ([`Rules::meet`]), which allows just what each of them allows. Windows are no part of that: they permit to
+//! leave engines out, and `violetward-windows` says when.
 
 mod syntax;
 
+pub use syntax::call_off;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
 use violetward::{AttemptBudget, Class, Effect, KindId, Listed, Settings, Tenant};
+use violetward_windows::held::Grant;
 
+use crate::moment;
 use crate::record::zone_id;
 use crate::terms::Names;
 
@@ -56,13 +62,14 @@
     engines: BTreeMap<String, Listed>,
     /// Only these engines are sent anything new; `None`: all.
     only: Option<BTreeSet<String>>,
+    windows: Vec<Grant>,
 }
 
 impl Default for Rules {
     /// The configuration as it is.
     fn default() -> Self {
         let (classes, tenants, engines) = Default::default();
-        Rules { classes, tenants, attempts: UNBOUND, engines, only: None }
+        Rules { classes, tenants, attempts: UNBOUND, engines, only: None, windows: Vec::new() }
     }
 }
 
@@ -103,9 +110,21 @@
             attempts: Attempts { cap: 1, free: 0.0, per_request: 0.0 },
             engines: BTreeMap::new(),
             only: Some(engines.iter().cloned().collect()),
+            windows: Vec::new(),
         }
     }
 
+    /// Rules that say of these engines that they drain, and nothing else.
+    pub fn draining(engines: &BTreeSet<String>) -> Rules {
+        let engines = engines.iter().map(|e| (e.clone(), Listed::Draining)).collect();
+        Rules { engines, ..Rules::default() }
+    }
+
+    /// The windows of the version.
+    pub fn windows(&self) -> &[Grant] {
+        &self.windows
+    }
+
     /// The same rules without what says nothing, so that rules that allow the same are equal.
     fn plain(mut self) -> Rules {
         for class in self.classes.values_mut().filter(|c| c.closed) {
@@ -145,6 +164,7 @@
             *own = worse(*own, state);
         }
         rules.only = both(&rules.only, &other.only);
+        rules.windows.clear();
         rules.plain()
     }
 
@@ -153,6 +173,7 @@
         // Removal ends what runs on an engine, and these rules say nothing of it: what is sent anew is what counts.
         let sent = |rules: Rules| {
             let mut rules = rules.plain();
+            rules.windows.clear();
             if rules.only.is_some() {
                 rules.engines.clear();
             }
@@ -295,6 +316,23 @@
                 say(text, worse(old, new) != new);
             }
         }
+        let find = |all: &[Grant], name: &str| all.iter().find(|g| g.name == name).cloned();
+        for new in &newer.windows {
+            let engines = new.engines.iter().cloned().collect::<Vec<_>>().join(" ");
+            let span = format!("{} to {}", moment::shown(new.from), moment::shown(new.until));
+            let off = if new.off { ", called off" } else { "" };
+            match find(&self.windows, &new.name) {
+                None => say(format!("window {}: {engines} from {span}{off}", new.name), false),
+                Some(old) if old == *new => {}
+                Some(old) if old.same(new) && new.off => {
+                    say(format!("window {}: called off", new.name), true)
+                }
+                Some(_) => say(format!("window {}: changed to {engines} from {span}{off}", new.name), true),
+            }
+        }
+        for old in self.windows.iter().filter(|old| find(&newer.windows, &old.name).is_none()) {
+            say(format!("window {}: left out", old.name), !old.off);
+        }
         found
     }
 }
@@ -389,4 +427,35 @@
         assert!(!change("(attempts (cap 3))", "(attempts (cap 2))")[0].widens);
         assert!(change("(engine e1 (state removed))", "(engine e1 (state draining))")[0].widens);
     }
+
+    const WINDOW: &str =
+        "(window w (engines e1 e2) (from \"2026-12-02T03:00:00Z\") (until \"2026-12-02T04:00:00Z\"))";
+
+    #[test]
+    fn windows_are_read_shown_and_called_off_and_narrow_nothing() {
+        let one = rules(WINDOW);
+        let [grant] = one.windows() else { panic!("{one:?}") };
+        assert_eq!((grant.until - grant.from, grant.engines.len(), grant.off), (3_600_000_000, 2, false));
+        // A permission: what is left out is said when it is.
+        assert!(one.is_within(&rules("")) && rules("").is_within(&one));
+        assert_eq!(one.meet(&one).windows(), []);
+        let text = format!("(class heavy (admit no)) ; why\n{WINDOW}");
+        let off = call_off(&text, "w").expect("it is there");
+        let called = rules(&off);
+        assert!(called.windows()[0].off && called.windows()[0].same(grant) && called.class("heavy").closed);
+        assert_eq!((call_off(&off, "w"), call_off(&text, "v")), (None, None));
+        let told = |a: &Rules, b: &Rules| a.differences(b).into_iter().map(|d| (d.text, d.widens)).collect();
+        let new: Vec<(String, bool)> = told(&rules(""), &one);
+        let text = "window w: e1 e2 from 2026-12-02T03:00:00Z to 2026-12-02T04:00:00Z";
+        assert_eq!(new, [(text.to_owned(), false)]);
+        let gone: Vec<(String, bool)> = told(&one, &rules(&call_off(WINDOW, "w").expect("it is there")));
+        assert_eq!(gone, [("window w: called off".to_owned(), true)]);
+        for bad in [
+            "(window w (engines e1))",
+            &WINDOW.replace("03:00:00Z", "3 o'clock"),
+            &format!("{WINDOW}{WINDOW}"),
+        ] {
+            assert!(Rules::parse(bad, &names()).is_err(), "{bad}");
+        }
+    }
 }
--- a/crates/gateway/src/rules/syntax.rs
+++ b/crates/gateway/src/rules/syntax.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeSet;
 
 use violetward::Listed;
+use violetward_windows::held::Grant;
 
 use super::{Attempts, ClassRules, Rules};
 use crate::forms::{self, Checker, Mistake};
+use crate::moment;
 use crate::terms::Names;
 
 impl Rules {
@@ -64,7 +66,17 @@
                     let state = f.need(&mut c, "state").cloned().and_then(|f| c.choice(&f, &states));
                     rules.engines.insert(name, state.unwrap_or(Listed::Up));
                 }
-                other => c.at(&form, format!("{other} is not known; known: class, tenant, attempts, engine")),
+                "window" => {
+                    let Some(grant) = window(&mut c, &form) else { continue };
+                    if rules.windows.iter().any(|g| g.name == grant.name) {
+                        c.at(&form, format!("window {} stands twice", grant.name));
+                    }
+                    rules.windows.push(grant);
+                }
+                other => c.at(
+                    &form,
+                    format!("{other} is not known; known: class, tenant, attempts, engine, window"),
+                ),
             }
         }
         c.mistakes.sort();
@@ -76,6 +88,50 @@
     }
 }
 
+/// `(window NAME (engines E ...) (from TIME) (until TIME) (by WHO) (off yes))`.
+fn window(c: &mut Checker, form: &forms::Form<'_>) -> Option<Grant> {
+    let name = c.name(form)?;
+    let f = c.fields(form, 1, &["engines", "from", "until", "by", "off"]);
+    let engines = f.need(c, "engines").cloned().map(|f| c.words(&f))?.into_iter().collect();
+    let mut time = |name: &str| {
+        let field = f.need(c, name).cloned()?;
+        let word = c.word(&field, "a time such as \"2026-12-02T03:00:00Z\"")?;
+        let at = moment::read(&word);
+        if at.is_none() {
+            c.at(&field, format!("{name}: expected a time such as \"2026-12-02T03:00:00Z\", found {word}"));
+        }
+        at
+    };
+    let (from, until) = (time("from"), time("until"));
+    let (by, off) = (f.word(c, "by", ""), f.flag(c, "off", false));
+    Some(Grant { name, engines, from: from?, until: until?, by, off })
+}
+
+/// A version's text with one of its windows called off, on its own lines and without comments; `None` if it is not there, or
+/// off already.
+pub fn call_off(text: &str, name: &str) -> Option<String> {
+    let data = forms::read(text).ok()?;
+    let (mut found, mut out) = (false, String::new());
+    for datum in &data {
+        let shown = datum.value().to_string();
+        let mut c = Checker::default();
+        let form = c.form(datum.as_ref()).filter(|f| f.name == "window");
+        let grant = form.and_then(|f| window(&mut c, &f)).filter(|g| g.name == name && !g.off);
+        let open = grant.and(shown.strip_suffix(')'));
+        match open {
+            // `(off no)` may be said.
+            Some(open) => {
+                found = true;
+                out += &open.replace(" (off no)", "");
+                out += " (off yes))";
+            }
+            None => out += &shown,
+        }
+        out.push('\n');
+    }
+    found.then_some(out)
+}
+
 fn set(c: &mut Checker, form: &forms::Form<'_>, known: &[String], what: &str) -> BTreeSet<String> {
     let words = c.words(form);
     for word in words.iter().filter(|w| !known.contains(w)) {
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -26,6 +26,7 @@
 use crate::peers::Peers;
 use crate::updates::Updates;
 use crate::watch;
+use crate::windows::Windows;
 use crate::zonefront::ZoneFront;
 
 /// Runs a gateway until SIGTERM or SIGINT; then takes nothing new and ends once what was taken has its answer. The
@@ -91,6 +92,9 @@
     if let Some(terms) = host.config.peers.clone() {
         *host.peers.borrow_mut() = Some(Peers::start(&host, &terms)?);
     }
+    if let Some(terms) = host.config.windows.clone() {
+        Windows::start(&host, &terms)?;
+    }
     if let Some(terms) = host.config.agreement.clone() {
         Agreed::start(&host, &terms)?;
     }
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -23,6 +23,8 @@
     pub peers: Option<PeerTerms>,
     /// Settings on which the gateways agree, where they are to.
     pub agreement: Option<AgreementTerms>,
+    /// Windows of maintenance, where they are held.
+    pub windows: Option<WindowTerms>,
     /// Statements that outlive their gateway, where some are to.
     pub custody: Option<CustodyTerms>,
     /// How the host carries things out.
@@ -89,6 +91,32 @@
     pub wait_at_start: Duration,
     /// Names and secrets of the keys that sign proposals.
     pub operators: Vec<(String, String)>,
+    /// A mark of how windows are judged, where they are held.
+    pub windows: Option<u64>,
+}
+
+/// Windows of maintenance; see `docs/windows.md`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WindowTerms {
+    /// Where profiles of demand are kept.
+    pub folder: PathBuf,
+    /// How what remains is judged.
+    pub cover: violetward_windows::cover::Terms,
+    /// What a window takes beyond its own span.
+    pub margins: violetward_windows::find::Margins,
+    /// How old what is known of the fleet may be.
+    pub fresh: Duration,
+    /// Between two samples of demand, and how profiles learn from them.
+    pub sample: Duration,
+    /// See `sample`.
+    pub profile: violetward_windows::profile::Terms,
+}
+
+impl WindowTerms {
+    /// A mark of what gateways must have in common.
+    pub fn mark(&self) -> u64 {
+        hash(&format!("{:?}", (self.cover, self.margins)))
+    }
 }
 
 impl AgreementTerms {
@@ -98,7 +126,10 @@
         classes.sort();
         engines.sort();
         let common = (&self.voters, self.lease, self.drift, self.check, classes, engines);
-        hash(&format!("{common:?}"))
+        match self.windows {
+            None => hash(&format!("{common:?}")),
+            Some(windows) => hash(&format!("{common:?} {windows}")),
+        }
     }
 
     /// The bound *T* in microseconds.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -103,10 +103,19 @@
 pub trait Decide {
     /// Decides on one event; see [`Gateway::handle`].
     fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>);
+
+    /// Engines that are left alone since they are sick; none where that is not known.
+    fn left_alone(&self) -> Vec<EngineId> {
+        Vec::new()
+    }
 }
 
 impl Decide for Gateway {
     fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         Gateway::handle(self, now, event, out);
     }
+
+    fn left_alone(&self) -> Vec<EngineId> {
+        self.engines.iter().filter(|(_, e)| e.sick.is_some()).map(|(id, _)| *id).collect()
+    }
 }
