Rig: windows of maintenance under partitions, kills and lost copies

Plans that ask for windows (window), take engines through them as operators do (maintain), or without (roll-engines), with what gateways learned of demand put in their stores before the run. Checked from engines' journals and samples: nothing new to an engine of a window from a gateway that leaves it out, no moment at which windows leave a cell uncovered, called off by all within T.

--- a/crates/lab/src/cluster/check.rs
+++ b/crates/lab/src/cluster/check.rs
@@ -9,7 +9,7 @@
 use super::custody;
 use super::plan::{Act, Plan};
 use super::settings::{self, Proposed};
-use super::Options;
+use super::{windows, Options};
 use crate::checker::{self, Evidence, Terms, RULES};
 use crate::report::Report;
 
@@ -29,6 +29,8 @@
     pub settings: Option<Standing>,
     /// How custody stood, where there is any.
     pub custody: Option<violetward_gateway::custody::Standing>,
+    /// How windows stood, where they are held.
+    pub windows: Option<violetward_gateway::windows::Standing>,
 }
 
 /// What came of a run.
@@ -69,7 +71,7 @@
     (samples, acts): (&[Sample], &[(u64, Act)]),
     relayed: [u64; 4],
     (versions, proposed): (&BTreeMap<u64, String>, &[Proposed]),
-    (kills, ends_of): (&[u64], &[std::time::Duration]),
+    (kills, ends_of, out): (&[u64], &[std::time::Duration], &[windows::Out]),
 ) -> Verdict {
     let outlive = plan.keepers > 0 && !options.even && !options.bare;
     // Whole processes stand still and share few cores here: scheduling is granted more than on a day of few processes.
@@ -199,6 +201,15 @@
                 .for_each(|(what, more)| fail(what, 0.0, "the gateways".into(), more));
         }
     }
+    if plan.windows.is_some() {
+        let found =
+            windows::Findings::new(plan, evidence, samples, versions, proposed, (out, bound(samples)));
+        found.figures().into_iter().for_each(|(name, value)| drop(json.insert(name, value)));
+        for (what, at, more) in found.faults() {
+            let at = if *at == 0 { 0.0 } else { seconds(*at) };
+            fail(what, at, "the gateways".into(), more.clone());
+        }
+    }
     let policy = if options.even { "even" } else { "members" };
     let report = Report::new(&plan.name, policy, evidence, broken);
     Verdict { report, failed, json: json.into(), seed: options.seed }
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -11,6 +11,7 @@
 pub mod relay;
 pub mod settings;
 pub mod timeline;
+pub mod windows;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -22,7 +23,7 @@
 
 use async_executor::LocalExecutor;
 use rustix::process::Signal;
-use violetward_gateway::{agreed, config, custody as held, peers};
+use violetward_gateway::{agreed, config, custody as held, peers, windows as gateway_windows};
 use violetward_membership::wire::{Datagram, Kind};
 use violetward_membership::{Key, Keys};
 use violetward_net::{sleep, Pool};
@@ -102,6 +103,8 @@
     terms: RefCell<Vec<Duration>>,
     /// How late the list comes to a gateway.
     lags: RefCell<HashMap<usize, Duration>>,
+    /// When engines did not run.
+    out: RefCell<Vec<windows::Out>>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     over: Cell<bool>,
 }
@@ -159,6 +162,7 @@
         kills: RefCell::default(),
         terms: RefCell::default(),
         lags: RefCell::default(),
+        out: RefCell::default(),
         pools: RefCell::default(),
         over: Cell::new(false),
     });
@@ -174,7 +178,7 @@
                 (&cluster.samples.borrow(), &cluster.acts.borrow()),
                 cluster.doors.counts.get(),
                 (&cluster.versions.borrow(), &cluster.proposed.borrow()),
-                (&cluster.kills.borrow(), &cluster.terms.borrow()),
+                (&cluster.kills.borrow(), &cluster.terms.borrow(), &cluster.out.borrow()),
             );
             if options.keep.is_some() {
                 let svg = timeline::draw(plan, &evidence, &cluster.samples.borrow(), &cluster.acts.borrow());
@@ -406,6 +410,13 @@
                 more += "(tenants (tenant extra (per-second 100000)))\n";
             }
         }
+        if let Some(held) = &self.plan.windows {
+            more += &windows::section(held, number);
+            let folder = self.folder.join(format!("windows{number}"));
+            if !folder.exists() {
+                windows::learn(&self.plan, held, &folder, clock())?;
+            }
+        }
         if self.plan.keepers > 0 && !self.options.even && !self.options.bare {
             let keepers: Vec<String> = (0..self.plan.keepers).map(|n| format!("g{n}")).collect();
             more += &format!(
@@ -496,7 +507,12 @@
                     if self.plan.keepers > 0 {
                         custody = held::ask(address).await.ok();
                     }
-                    self.samples.borrow_mut().push(Sample { at, gateway: number, view, settings, custody });
+                    let mut windows = None;
+                    if self.plan.windows.is_some() {
+                        windows = gateway_windows::ask(address).await.ok();
+                    }
+                    let sample = Sample { at, gateway: number, view, settings, custody, windows };
+                    self.samples.borrow_mut().push(sample);
                 }
             }
             sleep(SAMPLE).await;
@@ -573,7 +589,7 @@
                     self.gateways.borrow_mut()[n].twin = Some(process);
                 }
             }
-            Act::Propose(n, text) => self.propose(n, text).await,
+            Act::Propose(n, text) => drop(self.propose(n, text).await),
             Act::Flips(every, count, at) => {
                 for i in 0..count {
                     let begun = Instant::now();
@@ -631,21 +647,114 @@
                 all.iter().for_each(|&n| ways[n].iter().for_each(|way| way.cut(true)));
             }
             Act::KillEngines(all) => {
-                for n in all {
-                    if let Some(mut process) = self.engines.borrow_mut()[n].process.take() {
-                        process.kill();
-                    }
-                }
+                all.into_iter().for_each(|n| self.kill_engine(n, false));
                 self.publish().ok();
             }
             Act::StartEngines(all) => {
-                for n in all.into_iter().filter(|&n| self.engines.borrow()[n].process.is_none()) {
-                    if let Ok(slot) = self.start_engine(n, true) {
-                        self.ways.borrow().iter().for_each(|row| row[n].lead_to(slot.listed.address));
-                        self.engines.borrow_mut()[n] = slot;
+                all.into_iter().for_each(|n| self.start_engine_again(n));
+                self.publish().ok();
+            }
+            Act::Window(ask) => {
+                self.ask_for(&ask).await;
+            }
+            Act::Maintain(work, all) => {
+                for n in all {
+                    self.maintain(n, work).await;
+                }
+            }
+            Act::RollEngines(work, all) => {
+                for n in all {
+                    self.engines.borrow_mut()[n].listed.state = "draining";
+                    self.publish().ok();
+                    sleep(Duration::from_secs(2)).await;
+                    self.kill_engine(n, false);
+                    sleep(work).await;
+                    self.start_engine_again(n);
+                    self.publish().ok();
+                }
+            }
+        }
+    }
+
+    fn kill_engine(&self, n: usize, window: bool) {
+        if let Some(mut process) = self.engines.borrow_mut()[n].process.take() {
+            process.kill();
+            self.out.borrow_mut().push(windows::Out { engine: n, from: clock(), until: u64::MAX, window });
+        }
+    }
+
+    fn start_engine_again(&self, n: usize) {
+        if self.engines.borrow()[n].process.is_some() {
+            return;
+        }
+        if let Ok(slot) = self.start_engine(n, true) {
+            self.ways.borrow().iter().for_each(|row| row[n].lead_to(slot.listed.address));
+            self.engines.borrow_mut()[n] = slot;
+            let mut out = self.out.borrow_mut();
+            out.iter_mut().filter(|o| o.engine == n && o.until == u64::MAX).for_each(|o| o.until = clock());
+        }
+    }
+
+    /// Asks a gateway for a window, in a version after the newest that it knows. Whether it is granted.
+    async fn ask_for(&self, ask: &plan::Window) -> bool {
+        let address = self.gateways.borrow()[ask.gateway].address;
+        let now = clock();
+        let content = match agreed::ask(address).await {
+            Ok(standing) => standing.history.last().map(|v| v.content.clone()).unwrap_or_default(),
+            Err(_) => String::new(),
+        };
+        let from = now + ask.after.as_micros() as u64;
+        let content = windows::with_window(&content, &ask.name, &ask.engines, from, ask.span, now);
+        self.propose(ask.gateway, content).await
+    }
+
+    /// Takes an engine through a window, as an operator does: asks at one gateway and at the next if that does not answer, takes
+    /// the engine once the window is open there, and brings it back when the work is done or the gateway says no.
+    async fn maintain(&self, n: usize, work: Duration) {
+        let Some(held) = &self.plan.windows else { return };
+        for attempt in 0..40 {
+            if self.over.get() {
+                return;
+            }
+            let (gateway, name) = ((n + attempt) % self.plan.voters.max(1), format!("m{n}x{attempt}"));
+            // Time for the version, and for draining.
+            let after = held.lead + Duration::from_millis(1500);
+            let span = work + Duration::from_secs(2);
+            let engines = vec![n];
+            if !self.ask_for(&plan::Window { gateway, name: name.clone(), engines, after, span }).await {
+                sleep(Duration::from_secs(1)).await;
+                continue;
+            }
+            let asked = Instant::now();
+            let says = async |name: &str| {
+                let address = self.gateways.borrow()[gateway].address;
+                let standing = gateway_windows::ask(address).await.ok()?;
+                let open = windows::phase(&standing, name) == Some("open") && standing.lease;
+                Some((open, windows::phase(&standing, name).unwrap_or("unknown").to_owned()))
+            };
+            let mut taken = None;
+            while asked.elapsed() < after + span + Duration::from_secs(10) && !self.over.get() {
+                let said = says(&name).await;
+                match (&said, taken) {
+                    (Some((true, _)), None) => {
+                        self.kill_engine(n, true);
+                        taken = Some(Instant::now());
                     }
+                    (_, Some(since)) if since.elapsed() >= work => break,
+                    // No answer, or one without a lease, means: bring it back.
+                    (Some((false, _)) | None, Some(_)) => break,
+                    (Some((_, phase)), None) if phase == "off" || phase == "over" => break,
+                    _ => {}
                 }
+                sleep(Duration::from_millis(100)).await;
+            }
+            if taken.is_some() {
+                self.start_engine_again(n);
                 self.publish().ok();
+                // The next one would have to wait until this one is warm, and be called off.
+                let warm = after + span + windows::WARM + Duration::from_secs(1);
+                sleep(warm.saturating_sub(asked.elapsed())).await;
+                return;
             }
         }
     }
@@ -691,7 +800,7 @@
     }
 
     /// Asks a gateway for a new version, after the newest that it knows.
-    async fn propose(&self, gateway: usize, content: String) {
+    async fn propose(&self, gateway: usize, content: String) -> bool {
         let address = self.gateways.borrow()[gateway].address;
         let key = (OPERATOR.0.to_owned(), OPERATOR.1.to_owned());
         let at = clock();
@@ -699,11 +808,16 @@
             let newest = agreed::ask_since(address, u64::MAX).await?.newest;
             agreed::propose(address, content.as_bytes(), newest, false, &key).await
         };
-        let (outcome, number) = match asked.await {
-            Ok(report) => (report.outcome.clone(), report.number.filter(|_| report.outcome == "committed")),
-            Err(why) => (why, None),
+        let (outcome, number, text) = match asked.await {
+            Ok(report) => {
+                let number = report.number.filter(|_| report.outcome == "committed");
+                (report.outcome, number, report.text)
+            }
+            Err(why) => (why, None, String::new()),
         };
-        self.proposed.borrow_mut().push(Proposed { at, told: clock(), gateway, content, outcome, number });
+        let told = clock();
+        self.proposed.borrow_mut().push(Proposed { at, told, gateway, content, outcome, number, text });
+        number.is_some()
     }
 
     /// Sends each gateway what it must not take, straight to its socket.
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -7,6 +7,7 @@
 
 use super::plans;
 use super::settings::Disk;
+use super::windows::{Held, Learned};
 
 /// What the links between some gateways do.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -68,12 +69,33 @@
     DrainEngines(Vec<usize>),
     /// The lists of these gateways come so late from now on.
     Lag(Duration, Vec<usize>),
+    /// A gateway is asked for a window.
+    Window(Window),
+    /// Engines are taken through windows one after the other, each for so much work.
+    Maintain(Duration, Vec<usize>),
+    /// The same without windows: drained for two seconds, worked on, brought back, and the next one at once.
+    RollEngines(Duration, Vec<usize>),
     /// A voter that has lost its file, and does not run, gets a new one by the command for it.
     Replace(usize),
     /// Something happens to the file of a voter that does not run.
     Disk(usize, Disk),
 }
 
+/// A window that is asked for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Window {
+    /// At which gateway.
+    pub gateway: usize,
+    /// Its name and its engines.
+    pub name: String,
+    /// See `name`.
+    pub engines: Vec<usize>,
+    /// How long from now on it begins, and how long it lasts.
+    pub after: Duration,
+    /// See `after`.
+    pub span: Duration,
+}
+
 impl Act {
     /// How long it lasts.
     pub fn lasts(&self) -> Duration {
@@ -82,6 +104,7 @@
             Act::Rekey => Duration::from_secs(4),
             Act::Flips(every, count, _) | Act::Kills(every, count, _) => *every * *count as u32,
             Act::Roll(all) => Duration::from_secs(2) * all.len() as u32,
+            Act::Window(ask) => ask.after + ask.span,
             _ => Duration::ZERO,
         }
     }
@@ -116,6 +139,8 @@
     pub lost: usize,
     /// SIGTERM ends a process within this span.
     pub rolled: Option<Duration>,
+    /// What has to come of windows.
+    pub windows: super::windows::Expect,
 }
 
 /// A plan.
@@ -145,6 +170,8 @@
     pub copies: usize,
     /// Gateways whose configuration lacks a tenant that all others have.
     pub odd: Vec<usize>,
+    /// Windows of maintenance, where they are held.
+    pub windows: Option<Held>,
     /// What happens, by time.
     pub acts: Vec<(Duration, Act)>,
     /// What has to hold.
@@ -202,6 +229,7 @@
 }
 
 fn act(c: &mut Checker, form: &Form<'_>, gateways: usize, engines: usize) -> Option<Act> {
+    let engines_of = engines;
     Some(match form.name.as_str() {
         "kill" => Act::Kill(numbers(c, form, gateways)),
         "start" => Act::Start(numbers(c, form, gateways)),
@@ -245,6 +273,27 @@
             let span = c.span(&form.with(vec![*form.rest.first()?]))?;
             Act::Lag(span, numbers(c, &form.with(form.rest.get(1..)?.to_vec()), gateways))
         }
+        "window" => {
+            let [gateway, name, engines, after, span] = form.rest.as_slice() else {
+                c.at(form, "expected (window GATEWAY NAME (ENGINES) \"after\" \"for\")");
+                return None;
+            };
+            let name = name.value().as_symbol()?.to_owned();
+            let listed = engines.list_iter()?.filter_map(|d| d.value().as_u64()).map(|n| n as usize);
+            let engines = listed.filter(|&n| n < engines_of).collect();
+            let gateway = (gateway.value().as_u64()? as usize).min(gateways - 1);
+            let (after, span) = (c.span(&form.with(vec![*after]))?, c.span(&form.with(vec![*span]))?);
+            Act::Window(Window { gateway, name, engines, after, span })
+        }
+        "maintain" | "roll-engines" => {
+            let span = c.span(&form.with(vec![*form.rest.first()?]))?;
+            let all = numbers(c, &form.with(form.rest.get(1..)?.to_vec()), engines);
+            if form.name == "maintain" {
+                Act::Maintain(span, all)
+            } else {
+                Act::RollEngines(span, all)
+            }
+        }
         "disk" => {
             let number = form.rest.first()?.value().as_u64()? as usize;
             let kinds =
@@ -269,7 +318,7 @@
     let all: Vec<Form<'_>> = data.iter().filter_map(|d| c.form(d.as_ref())).collect();
     let known = [
         "gateways", "engines", "sites", "span", "load", "period", "voters", "lease", "keepers", "copies",
-        "odd", "at", "expect",
+        "odd", "windows", "at", "expect",
     ];
     for form in all.iter().filter(|f| !known.contains(&f.name.as_str())) {
         c.at(form, format!("{} is not known; known: {}", form.name, known.join(", ")));
@@ -288,6 +337,13 @@
     let copies = get("copies").and_then(|f| c.whole(f, 1, 8)).unwrap_or(2) as usize;
     let lease = get("lease").and_then(|f| c.span(f)).unwrap_or(Duration::from_secs(2));
     let odd = get("odd").map(|f| numbers(&mut c, f, gateways)).unwrap_or_default();
+    let windows = get("windows").map(|form| {
+        let f = c.fields(form, 0, &["lead", "spare", "learned"]);
+        let learned = [("all", Learned::All), ("nothing", Learned::Nothing), ("hole", Learned::Hole)];
+        let learned = f.get("learned").cloned().and_then(|v| c.choice(&v, &learned)).unwrap_or(Learned::All);
+        let lead = f.span(&mut c, "lead", Duration::from_secs(2));
+        Held { lead, spare: f.word(&mut c, "spare", "engine"), learned }
+    });
     let mut acts = Vec::new();
     for form in all.iter().filter(|f| f.name == "at") {
         let [when, what] = form.rest.as_slice() else {
@@ -316,6 +372,7 @@
         adopted: 0,
         lost: 0,
         rolled: None,
+        windows: Default::default(),
     };
     for datum in get("expect").map(|f| f.rest.clone()).unwrap_or_default() {
         let Some(f) = c.form(datum) else { continue };
@@ -332,6 +389,11 @@
             }
             "adopted" => expect.adopted = c.whole(&f, 0, 1_000_000).unwrap_or(0),
             "lost" => expect.lost = c.whole(&f, 0, 1_000_000).unwrap_or(0) as usize,
+            "opened" => expect.windows.opened = c.words(&f),
+            "never" => expect.windows.never = c.words(&f),
+            "called-off" => expect.windows.off = c.words(&f),
+            "told" => expect.windows.told = c.words(&f),
+            "maintained" => expect.windows.maintained = c.whole(&f, 0, 64).unwrap_or(0) as usize,
             "rolled" => expect.rolled = c.span(&f),
             "outcomes" => expect.outcomes = c.words(&f),
             "voteless" => expect.voteless = numbers(&mut c, &f, gateways),
@@ -365,6 +427,7 @@
         keepers,
         copies,
         odd,
+        windows,
         acts,
         expect,
     })
--- a/crates/lab/src/cluster/settings.rs
+++ b/crates/lab/src/cluster/settings.rs
@@ -57,6 +57,8 @@
     pub outcome: String,
     /// The version, if it became one.
     pub number: Option<u64>,
+    /// More that it said.
+    pub text: String,
 }
 
 /// What the rules of the lab's league name.
@@ -153,6 +155,7 @@
             content: content.into(),
             outcome: "committed".into(),
             number: Some(number),
+            text: String::new(),
         };
         let proposed: Vec<Proposed> = [100, 200].into_iter().zip((1..).zip(contents)).map(proposal).collect();
         let kind = |engine: &str| if engine == "e2" { "m4".to_owned() } else { "m8".to_owned() };
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -107,6 +107,20 @@
     },
 ];
 
+/// By how much the estimates of a class are off at the median.
+fn lie(class: &str) -> f64 {
+    if class == "report" {
+        1.6
+    } else {
+        0.8
+    }
+}
+
+/// By how much the estimates of a class are off in the mean.
+pub fn told(class: &str) -> f64 {
+    lie(class) * (0.6 + 1.6) / 2.0
+}
+
 /// How a stretch of the day differs from the usual.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Shape {
@@ -180,8 +194,7 @@
             work *= 12.0;
         }
         // Estimates scatter, and lie too high for reports.
-        let lie = if kind.name == "report" { 1.6 } else { 0.8 };
-        let told = work * lie * dice.random_range(0.6..1.6);
+        let told = work * lie(kind.name) * dice.random_range(0.6..1.6);
         let memory = kind.memory * dice.random_range(0.6..1.4);
         let tenants = ["north", "south", "east"];
         let others = 2.0;
