--- a/crates/digest/src/digest.rs
+++ b/crates/digest/src/digest.rs
@@ -70,6 +70,11 @@
 }
 
 impl Digest {
+    /// What one origin can ask for in all from now on, in place of what the terms say.
+    pub fn bound(&mut self, work: f64) {
+        self.terms.work = work;
+    }
+
     /// Nothing is known.
     pub fn new(terms: Terms) -> Digest {
         Digest { terms, pages: BTreeMap::new(), origins: 0 }
--- a/crates/digest/src/spread.rs
+++ b/crates/digest/src/spread.rs
@@ -6,7 +6,7 @@
 use crate::{Cell, Digest, Micros, Own, Summary};
 
 /// How fast pages go out.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Pace {
     /// Octets a second at most, but for one datagram; a round takes as long as that makes it.
     pub octets: f64,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -6,6 +6,7 @@
 mod membership;
 mod policy;
 mod sessions;
+mod sites;
 mod zone;
 
 use std::net::SocketAddr;
@@ -27,9 +28,10 @@
 use membership::peer_terms;
 use policy::{class, policy};
 use sessions::session_terms;
+use sites::site_terms;
 use zone::zone_front;
 
-const SECTIONS: [&str; 13] = [
+const SECTIONS: [&str; 14] = [
     "agreement",
     "custody",
     "gateway",
@@ -37,6 +39,7 @@
     "membership",
     "kernel",
     "sessions",
+    "site-loss",
     "limits",
     "engine-properties",
     "policy",
@@ -176,6 +179,7 @@
     }
     let agreement = section("agreement").and_then(|f| agreement_terms(c, f, peers.as_ref(), &names, folder));
     let custody = section("custody").and_then(|f| custody_terms::read(c, f, peers.as_ref(), &names, folder));
+    let sites = section("site-loss").and_then(|form| site_terms(c, form, peers.as_ref()));
     let mut selection = Selection {
         selectors: Vec::new(),
         key_tag: g.word(c, "key-tag", "key="),
@@ -204,6 +208,7 @@
         peers,
         agreement,
         custody,
+        sites,
         sessions,
         host,
         selection,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -33,6 +33,7 @@
 pub(crate) mod guard;
 mod listing;
 mod rebuilding;
+pub mod sights;
 mod time;
 
 use guard::Guard;
@@ -264,6 +265,8 @@
     offered: Vec<f64>,
     grants: bool,
     priorities: bool,
+    /// What is seen of engines and clients, where sites are watched.
+    sights: Option<Box<sights::Sights>>,
     /// Classes whose statements are to outlive this gateway.
     guarded: Vec<bool>,
     /// Who this is, for the keys of repeats.
@@ -309,6 +312,7 @@
             sessions: Sessions::new(terms.limits.clone(), terms.reserve, keys, life, 0),
             offered: vec![0.0; settings.classes.len()],
             classes: settings.classes.clone(),
+            sights: None,
             guarded: vec![false; settings.classes.len()],
             grants: settings.grants,
             priorities: settings.priorities,
--- a/crates/gateway/src/core/attempts.rs
+++ b/crates/gateway/src/core/attempts.rs
@@ -13,6 +13,7 @@
         attempt.next = arrived.next.clone().or(attempt.next.take());
         arrived.part.next = arrived.next.as_deref().and_then(guard::number);
         let engine = attempt.engine;
+        self.sights.iter_mut().for_each(|s| s.heard(engine));
         if let Some(epoch) = &arrived.epoch {
             self.epoch(now, engine, epoch);
         }
@@ -190,6 +191,7 @@
             s.current = None;
         }
         self.closed(id, &attempt, outcome);
+        self.sighted(id, attempt.engine, outcome, stats);
         let told = stats.filter(|_| outcome == Outcome::Ok);
         let work = told.map(|s| s.cpu_time_millis * 1000).filter(|&w| w > 0);
         let memory_mb = told.map(|s| s.peak_memory_bytes as f64 / f64::from(1 << 20)).filter(|&m| m > 0.0);
--- a/crates/gateway/src/core/deciding.rs
+++ b/crates/gateway/src/core/deciding.rs
@@ -134,6 +134,7 @@
             fresh: effect != violetward::Effect::Repeatable || is_member,
         };
         self.counts.attempts += 1;
+        self.sights.iter_mut().for_each(|sights| sights.sent(s.class, number, self.now - s.taken));
         let (sent, heard) = (self.now, self.now);
         self.attempts.insert(
             attempt,
@@ -184,6 +185,7 @@
             _ => counts.cancelled += 1,
         }
         s.pages.stats.elapsed_time_millis = (self.now - s.taken) / 1000;
+        self.sights.iter_mut().for_each(|sights| sights.ended(s.class, &s.context, word));
         let ended = Effect::Ended {
             id,
             public_id: s.public_id.clone(),
--- a/crates/gateway/src/core/fronts.rs
+++ b/crates/gateway/src/core/fronts.rs
@@ -222,7 +222,11 @@
             due: s.due.saturating_sub(margin),
         };
         self.offered[s.class] += request.cost as f64 / 1e3;
-        let event = self.begins(id, request);
+        let guest = self.sights.as_mut().is_some_and(|sights| sights.asked(&request, &s.context));
+        let event = match self.begins(id, request) {
+            Event::Request(request) if guest => Event::Guest(request),
+            event => event,
+        };
         self.inbox.push_back(event);
     }
 }
--- a/crates/gateway/src/core/listing.rs
+++ b/crates/gateway/src/core/listing.rs
@@ -79,6 +79,7 @@
     pub fn status(&mut self, now: Micros, engine: EngineId, load: Option<Load>) {
         self.pass(now);
         let ok = load.is_some();
+        self.sights.iter_mut().for_each(|s| s.probed(engine, ok));
         self.inbox.push_back(Event::Probed { engine, ok, load: load.unwrap_or_default() });
         self.run();
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -299,6 +299,7 @@
             ("GET", agreed::PATH) => Some(self.settings(query)),
             ("POST", agreed::PATH) => Some(self.propose(message, query == "dry").await),
             ("GET", "/v1/custody") => Some(self.custody()),
+            ("GET", "/v1/sites") => Some(self.sites()),
             ("GET" | "DELETE", _) => match self.find(path) {
                 Some((id, page)) if method == "GET" => {
                     let until = Instant::now() + self.hold(query);
@@ -477,6 +478,15 @@
         }
     }
 
+    fn sites(&self) -> Reply {
+        match self.host.outage() {
+            Some(outage) => Reply::json(&outage.standing(&self.host)),
+            None => {
+                Reply::text(404, "this gateway watches no sites: its configuration has no (site-loss ...)")
+            }
+        }
+    }
+
     fn settings(&self, query: &str) -> Reply {
         let since = query.split('&').find_map(|p| p.strip_prefix("since=")).and_then(|n| n.parse().ok());
         match &*self.host.agreed.borrow() {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -18,6 +18,7 @@
 use crate::custody::Custody;
 use crate::engine;
 use crate::front::Front;
+use crate::outage::Outage;
 use crate::peers::Peers;
 use crate::terms::Config;
 
@@ -53,6 +54,8 @@
     /// Statements that outlive their gateway, where some do; and the front that answers for those passed on.
     pub(crate) custody: RefCell<Option<Rc<Custody>>>,
     pub(crate) answers: RefCell<std::rc::Weak<Front>>,
+    /// The sites, where they are watched.
+    pub(crate) outage: RefCell<Option<Rc<Outage>>>,
     core: RefCell<Core>,
     executor: Rc<LocalExecutor<'static>>,
     attempts: RefCell<HashMap<AttemptId, Reins>>,
@@ -81,6 +84,7 @@
             rules_until: Cell::new(Micros::MAX),
             custody: RefCell::default(),
             answers: RefCell::default(),
+            outage: RefCell::default(),
             executor,
             attempts: RefCell::default(),
             pollers: RefCell::default(),
@@ -183,6 +187,11 @@
         self.custody.borrow().clone()
     }
 
+    /// The sites, where they are watched.
+    pub(crate) fn outage(&self) -> Option<Rc<Outage>> {
+        self.outage.borrow().clone()
+    }
+
     /// The front that answers for statements here.
     pub(crate) fn front(&self) -> Option<Rc<Front>> {
         self.answers.borrow().upgrade()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod list;
 pub mod membership;
 pub mod notebook;
+pub mod outage;
 pub mod peers;
 pub mod record;
 pub mod rules;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use crate::config::{read_ring, PeerTerms};
 use crate::custody;
 use crate::host::Host;
+use crate::outage;
 use crate::watch;
 
 /// Over how long what clients ask for is averaged, and how often that is told.
@@ -188,11 +189,15 @@
             Effect::Send(to, bytes) => self.datagrams.send(to, &bytes),
             Effect::Share(part) => {
                 tracing::debug!(part, "share of the fleet");
+                let part = host.outage().map_or(part, |outage| outage.share(part));
                 host.core(|core, now| core.share(now, part));
             }
             Effect::Heard(from, bytes) if bytes.first() == Some(&custody::SAID) => {
                 host.custody().iter().for_each(|custody| custody.heard(host, &from, &bytes[1..]));
             }
+            Effect::Heard(from, bytes) if bytes.first() == Some(&outage::SAID) => {
+                host.outage().iter().for_each(|outage| outage.heard(host, &from, &bytes[1..]));
+            }
             Effect::Heard(from, bytes) => {
                 let agreed = host.agreed.borrow().clone();
                 agreed.iter().for_each(|agreed| agreed.heard(host, &from, &bytes));
@@ -207,7 +212,10 @@
                         host.custody().iter().for_each(|custody| custody.members(host));
                     }
                     Change::Standing(standing) => tracing::info!(standing = standing.word(), at, "standing"),
-                    Change::Paused(span) => tracing::warn!(ms = span / 1000, at, "this process stood still"),
+                    Change::Paused(span) => {
+                        tracing::warn!(ms = span / 1000, at, "this process stood still");
+                        host.outage().iter().for_each(|outage| outage.paused(host, span));
+                    }
                     Change::Link(name, link) => {
                         tracing::info!(member = name, link = link_word(link), at, "link")
                     }
@@ -282,6 +290,12 @@
         (Life { name: m.me().name.clone(), life: m.me().life }, m.me().site.clone())
     }
 
+    /// How this one stands with the others, and its part of the fleet.
+    pub fn standing(&self) -> (Standing, f64) {
+        let m = self.membership.borrow();
+        (m.standing(), m.share())
+    }
+
     /// All other members that are remembered.
     pub fn seen(&self) -> Vec<violetward_membership::Seen> {
         self.membership.borrow().view().collect()
--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -23,6 +23,7 @@
 use crate::host::Host;
 use crate::membership::Membership;
 use crate::notebook::Notebook;
+use crate::outage::Outage;
 use crate::peers::Peers;
 use crate::updates::Updates;
 use crate::watch;
@@ -97,6 +98,9 @@
     if let Some(terms) = host.config.custody.clone() {
         start_custody(&host, &terms, executor.clone())?;
     }
+    if let Some(terms) = host.config.sites.clone() {
+        Outage::start(&host, terms)?;
+    }
     if let Some((listen, keys)) = host.config.zone_front.clone() {
         ZoneFront::start(host.clone(), membership, Updates::new(keys), listen)?;
     }
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -25,6 +25,8 @@
     pub agreement: Option<AgreementTerms>,
     /// Statements that outlive their gateway, where some are to.
     pub custody: Option<CustodyTerms>,
+    /// The sites and how their loss is met, where that is wanted.
+    pub sites: Option<SiteTerms>,
     /// How the host carries things out.
     pub host: HostLimits,
     /// Sessions that live on one engine.
@@ -240,6 +242,50 @@
     pub most: (usize, usize),
 }
 
+/// A site: its gateways and which engines are there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SitePlace {
+    /// Its name, as membership has it.
+    pub name: String,
+    /// Gateways that stand there.
+    pub gateways: u32,
+    /// Zones whose engines are there.
+    pub zones: Vec<String>,
+    /// Engines that are there, whatever their zone.
+    pub engines: Vec<String>,
+}
+
+/// The loss of a site; see `docs/site-loss.md`. Times are in microseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SiteTerms {
+    /// All sites, in the same order at every gateway: summaries name them by place.
+    pub sites: Vec<SitePlace>,
+    /// This gateway's own, by place.
+    pub own: usize,
+    /// What follows from a loss is done; else it is only told.
+    pub acts: bool,
+    /// Prefix of the client tag that names a client's site; without the tag it is this gateway's.
+    pub tag: String,
+    /// How states are told from evidence.
+    pub watch: violetward_site::state::Terms,
+    /// How fast summaries go out.
+    pub pace: violetward_digest::Pace,
+    /// Over how long demand is averaged.
+    pub average: Micros,
+    /// The part of all work by which limits move at once, and the time between two moves.
+    pub step: f64,
+    /// See `step`.
+    pub every: Micros,
+    /// Waits, as parts of the aim, under which limits loosen and over which they tighten.
+    pub low: f64,
+    /// See `low`.
+    pub high: f64,
+    /// How long clients that are turned away by a limit should stay away, spread by half.
+    pub stay_away: Micros,
+    /// Part of the engines' cores that can be filled.
+    pub fill: f64,
+}
+
 /// How the notebook front is set up.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KernelConfig {
--- a/crates/gateway/tests/config.rs
+++ b/crates/gateway/tests/config.rs
@@ -113,3 +113,40 @@
         assert!(found.iter().any(|m| m.contains(told)), "{to}: {found:?}");
     }
 }
+
+const SITES: &str = r#"
+(site-loss (site north (gateways 2)) (site south (gateways 3) (zones a b)) (site west (engines e7 e8))
+  (site-tag "at=") (back "4s") (round "1s") (octets 8000) (acts no))
+"#;
+
+#[test]
+fn sites_are_read_and_their_mistakes_are_told_with_their_places() {
+    let whole = format!("{GOOD}{PEERS}{SITES}");
+    let sites = read(&whole).unwrap().sites.expect("a section");
+    assert_eq!((sites.own, sites.sites.len(), sites.acts, sites.tag.as_str()), (1, 3, false, "at="));
+    assert_eq!(
+        sites.sites[0].zones,
+        ["north"],
+        "of itself a site's engines are those of the zone of its name"
+    );
+    assert_eq!(
+        (sites.sites[2].zones.len(), sites.sites[2].engines.as_slice()),
+        (0, &["e7".into(), "e8".into()][..])
+    );
+    assert_eq!((sites.watch.back, sites.pace.round, sites.pace.octets), (4_000_000, 1_000_000, 8_000.0));
+    assert_eq!(read(&format!("{GOOD}{PEERS}")).unwrap().sites, None, "off without the section");
+    let alone = read(&format!("{GOOD}{SITES}")).unwrap_err();
+    assert!(alone.iter().any(|m| m.contains("site-loss needs (membership ...)")), "{alone:?}");
+    let cases = [
+        ("(site south ", "(site east ", "membership's site south is none of the sites"),
+        ("(site west ", "(site north ", "site north stands twice"),
+        ("(gateways 2)", "(gateway 2)", "gateway is not known"),
+        ("(back \"4s\")", "(back \"4m\")", "back-most >= back"),
+        ("(acts no)", "(acts no) (low 2)", "low must be under high"),
+    ];
+    for (from, to, told) in cases {
+        assert!(SITES.contains(from), "{from}");
+        let found = read(&format!("{GOOD}{PEERS}{}", SITES.replacen(from, to, 1))).unwrap_err();
+        assert!(found.iter().any(|m| m.contains(told)), "{to}: {found:?}");
+    }
+}
--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -78,7 +78,7 @@
                 self.engines =
                     entries.into_iter().map(|e| (e.engine, (e.clone(), count(&e.engine)))).collect();
             }
-            Event::Request(request) => {
+            Event::Request(request) | Event::Guest(request) => {
                 let id = request.id;
                 self.open.insert(id, (request, 0));
                 self.send(id, out);
--- a/crates/lab/src/cluster/check.rs
+++ b/crates/lab/src/cluster/check.rs
@@ -9,6 +9,7 @@
 use super::custody;
 use super::plan::{Act, Plan};
 use super::settings::{self, Proposed};
+use super::site;
 use super::Options;
 use crate::checker::{self, Evidence, Terms, RULES};
 use crate::report::Report;
@@ -29,6 +30,8 @@
     pub settings: Option<Standing>,
     /// How custody stood, where there is any.
     pub custody: Option<violetward_gateway::custody::Standing>,
+    /// How the sites stood, where they are watched.
+    pub sites: Option<violetward_gateway::outage::Standing>,
 }
 
 /// What came of a run.
@@ -199,6 +202,13 @@
                 .for_each(|(what, more)| fail(what, 0.0, "the gateways".into(), more));
         }
     }
+    if plan.acts_on_loss && !options.even {
+        let found = site::Findings::new(plan, evidence, samples, acts, start);
+        found.figures().into_iter().for_each(|(name, value)| drop(json.insert(name, value)));
+        for (what, at, who, more) in found.faults(plan) {
+            fail(what, at, who, more);
+        }
+    }
     let policy = if options.even { "even" } else { "members" };
     let report = Report::new(&plan.name, policy, evidence, broken);
     Verdict { report, failed, json: json.into(), seed: options.seed }
@@ -234,7 +244,8 @@
     let mut last = vec![0.0; plan.gateways];
     let mut sums = Vec::new();
     for sample in samples {
-        last[sample.gateway] = sample.view.share;
+        let least = sample.sites.as_ref().map_or(0.0, |s| s.share.1);
+        last[sample.gateway] = least.max(sample.view.share);
         let sum = (0..plan.gateways).filter(|&n| runs(evidence, n, sample.at)).map(|n| last[n]).sum();
         sums.push((sample.at, sum));
     }
@@ -281,7 +292,7 @@
         let mut mended = 0;
         for (when, act) in acts.iter().filter(|a| a.0 <= at) {
             match act {
-                Act::Cut(..) | Act::Part(_) => cut = true,
+                Act::Cut(..) | Act::Part(_) | Act::PartSites => cut = true,
                 Act::Heal => (cut, mended) = (false, *when),
                 _ => {}
             }
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -10,6 +10,7 @@
 pub mod plans;
 pub mod relay;
 pub mod settings;
+pub mod site;
 pub mod timeline;
 
 use std::cell::{Cell, RefCell};
@@ -22,7 +23,7 @@
 
 use async_executor::LocalExecutor;
 use rustix::process::Signal;
-use violetward_gateway::{agreed, config, custody as held, peers};
+use violetward_gateway::{agreed, config, custody as held, outage, peers};
 use violetward_membership::wire::{Datagram, Kind};
 use violetward_membership::{Key, Keys};
 use violetward_net::{sleep, Pool};
@@ -65,6 +66,8 @@
     pub even: bool,
     /// Without custody, where the plan has it.
     pub bare: bool,
+    /// Sites are watched and nothing is done about a loss, where the plan has that.
+    pub watch: bool,
 }
 
 struct Gateway {
@@ -251,14 +254,20 @@
         let mut draw =
             Draw::new(self.options.seed, rate, self.plan.gateways, &format!("c{}", self.options.seed));
         let (mut clients, mut next, mut shown) = (Vec::new(), Duration::ZERO, Instant::now());
-        let shape = Shape::default();
+        let shape = |at: Duration| Shape { rate: self.plan.rate_at(at), ..Shape::default() };
         while next < self.plan.span {
-            next += draw.pause(&shape);
+            next += draw.pause(&shape(next));
             let now = start.elapsed();
             if next > now {
                 sleep(next - now).await;
             }
-            let (cluster, mut ask) = (self.clone(), draw.next(&shape));
+            let (cluster, mut ask) = (self.clone(), draw.next(&Shape::default()));
+            if self.plan.acts_on_loss {
+                ask.context.tags.push(format!("site=s{}", ask.record.gateway % self.plan.sites));
+                if let Some((_, times)) = self.plan.liar.filter(|l| l.0 == ask.record.gateway) {
+                    ask.context.estimated_cpu = ask.context.estimated_cpu.map(|told| told.mul_f64(times));
+                }
+            }
             clients.push(self.executor.spawn(async move {
                 let addresses = || cluster.gateways.borrow().iter().map(|g| g.address).collect::<Vec<_>>();
                 let goes_on = cluster.plan.keepers > 0;
@@ -416,6 +425,9 @@
                 self.plan.copies
             );
         }
+        if self.plan.acts_on_loss && !self.options.even {
+            more += &site::section(&self.plan, !self.options.watch);
+        }
         let engines = self.folder.join(format!("engines{number}.lisp"));
         let plan = GatewayPlan { number, of: self.plan.gateways, listen: listen.to_string(), engines, more };
         let file = self.folder.join(format!("{stem}.lisp"));
@@ -496,7 +508,18 @@
                     if self.plan.keepers > 0 {
                         custody = held::ask(address).await.ok();
                     }
-                    self.samples.borrow_mut().push(Sample { at, gateway: number, view, settings, custody });
+                    let mut sites = None;
+                    if self.plan.acts_on_loss {
+                        sites = outage::ask(address).await.ok();
+                    }
+                    self.samples.borrow_mut().push(Sample {
+                        at,
+                        gateway: number,
+                        view,
+                        settings,
+                        custody,
+                        sites,
+                    });
                 }
             }
             sleep(SAMPLE).await;
@@ -626,6 +649,16 @@
                 sleep(Duration::from_secs(1)).await;
                 (0..=late).for_each(|n| write(n, NEW_KEY));
             }
+            Act::PartSites => {
+                let site = |n: usize| n % self.plan.sites;
+                for a in 0..self.plan.gateways {
+                    for b in (0..self.plan.gateways).filter(|&b| site(a) != site(b)) {
+                        self.doors.cut(a, b, true);
+                    }
+                    let ways = &self.ways.borrow()[a];
+                    ways.iter().enumerate().filter(|w| site(w.0) != site(a)).for_each(|w| w.1.cut(true));
+                }
+            }
             Act::CutEngines(all) => {
                 let ways = self.ways.borrow();
                 all.iter().for_each(|&n| ways[n].iter().for_each(|way| way.cut(true)));
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -55,6 +55,8 @@
     Rekey,
     /// Nothing passes between a gateway and the engines.
     CutEngines(Vec<usize>),
+    /// Nothing passes between sites, neither among gateways nor from gateways to engines.
+    PartSites,
     /// Engines' processes end.
     KillEngines(Vec<usize>),
     /// They start anew, cold.
@@ -116,6 +118,10 @@
     pub lost: usize,
     /// SIGTERM ends a process within this span.
     pub rolled: Option<Duration>,
+    /// Sites that must be called so by every gateway elsewhere, at the latest so long after the first act.
+    pub site: Vec<(usize, String, Duration)>,
+    /// Sites that may be called lost, cut off or partly lost by somebody; others may not.
+    pub away: Vec<usize>,
 }
 
 /// A plan.
@@ -143,6 +149,14 @@
     pub keepers: usize,
     /// Guardians of a statement.
     pub copies: usize,
+    /// The loss of sites is watched and acted on.
+    pub acts_on_loss: bool,
+    /// Clients ask for so many times as much from then on.
+    pub rates: Vec<(Duration, f64)>,
+    /// How often summaries go out, if not as usual.
+    pub round: Option<Duration>,
+    /// A gateway whose clients' estimates are so many times too high.
+    pub liar: Option<(usize, f64)>,
     /// Gateways whose configuration lacks a tenant that all others have.
     pub odd: Vec<usize>,
     /// What happens, by time.
@@ -151,6 +165,13 @@
     pub expect: Expect,
 }
 
+impl Plan {
+    /// By how much more clients ask at a time than usual.
+    pub fn rate_at(&self, at: Duration) -> f64 {
+        self.rates.iter().rev().find(|r| r.0 <= at).map_or(1.0, |r| r.1)
+    }
+}
+
 /// A plan by its name, or from a file.
 ///
 /// # Errors
@@ -227,6 +248,7 @@
         "twin" => Act::Twin(*numbers(c, form, gateways).first()?),
         "flood" => Act::Flood(c.whole(form, 1, 1_000_000)? as usize),
         "rekey" => Act::Rekey,
+        "part-sites" => Act::PartSites,
         "cut-engines" => Act::CutEngines(numbers(c, form, gateways)),
         "kill-engines" => Act::KillEngines(numbers(c, form, engines)),
         "start-engines" => Act::StartEngines(numbers(c, form, engines)),
@@ -269,7 +291,7 @@
     let all: Vec<Form<'_>> = data.iter().filter_map(|d| c.form(d.as_ref())).collect();
     let known = [
         "gateways", "engines", "sites", "span", "load", "period", "voters", "lease", "keepers", "copies",
-        "odd", "at", "expect",
+        "odd", "acts", "rate", "round", "liar", "at", "expect",
     ];
     for form in all.iter().filter(|f| !known.contains(&f.name.as_str())) {
         c.at(form, format!("{} is not known; known: {}", form.name, known.join(", ")));
@@ -288,6 +310,22 @@
     let copies = get("copies").and_then(|f| c.whole(f, 1, 8)).unwrap_or(2) as usize;
     let lease = get("lease").and_then(|f| c.span(f)).unwrap_or(Duration::from_secs(2));
     let odd = get("odd").map(|f| numbers(&mut c, f, gateways)).unwrap_or_default();
+    let acts_on_loss = get("acts").and_then(|f| c.flag(f)).unwrap_or(false);
+    let round = get("round").and_then(|f| c.span(f));
+    let liar = get("liar").and_then(|f| {
+        let number = f.rest.first()?.value().as_u64().filter(|&n| (n as usize) < gateways)?;
+        Some((number as usize, f.rest.get(1)?.value().as_f64()?))
+    });
+    let mut rates = Vec::new();
+    for form in all.iter().filter(|f| f.name == "rate") {
+        let at = form.rest.first().map(|d| form.with(vec![*d])).and_then(|f| c.span(&f));
+        let rate = form.rest.get(1).and_then(|d| d.value().as_f64()).filter(|r| (0.0..=100.0).contains(r));
+        match at.zip(rate) {
+            Some(pair) => rates.push(pair),
+            None => c.at(form, "expected (rate \"5s\" 2)"),
+        }
+    }
+    rates.sort_by_key(|r| r.0);
     let mut acts = Vec::new();
     for form in all.iter().filter(|f| f.name == "at") {
         let [when, what] = form.rest.as_slice() else {
@@ -316,6 +354,8 @@
         adopted: 0,
         lost: 0,
         rolled: None,
+        site: Vec::new(),
+        away: Vec::new(),
     };
     for datum in get("expect").map(|f| f.rest.clone()).unwrap_or_default() {
         let Some(f) = c.form(datum) else { continue };
@@ -332,6 +372,16 @@
             }
             "adopted" => expect.adopted = c.whole(&f, 0, 1_000_000).unwrap_or(0),
             "lost" => expect.lost = c.whole(&f, 0, 1_000_000).unwrap_or(0) as usize,
+            "away" => expect.away = numbers(&mut c, &f, sites),
+            "site" => {
+                let site = f.rest.first().and_then(|d| d.value().as_u64()).filter(|&n| (n as usize) < sites);
+                let word = f.rest.get(1).and_then(|d| d.value().as_symbol()).map(str::to_owned);
+                let span = f.rest.get(2).map(|d| f.with(vec![*d])).and_then(|f| c.span(&f));
+                match (site, word, span) {
+                    (Some(site), Some(word), Some(span)) => expect.site.push((site as usize, word, span)),
+                    _ => c.at(&f, "expected (site N WORD \"5s\")"),
+                }
+            }
             "rolled" => expect.rolled = c.span(&f),
             "outcomes" => expect.outcomes = c.words(&f),
             "voteless" => expect.voteless = numbers(&mut c, &f, gateways),
@@ -364,6 +414,10 @@
         lease,
         keepers,
         copies,
+        acts_on_loss,
+        rates,
+        round,
+        liar,
         odd,
         acts,
         expect,
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -181,6 +181,9 @@
         /// Start the gateways without custody, where the plan has it.
         #[arg(long)]
         bare: bool,
+        /// Let the gateways watch the sites and do nothing about a loss, where the plan has them act.
+        #[arg(long)]
+        watch: bool,
     },
     /// Membership in figures: simulated fleets of the state machine, beside plain SWIM.
     Membership {
@@ -261,8 +264,8 @@
                 Plan { keep, slack, ..Plan::replay(name, seed, policy) }
             })
         }
-        Command::Cluster { plan, seed, json, keep, even, bare } => {
-            let options = cluster::Options { seed, json, keep, even, bare };
+        Command::Cluster { plan, seed, json, keep, even, bare, watch } => {
+            let options = cluster::Options { seed, json, keep, even, bare, watch };
             return match cluster::command(&plan, &options) {
                 Ok(true) => ExitCode::SUCCESS,
                 Ok(false) => ExitCode::FAILURE,
--- a/crates/site/src/act.rs
+++ b/crates/site/src/act.rs
@@ -322,15 +322,50 @@
         }
     }
 
-    /// Whether a request of a class is let in; `site` is its client's, where that is known. Of any run of requests of one line
-    /// as many are let in as its part says, to within one.
-    pub fn admit(&mut self, now: Micros, class: usize, site: Option<usize>) -> bool {
-        if let Some(site) = site.filter(|&s| self.sites.get(s).is_some_and(is_silent) && self.came[s] < COME)
-        {
+    /// What a loss would cost by what is known now; `None` before anything is.
+    pub fn project(&self, now: Micros, loss: &Loss) -> Option<Projection> {
+        Some(self.known.as_ref()?.project(loss, &self.learned, now))
+    }
+
+    /// The limits that hold.
+    pub fn limits(&self) -> impl Iterator<Item = Limit> + '_ {
+        self.steered.iter().map(|s| s.limit)
+    }
+
+    /// By class, the parts of requests that are let in: of a site's own clients, and of guests; of all others' clients where none
+    /// are guests.
+    pub fn parts(&self, classes: usize, own: usize) -> [Vec<f64>; 2] {
+        let any = self.steered.iter().any(|s| s.guest && s.limit.site != own);
+        let part = |class: usize, of: &dyn Fn(&Steered) -> bool| {
+            let (kept, all) = self
+                .steered
+                .iter()
+                .filter(|s| s.limit.class == class && of(s))
+                .fold((0.0, 0.0), |(kept, all), s| (kept + s.limit.keep * s.work, all + s.work));
+            if all > 0.0 {
+                (kept / all).clamp(0.0, 1.0)
+            } else {
+                1.0
+            }
+        };
+        let others = |s: &Steered| s.limit.site != own && (s.guest || !any);
+        let by = |of: &dyn Fn(&Steered) -> bool| (0..classes).map(|class| part(class, of)).collect();
+        [by(&|s: &Steered| s.limit.site == own), by(&others)]
+    }
+
+    /// Requests of a site's clients have come here.
+    pub fn came(&mut self, now: Micros, site: usize, requests: u32) {
+        if self.sites.get(site).is_some_and(is_silent) && self.came[site] < COME {
             let was = self.loss();
-            self.came[site] += 1;
+            self.came[site] = self.came[site].saturating_add(requests);
             self.turned(now, &was);
         }
+    }
+
+    /// Whether a request of a class is let in; `site` is its client's, where that is known. Of any run of requests of one line
+    /// as many are let in as its part says, to within one.
+    pub fn admit(&mut self, now: Micros, class: usize, site: Option<usize>) -> bool {
+        site.iter().for_each(|&site| self.came(now, site, 1));
         let of = |s: &&Steered| s.limit.class == class && site.is_none_or(|at| at == s.limit.site);
         let (kept, all) = self
             .steered
--- a/src/api.rs
+++ b/src/api.rs
@@ -451,6 +451,19 @@
     /// This gateway's part of the fleet, from who lives and what they are asked for; without it, `1 / gateways`. Cold engines
     /// are met by that at most.
     Share(f64),
+    /// The parts of each class's requests that are let in from now on, by place; 1 where not told. They come from what was
+    /// projected for a loss, so that nobody finds out by overload what has to be refused. What has a pin, and what was
+    /// adopted, is always let in.
+    Keep {
+        /// Of this gateway's own clients.
+        own: Vec<f64>,
+        /// Of guests, whose own gateways are gone.
+        guests: Vec<f64>,
+        /// How long a client that is turned away should stay away at least, before it is spread; as far as advice is allowed.
+        back: Micros,
+    },
+    /// A guest sent a request: a client whose own gateways are gone. It is a [`Event::Request`] but for its part.
+    Guest(Request),
     /// New rules in place of those of the settings, which they name one for one. What waits where it may not go any more is
     /// placed again; what is out goes on.
     Rules {
--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -101,7 +101,8 @@
         let harmless = harmless && open.request.pin.is_none();
         if harmless || !open.may_have_run() {
             // When the debt of now has drained, spread by half so that clients don't return together.
-            let wait = self.fleet_debt() / self.fleet_rate() * (0.5 + unit(self.draw()));
+            let wait = (self.fleet_debt() / self.fleet_rate()).max(self.back as f64);
+            let wait = wait * (0.5 + unit(self.draw()));
             let retry_after = (wait as Micros).min(self.settings.retry_advice.unwrap_or(0));
             out.push(Action::Refuse { id, retry_after });
         } else {
--- a/src/logic/mod.rs
+++ b/src/logic/mod.rs
@@ -38,7 +38,9 @@
         }
         match event {
             Event::Engines { kind, entries } => self.listed(kind, entries, out),
-            Event::Request(request) => self.take(request, out),
+            Event::Request(request) => self.take(request, false, out),
+            Event::Guest(request) => self.take(request, true, out),
+            Event::Keep { own, guests, back } => (self.kept, self.back) = ([own, guests], back),
             Event::Adopted { request, attempts, out: sent } => self.adopt(request, attempts, sent, out),
             Event::Lapsed(id) => self.forget(id, out),
             Event::Answer(answer) => self.answered(answer, out),
--- a/src/logic/take.rs
+++ b/src/logic/take.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 impl Gateway {
-    pub(super) fn take(&mut self, request: Request, out: &mut Vec<Action>) {
+    pub(super) fn take(&mut self, request: Request, guest: bool, out: &mut Vec<Action>) {
         let Some(goal) = self.goal(&request) else { return };
         self.taken.push_back(self.now);
         let over_share = !self.within_share(request.tenant);
@@ -11,8 +11,12 @@
             self.keys.entry(key.clone()).or_default().queue.push_back(request.id);
         }
         self.scout(out);
-        let id = request.id;
+        let (id, pinned) = (request.id, request.pin.is_some());
+        let part = self.kept[usize::from(guest)].get(request.class.0).copied().unwrap_or(1.0);
         self.open.insert(id, Open::new(request, goal, over_share));
+        if !pinned && part < 1.0 && unit(self.draw()) >= part {
+            return self.end(id, out);
+        }
         self.place(id, out);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -356,6 +356,9 @@
     pub(crate) usual_load: f64,
     /// The part of the fleet that was told.
     pub(crate) part: Option<f64>,
+    /// The parts of own clients' and of guests' requests that are let in, by class, and how long others are to stay away.
+    pub(crate) kept: [Vec<f64>; 2],
+    pub(crate) back: Micros,
     pub(crate) learned: Vec<Learned>,
     /// Each tenant's tokens, and when they were last filled up.
     pub(crate) tokens: Vec<(f64, Micros)>,
@@ -389,6 +392,8 @@
             fleet_memory: 0.0,
             usual_load: 0.0,
             part: None,
+            kept: Default::default(),
+            back: 0,
             engines: BTreeMap::new(),
             open: BTreeMap::new(),
             flights: BTreeMap::new(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -333,3 +333,50 @@
     assert_eq!(sent(&bed.answer(1, Outcome::Ok)), [(2, 3 - first.1)]);
     assert_eq!(sent(&bed.answer(2, Outcome::Ok)), [(3, 3 - first.1)]);
 }
+
+/// What is projected for a loss: of each class the part that is told is let in, of own clients and of guests, and who is turned
+/// away hears so at once, with a time to come back. What is bound to its engine is always let in.
+#[test]
+fn of_each_class_the_part_that_is_told_is_let_in_and_the_rest_is_refused_at_once() {
+    let mut settings = settings(class(Effect::Repeatable));
+    settings.retry_advice = Some(30 * SECOND);
+    let mut bed = Bed::new(settings, (1..=4).map(entry).collect());
+    bed.feed(Event::Keep { own: vec![0.25], guests: vec![0.0], back: 2 * SECOND });
+    let mut turned_away = Vec::new();
+    for id in 0..400 {
+        for action in bed.ask(id) {
+            if let Action::Refuse { retry_after, .. } = action {
+                turned_away.push(retry_after);
+            }
+        }
+        bed.answer(id, Outcome::Ok);
+        bed.pass(SECOND / 10);
+    }
+    assert!((270..=330).contains(&turned_away.len()), "{}", turned_away.len());
+    assert!(turned_away.iter().all(|advice| (SECOND..=3 * SECOND).contains(advice)), "{turned_away:?}");
+    let guest = |bed: &Bed, id: u64, pin: Option<Pin>| Request {
+        id: RequestId(id),
+        class: ClassId(0),
+        tenant: TenantId(0),
+        cost: 100_000,
+        memory_mb: 64.0,
+        group: GroupId(0),
+        key: None,
+        is_retry: false,
+        marked: false,
+        pin,
+        due: bed.now + 5 * SECOND,
+    };
+    let free = Event::Guest(guest(&bed, 1_000, None));
+    assert!(refused(&bed.feed(free), 1_000));
+    let pin = Pin { engine: EngineId(1), reserve: false, finishing: false };
+    let pinned = Event::Guest(guest(&bed, 1_001, Some(pin)));
+    assert!(!refused(&bed.feed(pinned), 1_001));
+    // Nothing told: all are let in again.
+    bed.feed(Event::Keep { own: vec![], guests: vec![], back: 0 });
+    for id in 2_000..2_040 {
+        assert!(!refused(&bed.ask(id), id));
+        bed.answer(id, Outcome::Ok);
+        bed.pass(SECOND / 10);
+    }
+}
