--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -6,6 +6,7 @@
 mod membership;
 mod policy;
 mod sessions;
+mod sites;
 mod windows;
 mod zone;
 
@@ -28,10 +29,11 @@
 use membership::peer_terms;
 use policy::{class, policy};
 use sessions::session_terms;
+use sites::site_terms;
 use windows::window_terms;
 use zone::zone_front;
 
-const SECTIONS: [&str; 14] = [
+const SECTIONS: [&str; 15] = [
     "agreement",
     "custody",
     "windows",
@@ -40,6 +42,7 @@
     "membership",
     "kernel",
     "sessions",
+    "site-loss",
     "limits",
     "engine-properties",
     "policy",
@@ -181,6 +184,7 @@
         section("agreement").and_then(|f| agreement_terms(c, f, peers.as_ref(), &names, folder));
     let windows = section("windows").and_then(|f| window_terms(c, f, agreement.as_mut(), folder));
     let custody = section("custody").and_then(|f| custody_terms::read(c, f, peers.as_ref(), &names, folder));
+    let sites = section("site-loss").and_then(|form| site_terms(c, form, peers.as_ref()));
     let mut selection = Selection {
         selectors: Vec::new(),
         key_tag: g.word(c, "key-tag", "key="),
@@ -210,6 +214,7 @@
         agreement,
         windows,
         custody,
+        sites,
         sessions,
         host,
         selection,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -18,6 +18,7 @@
 use crate::custody::Custody;
 use crate::engine;
 use crate::front::Front;
+use crate::outage::Outage;
 use crate::peers::Peers;
 use crate::terms::Config;
 use crate::windows::Windows;
@@ -56,6 +57,8 @@
     /// Statements that outlive their gateway, where some do; and the front that answers for those passed on.
     pub(crate) custody: RefCell<Option<Rc<Custody>>>,
     pub(crate) answers: RefCell<std::rc::Weak<Front>>,
+    /// The sites, where they are watched.
+    pub(crate) outage: RefCell<Option<Rc<Outage>>>,
     core: RefCell<Core>,
     executor: Rc<LocalExecutor<'static>>,
     attempts: RefCell<HashMap<AttemptId, Reins>>,
@@ -85,6 +88,7 @@
             windows: RefCell::default(),
             custody: RefCell::default(),
             answers: RefCell::default(),
+            outage: RefCell::default(),
             executor,
             attempts: RefCell::default(),
             pollers: RefCell::default(),
@@ -177,6 +181,11 @@
         self.custody.borrow().clone()
     }
 
+    /// The sites, where they are watched.
+    pub(crate) fn outage(&self) -> Option<Rc<Outage>> {
+        self.outage.borrow().clone()
+    }
+
     /// The front that answers for statements here.
     pub(crate) fn front(&self) -> Option<Rc<Front>> {
         self.answers.borrow().upgrade()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod moment;
 pub mod notebook;
+pub mod outage;
 pub mod peers;
 pub mod record;
 pub mod rules;
--- a/crates/lab/src/cluster/check.rs
+++ b/crates/lab/src/cluster/check.rs
@@ -9,7 +9,7 @@
 use super::custody;
 use super::plan::{Act, Plan};
 use super::settings::{self, Proposed};
-use super::{windows, Options};
+use super::{site, windows, Options};
 use crate::checker::{self, Evidence, Terms, RULES};
 use crate::report::Report;
 
@@ -31,6 +31,8 @@
     pub custody: Option<violetward_gateway::custody::Standing>,
     /// How windows stood, where they are held.
     pub windows: Option<violetward_gateway::windows::Standing>,
+    /// How the sites stood, where they are watched.
+    pub sites: Option<violetward_gateway::outage::Standing>,
 }
 
 /// What came of a run.
@@ -210,6 +212,13 @@
             fail(what, at, "the gateways".into(), more.clone());
         }
     }
+    if plan.acts_on_loss && !options.even {
+        let found = site::Findings::new(plan, evidence, samples, acts, start);
+        found.figures().into_iter().for_each(|(name, value)| drop(json.insert(name, value)));
+        for (what, at, who, more) in found.faults(plan) {
+            fail(what, at, who, more);
+        }
+    }
     let policy = if options.even { "even" } else { "members" };
     let report = Report::new(&plan.name, policy, evidence, broken);
     Verdict { report, failed, json: json.into(), seed: options.seed }
@@ -245,7 +254,8 @@
     let mut last = vec![0.0; plan.gateways];
     let mut sums = Vec::new();
     for sample in samples {
-        last[sample.gateway] = sample.view.share;
+        let least = sample.sites.as_ref().map_or(0.0, |s| s.share.1);
+        last[sample.gateway] = least.max(sample.view.share);
         let sum = (0..plan.gateways).filter(|&n| runs(evidence, n, sample.at)).map(|n| last[n]).sum();
         sums.push((sample.at, sum));
     }
@@ -292,7 +302,7 @@
         let mut mended = 0;
         for (when, act) in acts.iter().filter(|a| a.0 <= at) {
             match act {
-                Act::Cut(..) | Act::Part(_) => cut = true,
+                Act::Cut(..) | Act::Part(_) | Act::PartSites => cut = true,
                 Act::Heal => (cut, mended) = (false, *when),
                 _ => {}
             }
