--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod overhead;
 pub mod pinned;
 pub mod process;
+pub mod readlog;
 pub mod report;
 pub mod script;
 pub mod siteplan;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,7 +11,7 @@
 use violetward_lab::baseline::{Baseline, Rule};
 use violetward_lab::day::{self, Plan, Policy};
 use violetward_lab::report::Report;
-use violetward_lab::{cluster, demo, overhead, pinned, script, speed, storm, trouble};
+use violetward_lab::{cluster, demo, overhead, pinned, readlog, script, speed, storm, trouble};
 use violetward_standin::model::Machine;
 use violetward_standin::server::{self, Setup};
 
@@ -159,6 +159,17 @@
     },
     /// Measure parts of the program, each beside a plain one: parsers, the module's events, timers.
     Speed,
+    /// Read gateways' logs (`platform` at `--log-level debug`): what became of requests by time and class, and the causes.
+    Worth {
+        /// The folder that holds them, `*.log`.
+        folder: PathBuf,
+        /// Seconds that a row of the table spans.
+        #[arg(long, default_value_t = 5.0)]
+        span: f64,
+        /// Aims of the classes, seconds, in the order of the settings: what is served later is late.
+        #[arg(long, value_delimiter = ',')]
+        aims: Vec<f64>,
+    },
     /// A bare byte relay, as a process of its own.
     #[command(hide = true)]
     Relay { to: SocketAddr, address_file: PathBuf },
@@ -345,6 +356,9 @@
             })
         }
         Command::Speed => speed::run(),
+        Command::Worth { folder, span, aims } => {
+            readlog::Logs::read(&folder).map(|logs| print!("{}", logs.tables(span.max(0.1), &aims)))
+        }
         Command::Relay { to, address_file } => overhead::relay(to, &address_file),
     };
     match result {
