Custody: nobody is told lost before all that may have it are surely over

Some others were held by a gateway that was cut off before any guardian had heard of them; ended by the others, it dropped them after the heal.

A token names lives with terms and its client's deadline. A 410 now waits until every life of the token, and every member that does not answer, is surely over by the voters' marks, all that live have answered, and the named processes are known to have ended or the deadline has passed. A gateway without a tenure holds a poll for half a lease, asks others, then says 503. A process that was ended gives back what nobody has acknowledged. A gateway that was ended by others can be a guardian again once its next term is known; the choice passed over all others as long as such a one was the best.

--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -38,10 +38,15 @@
 const DECLINED: usize = 65_536;
 /// One that had no room is not chosen for so long.
 const FULL: Micros = 1_000 * MS;
+/// For so long after its tenure has last held, a process that was ended gives back what nobody is known to have; and one that has
+/// forgotten ended statements of the last twice as long takes nothing of that, as it may have been among them.
+const BACK: Micros = 60_000 * MS;
 /// Processes that are known at once.
 const PEERS: usize = 4_096;
 /// A process that is not listed and of which nothing is held leaves after so long, and with it the number of its last sending.
 const FORGOTTEN: Micros = 600_000 * MS;
+/// Whether a life is over is asked of the voters for so long after somebody wanted to know.
+const WANTED: Micros = 30_000 * MS;
 /// The versions of one holder; the next one in the chain counts on from there.
 const HOLDER: u32 = 40;
 
@@ -192,6 +197,8 @@
     adopting: Option<u64>,
     /// Given up; it stays until another one has it.
     giving: bool,
+    /// Somebody may have been told that it is given up.
+    offered: bool,
     unprotected: bool,
 }
 
@@ -323,6 +330,8 @@
     /// Through which term a life is surely over.
     over: BTreeMap<Life, u32>,
     ends: BTreeMap<Actor, EndAsk>,
+    /// Those of which somebody wants to know whether they are over, until then.
+    wanted: BTreeMap<Actor, Micros>,
     entries: BTreeMap<StatementKey, Entry>,
     /// Statements by those in their chains that may act for them.
     refs: BTreeMap<Actor, BTreeSet<StatementKey>>,
@@ -340,7 +349,9 @@
     /// Never taken here, until then.
     declined: BTreeMap<StatementKey, Micros>,
     past: BTreeMap<StatementKey, Past>,
-    past_order: VecDeque<StatementKey>,
+    past_order: VecDeque<(StatementKey, Micros)>,
+    /// When the newest of those was remembered that had to go; 0: none had.
+    forgot: Micros,
     taken: u64,
     leaving: bool,
     left: bool,
@@ -403,6 +414,7 @@
             newest: BTreeMap::new(),
             over: BTreeMap::new(),
             ends: BTreeMap::new(),
+            wanted: BTreeMap::new(),
             entries: BTreeMap::new(),
             refs: BTreeMap::new(),
             ready: BTreeSet::new(),
@@ -415,6 +427,7 @@
             declined: BTreeMap::new(),
             past: BTreeMap::new(),
             past_order: VecDeque::new(),
+            forgot: 0,
             taken: 0,
             leaving: false,
             left: false,
@@ -508,24 +521,45 @@
         }
     }
 
+    /// Whether a life is surely over through a term, or through the newest one that was heard of. Belief is not enough: on the far
+    /// side of a cut a holder that goes on looks dead.
+    pub fn surely_over(&self, life: &Life, term: u32) -> bool {
+        let newest = self.newest.get(life).copied().unwrap_or(0);
+        self.is_over(&Actor { life: life.clone(), term: term.max(newest) })
+    }
+
+    /// Somebody wants to know whether a life is surely over. If membership has it for gone, the voters are asked to end it, for
+    /// half a minute from now.
+    pub fn want_over(&mut self, now: Micros, life: &Life, term: u32) {
+        let newest = self.newest.get(life).copied().unwrap_or(0);
+        let actor = Actor { life: life.clone(), term: term.max(newest) };
+        if self.is_over(&actor) || (self.wanted.len() >= PEERS && !self.wanted.contains_key(&actor)) {
+            return;
+        }
+        self.wanted.insert(actor, now + WANTED);
+        self.missed(now);
+        self.run(now);
+    }
+
     fn is_over(&self, actor: &Actor) -> bool {
         self.over.get(&actor.life).is_some_and(|through| actor.term <= *through)
     }
 
     /// Whoever is gone and stands in a chain is to be ended.
     fn missed(&mut self, now: Micros) {
-        for actor in self.refs.keys() {
+        for actor in self.refs.keys().chain(self.wanted.keys()) {
             if !self.lives.contains_key(&actor.life) && !self.lives.is_empty() {
                 self.unlisted.entry(actor.life.clone()).or_insert(now);
             }
         }
+        let named = self.refs.keys().chain(self.wanted.keys());
         let lost: Vec<Actor> =
-            self.refs.keys().filter(|a| self.lost(now, &a.life) && !self.is_over(a)).cloned().collect();
+            named.filter(|a| self.lost(now, &a.life) && !self.is_over(a)).cloned().collect();
         for actor in lost {
             self.ends.entry(actor).or_default();
         }
-        let refs = &self.refs;
-        self.ends.retain(|a, _| refs.contains_key(a));
+        let (refs, wanted) = (&self.refs, &self.wanted);
+        self.ends.retain(|a, _| refs.contains_key(a) || wanted.contains_key(a));
     }
 
     fn ask_marks(&mut self, now: Micros) {
@@ -627,19 +661,26 @@
     /// This term is over, as the voters have it: whatever was in hand is another's, and a new term begins with nothing.
     fn next_term(&mut self, now: Micros) {
         let others: BTreeSet<String> = self.refs.keys().map(|a| a.life.name.clone()).collect();
-        let dropped: Vec<StatementKey> = self.entries.keys().cloned().collect();
-        for key in dropped {
-            let others: Vec<Life> = self.forget(&key).map_or(Vec::new(), |entry| {
-                if entry.held().is_some_and(|h| !h.giving && h.adopting.is_none()) {
-                    self.effects.push_back(Effect::Dropped(key.clone()));
-                }
-                entry.behind().map(|i| entry.links[i].actor.life.clone()).collect()
-            });
-            self.remember(key, Past::Moved(others));
-        }
+        let had: Vec<StatementKey> = self.entries.keys().cloned().collect();
+        self.me.term += 1;
         self.declined.clear();
         self.peers.clear();
-        self.me.term += 1;
+        self.waiting.clear();
+        for key in had {
+            let Some(entry) = self.entries.get(&key) else { continue };
+            let held = entry.held().filter(|h| h.adopting.is_none());
+            let alone = held.is_some_and(|h| h.guards.iter().all(|g| g.acked == 0));
+            if held.is_some_and(|h| !h.giving) {
+                self.effects.push_back(Effect::Dropped(key.clone()));
+            }
+            if alone && now < self.tenure.held_at + BACK {
+                self.give_back(now, &key);
+                continue;
+            }
+            let others = entry.behind().map(|i| entry.links[i].actor.life.clone()).collect();
+            self.forget(&key);
+            self.remember(key, Past::Moved(others));
+        }
         self.ended = false;
         self.tenure = Tenure::new(now, self.quorum());
         self.renew = now;
@@ -791,10 +832,21 @@
             return Err(Why::Full);
         }
         let place = |who: &Actor| links.iter().position(|l| l.actor == *who);
-        let (Some(at), Some(by)) = (place(&self.me), place(sender)) else { return Err(Why::Past) };
+        // What a process gives back that had it in an earlier term.
+        let earlier = |l: &Link| l.gone && l.actor.life == sender.life && l.actor.term < sender.term;
+        let back =
+            || links.iter().position(earlier).filter(|_| self.forgot == 0 || now >= self.forgot + 2 * BACK);
+        let (Some(at), Some(by)) = (place(&self.me), place(sender).or_else(back)) else {
+            return Err(Why::Past);
+        };
         if links[at].gone {
             return Err(Why::Past);
         }
+        // Given back by this process, taken by another one, which wants it as a guardian now.
+        let given = |e: &Entry| e.held().is_some_and(|h| h.giving) && e.links[e.at].actor != self.me;
+        if self.entries.get(&key).is_some_and(given) && whole {
+            self.forget(&key);
+        }
         let me = self.me.clone();
         let Some(entry) = self.entries.get_mut(&key) else {
             if let Some(Past::Ended(_)) = self.past.get(&key) {
@@ -979,7 +1031,13 @@
 
     /// The lives that a statement's chain names, its first holder first.
     pub fn chain(&self, key: &StatementKey) -> Vec<Life> {
-        self.entries.get(key).map_or(Vec::new(), |e| e.links.iter().map(|l| l.actor.life.clone()).collect())
+        self.links(key).into_iter().map(|(life, _)| life).collect()
+    }
+
+    /// The same, each with the term in which it stands there.
+    pub fn links(&self, key: &StatementKey) -> Vec<(Life, u32)> {
+        let of = |l: &Link| (l.actor.life.clone(), l.actor.term);
+        self.entries.get(key).map_or(Vec::new(), |e| e.links.iter().map(of).collect())
     }
 
     fn mine(&mut self, now: Micros, key: &StatementKey) -> Option<&mut Entry> {
@@ -1152,6 +1210,10 @@
         }
         self.ready.remove(&(entry.deadline, key.clone()));
         self.expiry.remove(&(entry.deadline.saturating_add(LINGER), key.clone()));
+        // Few are given back; the time at which one leaves is none that follows from it.
+        if entry.held().is_some() && entry.links[entry.at].actor != self.me {
+            self.expiry.retain(|(_, k)| k != key);
+        }
         self.forwards.remove(key);
         self.waiting.remove(key);
         self.looks.remove(key);
@@ -1163,11 +1225,12 @@
 
     fn remember(&mut self, key: StatementKey, past: Past) {
         if self.past.insert(key.clone(), past).is_none() {
-            self.past_order.push_back(key);
+            self.past_order.push_back((key, self.now));
         }
         while self.past_order.len() > PAST {
-            if let Some(old) = self.past_order.pop_front() {
+            if let Some((old, at)) = self.past_order.pop_front() {
                 self.past.remove(&old);
+                self.forgot = at + 1;
             }
         }
     }
@@ -1231,10 +1294,15 @@
 
     fn look_held(&mut self, now: Micros, key: &StatementKey) {
         let Some(entry) = self.entries.get(key) else { return };
-        // One that has given it up adds to the chain only if nobody in it can act any more.
-        if self.lacks(now, entry)
-            && (entry.held().is_some_and(|h| !h.giving) || entry.behind().next().is_none())
-        {
+        // One that has given it up adds to the chain only if nobody in it can act any more, nor has: whoever may have taken it over
+        // may have added others.
+        let giving = entry.held().is_some_and(|h| h.giving);
+        let offered = entry.held().is_some_and(|h| h.offered);
+        if giving && offered && entry.behind().next().is_none() {
+            self.forget(key);
+            return self.remember(key.clone(), Past::Moved(Vec::new()));
+        }
+        if self.lacks(now, entry) && (!giving || entry.behind().next().is_none()) {
             self.choose(now, key);
         }
         let Some(entry) = self.entries.get(key) else { return };
@@ -1330,6 +1398,8 @@
             .candidates
             .iter()
             .filter(|c| !self.other.contains(&c.2) && !full.contains(&c.2))
+            // Of one that was ended the next term has to be heard of first.
+            .filter(|c| !self.surely_over(&c.2, 0))
             .filter(|c| {
                 !entry.links.iter().any(|l| l.actor.life == c.2 && !(l.gone && self.is_over(&l.actor)))
             })
@@ -1348,7 +1418,6 @@
                 life: life.clone(),
                 term: self.newest.get(life).copied().unwrap_or(0),
             })
-            .filter(|a| !self.is_over(a))
             .collect();
         let Some(entry) = self.entries.get_mut(key) else { return };
         if chosen.is_empty() {
@@ -1368,6 +1437,30 @@
         }
     }
 
+    /// A statement that this process held in a term that is over, and that nobody is known to have: those behind it may never have
+    /// heard of it, as in a cut. They are told what it knew, and that its place in the chain is given up. One that knows more
+    /// keeps to that.
+    fn give_back(&mut self, now: Micros, key: &StatementKey) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.links[entry.at].gone = true;
+        entry.record.version += 1;
+        let until = (self.tenure.held_at + BACK).min(entry.deadline.saturating_add(LINGER)).max(now);
+        let Some(held) = entry.held_mut() else { return };
+        held.giving = true;
+        held.ending = None;
+        // Somebody may have taken it over on what it was told and has not acknowledged.
+        held.offered = held.guards.iter().any(|g| g.told);
+        for guard in &mut held.guards {
+            (guard.sent, guard.body) = (0, false);
+        }
+        // What still waited for its record was never written.
+        if held.intent.take().is_some_and(|(attempts, _)| attempts == 1) {
+            (entry.record.out, entry.record.attempts) = (None, 0);
+        }
+        self.expiry.insert((until, key.clone()));
+        self.looks.insert(key.clone());
+    }
+
     /// Gives a statement up to the next in the chain.
     fn give(&mut self, now: Micros, key: &StatementKey) {
         let Some(entry) = self.entries.get_mut(key) else { return };
@@ -1516,13 +1609,24 @@
             self.forget(&key);
         }
         self.declined.retain(|_, until| now < *until);
+        self.wanted.retain(|_, until| now < *until);
+        // One may have become a guardian again that membership has said nothing new of: it tells its next term.
+        let lacking = self.entries.iter().filter(|(_, e)| self.lacks(now, e)).map(|(k, _)| k.clone());
+        let lacking: Vec<StatementKey> = lacking.collect();
+        self.looks.extend(lacking);
         self.missed(now);
         // One that was ended and lives has said so, but that may have been lost.
         let silent = |a: &&Actor| self.peers.get(a).is_none_or(|p| p.heard + SILENT <= now);
-        let silent: Vec<String> = self.refs.keys().filter(silent).map(|a| a.life.name.clone()).collect();
+        let mut silent: BTreeSet<String> =
+            self.refs.keys().filter(silent).map(|a| a.life.name.clone()).collect();
+        // One that lives, and was ended by others, is a guardian again once its next term is known.
+        let ended = self.candidates.iter().filter(|c| self.surely_over(&c.2, 0));
+        silent.extend(ended.map(|c| c.2.name.clone()));
         silent.iter().for_each(|name| self.say(name, &Said::Which));
-        let (refs, lives) = (&self.refs, &self.lives);
-        let known = |life: &Life| lives.contains_key(life) || refs.keys().any(|a| a.life == *life);
+        let (refs, lives, wanted) = (&self.refs, &self.lives, &self.wanted);
+        let known = |life: &Life| {
+            lives.contains_key(life) || refs.keys().chain(wanted.keys()).any(|a| a.life == *life)
+        };
         self.unlisted.retain(|life, _| known(life));
         self.other.retain(|life| lives.contains_key(life));
         self.peers.retain(|a, p| known(&a.life) || now < p.heard + FORGOTTEN);
@@ -1554,6 +1658,7 @@
                 octets += item.record.body.len() + 128 * entry.links.len();
                 if let Some(held) = entry.held_mut() {
                     (held.guards[i].sent, held.guards[i].told) = (version, true);
+                    held.offered |= held.giving;
                 }
                 items.push(item);
                 records.push((key, version));
--- a/crates/custody/src/sim.rs
+++ b/crates/custody/src/sim.rs
@@ -864,7 +864,16 @@
             let may = custodian.is_some_and(|c| c.may_act(clock));
             match custodian.map(|c| c.whereabouts(key)) {
                 Some(Whereabouts::At(life)) => (next, late) = (number(&life.name), 30 * MS),
-                Some(Whereabouts::Unknown | Whereabouts::Over(_)) => next = other,
+                // It passes the poll on to whoever lives, as far as it reaches them.
+                Some(Whereabouts::Unknown | Whereabouts::Over(_)) => {
+                    let has = |o: &usize| {
+                        let node = &self.nodes[*o];
+                        let reached = !self.cut[n][*o] && !self.cut[*o][n] && node.still <= self.now;
+                        let place = node.custodian.as_ref().filter(|_| reached).map(|c| c.whereabouts(key));
+                        place == Some(Whereabouts::Here)
+                    };
+                    next = (0..self.nodes.len()).find(has).unwrap_or(other);
+                }
                 Some(Whereabouts::Here | Whereabouts::Taking) | None => {}
             }
             if draw(&mut self.dice) % 10 == 0 {
--- a/crates/custody/tests/words.rs
+++ b/crates/custody/tests/words.rs
@@ -1,4 +1,5 @@
-//! What custodians say and keep, where it is not what it should be: other formats, spoilt octets, late sendings, no room.
+//! What custodians say and keep, where it is not what it should be: other formats, spoilt octets, late sendings, no room, a
+//! gateway that is cut off.
 
 use violetward_custody::{
     Custodian, Effect, Leave, Life, Member, Out, Record, Repeat, Spoilt, State, StatementKey, Terms,
@@ -39,6 +40,8 @@
     /// What was done besides saying, by whom, and all sendings.
     done: Vec<(usize, Effect)>,
     sent: Vec<(usize, String, Vec<u8>)>,
+    /// Nothing passes between this one and the others.
+    cut_off: Option<usize>,
 }
 
 impl Three {
@@ -61,8 +64,13 @@
             custodian.members(SECOND, members.clone());
             custodian
         };
-        let mut three =
-            Three { all: (0..3).map(custodian).collect(), now: SECOND, done: Vec::new(), sent: Vec::new() };
+        let mut three = Three {
+            all: (0..3).map(custodian).collect(),
+            now: SECOND,
+            done: Vec::new(),
+            sent: Vec::new(),
+            cut_off: None,
+        };
         three.run(SECOND / 2);
         assert!(three.all.iter().all(|c| c.may_act(three.now)));
         three
@@ -90,9 +98,21 @@
 
     fn hear(&mut self, from: &str, to: &str, bytes: &[u8]) {
         let n: usize = to[1..].parse().expect("a number");
+        if self.cut_off.is_some_and(|cut| cut == n || from == format!("g{cut}")) {
+            return;
+        }
         self.all[n].heard(self.now, from, bytes);
     }
 
+    /// One of them sees the others so.
+    fn sees(&mut self, n: usize, others: [(usize, State); 2]) {
+        let of = |(o, state)| Member { life: life(o), site: format!("s{o}"), state };
+        let mut members: Vec<Member> = others.map(of).into();
+        members.push(of((n, State::Alive)));
+        self.all[n].members(self.now, members);
+        self.deliver();
+    }
+
     fn run(&mut self, span: u64) {
         let until = self.now + span;
         while self.now < until {
@@ -236,3 +256,50 @@
     }
     assert_eq!(start(b"something else"), Some(Spoilt::Foreign));
 }
+
+#[test]
+fn one_that_looks_dead_is_over_only_once_a_quorum_says_so_and_its_grant_has_run_out() {
+    let mut three = Three::new(100);
+    three.cut_off = Some(1);
+    three.sees(1, [(0, State::Dead), (2, State::Dead)]);
+    three.all[1].want_over(three.now, &life(0), 0);
+    three.run(20 * SECOND);
+    assert!(!three.all[1].surely_over(&life(0), 0), "the one that is cut off cannot know");
+    assert!(three.all[0].may_act(three.now), "it goes on");
+    three.cut_off = Some(0);
+    three.sees(1, [(0, State::Dead), (2, State::Alive)]);
+    three.all[1].want_over(three.now, &life(0), 0);
+    three.run(SECOND);
+    assert!(three.all[0].may_act(three.now), "its lease still runs");
+    assert!(!three.all[1].surely_over(&life(0), 0));
+    three.run(4 * SECOND);
+    assert!(!three.all[0].may_act(three.now));
+    assert!(three.all[1].surely_over(&life(0), 0));
+    assert!(!three.all[1].surely_over(&life(0), 1), "its next term is another matter");
+}
+
+#[test]
+fn what_nobody_else_has_heard_of_is_given_back_by_a_process_that_was_ended() {
+    let mut three = Three::new(100);
+    three.cut_off = Some(0);
+    three.all[0].take(three.now, record(1));
+    assert_eq!(three.all[0].intend(three.now, &key(1), 1, out()), Leave::Wait);
+    three.sees(1, [(0, State::Dead), (2, State::Alive)]);
+    three.all[1].want_over(three.now, &life(0), 0);
+    three.run(6 * SECOND);
+    assert!(three.all[1].surely_over(&life(0), 0));
+    assert_eq!(three.all[1].held(), [0; 4]);
+    three.cut_off = None;
+    three.sees(1, [(0, State::Alive), (2, State::Alive)]);
+    three.run(4 * SECOND);
+    let adopted = |done: &(usize, Effect)| match done {
+        (n, Effect::Adopt(record)) if *n > 0 && record.key == key(1) => {
+            Some((record.attempts, record.out.is_none()))
+        }
+        _ => None,
+    };
+    // What it had meant to do and had no leave for was never done.
+    assert_eq!(three.done.iter().filter_map(adopted).collect::<Vec<_>>(), [(0, true)]);
+    assert!(three.done.contains(&(0, Effect::Dropped(key(1)))));
+    assert!(!three.done.iter().any(|d| matches!(d, (_, Effect::Go(..)))));
+}
--- a/crates/gateway/src/core/guard.rs
+++ b/crates/gateway/src/core/guard.rs
@@ -146,6 +146,11 @@
         class.is_some_and(|c| c.effect == Repeats::Repeatable)
     }
 
+    /// When the client of a statement stops waiting.
+    pub fn due(&self, id: StatementId) -> Option<Micros> {
+        self.statements.get(&id).map(|s| s.due)
+    }
+
     /// What another gateway needs to know of a statement to begin it anew.
     pub fn taken(&self, id: StatementId) -> Option<Taken> {
         let s = self.statements.get(&id)?;
--- a/crates/gateway/src/custody.rs
+++ b/crates/gateway/src/custody.rs
@@ -48,8 +48,9 @@
 const WIDE: usize = 32;
 /// Leases after its holder's death until a statement that nobody knows is given up.
 const SETTLED: u64 = 5;
-/// Gateways told of in a token.
+/// Gateways told of in a token, and octets of their names, at most.
 const CHAIN: usize = 6;
+const NAMES: usize = 384;
 /// Until what may not be done now is asked for again.
 const REST: Duration = Duration::from_millis(50);
 /// The name of what is kept.
@@ -67,8 +68,10 @@
     pub page: PageRef,
     /// The engine's page after the rows that its client has got; `None`: it has none.
     pub after: Option<u64>,
-    /// Names of gateways that may hold it, the one that took it first.
-    pub chain: Vec<String>,
+    /// Lives, each in a term, that may hold it, the one that took it first.
+    pub chain: Vec<(Life, u32)>,
+    /// When its client stops waiting, microseconds since the Unix epoch.
+    pub due: u64,
 }
 
 /// A request that is passed on to another gateway.
@@ -224,6 +227,10 @@
     }
 }
 
+fn living(seen: &violetward_membership::Seen) -> bool {
+    seen.record.state <= violetward_membership::State::Suspect
+}
+
 fn micros(span: Duration) -> u64 {
     span.as_micros() as u64
 }
@@ -536,20 +543,27 @@
     // ---- Tokens ----------------------------------------------------------------------------------------
 
     /// The part of a page's path that can't be guessed, for a statement that is protected.
-    pub fn slug(&self, id: StatementId, public_id: &str, after: Option<u64>) -> Option<String> {
+    pub fn slug(&self, id: StatementId, public_id: &str, after: Option<u64>, due: u64) -> Option<String> {
         let key = self.key(id)?;
-        let chain = self.machine.borrow().chain(&key);
-        let mut names = vec![word(&key.taken_by.name)];
-        names.extend(chain.iter().filter(|l| **l != key.taken_by).map(|l| word(&l.name)));
-        // The holder, and those who joined last: who is gone is not needed.
-        if names.len() > CHAIN {
-            names.drain(1..names.len() - CHAIN + 1);
+        let mut chain = self.machine.borrow().links(&key);
+        if chain.is_empty() {
+            chain.push((key.taken_by.clone(), 0));
+        }
+        // The one that took it, and those who joined last: who is gone is not needed.
+        if chain.len() > CHAIN {
+            chain.drain(1..chain.len() - CHAIN + 1);
+        }
+        let mut chain: Vec<String> =
+            chain.iter().map(|(l, term)| format!("{}~{:x}~{term:x}", word(&l.name), l.life)).collect();
+        // A path has a bound: of long names the last ones stand for all.
+        while chain.len() > 2 && chain.iter().map(String::len).sum::<usize>() > NAMES {
+            chain.remove(1);
         }
         let says = format!(
-            "{:016x}.{}.{}",
-            key.taken_by.life,
+            "{:x}.{}.{}",
+            due / 1_000,
             after.map_or_else(|| "-".to_owned(), |n| n.to_string()),
-            names.join(".")
+            chain.join(".")
         );
         let keys = self.keys.borrow();
         let key = keys.first();
@@ -573,12 +587,17 @@
             return None;
         }
         let mut fields = says.split('.');
-        let life = u64::from_str_radix(fields.next()?, 16).ok()?;
+        let due = u64::from_str_radix(fields.next()?, 16).ok()?.saturating_mul(1_000);
         let after = Some(fields.next()?).filter(|n| *n != "-").map(str::parse).transpose().ok()?;
-        let chain: Vec<String> = fields.map(decode).collect::<Option<_>>()?;
+        let link = |field: &str| {
+            let mut parts = field.split('~');
+            let (name, life) = (decode(parts.next()?)?, u64::from_str_radix(parts.next()?, 16).ok()?);
+            Some((Life { name, life }, u32::from_str_radix(parts.next()?, 16).ok()?))
+        };
+        let chain: Vec<(Life, u32)> = fields.map(link).collect::<Option<_>>()?;
         let number = page.id.rsplit('_').nth(1)?.parse().ok()?;
-        let taken_by = Life { name: chain.first()?.clone(), life };
-        Some(Token { key: StatementKey { taken_by, number }, after, chain, page })
+        let taken_by = chain.first()?.0.clone();
+        Some(Token { key: StatementKey { taken_by, number }, after, chain, due, page })
     }
 
     /// Where a statement is, and under which number if it is here.
@@ -696,47 +715,90 @@
     ) -> Passed {
         let Some(peers) = host.peers() else { return Passed::Later };
         self.passed_on.set(self.passed_on.get() + 1);
-        let mut next: Vec<String> = first.into_iter().chain(token.chain.iter().cloned()).collect();
+        // Looked at before anybody is asked: who is over by then passes it to nobody between two answers.
+        let mut verdict = self.verdict(host, &peers, token);
+        let mut next: Vec<String> = token.chain.iter().map(|(life, _)| life.name.clone()).collect();
+        next.splice(..0, first);
         next.dedup();
         next.reverse();
         let mut tried: Vec<String> = vec![self.me.name.clone()];
-        let (mut unsure, mut wide) = (false, false);
+        let mut wide = false;
         loop {
             let Some(name) = next.pop() else {
                 // Nobody of them knows. It may have gone on from one to another since the token was made.
-                if unsure || wide || peers.may_live(&token.key.taken_by) {
+                if wide || peers.may_live(&token.key.taken_by) {
                     break;
                 }
                 wide = true;
-                next.extend(peers.names().into_iter().take(WIDE));
+                // Only who is to say that nobody has it has to ask all.
+                let most = if verdict { usize::MAX } else { WIDE };
+                next.extend(peers.names().into_iter().take(most));
                 continue;
             };
-            if tried.len() > CHAIN + WIDE || tried.contains(&name) {
+            if tried.contains(&name) {
+                continue;
+            }
+            let Some(seen) = peers.seen().into_iter().find(|s| s.record.name == name) else { continue };
+            if seen.record.state > violetward_membership::State::Suspect {
                 continue;
             }
+            let Some(address) = peers.reached_at(&name) else { continue };
             tried.push(name.clone());
-            let seen = peers.seen().into_iter().find(|s| s.record.name == name);
-            let lives = seen.is_some_and(|s| {
-                let right = name != token.key.taken_by.name || s.record.life == token.key.taken_by.life;
-                right && s.record.state <= violetward_membership::State::Suspect
-            });
-            let Some(address) = peers.reached_at(&name).filter(|_| lives) else { continue };
             match self.ask(&name, address, asked).await {
+                // It can't say, or may not act: somebody else may.
+                Some((told, _)) if told.status == 503 => verdict = false,
                 Some((told, body)) if told.status != 0 => return Passed::Told(told, body),
-                Some((told, _)) => next.extend(told.at),
-                None => unsure = true,
+                Some((Told { at: Some(at), .. }, _)) => {
+                    // One that knows of it: nobody says then that nobody does.
+                    verdict = false;
+                    next.push(at);
+                }
+                Some(_) => {}
+                None => verdict = false,
             }
         }
-        // Somebody may be about to hold it: only long after the death nobody is.
-        let here = token.key.taken_by == self.me;
-        if unsure
-            || here
-            || !peers.gone_for(&token.key.taken_by, host.now(), micros(self.terms.lease) * SETTLED)
-        {
-            Passed::Later
-        } else {
+        let all = || peers.seen().iter().all(|s| !living(s) || tried.contains(&s.record.name));
+        if verdict && wide && all() {
             Passed::Lost
+        } else {
+            Passed::Later
+        }
+    }
+
+    /// Whether it may be said that a statement is lost, once nobody that lives knows of it. On the far side of a cut its holder
+    /// looks dead and goes on: so whoever may have it and does not answer has to be surely over. One that was ended and
+    /// still runs may give back what it had, so until nobody waits any more its process has to be known to have ended.
+    fn verdict(&self, host: &Rc<Host>, peers: &crate::peers::Peers, token: &Token) -> bool {
+        let now = host.now();
+        let seen = peers.seen();
+        let mut open: Vec<(Life, u32)> = Vec::new();
+        let mut ended = true;
+        for (life, term) in token.chain.iter().filter(|(life, _)| *life != self.me) {
+            let known = seen.iter().find(|s| s.record.name == life.name);
+            ended &= known.is_some_and(|s| {
+                s.record.life != life.life || s.record.state == violetward_membership::State::Left
+            });
+            if !known.is_some_and(|s| s.record.life == life.life && living(s)) {
+                open.push((life.clone(), *term));
+            }
         }
+        for gone in seen.iter().filter(|s| !living(s)) {
+            open.push((Life { name: gone.record.name.clone(), life: gone.record.life }, 0));
+        }
+        let settled = micros(self.terms.lease) * SETTLED;
+        if token.key.taken_by == self.me || !peers.gone_for(&token.key.taken_by, now, settled) {
+            return false;
+        }
+        open.retain(|(life, term)| !self.machine.borrow().surely_over(life, *term));
+        for (life, term) in &open {
+            self.with(host, |m, now| m.want_over(now, life, *term));
+        }
+        open.is_empty() && (ended || now >= token.due)
+    }
+
+    /// How long a gateway that may not act holds a poll for what it has.
+    pub(crate) fn rest(&self) -> Duration {
+        self.terms.lease / 2
     }
 
     async fn ask(&self, name: &str, address: SocketAddr, asked: &Asked) -> Option<(Told, Vec<u8>)> {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -193,8 +193,22 @@
                     told.headers.iter().for_each(|(name, value)| headers.push(name, value));
                     return Some(Reply { status: told.status, headers, body });
                 }
-                Passed::Lost => return Some(lost()),
-                Passed::Later if Instant::now() >= until || self.host.is_draining() => return Some(later()),
+                Passed::Lost => {
+                    let (from, number) = (&token.key.taken_by.name, token.key.number);
+                    tracing::warn!(
+                        from,
+                        number,
+                        at = self.host.now(),
+                        "nobody knows this statement any more"
+                    );
+                    return Some(lost());
+                }
+                // What may not act now takes nothing over: somebody else may know more.
+                Passed::Later
+                    if Instant::now() >= until || self.host.is_draining() || !custody.may_act(&self.host) =>
+                {
+                    return Some(later())
+                }
                 // It may come to be held here, or somebody may be told of.
                 Passed::Later => custody::news(&custody, until, ASK_AGAIN).await,
             }
@@ -209,24 +223,32 @@
         request: &Request<'_>,
         connection: Option<&Connection>,
     ) -> Held {
+        let rest = request.until.min(Instant::now() + custody.rest());
         loop {
             let (place, local) = custody.find(&token.key);
+            let may = custody.may_act(&self.host);
+            // It comes to hold nothing then.
+            let until = if may { request.until } else { rest };
             match (place, local) {
                 // This one may come to hold it: whoever holds it is doubted.
-                (Whereabouts::At(life), None) if Instant::now() < request.until && !self.lives(&life) => {
-                    custody::news(custody, request.until, LOOK_AGAIN).await;
+                (Whereabouts::At(life), None) if Instant::now() < until && !self.lives(&life) => {
+                    custody::news(custody, until, LOOK_AGAIN).await;
                 }
                 (Whereabouts::At(life), _) => return Held::Elsewhere(Some(life.name)),
-                (Whereabouts::Taking | Whereabouts::Here, None) if Instant::now() < request.until => {
-                    custody::news(custody, request.until, LOOK_AGAIN).await;
+                (Whereabouts::Taking | Whereabouts::Here, None) if Instant::now() < until => {
+                    custody::news(custody, until, LOOK_AGAIN).await;
                 }
                 (Whereabouts::Taking | Whereabouts::Here, None) => return Held::Reply(later()),
                 // A gateway that stood still does nothing for what it holds before it knows that it still does.
-                (Whereabouts::Here, Some(_)) if !custody.may_act(&self.host) => {
-                    if Instant::now() >= request.until {
-                        return Held::Reply(later());
+                // Others may have taken it over since; who has passed the poll on asks them himself.
+                (Whereabouts::Here, Some(_)) if !may => {
+                    if Instant::now() >= rest {
+                        return match connection {
+                            Some(_) => Held::Elsewhere(None),
+                            None => Held::Reply(later()),
+                        };
                     }
-                    custody::news(custody, request.until, LOOK_AGAIN).await;
+                    custody::news(custody, rest, LOOK_AGAIN).await;
                 }
                 (_, Some(id)) if request.method == "DELETE" => {
                     let known = self.host.core(|core, now| core.cancel(now, id));
@@ -243,7 +265,11 @@
                     Some(reply) => return Held::Reply(reply),
                     None => return Held::Left,
                 },
-                (Whereabouts::Over(ending), None) => return Held::Reply(self.over(token, request, ending)),
+                (Whereabouts::Over(ending), None) => {
+                    let (from, number) = (&token.key.taken_by.name, token.key.number);
+                    tracing::debug!(from, number, at = self.host.now(), "asked for after its end");
+                    return Held::Reply(self.over(token, request, ending));
+                }
                 (Whereabouts::Unknown, None) => return Held::Elsewhere(None),
             }
         }
@@ -438,7 +464,8 @@
 
     /// The slug of a statement's next page: one that all gateways read if it is protected.
     fn slug_of(&self, id: StatementId, public_id: &str, after: Option<u64>) -> String {
-        let guarded = || self.host.custody()?.slug(id, public_id, after);
+        let due = self.host.look(|core| core.due(id)).unwrap_or(0);
+        let guarded = || self.host.custody()?.slug(id, public_id, after, due);
         guarded().unwrap_or_else(|| self.slug(public_id))
     }
 
