--- /dev/null
+++ b/crates/gateway/src/outage/known.rs
@@ -0,0 +1,172 @@
+//! What is known of the fleet: this gateway's summaries, and what all together say.
+
+use super::*;
+
+impl Outage {
+    /// Summaries of what this one sees, in turn to each other gateway; and what all say together.
+    pub(super) fn summaries(
+        &self,
+        host: &Rc<Host>,
+        inner: &mut Inner,
+        now: Micros,
+        said: &mut Vec<(String, Vec<u8>)>,
+    ) {
+        if now >= inner.spread.next_wake() {
+            let live = |s: &violetward_membership::Seen| s.record.state <= Lives::Suspect;
+            let members =
+                || self.peers.seen().into_iter().filter(live).map(|s| s.record.name).collect::<Vec<_>>();
+            let sums = self.sums(host, inner);
+            let out = inner.spread.wake(now, members, || sums, &mut inner.own, &mut inner.digest);
+            for (to, pages) in out {
+                let mut bytes = vec![SAID, PAGES_SAID];
+                bytes.extend(pages);
+                inner.counts.sent = (inner.counts.sent.0 + 1, inner.counts.sent.1 + bytes.len() as u64);
+                said.push((to, bytes));
+            }
+        }
+        if now >= inner.knew + self.terms.pace.round {
+            inner.knew = now;
+            // What one gateway says in all counts for twice the median of all at most.
+            let mut told: BTreeMap<String, f64> = BTreeMap::new();
+            for page in inner.digest.pages() {
+                *told.entry(page.origin().to_owned()).or_default() +=
+                    page.cells().map(|c| c.1.work).sum::<f64>();
+            }
+            inner.digest.bound(bound_of(&told.values().copied().collect::<Vec<_>>()));
+            if let Some(known) = self.known(host, inner, now) {
+                inner.act.know(known);
+            }
+        }
+    }
+
+    /// This gateway's cells: demand by class and its clients' site, k by class and the engines' site, ways by site.
+    fn sums(&self, host: &Rc<Host>, inner: &Inner) -> Vec<(DigestCell, Summary)> {
+        let (rates, costs) = host.core_alone(|core, _| match core.sights() {
+            Some(s) => (s.rates().collect::<Vec<_>>(), s.costs().collect::<Vec<_>>()),
+            None => Default::default(),
+        });
+        let place = |n: usize| u16::try_from(n).ok();
+        let mut cells: Vec<(DigestCell, Summary)> = Vec::new();
+        for ((class, site), tally) in rates {
+            let cell = DigestCell { site: place(site), ..DigestCell::others(class as u16) };
+            cells.push((cell, Summary { work: tally.work, ..Summary::default() }));
+        }
+        let mut by_site: BTreeMap<(usize, usize), Cost> = BTreeMap::new();
+        for ((class, engine), cost) in costs {
+            let Some(e) = inner.engines.get(&engine) else { continue };
+            let sum = by_site.entry((class, e.site)).or_default();
+            *sum = sum.with(cost);
+        }
+        for ((class, site), cost) in by_site {
+            let cell = DigestCell { zone: place(site), ..DigestCell::others(class as u16) };
+            cells.push((cell, Summary { k: cost.seen / cost.told, weight: cost.told, ..Summary::default() }));
+        }
+        for site in 0..self.terms.sites.len() {
+            let ways: Vec<f64> =
+                inner.engines.values().filter(|e| e.site == site).filter_map(|e| e.way).collect();
+            if !ways.is_empty() {
+                let crossing = ways.iter().sum::<f64>() / ways.len() as f64;
+                let own = place(self.terms.own);
+                let cell = DigestCell { zone: place(site), site: own, ..DigestCell::others(NO_CLASS) };
+                cells.push((cell, Summary { crossing, ..Summary::default() }));
+            }
+        }
+        cells
+    }
+
+    /// What is known of the fleet: from summaries, the list and what this gateway measures itself.
+    fn known(&self, host: &Rc<Host>, inner: &Inner, now: Micros) -> Option<Known> {
+        let settings = &host.config.settings;
+        let sights = host.core_alone(|core, _| {
+            let s = core.sights()?;
+            Some((s.rates().collect::<Vec<_>>(), s.costs().collect::<Vec<_>>()))
+        });
+        let (rates, costs) = sights?;
+        let mut mean = Vec::new();
+        let mut traits = Vec::new();
+        for (n, class) in settings.classes.iter().enumerate() {
+            let own = rates
+                .iter()
+                .filter(|r| r.0 .0 == n)
+                .fold((0.0, 0.0, 0.0), |s, (_, t)| (s.0 + t.asked, s.1 + t.work, s.2 + t.squares));
+            let threads = f64::from(class.threads.max(1));
+            // Of what was never asked for here a quarter of the aim is a guess.
+            let work = if own.1 > 0.0 { own.1 / own.0 / 1e3 } else { class.aim as f64 / 4e6 * threads };
+            let spread = if own.1 > 0.0 { (own.2 * own.0 / (own.1 * own.1)).max(1.0) } else { 1.0 };
+            let cost =
+                costs.iter().filter(|c| c.0 .0 == n).fold(Cost::default(), |sum, (_, cost)| sum.with(*cost));
+            let k = if cost.told > 0.0 { cost.seen / cost.told } else { 1.0 };
+            mean.push(work);
+            traits.push(Traits {
+                aim: class.aim + (class.aim_stretch.max(0.0) * work * k / threads * 1e6) as Micros,
+                late_worth: class.late_worth,
+                attempts: 1.0,
+                spread,
+                error: cost.error(),
+            });
+        }
+        let view = inner.digest.view(now);
+        let (mut demand, mut k, mut crossing) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
+        for (cell, says) in &view {
+            let (class, site, at) =
+                (usize::from(cell.class), cell.site.map(usize::from), cell.zone.map(usize::from));
+            let is_there = |n: usize| n < self.terms.sites.len();
+            match (site, at) {
+                (Some(from), Some(to)) if cell.class == NO_CLASS && is_there(from) && is_there(to) => {
+                    crossing.insert((from, to), says.crossing as Micros);
+                }
+                (Some(site), None) if class < mean.len() && is_there(site) && says.work > 0.0 => {
+                    let rate = says.work / 1e3 / mean[class];
+                    // Of the mean over that span; what it varies by beyond Poisson's is not told.
+                    let deviation = (rate / (self.terms.average as f64 / 1e6)).sqrt();
+                    demand.push(Demand { site, class, mean: rate, deviation, bursts: 1.0 });
+                }
+                (None, Some(at)) if class < mean.len() && is_there(at) && says.k > 0.0 => {
+                    k.insert((class, at), says.k);
+                }
+                _ => {}
+            }
+        }
+        let mut rooms: BTreeMap<(usize, usize), u32> = BTreeMap::new();
+        for e in inner.engines.values().filter(|e| !e.drained) {
+            *rooms.entry((e.site, e.kind)).or_default() += 1;
+        }
+        // Without a list nothing is known of what could be served: it may not have been read yet.
+        if rooms.is_empty() {
+            return None;
+        }
+        let names = &host.config.names;
+        let classes = settings.classes.iter().enumerate().map(|(n, c)| Class {
+            name: names.classes.get(n).cloned().unwrap_or_default(),
+            worth: c.worth,
+            work: mean[n],
+            threads: f64::from(c.threads.max(1)),
+            memory_mb: 0.0,
+            kinds: c.kinds.as_ref().map(|kinds| kinds.iter().map(|k| k.0).collect()),
+            sites: c.zones.as_ref().map(|zones| {
+                let fits =
+                    |site: &usize| inner.engines.values().any(|e| e.site == *site && zones.contains(&e.zone));
+                (0..self.terms.sites.len()).filter(fits).collect()
+            }),
+            bound: false,
+        });
+        let kinds = settings.kinds.iter().enumerate().map(|(n, kind)| Kind {
+            name: names.kinds.get(n).cloned().unwrap_or_default(),
+            cores: kind.cores,
+            memory_mb: kind.memory_mb,
+        });
+        Some(Known {
+            sites: self.terms.sites.iter().map(|s| (s.name.clone(), s.gateways)).collect(),
+            kinds: kinds.collect(),
+            rooms: rooms.into_iter().map(|((site, kind), engines)| Room { site, kind, engines }).collect(),
+            classes: classes.collect(),
+            traits,
+            demand,
+            k,
+            crossing,
+            connections: BTreeMap::new(),
+            cold: BTreeMap::new(),
+            fill: self.terms.fill,
+        })
+    }
+}
