Site loss: an answer from before its end keeps no dropped engine alive; parted sites on the rig

Their logs told 'engines 0 of 0': the list drops a dead engine within 50 ms, and an answer of before, read in the same look, counted as an engine that lives and was taken off by plan, so that it was forgotten. Ruled out: witnesses (two said that they reach nothing) and membership (both gateways dead). An answer counts as a plan only once the engine has been off the list for the span of doubt; with a test.

Rig: (part-sites) cuts sites from each other, gateways and engines; a way that is mended after that has lost its state: else what a gateway had given up on reached its engine 7 s later, out of the relay's buffer.

--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -321,7 +321,7 @@
         let Some(e) = inner.engines.get_mut(&engine).filter(|e| !e.drained) else { return };
         if sign == EngineSign::Answered {
             e.heard = now;
-            if e.missing.is_some() {
+            if is_plan(e.missing, now, self.terms.watch.doubt) {
                 // It lives and is not to be used: that is a plan.
                 return self.forget(inner, now, engine);
             }
@@ -536,3 +536,21 @@
         }
     }
 }
+
+/// Whether an engine off the list that answers was taken off by plan. What was answered before its end may be read a little after
+/// the list has dropped it.
+fn is_plan(missing: Option<Micros>, now: Micros, doubt: Micros) -> bool {
+    missing.is_some_and(|since| now >= since.saturating_add(doubt))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answer_from_before_its_end_does_not_make_a_dropped_engine_one_that_lives() {
+        assert!(!is_plan(None, 10, 5), "it is on the list");
+        assert!(!is_plan(Some(8), 10, 5), "read after the list dropped it, said before");
+        assert!(is_plan(Some(5), 10, 5));
+    }
+}
--- a/crates/lab/src/cluster/mod.rs
+++ b/crates/lab/src/cluster/mod.rs
@@ -587,7 +587,9 @@
             }
             Act::Heal => {
                 self.doors.heal();
-                self.ways.borrow().iter().flatten().for_each(|way| way.cut(false));
+                let parted = self.plan.acts.iter().any(|a| a.1 == Act::PartSites);
+                let mend = |way: &Rc<Way>| if parted { way.renew() } else { way.cut(false) };
+                self.ways.borrow().iter().flatten().for_each(mend);
             }
             Act::Weather(weather) => self.doors.set_weather(weather),
             Act::Twin(n) => {
--- a/crates/lab/src/cluster/relay.rs
+++ b/crates/lab/src/cluster/relay.rs
@@ -192,8 +192,8 @@
                     let Ok(far) = Async::<TcpStream>::connect(target).await else { return };
                     near.get_ref().set_nodelay(true).ok();
                     far.get_ref().set_nodelay(true).ok();
-                    let there = copy(&near, &far, || doors.passes(a, b));
-                    future::zip(there, copy(&far, &near, || doors.passes(b, a))).await;
+                    let there = copy(&near, &far, || doors.passes(a, b), || false);
+                    future::zip(there, copy(&far, &near, || doors.passes(b, a), || false)).await;
                 })
                 .detach();
         }
@@ -215,6 +215,8 @@
     pub address: SocketAddr,
     target: Cell<SocketAddr>,
     cut: Cell<bool>,
+    /// What was opened before a later one has ended.
+    state: Cell<u64>,
 }
 
 impl Way {
@@ -225,7 +227,8 @@
     pub fn open(target: SocketAddr, executor: &Rc<LocalExecutor<'static>>) -> std::io::Result<Rc<Way>> {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
         let address = listener.get_ref().local_addr()?;
-        let way = Rc::new(Way { address, target: Cell::new(target), cut: Cell::new(false) });
+        let way =
+            Rc::new(Way { address, target: Cell::new(target), cut: Cell::new(false), state: Cell::new(0) });
         executor.spawn(way.clone().accept(listener, executor.clone())).detach();
         Ok(way)
     }
@@ -240,19 +243,30 @@
         self.cut.set(cut);
     }
 
+    /// Mends it as a path whose state is lost: what was open over the cut has ended, and passes nothing on.
+    pub fn renew(&self) {
+        self.state.set(self.state.get() + 1);
+        self.cut.set(false);
+    }
+
     async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<LocalExecutor<'static>>) {
         loop {
             let Ok((near, _)) = listener.accept().await else { continue };
             let way = self.clone();
             executor
                 .spawn(async move {
+                    let state = way.state.get();
                     let open = || !way.cut.get();
+                    let over = || way.state.get() != state;
                     wait_for(open).await;
+                    if over() {
+                        return;
+                    }
                     // An engine that refuses is passed on as a connection that ends at once.
                     let Ok(far) = Async::<TcpStream>::connect(way.target.get()).await else { return };
                     near.get_ref().set_nodelay(true).ok();
                     far.get_ref().set_nodelay(true).ok();
-                    future::zip(copy(&near, &far, open), copy(&far, &near, open)).await;
+                    future::zip(copy(&near, &far, open, over), copy(&far, &near, open, over)).await;
                 })
                 .detach();
         }
@@ -265,12 +279,17 @@
     }
 }
 
-async fn copy(mut from: &Async<TcpStream>, mut to: &Async<TcpStream>, open: impl Fn() -> bool) {
+async fn copy(
+    mut from: &Async<TcpStream>,
+    mut to: &Async<TcpStream>,
+    open: impl Fn() -> bool,
+    over: impl Fn() -> bool,
+) {
     let mut bytes = vec![0; 16 << 10];
     loop {
         let read = from.read(&mut bytes).await.unwrap_or(0);
         wait_for(&open).await;
-        if read == 0 || to.write_all(&bytes[..read]).await.is_err() {
+        if read == 0 || over() || to.write_all(&bytes[..read]).await.is_err() {
             // Either end's close is both ends'.
             to.get_ref().shutdown(std::net::Shutdown::Both).ok();
             from.get_ref().shutdown(std::net::Shutdown::Both).ok();
