--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -28,6 +28,11 @@
 use crate::record::{hash, zone_id, Record};
 use crate::terms::SiteTerms;
 
+mod known;
+mod told;
+
+pub use told::{ask, ChangeRow, Counts, Forecast, LineRow, SiteRow, Standing};
+
 /// The first octet of what is said over membership: a datagram of summaries, or a witness's word.
 pub const SAID: u8 = 0xD6;
 const PAGES_SAID: u8 = 1;
@@ -94,138 +99,6 @@
     counts: Counts,
 }
 
-/// What it costs.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Counts {
-    /// Datagrams and octets of summaries and of witnesses' words sent, and taken.
-    pub sent: (u64, u64),
-    /// See `sent`.
-    pub taken: (u64, u64),
-    /// Datagrams that could not be read.
-    pub unread: u64,
-    /// Engines probed.
-    pub probes: u64,
-    /// Microseconds spent on looks and on what was heard.
-    pub spent: u64,
-}
-
-/// A site, as `/v1/sites` tells it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct SiteRow {
-    /// Its name.
-    pub name: String,
-    /// `whole`, `doubtful`, `partly-lost`, `cut-off`, `lost` or `returning`.
-    pub state: String,
-    /// Since when, microseconds since the Unix epoch.
-    pub since: u64,
-    /// By what evidence.
-    pub why: String,
-    /// For how long it would have to answer after a loss, microseconds.
-    pub held_back: u64,
-    /// The part of what its engines can do that this gateway may take; `None`: nothing holds it back.
-    pub turn: Option<f64>,
-}
-
-/// A change of a site's state.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ChangeRow {
-    /// When, microseconds since the Unix epoch.
-    pub at: u64,
-    /// The site.
-    pub site: String,
-    /// The state before.
-    pub was: String,
-    /// The state.
-    pub state: String,
-    /// By what evidence.
-    pub why: String,
-}
-
-/// One class of one site's clients in a forecast, requests a second.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct LineRow {
-    /// Whose clients.
-    pub site: String,
-    /// The class.
-    pub class: String,
-    /// Asked for.
-    pub asked: f64,
-    /// Served in time.
-    pub served: f64,
-    /// The least and the most of it, as demand varies.
-    pub range: (f64, f64),
-    /// Let in and ended too late.
-    pub wasted: f64,
-    /// By neighbour: served, and core seconds a second there.
-    pub at: Vec<(String, f64, f64)>,
-}
-
-/// What a loss would cost, or was thought to cost when it came.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Forecast {
-    /// When it was made, microseconds since the Unix epoch.
-    pub at: u64,
-    /// Sites of which engines are lost.
-    pub lost: Vec<String>,
-    /// Worth a second asked for, served, and the range of that.
-    pub asked: f64,
-    /// See `asked`.
-    pub served: f64,
-    /// See `asked`.
-    pub range: (f64, f64),
-    /// Core seconds a second that are left.
-    pub room: f64,
-    /// Worth a second that each site's own clients lose.
-    pub displaced: Vec<(String, f64)>,
-    /// The first one is kept first, the last one refused first.
-    pub lines: Vec<LineRow>,
-}
-
-/// What `/v1/sites` tells.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Standing {
-    /// This gateway and its site.
-    pub name: String,
-    /// See `name`.
-    pub site: String,
-    /// What follows from a loss is done, not only told.
-    pub acts: bool,
-    /// All sites.
-    pub sites: Vec<SiteRow>,
-    /// The least share of the fleet that a loss gives this gateway, and the share in force.
-    pub share: (Option<f64>, f64),
-    /// Parts of requests that are let in, by class: of own clients and of guests. Empty: all.
-    pub keep: BTreeMap<String, (f64, f64)>,
-    /// For the loss of each site, what it would cost.
-    pub projected: Vec<Forecast>,
-    /// What the present limits opened with, or the last ones did.
-    pub opening: Option<Forecast>,
-    /// The last changes of states.
-    pub changes: Vec<ChangeRow>,
-    /// Gateways of which summaries are known.
-    pub origins: usize,
-    /// What it costs.
-    pub counts: Counts,
-}
-
-impl std::fmt::Display for Standing {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        for s in &self.sites {
-            write!(f, "\nsite {:<12} {:<12} {}", s.name, s.state, s.why)?;
-        }
-        for (class, (own, guests)) in &self.keep {
-            write!(f, "\nlet in of {class}: {own:.3} of own clients, {guests:.3} of guests")?;
-        }
-        for p in &self.projected {
-            let part = if p.asked > 0.0 { p.served / p.asked } else { 1.0 };
-            write!(f, "\nwithout {}: {:.1}% of the worth would be kept", p.lost.join(", "), part * 100.0)?;
-        }
-        Ok(())
-    }
-}
-
 /// The sites, as this gateway knows them.
 pub struct Outage {
     terms: SiteTerms,
@@ -448,7 +321,7 @@
         let Some(e) = inner.engines.get_mut(&engine).filter(|e| !e.drained) else { return };
         if sign == EngineSign::Answered {
             e.heard = now;
-            if e.missing.is_some() {
+            if is_plan(e.missing, now, self.terms.watch.doubt) {
                 // It lives and is not to be used: that is a plan.
                 return self.forget(inner, now, engine);
             }
@@ -566,31 +439,6 @@
         }
     }
 
-    fn forecast(&self, host: &Host, p: &Projection, at: u64) -> Forecast {
-        let lost = p.loss.engines.iter().enumerate().filter(|(_, left)| **left < 1.0);
-        let lost = lost.map(|(site, _)| self.name(site)).collect();
-        let class = |n: usize| host.config.names.classes.get(n).cloned().unwrap_or_default();
-        let line = |l: &violetward_site::projection::Line| LineRow {
-            site: self.name(l.site),
-            class: class(l.class),
-            asked: l.asked,
-            served: l.served,
-            range: l.range,
-            wasted: l.wasted,
-            at: l.parts.iter().map(|p| (self.name(p.site), p.served, p.work)).collect(),
-        };
-        Forecast {
-            at,
-            lost,
-            asked: p.asked,
-            served: p.served,
-            range: p.range,
-            room: p.room,
-            displaced: p.displaced.iter().enumerate().map(|(site, &d)| (self.name(site), d)).collect(),
-            lines: p.lines.iter().map(line).collect(),
-        }
-    }
-
     /// Waits move limits; what came and was served teaches.
     fn evidence(&self, host: &Rc<Host>, inner: &mut Inner, now: Micros) {
         let totals = host.core_alone(|core, _| core.sights().map(|s| s.totals().clone())).unwrap_or_default();
@@ -631,163 +479,6 @@
         }
     }
 
-    /// Summaries of what this one sees, in turn to each other gateway; and what all say together.
-    fn summaries(&self, host: &Rc<Host>, inner: &mut Inner, now: Micros, said: &mut Vec<(String, Vec<u8>)>) {
-        if now >= inner.spread.next_wake() {
-            let live = |s: &violetward_membership::Seen| s.record.state <= Lives::Suspect;
-            let members =
-                || self.peers.seen().into_iter().filter(live).map(|s| s.record.name).collect::<Vec<_>>();
-            let sums = self.sums(host, inner);
-            let out = inner.spread.wake(now, members, || sums, &mut inner.own, &mut inner.digest);
-            for (to, pages) in out {
-                let mut bytes = vec![SAID, PAGES_SAID];
-                bytes.extend(pages);
-                inner.counts.sent = (inner.counts.sent.0 + 1, inner.counts.sent.1 + bytes.len() as u64);
-                said.push((to, bytes));
-            }
-        }
-        if now >= inner.knew + self.terms.pace.round {
-            inner.knew = now;
-            // What one gateway says in all counts for twice the median of all at most.
-            let mut told: BTreeMap<String, f64> = BTreeMap::new();
-            for page in inner.digest.pages() {
-                *told.entry(page.origin().to_owned()).or_default() +=
-                    page.cells().map(|c| c.1.work).sum::<f64>();
-            }
-            inner.digest.bound(bound_of(&told.values().copied().collect::<Vec<_>>()));
-            if let Some(known) = self.known(host, inner, now) {
-                inner.act.know(known);
-            }
-        }
-    }
-
-    /// This gateway's cells: demand by class and its clients' site, k by class and the engines' site, ways by site.
-    fn sums(&self, host: &Rc<Host>, inner: &Inner) -> Vec<(DigestCell, Summary)> {
-        let (rates, costs) = host.core_alone(|core, _| match core.sights() {
-            Some(s) => (s.rates().collect::<Vec<_>>(), s.costs().collect::<Vec<_>>()),
-            None => Default::default(),
-        });
-        let place = |n: usize| u16::try_from(n).ok();
-        let mut cells: Vec<(DigestCell, Summary)> = Vec::new();
-        for ((class, site), tally) in rates {
-            let cell = DigestCell { site: place(site), ..DigestCell::others(class as u16) };
-            cells.push((cell, Summary { work: tally.work, ..Summary::default() }));
-        }
-        let mut by_site: BTreeMap<(usize, usize), Cost> = BTreeMap::new();
-        for ((class, engine), cost) in costs {
-            let Some(e) = inner.engines.get(&engine) else { continue };
-            let sum = by_site.entry((class, e.site)).or_default();
-            *sum = sum.with(cost);
-        }
-        for ((class, site), cost) in by_site {
-            let cell = DigestCell { zone: place(site), ..DigestCell::others(class as u16) };
-            cells.push((cell, Summary { k: cost.seen / cost.told, weight: cost.told, ..Summary::default() }));
-        }
-        for site in 0..self.terms.sites.len() {
-            let ways: Vec<f64> =
-                inner.engines.values().filter(|e| e.site == site).filter_map(|e| e.way).collect();
-            if !ways.is_empty() {
-                let crossing = ways.iter().sum::<f64>() / ways.len() as f64;
-                let own = place(self.terms.own);
-                let cell = DigestCell { zone: place(site), site: own, ..DigestCell::others(NO_CLASS) };
-                cells.push((cell, Summary { crossing, ..Summary::default() }));
-            }
-        }
-        cells
-    }
-
-    /// What is known of the fleet: from summaries, the list and what this gateway measures itself.
-    fn known(&self, host: &Rc<Host>, inner: &Inner, now: Micros) -> Option<Known> {
-        let settings = &host.config.settings;
-        let sights = host.core_alone(|core, _| {
-            let s = core.sights()?;
-            Some((s.rates().collect::<Vec<_>>(), s.costs().collect::<Vec<_>>()))
-        });
-        let (rates, costs) = sights?;
-        let mut mean = Vec::new();
-        let mut traits = Vec::new();
-        for (n, class) in settings.classes.iter().enumerate() {
-            let own = rates
-                .iter()
-                .filter(|r| r.0 .0 == n)
-                .fold((0.0, 0.0, 0.0), |s, (_, t)| (s.0 + t.asked, s.1 + t.work, s.2 + t.squares));
-            let threads = f64::from(class.threads.max(1));
-            // Of what was never asked for here a quarter of the aim is a guess.
-            let work = if own.1 > 0.0 { own.1 / own.0 / 1e3 } else { class.aim as f64 / 4e6 * threads };
-            let spread = if own.1 > 0.0 { (own.2 * own.0 / (own.1 * own.1)).max(1.0) } else { 1.0 };
-            let cost =
-                costs.iter().filter(|c| c.0 .0 == n).fold(Cost::default(), |sum, (_, cost)| sum.with(*cost));
-            let k = if cost.told > 0.0 { cost.seen / cost.told } else { 1.0 };
-            mean.push(work);
-            traits.push(Traits {
-                aim: class.aim + (class.aim_stretch.max(0.0) * work * k / threads * 1e6) as Micros,
-                late_worth: class.late_worth,
-                attempts: 1.0,
-                spread,
-                error: cost.error(),
-            });
-        }
-        let view = inner.digest.view(now);
-        let (mut demand, mut k, mut crossing) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
-        for (cell, says) in &view {
-            let (class, site, at) =
-                (usize::from(cell.class), cell.site.map(usize::from), cell.zone.map(usize::from));
-            let is_there = |n: usize| n < self.terms.sites.len();
-            match (site, at) {
-                (Some(from), Some(to)) if cell.class == NO_CLASS && is_there(from) && is_there(to) => {
-                    crossing.insert((from, to), says.crossing as Micros);
-                }
-                (Some(site), None) if class < mean.len() && is_there(site) && says.work > 0.0 => {
-                    let rate = says.work / 1e3 / mean[class];
-                    // Of the mean over that span; what it varies by beyond Poisson's is not told.
-                    let deviation = (rate / (self.terms.average as f64 / 1e6)).sqrt();
-                    demand.push(Demand { site, class, mean: rate, deviation, bursts: 1.0 });
-                }
-                (None, Some(at)) if class < mean.len() && is_there(at) && says.k > 0.0 => {
-                    k.insert((class, at), says.k);
-                }
-                _ => {}
-            }
-        }
-        let mut rooms: BTreeMap<(usize, usize), u32> = BTreeMap::new();
-        for e in inner.engines.values().filter(|e| !e.drained) {
-            *rooms.entry((e.site, e.kind)).or_default() += 1;
-        }
-        let names = &host.config.names;
-        let classes = settings.classes.iter().enumerate().map(|(n, c)| Class {
-            name: names.classes.get(n).cloned().unwrap_or_default(),
-            worth: c.worth,
-            work: mean[n],
-            threads: f64::from(c.threads.max(1)),
-            memory_mb: 0.0,
-            kinds: c.kinds.as_ref().map(|kinds| kinds.iter().map(|k| k.0).collect()),
-            sites: c.zones.as_ref().map(|zones| {
-                let fits =
-                    |site: &usize| inner.engines.values().any(|e| e.site == *site && zones.contains(&e.zone));
-                (0..self.terms.sites.len()).filter(fits).collect()
-            }),
-            bound: false,
-        });
-        let kinds = settings.kinds.iter().enumerate().map(|(n, kind)| Kind {
-            name: names.kinds.get(n).cloned().unwrap_or_default(),
-            cores: kind.cores,
-            memory_mb: kind.memory_mb,
-        });
-        Some(Known {
-            sites: self.terms.sites.iter().map(|s| (s.name.clone(), s.gateways)).collect(),
-            kinds: kinds.collect(),
-            rooms: rooms.into_iter().map(|((site, kind), engines)| Room { site, kind, engines }).collect(),
-            classes: classes.collect(),
-            traits,
-            demand,
-            k,
-            crossing,
-            connections: BTreeMap::new(),
-            cold: BTreeMap::new(),
-            fill: self.terms.fill,
-        })
-    }
-
     /// Tells some others which sites this one reaches.
     fn speak(&self, inner: &mut Inner, now: Micros, said: &mut Vec<(String, Vec<u8>)>) {
         if now < inner.spoke + SPEAK.0 {
@@ -844,58 +535,22 @@
             host.core(|core, now| core.keep(now, parts, back));
         }
     }
+}
 
-    /// What is known.
-    pub fn standing(&self, host: &Rc<Host>) -> Standing {
-        let (now, inner) = (host.now(), self.inner.borrow());
-        let row = |site: usize| {
-            let (state, since, why) =
-                inner.watch.state(site).unwrap_or((State::Whole, now, Default::default()));
-            SiteRow {
-                name: self.name(site),
-                state: state.word().into(),
-                since,
-                why: why.to_string(),
-                held_back: inner.watch.held_back(site),
-                turn: inner.act.turn(now, site),
-            }
-        };
-        let all = 0..self.terms.sites.len();
-        let classes = host.config.names.classes.iter().enumerate();
-        let part = |kept: &Vec<f64>, n: usize| kept.get(n).copied().unwrap_or(1.0);
-        let keep = classes.map(|(n, c)| (c.clone(), (part(&inner.keep[0], n), part(&inner.keep[1], n))));
-        let project = |site: usize| Some(self.forecast(host, &inner.act.project(now, &Loss::of(site))?, now));
-        Standing {
-            name: inner.own.origin().to_owned(),
-            site: self.name(self.terms.own),
-            acts: self.terms.acts,
-            sites: all.clone().map(row).collect(),
-            share: (self.least.get(), self.share(self.peers.standing().1)),
-            keep: if inner.keep[0].is_empty() { BTreeMap::new() } else { keep.collect() },
-            projected: all.filter_map(project).collect(),
-            opening: inner.opening.clone(),
-            changes: inner.changes.iter().cloned().collect(),
-            origins: inner.digest.origins(),
-            counts: inner.counts,
-        }
-    }
+/// Whether an engine off the list that answers was taken off by plan. What was answered before its end may be read a little after
+/// the list has dropped it.
+fn is_plan(missing: Option<Micros>, now: Micros, doubt: Micros) -> bool {
+    missing.is_some_and(|since| now >= since.saturating_add(doubt))
 }
 
-/// Asks a gateway how the sites stand.
-///
-/// # Errors
-/// What it answers instead, or why it does not.
-pub async fn ask(address: SocketAddr) -> Result<Standing, String> {
-    let asked = async {
-        let mut connection =
-            Connection::connect(address, Limits::default()).await.map_err(|e| e.to_string())?;
-        let mut headers = Headers::default();
-        headers.push("Host", address.to_string());
-        connection.call("GET", "/v1/sites", &headers, b"").await.map_err(|e| e.to_string())
-    };
-    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
-    if message.status() != 200 {
-        return Err(String::from_utf8_lossy(&message.body).trim().to_owned());
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answer_from_before_its_end_does_not_make_a_dropped_engine_one_that_lives() {
+        assert!(!is_plan(None, 10, 5), "it is on the list");
+        assert!(!is_plan(Some(8), 10, 5), "read after the list dropped it, said before");
+        assert!(is_plan(Some(5), 10, 5));
     }
-    serde_json::from_slice(&message.body).map_err(|e| e.to_string())
 }
