Windows: what stands against them, a clock that is said to be right, a dry run that asks

/v1/windows tells what would keep a window that is to come from beginning now. A dry run of a proposal asks this gateway's own judgement of the windows, where it said "would commit" of any that it could read. A gateway that has just started waits for news as long as `fresh` says before a window begins there. Profiles through a restart, a turned bit, an empty store and a class that is new or unused: tested.

--- a/crates/gateway/src/agreed.rs
+++ b/crates/gateway/src/agreed.rs
@@ -26,7 +26,7 @@
 use crate::list::Record;
 use crate::rules::{self, Rules};
 pub(crate) use asking::get;
-pub use asking::{ask, ask_since, propose, AFTER, CODE, KEY, PATH};
+pub use asking::{ask, ask_since, clock_is_right, propose, AFTER, CODE, KEY, PATH};
 pub use disk::{init, replace};
 use disk::{open, read, unusable};
 pub use report::{Report, Standing, VersionRow};
--- a/crates/gateway/src/agreed/asking.rs
+++ b/crates/gateway/src/agreed/asking.rs
@@ -24,6 +24,8 @@
 pub const KEY: &str = "X-Violetward-Key";
 /// See `KEY`.
 pub const CODE: &str = "X-Violetward-Code";
+/// What is signed to say that a gateway's wall clock is right.
+const CLOCK: &[u8] = b"the wall clock is right";
 
 /// The code of a proposal: over the version that it was made for and its content.
 fn code(secret: &str, after: u64, dry: bool, content: &[u8]) -> Hmac<Sha256> {
@@ -35,6 +37,31 @@
 }
 
 impl Agreed {
+    /// Whether an operator's key signed this.
+    fn signed(&self, content: &[u8], after: u64, dry: bool, key: &str, given: &str) -> bool {
+        let given = (0..given.len() / 2).map(|i| given.get(2 * i..2 * i + 2));
+        let given: Option<Vec<u8>> = given.map(|d| u8::from_str_radix(d?, 16).ok()).collect();
+        let known = self.terms.operators.iter().find(|(name, _)| name == key);
+        let fits = |secret: &str, given: &[u8]| code(secret, after, dry, content).verify_slice(given).is_ok();
+        known.zip(given).is_some_and(|((_, secret), given)| fits(secret, &given))
+    }
+
+    /// An operator says that this gateway's wall clock, which was set, is right. The status to answer with, and the words.
+    pub fn clock_is_right(&self, host: &Host, after: u64, key: &str, given: &str) -> (u16, &'static str) {
+        if !self.signed(CLOCK, after, false, key, given) {
+            return (403, "no operator's key signed this");
+        }
+        // What was said at another time says nothing of now: versions tell the times apart.
+        if after != self.member.borrow().voter().history().newest().0 {
+            return (409, "it was said for another version than the newest");
+        }
+        match &*host.windows.borrow() {
+            Some(windows) => windows.clock_is_right(),
+            None => return (404, "this gateway holds no windows"),
+        }
+        (200, "windows go by the wall clock again")
+    }
+
     /// Takes an operator's proposal, or only tells what it would change. The status to answer with, and the report.
     pub async fn proposed(
         &self,
@@ -51,12 +78,7 @@
             text,
             changes,
         };
-        let given = (0..given.len() / 2).map(|i| given.get(2 * i..2 * i + 2));
-        let given: Option<Vec<u8>> = given.map(|d| u8::from_str_radix(d?, 16).ok()).collect();
-        let known = self.terms.operators.iter().find(|(name, _)| name == key);
-        let fits = |secret: &str, given: &[u8]| code(secret, after, dry, content).verify_slice(given).is_ok();
-        let good = known.zip(given).is_some_and(|((_, secret), given)| fits(secret, &given));
-        if !good {
+        if !self.signed(content, after, dry, key, given) {
             return (403, report("not allowed", None, "no operator's key signed this".into(), vec![]));
         }
         let (newest, before) = {
@@ -72,6 +94,10 @@
         };
         let changes = shown(&before.differences(&rules));
         if dry {
+            // Whether it is fit as things are, as far as this gateway can tell.
+            if let Err(why) = self.member.borrow().fit(content) {
+                return (422, report("unfit", None, why, changes));
+            }
             return (200, report("would commit", Some(newest + 1), String::new(), changes));
         }
         let (send, wait) = async_channel::bounded(1);
@@ -169,13 +195,30 @@
     dry: bool,
     key: &(String, String),
 ) -> Result<Report, String> {
+    let headers = signature(content, after, dry, key);
+    let path = if dry { format!("{PATH}?dry") } else { PATH.to_owned() };
+    let body = call(address, "POST", &path, headers, content).await?;
+    serde_json::from_slice(&body).map_err(|e| e.to_string())
+}
+
+/// Says that the wall clock of the gateway there, which was set, is right. What it answers.
+///
+/// # Errors
+/// Why it does not believe that, or does not answer.
+pub async fn clock_is_right(address: SocketAddr, key: &(String, String)) -> Result<String, String> {
+    let after = ask_since(address, u64::MAX).await?.newest;
+    let headers = signature(CLOCK, after, false, key);
+    let body = call(address, "POST", &format!("{PATH}?clock"), headers, b"").await?;
+    Ok(String::from_utf8_lossy(&body).trim().to_owned())
+}
+
+/// The headers of what an operator signs.
+fn signature(content: &[u8], after: u64, dry: bool, key: &(String, String)) -> Headers {
     let mut headers = Headers::default();
     headers.push(AFTER, after.to_string());
     headers.push(KEY, key.0.clone());
     let code = code(&key.1, after, dry, content).finalize().into_bytes();
     let digits = code.iter().map(|b| format!("{b:02x}")).collect::<String>();
     headers.push(CODE, digits);
-    let path = if dry { format!("{PATH}?dry") } else { PATH.to_owned() };
-    let body = call(address, "POST", &path, headers, content).await?;
-    serde_json::from_slice(&body).map_err(|e| e.to_string())
+    headers
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -297,7 +297,7 @@
             ("GET", "/v1/status") => Some(self.status()),
             ("GET", "/v1/members") => Some(self.members()),
             ("GET", agreed::PATH) => Some(self.settings(query)),
-            ("POST", agreed::PATH) => Some(self.propose(message, query == "dry").await),
+            ("POST", agreed::PATH) => Some(self.propose(message, query).await),
             ("GET", "/v1/custody") => Some(self.custody()),
             ("GET", crate::windows::PATH) => Some(self.windows()),
             ("GET" | "DELETE", _) => match self.find(path) {
@@ -493,13 +493,18 @@
         }
     }
 
-    async fn propose(&self, message: &Message, dry: bool) -> Reply {
+    async fn propose(&self, message: &Message, query: &str) -> Reply {
         let Some(agreed) = self.host.agreed.borrow().clone() else { return no_agreement() };
         let header = |name: &str| message.headers.get(name).unwrap_or_default().to_owned();
         let Ok(after) = header(agreed::AFTER).parse() else {
             return Reply::text(400, "the header that names the version before is missing");
         };
         let (key, code) = (header(agreed::KEY), header(agreed::CODE));
+        if query == "clock" {
+            let (status, text) = agreed.clock_is_right(&self.host, after, &key, &code);
+            return Reply::text(status, text);
+        }
+        let dry = query == "dry";
         let (status, report) = agreed.proposed(&self.host, &message.body, after, dry, &key, &code).await;
         Reply { status, ..Reply::json(&report) }
     }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -133,6 +133,14 @@
         /// Where that gateway takes statements.
         address: std::net::SocketAddr,
     },
+    /// Say that the wall clock of the gateway at ADDRESS, which was set, is right: windows go by it again.
+    Clock {
+        /// Where that gateway takes statements.
+        address: std::net::SocketAddr,
+        /// The file of the operator's key: the first one signs.
+        #[arg(long)]
+        key_file: PathBuf,
+    },
     /// Show the lines in which two versions differ.
     Diff {
         /// Where a gateway takes statements.
@@ -213,6 +221,9 @@
                 version.changes.iter().for_each(|change| println!("  {change}"));
             }
         }
+        SettingsCommand::Clock { address, key_file } => {
+            println!("{}", agreed::clock_is_right(address, &operator(&key_file)?).await?);
+        }
         SettingsCommand::Diff { address, from, to } => {
             let standing = agreed::ask(address).await?;
             let (old, new) = (content(&standing, from)?, content(&standing, to)?);
--- a/crates/gateway/src/windows.rs
+++ b/crates/gateway/src/windows.rs
@@ -86,7 +86,7 @@
     pub off: bool,
     /// `granted`, `draining`, `open`, `returning`, `over` or `off`.
     pub phase: String,
-    /// Why it is off, or does not begin.
+    /// Why it is off, or what would keep it from beginning now.
     pub reason: Option<String>,
 }
 
@@ -96,7 +96,7 @@
 pub struct Standing {
     /// The time of day as windows go by it.
     pub now: String,
-    /// The wall clock was set: nothing begins until this gateway is started anew with a clock that is right.
+    /// The wall clock was set: nothing begins until somebody says that it is right.
     pub clock_was_set: bool,
     /// Whether there is a lease: without one nothing is left out.
     pub lease: bool,
@@ -179,7 +179,8 @@
             outlook: RefCell::new(outlook),
             calls: RefCell::default(),
             stepped: Cell::new(host.now()),
-            deaf: Cell::new(0),
+            // What a gateway that has just started knows of engines and of demand is no news yet.
+            deaf: Cell::new(host.now() + fresh),
             away: RefCell::default(),
         });
         *host.windows.borrow_mut() = Some(windows.clone());
@@ -193,6 +194,11 @@
         self.held.borrow_mut().versions(versions);
     }
 
+    /// The wall clock was set on purpose and is right.
+    pub fn clock_is_right(&self) {
+        self.held.borrow_mut().clock_is_right();
+    }
+
     /// The engines that nothing new is sent to because of windows.
     pub fn away(&self) -> BTreeSet<String> {
         self.held.borrow().away()
@@ -381,14 +387,15 @@
         let evidence = self.evidence(host, now);
         let mut held = self.held.borrow_mut();
         let at = held.now(now, wall());
-        let row = |(g, phase, waits): (&Grant, &Phase, Option<&Reason>)| {
+        let outlook = self.outlook.borrow();
+        let row = |(g, phase, _): (&Grant, &Phase, Option<&Reason>)| {
             let (phase, reason) = match phase {
-                Phase::Granted => ("granted", waits),
+                Phase::Granted => ("granted", held.against(&g.name, now, &outlook)),
                 Phase::Draining => ("draining", None),
                 Phase::Open => ("open", None),
                 Phase::Returning => ("returning", None),
                 Phase::Over => ("over", None),
-                Phase::Off(reason) => ("off", Some(reason)),
+                Phase::Off(reason) => ("off", Some(reason.clone())),
             };
             Row {
                 name: g.name.clone(),
@@ -443,3 +450,54 @@
     let body = crate::agreed::get(address, PATH).await?;
     serde_json::from_slice(&body).map_err(|e| e.to_string())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use violetward_windows::cover::{Spare, Terms as CoverTerms};
+    use violetward_windows::find::Margins;
+    use violetward_windows::profile::{Terms as Learning, Unsure, WEEK};
+
+    fn terms(name: &str) -> WindowTerms {
+        let folder = std::env::temp_dir().join(format!("violetward-windows-{name}-{}", std::process::id()));
+        std::fs::remove_dir_all(&folder).ok();
+        WindowTerms {
+            folder,
+            cover: CoverTerms { fill: 0.8, spare: Spare::Engine, cold: 0.25, warm: 1_000_000 },
+            margins: Margins { slack: 1_000_000, lead: 1_000_000 },
+            fresh: Duration::from_secs(2),
+            sample: Duration::from_secs(5),
+            profile: Learning { samples: 1, weeks: 1, of: 1, ..Learning::default() },
+        }
+    }
+
+    #[test]
+    fn a_profile_outlasts_its_process_and_one_that_is_spoilt_is_put_aside_and_sure_of_nothing() {
+        let terms = terms("kept");
+        let at = 3_000 * WEEK;
+        let open = || Files::open(&terms.folder).expect("a store");
+        {
+            let (mut profile, trouble) = kept(&mut open(), &terms);
+            assert_eq!(trouble, None);
+            assert_eq!(profile.project(&cell(0), at).unsure, Some(Unsure::Empty));
+            profile.sample(at, &[(cell(0), 4.0), (cell(1), 0.0)]);
+            profile.sample(at + QUARTER, &[]);
+            open().put(KEPT, &profile.write()).expect("it is kept");
+        }
+        let (profile, trouble) = kept(&mut open(), &terms);
+        let again = profile.project(&cell(0), at + WEEK);
+        assert_eq!((trouble, again.unsure, again.demand), (None, None, 4.0));
+        // A class that is known and that nobody uses is sure as well; one that is new is not.
+        assert_eq!(profile.project(&cell(1), at + WEEK).unsure, None);
+        assert_eq!(profile.project(&cell(2), at + WEEK).unsure, Some(Unsure::New));
+        let file = terms.folder.join(KEPT);
+        let mut bytes = std::fs::read(&file).expect("the file");
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 8;
+        std::fs::write(&file, bytes).expect("a bit turns");
+        let (profile, trouble) = kept(&mut open(), &terms);
+        assert!(trouble.is_some() && profile.project(&cell(0), at + WEEK).unsure == Some(Unsure::Empty));
+        open().put(KEPT, &profile.write()).expect("its place is free");
+        std::fs::remove_dir_all(&terms.folder).ok();
+    }
+}
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -338,11 +338,12 @@
     let lease = get("lease").and_then(|f| c.span(f)).unwrap_or(Duration::from_secs(2));
     let odd = get("odd").map(|f| numbers(&mut c, f, gateways)).unwrap_or_default();
     let windows = get("windows").map(|form| {
-        let f = c.fields(form, 0, &["lead", "spare", "learned"]);
+        let f = c.fields(form, 0, &["lead", "spare", "learned", "swing"]);
         let learned = [("all", Learned::All), ("nothing", Learned::Nothing), ("hole", Learned::Hole)];
         let learned = f.get("learned").cloned().and_then(|v| c.choice(&v, &learned)).unwrap_or(Learned::All);
         let lead = f.span(&mut c, "lead", Duration::from_secs(2));
-        Held { lead, spare: f.word(&mut c, "spare", "engine"), learned }
+        let swing = f.number(&mut c, "swing", (0.0, 1.0), 0.3);
+        Held { lead, spare: f.word(&mut c, "spare", "engine"), learned, swing }
     });
     let mut acts = Vec::new();
     for form in all.iter().filter(|f| f.name == "at") {
--- a/crates/lab/src/cluster/windows.rs
+++ b/crates/lab/src/cluster/windows.rs
@@ -47,6 +47,8 @@
     pub spare: String,
     /// See [`Learned`].
     pub learned: Learned,
+    /// By which part demand went up and down as it was learned.
+    pub swing: f64,
 }
 
 /// What has to come of the windows.
@@ -103,7 +105,7 @@
         if held.learned == Learned::Hole && quarter + WEEK / QUARTER + 1 >= last {
             break;
         }
-        for swing in [0.7, 1.0, 1.3] {
+        for swing in [1.0 - held.swing, 1.0, 1.0 + held.swing] {
             let sample: Vec<(Cell, f64)> = demand.iter().map(|d| (d.0, d.1 * swing)).collect();
             profile.sample(quarter * QUARTER, &sample);
         }
--- a/crates/windows/src/held.rs
+++ b/crates/windows/src/held.rs
@@ -355,6 +355,13 @@
         self.windows.values().map(|w| (&w.grant, &w.phase, w.waits.as_ref()))
     }
 
+    /// What would keep a window from beginning now; `None`: nothing, or it is not to come.
+    pub fn against(&self, name: &str, now: Micros, outlook: &Outlook<'_>) -> Option<Reason> {
+        let window = self.windows.get(name).filter(|w| w.phase == Phase::Granted)?;
+        let at = self.time.map(|t| t.wall + now.saturating_sub(t.mono))?;
+        self.may(window, now, at, outlook).err()
+    }
+
     /// The engines that nothing is sent to because of windows.
     pub fn away(&self) -> BTreeSet<String> {
         let open = self.windows.values().filter(|w| matches!(w.phase, Phase::Draining | Phase::Open));
