Windows: an operator's whole course and the rig's checker under test; fleets by the plan

By the program's own commands against a gateway that votes alone: nothing learned (refused, with the class), a window that leaves too little (refused, with the cell and the engine), one that is granted, told by /v1/windows, kept against a version that leaves it out, called off; the clock said to be right, and a wrong key. A gateway without (windows ...) refuses a version with one. The rig's findings are tested: what was sent into a window, cover lost by windows, a late call, a window that should or should not have been open.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -62,7 +62,7 @@
 }
 
 /// What `/v1/members` tells.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct View {
     /// This gateway's own name and how it stands with the others.
--- a/crates/gateway/src/windows.rs
+++ b/crates/gateway/src/windows.rs
@@ -91,7 +91,7 @@
 }
 
 /// What `/v1/windows` tells.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Standing {
     /// The time of day as windows go by it.
@@ -100,6 +100,8 @@
     pub clock_was_set: bool,
     /// Whether there is a lease: without one nothing is left out.
     pub lease: bool,
+    /// Engines that are known here.
+    pub engines: usize,
     /// Engines that nothing new is sent to because of windows.
     pub away: Vec<String>,
     /// Engines that are known to have failed, and that are cold.
@@ -417,6 +419,7 @@
             now: moment::shown(at),
             clock_was_set: held.clock_was_set(),
             lease: host.agreed.borrow().as_ref().is_some_and(|a| a.has_lease()),
+            engines: self.fleet.borrow().engines.len(),
             away: held.away().into_iter().collect(),
             down: evidence.down.into_iter().collect(),
             cold: evidence.cold.into_iter().collect(),
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -5,10 +5,17 @@
 use std::time::{Duration, Instant};
 
 use violetward_agreement::{wire, Kept};
-use violetward_gateway::config;
+use violetward_gateway::{config, moment, windows};
+use violetward_store::file::Files;
+use violetward_store::Store;
+use violetward_windows::profile::{Profile, QUARTER, WEEK};
+use violetward_windows::Cell;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_violetward");
 
+const WINDOW: &str =
+    r#"(window w (engines e2) (from "2126-12-02T03:00:00Z") (until "2126-12-02T04:00:00Z"))"#;
+
 /// A folder of its own, gone with the test.
 struct Folder(PathBuf);
 
@@ -121,6 +128,7 @@
         ("(class light (admit no))", "(agreement (floor"),
         ("(class huge (admit no))", "1:1: there is no class huge"),
         ("(class heavy", "not an S-expression"),
+        (WINDOW, "has no (windows ...)"),
     ] {
         let (good, told) = propose(&folder.file("bad.lisp", bad), &key);
         assert!(!good && told.contains("unfit") && told.contains(why), "{told}");
@@ -159,3 +167,79 @@
     let (_, told) = run(&["settings", "show", &at]);
     assert!(told.contains("does not vote: ") && told.contains("has no lease"), "{told}");
 }
+
+#[test]
+fn from_a_window_that_is_asked_for_to_its_calling_off() {
+    let folder = Folder::new("windows");
+    let configuration = configuration(&folder);
+    let text = std::fs::read_to_string(&configuration).expect("it is there");
+    folder.file("gateway.lisp", &format!("{text}\n(windows (folder \"profiles\") (weeks 1))"));
+    let engine = |n: u16| format!("(engine e{n} (address \"127.0.0.1:9\") (kind m8))\n");
+    folder.file("engines.lisp", &(1..4).map(engine).collect::<String>());
+    assert!(run(&["settings", "init", &configuration]).0);
+    let key = folder.0.join("operators.lisp").display().to_string();
+    let now =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("now").as_micros() as u64;
+    let window = |engines: &str, more: &str| {
+        let time = |hours: u64| moment::shown(now + hours * 3_600_000_000);
+        let (from, until) = (time(1), time(2));
+        let text = format!("(window w (engines {engines}) (from \"{from}\") (until \"{until}\"){more})\n");
+        folder.file("window.lisp", &text)
+    };
+    let propose = |at: &str, file: &str, more: &[&str]| {
+        let all = [&["settings", "propose", at, file, "--key-file", &key], more].concat();
+        run(&all)
+    };
+    // Nothing has been learned: nothing is sure, and it says of what.
+    {
+        let (_gateway, at) = serve(&folder, &configuration);
+        listed(&at);
+        let (good, told) = propose(&at, &window("e2", ""), &["--dry-run"]);
+        let why = "what class heavy needs is not sure: nothing has been learned yet";
+        assert!(!good && told.contains("- window w: e2") && told.contains(why), "{told}");
+    }
+    let mut profile = Profile::new(Default::default());
+    let cell = |class| Cell { class, group: None, kind: None, zone: None, site: None };
+    for quarter in (now - WEEK) / QUARTER..=now / QUARTER + 1 {
+        for _ in 0..3 {
+            profile.sample(quarter * QUARTER, &[(cell(0), 2.0), (cell(1), 1.0)]);
+        }
+    }
+    let store = Files::open(&folder.0.join("profiles"));
+    store.and_then(|mut store| store.put("profile", &profile.write())).expect("it is kept");
+    let (_gateway, at) = serve(&folder, &configuration);
+    listed(&at);
+    let (good, told) = propose(&at, &window("e2 e3", ""), &[]);
+    assert!(!good && told.contains("would not be covered if e1 failed as well"), "{told}");
+    let (good, told) = propose(&at, &window("e2", ""), &[]);
+    assert!(good && told.contains("- window w: e2 from"), "{told}");
+    let (good, told) = propose(&at, &folder.file("none.lisp", ""), &[]);
+    assert!(!good && told.contains("window w is not over"), "{told}");
+    let standing =
+        || futures_lite::future::block_on(windows::ask(at.parse().expect("an address"))).expect("told");
+    let start = Instant::now();
+    while standing().windows.is_empty() {
+        assert!(start.elapsed() < Duration::from_secs(20), "{:?}", standing());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!((standing().windows[0].phase.as_str(), standing().away.len()), ("granted", 0));
+    let (good, told) = propose(&at, &window("e2", " (off yes)"), &[]);
+    assert!(good && told.contains("+ window w: called off"), "{told}");
+    assert!(run(&["settings", "show", &at]).1.contains("(off yes)"));
+
+    let clock = |key: &str| run(&["settings", "clock", &at, "--key-file", key]);
+    assert!(clock(&key).1.contains("windows go by the wall clock again"));
+    let (good, told) = clock(&folder.file("wrong.lisp", "(key ann \"another key of operators, unknown\")"));
+    assert!(!good && told.contains("no operator's key"), "{told}");
+}
+
+/// Waits until the gateway has read its list.
+fn listed(at: &str) {
+    let (address, start) = (at.parse().expect("an address"), Instant::now());
+    let lease =
+        || futures_lite::future::block_on(windows::ask(address)).is_ok_and(|w| w.lease && w.engines == 3);
+    while !lease() {
+        assert!(start.elapsed() < Duration::from_secs(20), "no lease, or no list");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/crates/lab/src/cluster/windows.rs
+++ b/crates/lab/src/cluster/windows.rs
@@ -373,3 +373,61 @@
     /// An operator had taken it in a window.
     pub window: bool,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::checker::GatewayLife;
+    use violetward_gateway::windows::Row;
+    use violetward_standin::journal::Line;
+
+    const S: u64 = 1_000_000;
+
+    /// A gateway that says that a window is in a phase and leaves these engines out.
+    fn says(at: u64, gateway: usize, phase: &str, away: &[&str]) -> Sample {
+        let engines: Vec<String> = away.iter().map(|e| (*e).to_owned()).collect();
+        let (name, phase, text) = ("w".to_owned(), phase.to_owned(), String::new);
+        let (from, until, by) = (text(), text(), text());
+        let row = Row { name, engines: vec!["e0".into()], from, until, by, off: false, phase, reason: None };
+        let windows =
+            Some(Standing { away: engines, windows: vec![row], lease: true, ..Standing::default() });
+        Sample { at: at * S, gateway, view: Default::default(), settings: None, custody: None, windows }
+    }
+
+    fn faults(plan: &str, samples: &[Sample], sent: &[(u64, &str)], off: bool) -> Vec<&'static str> {
+        let plan = super::super::plan::find(plan).expect("a plan");
+        let text = String::new;
+        let line = |&(at, engine): &(u64, &str)| Line {
+            at: at * S / 10,
+            engine: engine.into(),
+            what: What::Got { trace: text(), via: "violetward-0".into(), n: 0, class: text(), key: text() },
+        };
+        let life = |gateway| GatewayLife { gateway, from: 0, to: u64::MAX, stalls: vec![] };
+        let lines = sent.iter().map(line).collect();
+        let evidence = Evidence { lines, lives: vec![life(0), life(1)], ..Evidence::default() };
+        let content = format!("(window w (engines e0){})", if off { " (off yes)" } else { "" });
+        let versions = BTreeMap::from([(1, content)]);
+        let found = Findings::new(&plan, &evidence, samples, &versions, &[], (&[], 2 * S));
+        found.faults().iter().map(|f| f.0).collect()
+    }
+
+    #[test]
+    fn what_must_not_be_is_found_and_nothing_else() {
+        let open = |at| [says(at, 0, "open", &["e0"]), says(at, 1, "open", &["e0"])];
+        let good: Vec<Sample> = [1, 2, 3, 4].into_iter().flat_map(open).collect();
+        let plan = "windows-one";
+        // Before the first word of it, and to another engine.
+        assert_eq!(faults(plan, &good, &[(5, "e0"), (25, "e1")], false), [""; 0]);
+        assert_eq!(faults(plan, &good, &[(25, "e0")], false), ["windows: nothing new"]);
+        let mut many = good.clone();
+        many.push(says(5, 1, "open", &["e1", "e3", "e4"]));
+        assert_eq!(faults(plan, &many, &[], false), ["windows: cover"]);
+        let mut off = vec![says(5, 0, "off", &[])];
+        assert_eq!(faults(plan, &[good.clone(), off.clone()].concat(), &[], true), [""; 0]);
+        off.push(says(9, 1, "open", &["e0"]));
+        assert_eq!(faults(plan, &[good, off].concat(), &[], true), ["windows: called off by all"]);
+        assert_eq!(faults(plan, &[says(1, 0, "open", &["e0"])], &[], false), ["windows: opened"]);
+        assert_eq!(faults("windows-bound", &[says(1, 0, "open", &["e0"])], &[], false)[0], "windows: never");
+        assert_eq!(faults("windows-fleet", &[], &[], false), ["windows: fleet"]);
+    }
+}
