--- a/crates/lab/src/cluster/windows.rs
+++ b/crates/lab/src/cluster/windows.rs
@@ -391,7 +391,15 @@
         let row = Row { name, engines: vec!["e0".into()], from, until, by, off: false, phase, reason: None };
         let windows =
             Some(Standing { away: engines, windows: vec![row], lease: true, ..Standing::default() });
-        Sample { at: at * S, gateway, view: Default::default(), settings: None, custody: None, windows }
+        Sample {
+            at: at * S,
+            gateway,
+            view: Default::default(),
+            settings: None,
+            custody: None,
+            windows,
+            sites: None,
+        }
     }
 
     fn faults(plan: &str, samples: &[Sample], sent: &[(u64, &str)], off: bool) -> Vec<&'static str> {
