Site loss: work is reckoned in truth, so that odd estimates of own clients change no forecast

Its log's forecast kept half of the look-ups at a hundredth of the true rates: it set its own mean estimate beside the fleet's k, which it had learned to be a tenth. Ruled out: the bound on what one member tells (the others' forecasts were right) and the module (the refusals came with the parts). Work of a class is now its own mean times its own k, rates are the fleet's work times the fleet's k over that, and k by site is relative to the class's.

--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 use violetward::{EngineId, Listed, Micros};
-use violetward_digest::{Cell as DigestCell, Digest, Own, Page, Spread, Summary, DATAGRAM, PAGES};
+use violetward_digest::{Cell as DigestCell, Digest, Own, Page, Spread, Summary, View, DATAGRAM, PAGES};
 use violetward_membership::{Link, Standing as Stands, State as Lives};
 use violetward_net::{Connection, NetError};
 use violetward_site::act::{Act, Effect, Terms as ActTerms};
--- a/crates/gateway/src/outage/known.rs
+++ b/crates/gateway/src/outage/known.rs
@@ -82,6 +82,8 @@
             Some((s.rates().collect::<Vec<_>>(), s.costs().collect::<Vec<_>>()))
         });
         let (rates, costs) = sights?;
+        let view = inner.digest.view(now);
+        let fleet = k_of(&view, settings.classes.len());
         let mut mean = Vec::new();
         let mut traits = Vec::new();
         for (n, class) in settings.classes.iter().enumerate() {
@@ -95,17 +97,17 @@
             let spread = if own.1 > 0.0 { (own.2 * own.0 / (own.1 * own.1)).max(1.0) } else { 1.0 };
             let cost =
                 costs.iter().filter(|c| c.0 .0 == n).fold(Cost::default(), |sum, (_, cost)| sum.with(*cost));
-            let k = if cost.told > 0.0 { cost.seen / cost.told } else { 1.0 };
+            // True work, so that one whose clients estimate otherwise reckons what others do.
+            let work = work * if cost.told > 0.0 { cost.seen / cost.told } else { fleet[n] };
             mean.push(work);
             traits.push(Traits {
-                aim: class.aim + (class.aim_stretch.max(0.0) * work * k / threads * 1e6) as Micros,
+                aim: class.aim + (class.aim_stretch.max(0.0) * work / threads * 1e6) as Micros,
                 late_worth: class.late_worth,
                 attempts: 1.0,
                 spread,
                 error: cost.error(),
             });
         }
-        let view = inner.digest.view(now);
         let (mut demand, mut k, mut crossing) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
         for (cell, says) in &view {
             let (class, site, at) =
@@ -116,13 +118,13 @@
                     crossing.insert((from, to), says.crossing as Micros);
                 }
                 (Some(site), None) if class < mean.len() && is_there(site) && says.work > 0.0 => {
-                    let rate = says.work / 1e3 / mean[class];
+                    let rate = says.work / 1e3 * fleet[class] / mean[class];
                     // Of the mean over that span; what it varies by beyond Poisson's is not told.
                     let deviation = (rate / (self.terms.average as f64 / 1e6)).sqrt();
                     demand.push(Demand { site, class, mean: rate, deviation, bursts: 1.0 });
                 }
                 (None, Some(at)) if class < mean.len() && is_there(at) && says.k > 0.0 => {
-                    k.insert((class, at), says.k);
+                    k.insert((class, at), says.k / fleet[class]);
                 }
                 _ => {}
             }
@@ -170,3 +172,33 @@
         })
     }
 }
+
+/// The k of each class over all sites, weighted by what it was learned from; 1 where nothing was.
+fn k_of(view: &BTreeMap<DigestCell, View>, classes: usize) -> Vec<f64> {
+    let mut sums = vec![(0.0, 0.0); classes];
+    for (cell, says) in view.iter().filter(|(cell, says)| cell.zone.is_some() && says.k > 0.0) {
+        if let Some((sum, weight)) = sums.get_mut(usize::from(cell.class)) {
+            (*sum, *weight) = (*sum + says.k * says.weight, *weight + says.weight);
+        }
+    }
+    sums.into_iter().map(|(sum, weight)| if weight > 0.0 { sum / weight } else { 1.0 }).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_k_of_a_class_is_that_of_its_sites_by_weight_and_one_where_nothing_was_learned() {
+        let cell = |class, zone| DigestCell { zone, ..DigestCell::others(class) };
+        let says = |k, weight| View { work: 0.0, k, weight, room: 0.0, crossing: 0.0, origins: 1, age: 0 };
+        let view = [
+            (cell(0, Some(0)), says(0.5, 30.0)),
+            (cell(0, Some(1)), says(2.0, 10.0)),
+            (cell(0, None), says(9.0, 90.0)),
+            (cell(NO_CLASS, Some(0)), says(9.0, 90.0)),
+        ];
+        let k = k_of(&view.into_iter().collect(), 2);
+        assert!((k[0] - 0.875).abs() < 1e-9 && k[1] == 1.0, "{k:?}");
+    }
+}
