Windows: a lead shorter than a lease is refused

Engines in a window get nothing new from anybody with a lease only if those that still act on the version before, as well, are gone by its start: so the lead lasts at least a lease.

--- a/crates/gateway/src/config/windows.rs
+++ b/crates/gateway/src/config/windows.rs
@@ -36,6 +36,13 @@
     if fresh < Duration::from_millis(500) || !(1..=300).contains(&sample.as_secs()) {
         c.at(form, "windows: expected fresh >= \"500ms\" and sample from \"1s\" to \"5m\"");
     }
+    // What acts on the version before as well is gone by the start: nothing new comes to an engine that is worked on.
+    if lead < agreement.lease {
+        c.at(
+            form,
+            format!("windows: expected lead >= (agreement (lease ...)), which is {:?}", agreement.lease),
+        );
+    }
     let weeks = f.whole(c, "weeks", (1, 12), 3) as u32;
     // At most one of the last weeks may be missing.
     let profile = profile::Terms { weeks, of: weeks + 1, ..profile::Terms::default() };
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -177,6 +177,9 @@
     let engine = |n: u16| format!("(engine e{n} (address \"127.0.0.1:9\") (kind m8))\n");
     folder.file("engines.lisp", &(1..4).map(engine).collect::<String>());
     assert!(run(&["settings", "init", &configuration]).0);
+    let bad = folder.file("bad.lisp", &format!("{text}\n(windows (folder \"profiles\") (lead \"1s\"))"));
+    let (good, told) = run(&["check", &bad]);
+    assert!(!good && told.contains("expected lead >="), "{told}");
     let key = folder.0.join("operators.lisp").display().to_string();
     let now =
         std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("now").as_micros() as u64;
