--- a/crates/lab/src/cluster/plans/windows.rs
+++ b/crates/lab/src/cluster/plans/windows.rs
@@ -109,4 +109,25 @@
         (gateways 4) (engines 6) (span "104s") (load 0.4) (voters 3) (windows (lead "2s") (spare nothing) (swing 0.15))
         (at "9s" (kills "11s" 8 3 1 0 2))"#,
     ),
+    (
+        "windows-fleet-failed",
+        "windows: an engine fails for half a minute while the fleet is taken through windows",
+        r#"
+        (gateways 4) (engines 6) (span "124s") (load 0.5) (voters 3) (windows (lead "2s") (spare nothing) (swing 0.05))
+        (at "4s" (maintain "2s" 0 3 4 2 5 1)) (at "6s" (kill-engines 1)) (at "36s" (start-engines 1)) (expect (maintained 1))"#,
+    ),
+    (
+        "windows-naive-failed",
+        "the same failure while engines are worked on without windows",
+        r#"
+        (gateways 4) (engines 6) (span "124s") (load 0.5) (voters 3) (windows (lead "2s") (spare nothing) (swing 0.05))
+        (at "4s" (roll-engines "2s" 0 3 4 2 5 1)) (at "6s" (kill-engines 1)) (at "36s" (start-engines 1))"#,
+    ),
+    (
+        "windows-none-failed",
+        "the same failure without maintenance",
+        r#"
+        (gateways 4) (engines 6) (span "124s") (load 0.5) (voters 3) (windows (lead "2s") (spare nothing) (swing 0.05))
+        (at "6s" (kill-engines 1)) (at "36s" (start-engines 1))"#,
+    ),
 ];
