Windows heed the sites that are lost or cut off, and sites the engines in windows

Need: a window has to be called off when a site is away, and the gateway that knows it (site-loss) told windows nothing; the other way round an engine that is worked on in a window looked silent to the watch of sites, and could have made its site doubtful. Change: where (site-loss ...) is configured, engines are judged by its sites in place of zones, sites that are lost or cut off count as away in what stands against a window, and engines that windows leave out count as drained for the watch. A site that is only doubtful is not counted: single engines that fail are, by themselves.

--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -231,6 +231,18 @@
         true
     }
 
+    /// The places of the sites of these engines, by name, as the section tells them.
+    pub(crate) fn sites_of(&self, host: &Host, engines: &[Record]) -> BTreeMap<String, usize> {
+        engines.iter().filter_map(|r| Some((r.name.clone(), self.site_of(host, r)?))).collect()
+    }
+
+    /// The places of the sites whose engines are not to be reckoned with: lost, or cut off from here.
+    pub(crate) fn away(&self) -> Vec<usize> {
+        let inner = self.inner.borrow();
+        let is_away = |&site: &usize| inner.watch.state(site).is_some_and(|(state, _, _)| state.is_away());
+        (0..self.terms.sites.len()).filter(is_away).collect()
+    }
+
     fn site_of_member(&self, name: &str) -> Option<usize> {
         let seen = self.peers.seen().into_iter().find(|s| s.record.name == name)?;
         self.terms.sites.iter().position(|s| s.name == seen.record.site)
@@ -271,6 +283,8 @@
     /// The list, as it is now.
     fn engines(&self, host: &Host, inner: &mut Inner, now: Micros) {
         let listed: Vec<Record> = host.look(|core| core.engines().cloned().collect());
+        // What is worked on in a window of maintenance is no loss.
+        let windows = host.windows.borrow().as_ref().map(|windows| windows.away()).unwrap_or_default();
         let mut gone: Vec<EngineId> = inner.engines.keys().copied().collect();
         for record in &listed {
             let (engine, Some(site)) = (record.entry.engine, self.site_of(host, record)) else { continue };
@@ -278,7 +292,7 @@
             if inner.engines.len() >= MOST && !inner.engines.contains_key(&engine) {
                 continue;
             }
-            let drained = record.entry.listed != Listed::Up;
+            let drained = record.entry.listed != Listed::Up || windows.contains(&record.name);
             let e = inner.engines.entry(engine).or_insert_with(|| Watched {
                 address: record.address,
                 site,
--- a/crates/gateway/src/windows.rs
+++ b/crates/gateway/src/windows.rs
@@ -43,6 +43,8 @@
     /// Engines that are not to get anything, windows apart.
     out: BTreeSet<String>,
     classes: Vec<Class>,
+    /// The sites of engines, where `(site-loss ...)` tells them; else zones stand for sites.
+    sites: BTreeMap<String, usize>,
 }
 
 /// Windows at this gateway. See the module's documentation.
@@ -130,13 +132,13 @@
 }
 
 impl Fleet {
-    /// The engines that may get something, as they are judged; zones stand for sites.
+    /// The engines that may get something, as they are judged.
     fn cover(&self, settings: &Settings, terms: &WindowTerms) -> Result<Cover, String> {
         let engine = |r: &Record| Engine {
             name: r.name.clone(),
             kind: short(r.entry.kind.0),
             zone: short(r.entry.zone.0),
-            site: short(r.entry.zone.0),
+            site: short(self.sites.get(&r.name).copied().unwrap_or(r.entry.zone.0)),
             groups: None,
             cores: settings.kinds.get(r.entry.kind.0).map_or(0.0, |k| k.cores),
         };
@@ -162,7 +164,7 @@
         let mut store = Files::open(&terms.folder)
             .map_err(|e| std::io::Error::other(format!("{}: {e}", terms.folder.display())))?;
         let (profile, trouble) = kept(&mut store, terms);
-        let fleet = Fleet { engines: Vec::new(), out: BTreeSet::new(), classes: Vec::new() };
+        let fleet = Fleet { engines: vec![], out: BTreeSet::new(), classes: vec![], sites: BTreeMap::new() };
         let settings = host.config.settings.clone();
         let cover = fleet.cover(&settings, terms).map_err(std::io::Error::other)?;
         let outlook = Outlook::owning(cover, &profile, &[], terms.margins, wall());
@@ -261,7 +263,9 @@
         down.extend(host.look(|core| core.unwell()));
         let young = |r: &&Record| r.entry.came_up.saturating_add(self.terms.cover.warm) > now;
         let cold = fleet.engines.iter().filter(young).map(|r| r.name.clone()).collect();
-        Evidence { down, cold, doubtful: BTreeSet::new(), demand: self.demand(host) }
+        let doubtful = host.outage().map(|outage| outage.away()).unwrap_or_default();
+        let doubtful = doubtful.into_iter().map(short).collect();
+        Evidence { down, cold, doubtful, demand: self.demand(host) }
     }
 
     /// Looks at everything again and again. Never ends.
@@ -282,7 +286,8 @@
         }
         let away = self.away.borrow().clone();
         let (engines, out, classes) = host.look(|core| core.fleet(&away));
-        let fleet = Fleet { engines, out, classes };
+        let sites = host.outage().map(|outage| outage.sites_of(host, &engines)).unwrap_or_default();
+        let fleet = Fleet { engines, out, classes, sites };
         let (at, changed) = {
             let at = self.held.borrow_mut().now(now, wall());
             let quarter = self.outlook.borrow().span_of(1).0;
