Custody: a voter without its file learns the others' marks; giving back kept sound

Need: a voter whose disk is lost came back as a first start and could grant to a life that it had marked. It neither grants nor marks now before it has learned the others' marks after a lease's silence; marks make a quorum only within one lease. Planted in the simulation (a voter that votes without its marks), it is found; lost disks are among the drawn faults.

--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -170,6 +170,8 @@
     IntentNotAwaited,
     /// A life that is marked is taken for over at once.
     GrantNotWaitedOut,
+    /// A voter that has lost its disk votes as if it started for the first time.
+    VotesWithoutMarks,
 }
 
 /// What a holder knows of one that stands behind it in the chain.
@@ -301,8 +303,8 @@
 #[derive(Debug, Clone)]
 enum Past {
     Ended(Option<Ending>),
-    /// Others that may have it.
-    Moved(Vec<Life>),
+    /// Since a term of this process: others that may have it.
+    Moved(u32, Vec<Life>),
 }
 
 /// One gateway's part. See the crate's documentation.
@@ -316,6 +318,8 @@
     /// Whether it held when this was last looked at, with the time of that look.
     acting: bool,
     renew: Micros,
+    /// When the other voters are asked again what they have marked.
+    known_again: Micros,
     /// A voter has said that this term is ended.
     ended: bool,
     lives: BTreeMap<Life, (State, String)>,
@@ -394,7 +398,7 @@
     ) -> Result<Custodian, Spoilt> {
         let spans = Spans { lease: terms.lease, drift: terms.drift };
         let voter = terms.voters.contains(&terms.me.name);
-        let voter = if voter { Some(Voter::new(spans, ends, now, plant)?) } else { None };
+        let voter = if voter { Some(Voter::new(spans, ends, now, terms.voters.len(), plant)?) } else { None };
         let quorum = terms.voters.len() / 2 + usize::from(plant != Plant::HalfIsQuorum);
         let mut this = Custodian {
             me: Actor { life: terms.me.clone(), term: 0 },
@@ -405,6 +409,7 @@
             tenure: Tenure::new(now, quorum.max(1)),
             acting: false,
             renew: now,
+            known_again: now,
             ended: false,
             lives: BTreeMap::new(),
             unlisted: BTreeMap::new(),
@@ -567,9 +572,14 @@
         if !self.ends.values().any(due) {
             return;
         }
+        let lease = self.terms.lease;
         for voter in self.terms.voters.clone() {
-            let lacking: Vec<Actor> =
-                self.ends.iter().filter(|(_, e)| due(e) && e.lacks(&voter)).map(|(a, _)| a.clone()).collect();
+            let lacking: Vec<Actor> = self
+                .ends
+                .iter()
+                .filter(|(_, e)| due(e) && e.lacks(now, &voter, lease))
+                .map(|(a, _)| a.clone())
+                .collect();
             if lacking.is_empty() {
                 continue;
             }
@@ -582,6 +592,44 @@
         self.ends.values_mut().filter(|e| due(e)).for_each(|e| e.asked = Some(now));
     }
 
+    /// A voter that has kept nothing asks what the others have, until it knows enough.
+    fn ask_known(&mut self, now: Micros) {
+        if !self.voter.as_ref().is_some_and(Voter::is_empty) || self.known_again > now {
+            return;
+        }
+        self.known_again = now + MARKS_AGAIN;
+        for voter in self.terms.voters.clone() {
+            if voter != self.me.life.name {
+                self.say(&voter, &Said::Tell(now));
+            }
+        }
+    }
+
+    fn tell_marks(&mut self, now: Micros, from: &str, asked: Micros) {
+        let Some(kept) = self.voter.as_ref().map(Voter::tells) else { return };
+        // Who asks has nothing; and this one may have nothing either.
+        self.marks_known(now, from, now, &[]);
+        let bytes = Said::Known { asked, kept }.write(self.me.life.life, self.me.term);
+        let to = from.to_owned();
+        self.effects.push_back(if bytes.len() <= DATAGRAM {
+            Effect::Say(to, bytes)
+        } else {
+            Effect::Send(to, bytes)
+        });
+    }
+
+    fn marks_known(&mut self, now: Micros, from: &str, asked: Micros, kept: &[u8]) {
+        let other = from != self.me.life.name && self.terms.voters.iter().any(|v| v == from);
+        let Some(voter) = self.voter.as_mut().filter(|v| other && v.is_empty()) else { return };
+        voter.learn(now, from, asked, kept);
+        if voter.is_empty() {
+            return;
+        }
+        self.effects
+            .push_back(Effect::Log("what the other voters have marked is known: this one votes".into()));
+        self.keep();
+    }
+
     fn end_asked(&mut self, now: Micros, from: &str, who: Vec<Actor>) {
         let Some(voter) = &mut self.voter else { return };
         let told = voter.end(now, from, who);
@@ -594,19 +642,20 @@
             return;
         }
         let waits = self.plant != Plant::GrantNotWaitedOut;
+        let (quorum, lease) = (self.quorum(), self.terms.lease);
         for (actor, left) in marks {
             if let Some(end) = self.ends.get_mut(&actor) {
-                end.marked(voter, if waits { now + self.spans.surely(left) } else { now });
+                let at = if waits { now + self.spans.surely(left) } else { now };
+                end.marked(voter, now, at, quorum, lease);
             }
         }
     }
 
     fn ends_due(&mut self, now: Micros) {
-        let quorum = self.quorum();
         let over: Vec<Actor> = self
             .ends
             .iter()
-            .filter(|(_, e)| e.over_at(quorum).is_some_and(|at| at <= now))
+            .filter(|(_, e)| e.over.is_some_and(|at| at <= now))
             .map(|(a, _)| a.clone())
             .collect();
         for actor in over {
@@ -679,7 +728,7 @@
             }
             let others = entry.behind().map(|i| entry.links[i].actor.life.clone()).collect();
             self.forget(&key);
-            self.remember(key, Past::Moved(others));
+            self.remember(key, Past::Moved(self.me.term - 1, others));
         }
         self.ended = false;
         self.tenure = Tenure::new(now, self.quorum());
@@ -753,6 +802,8 @@
             }
             Said::Grant(_) | Said::Ended(_) | Said::Me => {}
             Said::Which => self.say(from, &Said::Me),
+            Said::Tell(asked) => self.tell_marks(now, from, asked),
+            Said::Known { asked, kept } => self.marks_known(now, from, asked, &kept),
             Said::End(who) => self.end_asked(now, from, who),
             Said::Marked(marks) => self.marked(now, from, marks),
             Said::Batch { to, .. } if to != (self.me.life.life, self.me.term) => self.say(from, &Said::Me),
@@ -832,10 +883,13 @@
             return Err(Why::Full);
         }
         let place = |who: &Actor| links.iter().position(|l| l.actor == *who);
-        // What a process gives back that had it in an earlier term.
+        // What a process gives back that had it in an earlier term. One that had it in this term, and has it
+        // no more, never does again.
         let earlier = |l: &Link| l.gone && l.actor.life == sender.life && l.actor.term < sender.term;
-        let back =
-            || links.iter().position(earlier).filter(|_| self.forgot == 0 || now >= self.forgot + 2 * BACK);
+        let known = self.forgot == 0 || now >= self.forgot + 2 * BACK;
+        let moved = matches!(self.past.get(&key), Some(Past::Moved(term, _)) if *term == self.me.term);
+        let new = known && !moved;
+        let back = || links.iter().position(earlier).filter(|_| new);
         let (Some(at), Some(by)) = (place(&self.me), place(sender).or_else(back)) else {
             return Err(Why::Past);
         };
@@ -843,8 +897,7 @@
             return Err(Why::Past);
         }
         // Given back by this process, taken by another one, which wants it as a guardian now.
-        let given = |e: &Entry| e.held().is_some_and(|h| h.giving) && e.links[e.at].actor != self.me;
-        if self.entries.get(&key).is_some_and(given) && whole {
+        if self.gives_back(&key) && whole {
             self.forget(&key);
         }
         let me = self.me.clone();
@@ -1170,7 +1223,7 @@
         }
         match self.past.get(key) {
             Some(Past::Ended(ending)) => Whereabouts::Over(ending.clone()),
-            Some(Past::Moved(others)) => {
+            Some(Past::Moved(_, others)) => {
                 others.iter().find(|l| at(l)).map_or(Whereabouts::Unknown, |l| Whereabouts::At(l.clone()))
             }
             None if key.taken_by == self.me.life && key.number <= self.taken => Whereabouts::Over(None),
@@ -1182,6 +1235,12 @@
         }
     }
 
+    /// Whether a statement is only offered to others, by a process that held it in a term that is over.
+    pub fn gives_back(&self, key: &StatementKey) -> bool {
+        let given = |e: &Entry| e.held().is_some_and(|h| h.giving) && e.links[e.at].actor != self.me;
+        self.entries.get(key).is_some_and(given)
+    }
+
     /// Own statements, records kept for others, octets of them, and what waits to be recorded.
     pub fn held(&self) -> [usize; 4] {
         [self.entries.len() - self.kept.0, self.kept.0, self.kept.1, self.waiting.len()]
@@ -1277,7 +1336,7 @@
         } else if entry.links[entry.at].gone {
             let others = entry.behind().map(|i| entry.links[i].actor.life.clone()).collect();
             self.forget(key);
-            self.remember(key.clone(), Past::Moved(others));
+            self.remember(key.clone(), Past::Moved(self.me.term, others));
         } else {
             let first = entry.links.iter().position(|l| !l.gone).unwrap_or(entry.at);
             if first == entry.at {
@@ -1300,7 +1359,7 @@
         let offered = entry.held().is_some_and(|h| h.offered);
         if giving && offered && entry.behind().next().is_none() {
             self.forget(key);
-            return self.remember(key.clone(), Past::Moved(Vec::new()));
+            return self.remember(key.clone(), Past::Moved(self.me.term, Vec::new()));
         }
         if self.lacks(now, entry) && (!giving || entry.behind().next().is_none()) {
             self.choose(now, key);
@@ -1313,7 +1372,7 @@
             if given {
                 let others = entry.behind().map(|i| entry.links[i].actor.life.clone()).collect();
                 self.forget(key);
-                self.remember(key.clone(), Past::Moved(others));
+                self.remember(key.clone(), Past::Moved(self.me.term, others));
             } else {
                 self.tell(now, key, 0);
             }
@@ -1448,11 +1507,19 @@
         let Some(held) = entry.held_mut() else { return };
         held.giving = true;
         held.ending = None;
-        // Somebody may have taken it over on what it was told and has not acknowledged.
-        held.offered = held.guards.iter().any(|g| g.told);
+        // Somebody may have taken it over on what it was told and has not acknowledged, and named others. So it is given back to those
+        // that were told, who have heard of that before it was acted on, and to no others; to any if nobody was.
+        let told = held.guards.iter().rposition(|g| g.told);
+        held.offered = told.is_some();
         for guard in &mut held.guards {
             (guard.sent, guard.body) = (0, false);
         }
+        let last = told.map_or(usize::MAX, |at| at + 1);
+        held.guards.truncate(last);
+        let untold: Vec<Actor> = entry.links.drain(last.min(entry.links.len())..).map(|l| l.actor).collect();
+        untold.iter().for_each(|actor| self.unref(key, actor));
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        let Some(held) = entry.held_mut() else { return };
         // What still waited for its record was never written.
         if held.intent.take().is_some_and(|(attempts, _)| attempts == 1) {
             (entry.record.out, entry.record.attempts) = (None, 0);
@@ -1507,15 +1574,15 @@
             let due = p.due.filter(|_| p.flights.len() < FLIGHTS);
             [due, p.flights.values().map(|f| f.lost_at).min()].into_iter().flatten()
         });
-        let quorum = self.quorum();
         let ends = self.ends.values().map(|e| {
             let asked = e.asked.map_or(0, |at| at + MARKS_AGAIN);
-            e.over_at(quorum).map_or(asked, |over| over.min(asked))
+            e.over.map_or(asked, |over| over.min(asked))
         });
         let turns = !self.looks.is_empty() || (!self.ready.is_empty() && self.acting);
         let forwards = self.forwards.values().copied().min();
         let renew = (!self.left).then_some(self.renew);
-        let most = [renew, Some(self.sweep), forwards, turns.then_some(self.turn)];
+        let known = self.voter.as_ref().is_some_and(Voter::is_empty).then_some(self.known_again);
+        let most = [renew, known, Some(self.sweep), forwards, turns.then_some(self.turn)];
         peers.chain(ends).chain(most.into_iter().flatten()).min()
     }
 
@@ -1547,6 +1614,7 @@
         self.acting = acting;
         self.ends_due(now);
         self.ask_marks(now);
+        self.ask_known(now);
         if self.sweep <= now {
             self.sweep = now + SWEEP;
             self.swept(now);
--- a/crates/custody/src/sim.rs
+++ b/crates/custody/src/sim.rs
@@ -238,6 +238,8 @@
     counts: Counts,
     wrong: Option<String>,
     healed: bool,
+    /// A voter has lost its disk: no other one does before that is over.
+    disks: usize,
 }
 
 fn name(n: usize) -> String {
@@ -287,6 +289,7 @@
             counts: Counts::default(),
             wrong: None,
             healed: false,
+            disks: 0,
             case,
         };
         fleet.loss = draw(&mut fleet.dice) % (fleet.case.loss + 1);
@@ -925,7 +928,7 @@
     fn fault(&mut self, n: usize) {
         let count = self.nodes.len();
         let span = self.within(200 * MS, 5 * SECOND);
-        let kind = draw(&mut self.dice) % 17;
+        let kind = draw(&mut self.dice) % 18;
         match kind {
             0..=3 => {
                 self.kill(n);
@@ -997,6 +1000,16 @@
                     self.at(at, v, What::Start);
                 }
             }
+            // A voter loses its disk, once: more at a time than a quorum has to spare is another matter.
+            17 => {
+                let voter = n % self.case.voters;
+                if self.disks == 0 && self.case.voters > 1 {
+                    self.disks += 1;
+                    self.kill(voter);
+                    self.nodes[voter].disk = None;
+                    self.at(self.now, voter, What::Start);
+                }
+            }
             15 if draw(&mut self.dice) % 8 == 0 => {
                 for o in (0..count).filter(|o| o % 10 != n % 10) {
                     self.kill(o);
@@ -1128,7 +1141,10 @@
     /// All faults are over and found out: who has something in hand now has to bring it to its end.
     pub fn settled(&mut self) {
         for (key, statement) in &mut self.statements {
-            let has = |n: &Node| n.custodian.as_ref().is_some_and(|c| !c.chain(key).is_empty());
+            // What is only offered may be refused: whoever knew more is gone.
+            let has = |n: &Node| {
+                n.custodian.as_ref().is_some_and(|c| !c.chain(key).is_empty() && !c.gives_back(key))
+            };
             statement.living = !statement.got && self.nodes.iter().any(has);
         }
     }
--- a/crates/custody/src/tenure.rs
+++ b/crates/custody/src/tenure.rs
@@ -72,13 +72,31 @@
     /// Marks that are not on disk yet, and who waits for which: by the writing that is under way, and by the next one.
     open: [BTreeSet<Life>; 2],
     waiting: [Vec<(String, Actor)>; 2],
+    /// It has nothing that it kept, and learns first what the others have.
+    empty: Option<Empty>,
+}
+
+/// A voter that has kept nothing: it starts for the first time, or its disk is lost, and with it marks that count still.
+struct Empty {
+    voters: usize,
+    /// Others that have nothing either, and others that have told their marks after the silence.
+    too: BTreeSet<String>,
+    told: BTreeSet<String>,
 }
 
 impl Voter {
-    pub fn new(spans: Spans, ends: Option<&[u8]>, now: Micros, plant: Plant) -> Result<Voter, Spoilt> {
+    pub fn new(
+        spans: Spans,
+        ends: Option<&[u8]>,
+        now: Micros,
+        voters: usize,
+        plant: Plant,
+    ) -> Result<Voter, Spoilt> {
         let marks = ends.map_or(Ok(Vec::new()), |bytes| wire::kept(bytes, REMEMBERED))?;
         let marks = if plant == Plant::MarkNotKept { Vec::new() } else { marks };
-        let silent = ends.is_some() && plant != Plant::NoSilence;
+        let silent = plant != Plant::NoSilence;
+        let empty = ends.is_none() && voters > 1 && plant != Plant::VotesWithoutMarks;
+        let silent = silent && (ends.is_some() || empty);
         Ok(Voter {
             spans,
             grants: BTreeMap::new(),
@@ -90,15 +108,56 @@
             first: ends.is_none(),
             open: Default::default(),
             waiting: Default::default(),
+            empty: empty.then(|| Empty { voters, too: BTreeSet::new(), told: BTreeSet::new() }),
         })
     }
 
+    /// Whether this voter has to learn what the others have marked before it takes part.
+    pub fn is_empty(&self) -> bool {
+        self.empty.is_some()
+    }
+
+    /// What it tells another one that has nothing: its marks; nothing if it has nothing either.
+    pub fn tells(&self) -> Vec<u8> {
+        if self.is_empty() {
+            return Vec::new();
+        }
+        wire::keep(self.marks.iter().map(|(life, (through, _))| (life, *through)))
+    }
+
+    /// Another voter has told its marks, asked at that time. Once all others have nothing either it is the first start of all.
+    /// Otherwise so many are needed that each quorum with this voter in it has one of them; they are asked after a lease's silence,
+    /// when each quorum that counts a mark which this voter gave before is whole.
+    pub fn learn(&mut self, now: Micros, from: &str, asked: Micros, kept: &[u8]) {
+        let Some(empty) = &mut self.empty else { return };
+        if kept.is_empty() {
+            empty.too.insert(from.to_owned());
+        } else if asked >= self.silent_until {
+            let Ok(marks) = wire::kept(kept, REMEMBERED) else { return };
+            empty.told.insert(from.to_owned());
+            for (life, through) in marks {
+                let known = self.marks.entry(life).or_insert((through, now));
+                known.0 = through.max(known.0);
+            }
+        }
+        let others = empty.voters - 1;
+        let quorum = empty.voters / 2 + 1;
+        let first = empty.too.len() == others;
+        let all = empty.told.union(&empty.too).count() == others && !empty.told.is_empty();
+        if first || all || empty.told.len() > empty.voters - quorum {
+            self.empty = None;
+            if first {
+                self.silent_until = 0;
+            }
+        }
+    }
+
     /// Whether a life in a term may act on what this voter grants from now on.
     pub fn asked(&mut self, now: Micros, who: &Actor) -> Answer {
         if let Some((through, _)) = self.marks.get(&who.life).filter(|m| m.0 >= who.term) {
             return Answer::Ended(*through);
         }
-        if !self.started || now < self.silent_until {
+        if !self.started || self.is_empty() || now < self.silent_until {
             return Answer::Nothing;
         }
         let until = now + self.spans.granted();
@@ -147,6 +206,9 @@
     /// others follow from [`Voter::kept`].
     pub fn end(&mut self, now: Micros, from: &str, who: Vec<Actor>) -> Vec<(Actor, Micros)> {
         let mut told = Vec::new();
+        if self.is_empty() {
+            return told;
+        }
         for actor in who {
             if !self.mark(now, &actor) {
                 continue;
@@ -169,7 +231,7 @@
 
     /// What is to be kept now, if anything.
     pub fn keep(&mut self) -> Option<Vec<u8>> {
-        if self.writing || (self.open[1].is_empty() && !self.first) {
+        if self.is_empty() || self.writing || (self.open[1].is_empty() && !self.first) {
             return None;
         }
         (self.writing, self.first) = (true, false);
@@ -215,27 +277,29 @@
     }
 }
 
-/// A life that is to be ended: the marks that have come, by voter, each with the time at which its grant has run out.
+/// A life that is to be ended: the marks that have come, by voter, each with when it came and the time at which its grant has run
+/// out. A quorum counts if its marks came within one lease: a voter that has lost its disk keeps still for longer.
 #[derive(Default)]
 pub(crate) struct EndAsk {
-    marks: BTreeMap<String, Micros>,
+    marks: BTreeMap<String, (Micros, Micros)>,
     pub asked: Option<Micros>,
+    /// From when on the life is surely over; set once a quorum has marked it.
+    pub over: Option<Micros>,
 }
 
 impl EndAsk {
-    pub fn marked(&mut self, voter: &str, at: Micros) {
-        let over = self.marks.entry(voter.to_owned()).or_insert(at);
-        *over = at.min(*over);
-    }
-
-    pub fn lacks(&self, voter: &str) -> bool {
-        !self.marks.contains_key(voter)
+    pub fn marked(&mut self, voter: &str, now: Micros, at: Micros, quorum: usize, lease: Micros) {
+        let over = self.marks.entry(voter.to_owned()).or_insert((now, at));
+        *over = (now, at.min(over.1));
+        self.marks.retain(|_, (came, _)| now < *came + lease);
+        let mut times: Vec<Micros> = self.marks.values().map(|(_, over)| *over).collect();
+        times.sort_unstable();
+        let over = quorum.checked_sub(1).and_then(|n| times.get(n)).copied();
+        self.over = self.over.into_iter().chain(over).min();
     }
 
-    /// From when on the life is surely over, once a quorum has marked it: any quorum will do.
-    pub fn over_at(&self, quorum: usize) -> Option<Micros> {
-        let mut times: Vec<Micros> = self.marks.values().copied().collect();
-        times.sort_unstable();
-        times.get(quorum.checked_sub(1)?).copied()
+    /// Whether a voter's mark is to be asked for.
+    pub fn lacks(&self, now: Micros, voter: &str, lease: Micros) -> bool {
+        self.over.is_none() && self.marks.get(voter).is_none_or(|(came, _)| now >= *came + lease / 2)
     }
 }
--- a/crates/custody/src/wire.rs
+++ b/crates/custody/src/wire.rs
@@ -87,6 +87,10 @@
     Me,
     /// Which term are you in?
     Which,
+    /// I have kept nothing: which lives have you marked? Asked at that time of mine.
+    Tell(Micros),
+    /// Those, as they are kept; empty: I have kept nothing either.
+    Known { asked: Micros, kept: Vec<u8> },
 }
 
 /// Why octets are not taken.
@@ -331,12 +335,19 @@
             Said::Ack { .. } => 7,
             Said::Me => 8,
             Said::Which => 9,
+            Said::Tell(_) => 10,
+            Said::Known { .. } => 11,
         };
         let mut w = W(vec![FORMAT, kind]);
         w.u64(life);
         w.u32(term);
         match self {
-            Said::Ask(at) | Said::Grant(at) => w.u64(*at),
+            Said::Ask(at) | Said::Grant(at) | Said::Tell(at) => w.u64(*at),
+            Said::Known { asked, kept } => {
+                w.u64(*asked);
+                w.u32(kept.len() as u32);
+                w.0.extend_from_slice(kept);
+            }
             Said::Ended(through) => w.u32(*through),
             Said::End(actors) => {
                 w.u16(actors.len() as u16);
@@ -414,6 +425,11 @@
             }
             8 => Said::Me,
             9 => Said::Which,
+            10 => Said::Tell(r.u64()?),
+            11 => {
+                let (asked, n) = (r.u64()?, r.u32()? as usize);
+                Said::Known { asked, kept: r.take(n)?.to_vec() }
+            }
             _ => return Err(Unread::Bad),
         };
         if r.0.is_empty() {
--- a/crates/custody/tests/histories.rs
+++ b/crates/custody/tests/histories.rs
@@ -56,6 +56,7 @@
         Plant::ChainForgotten,
         Plant::ChainNotAwaited,
         Plant::GrantNotWaitedOut,
+        Plant::VotesWithoutMarks,
     ];
     for plant in plants {
         assert!(found(plant, &Case::default(), 300), "{plant:?}");
