Gateway: one place asks a gateway for its resources

Need: members, sites and custody each had the same fifteen lines to ask a gateway for what it tells. No behaviour differs.

--- /dev/null
+++ b/crates/gateway/src/asking.rs
@@ -0,0 +1,30 @@
+//! Asks a gateway for one of its resources, as operators' commands and the rig do.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use violetward_net::Connection;
+use violetward_statement::http::{Headers, Limits};
+
+/// How long the question waits.
+const ASK: Duration = Duration::from_secs(2);
+
+/// What a gateway tells under this path.
+///
+/// # Errors
+/// What it answers instead, or why it does not.
+pub(crate) async fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, String> {
+    let asked = async {
+        let mut connection =
+            Connection::connect(address, Limits::default()).await.map_err(|e| e.to_string())?;
+        let mut headers = Headers::default();
+        headers.push("Host", address.to_string());
+        connection.call("GET", path, &headers, b"").await.map_err(|e| e.to_string())
+    };
+    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
+    if message.status() != 200 {
+        return Err(String::from_utf8_lossy(&message.body).trim().to_owned());
+    }
+    serde_json::from_slice(&message.body).map_err(|e| e.to_string())
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! engine list's file), [`peers`] (datagrams among gateways); [`service`] ties them together.
 
 pub mod agreed;
+mod asking;
 pub mod config;
 pub mod core;
 pub mod custody;
--- a/crates/gateway/src/outage.rs
+++ b/crates/gateway/src/outage.rs
@@ -56,8 +56,6 @@
 const TEACH: Micros = 5_000_000;
 /// In cells of this class stands what belongs to none: the way from a site to a zone's engines.
 const NO_CLASS: u16 = u16::MAX;
-/// How long an operator's command waits.
-const ASK: Duration = Duration::from_secs(2);
 
 /// An engine as it is watched.
 struct Watched {
--- a/crates/gateway/src/outage/told.rs
+++ b/crates/gateway/src/outage/told.rs
@@ -201,16 +201,5 @@
 /// # Errors
 /// What it answers instead, or why it does not.
 pub async fn ask(address: SocketAddr) -> Result<Standing, String> {
-    let asked = async {
-        let mut connection =
-            Connection::connect(address, Limits::default()).await.map_err(|e| e.to_string())?;
-        let mut headers = Headers::default();
-        headers.push("Host", address.to_string());
-        connection.call("GET", "/v1/sites", &headers, b"").await.map_err(|e| e.to_string())
-    };
-    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
-    if message.status() != 200 {
-        return Err(String::from_utf8_lossy(&message.body).trim().to_owned());
-    }
-    serde_json::from_slice(&message.body).map_err(|e| e.to_string())
+    crate::asking::get(address, "/v1/sites").await
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,8 +11,7 @@
 use serde::{Deserialize, Serialize};
 use violetward_membership::wire::CLASSES;
 use violetward_membership::{Change, Demand, Effect, Link, Membership, Standing, State, Terms};
-use violetward_net::{Alarm, Connection};
-use violetward_statement::http::{Headers, Limits};
+use violetward_net::Alarm;
 use violetward_transport::sockets::{self, Datagrams};
 
 use violetward_custody::Life;
@@ -25,8 +24,6 @@
 
 /// Over how long what clients ask for is averaged, and how often that is told.
 const AVERAGE: (Duration, Duration) = (Duration::from_secs(5), Duration::from_millis(500));
-/// How long `violetward members` waits.
-const ASK: Duration = Duration::from_secs(2);
 /// Octets read at once: one more than any good datagram tells a longer one.
 const READ: usize = violetward_membership::wire::DATAGRAM + 1;
 
@@ -393,18 +390,7 @@
 /// # Errors
 /// What it answers instead, or why it does not.
 pub async fn ask(address: SocketAddr) -> Result<View, String> {
-    let asked = async {
-        let mut connection =
-            Connection::connect(address, Limits::default()).await.map_err(|e| e.to_string())?;
-        let mut headers = Headers::default();
-        headers.push("Host", address.to_string());
-        connection.call("GET", "/v1/members", &headers, b"").await.map_err(|e| e.to_string())
-    };
-    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
-    if message.status() != 200 {
-        return Err(String::from_utf8_lossy(&message.body).trim().to_owned());
-    }
-    serde_json::from_slice(&message.body).map_err(|e| e.to_string())
+    crate::asking::get(address, "/v1/members").await
 }
 
 impl std::fmt::Display for View {
