--- a/crates/lab/src/client.rs
+++ b/crates/lab/src/client.rs
@@ -104,7 +104,7 @@
     headers
 }
 
-fn path(uri: &str) -> &str {
+pub(crate) fn path(uri: &str) -> &str {
     let after = uri.find("://").map_or(uri, |at| &uri[at + 3..]);
     after.find('/').map_or("/", |at| &after[at..])
 }
@@ -357,7 +357,7 @@
     }
 }
 
-fn verdict(results: &QueryResults) -> Seen {
+pub(crate) fn verdict(results: &QueryResults) -> Seen {
     match &results.error {
         None => Seen::Served,
         Some(e) if e.error_name == REFUSED => {
--- a/crates/lab/src/cluster/plan.rs
+++ b/crates/lab/src/cluster/plan.rs
@@ -58,6 +58,12 @@
     CutEngines(Vec<usize>),
     /// Nothing passes between sites, neither among gateways nor from gateways to engines.
     PartSites,
+    /// Nothing passes between clients and these gateways.
+    CutClients(Vec<usize>),
+    /// Gateways that are seen to take statements over are killed just then, so many, and start again that long after.
+    KillTakers(usize, Duration),
+    /// Pages are asked for with forged tokens, and with old ones.
+    Forge,
     /// Engines' processes end.
     KillEngines(Vec<usize>),
     /// They start anew, cold.
@@ -104,6 +110,8 @@
         match self {
             Act::Stop(_, span) => *span,
             Act::Rekey => Duration::from_secs(4),
+            Act::KillTakers(_, back) => *back + Duration::from_secs(2),
+            Act::Forge => super::forged::LONG_AGO + Duration::from_secs(8),
             Act::Flips(every, count, _) | Act::Kills(every, count, _) => *every * *count as u32,
             Act::Roll(all) => Duration::from_secs(2) * all.len() as u32,
             Act::Window(ask) => ask.after + ask.span,
@@ -277,6 +285,12 @@
         "flood" => Act::Flood(c.whole(form, 1, 1_000_000)? as usize),
         "rekey" => Act::Rekey,
         "part-sites" => Act::PartSites,
+        "forge" => Act::Forge,
+        "cut-clients" => Act::CutClients(numbers(c, form, gateways)),
+        "kill-takers" => {
+            let count = form.rest.first()?.value().as_u64()? as usize;
+            Act::KillTakers(count, c.span(&form.with(vec![*form.rest.get(1)?]))?)
+        }
         "cut-engines" => Act::CutEngines(numbers(c, form, gateways)),
         "kill-engines" => Act::KillEngines(numbers(c, form, engines)),
         "start-engines" => Act::StartEngines(numbers(c, form, engines)),
--- a/crates/lab/src/cluster/plans/custody.rs
+++ b/crates/lab/src/cluster/plans/custody.rs
@@ -82,4 +82,47 @@
         (at "6s" (kill-engines 1)) (at "6s" (kill 0)) (at "11s" (start-engines 1)) (at "11s" (start 0))
         (expect (adopted 1) (agree "12s"))"#,
     ),
+    (
+        "custody-forged",
+        "custody: pages asked for with forged, cut, foreign and replayed tokens, and statements that ended long ago",
+        r#"
+        (gateways 5) (engines 4) (span "14s") (load 0.5) (keepers 5) (lease "1s")
+        (at "2s" (forge)) (expect (agree "6s"))"#,
+    ),
+    (
+        "custody-client-cut",
+        "custody: clients are cut off from their holder alone, which all others still reach",
+        r#"
+        (gateways 5) (engines 4) (span "22s") (load 0.5) (keepers 5) (lease "1s")
+        (at "5s" (cut-clients 0)) (at "11s" (heal)) (at "14s" (cut-clients 1 2)) (at "18s" (heal)) (expect (agree "6s"))"#,
+    ),
+    (
+        "custody-nine",
+        "custody: nine in ten are killed at once and start again",
+        r#"
+        (gateways 10) (engines 4) (span "26s") (load 0.5) (keepers 5) (lease "1s")
+        (at "6s" (kill 0 1 2 3 4 5 6 7 8)) (at "8s" (start 0 1 2 3 4 5 6 7 8)) (expect (lost 20) (agree "14s"))"#,
+    ),
+    (
+        "custody-restarted",
+        "custody: a holder is killed and starts at once under its name, again and again",
+        r#"
+        (gateways 5) (engines 4) (span "26s") (load 0.5) (keepers 5) (lease "1s")
+        (at "5s" (kill 0)) (at "5s" (start 0)) (at "9s" (kill 0)) (at "9s" (start 0))
+        (at "13s" (kill 0)) (at "13s" (start 0)) (at "14s" (kill 0)) (at "14s" (start 0)) (expect (adopted 2) (agree "12s"))"#,
+    ),
+    (
+        "custody-taker",
+        "custody: the holder is killed, and two that take its statements over are killed while they do",
+        r#"
+        (gateways 7) (engines 4) (span "26s") (load 0.6) (keepers 7) (lease "1s")
+        (at "6s" (kill 0)) (at "6500ms" (kill-takers 2 "4s")) (at "14s" (start 0)) (expect (adopted 2) (agree "14s"))"#,
+    ),
+    (
+        "custody-guards",
+        "custody: three of five are killed at once, some holders with both their guardians",
+        r#"
+        (gateways 5) (engines 4) (span "24s") (load 0.5) (keepers 3) (lease "1s")
+        (at "6s" (kill 2 3 4)) (at "12s" (start 2 3 4)) (expect (adopted 1) (lost 12) (agree "12s"))"#,
+    ),
 ];
--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -180,7 +180,7 @@
 }
 
 /// Processor seconds of a process (`/proc`, fields 14 and 15, hundredths).
-fn cpu(pid: u32) -> f64 {
+pub(crate) fn cpu(pid: u32) -> f64 {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     let after = text.rsplit(") ").next().unwrap_or_default();
     let fields: Vec<f64> = after.split(' ').filter_map(|f| f.parse().ok()).collect();
