Custody: a life whose process came back under its name is asked to be ended at once

Cause: a life that membership does not list counts as gone only after a lease, as it may be newer than what is listed. One that was listed, and whose name another process has now, is not newer, yet it was treated so; even one that was dead before became undecided again by the restart.

Now a life that was listed and gave way to another of its name is gone from that moment: the voters are asked for marks, and its grant is waited out as always. A wrong belief costs no more than before: that word is still the voters'.

Not the cause: detection itself (the new process was known in 2 s).

--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -499,7 +499,13 @@
 
     /// What membership believes, whenever it changes.
     pub fn members(&mut self, now: Micros, members: Vec<Member>) {
-        self.lives = members.into_iter().map(|m| (m.life, (m.state, m.site))).collect();
+        let lives = members.into_iter().map(|m| (m.life, (m.state, m.site))).collect();
+        let before = std::mem::replace(&mut self.lives, lives);
+        // A process of the same name in the place of one that was listed: that one is gone. One that was never listed may be newer.
+        let names: BTreeSet<&String> = self.lives.keys().map(|l| &l.name).collect();
+        for life in before.into_keys().filter(|l| !self.lives.contains_key(l) && names.contains(&l.name)) {
+            self.unlisted.insert(life, now.saturating_sub(self.terms.lease));
+        }
         self.candidates = self
             .lives
             .iter()
--- a/crates/custody/tests/words.rs
+++ b/crates/custody/tests/words.rs
@@ -303,3 +303,20 @@
     assert!(three.done.contains(&(0, Effect::Dropped(key(1)))));
     assert!(!three.done.iter().any(|d| matches!(d, (_, Effect::Go(..)))));
 }
+
+#[test]
+fn what_a_process_held_that_came_back_under_its_name_waits_for_its_grant_alone() {
+    let mut three = Three::new(100);
+    three.all[0].take(three.now, record(1));
+    three.run(SECOND / 10);
+    three.cut_off = Some(0);
+    // It started anew at once, and nobody had it for dead before.
+    let new = Life { life: 200, ..life(0) };
+    for n in [1, 2] {
+        let of = |life| Member { life, site: "s0".into(), state: State::Alive };
+        three.all[n].members(three.now, vec![of(life(1)), of(life(2)), of(new.clone())]);
+    }
+    three.run(3 * SECOND + SECOND / 5);
+    let adopted = |d: &&(usize, Effect)| matches!(&d.1, Effect::Adopt(record) if record.key == key(1));
+    assert_eq!(three.done.iter().filter(adopted).count(), 1);
+}
