Custody: a post is answered once its statement outlives the gateway that took it

Now the first word goes out at once, and the answer to the post waits until all guardians have it and the voters granted the tenure within half a lease, or until one has it and the tenure was granted anew since. If neither comes within half a lease it is refused (503): what is unsafe to repeat begins only with the first page, whose address nobody was told.

A new test fails without the word sent at once and without the look at the tenure.

--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -1099,6 +1099,21 @@
         self.entries.get(key).map_or(Vec::new(), |e| e.links.iter().map(of).collect())
     }
 
+    /// Whether the client of a statement that was taken here at a time may be told that it is: it outlives this process from
+    /// then on. All that are to keep it have it, and the voters have granted the tenure within half a lease; or, if one is
+    /// silent, another one has it and the tenure was granted anew since. A holder that is cut off knows of that only at the end
+    /// of its lease, and what it takes until then nobody could act for before its client has given up.
+    pub fn settled(&self, now: Micros, key: &StatementKey, since: Micros) -> bool {
+        let Some((entry, held)) = self.entries.get(key).and_then(|e| e.held().map(|h| (e, h))) else {
+            return true;
+        };
+        let asked_at = |at: Micros| self.tenure.until >= at.saturating_add(self.spans.held());
+        let has = |i: usize| held.guards[i].acked > 0;
+        let none = entry.behind().all(|i| self.lost(now, &entry.links[i].actor.life));
+        let fresh = asked_at(now.saturating_sub(self.terms.lease / 2));
+        (fresh && entry.behind().all(has)) || (asked_at(since) && (none || entry.behind().any(has)))
+    }
+
     fn mine(&mut self, now: Micros, key: &StatementKey) -> Option<&mut Entry> {
         let may = self.may_act(now);
         let entry = self.entries.get_mut(key)?;
@@ -1418,7 +1433,10 @@
         if held.intent.is_none() && held.ending.is_none() && held.adopting.is_none() {
             self.waiting.remove(key);
         }
-        self.tell(now, key, if waits { 0 } else { COALESCED });
+        // The first word of a statement is what its client waits for.
+        let new =
+            self.entries.get(key).and_then(Entry::held).is_some_and(|h| h.guards.iter().all(|g| !g.told));
+        self.tell(now, key, if waits || new { 0 } else { COALESCED });
     }
 
     /// Those behind it that may be told and do not know the newest version are.
--- a/crates/custody/tests/words.rs
+++ b/crates/custody/tests/words.rs
@@ -304,6 +304,34 @@
     assert!(!three.done.iter().any(|d| matches!(d, (_, Effect::Go(..)))));
 }
 
+#[test]
+fn a_client_is_told_that_its_statement_is_taken_once_others_have_it() {
+    let mut three = Three::new(100);
+    three.all[0].take(three.now, record(1));
+    assert!(!three.all[0].settled(three.now, &key(1), three.now));
+    // Not held back like later words.
+    three.run(5_000);
+    assert!(three.all[0].settled(three.now, &key(1), three.now));
+    // One keeper is silent: the other one and a tenure that was granted anew will do.
+    three.cut_off = Some(2);
+    let since = three.now;
+    three.all[0].take(since, record(2));
+    three.run(5_000);
+    assert!(!three.all[0].settled(three.now, &key(2), since));
+    three.run(3 * SECOND / 2);
+    assert!(three.all[0].settled(three.now, &key(2), since));
+    // Cut off from all, whether membership knows of that or not.
+    three.cut_off = Some(0);
+    let since = three.now;
+    three.all[0].take(since, record(3));
+    three.run(2 * SECOND);
+    assert!(!three.all[0].settled(three.now, &key(3), since));
+    three.sees(0, [(1, State::Dead), (2, State::Dead)]);
+    three.all[0].take(three.now, record(4));
+    assert!(!three.all[0].settled(three.now, &key(3), since));
+    assert!(!three.all[0].settled(three.now, &key(4), three.now));
+}
+
 #[test]
 fn what_a_process_held_that_came_back_under_its_name_waits_for_its_grant_alone() {
     let mut three = Three::new(100);
--- a/crates/gateway/src/custody.rs
+++ b/crates/gateway/src/custody.rs
@@ -144,6 +144,8 @@
     alarm: Alarm,
     /// Something about who holds what may have changed.
     pub(crate) changed: Event,
+    /// Something has come from another gateway.
+    came: Event,
     /// It has held its tenure.
     ready: Cell<bool>,
     unprotected: Cell<u64>,
@@ -286,6 +288,7 @@
             keeps,
             alarm: Alarm::default(),
             changed: Event::new(),
+            came: Event::new(),
             ready: Cell::default(),
             unprotected: Cell::default(),
             passed_on: Cell::default(),
@@ -434,6 +437,29 @@
         }
     }
 
+    /// Waits until the client of a new statement may be told that it is taken, so that it is not lost with this gateway from then
+    /// on. If that does not come to be within half a lease it is refused, and this says `false`: nothing that is unsafe
+    /// to repeat begins before its client knows its address.
+    pub(crate) async fn settles(&self, host: &Rc<Host>, id: StatementId) -> bool {
+        let Some(key) = self.key(id) else { return true };
+        let since = host.now();
+        let until = Instant::now() + self.rest();
+        loop {
+            let news = self.came.listen();
+            if self.machine.borrow().settled(host.now(), &key, since) {
+                return true;
+            }
+            if Instant::now() >= until {
+                break;
+            }
+            future::or(news, violetward_net::sleep_until(until)).await;
+        }
+        tracing::info!(n = id.0, at = host.now(), "not taken: nobody else came to know of it");
+        host.core(|core, now| core.refuse_unguarded(now, id, "no other gateway could keep it"));
+        self.forget(host, id);
+        false
+    }
+
     /// Whether a statement is protected.
     pub(crate) fn knows(&self, id: StatementId) -> bool {
         self.names.borrow().contains_key(&id)
@@ -610,6 +636,7 @@
     /// Something came from a member by datagram.
     pub fn heard(&self, host: &Rc<Host>, from: &str, bytes: &[u8]) {
         self.with(host, |m, now| m.heard(now, from, bytes));
+        self.came.notify(usize::MAX);
     }
 
     /// What membership believes may have changed.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -319,7 +319,7 @@
         let (method, target) = message.request();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         match (method, path) {
-            ("POST", STATEMENT) => Some(self.post(message)),
+            ("POST", STATEMENT) => Some(self.post(message).await),
             ("GET", "/v1/info") => Some(self.info()),
             ("GET", "/v1/status") => Some(self.status()),
             ("GET", "/metrics") => Some(self.metrics()),
@@ -351,7 +351,7 @@
         }
     }
 
-    fn post(&self, message: &Message) -> Reply {
+    async fn post(&self, message: &Message) -> Reply {
         if self.host.is_draining() {
             return Reply::text(503, "this gateway is stopping; the statement was not taken");
         }
@@ -374,14 +374,24 @@
             Some(Takes::Protected) | None => true,
         };
         let id = self.host.core(|core, now| core.submit_as(now, submission, protects));
-        let page = PageRef { slug: self.slug_of(id, &public_id, None), id: public_id, token: 0 };
+        let mut page = PageRef { slug: self.slug_of(id, &public_id, None), id: public_id, token: 0 };
         if self.host.look(|core| core.has_ended(id)) {
             if let Turn::Page(made) = self.host.core(|core, now| core.page(now, id, 0, true)) {
                 return self.document(&base(message), &page, &made);
             }
         }
+        let custody = self.host.custody().filter(|custody| custody.knows(id));
+        if let Some(custody) = &custody {
+            if !custody.settles(&self.host, id).await {
+                return Reply::text(503, "no other gateway could keep the statement; it was not taken");
+            }
+            // Others may have been named meanwhile. One that has been handed over keeps the names it had.
+            if custody.knows(id) {
+                page.slug = self.slug_of(id, &page.id, None);
+            }
+        }
         let mut reply = Reply::document(pages::queued(&base(message), &page));
-        if self.host.custody().is_some_and(|custody| custody.knows(id)) {
+        if custody.is_some() {
             reply.headers.push(ANY_GATEWAY, "true");
         }
         if let Some(window) = self.host.look(|core| core.repeat_window(id)) {
