Custody: only who holds a tenure asks the voters to end others

All five terms were ended within 0.15 s, every statement of the fleet was dropped and taken over, and taken over again from g1, whose own term ended next.

A gateway without a tenure can take nothing over, so it has no use for a mark. Now it asks only while it holds its tenure; after a cut it gets that back a term later, when membership has long seen the others alive.

Checked: the histories of the package pass with it, no statement is left without an end; a new test has the first sayings after a heal come through before membership. Ruled out: the marks of the side that went on, which are right.

--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -574,8 +574,10 @@
     }
 
     fn ask_marks(&mut self, now: Micros) {
+        // One without a tenure could take nothing over. It may be the one that is cut off: after the heal its old belief would end
+        // all those that went on.
         let due = |e: &EndAsk| e.asked.is_none_or(|at| at + MARKS_AGAIN <= now);
-        if !self.ends.values().any(due) {
+        if !self.acting || !self.ends.values().any(due) {
             return;
         }
         let lease = self.terms.lease;
@@ -1599,8 +1601,8 @@
             [due, p.flights.values().map(|f| f.lost_at).min()].into_iter().flatten()
         });
         let ends = self.ends.values().map(|e| {
-            let asked = e.asked.map_or(0, |at| at + MARKS_AGAIN);
-            e.over.map_or(asked, |over| over.min(asked))
+            let asked = self.acting.then(|| e.asked.map_or(0, |at| at + MARKS_AGAIN));
+            asked.into_iter().chain(e.over).min().unwrap_or(Micros::MAX)
         });
         let turns = !self.looks.is_empty() || (!self.ready.is_empty() && self.acting);
         let forwards = self.forwards.values().copied().min();
