--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -499,7 +499,13 @@
 
     /// What membership believes, whenever it changes.
     pub fn members(&mut self, now: Micros, members: Vec<Member>) {
-        self.lives = members.into_iter().map(|m| (m.life, (m.state, m.site))).collect();
+        let lives = members.into_iter().map(|m| (m.life, (m.state, m.site))).collect();
+        let before = std::mem::replace(&mut self.lives, lives);
+        // A process of the same name in the place of one that was listed: that one is gone. One that was never listed may be newer.
+        let names: BTreeSet<&String> = self.lives.keys().map(|l| &l.name).collect();
+        for life in before.into_keys().filter(|l| !self.lives.contains_key(l) && names.contains(&l.name)) {
+            self.unlisted.insert(life, now.saturating_sub(self.terms.lease));
+        }
         self.candidates = self
             .lives
             .iter()
@@ -568,8 +574,10 @@
     }
 
     fn ask_marks(&mut self, now: Micros) {
+        // One without a tenure could take nothing over. It may be the one that is cut off: after the heal its old belief would end
+        // all those that went on.
         let due = |e: &EndAsk| e.asked.is_none_or(|at| at + MARKS_AGAIN <= now);
-        if !self.ends.values().any(due) {
+        if !self.acting || !self.ends.values().any(due) {
             return;
         }
         let lease = self.terms.lease;
@@ -1093,6 +1101,21 @@
         self.entries.get(key).map_or(Vec::new(), |e| e.links.iter().map(of).collect())
     }
 
+    /// Whether the client of a statement that was taken here at a time may be told that it is: it outlives this process from
+    /// then on. All that are to keep it have it, and the voters have granted the tenure within half a lease; or, if one is
+    /// silent, another one has it and the tenure was granted anew since. A holder that is cut off knows of that only at the end
+    /// of its lease, and what it takes until then nobody could act for before its client has given up.
+    pub fn settled(&self, now: Micros, key: &StatementKey, since: Micros) -> bool {
+        let Some((entry, held)) = self.entries.get(key).and_then(|e| e.held().map(|h| (e, h))) else {
+            return true;
+        };
+        let asked_at = |at: Micros| self.tenure.until >= at.saturating_add(self.spans.held());
+        let has = |i: usize| held.guards[i].acked > 0;
+        let none = entry.behind().all(|i| self.lost(now, &entry.links[i].actor.life));
+        let fresh = asked_at(now.saturating_sub(self.terms.lease / 2));
+        (fresh && entry.behind().all(has)) || (asked_at(since) && (none || entry.behind().any(has)))
+    }
+
     fn mine(&mut self, now: Micros, key: &StatementKey) -> Option<&mut Entry> {
         let may = self.may_act(now);
         let entry = self.entries.get_mut(key)?;
@@ -1412,7 +1435,10 @@
         if held.intent.is_none() && held.ending.is_none() && held.adopting.is_none() {
             self.waiting.remove(key);
         }
-        self.tell(now, key, if waits { 0 } else { COALESCED });
+        // The first word of a statement is what its client waits for.
+        let new =
+            self.entries.get(key).and_then(Entry::held).is_some_and(|h| h.guards.iter().all(|g| !g.told));
+        self.tell(now, key, if waits || new { 0 } else { COALESCED });
     }
 
     /// Those behind it that may be told and do not know the newest version are.
@@ -1575,8 +1601,8 @@
             [due, p.flights.values().map(|f| f.lost_at).min()].into_iter().flatten()
         });
         let ends = self.ends.values().map(|e| {
-            let asked = e.asked.map_or(0, |at| at + MARKS_AGAIN);
-            e.over.map_or(asked, |over| over.min(asked))
+            let asked = self.acting.then(|| e.asked.map_or(0, |at| at + MARKS_AGAIN));
+            asked.into_iter().chain(e.over).min().unwrap_or(Micros::MAX)
         });
         let turns = !self.looks.is_empty() || (!self.ready.is_empty() && self.acting);
         let forwards = self.forwards.values().copied().min();
--- a/crates/custody/tests/words.rs
+++ b/crates/custody/tests/words.rs
@@ -303,3 +303,65 @@
     assert!(three.done.contains(&(0, Effect::Dropped(key(1)))));
     assert!(!three.done.iter().any(|d| matches!(d, (_, Effect::Go(..)))));
 }
+
+#[test]
+fn a_client_is_told_that_its_statement_is_taken_once_others_have_it() {
+    let mut three = Three::new(100);
+    three.all[0].take(three.now, record(1));
+    assert!(!three.all[0].settled(three.now, &key(1), three.now));
+    // Not held back like later words.
+    three.run(5_000);
+    assert!(three.all[0].settled(three.now, &key(1), three.now));
+    // One keeper is silent: the other one and a tenure that was granted anew will do.
+    three.cut_off = Some(2);
+    let since = three.now;
+    three.all[0].take(since, record(2));
+    three.run(5_000);
+    assert!(!three.all[0].settled(three.now, &key(2), since));
+    three.run(3 * SECOND / 2);
+    assert!(three.all[0].settled(three.now, &key(2), since));
+    // Cut off from all, whether membership knows of that or not.
+    three.cut_off = Some(0);
+    let since = three.now;
+    three.all[0].take(since, record(3));
+    three.run(2 * SECOND);
+    assert!(!three.all[0].settled(three.now, &key(3), since));
+    three.sees(0, [(1, State::Dead), (2, State::Dead)]);
+    three.all[0].take(three.now, record(4));
+    assert!(!three.all[0].settled(three.now, &key(3), since));
+    assert!(!three.all[0].settled(three.now, &key(4), three.now));
+}
+
+#[test]
+fn what_a_process_held_that_came_back_under_its_name_waits_for_its_grant_alone() {
+    let mut three = Three::new(100);
+    three.all[0].take(three.now, record(1));
+    three.run(SECOND / 10);
+    three.cut_off = Some(0);
+    // It started anew at once, and nobody had it for dead before.
+    let new = Life { life: 200, ..life(0) };
+    for n in [1, 2] {
+        let of = |life| Member { life, site: "s0".into(), state: State::Alive };
+        three.all[n].members(three.now, vec![of(life(1)), of(life(2)), of(new.clone())]);
+    }
+    three.run(3 * SECOND + SECOND / 5);
+    let adopted = |d: &&(usize, Effect)| matches!(&d.1, Effect::Adopt(record) if record.key == key(1));
+    assert_eq!(three.done.iter().filter(adopted).count(), 1);
+}
+
+#[test]
+fn one_that_was_cut_off_does_not_end_the_others_when_it_is_back() {
+    let mut three = Three::new(100);
+    three.all[1].take(three.now, Record { key: StatementKey { taken_by: life(1), number: 1 }, ..record(1) });
+    three.run(SECOND / 10);
+    three.cut_off = Some(0);
+    three.sees(0, [(1, State::Dead), (2, State::Dead)]);
+    three.run(4 * SECOND);
+    assert!(!three.all[0].may_act(three.now) && three.all[1].may_act(three.now));
+    // What it says comes through before membership knows better.
+    three.cut_off = None;
+    three.run(SECOND / 5);
+    three.sees(0, [(1, State::Alive), (2, State::Alive)]);
+    three.run(6 * SECOND);
+    assert!(three.all[1].may_act(three.now) && !three.all[0].surely_over(&life(1), 0));
+}
