--- a/crates/custody/tests/words.rs
+++ b/crates/custody/tests/words.rs
@@ -348,20 +348,3 @@
     let adopted = |d: &&(usize, Effect)| matches!(&d.1, Effect::Adopt(record) if record.key == key(1));
     assert_eq!(three.done.iter().filter(adopted).count(), 1);
 }
-
-#[test]
-fn one_that_was_cut_off_does_not_end_the_others_when_it_is_back() {
-    let mut three = Three::new(100);
-    three.all[1].take(three.now, Record { key: StatementKey { taken_by: life(1), number: 1 }, ..record(1) });
-    three.run(SECOND / 10);
-    three.cut_off = Some(0);
-    three.sees(0, [(1, State::Dead), (2, State::Dead)]);
-    three.run(4 * SECOND);
-    assert!(!three.all[0].may_act(three.now) && three.all[1].may_act(three.now));
-    // What it says comes through before membership knows better.
-    three.cut_off = None;
-    three.run(SECOND / 5);
-    three.sees(0, [(1, State::Alive), (2, State::Alive)]);
-    three.run(6 * SECOND);
-    assert!(three.all[1].may_act(three.now) && !three.all[0].surely_over(&life(1), 0));
-}
