Custody's standing is asked for by the shared question to a gateway

Need: the same fifteen lines stood in custody as asking::get has for members and sites. Change: custody uses it; nothing differs.

--- a/crates/gateway/src/custody.rs
+++ b/crates/gateway/src/custody.rs
@@ -16,8 +16,7 @@
 use violetward_custody::{
     Custodian, Effect, Leave, Life, Member, Out, Record, State, StatementKey, Terms, Whereabouts,
 };
-use violetward_net::{Alarm, Connection};
-use violetward_statement::http::{Headers, Limits};
+use violetward_net::Alarm;
 use violetward_statement::pages::Ending;
 use violetward_statement::results::PageRef;
 use violetward_statement::session::{decode, encode};
@@ -55,8 +54,6 @@
 const REST: Duration = Duration::from_millis(50);
 /// The name of what is kept.
 const KEPT: &str = "custody.ends";
-/// How long an operator's command waits.
-const ASK: Duration = Duration::from_secs(2);
 const USE: &[u8] = b"violetward page";
 
 /// What a page's path says, once its code has been checked.
@@ -206,18 +203,7 @@
 /// # Errors
 /// What it answers instead, or why it does not.
 pub async fn ask(address: SocketAddr) -> Result<Standing, String> {
-    let asked = async {
-        let mut connection =
-            Connection::connect(address, Limits::default()).await.map_err(|e| e.to_string())?;
-        let mut headers = Headers::default();
-        headers.push("Host", address.to_string());
-        connection.call("GET", "/v1/custody", &headers, b"").await.map_err(|e| e.to_string())
-    };
-    let message = violetward_net::timeout(ASK, asked).await.ok_or("no answer")??;
-    if message.status() != 200 {
-        return Err(String::from_utf8_lossy(&message.body).trim().to_owned());
-    }
-    serde_json::from_slice(&message.body).map_err(|e| e.to_string())
+    crate::asking::get(address, "/v1/custody").await
 }
 
 fn state(state: violetward_membership::State) -> State {
