Close connections in order: nothing read after the close is sent on

Cause: `Duplex::close` shut the socket and set a flag, but `Duplex::read` went on to deliver what the kernel still held or what came just then, and `front::serve` handed it in. `close_idle` (behind SIGTERM) and `make_room` (no room for a new connection) both close connections that look idle, at the moment at which a client may write. A request read there was sent to an engine, and its answer found no client. Ruled out: answers lost on their way (none was written), requests in the accept queue (the listener was never closed before the end).

Change: `Duplex` has an orderly end. `close` ends reading at once and shuts writing behind what is kept; `finish` sends the rest, then discards what still comes until the peer's end, 256 KiB or a time. `abort` is for peers that do not read. Connections that are being closed are counted and bounded (a twelfth of the descriptors). Shutdown takes requests for 0.65 s (the front sends for 0.6 s, and what comes later than 0.7 s must be answered before the kill), then takes the accept queue, closes the listener, refuses what is still read, and ends each connection behind its last answer. A request whose client has gone by the time it is read is not begun. Out of descriptors, accepting closes an idle client.

`front.rs` is split by concern: client, requests, closing, shutdown.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -104,17 +104,21 @@
 pub struct Descriptors {
     /// Connections of clients.
     pub clients: usize,
+    /// Connections of clients that are being closed.
+    pub closing: usize,
     /// Connections to engines.
     pub engines: usize,
 }
 
 impl Limits {
     /// The budget: a reserve for the listener, the resolver's sockets, the runtime, the log and files read; of the rest
-    /// a third goes to engines, since clients of the platform hold a third of all and those of bad will come on top.
+    /// a third goes to engines, since clients of the platform hold a third of all and those of bad will come on top. A
+    /// twelfth is for client connections that are being closed.
     pub fn descriptors(&self) -> Descriptors {
         const RESERVE: usize = 24;
         let rest = self.sockets.saturating_sub(RESERVE);
-        Descriptors { clients: rest - rest / 3, engines: rest / 3 }
+        let (engines, closing) = (rest / 3, rest / 12);
+        Descriptors { clients: rest - engines - closing, closing, engines }
     }
 
     /// Bytes of a client's frame: as much as lets all clients hold half a frame in an eighth of the memory, but enough for
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -6,14 +6,17 @@
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
+use event_listener::Event;
 use futures_lite::future;
 use violetward::Micros;
 use violetward_net::{Alarm, Clock};
 
+use crate::client::Client;
+use crate::closing::ClosingConnections;
 use crate::config::Config;
 use crate::core::{AttemptId, ClientId, Core, Effect};
 use crate::engine::Engines;
-use crate::front::{self, Client};
+use crate::front;
 use crate::list::List;
 
 /// Lines of one kind that the log takes in a minute; the rest is counted.
@@ -53,8 +56,24 @@
     /// Bounds the log's lines on clients, on engines and of the module.
     pub quotas: [Quota; 3],
     alarm: Alarm,
-    /// SIGTERM has come.
-    pub(crate) stopping: Cell<bool>,
+    /// Client connections that are being closed.
+    pub(crate) closing: ClosingConnections,
+    /// New connections are still taken.
+    pub(crate) listening: Cell<bool>,
+    phase: Cell<Phase>,
+    /// Told when the phase becomes [`Phase::Draining`].
+    drains: Event,
+}
+
+/// What the gateway does with new requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    /// It takes them.
+    Serving,
+    /// It is to end, and still takes them, since its front may not have heard of it yet.
+    Stopping,
+    /// It takes no more connections and refuses requests at once.
+    Draining,
 }
 
 impl Host {
@@ -62,6 +81,7 @@
     pub fn new(config: Config, clock: Clock, core: Core, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
         Rc::new(Host {
             engines: Engines::new(config.limits.descriptors().engines, config.connections.clone()),
+            closing: ClosingConnections::new(config.limits.descriptors().closing),
             config,
             clock,
             core: RefCell::new(core),
@@ -69,10 +89,41 @@
             clients: RefCell::default(),
             quotas: Default::default(),
             alarm: Alarm::default(),
-            stopping: Cell::new(false),
+            listening: Cell::new(true),
+            phase: Cell::new(Phase::Serving),
+            drains: Event::new(),
         })
     }
 
+    /// The gateway is to end; requests are still taken.
+    pub(crate) fn begin_stop(&self) {
+        self.phase.set(self.phase.get().max(Phase::Stopping));
+    }
+
+    /// Requests are taken no more.
+    pub(crate) fn begin_drain(&self) {
+        self.phase.set(Phase::Draining);
+        self.drains.notify(usize::MAX);
+    }
+
+    /// The gateway is to end.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.phase.get() >= Phase::Stopping
+    }
+
+    /// The gateway takes no more requests.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.phase.get() >= Phase::Draining
+    }
+
+    /// Waits until the gateway takes no more requests.
+    pub(crate) async fn drain_begins(&self) {
+        let drains = self.drains.listen();
+        if !self.is_draining() {
+            drains.await;
+        }
+    }
+
     /// Runs a task on the gateway's thread.
     pub fn spawn(&self, task: impl std::future::Future<Output = ()> + 'static) {
         self.executor.spawn(task).detach();
@@ -127,7 +178,7 @@
             Effect::Withdraw(engine, attempt) => self.engines.withdraw(self, engine, attempt),
             Effect::Renice(engine, attempt, rank) => self.engines.renice(engine, attempt, rank),
             Effect::Probe(engine) => self.engines.probe(self, engine),
-            Effect::Answer(client, seqid, verdict) => front::answer_to(self, client, seqid, &verdict),
+            Effect::Answer(client, seqid, verdict) => front::answer_request(self, client, seqid, &verdict),
             Effect::Say(text) => {
                 if self.quotas[2].allows(self.clock.now()) {
                     tracing::info!(target: "violetward::module", "{text}");
@@ -153,7 +204,7 @@
             violetward_net::sleep(Duration::from_millis(200)).await;
             let now = Instant::now();
             let clients: Vec<_> = self.clients.borrow().values().cloned().collect();
-            clients.iter().for_each(|client| client.sweep(&self, now));
+            clients.iter().for_each(|client| client.close_if_overdue(&self, now));
             self.engines.sweep(now);
             if now.duration_since(told) >= Duration::from_secs(10) {
                 told = now;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,10 +2,12 @@
 //! engines comes from DNS. Every decision is the module's.
 //!
 //! Free of I/O and clock: [`core`] (requests, attempts, timers), [`call`] and [`group`] (what a client sent), [`link`]
-//! (a connection to an engine), [`list`] (the list of engines), [`config`]. What moves bytes: [`front`], [`engine`],
-//! [`resolver`]; [`service`] ties them together.
+//! (a connection to an engine), [`list`] (the list of engines), [`config`]. What moves bytes: [`front`] with [`client`],
+//! [`requests`] and [`closing`], [`engine`], [`resolver`]; [`service`] ties them together, [`shutdown`] ends them.
 
 pub mod call;
+pub mod client;
+pub mod closing;
 pub mod config;
 pub mod core;
 pub mod engine;
@@ -14,5 +16,7 @@
 pub mod host;
 pub mod link;
 pub mod list;
+pub mod requests;
 pub mod resolver;
 pub mod service;
+pub mod shutdown;
--- /dev/null
+++ b/crates/platform/src/requests.rs
@@ -0,0 +1,179 @@
+//! Messages of clients: what each frame asks for, and what a bad one gets.
+
+use std::rc::Rc;
+
+use violetward_thrift::{Cursor, Head, Kind, ThriftError};
+
+use crate::call::{self, Call};
+use crate::client::Client;
+use crate::core::{Taken, Verdict};
+use crate::host::Host;
+
+/// Requests that may be open on one connection.
+const OPEN_REQUESTS: usize = 32;
+
+/// Codes of application exceptions.
+const UNKNOWN_METHOD: i32 = 1;
+const INVALID_MESSAGE_TYPE: i32 = 2;
+const PROTOCOL_ERROR: i32 = 7;
+
+/// Why a connection has to be closed.
+pub struct Violation(&'static str);
+
+/// A request that has been read and not yet been handed to the core, with its number on the connection.
+struct Unsubmitted {
+    seqid: i32,
+    call: Call,
+}
+
+/// Handles all whole frames that have come in on a connection; false if it is to be closed.
+pub fn handle_frames(host: &Rc<Host>, client: &Rc<Client>) -> bool {
+    let handled = read_frames(host, client).and_then(|requests| submit(host, client, requests));
+    if let Err(Violation(why)) = handled {
+        if host.quotas[0].allows(host.clock.now()) {
+            tracing::warn!(why, "connection closed");
+        }
+        return false;
+    }
+    client.note_read();
+    true
+}
+
+/// Reads the frames that are whole; gives the requests among them, less those that are taken back in the same read.
+fn read_frames(host: &Rc<Host>, client: &Rc<Client>) -> Result<Vec<Unsubmitted>, Violation> {
+    let mut requests = Vec::new();
+    while !client.duplex.is_closed() {
+        let frame = client.frames.borrow_mut().next();
+        match frame {
+            Ok(Some(frame)) => handle_frame(host, client, &frame, &mut requests)?,
+            Ok(None) => break,
+            Err(ThriftError::Negative) => return Err(Violation("a frame of negative length")),
+            Err(_) => return Err(Violation("a frame that is too long")),
+        }
+    }
+    Ok(requests)
+}
+
+fn handle_frame(
+    host: &Rc<Host>,
+    client: &Rc<Client>,
+    frame: &[u8],
+    requests: &mut Vec<Unsubmitted>,
+) -> Result<(), Violation> {
+    client.note_frame();
+    let mut cursor = Cursor::new(frame);
+    let head = cursor.message().map_err(|_| Violation("a message that can't be read"))?;
+    match head.name.as_str() {
+        _ if matches!(head.kind, Kind::Reply | Kind::Exception) => {
+            client.answer_exception(&head, INVALID_MESSAGE_TYPE, "not a call");
+        }
+        "dispatch" if head.kind == Kind::Call => read_dispatch(host, client, &head, cursor, requests)?,
+        "cancelRequest" => match read_cancelled_number(cursor) {
+            Ok(seqid) => cancel(host, client, seqid, requests),
+            Err(e) => client.answer_exception(&head, PROTOCOL_ERROR, &e.to_string()),
+        },
+        "alive" if head.kind == Kind::Call => client.answer_alive(head.seqid, !host.is_stopping()),
+        _ => client.answer_exception(&head, UNKNOWN_METHOD, "no such method"),
+    }
+    Ok(())
+}
+
+/// Takes a request back. One that came with the same read was never wanted: it must cost neither the module's room nor
+/// the engines' work, or a client that does it by the hundred keeps all others out.
+fn cancel(host: &Rc<Host>, client: &Rc<Client>, seqid: i32, requests: &mut Vec<Unsubmitted>) {
+    let before = requests.len();
+    requests.retain(|request| request.seqid != seqid);
+    if requests.len() == before {
+        host.core(|core, now| core.lapse(now, client.id, seqid));
+    }
+}
+
+/// The number that a `cancelRequest` names.
+fn read_cancelled_number(mut cursor: Cursor<'_>) -> Result<i32, ThriftError> {
+    let mut seqid = None;
+    while let Some((kind, field)) = cursor.field()? {
+        match (kind, field) {
+            (Cursor::I32, 1) => seqid = Some(cursor.i32()?),
+            _ => cursor.skip(kind)?,
+        }
+    }
+    seqid.ok_or(ThriftError::Short)
+}
+
+type Arguments<'a> = (Vec<(&'a str, &'a str)>, &'a [u8]);
+
+/// The fields and the statement of a `dispatch`.
+fn read_arguments<'a>(mut cursor: Cursor<'a>) -> Result<Arguments<'a>, ThriftError> {
+    let (mut fields, mut body) = (None, None);
+    while let Some((kind, field)) = cursor.field()? {
+        match (kind, field) {
+            (Cursor::MAP, 1) => fields = Some(cursor.texts()?),
+            (Cursor::STRING, 2) => body = Some(cursor.bytes()?),
+            (_, 1 | 2) => return Err(ThriftError::Type),
+            _ => cursor.skip(kind)?,
+        }
+    }
+    if !cursor.rest().is_empty() {
+        return Err(ThriftError::Short);
+    }
+    fields.zip(body).ok_or(ThriftError::Short)
+}
+
+fn read_dispatch(
+    host: &Rc<Host>,
+    client: &Rc<Client>,
+    head: &Head,
+    cursor: Cursor<'_>,
+    requests: &mut Vec<Unsubmitted>,
+) -> Result<(), Violation> {
+    // An answer under a number that is open twice could be taken for the other's.
+    let (has, open) = host.look(|core| (core.has(client.id, head.seqid), core.open_of(client.id)));
+    if has || requests.iter().any(|request| request.seqid == head.seqid) {
+        return Err(Violation("two requests under one number"));
+    }
+    if open + requests.len() >= OPEN_REQUESTS {
+        return Err(Violation("more open requests than a connection may have"));
+    }
+    let read = read_arguments(cursor).map_err(|e| e.to_string()).and_then(|(fields, body)| {
+        call::read(&fields, body, &host.config.names, &host.config.settings.classes)
+    });
+    match read {
+        Ok(call) => requests.push(Unsubmitted { seqid: head.seqid, call }),
+        Err(why) => {
+            if host.quotas[0].allows(host.clock.now()) {
+                tracing::info!(why, "a request that can't be used");
+            }
+            client.answer_exception(head, PROTOCOL_ERROR, &why);
+        }
+    }
+    Ok(())
+}
+
+/// Hands requests to the core, in the order in which they came. Those of a client that has gone already are not begun.
+/// Where the gateway takes no more, each is refused at once.
+fn submit(host: &Rc<Host>, client: &Rc<Client>, requests: Vec<Unsubmitted>) -> Result<(), Violation> {
+    if requests.is_empty() || !client.duplex.is_alive() {
+        return Ok(());
+    }
+    for Unsubmitted { seqid, call } in requests {
+        if client.duplex.is_closed() {
+            // An earlier answer found that the client does not read.
+            break;
+        }
+        tracing::debug!(client = client.id.0, seqid, ?call, "request");
+        if host.is_draining() {
+            client.answer(seqid, &Verdict::Refused(0));
+            continue;
+        }
+        match host.core(|core, now| core.request(now, client.id, seqid, call)) {
+            Taken::Yes => {}
+            Taken::Full => client.answer(seqid, &Verdict::Refused(0)),
+            Taken::OwnId => return Err(Violation("the id of an open request again")),
+            Taken::OthersId => {
+                let head = Head { name: "dispatch".into(), kind: Kind::Call, seqid };
+                client.answer_exception(&head, PROTOCOL_ERROR, "id: in use");
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use futures_lite::StreamExt;
 use violetward::{Gateway, Micros};
 use violetward_net::Clock;
 
@@ -16,16 +16,13 @@
 use crate::front;
 use crate::host::Host;
 use crate::resolver::Resolver;
+use crate::shutdown;
 
 /// What is kept of a client's wait for the way of the answer. See docs/platform.md for the figures behind it.
 const MARGIN: Micros = 15_000;
 /// Clients write requests of one key at least 60 ms apart, and 250 ms after one on a new connection (the protocol's
 /// figures): a further try may meet both.
 const HELD: Micros = 310_000;
-/// How long after SIGTERM requests may still come.
-const STILL_COMING: Duration = Duration::from_millis(800);
-/// How long after that the last answers may take to leave this process.
-const LEAVING: Duration = Duration::from_millis(100);
 /// How often a configuration that can't be used is looked at again, and for how long.
 const LOOK_AGAIN: (Duration, u32) = (Duration::from_millis(100), 100);
 
@@ -57,7 +54,7 @@
             }
         }
         drop(reload);
-        stop(&host).await;
+        shutdown::stop(&host).await;
         tracing::info!(counts = ?host.look(|core| core.counts), "stopped");
     }));
     Ok(())
@@ -114,23 +111,6 @@
     tracing::error!("the configuration can't be used; the old one stands");
 }
 
-/// Goes on until everything has its answer and the time in which more may come is over.
-async fn stop(host: &Rc<Host>) {
-    let began = Instant::now();
-    host.stopping.set(true);
-    tracing::info!(open = host.look(Core::open), "stopping: what comes still gets its answer");
-    // Who does not read is closed by the sweep, so that this ends.
-    while began.elapsed() < STILL_COMING || host.look(Core::open) > 0 || front::unread(host) > 0 {
-        violetward_net::sleep(Duration::from_millis(10)).await;
-        if began.elapsed() >= STILL_COMING {
-            front::close_idle(host);
-        }
-    }
-    // The last answers are on their way out of this process.
-    violetward_net::sleep(LEAVING).await;
-    future::yield_now().await;
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
