Engines: a second answer never ends a later attempt, and what was served is never "never ran"

Seen by reading link.rs: answers carry the id of the request and not of the attempt. An attempt that ended with `refused`, `error` or `stale` was forgotten at once, and one given up as soon as its first late answer came. The next attempt of the same request could then go on the same connection, and a second copy of the old answer, some milliseconds later, was taken for its end. A second `refused` told the module that the running attempt never ran, so that a third was sent beside it, for a class unsafe to repeat too. Likewise a `refused` or `stale` behind the first page of a result was told as "never ran" although the request had been served.

Lines at fault: `Link::answer` (removal from `retired`; no entry for what an engine ended; no check of `gather`).

Now every request that ended on a connection without a result stays retired there, and a refusal behind a good end spoils the connection (its requests may have run). Since a connection may now be closed to one request alone, `may_dial` and `ask` ask whether a connection takes this attempt, and not only whether it is spent; otherwise an engine with one connection allowed would have let such an attempt wait until its time-out.

Ruled out: answers of other requests (ids are new with each request) and of probes (tags are never used twice).

The test that said "its id is free again after the late answer" is replaced by the stricter one: it is never free again.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -56,15 +56,21 @@
     Probe,
 }
 
-impl Waiting {
+impl What {
     fn attempt(&self) -> Option<AttemptId> {
-        match &self.what {
+        match self {
             What::Launch(launch) => Some(launch.attempt),
             What::Probe => None,
         }
     }
 }
 
+impl Waiting {
+    fn attempt(&self) -> Option<AttemptId> {
+        self.what.attempt()
+    }
+}
+
 /// A connection, or one that is coming up.
 struct Line {
     duplex: RefCell<Option<Rc<Duplex>>>,
@@ -253,12 +259,13 @@
 
     /// Has something written on a connection to an engine, now or as soon as there is one; false if there is no way.
     fn ask(&self, host: &Rc<Host>, engine: &Rc<Engine>, what: What) -> bool {
+        let attempt = what.attempt();
         engine.waiting.borrow_mut().push_back(Waiting { what, since: Instant::now(), resets: 0 });
         self.serve(host, engine);
-        if engine.needs_dial(engine.late(within(host))) && self.may_dial(engine) {
+        if engine.needs_dial(engine.late(within(host))) && self.may_dial(engine, attempt) {
             dial(host, engine, true);
         }
-        let ready = |line: &Rc<Line>| line.is_coming() || line.is_up() && !line.spent.get();
+        let ready = |line: &Rc<Line>| line.is_coming() || line.is_up() && line.takes(attempt);
         engine.lines.borrow().iter().any(ready) || engine.waiting.borrow_mut().pop_back().is_none()
     }
 
@@ -298,7 +305,8 @@
             }
         }
         // Whatever took its dial away, what waits must not wait for nothing.
-        if !engine.waiting.borrow().is_empty() && !engine.is_coming() && self.may_dial(engine) {
+        let waits: Vec<_> = engine.waiting.borrow().iter().map(Waiting::attempt).collect();
+        if !engine.is_coming() && waits.into_iter().any(|attempt| self.may_dial(engine, attempt)) {
             dial(host, engine, true);
         }
     }
@@ -343,11 +351,12 @@
         (self.most / self.engines.borrow().len().max(1)).max(1)
     }
 
-    /// Whether there is room for one more connection to an engine. Its last one may be of no use any more.
-    fn may_dial(&self, engine: &Rc<Engine>) -> bool {
+    /// Whether there is room for one more connection to an engine, for an attempt or a probe. Those there are may be of no
+    /// use to it any more.
+    fn may_dial(&self, engine: &Rc<Engine>, attempt: Option<AttemptId>) -> bool {
         let (count, useless) = {
             let lines = engine.lines.borrow();
-            (lines.len(), lines.iter().all(|l| l.spent.get()))
+            (lines.len(), !lines.iter().any(|l| l.takes(attempt)))
         };
         (count < self.each() || useless) && (self.connections() < self.most || self.make_room())
     }
@@ -479,7 +488,7 @@
     let late = engine.late(within(host));
     for turn in 0..LATE.1 {
         violetward_net::sleep(late * LATE.0.pow(turn)).await;
-        if engine.needs_dial(late) && host.engines.may_dial(engine) {
+        if engine.needs_dial(late) && host.engines.may_dial(engine, None) {
             line.passed.set(true);
             dial(host, engine, false);
         }
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use violetward::{Load, Micros, Outcome};
+use violetward::{Load, Micros, Outcome, RequestId};
 use violetward_resp::{write, Limits, Reader};
 
 use crate::core::{AttemptId, Ending, Launch};
@@ -18,8 +18,8 @@
 const PAGES: usize = 4 * RESULT_BYTES / PAGE_BYTES;
 /// Tabs of a row of three columns.
 const TABS: usize = 2;
-/// Ids of attempts given up here that are remembered, so that the same id is not asked again while its old answer may
-/// still come.
+/// Ids of attempts that ended here without a result and are remembered, so that the same id is not asked again where an
+/// old answer, or a second copy of it, may still come.
 const RETIRED: usize = 1_024;
 
 /// Something that an engine has told.
@@ -51,7 +51,7 @@
     reader: Reader,
     asked: HashMap<String, Asked>,
     probes: HashSet<String>,
-    retired: BTreeMap<String, u64>,
+    retired: BTreeMap<RequestId, u64>,
     retirements: u64,
     tags: u64,
 }
@@ -87,10 +87,15 @@
         self.asked.len() + self.probes.len()
     }
 
-    /// Whether an attempt may go here: never beside an earlier one of the same request whose answer may still come.
+    /// Whether an attempt may go here: never beside or behind an earlier one of the same request. Answers carry the id of
+    /// the request alone, so that what still comes for the earlier one would be taken for the later one's.
     pub fn takes(&self, attempt: AttemptId) -> bool {
-        let id = id_text(attempt);
-        !self.asked.contains_key(&id) && !self.retired.contains_key(&id)
+        !self.asked.contains_key(&id_text(attempt)) && !self.retired.contains_key(&attempt.0)
+    }
+
+    /// A message has begun to come in and is not whole: what is asked now would be answered behind its end, if that comes.
+    pub fn is_within(&self) -> bool {
+        !self.reader.is_between()
     }
 
     /// Asks for an attempt; `patience` is how long it will be waited for, in milliseconds.
@@ -116,7 +121,7 @@
         }
         let gathers = self.asked.remove(&id).is_some_and(|a| a.gather.is_some());
         write(out, &[if gathers { b"done" } else { b"abort" }, id.as_bytes()]);
-        self.retire(id);
+        self.retire(attempt.0);
         true
     }
 
@@ -142,7 +147,7 @@
         self.probes.remove(tag)
     }
 
-    fn retire(&mut self, id: String) {
+    fn retire(&mut self, id: RequestId) {
         self.retirements += 1;
         self.retired.insert(id, self.retirements);
         if self.retired.len() > RETIRED {
@@ -189,10 +194,7 @@
             return Ok(());
         }
         let Some(asked) = self.asked.get_mut(id) else {
-            // Late, doubled or meant for nobody. If it ends what was given up here, its id is free again.
-            if matches!(word, "ok" | "refused" | "error" | "stale") {
-                self.retired.remove(id);
-            }
+            // Late, doubled or meant for nobody.
             return Ok(());
         };
         if word == "error" {
@@ -219,14 +221,19 @@
                 None
             }
             "batch" => None,
+            "refused" | "stale" if asked.gather.is_some() => {
+                return Err("a request that was served and is said never to have run".into());
+            }
             "refused" => Some(end(Outcome::Full)),
             "stale" => Some(end(Outcome::Moot)),
             "error" => Some(end(Outcome::Error)),
             _ => return Err("an answer with a word that does not exist".into()),
         };
         if let Some(ending) = ending {
-            let asked = self.asked.remove(id);
-            told.extend(asked.map(|a| Told::Ended(a.attempt, ending)));
+            let attempt = asked.attempt;
+            self.asked.remove(id);
+            self.retire(attempt.0);
+            told.push(Told::Ended(attempt, ending));
             return Ok(());
         }
         let page =
--- a/crates/platform/tests/bed/mod.rs
+++ b/crates/platform/tests/bed/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests share: settings on the interface's own example, and a configuration around them.
 #![allow(dead_code)]
 
+pub mod scripted;
+
 /// Settings as a gateway is told them, with three classes: look-ups, reports, loads in the order of their keys.
 pub const SETTINGS: &str = r#"{
  "Classes": [
--- /dev/null
+++ b/crates/platform/tests/bed/scripted.rs
@@ -0,0 +1,329 @@
+//! A gateway in this process, a client of it, and engines and a resolver whose every byte the test writes.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use violetward_platform::config;
+use violetward_platform::resolver::Resolver;
+use violetward_platform::service;
+use violetward_resp::{write, Limits, Reader};
+use violetward_standin::platform::{page, reset};
+use violetward_thrift::{Cursor, Frames, Kind, Writer};
+
+/// How long anything may take that has to happen; nothing that goes right waits for it.
+pub const SOON: Duration = Duration::from_secs(20);
+
+/// How long nothing has to happen for it to count as over.
+pub const QUIET: Duration = Duration::from_millis(300);
+
+/// The fields of a good end with one page.
+pub const GOOD: &str = "batches=1,cpu=20.5,used=64.0,l=util:0.25";
+
+/// How often a connection's reader looks whether it is to stop.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// What a connection's reader is to do.
+const READS: u8 = 0;
+const STOPPED: u8 = 1;
+const RESETS: u8 = 2;
+
+/// What happens at an engine, with the number of the connection, counted from 0.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Seen {
+    /// It was taken.
+    Opened(usize),
+    /// A whole command came.
+    Command(usize, Vec<String>),
+    /// It has ended from the gateway's side.
+    Closed(usize),
+}
+
+/// An engine that says what the test tells it to say.
+pub struct ScriptedEngine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    seen: Receiver<Seen>,
+    connections: Arc<Mutex<HashMap<usize, Arc<Connection>>>>,
+}
+
+struct Connection {
+    socket: TcpStream,
+    reader: AtomicU8,
+}
+
+impl ScriptedEngine {
+    pub fn start() -> ScriptedEngine {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tell, seen) = channel();
+        let connections = Arc::new(Mutex::new(HashMap::new()));
+        let taken = connections.clone();
+        std::thread::spawn(move || {
+            for (number, socket) in listener.incoming().flatten().enumerate() {
+                socket.set_read_timeout(Some(LOOK)).unwrap();
+                let connection = Arc::new(Connection { socket, reader: AtomicU8::new(READS) });
+                taken.lock().unwrap().insert(number, connection.clone());
+                let tell = tell.clone();
+                tell.send(Seen::Opened(number)).ok();
+                std::thread::spawn(move || read_commands(number, &connection, &tell));
+            }
+        });
+        ScriptedEngine { address, seen, connections }
+    }
+
+    /// What happens next.
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(SOON).expect("something that happens at the engine")
+    }
+
+    /// The next command with that word, its connection and its words; what comes before is passed over.
+    pub fn command(&self, word: &str) -> (usize, Vec<String>) {
+        loop {
+            match self.next() {
+                Seen::Command(number, words) if words[0] == word => return (number, words),
+                _ => {}
+            }
+        }
+    }
+
+    /// The ids of the requests that have been sent up to now and were not looked at yet.
+    pub fn fetches(&self) -> Vec<String> {
+        // What the gateway wrote before its client was answered may still be on its way to the reader.
+        let seen = std::iter::from_fn(|| self.seen.recv_timeout(QUIET).ok());
+        let fetch = |seen| match seen {
+            Seen::Command(_, words) if words[0] == "fetch" => Some(words[1].clone()),
+            _ => None,
+        };
+        seen.filter_map(fetch).collect()
+    }
+
+    /// Waits until the gateway has ended a connection.
+    pub fn closed(&self, number: usize) {
+        while self.next() != Seen::Closed(number) {}
+    }
+
+    /// Writes bytes on a connection.
+    pub fn write(&self, number: usize, bytes: &[u8]) {
+        let connection = self.connections.lock().unwrap()[&number].clone();
+        (&connection.socket).write_all(bytes).unwrap();
+    }
+
+    /// Writes an answer on a connection.
+    pub fn say(&self, number: usize, words: [&str; 4]) {
+        self.write(number, &answer(words));
+    }
+
+    /// Writes a whole result of one page.
+    pub fn serve(&self, number: usize, id: &str) {
+        self.say(number, [id, "ok", GOOD, &page(id, 0)]);
+    }
+
+    /// Resets a connection; the reset is on its way when this returns.
+    pub fn reset(&self, number: usize) {
+        let mut connection = self.connections.lock().unwrap().remove(&number).unwrap();
+        connection.reader.store(RESETS, Ordering::Relaxed);
+        // The reader holds the same socket: what it lets go of last is closed.
+        let connection = loop {
+            match Arc::try_unwrap(connection) {
+                Ok(connection) => break connection,
+                Err(shared) => connection = shared,
+            }
+            std::thread::sleep(LOOK);
+        };
+        reset(connection.socket);
+    }
+
+    /// Reads nothing more of a connection, or goes on.
+    pub fn reads(&self, number: usize, reads: bool) {
+        let connections = self.connections.lock().unwrap();
+        connections[&number].reader.store(if reads { READS } else { STOPPED }, Ordering::Relaxed);
+    }
+}
+
+/// An answer's bytes.
+pub fn answer(words: [&str; 4]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    write(&mut bytes, &words.map(str::as_bytes));
+    bytes
+}
+
+fn read_commands(number: usize, connection: &Connection, tell: &Sender<Seen>) {
+    let mut reader = Reader::new(Limits { string: 1 << 20, total: 1 << 21, strings: 16 });
+    let mut bytes = [0; 16 << 10];
+    loop {
+        match connection.reader.load(Ordering::Relaxed) {
+            READS => {}
+            STOPPED => {
+                std::thread::sleep(LOOK);
+                continue;
+            }
+            _ => return,
+        }
+        match (&connection.socket).read(&mut bytes) {
+            Ok(read) if read > 0 => reader.feed(&bytes[..read]),
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
+            _ => break,
+        }
+        while let Some(command) = reader.next().unwrap() {
+            let words = command.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
+            tell.send(Seen::Command(number, words)).ok();
+        }
+    }
+    tell.send(Seen::Closed(number)).ok();
+}
+
+/// A gateway on a thread of its own; it ends with the process.
+pub struct Gateway {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    moves: async_channel::Sender<SocketAddr>,
+}
+
+impl Gateway {
+    /// Starts a gateway that knows these engines as `e-0`, `e-1` and so on, with changes made to its configuration.
+    pub fn start(resolver: SocketAddr, engines: &[SocketAddr], changes: &[(&str, &str)]) -> Gateway {
+        let names: Vec<String> = (0..engines.len()).map(|n| format!("e-{n}")).collect();
+        let known: Vec<_> = names.iter().zip(engines).map(|(n, a)| (n.as_str(), a.to_string())).collect();
+        let mut text = super::config(&resolver.to_string(), &known);
+        for (from, to) in changes {
+            assert!(text.contains(from), "{from} is not in the configuration");
+            text = text.replace(from, to);
+        }
+        let (tell, told) = channel();
+        let (moves, moved) = async_channel::unbounded();
+        std::thread::spawn(move || {
+            let config = config::parse(&text).unwrap();
+            let executor = Rc::new(LocalExecutor::new());
+            let follow = Resolver::new(config.resolver);
+            let (_host, address) = service::start(config, &executor, &follow).unwrap();
+            tell.send(address).unwrap();
+            async_io::block_on(executor.run(async {
+                while let Ok(address) = moved.recv().await {
+                    follow.moved_to(address);
+                }
+            }));
+        });
+        Gateway { address: told.recv().unwrap(), moves }
+    }
+
+    /// The resolver is elsewhere from now on.
+    pub fn resolver_moved(&self, address: SocketAddr) {
+        self.moves.try_send(address).unwrap();
+    }
+}
+
+/// An address at which nobody answers: its socket is held and never read.
+pub fn silent_resolver() -> (UdpSocket, SocketAddr) {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    socket.set_read_timeout(Some(SOON)).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
+}
+
+/// How a request ended for its client.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Got {
+    Served(String),
+    Refused,
+    Failed,
+    Exception,
+    Closed,
+}
+
+/// A client of a gateway.
+pub struct Client {
+    socket: TcpStream,
+    frames: Frames,
+    seqid: i32,
+}
+
+impl Client {
+    pub fn connect(gateway: &Gateway) -> Client {
+        let socket = TcpStream::connect(gateway.address).unwrap();
+        socket.set_read_timeout(Some(SOON)).unwrap();
+        Client { socket, frames: Frames::new(1 << 20), seqid: 0 }
+    }
+
+    /// Sends a request and does not wait; its number.
+    pub fn send(&mut self, id: &str, class: &str, wait: u32) -> i32 {
+        self.send_statement(id, class, wait, "pages 1")
+    }
+
+    /// Sends a request with a statement and does not wait; its number.
+    pub fn send_statement(&mut self, id: &str, class: &str, wait: u32, statement: &str) -> i32 {
+        self.seqid += 1;
+        let wait = wait.to_string();
+        let fields = [("id", id), ("class", class), ("wait", &wait), ("cost", "20.0"), ("heap_mb", "64")];
+        let mut writer = Writer::message("dispatch", Kind::Call, self.seqid);
+        writer.texts(1, fields.into_iter());
+        writer.bytes(2, statement.as_bytes());
+        writer.stop();
+        self.socket.write_all(&writer.frame()).unwrap();
+        self.seqid
+    }
+
+    /// Takes a request back.
+    pub fn cancel(&mut self, seqid: i32) {
+        let mut writer = Writer::message("cancelRequest", Kind::Oneway, 0);
+        writer.i32(1, seqid);
+        writer.stop();
+        self.socket.write_all(&writer.frame()).unwrap();
+    }
+
+    /// The next answer and its number.
+    pub fn read(&mut self) -> (i32, Got) {
+        let mut bytes = [0; 8 << 10];
+        let frame = loop {
+            if let Some(frame) = self.frames.next().unwrap() {
+                break frame;
+            }
+            match self.socket.read(&mut bytes) {
+                Ok(0) => return (0, Got::Closed),
+                Ok(n) => self.frames.feed(&bytes[..n]),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return (0, Got::Closed),
+                Err(e) => panic!("no answer: {e}"),
+            }
+        };
+        let mut cursor = Cursor::new(&frame);
+        let head = cursor.message().unwrap();
+        if head.kind == Kind::Exception {
+            return (head.seqid, Got::Exception);
+        }
+        let got = match cursor.field().unwrap() {
+            Some((Cursor::STRUCT, 0)) => {
+                assert_eq!(cursor.field().unwrap(), Some((Cursor::STRING, 1)));
+                Got::Served(cursor.text().unwrap().to_owned())
+            }
+            Some((Cursor::STRUCT, 1)) => Got::Refused,
+            Some((Cursor::STRUCT, 2)) => Got::Failed,
+            other => panic!("{other:?} is no answer"),
+        };
+        (head.seqid, got)
+    }
+}
+
+/// The id of a request, different for each number.
+pub fn id(n: u64) -> String {
+    format!("{:016x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+/// The result of a request with one page.
+pub fn served(id: &str) -> Got {
+    Got::Served(page(id, 0))
+}
+
+/// Waits until something holds.
+pub fn wait_for(what: &str, done: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < SOON, "{what}: not within {SOON:?}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- a/crates/platform/tests/link.rs
+++ b/crates/platform/tests/link.rs
@@ -124,7 +124,46 @@
     assert!(!link.takes(launch(1).attempt), "its answer may still come");
     assert!(link.takes(AttemptId(RequestId(5), 0)));
     assert_eq!(feed(&mut link, &answer("ok", "batches=1", "a\tb\tc\n")).unwrap().1, []);
-    assert!(link.takes(launch(1).attempt), "it has come");
+    assert!(!link.takes(launch(1).attempt), "a second copy may follow");
+}
+
+#[test]
+fn a_second_end_is_never_taken_for_the_next_attempts() {
+    for word in ["refused", "error", "stale"] {
+        let mut link = asked();
+        feed(&mut link, &answer(word, "-", "")).unwrap();
+        assert!(!link.takes(launch(1).attempt), "a second {word} would end the next attempt");
+        assert_eq!(feed(&mut link, &answer(word, "-", "")).unwrap().1, []);
+        assert!(!link.takes(launch(1).attempt), "a third {word} may follow");
+        assert!(link.takes(AttemptId(RequestId(5), 0)), "other requests go on");
+    }
+}
+
+#[test]
+fn what_was_served_is_never_told_as_never_run() {
+    for word in ["refused", "stale"] {
+        let mut link = asked();
+        feed(&mut link, &answer("ok", "batches=2", "a\tb\tc\n")).unwrap();
+        assert!(feed(&mut link, &answer(word, "-", "")).is_err(), "{word}");
+        let mut told = Vec::new();
+        link.broken(Outcome::Broken, &mut told);
+        assert_eq!(ended(&told).outcome, Outcome::Broken);
+    }
+    // An error may come between two pages: its engine knows the request no more.
+    let mut link = asked();
+    feed(&mut link, &answer("ok", "batches=2", "a\tb\tc\n")).unwrap();
+    assert_eq!(ended(&feed(&mut link, &answer("error", "-", "")).unwrap().1).outcome, Outcome::Error);
+}
+
+#[test]
+fn half_a_message_is_seen_wherever_it_is_cut() {
+    let mut link = Link::new();
+    let whole = answer("ok", "batches=1", "a\tb\tc\n");
+    for (at, byte) in whole.iter().enumerate() {
+        assert_eq!(link.is_within(), at > 0, "before byte {at}");
+        feed(&mut link, &[*byte]).unwrap();
+    }
+    assert!(!link.is_within());
 }
 
 #[test]
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -85,6 +85,12 @@
     (0..3).map(|row| format!("{id}\tpage {number}\trow {row}\n")).collect()
 }
 
+/// Ends a connection with a reset instead of an end. There must be no other handle of it.
+pub fn reset(socket: TcpStream) {
+    // What is closed without lingering at all is reset.
+    rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO)).ok();
+}
+
 impl PlatformEngine {
     /// Starts an engine on a free port of loopback.
     ///
