--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -96,23 +96,23 @@
     }
 
     /// The gateway is to end; requests are still taken.
-    pub(crate) fn begin_stop(&self) {
+    pub fn begin_stop(&self) {
         self.phase.set(self.phase.get().max(Phase::Stopping));
     }
 
     /// Requests are taken no more.
-    pub(crate) fn begin_drain(&self) {
+    pub fn begin_drain(&self) {
         self.phase.set(Phase::Draining);
         self.drains.notify(usize::MAX);
     }
 
     /// The gateway is to end.
-    pub(crate) fn is_stopping(&self) -> bool {
+    pub fn is_stopping(&self) -> bool {
         self.phase.get() >= Phase::Stopping
     }
 
     /// The gateway takes no more requests.
-    pub(crate) fn is_draining(&self) -> bool {
+    pub fn is_draining(&self) -> bool {
         self.phase.get() >= Phase::Draining
     }
 
--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -10,9 +10,12 @@
 use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
+use futures_lite::future;
 use violetward_platform::config;
+use violetward_platform::host::Host;
 use violetward_platform::resolver::Resolver;
 use violetward_platform::service;
+use violetward_platform::shutdown;
 use violetward_resp::{write, Limits, Reader};
 use violetward_standin::platform::{page, reset};
 use violetward_thrift::{Cursor, Frames, Kind, Writer};
@@ -184,8 +187,12 @@
     /// Where clients connect.
     pub address: SocketAddr,
     moves: async_channel::Sender<SocketAddr>,
+    orders: async_channel::Sender<Order>,
 }
 
+/// Something that is done on a gateway's own thread, between two turns of its tasks.
+type Order = Box<dyn FnOnce(&Rc<Host>) + Send>;
+
 impl Gateway {
     /// Starts a gateway that knows these engines as `e-0`, `e-1` and so on, with changes made to its configuration.
     pub fn start(resolver: SocketAddr, engines: &[SocketAddr], changes: &[(&str, &str)]) -> Gateway {
@@ -198,19 +205,47 @@
         }
         let (tell, told) = channel();
         let (moves, moved) = async_channel::unbounded();
+        let (orders, ordered) = async_channel::unbounded::<Order>();
         std::thread::spawn(move || {
             let config = config::parse(&text).unwrap();
             let executor = Rc::new(LocalExecutor::new());
             let follow = Resolver::new(config.resolver);
-            let (_host, address) = service::start(config, &executor, &follow).unwrap();
+            let (host, address) = service::start(config, &executor, &follow).unwrap();
             tell.send(address).unwrap();
-            async_io::block_on(executor.run(async {
+            let carry_out = async {
+                while let Ok(order) = ordered.recv().await {
+                    order(&host);
+                }
+            };
+            let follow_moves = async {
                 while let Ok(address) = moved.recv().await {
                     follow.moved_to(address);
                 }
-            }));
+            };
+            async_io::block_on(executor.run(future::zip(carry_out, follow_moves)));
         });
-        Gateway { address: told.recv().unwrap(), moves }
+        Gateway { address: told.recv().unwrap(), moves, orders }
+    }
+
+    /// Does something on the gateway's thread: none of its tasks gets a turn meanwhile.
+    pub fn on_its_thread<T: Send + 'static>(&self, act: impl FnOnce(&Rc<Host>) -> T + Send + 'static) -> T {
+        let (tell, told) = channel();
+        let order: Order = Box::new(move |host| tell.send(act(host)).unwrap());
+        self.orders.try_send(order).unwrap();
+        told.recv_timeout(SOON).unwrap()
+    }
+
+    /// Tells it to end, as SIGTERM does; what is received tells that it has.
+    pub fn stop(&self) -> Receiver<()> {
+        let (tell, told) = channel();
+        self.on_its_thread(move |host| {
+            let stopped = host.clone();
+            host.spawn(async move {
+                shutdown::stop(&stopped).await;
+                tell.send(()).ok();
+            });
+        });
+        told
     }
 
     /// The resolver is elsewhere from now on.
@@ -246,7 +281,11 @@
 
 impl Client {
     pub fn connect(gateway: &Gateway) -> Client {
-        let socket = TcpStream::connect(gateway.address).unwrap();
+        Client::over(TcpStream::connect(gateway.address).unwrap())
+    }
+
+    /// A client on a connection that is there.
+    pub fn over(socket: TcpStream) -> Client {
         socket.set_read_timeout(Some(SOON)).unwrap();
         Client { socket, frames: Frames::new(1 << 20), seqid: 0 }
     }
@@ -258,6 +297,13 @@
 
     /// Sends a request with a statement and does not wait; its number.
     pub fn send_statement(&mut self, id: &str, class: &str, wait: u32, statement: &str) -> i32 {
+        let frame = self.request(id, class, wait, statement);
+        self.socket.write_all(&frame).unwrap();
+        self.seqid
+    }
+
+    /// The bytes of the next request; they are not sent.
+    pub fn request(&mut self, id: &str, class: &str, wait: u32, statement: &str) -> Vec<u8> {
         self.seqid += 1;
         let wait = wait.to_string();
         let fields = [("id", id), ("class", class), ("wait", &wait), ("cost", "20.0"), ("heap_mb", "64")];
@@ -265,8 +311,27 @@
         writer.texts(1, fields.into_iter());
         writer.bytes(2, statement.as_bytes());
         writer.stop();
-        self.socket.write_all(&writer.frame()).unwrap();
-        self.seqid
+        writer.frame()
+    }
+
+    /// A call of a method that does not exist; it is answered by an exception.
+    pub fn unknown_method(&mut self) -> Vec<u8> {
+        self.seqid += 1;
+        let mut writer = Writer::message("drop", Kind::Call, self.seqid);
+        writer.stop();
+        writer.frame()
+    }
+
+    /// Its socket, for bytes that a client would not send.
+    pub fn socket(&self) -> TcpStream {
+        self.socket.try_clone().unwrap()
+    }
+
+    /// What the connection ends with, all else read away: nothing, or a reset.
+    pub fn end(&mut self) -> std::io::Result<()> {
+        let mut bytes = [0; 8 << 10];
+        while self.socket.read(&mut bytes)? > 0 {}
+        Ok(())
     }
 
     /// Takes a request back.
