--- a/crates/gateway/tests/platform.rs
+++ b/crates/gateway/tests/platform.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
 use rustix::process::{kill_process, Pid, Signal};
@@ -34,17 +35,36 @@
     std::env::temp_dir().join(format!("violetward-{}-{name}.json", std::process::id()))
 }
 
+/// How long anything may take that has to happen.
+const SOON: Duration = Duration::from_secs(20);
+
 /// The program, and the port that it listens on.
 fn start(file: &PathBuf) -> (Child, u16) {
+    let (child, port, _) = start_with_log(file);
+    (child, port)
+}
+
+/// The program, the port that it listens on, and the lines of its log from then on.
+fn start_with_log(file: &PathBuf) -> (Child, u16, Receiver<String>) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_violetward"));
     command.arg("platform").env("PROXY_CONFIG", file).env_remove("PROXY_LISTEN").stderr(Stdio::piped());
     let mut child = command.spawn().unwrap();
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
     let line = lines.by_ref().map_while(Result::ok).find(|l| l.contains("taking requests")).unwrap();
     // The rest of the log is read away, or the program would wait for it.
-    std::thread::spawn(move || lines.for_each(drop));
+    let (tell, told) = channel();
+    std::thread::spawn(move || {
+        for line in lines.map_while(Result::ok) {
+            tell.send(line).ok();
+        }
+    });
     let port = line.rsplit("127.0.0.1:").next().and_then(|p| p.trim().parse().ok()).unwrap();
-    (child, port)
+    (child, port, told)
+}
+
+/// Waits for a line of the log.
+fn logged(log: &Receiver<String>, what: &str) {
+    while !log.recv_timeout(SOON).unwrap_or_else(|e| panic!("{what:?} is not logged: {e}")).contains(what) {}
 }
 
 fn signal(child: &Child, signal: Signal) {
@@ -100,6 +120,49 @@
     std::fs::remove_file(path).ok();
 }
 
+#[test]
+fn further_signals_during_shutdown_change_nothing() {
+    let engine = PlatformEngine::start().unwrap();
+    let resolver = resolver(&engine);
+    let path = file("signals");
+    std::fs::write(&path, config(&resolver, &engine)).unwrap();
+    let (mut child, port, log) = start_with_log(&path);
+    // This client rests until the gateway ends the connection.
+    let mut resting = TcpStream::connect(("127.0.0.1", port)).unwrap();
+    resting.set_read_timeout(Some(SOON)).unwrap();
+    assert!(ask(&mut resting, 1));
+    signal(&child, Signal::TERM);
+    logged(&log, "stopping");
+    signal(&child, Signal::TERM);
+    signal(&child, Signal::HUP);
+    signal(&child, Signal::INT);
+    assert!(ask(&mut resting, 2));
+    assert_eq!(resting.read(&mut [0; 16]).expect("the end of the stream, not a reset"), 0);
+    let ended = child.wait().unwrap();
+    assert!(ended.success(), "{ended}");
+    std::fs::remove_file(path).ok();
+}
+
+#[test]
+fn a_shutdown_during_a_reload_does_not_wait_for_it() {
+    let engine = PlatformEngine::start().unwrap();
+    let resolver = resolver(&engine);
+    let path = file("reload");
+    std::fs::write(&path, config(&resolver, &engine)).unwrap();
+    let (mut child, _, log) = start_with_log(&path);
+    std::fs::write(&path, "{\"name\":").unwrap();
+    signal(&child, Signal::HUP);
+    logged(&log, "the old configuration stands; looking again");
+    signal(&child, Signal::TERM);
+    // The reload would go on for ten seconds.
+    let since = Instant::now();
+    logged(&log, "stopped");
+    assert!(since.elapsed() < Duration::from_secs(8), "after {:?}", since.elapsed());
+    let ended = child.wait().unwrap();
+    assert!(ended.success(), "{ended}");
+    std::fs::remove_file(path).ok();
+}
+
 #[test]
 fn a_wrong_configuration_is_one_line_and_exit_2() {
     let path = file("wrong");
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -138,11 +138,13 @@
     let (gateway, engine) = one_engine();
     let mut client = served_client(&gateway, &engine, 1);
     let method = client.unknown_method();
-    // A message that can't be read, and more behind it that nobody will read.
-    let noise = [&[0, 0, 0, 20][..], &[0xaa; 20], &[0; 60_000]].concat();
-    client.socket().write_all(&[method, noise].concat()).unwrap();
+    // A message that can't be read, and more behind it that nobody will read: more than one read takes in.
+    let noise = [&[0, 0, 0, 20][..], &[0xaa; 20], &[0; 150_000]].concat();
+    let mut socket = client.socket();
+    let sending = std::thread::spawn(move || socket.write_all(&[method, noise].concat()));
     assert_eq!(client.read().1, Got::Exception);
     client.end().expect("the end of the stream, not a reset");
+    sending.join().unwrap().expect("all is taken");
 }
 
 #[test]
