List: a move ends the open question at once, and the list keeps a socket without a free descriptor

Seen by reading resolver.rs. (1) A move of the resolver was looked at only after the open question had its answer or its 150 ms were over: an answer of the old address that came after the move still counted, with whatever list it held, and the new address was asked that much later. (2) After a failure the socket was dropped before the next one was opened. Where another took the descriptor in between, the list was not asked for again until one got free. (3) After failures questions came every 650 ms instead of every 250 ms, so that what changed while the resolver was silent was known that much later after its return. (4) Datagrams that don't fit were read for 150 ms without a bound on their number, on the thread that everything runs on.

Lines at fault: `Resolver::follow` (`moved` awaited in the pause only; `socket.take()` before `open`; `LONGEST`).

Now a move ends the question and its socket; a fresh socket is opened before the old one goes, and where none can be had the old one is led to the address and emptied; questions never get rarer than usual; 32 datagrams a question.

Ruled out: a serial that wraps or is older, a second copy, an answer under another id (tests of their own pass before and after). Checked: with the old file the tests of the move, of the silence and of the descriptors fail; the flood's passes in both, since a flood of that size ends.

--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Async;
 use event_listener::Event;
@@ -18,8 +18,13 @@
 const EVERY: Duration = Duration::from_millis(250);
 /// How long an answer is waited for before the question is asked anew.
 const WITHIN: Duration = Duration::from_millis(150);
-/// The pause after failures grows up to this.
-const LONGEST: Duration = Duration::from_millis(500);
+/// By how much the pause grows with each failure in a row. It never lets questions get rarer than [`EVERY`]: what changed
+/// while nothing was heard counts as told soon after the resolver is back.
+const PAUSE_STEP: Duration = Duration::from_millis(30);
+/// After so many failures in a row the log tells, and the pause grows no further.
+const FAILURES_TOLD: u32 = 8;
+/// Datagrams that are looked at for one question. Guards the thread that everything runs on against a flood of them.
+const DATAGRAMS_MOST: u32 = 32;
 /// Bytes of an answer; one octet more tells one that is longer.
 const ANSWER: usize = 8_000;
 
@@ -51,27 +56,21 @@
         let mut socket = None;
         let mut failures = 0u32;
         loop {
-            let moved = self.moved.listen();
-            let address = self.address.get();
-            // A socket of its own for each address, and a fresh one after failures: what an old question brings late,
-            // or what somebody else sends to a port seen, never reaches the new one.
-            let asked = match socket.take().filter(|(_, to)| *to == address) {
-                Some((socket, _)) => Ok(socket),
-                None => open(address),
+            let mut moved = self.moved.listen();
+            let (address, asked_at) = (self.address.get(), Instant::now());
+            let question = async { Some(ask(&host, &mut socket, address, failures > 0).await) };
+            let gone = async {
+                (&mut moved).await;
+                None
             };
-            let answered = match asked {
-                Ok(udp) => {
-                    let answered = ask(&host, &udp).await;
-                    if answered.is_ok() {
-                        socket = Some((udp, address));
-                    }
-                    answered
-                }
-                Err(e) => Err(format!("no socket: {e}")),
+            // Once it has moved, nothing that the old address says counts any more, and nothing is waited for there.
+            let Some(answered) = future::or(gone, question).await else {
+                failures = 0;
+                continue;
             };
             let pause = match answered {
                 Ok(list) => {
-                    if failures >= 8 {
+                    if failures >= FAILURES_TOLD {
                         tracing::info!(%address, failures, "the resolver answers again");
                     }
                     failures = 0;
@@ -82,17 +81,41 @@
                     EVERY
                 }
                 Err(why) => {
-                    failures += 1;
-                    if failures == 8 {
+                    failures = failures.saturating_add(1);
+                    if failures == FAILURES_TOLD {
                         tracing::warn!(%address, why, "no good answer of the resolver: the old list stands");
                     }
                     // The first failures are asked anew at once: one answer lost must not cost a change its time.
-                    EVERY / 8 * failures.min(16)
+                    (PAUSE_STEP * failures.min(FAILURES_TOLD)).min(EVERY.saturating_sub(asked_at.elapsed()))
                 }
             };
-            future::or(moved, violetward_net::sleep(pause.min(LONGEST))).await;
+            future::or(moved, violetward_net::sleep(pause)).await;
+        }
+    }
+}
+
+/// The socket for the next question, with the address that it takes datagrams from.
+type Held = Option<(Async<UdpSocket>, SocketAddr)>;
+
+/// Makes sure that there is a socket for an address. One of its own for each address, and a fresh one after failures: what
+/// an old question brings late, or what somebody else sends to a port seen, never reaches the new one. Where no descriptor
+/// is free, the old one serves on: the list must not be lost for want of one.
+fn prepare(held: &mut Held, address: SocketAddr, fresh: bool) -> std::io::Result<()> {
+    if !fresh && held.as_ref().is_some_and(|(_, to)| *to == address) {
+        return Ok(());
+    }
+    match (open(address), held.take()) {
+        (Ok(socket), _) => *held = Some((socket, address)),
+        (Err(error), None) => return Err(error),
+        (Err(_), Some((socket, _))) => {
+            let connected = socket.get_ref().connect(address);
+            // What the old address has sent may still be in it.
+            (0..DATAGRAMS_MOST).take_while(|_| socket.get_ref().recv(&mut [0]).is_ok()).for_each(drop);
+            *held = Some((socket, address));
+            connected?;
         }
     }
+    Ok(())
 }
 
 /// A socket that takes datagrams from that address alone.
@@ -105,22 +128,22 @@
 
 /// Asks once, with a fresh random id. Answers that don't fit are passed over while the time lasts: one that does may
 /// follow.
-async fn ask(host: &Host, udp: &Async<UdpSocket>) -> Result<list::List, String> {
+async fn ask(host: &Host, held: &mut Held, address: SocketAddr, fresh: bool) -> Result<list::List, String> {
+    prepare(held, address, fresh).map_err(|e| format!("no socket: {e}"))?;
+    let Some((udp, _)) = held else { return Err("no socket".into()) };
     let id = rand::random();
     udp.send(&list::question(id)).await.map_err(|e| e.to_string())?;
     let last = Cell::new(None);
     let answer = async {
         let mut bytes = vec![0; ANSWER + 1];
-        loop {
-            let size = match udp.recv(&mut bytes).await {
-                Ok(size) => size,
-                Err(e) => break Err(e.to_string()),
-            };
+        for _ in 0..DATAGRAMS_MOST {
+            let size = udp.recv(&mut bytes).await.map_err(|e| e.to_string())?;
             match list::answer(&bytes[..size], id, &host.config.names) {
-                Ok(list) => break Ok(list),
+                Ok(list) => return Ok(list),
                 Err(why) => last.set(Some(why)),
             }
         }
+        Err("a flood of answers that don't fit".to_owned())
     };
     let answer = violetward_net::timeout(WITHIN, answer).await;
     answer.unwrap_or_else(|| Err(last.take().unwrap_or_else(|| "no answer".into())))
--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -14,7 +14,7 @@
 use violetward_platform::resolver::Resolver;
 use violetward_platform::service;
 use violetward_resp::{write, Limits, Reader};
-use violetward_standin::platform::{page, reset};
+use violetward_standin::platform::{page, reset, Listed, PlatformResolver};
 use violetward_thrift::{Cursor, Frames, Kind, Writer};
 
 /// How long anything may take that has to happen; nothing that goes right waits for it.
@@ -184,6 +184,7 @@
     /// Where clients connect.
     pub address: SocketAddr,
     moves: async_channel::Sender<SocketAddr>,
+    moved: Receiver<()>,
 }
 
 impl Gateway {
@@ -197,7 +198,8 @@
             text = text.replace(from, to);
         }
         let (tell, told) = channel();
-        let (moves, moved) = async_channel::unbounded();
+        let (moves, moving) = async_channel::unbounded();
+        let (tell_moved, moved) = channel();
         std::thread::spawn(move || {
             let config = config::parse(&text).unwrap();
             let executor = Rc::new(LocalExecutor::new());
@@ -205,26 +207,67 @@
             let (_host, address) = service::start(config, &executor, &follow).unwrap();
             tell.send(address).unwrap();
             async_io::block_on(executor.run(async {
-                while let Ok(address) = moved.recv().await {
+                while let Ok(address) = moving.recv().await {
                     follow.moved_to(address);
+                    tell_moved.send(()).ok();
                 }
             }));
         });
-        Gateway { address: told.recv().unwrap(), moves }
+        Gateway { address: told.recv().unwrap(), moves, moved }
     }
 
-    /// The resolver is elsewhere from now on.
+    /// The resolver is elsewhere from now on; the gateway knows it when this returns.
     pub fn resolver_moved(&self, address: SocketAddr) {
         self.moves.try_send(address).unwrap();
+        self.moved.recv_timeout(SOON).unwrap();
     }
 }
 
-/// An address at which nobody answers: its socket is held and never read.
-pub fn silent_resolver() -> (UdpSocket, SocketAddr) {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    socket.set_read_timeout(Some(SOON)).unwrap();
-    let address = socket.local_addr().unwrap();
-    (socket, address)
+/// A resolver that answers what the test tells it to answer.
+pub struct ScriptedResolver {
+    /// Where it is asked.
+    pub address: SocketAddr,
+    socket: UdpSocket,
+    /// Words the answers; nobody asks it.
+    writer: PlatformResolver,
+}
+
+/// A question for the list.
+pub struct Question {
+    bytes: Vec<u8>,
+    from: SocketAddr,
+}
+
+impl ScriptedResolver {
+    pub fn start() -> ScriptedResolver {
+        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        socket.set_read_timeout(Some(SOON)).unwrap();
+        let address = socket.local_addr().unwrap();
+        ScriptedResolver { address, socket, writer: PlatformResolver::start("east", "std").unwrap() }
+    }
+
+    /// The next question.
+    pub fn question(&self) -> Question {
+        let mut bytes = vec![0; 1 << 10];
+        let (size, from) = self.socket.recv_from(&mut bytes).expect("a question for the list");
+        bytes.truncate(size);
+        Question { bytes, from }
+    }
+
+    /// The answer to a question: engines with their address and whether they drain, as `e-0`, `e-1` and so on.
+    pub fn list(&self, question: &Question, serial: u32, engines: &[(SocketAddr, bool)]) -> Vec<u8> {
+        let listed = engines.iter().enumerate().map(|(n, &(address, draining))| {
+            let SocketAddr::V4(address) = address else { panic!("{address} is not IPv4") };
+            Listed { id: format!("e-{n}"), address, draining }
+        });
+        self.writer.tell(serial, listed.collect());
+        self.writer.answer_to(&question.bytes, "east", "std").unwrap()
+    }
+
+    /// Sends bytes to who asked.
+    pub fn send(&self, question: &Question, bytes: &[u8]) {
+        self.socket.send_to(bytes, question.from).unwrap();
+    }
 }
 
 /// How a request ended for its client.
--- /dev/null
+++ b/crates/platform/tests/descriptors.rs
@@ -0,0 +1,75 @@
+//! A gateway whose process has no descriptor free: what it holds goes on, and what it lacks comes when one is free again.
+//! The limit is the process's, so that these tests have one of their own and take turns.
+
+mod bed;
+
+use std::fs::File;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bed::scripted::*;
+use violetward_standin::platform::limit_descriptors;
+
+/// Descriptors of this process: few, so that all are soon taken.
+const LIMIT: u64 = 160;
+
+/// One test at a time has the process's descriptors.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// Takes every descriptor that is free, and each one that gets free, until it is dropped.
+struct Hog {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Hog {
+    /// Returns once no descriptor is free.
+    fn start() -> Hog {
+        limit_descriptors(LIMIT).unwrap();
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        let (tell, full) = std::sync::mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            let mut taken = Vec::new();
+            while !stopped.load(Ordering::Relaxed) {
+                match File::open("/dev/null") {
+                    Ok(file) => taken.push(file),
+                    Err(_) => {
+                        tell.send(()).ok();
+                        std::thread::sleep(Duration::from_micros(200));
+                    }
+                }
+            }
+        });
+        full.recv_timeout(SOON).unwrap();
+        Hog { stop, thread: Some(thread) }
+    }
+}
+
+impl Drop for Hog {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        self.thread.take().map(JoinHandle::join);
+    }
+}
+
+#[test]
+fn the_list_is_asked_for_without_a_free_descriptor_and_at_a_new_address_too() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let (engine, old, new) = (ScriptedEngine::start(), ScriptedResolver::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(old.address, &[engine.address], &[]);
+    let mut client = Client::connect(&gateway);
+    old.question();
+    let hog = Hog::start();
+    // Each of these fails, and each failure asks for a new socket.
+    (0..6).for_each(|_| drop(old.question()));
+    gateway.resolver_moved(new.address);
+    let question = new.question();
+    new.send(&question, &new.list(&question, 2, &[(engine.address, true)]));
+    new.question();
+    client.send(&id(1), "look", 2_500);
+    assert_eq!(client.read().1, Got::Refused, "the engine is listed as draining");
+    drop(hog);
+}
--- a/crates/platform/tests/engine_races.rs
+++ b/crates/platform/tests/engine_races.rs
@@ -14,9 +14,9 @@
 /// A gateway with one engine and a resolver that says nothing: the list of the start stands.
 fn one_engine(changes: &[(&str, &str)]) -> (Gateway, ScriptedEngine) {
     let engine = ScriptedEngine::start();
-    let (resolver, address) = silent_resolver();
-    let gateway = Gateway::start(address, &[engine.address], changes);
-    // Held open for the test's time, so that no question is refused.
+    let resolver = ScriptedResolver::start();
+    let gateway = Gateway::start(resolver.address, &[engine.address], changes);
+    // Its socket stays open, so that no question is refused.
     std::mem::forget(resolver);
     (gateway, engine)
 }
--- /dev/null
+++ b/crates/platform/tests/list_races.rs
@@ -0,0 +1,96 @@
+//! Orders of events between the gateway and its resolver over real sockets, each forced by a scripted resolver.
+
+mod bed;
+
+use std::time::{Duration, Instant};
+
+use bed::scripted::*;
+
+/// Has a request served by the engine, which shows that it is listed as up.
+fn assert_used(gateway: &Gateway, engine: &ScriptedEngine, number: u64) {
+    let mut client = Client::connect(gateway);
+    client.send(&id(number), "look", 2_500);
+    let (connection, _) = engine.command("fetch");
+    engine.serve(connection, &id(number));
+    assert_eq!(client.read().1, served(&id(number)));
+}
+
+/// Has a request refused, which shows that no engine is listed as up.
+fn assert_unused(gateway: &Gateway, number: u64) {
+    let mut client = Client::connect(gateway);
+    client.send(&id(number), "look", 2_500);
+    assert_eq!(client.read().1, Got::Refused);
+}
+
+#[test]
+fn what_the_old_address_answers_after_a_move_does_not_count() {
+    let (engine, old, new) = (ScriptedEngine::start(), ScriptedResolver::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(old.address, &[engine.address], &[]);
+    let question = old.question();
+    gateway.resolver_moved(new.address);
+    // A list that is newer than any of the new address's, in which the engine drains.
+    old.send(&question, &old.list(&question, 100, &[(engine.address, true)]));
+    let question = new.question();
+    new.send(&question, &new.list(&question, 2, &[(engine.address, false)]));
+    new.question();
+    assert_used(&gateway, &engine, 1);
+}
+
+#[test]
+fn questions_get_no_rarer_while_nothing_is_heard() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    (0..12).for_each(|_| drop(resolver.question()));
+    let silent = Instant::now();
+    (0..8).for_each(|_| drop(resolver.question()));
+    // Four in a second are usual; half of that would be two seconds more.
+    assert!(silent.elapsed() < Duration::from_millis(3_500), "{:?} for 8 questions", silent.elapsed());
+    // The first answer after all that silence counts.
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list(&question, 2, &[(engine.address, true)]));
+    resolver.question();
+    assert_unused(&gateway, 1);
+}
+
+#[test]
+fn an_older_list_a_second_copy_and_another_ids_answer_change_nothing() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    // Its serial is about to wrap.
+    let known = ("\"known\":{\"no\":1,", "\"known\":{\"no\":4294967290,");
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[known]);
+    let (up, draining) = ([(engine.address, false)], [(engine.address, true)]);
+    let first = resolver.question();
+    let newer = resolver.list(&first, 5, &up);
+    resolver.send(&first, &newer);
+    let second = resolver.question();
+    // A copy of the first answer, which has another id, and the list of before the wrap.
+    resolver.send(&second, &newer);
+    resolver.send(&second, &resolver.list(&first, 9, &draining));
+    resolver.send(&second, &resolver.list(&second, 4_294_967_295, &draining));
+    resolver.question();
+    assert_used(&gateway, &engine, 1);
+    // Silence, then a newer one.
+    let third = resolver.question();
+    resolver.send(&third, &resolver.list(&third, 6, &draining));
+    resolver.question();
+    assert_unused(&gateway, 2);
+}
+
+#[test]
+fn a_flood_of_answers_that_do_not_fit_holds_nothing_up() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    let mut asked = resolver.question();
+    for _ in 0..5 {
+        let noise = resolver.list(&asked, 9, &[(engine.address, true)]);
+        // Another id than that of the question.
+        let noise = [&[!noise[0], !noise[1]], &noise[2..]].concat();
+        (0..64).for_each(|_| resolver.send(&asked, &noise));
+        asked = resolver.question();
+    }
+    assert_used(&gateway, &engine, 1);
+    let asked = resolver.question();
+    resolver.send(&asked, &resolver.list(&asked, 2, &[(engine.address, true)]));
+    resolver.question();
+    assert_unused(&gateway, 2);
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -91,6 +91,16 @@
     rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO)).ok();
 }
 
+/// Lets this process have so many descriptors at most from now on.
+///
+/// # Errors
+/// If that is not allowed.
+pub fn limit_descriptors(most: u64) -> std::io::Result<()> {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    let limit = rustix::process::Rlimit { current: Some(most), ..limit };
+    Ok(rustix::process::setrlimit(rustix::process::Resource::Nofile, limit)?)
+}
+
 impl PlatformEngine {
     /// Starts an engine on a free port of loopback.
     ///
@@ -330,6 +340,11 @@
         (state.serial, state.engines) = (serial, engines);
     }
 
+    /// The answer that it would give to a question now, for a test that sends it itself.
+    pub fn answer_to(&self, question: &[u8], zone: &str, kind: &str) -> Option<Vec<u8>> {
+        self.answer(&Message::read(question).ok()?, zone, kind)
+    }
+
     /// Orders a fault.
     pub fn order(&self, fault: ListFault) {
         lock(&self.state).faults.push_back(fault);
