Engines: nothing is asked behind half a message, and what waits unsent never leaves after it is given up

Seen by reading engine.rs: a connection on which an answer had broken off without an end was used again once its request had timed out, since something had been heard on it. The next answer there was read as the rest of the broken one: it was lost, and its request counted as one that may have run. The same behind half of a second copy. Likewise a connection whose engine had not taken all bytes yet was used again, and the bytes of a request given up still left later, when its client might be gone.

Lines at fault: `Engines::withdraw` (looked at `heard` alone), `Line::is_quiet` (looked at the socket alone).

Now an idle connection counts as quiet only if no message is cut off on it and no byte waits to leave it; one on which a request is given up within a message takes nothing new; and one that is idle then and still holds bytes is aborted.

Checked: both tests over sockets fail without the two conditions. The held bytes have no test over sockets: with this system's buffers (2.5 MB for a new connection on loopback) no request that the front takes fills one.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -98,10 +98,11 @@
         bytes.is_empty() || self.duplex.borrow().as_ref().is_some_and(|d| d.send(bytes))
     }
 
+    /// Gives it up at once. Bytes that its engine has not taken yet never reach it.
     fn close(&self) {
         self.spent.set(true);
         if let Some(duplex) = &*self.duplex.borrow() {
-            duplex.close();
+            duplex.abort();
         }
     }
 
@@ -113,8 +114,15 @@
         self.duplex.borrow().is_some()
     }
 
+    /// Bytes wait here for its engine to take them.
+    fn keeps(&self) -> bool {
+        self.duplex.borrow().as_ref().is_some_and(|d| d.kept().0 > 0)
+    }
+
+    /// Nothing is on its way on it in either direction, as far as can be seen, and no message has been cut off on it.
     fn is_quiet(&self) -> bool {
-        self.duplex.borrow().as_ref().is_some_and(|d| d.is_quiet())
+        let quiet = self.duplex.borrow().as_ref().is_some_and(|d| d.is_quiet());
+        quiet && !self.keeps() && !self.link.borrow().is_within()
     }
 
     /// It is being dialled, for whatever waits.
@@ -383,10 +391,15 @@
         let mut out = Vec::new();
         line.link.borrow_mut().withdraw(attempt, &mut out);
         line.send(&out);
-        if line.is_up() && line.heard.get() < since {
-            // Not a word since it was asked: the peer may be gone without a trace, and this connection with it.
+        if line.is_up() && (line.heard.get() < since || line.link.borrow().is_within()) {
+            // Not a word since it was asked: the peer may be gone without a trace, and this connection with it. Or half a
+            // message, whose rest may come after the next answer's time, or never.
             line.spent.set(true);
         }
+        if line.load() == 0 && line.keeps() {
+            // What the peer has not taken of the request must not reach it later: its client may be gone.
+            line.close();
+        }
         line.idle.set(Instant::now());
         self.serve(host, &engine);
     }
--- a/crates/platform/tests/engine_races.rs
+++ b/crates/platform/tests/engine_races.rs
@@ -49,3 +49,36 @@
     assert_eq!(client.read().1, Got::Failed, "it ran");
     assert_eq!(engine.fetches(), Vec::<String>::new(), "it was sent a second time");
 }
+
+#[test]
+fn behind_half_an_answer_nothing_more_is_asked() {
+    let (gateway, engine) = one_engine(&[UNSAFE]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 300);
+    let (first, _) = engine.command("fetch");
+    let whole = answer([&id(1), "ok", GOOD, &page(&id(1), 0)]);
+    engine.write(first, &whole[..whole.len() / 2]);
+    assert_eq!(client.read().1, Got::Failed, "it may have run");
+    client.send(&id(2), "look", 2_500);
+    let (second, _) = engine.command("fetch");
+    assert_ne!(first, second, "the answer would be read as the rest of the first one");
+    engine.serve(second, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+}
+
+#[test]
+fn behind_half_a_second_answer_nothing_more_is_asked() {
+    let (gateway, engine) = one_engine(&[]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 2_500);
+    let (first, _) = engine.command("fetch");
+    let whole = answer([&id(1), "ok", GOOD, &page(&id(1), 0)]);
+    // The second copy breaks off, and comes in the same breath as the first.
+    engine.write(first, &[&whole[..], &whole[..whole.len() / 2]].concat());
+    assert_eq!(client.read().1, served(&id(1)));
+    client.send(&id(2), "look", 2_500);
+    let (second, _) = engine.command("fetch");
+    assert_ne!(first, second, "the answer would be read as the rest of the first one");
+    engine.serve(second, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+}
