Engines: connections stay in their bound, and a machine without descriptors blames no engine

Seen by reading engine.rs, each forced over sockets: - `make_room` closed the connection idle for longest and found the same one again until its task had run: a burst of eight requests had ten connections where eight were allowed. The descriptor of a broken one was held for up to 16 ms more (`stands`) while it counted no longer, and `stands` dials without asking for room. - A dial that failed for want of a descriptor (EMFILE), of ports or memory was told as a failed connection. To the module that is a process that is gone: the engine counted as cold, and three attempts were spent within a millisecond. So was an attempt that found no room for a connection, and one that waited for an engine that began to drain. - Where an engine had fewer connections than its part but no more could be dialled, requests waited for one of its own to become idle instead of sharing it. - A spare connection closed from this side counted as one reset by its engine for all that waited. - A write error ended the task of a connection although what had come in before was not read yet.

Lines at fault: `Engines::make_room`, `ready`, `launch`, `Engine::retire`, `reach`, `run`, `end`.

Now what makes room is closed once; a dial waits until the count is in its bound again; a shortage here closes one idle connection, is tried again within the connection's time-out, and ends as never sent (`Moot`) with no word on the engine, while a probe waits on. Refused connections and dials that are late are told as before.

Checked: three new tests fail with the old file; the last two items have no test of their own (the reader takes 64 KB first, so that nothing under that is lost; four spare ones would have to end within one wait).

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -29,6 +29,14 @@
 /// How often, and how many times, a witness is looked for after a connection broke.
 const WITNESS: (Duration, u32) = (Duration::from_millis(2), 8);
 
+/// How long a dial waits before it looks again for a free descriptor.
+const DESCRIPTOR_PAUSE: Duration = Duration::from_millis(5);
+
+/// Errors by which this machine, and not the engine, has no connection: the process's or the system's descriptors are all
+/// taken (the numbers are those of Linux), or its memory or ports.
+const NO_DESCRIPTOR: [i32; 2] = [24, 23];
+const NO_ROOM: [ErrorKind; 2] = [ErrorKind::OutOfMemory, ErrorKind::AddrNotAvailable];
+
 /// How often a connection is dialled that is reset before anything could be asked on it.
 const DIALS: u32 = 4;
 
@@ -114,6 +122,11 @@
         self.duplex.borrow().is_some()
     }
 
+    /// It is up and was not ended from this side.
+    fn is_open(&self) -> bool {
+        self.duplex.borrow().as_ref().is_some_and(|d| !d.is_closed())
+    }
+
     /// Bytes wait here for its engine to take them.
     fn keeps(&self) -> bool {
         self.duplex.borrow().as_ref().is_some_and(|d| d.kept().0 > 0)
@@ -152,7 +165,8 @@
     fn retire(&self, unsent: &mut Vec<(AttemptId, Ending)>) {
         self.lines.borrow().iter().for_each(|line| line.spent.set(true));
         self.waiting.borrow_mut().retain(|waiting| {
-            unsent.extend(waiting.attempt().map(|a| (a, Ending::of(Outcome::ConnectFailed))));
+            // Its engine drains, has left or is elsewhere: that does not say that its process is gone.
+            unsent.extend(waiting.attempt().map(|a| (a, Ending::of(Outcome::Moot))));
             waiting.attempt().is_none()
         });
     }
@@ -177,10 +191,10 @@
         self.dial.set(Some((usual * (DIAL_SAMPLE - 1) + took.min(usual * 2)) / DIAL_SAMPLE));
     }
 
-    /// What waits and is such, as never sent.
-    fn unserved(&self, is_such: impl Fn(&Waiting) -> bool) -> Vec<Told> {
+    /// What waits and is such, as never sent; `outcome` says why.
+    fn unserved(&self, outcome: Outcome, is_such: impl Fn(&Waiting) -> bool) -> Vec<Told> {
         let never = |waiting: Waiting| match waiting.what {
-            What::Launch(launch) => Told::Ended(launch.attempt, Ending::of(Outcome::ConnectFailed)),
+            What::Launch(launch) => Told::Ended(launch.attempt, Ending::of(outcome)),
             What::Probe => Told::Probed(false, Load::default()),
         };
         let (ended, kept): (VecDeque<_>, _) = self.waiting.take().into_iter().partition(is_such);
@@ -209,7 +223,7 @@
         }
     }
 
-    /// Connections there are.
+    /// Connections there are, those that come up or are closing included.
     pub fn connections(&self) -> usize {
         self.engines.borrow().values().map(|e| e.lines.borrow().len()).sum()
     }
@@ -261,7 +275,8 @@
         let taken = engine.is_some_and(|engine| self.ask(host, &engine, What::Launch(launch)));
         (!taken).then(|| {
             tracing::debug!(id = %crate::link::id_text(attempt), attempt = attempt.1, "no way to it");
-            Ending::of(Outcome::ConnectFailed)
+            // It has left, or there may be no more connections: neither says that its process is gone.
+            Ending::of(Outcome::Moot)
         })
     }
 
@@ -351,7 +366,8 @@
         // The one used last is the least likely to have been closed by its engine.
         let best = lines.iter().filter(fits).filter(idle).max_by_key(|l| l.idle.get());
         let shared = || lines.iter().filter(fits).min_by_key(|l| l.load());
-        best.or_else(|| if lines.len() < self.each() { None } else { shared() }).cloned()
+        let has_room = || self.connections() < self.most || self.idle_longest().is_some();
+        best.or_else(|| if lines.len() < self.each() && has_room() { None } else { shared() }).cloned()
     }
 
     /// Connections that an engine may have.
@@ -369,18 +385,19 @@
         (count < self.each() || useless) && (self.connections() < self.most || self.make_room())
     }
 
-    /// Closes the connection that has been idle for longest; false if there is none.
+    /// Closes the connection that has been idle for longest; false if there is none. It counts until its descriptor is
+    /// free, and makes room once.
     fn make_room(&self) -> bool {
+        let idle = self.idle_longest();
+        idle.iter().for_each(|line| line.close());
+        idle.is_some()
+    }
+
+    fn idle_longest(&self) -> Option<Rc<Line>> {
         let engines = self.engines.borrow();
-        let idle = |line: &Rc<Line>| line.is_up() && line.load() == 0;
+        let idle = |line: &Rc<Line>| line.is_open() && line.load() == 0;
         let all = engines.values().flat_map(|e| e.lines.borrow().iter().cloned().collect::<Vec<_>>());
-        match all.filter(idle).min_by_key(|l| l.idle.get()) {
-            Some(line) => {
-                line.close();
-                true
-            }
-            None => false,
-        }
+        all.filter(idle).min_by_key(|l| l.idle.get())
     }
 
     /// Gives an attempt up.
@@ -516,11 +533,24 @@
     line: &Rc<Line>,
     first: bool,
 ) -> Result<Async<TcpStream>, Missed> {
+    let short = Cell::new(false);
     let connecting = async {
-        let mut dials = 1;
+        let (mut dials, mut made_room) = (1, false);
         loop {
-            match Async::<TcpStream>::connect(engine.address.get()).await {
+            // What was closed to make room for this one holds its descriptor for a moment yet.
+            while host.engines.connections() > host.engines.most {
+                short.set(true);
+                violetward_net::sleep(DESCRIPTOR_PAUSE).await;
+            }
+            let connected = Async::<TcpStream>::connect(engine.address.get()).await;
+            short.set(connected.as_ref().is_err_and(is_shortage));
+            match connected {
                 Ok(socket) => return Ok(socket),
+                Err(_) if short.get() => {
+                    // Once for each dial: what gets free may be taken by somebody else every time.
+                    made_room = made_room || host.engines.make_room();
+                    violetward_net::sleep(DESCRIPTOR_PAUSE).await;
+                }
                 // Reset while it came up: somebody is there, and nothing has been asked yet. A refusal is final.
                 Err(e) if e.kind() == ErrorKind::ConnectionReset && dials < DIALS => dials += 1,
                 Err(e) => {
@@ -544,7 +574,14 @@
         Err(Missed::Late)
     };
     let reached = future::or(connecting, future::or(beside, unneeded));
-    violetward_net::timeout(within(host), reached).await.unwrap_or(Err(Missed::Late))
+    let missed = || if short.get() { Missed::NoDescriptor } else { Missed::Late };
+    violetward_net::timeout(within(host), reached).await.unwrap_or_else(|| Err(missed()))
+}
+
+/// It is this machine that lacks something.
+fn is_shortage(error: &std::io::Error) -> bool {
+    error.raw_os_error().is_some_and(|number| NO_DESCRIPTOR.contains(&number))
+        || NO_ROOM.contains(&error.kind())
 }
 
 /// Why a dial gave no connection.
@@ -554,6 +591,8 @@
     Failed,
     /// It was not up in time.
     Late,
+    /// This machine had no descriptor for it, all the time.
+    NoDescriptor,
 }
 
 async fn run(host: Rc<Host>, engine: Rc<Engine>, line: Rc<Line>, first: bool) {
@@ -565,11 +604,16 @@
             engine.lines.borrow_mut().retain(|l| !Rc::ptr_eq(l, &line));
             tracing::debug!(engine = %format_args!("{:x}", engine.id.0), ?why, ?took, heard = ?engine.heard.get().elapsed(),
                 spent = line.spent.get(), "not up");
+            if why == Missed::NoDescriptor && !line.spent.get() {
+                // That says nothing of the engine. Requests may find a connection elsewhere; a probe waits on.
+                tell(&host, &engine, &line, engine.unserved(Outcome::Moot, |w| w.attempt().is_some()));
+                return host.engines.serve(&host, &engine);
+            }
             // What was dialled for an address that is not its engine's any more says nothing of it. Neither does a dial
             // that is not up in time, if the engine was heard meanwhile: the way there is bad. What waits is better
             // served by the next dial than told that its engine is gone: the module takes that for a restart.
             if !line.spent.get() && (why == Missed::Failed || engine.heard.get() < began) {
-                tell(&host, &engine, &line, engine.unserved(|_| true));
+                tell(&host, &engine, &line, engine.unserved(Outcome::ConnectFailed, |_| true));
             }
             return host.engines.serve(&host, &engine);
         }
@@ -584,12 +628,15 @@
     host.engines.serve(&host, &engine);
     future::or(read(&host, &engine, &line, &duplex), async {
         duplex.drain().await;
+        // What came in before the connection broke is still to be read; the reader finds the end behind it.
+        future::pending().await
     })
     .await;
-    // Held by its state no longer: the socket closes with this task.
-    duplex.close();
+    let by_peer = !duplex.is_closed();
     line.duplex.borrow_mut().take();
-    end(&host, &engine, &line).await;
+    // The descriptor is free before the connection counts no more.
+    drop(duplex);
+    end(&host, &engine, &line, by_peer).await;
 }
 
 async fn read(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, duplex: &Duplex) {
@@ -649,8 +696,8 @@
     });
 }
 
-/// Ends what is left on a connection that is gone, and forgets it.
-async fn end(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+/// Ends what is left on a connection that is gone, and forgets it. `by_peer` if it was not ended from this side.
+async fn end(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, by_peer: bool) {
     line.spent.set(true);
     engine.lines.borrow_mut().retain(|l| !Rc::ptr_eq(l, line));
     let (load, mut told) = (line.link.borrow().load(), Vec::new());
@@ -663,10 +710,10 @@
         }
         line.link.borrow_mut().broken(outcome, &mut told);
     }
-    if line.carried.get() == 0 {
+    if line.carried.get() == 0 && by_peer {
         // Somebody was there and closed before anything was asked: what waits is dialled for again, but not for ever.
         engine.waiting.borrow_mut().iter_mut().for_each(|w| w.resets += 1);
-        told.extend(engine.unserved(|w| w.resets >= DIALS));
+        told.extend(engine.unserved(Outcome::ConnectFailed, |w| w.resets >= DIALS));
     }
     tell(host, engine, line, told);
     host.engines.serve(host, engine);
--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -51,6 +51,7 @@
     pub address: SocketAddr,
     seen: Receiver<Seen>,
     connections: Arc<Mutex<HashMap<usize, Arc<Connection>>>>,
+    open: Arc<AtomicUsize>,
 }
 
 struct Connection {
@@ -65,17 +66,23 @@
         let (tell, seen) = channel();
         let connections = Arc::new(Mutex::new(HashMap::new()));
         let taken = connections.clone();
+        let open = Arc::new(AtomicUsize::new(0));
+        let counted = open.clone();
         std::thread::spawn(move || {
             for (number, socket) in listener.incoming().flatten().enumerate() {
                 socket.set_read_timeout(Some(LOOK)).unwrap();
                 let connection = Arc::new(Connection { socket, reader: AtomicU8::new(READS) });
                 taken.lock().unwrap().insert(number, connection.clone());
-                let tell = tell.clone();
+                let (tell, counted) = (tell.clone(), counted.clone());
+                counted.fetch_add(1, Ordering::Relaxed);
                 tell.send(Seen::Opened(number)).ok();
-                std::thread::spawn(move || read_commands(number, &connection, &tell));
+                std::thread::spawn(move || {
+                    read_commands(number, &connection, &tell);
+                    counted.fetch_sub(1, Ordering::Relaxed);
+                });
             }
         });
-        ScriptedEngine { address, seen, connections }
+        ScriptedEngine { address, seen, connections, open }
     }
 
     /// What happens next.
@@ -125,6 +132,11 @@
         self.say(number, [id, "ok", GOOD, &page(id, 0)]);
     }
 
+    /// Connections that neither side has ended, as far as its readers have seen.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Resets a connection; the reset is on its way when this returns.
     pub fn reset(&self, number: usize) {
         let mut connection = self.connections.lock().unwrap().remove(&number).unwrap();
@@ -296,20 +308,26 @@
 
     /// Sends a request and does not wait; its number.
     pub fn send(&mut self, id: &str, class: &str, wait: u32) -> i32 {
-        self.send_statement(id, class, wait, "pages 1")
+        let bytes = self.request(id, class, wait);
+        self.socket.write_all(&bytes).unwrap();
+        self.seqid
+    }
+
+    /// Sends requests in one write and does not wait.
+    pub fn send_burst(&mut self, ids: impl Iterator<Item = String>, class: &str, wait: u32) {
+        let bytes: Vec<u8> = ids.flat_map(|id| self.request(&id, class, wait)).collect();
+        self.socket.write_all(&bytes).unwrap();
     }
 
-    /// Sends a request with a statement and does not wait; its number.
-    pub fn send_statement(&mut self, id: &str, class: &str, wait: u32, statement: &str) -> i32 {
+    fn request(&mut self, id: &str, class: &str, wait: u32) -> Vec<u8> {
         self.seqid += 1;
         let wait = wait.to_string();
         let fields = [("id", id), ("class", class), ("wait", &wait), ("cost", "20.0"), ("heap_mb", "64")];
         let mut writer = Writer::message("dispatch", Kind::Call, self.seqid);
         writer.texts(1, fields.into_iter());
-        writer.bytes(2, statement.as_bytes());
+        writer.bytes(2, b"pages 1");
         writer.stop();
-        self.socket.write_all(&writer.frame()).unwrap();
-        self.seqid
+        writer.frame()
     }
 
     /// Takes a request back.
@@ -320,6 +338,14 @@
         self.socket.write_all(&writer.frame()).unwrap();
     }
 
+    /// Whether nothing comes for a while.
+    pub fn is_silent(&mut self) -> bool {
+        self.socket.set_read_timeout(Some(QUIET)).unwrap();
+        let silent = self.socket.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        self.socket.set_read_timeout(Some(SOON)).unwrap();
+        silent
+    }
+
     /// The next answer and its number.
     pub fn read(&mut self) -> (i32, Got) {
         let mut bytes = [0; 8 << 10];
--- a/crates/platform/tests/descriptors.rs
+++ b/crates/platform/tests/descriptors.rs
@@ -73,3 +73,31 @@
     assert_eq!(client.read().1, Got::Refused, "the engine is listed as draining");
     drop(hog);
 }
+
+#[test]
+fn a_dial_without_a_free_descriptor_waits_for_one_and_costs_its_engine_nothing() {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let patient = (bed::CONNECT_TIMEOUT, "\"ConnectTimeoutUs\": 20000000");
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[patient]);
+    let mut client = Client::connect(&gateway);
+    // The gateway has taken the client's connection.
+    client.send(&id(1), "nothing", 2_500);
+    assert_eq!(client.read().1, Got::Exception);
+    let hog = Hog::start();
+    client.send(&id(2), "look", 2_500);
+    assert!(client.is_silent(), "the engine was taken for one that is gone");
+    drop(hog);
+    let (connection, _) = engine.command("fetch");
+    engine.serve(connection, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+    // A cold engine would be sent a few of these at most.
+    let wanted = 20;
+    for n in 0..wanted {
+        client.send(&id(100 + n), "look", 2_500);
+    }
+    for _ in 0..wanted {
+        let (connection, words) = engine.command("fetch");
+        engine.serve(connection, &words[1]);
+    }
+}
--- a/crates/platform/tests/engine_races.rs
+++ b/crates/platform/tests/engine_races.rs
@@ -11,6 +11,9 @@
     r#""Effect": "once", "Group": "all", "HardLimitUs": 3000000"#,
 );
 
+/// Leaves room for eight connections to engines.
+const EIGHT_CONNECTIONS: (&str, &str) = ("\"sockets\":256", "\"sockets\":48");
+
 /// A gateway with one engine and a resolver that says nothing: the list of the start stands.
 fn one_engine(changes: &[(&str, &str)]) -> (Gateway, ScriptedEngine) {
     let engine = ScriptedEngine::start();
@@ -82,3 +85,46 @@
     engine.serve(second, &id(2));
     assert_eq!(client.read().1, served(&id(2)));
 }
+
+#[test]
+fn connections_stay_in_their_bound_when_idle_ones_make_room() {
+    let (one, two, resolver) = (ScriptedEngine::start(), ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[one.address], &[EIGHT_CONNECTIONS]);
+    let mut client = Client::connect(&gateway);
+    // All eight go to the only engine, and rest there.
+    for n in 0..8 {
+        client.send(&id(n), "look", 2_500);
+    }
+    let fetches: Vec<_> = (0..8).map(|_| one.command("fetch")).collect();
+    fetches.iter().for_each(|(connection, words)| one.serve(*connection, &words[1]));
+    fetches.iter().for_each(|_| assert!(matches!(client.read().1, Got::Served(_))));
+    assert_eq!(one.open(), 8);
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list(&question, 2, &[(one.address, false), (two.address, false)]));
+    resolver.question();
+    // In one breath: each one for the other engine needs a connection of its own to be closed.
+    client.send_burst((100..108).map(id), "look", 2_500);
+    let (sent_to_one, sent_to_two) = (one.fetches(), two.fetches());
+    assert!(sent_to_two.len() > 2, "{sent_to_one:?} and {sent_to_two:?}");
+    assert!(one.open() + two.open() <= 8, "{} and {}", one.open(), two.open());
+}
+
+#[test]
+fn where_no_connection_may_be_added_requests_share_those_of_their_engine() {
+    let (one, two, resolver) = (ScriptedEngine::start(), ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[one.address], &[EIGHT_CONNECTIONS]);
+    let mut client = Client::connect(&gateway);
+    // Seven are in use at an engine that may have four once there are two.
+    for n in 0..7 {
+        client.send(&id(n), "look", 2_500);
+    }
+    (0..7).for_each(|_| drop(one.command("fetch")));
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list(&question, 2, &[(one.address, false), (two.address, false)]));
+    resolver.question();
+    client.send_burst((100..104).map(id), "look", 2_500);
+    let (sent_to_one, sent_to_two) = (one.fetches(), two.fetches());
+    assert!(sent_to_two.len() > 1, "{sent_to_one:?} and {sent_to_two:?}");
+    assert_eq!(sent_to_one.len() + sent_to_two.len(), 4, "one waits for a connection that nobody may dial");
+    assert!(one.open() + two.open() <= 8);
+}
