--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -17,7 +17,7 @@
 use violetward_platform::service;
 use violetward_platform::shutdown;
 use violetward_resp::{write, Limits, Reader};
-use violetward_standin::platform::{page, reset};
+use violetward_standin::platform::{page, reset, Listed, PlatformResolver};
 use violetward_thrift::{Cursor, Frames, Kind, Writer};
 
 /// How long anything may take that has to happen; nothing that goes right waits for it.
@@ -54,6 +54,7 @@
     pub address: SocketAddr,
     seen: Receiver<Seen>,
     connections: Arc<Mutex<HashMap<usize, Arc<Connection>>>>,
+    open: Arc<AtomicUsize>,
 }
 
 struct Connection {
@@ -68,17 +69,23 @@
         let (tell, seen) = channel();
         let connections = Arc::new(Mutex::new(HashMap::new()));
         let taken = connections.clone();
+        let open = Arc::new(AtomicUsize::new(0));
+        let counted = open.clone();
         std::thread::spawn(move || {
             for (number, socket) in listener.incoming().flatten().enumerate() {
                 socket.set_read_timeout(Some(LOOK)).unwrap();
                 let connection = Arc::new(Connection { socket, reader: AtomicU8::new(READS) });
                 taken.lock().unwrap().insert(number, connection.clone());
-                let tell = tell.clone();
+                let (tell, counted) = (tell.clone(), counted.clone());
+                counted.fetch_add(1, Ordering::Relaxed);
                 tell.send(Seen::Opened(number)).ok();
-                std::thread::spawn(move || read_commands(number, &connection, &tell));
+                std::thread::spawn(move || {
+                    read_commands(number, &connection, &tell);
+                    counted.fetch_sub(1, Ordering::Relaxed);
+                });
             }
         });
-        ScriptedEngine { address, seen, connections }
+        ScriptedEngine { address, seen, connections, open }
     }
 
     /// What happens next.
@@ -128,6 +135,11 @@
         self.say(number, [id, "ok", GOOD, &page(id, 0)]);
     }
 
+    /// Connections that neither side has ended, as far as its readers have seen.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Resets a connection; the reset is on its way when this returns.
     pub fn reset(&self, number: usize) {
         let mut connection = self.connections.lock().unwrap().remove(&number).unwrap();
@@ -188,6 +200,7 @@
     pub address: SocketAddr,
     moves: async_channel::Sender<SocketAddr>,
     orders: async_channel::Sender<Order>,
+    moved: Receiver<()>,
 }
 
 /// Something that is done on a gateway's own thread, between two turns of its tasks.
@@ -204,7 +217,8 @@
             text = text.replace(from, to);
         }
         let (tell, told) = channel();
-        let (moves, moved) = async_channel::unbounded();
+        let (moves, moving) = async_channel::unbounded();
+        let (tell_moved, moved) = channel();
         let (orders, ordered) = async_channel::unbounded::<Order>();
         std::thread::spawn(move || {
             let config = config::parse(&text).unwrap();
@@ -218,13 +232,14 @@
                 }
             };
             let follow_moves = async {
-                while let Ok(address) = moved.recv().await {
+                while let Ok(address) = moving.recv().await {
                     follow.moved_to(address);
+                    tell_moved.send(()).ok();
                 }
             };
             async_io::block_on(executor.run(future::zip(carry_out, follow_moves)));
         });
-        Gateway { address: told.recv().unwrap(), moves, orders }
+        Gateway { address: told.recv().unwrap(), moves, moved, orders }
     }
 
     /// Does something on the gateway's thread: none of its tasks gets a turn meanwhile.
@@ -248,18 +263,58 @@
         told
     }
 
-    /// The resolver is elsewhere from now on.
+    /// The resolver is elsewhere from now on; the gateway knows it when this returns.
     pub fn resolver_moved(&self, address: SocketAddr) {
         self.moves.try_send(address).unwrap();
+        self.moved.recv_timeout(SOON).unwrap();
     }
 }
 
-/// An address at which nobody answers: its socket is held and never read.
-pub fn silent_resolver() -> (UdpSocket, SocketAddr) {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    socket.set_read_timeout(Some(SOON)).unwrap();
-    let address = socket.local_addr().unwrap();
-    (socket, address)
+/// A resolver that answers what the test tells it to answer.
+pub struct ScriptedResolver {
+    /// Where it is asked.
+    pub address: SocketAddr,
+    socket: UdpSocket,
+    /// Words the answers; nobody asks it.
+    writer: PlatformResolver,
+}
+
+/// A question for the list.
+pub struct Question {
+    bytes: Vec<u8>,
+    from: SocketAddr,
+}
+
+impl ScriptedResolver {
+    pub fn start() -> ScriptedResolver {
+        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        socket.set_read_timeout(Some(SOON)).unwrap();
+        let address = socket.local_addr().unwrap();
+        ScriptedResolver { address, socket, writer: PlatformResolver::start("east", "std").unwrap() }
+    }
+
+    /// The next question.
+    pub fn question(&self) -> Question {
+        let mut bytes = vec![0; 1 << 10];
+        let (size, from) = self.socket.recv_from(&mut bytes).expect("a question for the list");
+        bytes.truncate(size);
+        Question { bytes, from }
+    }
+
+    /// The answer to a question: engines with their address and whether they drain, as `e-0`, `e-1` and so on.
+    pub fn list(&self, question: &Question, serial: u32, engines: &[(SocketAddr, bool)]) -> Vec<u8> {
+        let listed = engines.iter().enumerate().map(|(n, &(address, draining))| {
+            let SocketAddr::V4(address) = address else { panic!("{address} is not IPv4") };
+            Listed { id: format!("e-{n}"), address, draining }
+        });
+        self.writer.tell(serial, listed.collect());
+        self.writer.answer_to(&question.bytes, "east", "std").unwrap()
+    }
+
+    /// Sends bytes to who asked.
+    pub fn send(&self, question: &Question, bytes: &[u8]) {
+        self.socket.send_to(bytes, question.from).unwrap();
+    }
 }
 
 /// How a request ended for its client.
@@ -292,24 +347,25 @@
 
     /// Sends a request and does not wait; its number.
     pub fn send(&mut self, id: &str, class: &str, wait: u32) -> i32 {
-        self.send_statement(id, class, wait, "pages 1")
+        let bytes = self.request(id, class, wait);
+        self.socket.write_all(&bytes).unwrap();
+        self.seqid
     }
 
-    /// Sends a request with a statement and does not wait; its number.
-    pub fn send_statement(&mut self, id: &str, class: &str, wait: u32, statement: &str) -> i32 {
-        let frame = self.request(id, class, wait, statement);
-        self.socket.write_all(&frame).unwrap();
-        self.seqid
+    /// Sends requests in one write and does not wait.
+    pub fn send_burst(&mut self, ids: impl Iterator<Item = String>, class: &str, wait: u32) {
+        let bytes: Vec<u8> = ids.flat_map(|id| self.request(&id, class, wait)).collect();
+        self.socket.write_all(&bytes).unwrap();
     }
 
     /// The bytes of the next request; they are not sent.
-    pub fn request(&mut self, id: &str, class: &str, wait: u32, statement: &str) -> Vec<u8> {
+    pub fn request(&mut self, id: &str, class: &str, wait: u32) -> Vec<u8> {
         self.seqid += 1;
         let wait = wait.to_string();
         let fields = [("id", id), ("class", class), ("wait", &wait), ("cost", "20.0"), ("heap_mb", "64")];
         let mut writer = Writer::message("dispatch", Kind::Call, self.seqid);
         writer.texts(1, fields.into_iter());
-        writer.bytes(2, statement.as_bytes());
+        writer.bytes(2, b"pages 1");
         writer.stop();
         writer.frame()
     }
@@ -342,6 +398,14 @@
         self.socket.write_all(&writer.frame()).unwrap();
     }
 
+    /// Whether nothing comes for a while.
+    pub fn is_silent(&mut self) -> bool {
+        self.socket.set_read_timeout(Some(QUIET)).unwrap();
+        let silent = self.socket.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        self.socket.set_read_timeout(Some(SOON)).unwrap();
+        silent
+    }
+
     /// The next answer and its number.
     pub fn read(&mut self) -> (i32, Got) {
         let mut bytes = [0; 8 << 10];
--- a/crates/platform/tests/engine_races.rs
+++ b/crates/platform/tests/engine_races.rs
@@ -11,12 +11,15 @@
     r#""Effect": "once", "Group": "all", "HardLimitUs": 3000000"#,
 );
 
+/// Leaves room for eight connections to engines.
+const EIGHT_CONNECTIONS: (&str, &str) = ("\"sockets\":256", "\"sockets\":48");
+
 /// A gateway with one engine and a resolver that says nothing: the list of the start stands.
 fn one_engine(changes: &[(&str, &str)]) -> (Gateway, ScriptedEngine) {
     let engine = ScriptedEngine::start();
-    let (resolver, address) = silent_resolver();
-    let gateway = Gateway::start(address, &[engine.address], changes);
-    // Held open for the test's time, so that no question is refused.
+    let resolver = ScriptedResolver::start();
+    let gateway = Gateway::start(resolver.address, &[engine.address], changes);
+    // Its socket stays open, so that no question is refused.
     std::mem::forget(resolver);
     (gateway, engine)
 }
@@ -49,3 +52,79 @@
     assert_eq!(client.read().1, Got::Failed, "it ran");
     assert_eq!(engine.fetches(), Vec::<String>::new(), "it was sent a second time");
 }
+
+#[test]
+fn behind_half_an_answer_nothing_more_is_asked() {
+    let (gateway, engine) = one_engine(&[UNSAFE]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 300);
+    let (first, _) = engine.command("fetch");
+    let whole = answer([&id(1), "ok", GOOD, &page(&id(1), 0)]);
+    engine.write(first, &whole[..whole.len() / 2]);
+    assert_eq!(client.read().1, Got::Failed, "it may have run");
+    client.send(&id(2), "look", 2_500);
+    let (second, _) = engine.command("fetch");
+    assert_ne!(first, second, "the answer would be read as the rest of the first one");
+    engine.serve(second, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+}
+
+#[test]
+fn behind_half_a_second_answer_nothing_more_is_asked() {
+    let (gateway, engine) = one_engine(&[]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 2_500);
+    let (first, _) = engine.command("fetch");
+    let whole = answer([&id(1), "ok", GOOD, &page(&id(1), 0)]);
+    // The second copy breaks off, and comes in the same breath as the first.
+    engine.write(first, &[&whole[..], &whole[..whole.len() / 2]].concat());
+    assert_eq!(client.read().1, served(&id(1)));
+    client.send(&id(2), "look", 2_500);
+    let (second, _) = engine.command("fetch");
+    assert_ne!(first, second, "the answer would be read as the rest of the first one");
+    engine.serve(second, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+}
+
+#[test]
+fn connections_stay_in_their_bound_when_idle_ones_make_room() {
+    let (one, two, resolver) = (ScriptedEngine::start(), ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[one.address], &[EIGHT_CONNECTIONS]);
+    let mut client = Client::connect(&gateway);
+    // All eight go to the only engine, and rest there.
+    for n in 0..8 {
+        client.send(&id(n), "look", 2_500);
+    }
+    let fetches: Vec<_> = (0..8).map(|_| one.command("fetch")).collect();
+    fetches.iter().for_each(|(connection, words)| one.serve(*connection, &words[1]));
+    fetches.iter().for_each(|_| assert!(matches!(client.read().1, Got::Served(_))));
+    assert_eq!(one.open(), 8);
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list(&question, 2, &[(one.address, false), (two.address, false)]));
+    resolver.question();
+    // In one breath: each one for the other engine needs a connection of its own to be closed.
+    client.send_burst((100..108).map(id), "look", 2_500);
+    let (sent_to_one, sent_to_two) = (one.fetches(), two.fetches());
+    assert!(sent_to_two.len() > 2, "{sent_to_one:?} and {sent_to_two:?}");
+    assert!(one.open() + two.open() <= 8, "{} and {}", one.open(), two.open());
+}
+
+#[test]
+fn where_no_connection_may_be_added_requests_share_those_of_their_engine() {
+    let (one, two, resolver) = (ScriptedEngine::start(), ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[one.address], &[EIGHT_CONNECTIONS]);
+    let mut client = Client::connect(&gateway);
+    // Seven are in use at an engine that may have four once there are two.
+    for n in 0..7 {
+        client.send(&id(n), "look", 2_500);
+    }
+    (0..7).for_each(|_| drop(one.command("fetch")));
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list(&question, 2, &[(one.address, false), (two.address, false)]));
+    resolver.question();
+    client.send_burst((100..104).map(id), "look", 2_500);
+    let (sent_to_one, sent_to_two) = (one.fetches(), two.fetches());
+    assert!(sent_to_two.len() > 1, "{sent_to_one:?} and {sent_to_two:?}");
+    assert_eq!(sent_to_one.len() + sent_to_two.len(), 4, "one waits for a connection that nobody may dial");
+    assert!(one.open() + two.open() <= 8);
+}
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -12,9 +12,9 @@
 /// A gateway with one engine and a list that stands.
 fn one_engine() -> (Gateway, ScriptedEngine) {
     let engine = ScriptedEngine::start();
-    let (resolver, address) = silent_resolver();
-    let gateway = Gateway::start(address, &[engine.address], &[]);
-    // Held open for the test's time, so that no question is refused.
+    let resolver = ScriptedResolver::start();
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    // Its socket stays open, so that no question is refused.
     std::mem::forget(resolver);
     (gateway, engine)
 }
@@ -33,7 +33,7 @@
 fn a_request_that_crosses_the_close_of_its_idle_connection_is_not_sent_on() {
     let (gateway, engine) = one_engine();
     let mut client = served_client(&gateway, &engine, 1);
-    let (mut socket, request) = (client.socket(), client.request(&id(2), "look", 2_500, "pages 1"));
+    let (mut socket, request) = (client.socket(), client.request(&id(2), "look", 2_500));
     gateway.on_its_thread(move |host| {
         host.begin_drain();
         front::close_drained(host);
@@ -48,7 +48,7 @@
 fn a_request_that_came_just_before_the_drain_is_refused_at_once() {
     let (gateway, engine) = one_engine();
     let mut client = served_client(&gateway, &engine, 1);
-    let (mut socket, request) = (client.socket(), client.request(&id(2), "look", 2_500, "pages 1"));
+    let (mut socket, request) = (client.socket(), client.request(&id(2), "look", 2_500));
     gateway.on_its_thread(move |host| {
         socket.write_all(&request).unwrap();
         host.begin_drain();
@@ -98,7 +98,7 @@
 fn a_connection_in_the_accept_queue_is_answered_and_not_reset() {
     let (gateway, engine) = one_engine();
     let mut client = served_client(&gateway, &engine, 1);
-    let request = client.request(&id(2), "look", 2_500, "pages 1");
+    let request = client.request(&id(2), "look", 2_500);
     let address = gateway.address;
     let socket = gateway.on_its_thread(move |host| {
         let mut socket = TcpStream::connect(address).unwrap();
@@ -117,7 +117,7 @@
     let (gateway, engine) = one_engine();
     let resting = served_client(&gateway, &engine, 1);
     let mut half = served_client(&gateway, &engine, 2);
-    let request = half.request(&id(3), "look", 2_500, "pages 1");
+    let request = half.request(&id(3), "look", 2_500);
     half.socket().write_all(&request[..20]).unwrap();
     let mut unread = served_client(&gateway, &engine, 4);
     // Answers by the thousand that nobody reads: more than the system's buffers hold.
@@ -151,7 +151,7 @@
 fn a_request_whose_client_has_gone_by_the_time_it_is_read_is_not_begun() {
     let (gateway, engine) = one_engine();
     let mut client = served_client(&gateway, &engine, 1);
-    let request = client.request(&id(2), "look", 2_500, "pages 1");
+    let request = client.request(&id(2), "look", 2_500);
     let mut socket = client.socket();
     drop(client);
     gateway.on_its_thread(move |_| {
