Requests carry their own tenant; attempts not written yet end with their request

Seen by reading: the core told the module tenant 0 for every request and the settings dropped the tenants' names, so that where tenants are defined all counted as the first one. A request now names its tenant as in the settings; one that is missing or not known there is answered with an exception like an unknown class. Without tenants in the settings the field is not looked at. A class whose name would end a value in the engines' list of fields (`=`, `,`, control characters, none) can't be asked for; the other classes are served. Where no longest wait is told the client's own counts.

The core (`lapse`, `finish`, `act`, `wake`): an attempt that had been launched but waited for a connection stayed out when its request ended, unless the module withdrew it, which it may not where withdrawing is not allowed: it was written later, after the client had left or had its answer. Closing a request now gives up what has not been written, and the module hears once that it was never sent (`Moot`). The same holds where the module withdraws such an attempt or its time is over: it was told as `Timeout` or `Cancelled`, which may have run, so that an unsafe request failed that may be refused, and its key rested. An attempt counts as written only once its connection has taken it (`engine::write`).

A client that leaves with many open requests no longer frees room for its own: all are marked before the first is told.

--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::rc::Rc;
 
-use violetward::{Class, GroupId, Micros, OrderKey, RequestId};
+use violetward::{Class, GroupId, Micros, OrderKey, RequestId, TenantId};
 use violetward_settings::Names;
 
 use crate::group::group;
@@ -14,6 +14,8 @@
 const COST_MOST: f64 = 1e8;
 /// Memory beyond any machine, in megabytes: a hundred terabytes.
 const MEMORY_MOST: f64 = 1e8;
+/// Longest wait of a client where the settings name none for its class, in milliseconds: a day.
+const WAIT_MOST: f64 = 86_400_000.0;
 /// How far a client's wait may go beyond its class's, in milliseconds.
 const WAIT_OVER: f64 = 1_000.0;
 
@@ -24,6 +26,8 @@
     pub id: RequestId,
     /// Place of its class.
     pub class: usize,
+    /// Its tenant; the first where the settings define none.
+    pub tenant: TenantId,
     /// How long its client waits.
     pub wait: Micros,
     /// It is marked as another try.
@@ -47,6 +51,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut call = f.debug_struct("Call");
         call.field("id", &format_args!("{:016x}", self.id.0)).field("class", &self.class);
+        call.field("tenant", &self.tenant.0);
         call.field("wait", &self.wait).field("retry", &self.retry).field("once", &self.once);
         call.field("cost", &self.cost).field("memory_mb", &self.memory_mb).field("key", &self.key);
         call.field("group", &self.group).field("body", &self.body.len()).finish()
@@ -72,6 +77,29 @@
     Ok(text.to_owned())
 }
 
+/// Longest wait of a client of a class, in milliseconds.
+fn wait_most(class: &Class) -> f64 {
+    match class.give_up {
+        0 => WAIT_MOST,
+        give_up => give_up as f64 / 1e3 + WAIT_OVER,
+    }
+}
+
+/// Whether a class's name can be passed on to engines, as a value in a list of fields.
+fn can_be_passed_on(name: &str) -> bool {
+    !name.is_empty() && !name.chars().any(|c| matches!(c, '=' | ',') || c.is_control())
+}
+
+/// The tenant that a request names, or the only one there is where the settings define none.
+fn tenant(named: Option<&str>, tenants: &[String]) -> Result<TenantId, String> {
+    if tenants.is_empty() {
+        return Ok(TenantId(0));
+    }
+    let named = named.ok_or("tenant: missing")?;
+    let place = tenants.iter().position(|tenant| tenant == named);
+    place.map(TenantId).ok_or_else(|| "tenant: not known".to_owned())
+}
+
 /// Reads a client's fields.
 ///
 /// # Errors
@@ -93,7 +121,11 @@
     let named = need("class")?;
     let place = names.classes.iter().position(|n| n == named);
     let (place, class) = place.and_then(|p| Some((p, classes.get(p)?))).ok_or("class: not known")?;
-    let wait = figure("wait", need("wait")?, class.give_up as f64 / 1e3 + WAIT_OVER)?;
+    if !can_be_passed_on(named) {
+        return Err("class: its name can't be passed on to an engine".into());
+    }
+    let tenant = tenant(find("tenant")?, &names.tenants)?;
+    let wait = figure("wait", need("wait")?, wait_most(class))?;
     if wait < 1.0 {
         return Err("wait: out of range".into());
     }
@@ -122,6 +154,7 @@
     Ok(Call {
         id: RequestId(id),
         class: place,
+        tenant,
         wait: (wait * 1e3) as Micros,
         retry,
         once,
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -4,10 +4,11 @@
 //! nothing. Times are microseconds of the Unix clock, passed in with each call.
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 
 use violetward::{
-    Action, Answer, Decide, EngineId, Event, ListKind, Load, Micros, Outcome, Request, RequestId, TenantId,
+    Action, Answer, Decide, EngineId, Event, ListKind, Load, Micros, Outcome, Request, RequestId,
 };
 use violetward_wheel::{Key, Wheel};
 
@@ -128,11 +129,16 @@
     /// Memory in megabytes and priority of the next attempt.
     terms: (f64, u8),
     attempts: u32,
+    /// Its client takes it back; the module has not been told yet.
+    lapsing: bool,
 }
 
 struct Attempt {
     engine: EngineId,
+    /// When it was written; when it was launched, if it still waits for a connection.
     sent: Micros,
+    /// It has gone out on a connection, so that it may run. Until then it surely has not.
+    written: bool,
     timer: Key,
 }
 
@@ -197,6 +203,11 @@
     pub counts: Counts,
 }
 
+/// All attempts of a request.
+fn attempts_of(id: RequestId) -> RangeInclusive<AttemptId> {
+    AttemptId(id, 0)..=AttemptId(id, u32::MAX)
+}
+
 /// The wheel's ticks are milliseconds; a timer is never early.
 fn tick(at: Micros) -> u64 {
     at.div_ceil(1000)
@@ -258,8 +269,7 @@
         if let Some(open) = self.open.get(&call.id) {
             return if open.client == client { Taken::OwnId } else { Taken::OthersId };
         }
-        let attempts = AttemptId(call.id, 0)..=AttemptId(call.id, u32::MAX);
-        if self.attempts.range(attempts).next().is_some() {
+        if self.attempts.range(attempts_of(call.id)).next().is_some() {
             return Taken::OthersId;
         }
         if self.open.len() >= self.terms.open_cap || self.body_bytes + call.body.len() > self.terms.body_bytes
@@ -281,13 +291,14 @@
             overdue: self.timers.set(tick(due + self.terms.margin / 2) + 1, Timer::Overdue(call.id)),
             terms: (0.0, 1),
             attempts: 0,
+            lapsing: false,
         };
         self.open.insert(call.id, open);
         self.numbers.insert((client, seqid), call.id);
         self.tell(Event::Request(Request {
             id: call.id,
             class: violetward::ClassId(call.class),
-            tenant: TenantId(0),
+            tenant: call.tenant,
             cost: call.cost,
             memory_mb: call.memory_mb,
             group: call.group,
@@ -310,21 +321,32 @@
 
     /// A client takes a request back; nothing happens if that has ended.
     pub fn lapse(&mut self, now: Micros, client: ClientId, seqid: i32) {
+        self.lapse_all(now, client, &[seqid]);
+    }
+
+    /// A client takes requests back. None of them gets an attempt in place of another that goes with it.
+    pub fn lapse_all(&mut self, now: Micros, client: ClientId, seqids: &[i32]) {
         self.pass(now);
-        if let Some(&id) = self.numbers.get(&(client, seqid)) {
-            tracing::debug!(client = client.0, seqid, id = %format_args!("{:016x}", id.0), "taken back");
-            self.close(id);
-            self.counts.lapsed += 1;
-            self.tell(Event::Lapsed(id));
+        let numbers = &self.numbers;
+        let lapsing: Vec<RequestId> =
+            seqids.iter().filter_map(|&seqid| numbers.get(&(client, seqid)).copied()).collect();
+        for id in &lapsing {
+            self.open.get_mut(id).into_iter().for_each(|open| open.lapsing = true);
+        }
+        for id in lapsing {
+            if let Some(open) = self.close(id) {
+                tracing::debug!(client = client.0, seqid = open.seqid, id = %format_args!("{:016x}", id.0), "taken back");
+                self.counts.lapsed += 1;
+                self.tell(Event::Lapsed(id));
+            }
         }
     }
 
     /// A client's connection has ended, and its open requests with it.
     pub fn client_gone(&mut self, now: Micros, client: ClientId) {
         let numbers = self.numbers.range((client, i32::MIN)..=(client, i32::MAX)).map(|(&(_, n), _)| n);
-        for seqid in numbers.collect::<Vec<_>>() {
-            self.lapse(now, client, seqid);
-        }
+        let seqids: Vec<i32> = numbers.collect();
+        self.lapse_all(now, client, &seqids);
     }
 
     /// An attempt goes out on its connection only now: what it has waited for that is no time of its engine's. Counted as
@@ -332,7 +354,7 @@
     pub fn written(&mut self, now: Micros, attempt: AttemptId) {
         self.pass(now);
         if let Some(out) = self.attempts.get_mut(&attempt) {
-            out.sent = self.now;
+            (out.sent, out.written) = (self.now, true);
         }
     }
 
@@ -366,12 +388,8 @@
             match timer {
                 Timer::Module(handle) => self.tell(Event::Elapsed(handle)),
                 Timer::Attempt(attempt) => {
-                    if let Some(out) = self.attempts.get(&attempt) {
-                        tracing::debug!(engine = %format_args!("{:x}", out.engine.0), id = %format_args!("{:016x}", attempt.0 .0),
-                            attempt = attempt.1, outcome = "Timeout", "given up");
-                        self.effects.push_back(Effect::Withdraw(out.engine, attempt));
-                        self.finish(attempt, Ending::of(Outcome::Timeout));
-                    }
+                    self.give_up(attempt, Outcome::Timeout);
+                    self.pass_on();
                 }
                 Timer::Overdue(id) => {
                     if let Some(open) = self.close(id) {
@@ -390,28 +408,54 @@
         self.now = self.now.max(now);
     }
 
-    /// Forgets an open request.
+    /// Gives an open request its final answer; none if its client takes it back.
+    fn conclude(&mut self, id: RequestId, verdict: Verdict) {
+        let Some(open) = self.close(id) else { return };
+        let count = match verdict {
+            _ if open.lapsing => &mut self.counts.lapsed,
+            Verdict::Served(_) => &mut self.counts.served,
+            Verdict::Refused(_) => &mut self.counts.refused,
+            Verdict::Failed => &mut self.counts.failed,
+        };
+        *count += 1;
+        if !open.lapsing {
+            self.effects.push_back(Effect::Answer(open.client, open.seqid, verdict));
+        }
+    }
+
+    /// Forgets an open request. What of it has not been written yet never will be: its client is answered or gone. What
+    /// has been written is the module's to withdraw.
     fn close(&mut self, id: RequestId) -> Option<Open> {
         let open = self.open.remove(&id)?;
         self.numbers.remove(&(open.client, open.seqid));
         self.timers.unset(open.overdue);
         self.body_bytes -= open.body.len();
+        let out = self.attempts.range(attempts_of(id));
+        let unwritten = out.filter(|(_, attempt)| !attempt.written).map(|(&attempt, _)| attempt);
+        for attempt in unwritten.collect::<Vec<_>>() {
+            self.give_up(attempt, Outcome::Moot);
+        }
         Some(open)
     }
 
+    /// Gives an attempt up and queues its end for the module: the outcome, or that it was never sent if it has not been
+    /// written. Nothing happens if it has ended.
+    fn give_up(&mut self, attempt: AttemptId, outcome: Outcome) {
+        let Some(out) = self.attempts.remove(&attempt) else { return };
+        let outcome = if out.written { outcome } else { Outcome::Moot };
+        tracing::debug!(engine = %format_args!("{:x}", out.engine.0), id = %format_args!("{:016x}", attempt.0 .0),
+            attempt = attempt.1, ?outcome, "given up");
+        self.timers.unset(out.timer);
+        self.effects.push_back(Effect::Withdraw(out.engine, attempt));
+        self.answer(attempt, outcome, self.now.saturating_sub(out.sent));
+    }
+
     fn finish(&mut self, id: AttemptId, ending: Ending) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         self.timers.unset(attempt.timer);
         let served = ending.outcome == Outcome::Ok;
         if served {
-            if let Some(open) = self.close(id.0) {
-                self.counts.served += 1;
-                self.effects.push_back(Effect::Answer(
-                    open.client,
-                    open.seqid,
-                    Verdict::Served(ending.result),
-                ));
-            }
+            self.conclude(id.0, Verdict::Served(ending.result));
         }
         self.tell(Event::Answer(Answer {
             id: id.0,
@@ -425,9 +469,14 @@
         }));
     }
 
-    /// Passes an event to the module and carries out what it answers, and what follows from that.
+    /// Passes an event to the module, before what is queued already.
     fn tell(&mut self, event: Event) {
-        self.inbox.push_back(event);
+        self.inbox.push_front(event);
+        self.pass_on();
+    }
+
+    /// Passes what is queued to the module and carries out what it answers, and what follows from that.
+    fn pass_on(&mut self) {
         let mut actions = Vec::new();
         while let Some(event) = self.inbox.pop_front() {
             self.gateway.handle(self.now, event, &mut actions);
@@ -444,34 +493,14 @@
                 let Some(open) = self.open.get_mut(&id) else { return };
                 let before = std::mem::replace(&mut open.terms, (memory_mb, rank));
                 if before.1 != rank {
-                    let out = self.attempts.range(AttemptId(id, 0)..=AttemptId(id, u32::MAX));
+                    let out = self.attempts.range(attempts_of(id));
                     let renice = out.map(|(&attempt, a)| Effect::Renice(a.engine, attempt, rank));
                     self.effects.extend(renice);
                 }
             }
-            Action::Refuse { id, retry_after } => {
-                if let Some(open) = self.close(id) {
-                    self.counts.refused += 1;
-                    let verdict = Verdict::Refused(retry_after);
-                    self.effects.push_back(Effect::Answer(open.client, open.seqid, verdict));
-                }
-            }
-            Action::Fail(id) => {
-                if let Some(open) = self.close(id) {
-                    self.counts.failed += 1;
-                    self.effects.push_back(Effect::Answer(open.client, open.seqid, Verdict::Failed));
-                }
-            }
-            Action::Cancel { id, attempt } => {
-                let attempt = AttemptId(id, attempt);
-                if let Some(out) = self.attempts.remove(&attempt) {
-                    tracing::debug!(engine = %format_args!("{:x}", out.engine.0), id = %format_args!("{:016x}", attempt.0 .0),
-                        attempt = attempt.1, outcome = "Cancelled", "given up");
-                    self.timers.unset(out.timer);
-                    self.effects.push_back(Effect::Withdraw(out.engine, attempt));
-                    self.answer(attempt, Outcome::Cancelled, self.now.saturating_sub(out.sent));
-                }
-            }
+            Action::Refuse { id, retry_after } => self.conclude(id, Verdict::Refused(retry_after)),
+            Action::Fail(id) => self.conclude(id, Verdict::Failed),
+            Action::Cancel { id, attempt } => self.give_up(AttemptId(id, attempt), Outcome::Cancelled),
             Action::Probe(engine) => self.effects.push_back(Effect::Probe(engine)),
             Action::Arm { handle, span } => {
                 self.timers.set(tick(self.now + span), Timer::Module(handle));
@@ -488,7 +517,7 @@
         open.attempts += 1;
         let until = if until == 0 { open.due } else { until.min(open.due) };
         let known = self.listed.contains(&engine);
-        if !known || attempt.1 >= self.terms.attempts_cap || until <= self.now {
+        if open.lapsing || !known || attempt.1 >= self.terms.attempts_cap || until <= self.now {
             return self.answer(attempt, Outcome::Moot, 0);
         }
         self.counts.attempts += 1;
@@ -503,7 +532,7 @@
             body: open.body.clone(),
         }));
         let timer = self.timers.set(tick(until), Timer::Attempt(attempt));
-        self.attempts.insert(attempt, Attempt { engine, sent: self.now, timer });
+        self.attempts.insert(attempt, Attempt { engine, sent: self.now, written: false, timer });
     }
 
     /// Queues the end of an attempt that no connection tells of.
@@ -513,7 +542,8 @@
             attempt: attempt.1,
             outcome,
             took,
-            complete: !self.open.contains_key(&attempt.0),
+            // Of a request that is being taken back nothing more is owed: no further attempt.
+            complete: self.open.get(&attempt.0).is_none_or(|open| open.lapsing),
             work: None,
             memory_mb: None,
             load: Load::default(),
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -432,8 +432,12 @@
     let class = &host.config.names.classes[launch.class];
     line.link.borrow_mut().fetch(launch, class, left, &mut out);
     line.carried.set(line.carried.get() + 1);
-    host.written(launch.attempt);
-    line.send(&out)
+    let sent = line.send(&out);
+    // What did not get onto the connection waits for another one, and has surely not run.
+    if sent {
+        host.written(launch.attempt);
+    }
+    sent
 }
 
 /// Sends a probe on a connection that is up, and sees to its time-out.
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -8,7 +8,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use violetward::{Action, Decide, Event, Gateway, GroupId, Load, Micros, OrderKey, Outcome, RequestId};
+use violetward::{
+    Action, Decide, Event, Gateway, GroupId, Load, Micros, OrderKey, Outcome, RequestId, TenantId,
+};
 use violetward_platform::call::Call;
 use violetward_platform::config::{self, Config};
 use violetward_platform::core::{AttemptId, ClientId, Core, Effect, Ending, Taken, Terms, Verdict};
@@ -93,6 +95,7 @@
         Call {
             id: RequestId(self.next * 0x9e37_79b9),
             class,
+            tenant: TenantId(0),
             wait: self.rng.random_range(give_up / 20..give_up),
             retry: self.rng.random_bool(0.1),
             once: (class == 2).then(|| format!("{:032x}", self.next)),
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -13,7 +13,7 @@
 
 fn names() -> Names {
     let names = |all: &[&str]| all.iter().map(|n| n.to_string()).collect();
-    Names { classes: vec![], kinds: names(&["old", "std"]), zones: names(&["west", "east"]) }
+    Names { kinds: names(&["old", "std"]), zones: names(&["west", "east"]), ..Names::default() }
 }
 
 fn ask(resolver: &PlatformResolver, id: u16) -> Vec<u8> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -92,6 +92,8 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -172,6 +174,8 @@
     pub kinds: Vec<String>,
     /// Zones.
     pub zones: Vec<String>,
+    /// Tenants; none where the settings define none.
+    pub tenants: Vec<String>,
 }
 
 /// What the settings say of connections to engines, and of answers.
@@ -211,8 +215,12 @@
 impl BootInfo {
     /// The names behind numbers.
     pub fn names(&self) -> Names {
-        let classes = self.classes.iter().map(|class| class.name.clone()).collect();
-        Names { classes, kinds: self.machine_types.clone(), zones: self.zones.clone() }
+        Names {
+            classes: self.classes.iter().map(|class| class.name.clone()).collect(),
+            kinds: self.machine_types.clone(),
+            zones: self.zones.clone(),
+            tenants: self.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+        }
     }
 
     /// What is said of connections.
