Engines: a probe whose connection breaks is asked again, and a listed restart retires connections

Seen by reading engine.rs. (1) A probe that was written on a connection which its engine closed just then came back as failed at once, also while the engine's process went on. To the module a failed probe of a silent engine means that it is left alone for half a second and longer. What `send` said of a probe was not looked at either. (2) When the list told of a new start of an engine at its old address, the connections to the process before stayed in use: an idle one whose machine had vanished without a word took the next request, which then waited for its time-out.

Lines at fault: `end` (told every open probe as failed), `probe` (result of `send`), `Engines::listed` (compared the address alone).

Now a probe that breaks with its connection, while the process goes on, waits for another one, four times in a row at most; one that could not be written is written elsewhere, by the same path as a request; a start that differs from the one listed before retires connections as an address that differs does. Probes that wait where this machine has no descriptor are dialled for again until there is one, or end when their engine has left.

Checked: with either change taken out its test fails.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -14,7 +14,7 @@
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::future;
-use violetward::{EngineId, Listed, Load, Outcome};
+use violetward::{EngineId, Listed, Load, Micros, Outcome};
 use violetward_net::Duplex;
 use violetward_settings::Connections;
 
@@ -148,6 +148,8 @@
     id: EngineId,
     address: Cell<SocketAddr>,
     listed: Cell<Listed>,
+    /// When its process came up, as listed.
+    came_up: Cell<Micros>,
     lines: RefCell<Vec<Rc<Line>>>,
     /// Where each attempt was written, and when.
     places: RefCell<HashMap<AttemptId, (Rc<Line>, Instant)>>,
@@ -158,6 +160,8 @@
     /// When something last came from it, were it a connection that came up, and when it last refused one.
     heard: Cell<Instant>,
     refused: Cell<Option<Instant>>,
+    /// Probes in a row whose connection broke under them while the process went on.
+    broken_probes: Cell<u32>,
 }
 
 impl Engine {
@@ -191,6 +195,19 @@
         self.dial.set(Some((usual * (DIAL_SAMPLE - 1) + took.min(usual * 2)) / DIAL_SAMPLE));
     }
 
+    /// Probes whose connection broke wait for another one: they are asked again, but not for ever, since a connection that
+    /// breaks says nothing of an engine that stands.
+    fn ask_again(&self, told: &mut Vec<Told>) {
+        let broken = told.iter().filter(|told| matches!(told, Told::Probed(..))).count();
+        if broken == 0 || self.broken_probes.get() >= DIALS {
+            return;
+        }
+        self.broken_probes.set(self.broken_probes.get() + 1);
+        told.retain(|told| !matches!(told, Told::Probed(..)));
+        let again = || Waiting { what: What::Probe, since: Instant::now(), resets: 0 };
+        self.waiting.borrow_mut().extend(std::iter::repeat_with(again).take(broken));
+    }
+
     /// What waits and is such, as never sent; `outcome` says why.
     fn unserved(&self, outcome: Outcome, is_such: impl Fn(&Waiting) -> bool) -> Vec<Told> {
         let never = |waiting: Waiting| match waiting.what {
@@ -228,8 +245,8 @@
         self.engines.borrow().values().map(|e| e.lines.borrow().len()).sum()
     }
 
-    /// Takes a new list. Attempts that wait for a connection to an engine that drains, has left or is elsewhere now end
-    /// here: what is sent once that comes up would come too late for the rule on drains, or to another engine.
+    /// Takes a new list. Attempts that wait for a connection to an engine that drains, has left, or is elsewhere or another
+    /// process now end here: what is sent once that comes up would come too late for the rule on drains, or to another engine.
     pub fn listed(&self, list: &List) -> Vec<(AttemptId, Ending)> {
         let mut unsent = Vec::new();
         let mut engines = self.engines.borrow_mut();
@@ -246,17 +263,20 @@
                     id: listing.entry.engine,
                     address: Cell::new(listing.address),
                     listed: Cell::new(Listed::Up),
+                    came_up: Cell::new(listing.entry.came_up),
                     lines: RefCell::default(),
                     places: RefCell::default(),
                     waiting: RefCell::default(),
                     dial: Cell::new(None),
                     heard: Cell::new(Instant::now()),
                     refused: Cell::new(None),
+                    broken_probes: Cell::new(0),
                 })
             });
             engine.listed.set(listing.entry.listed);
             let moved = engine.address.replace(listing.address) != listing.address;
-            if moved || listing.entry.listed != Listed::Up {
+            let restarted = engine.came_up.replace(listing.entry.came_up) != listing.entry.came_up;
+            if moved || restarted || listing.entry.listed != Listed::Up {
                 engine.retire(&mut unsent);
             }
         }
@@ -302,23 +322,12 @@
                 continue;
             };
             let Some(waiting) = engine.waiting.borrow_mut().remove(at) else { return };
-            match waiting.what {
-                What::Probe => probe(host, engine, &line),
-                What::Launch(launch) => {
-                    engine.places.borrow_mut().insert(launch.attempt, (line.clone(), Instant::now()));
-                    tracing::debug!(id = %crate::link::id_text(launch.attempt), attempt = launch.attempt.1,
-                        waited = ?waiting.since.elapsed(), carried = line.carried.get(), age = ?line.up.get().elapsed(), "write");
-                    if write(host, &line, &launch) {
-                        continue;
-                    }
-                    // It turns out to be dead before anything was written: that proves nothing of the engine.
-                    engine.places.borrow_mut().remove(&launch.attempt);
-                    line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
-                    line.close();
-                    let (what, resets) = (What::Launch(launch), waiting.resets + 1);
-                    engine.waiting.borrow_mut().insert(at, Waiting { what, resets, ..waiting });
-                }
+            if write(host, engine, &line, &waiting) {
+                continue;
             }
+            // It turns out to be dead before anything was written: that proves nothing of the engine.
+            line.close();
+            engine.waiting.borrow_mut().insert(at, Waiting { resets: waiting.resets + 1, ..waiting });
         }
         if engine.waiting.borrow().is_empty() {
             // A late dial whose request went another way would only cost a handshake.
@@ -464,22 +473,42 @@
     }
 }
 
-/// Writes an attempt on a connection that is up.
-fn write(host: &Host, line: &Line, launch: &Launch) -> bool {
+/// Writes what has waited on a connection that is up; false if nothing of it can have reached its engine whole.
+fn write(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, waiting: &Waiting) -> bool {
+    match &waiting.what {
+        What::Probe => write_probe(host, engine, line),
+        What::Launch(launch) => {
+            tracing::debug!(id = %crate::link::id_text(launch.attempt), attempt = launch.attempt.1,
+                waited = ?waiting.since.elapsed(), carried = line.carried.get(), age = ?line.up.get().elapsed(), "write");
+            write_launch(host, engine, line, launch)
+        }
+    }
+}
+
+fn write_launch(host: &Host, engine: &Engine, line: &Rc<Line>, launch: &Launch) -> bool {
     let left = launch.until.saturating_sub(host.clock.now()) / 1000;
     let mut out = Vec::with_capacity(launch.body.len() + 192);
     let class = &host.config.names.classes[launch.class];
     line.link.borrow_mut().fetch(launch, class, left, &mut out);
     line.carried.set(line.carried.get() + 1);
     host.written(launch.attempt);
-    line.send(&out)
+    let written = line.send(&out);
+    if written {
+        engine.places.borrow_mut().insert(launch.attempt, (line.clone(), Instant::now()));
+    } else {
+        line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
+    }
+    written
 }
 
-/// Sends a probe on a connection that is up, and sees to its time-out.
-fn probe(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+/// Sends a probe and sees to its time-out.
+fn write_probe(host: &Rc<Host>, engine: &Engine, line: &Rc<Line>) -> bool {
     let mut out = Vec::new();
     let tag = line.link.borrow_mut().probe(&mut out);
-    line.send(&out);
+    if !line.send(&out) {
+        line.link.borrow_mut().forget_probe(&tag);
+        return false;
+    }
     let (host, id, line) = (host.clone(), engine.id, line.clone());
     let within = Duration::from_micros(host.config.connections.probe_timeout);
     host.clone().spawn(async move {
@@ -489,6 +518,7 @@
             host.core(|core, now| core.probed(now, id, false, Load::default()));
         }
     });
+    true
 }
 
 fn within(host: &Host) -> Duration {
@@ -605,9 +635,7 @@
             tracing::debug!(engine = %format_args!("{:x}", engine.id.0), ?why, ?took, heard = ?engine.heard.get().elapsed(),
                 spent = line.spent.get(), "not up");
             if why == Missed::NoDescriptor && !line.spent.get() {
-                // That says nothing of the engine. Requests may find a connection elsewhere; a probe waits on.
-                tell(&host, &engine, &line, engine.unserved(Outcome::Moot, |w| w.attempt().is_some()));
-                return host.engines.serve(&host, &engine);
+                return without_descriptor(&host, &engine, &line).await;
             }
             // What was dialled for an address that is not its engine's any more says nothing of it. Neither does a dial
             // that is not up in time, if the engine was heard meanwhile: the way there is bad. What waits is better
@@ -639,6 +667,18 @@
     end(&host, &engine, &line, by_peer).await;
 }
 
+/// Ends what waits for a connection that this machine has no descriptor for. That says nothing of the engine: requests may
+/// find a connection elsewhere, and a probe is asked as soon as there is one here.
+async fn without_descriptor(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
+    let gone = engine.listed.get() == Listed::Removed;
+    tell(host, engine, line, engine.unserved(Outcome::Moot, |w| gone || w.attempt().is_some()));
+    host.engines.serve(host, engine);
+    while !engine.waiting.borrow().is_empty() && !engine.is_coming() {
+        violetward_net::sleep(within(host)).await;
+        host.engines.serve(host, engine);
+    }
+}
+
 async fn read(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>, duplex: &Duplex) {
     loop {
         let (mut out, mut told, mut fault) = (Vec::new(), Vec::new(), None);
@@ -674,6 +714,9 @@
         return;
     }
     line.idle.set(Instant::now());
+    if told.iter().any(|told| matches!(told, Told::Probed(..))) {
+        engine.broken_probes.set(0);
+    }
     for told in &told {
         if let Told::Ended(attempt, ending) = told {
             if ending.outcome == Outcome::Ok {
@@ -709,6 +752,9 @@
             host.engines.note_break(line, true);
         }
         line.link.borrow_mut().broken(outcome, &mut told);
+        if outcome == Outcome::Broken {
+            engine.ask_again(&mut told);
+        }
     }
     if line.carried.get() == 0 && by_peer {
         // Somebody was there and closed before anything was asked: what waits is dialled for again, but not for ever.
--- a/crates/platform/tests/engine_races.rs
+++ b/crates/platform/tests/engine_races.rs
@@ -128,3 +128,49 @@
     assert_eq!(sent_to_one.len() + sent_to_two.len(), 4, "one waits for a connection that nobody may dial");
     assert!(one.open() + two.open() <= 8);
 }
+
+#[test]
+fn a_probe_whose_connection_breaks_is_asked_again() {
+    let engines = [(); 3].map(|()| ScriptedEngine::start());
+    let resolver = ScriptedResolver::start();
+    let addresses = engines.each_ref().map(|engine| engine.address);
+    let gateway = Gateway::start(resolver.address, &addresses, &[UNSAFE]);
+    let mut client = Client::connect(&gateway);
+    // Each engine has one request. One gives no answer for so long that it is checked.
+    for n in 0..3 {
+        client.send(&id(n), "look", 3_500);
+    }
+    let asked = engines.each_ref().map(|engine| engine.command("fetch"));
+    for (engine, (connection, words)) in engines.iter().zip(&asked).skip(1) {
+        engine.serve(*connection, &words[1]);
+        assert!(matches!(client.read().1, Got::Served(_)));
+    }
+    let (probed, _) = engines[0].command("stats");
+    assert_ne!(asked[0].0, probed, "a connection of its own");
+    engines[0].reset(probed);
+    let (probed, words) = engines[0].command("stats");
+    engines[0].say(probed, [&words[1], "yes", "l=util:0.25", ""]);
+    // It is not left alone: it gets its part of these, and not one as a trial.
+    client.send_burst((10..22).map(id), "look", 2_500);
+    assert!(engines[0].fetches().len() > 1);
+}
+
+#[test]
+fn connections_to_the_process_before_are_not_used_once_a_new_one_is_listed() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 2_500);
+    let (first, _) = engine.command("fetch");
+    engine.serve(first, &id(1));
+    assert_eq!(client.read().1, served(&id(1)));
+    let question = resolver.question();
+    let mut list = resolver.list(&question, 2, &[(engine.address, false)]);
+    let started = list.windows(9).position(|w| w == b"started=0").unwrap();
+    list[started + 8] = b'9';
+    resolver.send(&question, &list);
+    resolver.question();
+    client.send(&id(2), "look", 2_500);
+    let (second, _) = engine.command("fetch");
+    assert_ne!(first, second, "it belongs to a process that has ended");
+}
