Test: dials that outlive their request, their engine's listing or its address; resets round an unsafe request

Orders that are guarded already, forced over sockets so that they stay so: a burst of requests taken back while their engine is dialled; a drain that is listed while a dial and the ones beside it are on their way; an engine that moves meanwhile; a new engine at a gone one's address; resets before, within and behind the answer to an unsafe request and of a resting connection; a late second answer while the next request is open on the connection.

The stand-in's `hold` is not tight enough for them: its accepting thread takes one connection from the queue, so that one dial comes up. The scripted engine accepts nothing at all until it is released.

Checked: with `withdraw` and `retire` no longer emptying what waits, the tests of the burst and of the drain fail.

--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -14,7 +14,7 @@
 use violetward_platform::resolver::Resolver;
 use violetward_platform::service;
 use violetward_resp::{write, Limits, Reader};
-use violetward_standin::platform::{page, reset, Listed, PlatformResolver};
+use violetward_standin::platform::{hold_listener, page, release_listener, reset, Listed, PlatformResolver};
 use violetward_thrift::{Cursor, Frames, Kind, Writer};
 
 /// How long anything may take that has to happen; nothing that goes right waits for it.
@@ -52,6 +52,7 @@
     seen: Receiver<Seen>,
     connections: Arc<Mutex<HashMap<usize, Arc<Connection>>>>,
     open: Arc<AtomicUsize>,
+    held: Mutex<Option<(TcpListener, Vec<TcpStream>, Sender<Seen>)>>,
 }
 
 struct Connection {
@@ -61,13 +62,37 @@
 
 impl ScriptedEngine {
     pub fn start() -> ScriptedEngine {
+        let engine = ScriptedEngine::new(|_| Vec::new());
+        engine.release();
+        engine
+    }
+
+    /// One to which no connection comes up until it is released.
+    pub fn held() -> ScriptedEngine {
+        ScriptedEngine::new(|listener| hold_listener(listener).unwrap())
+    }
+
+    fn new(hold: impl FnOnce(&TcpListener) -> Vec<TcpStream>) -> ScriptedEngine {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let address = listener.local_addr().unwrap();
+        let held = hold(&listener);
         let (tell, seen) = channel();
-        let connections = Arc::new(Mutex::new(HashMap::new()));
-        let taken = connections.clone();
-        let open = Arc::new(AtomicUsize::new(0));
-        let counted = open.clone();
+        ScriptedEngine {
+            address,
+            seen,
+            connections: Arc::default(),
+            open: Arc::default(),
+            held: Mutex::new(Some((listener, held, tell))),
+        }
+    }
+
+    /// Connections come up from now on.
+    pub fn release(&self) {
+        let (listener, held, tell) = self.held.lock().unwrap().take().expect("a held engine");
+        // Those that filled the queue are not counted.
+        held.iter().for_each(|_| drop(listener.accept().unwrap()));
+        release_listener(&listener).unwrap();
+        let (taken, counted) = (self.connections.clone(), self.open.clone());
         std::thread::spawn(move || {
             for (number, socket) in listener.incoming().flatten().enumerate() {
                 socket.set_read_timeout(Some(LOOK)).unwrap();
@@ -82,7 +107,6 @@
                 });
             }
         });
-        ScriptedEngine { address, seen, connections, open }
     }
 
     /// What happens next.
@@ -268,9 +292,21 @@
 
     /// The answer to a question: engines with their address and whether they drain, as `e-0`, `e-1` and so on.
     pub fn list(&self, question: &Question, serial: u32, engines: &[(SocketAddr, bool)]) -> Vec<u8> {
-        let listed = engines.iter().enumerate().map(|(n, &(address, draining))| {
+        let names: Vec<String> = (0..engines.len()).map(|n| format!("e-{n}")).collect();
+        let named: Vec<_> = names.iter().zip(engines).map(|(n, &(a, d))| (n.as_str(), a, d)).collect();
+        self.list_named(question, serial, &named)
+    }
+
+    /// The same with names of the engines' own.
+    pub fn list_named(
+        &self,
+        question: &Question,
+        serial: u32,
+        engines: &[(&str, SocketAddr, bool)],
+    ) -> Vec<u8> {
+        let listed = engines.iter().map(|&(id, address, draining)| {
             let SocketAddr::V4(address) = address else { panic!("{address} is not IPv4") };
-            Listed { id: format!("e-{n}"), address, draining }
+            Listed { id: id.to_owned(), address, draining }
         });
         self.writer.tell(serial, listed.collect());
         self.writer.answer_to(&question.bytes, "east", "std").unwrap()
--- a/crates/platform/tests/engine_races.rs
+++ b/crates/platform/tests/engine_races.rs
@@ -14,6 +14,15 @@
 /// Leaves room for eight connections to engines.
 const EIGHT_CONNECTIONS: (&str, &str) = ("\"sockets\":256", "\"sockets\":48");
 
+/// Lets a dial go on for long.
+const PATIENT: (&str, &str) = (bed::CONNECT_TIMEOUT, "\"ConnectTimeoutUs\": 20000000");
+
+/// Has what was sent before on the client's connection looked at by the gateway.
+fn settle(client: &mut Client) {
+    client.send(&id(9_999), "nothing", 2_500);
+    assert_eq!(client.read().1, Got::Exception);
+}
+
 /// A gateway with one engine and a resolver that says nothing: the list of the start stands.
 fn one_engine(changes: &[(&str, &str)]) -> (Gateway, ScriptedEngine) {
     let engine = ScriptedEngine::start();
@@ -174,3 +183,133 @@
     let (second, _) = engine.command("fetch");
     assert_ne!(first, second, "it belongs to a process that has ended");
 }
+
+#[test]
+fn what_was_given_up_while_it_was_dialled_for_is_never_written() {
+    let (engine, resolver) = (ScriptedEngine::held(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[PATIENT]);
+    let mut client = Client::connect(&gateway);
+    let given_up: Vec<i32> = (0..20).map(|n| client.send(&id(n), "look", 2_500)).collect();
+    settle(&mut client);
+    given_up.into_iter().for_each(|seqid| client.cancel(seqid));
+    settle(&mut client);
+    // One that waits beside them, so that the dials go on and come up.
+    client.send(&id(100), "look", 2_500);
+    settle(&mut client);
+    engine.release();
+    let (connection, words) = engine.command("fetch");
+    assert_eq!(words[1], id(100));
+    engine.serve(connection, &id(100));
+    assert_eq!(client.read().1, served(&id(100)));
+    assert_eq!(engine.fetches(), Vec::<String>::new());
+}
+
+#[test]
+fn what_waits_for_an_engine_that_begins_to_drain_is_never_written() {
+    let (engine, resolver) = (ScriptedEngine::held(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[PATIENT]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 2_500);
+    settle(&mut client);
+    // Later than a dial is late: others go beside it.
+    assert!(client.is_silent());
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list(&question, 2, &[(engine.address, true)]));
+    assert_eq!(client.read().1, Got::Refused);
+    engine.release();
+    // Up again under a newer list: the dials of before have come up and gone.
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list(&question, 3, &[(engine.address, false)]));
+    resolver.question();
+    client.send(&id(2), "look", 2_500);
+    let (connection, words) = engine.command("fetch");
+    assert_eq!(words[1], id(2));
+    engine.serve(connection, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+    assert_eq!(engine.fetches(), Vec::<String>::new());
+}
+
+#[test]
+fn what_waits_for_an_engine_that_moves_goes_to_its_new_address_alone() {
+    let (old, new) = (ScriptedEngine::held(), ScriptedEngine::start());
+    let resolver = ScriptedResolver::start();
+    let gateway = Gateway::start(resolver.address, &[old.address], &[PATIENT]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 2_500);
+    settle(&mut client);
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list(&question, 2, &[(new.address, false)]));
+    let (connection, _) = new.command("fetch");
+    old.release();
+    new.serve(connection, &id(1));
+    assert_eq!(client.read().1, served(&id(1)));
+    client.send(&id(2), "look", 2_500);
+    let (connection, _) = new.command("fetch");
+    new.serve(connection, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+    assert_eq!(old.fetches(), Vec::<String>::new());
+}
+
+#[test]
+fn a_new_engine_at_a_gone_ones_address_gets_connections_of_its_own() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 2_500);
+    let (first, _) = engine.command("fetch");
+    engine.serve(first, &id(1));
+    assert_eq!(client.read().1, served(&id(1)));
+    let question = resolver.question();
+    resolver.send(&question, &resolver.list_named(&question, 2, &[("e-new", engine.address, false)]));
+    resolver.question();
+    client.send(&id(2), "look", 2_500);
+    let (second, _) = engine.command("fetch");
+    assert_ne!(first, second);
+    engine.serve(second, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+}
+
+#[test]
+fn an_unsafe_request_is_sent_once_whenever_its_connection_is_reset() {
+    let half = answer([&id(1), "ok", GOOD, &page(&id(1), 0)]);
+    let half = &half[..half.len() / 2];
+    for begun in [&b""[..], half] {
+        let (gateway, engine) = one_engine(&[UNSAFE]);
+        let mut client = Client::connect(&gateway);
+        client.send(&id(1), "look", 2_500);
+        let (connection, _) = engine.command("fetch");
+        engine.write(connection, begun);
+        engine.reset(connection);
+        assert_eq!(client.read().1, Got::Failed, "it may have run");
+        assert_eq!(engine.fetches(), Vec::<String>::new(), "it was sent a second time");
+    }
+    // Behind a whole answer the reset costs nothing.
+    let (gateway, engine) = one_engine(&[UNSAFE]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 2_500);
+    let (connection, _) = engine.command("fetch");
+    engine.serve(connection, &id(1));
+    engine.reset(connection);
+    assert_eq!(client.read().1, served(&id(1)));
+    // Nor does one of a resting connection: the next request finds it gone.
+    client.send(&id(2), "look", 2_500);
+    let (connection, _) = engine.command("fetch");
+    engine.serve(connection, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+}
+
+#[test]
+fn a_late_second_answer_is_never_told_to_the_request_after_it() {
+    let (gateway, engine) = one_engine(&[]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "look", 2_500);
+    let (first, _) = engine.command("fetch");
+    engine.serve(first, &id(1));
+    assert_eq!(client.read().1, served(&id(1)));
+    client.send(&id(2), "look", 2_500);
+    let (second, _) = engine.command("fetch");
+    assert_eq!(first, second, "a quiet connection is used again");
+    engine.serve(first, &id(1));
+    engine.serve(first, &id(2));
+    assert_eq!(client.read().1, served(&id(2)));
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -85,6 +85,26 @@
     (0..3).map(|row| format!("{id}\tpage {number}\trow {row}\n")).collect()
 }
 
+/// Fills a listener's queue, so that no other connection comes up until [`release_listener`] is called, as if first packets
+/// were lost. Nobody may accept meanwhile.
+///
+/// # Errors
+/// The listener's.
+pub fn hold_listener(listener: &TcpListener) -> std::io::Result<Vec<TcpStream>> {
+    let address = listener.local_addr()?;
+    rustix::net::listen(listener, 0)?;
+    let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+    Ok(std::iter::from_fn(fill).collect())
+}
+
+/// New connections come up again.
+///
+/// # Errors
+/// The listener's.
+pub fn release_listener(listener: &TcpListener) -> std::io::Result<()> {
+    Ok(rustix::net::listen(listener, 128)?)
+}
+
 /// Ends a connection with a reset instead of an end. There must be no other handle of it.
 pub fn reset(socket: TcpStream) {
     // What is closed without lingering at all is reset.
