--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -52,7 +52,15 @@
     seen: Receiver<Seen>,
     connections: Arc<Mutex<HashMap<usize, Arc<Connection>>>>,
     open: Arc<AtomicUsize>,
-    held: Mutex<Option<(TcpListener, Vec<TcpStream>, Sender<Seen>)>>,
+    held: Mutex<Option<Held>>,
+}
+
+/// What an engine needs that accepts nothing yet.
+struct Held {
+    listener: TcpListener,
+    /// Connections that fill the listener's queue.
+    fill: Vec<TcpStream>,
+    tell: Sender<Seen>,
 }
 
 struct Connection {
@@ -75,22 +83,22 @@
     fn new(hold: impl FnOnce(&TcpListener) -> Vec<TcpStream>) -> ScriptedEngine {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let address = listener.local_addr().unwrap();
-        let held = hold(&listener);
+        let fill = hold(&listener);
         let (tell, seen) = channel();
         ScriptedEngine {
             address,
             seen,
             connections: Arc::default(),
             open: Arc::default(),
-            held: Mutex::new(Some((listener, held, tell))),
+            held: Mutex::new(Some(Held { listener, fill, tell })),
         }
     }
 
     /// Connections come up from now on.
     pub fn release(&self) {
-        let (listener, held, tell) = self.held.lock().unwrap().take().expect("a held engine");
+        let Held { listener, fill, tell } = self.held.lock().unwrap().take().expect("a held engine");
         // Those that filled the queue are not counted.
-        held.iter().for_each(|_| drop(listener.accept().unwrap()));
+        fill.iter().for_each(|_| drop(listener.accept().unwrap()));
         release_listener(&listener).unwrap();
         let (taken, counted) = (self.connections.clone(), self.open.clone());
         std::thread::spawn(move || {
