Evicting an idle client asks the system about one connection, not about all

Cause: `evict_idle_client` called `is_idle` on each of 390 connections for every one of some 120 new ones a second, and each call asks the system what has arrived (`Duplex::is_quiet`).

Change: the connections are ranked without the system; only the one that is chosen is looked at.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -133,11 +133,16 @@
         }
     }
 
-    /// No request is open, none is coming in and no answer is unread.
+    /// No request is open, none is coming in and no answer is unread; nothing has arrived that was not read yet.
     pub fn is_idle(&self, host: &Host) -> bool {
-        self.frame_since.get().is_none()
+        self.seems_idle(host) && self.duplex.is_quiet()
+    }
+
+    /// It is idle as far as can be told without asking the system what has arrived on its socket.
+    pub fn seems_idle(&self, host: &Host) -> bool {
+        !self.duplex.is_closed()
+            && self.frame_since.get().is_none()
             && self.duplex.kept().0 == 0
-            && self.duplex.is_quiet()
             && host.look(|core| core.open_of(self.id)) == 0
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -88,15 +88,29 @@
     host.spawn(serve(host.clone(), client));
 }
 
-/// Closes the idle connection that is missed least; false if all are in use.
+/// Closes the idle connection that is missed least; false if all are in use. This happens for every new connection while
+/// idle ones fill the descriptors, so that the system is asked about the chosen one alone and not about all of them.
 fn evict_idle_client(host: &Host) -> bool {
-    let clients: Vec<_> = host.clients.borrow().values().cloned().collect();
-    let idle = clients.into_iter().filter(|client| client.is_idle(host));
-    let Some(client) = idle.min_by_key(|client| client.eviction_order()) else { return false };
-    client.duplex.close();
-    // Its task ends with the next turn; it is not counted any more.
-    host.clients.borrow_mut().remove(&client.id);
-    true
+    let mut candidates: Vec<Rc<Client>> = {
+        let clients = host.clients.borrow();
+        clients.values().filter(|client| client.seems_idle(host)).cloned().collect()
+    };
+    while let Some(place) = least_missed(&candidates) {
+        let client = candidates.swap_remove(place);
+        if client.duplex.is_quiet() {
+            client.duplex.close();
+            // Its task ends with the next turn; it is not counted any more.
+            host.clients.borrow_mut().remove(&client.id);
+            return true;
+        }
+    }
+    false
+}
+
+/// The place of the connection that is the first to be closed.
+fn least_missed(clients: &[Rc<Client>]) -> Option<usize> {
+    let ranked = clients.iter().enumerate();
+    ranked.min_by_key(|(_, client)| client.eviction_order()).map(|(place, _)| place)
 }
 
 /// Serves a connection until either side ends it, then closes it.
