--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::rc::Rc;
 
-use violetward::{Class, GroupId, Micros, OrderKey, RequestId, TenantId};
+use violetward::{Class, Effect, GroupId, Micros, OrderKey, RequestId, TenantId};
 use violetward_settings::Names;
 
 use crate::group::group;
@@ -34,6 +34,8 @@
     pub retry: bool,
     /// The same for all tries of one request, where its class has that.
     pub once: Option<String>,
+    /// For how long engines drop repeats of it, from the first attempt that may have run, where its class has that.
+    pub window: Option<Micros>,
     /// Estimated work; 0 if not told.
     pub cost: Micros,
     /// Estimated memory in megabytes; 0 if not told.
@@ -136,7 +138,11 @@
     };
     let cost = find("cost")?.map_or(Ok(0.0), |text| figure("cost", text, COST_MOST))?;
     let memory_mb = find("heap_mb")?.map_or(Ok(0.0), |text| figure("heap_mb", text, MEMORY_MOST))?;
-    let keyed = matches!(class.effect, violetward::Effect::Keyed { .. });
+    let window = match class.effect {
+        Effect::Keyed { window, .. } => Some(window),
+        Effect::Repeatable | Effect::Once => None,
+    };
+    let keyed = window.is_some();
     let once = match find("once")? {
         Some(text) if keyed => Some(mark("once", text)?),
         None if keyed => return Err("once: missing".into()),
@@ -158,6 +164,7 @@
         wait: (wait * 1e3) as Micros,
         retry,
         once,
+        window,
         cost: (cost * 1e3) as Micros,
         memory_mb,
         key,
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -123,6 +123,9 @@
     seqid: i32,
     class: usize,
     once: Option<String>,
+    /// For how long engines drop repeats, and the first attempt that may have run: its number, and when it was written.
+    window: Option<Micros>,
+    may_have_run: Option<(u32, Micros)>,
     body: Rc<[u8]>,
     due: Micros,
     overdue: Key,
@@ -139,6 +142,8 @@
     sent: Micros,
     /// It has gone out on a connection, so that it may run. Until then it surely has not.
     written: bool,
+    /// When it times out.
+    until: Micros,
     timer: Key,
 }
 
@@ -203,6 +208,9 @@
     pub counts: Counts,
 }
 
+/// How long before the end of a window of repeats the last one is written: a timer is late by a turn of the host.
+const WINDOW_MARGIN: Micros = 5_000;
+
 /// All attempts of a request.
 fn attempts_of(id: RequestId) -> RangeInclusive<AttemptId> {
     AttemptId(id, 0)..=AttemptId(id, u32::MAX)
@@ -285,6 +293,8 @@
             seqid,
             class: call.class,
             once: call.once,
+            window: call.window,
+            may_have_run: None,
             body: call.body,
             due,
             // Behind the attempt's own time-out and the module's tick: a request that this finds open is a fault.
@@ -353,8 +363,12 @@
     /// such, a late connection would make a sound engine look slow.
     pub fn written(&mut self, now: Micros, attempt: AttemptId) {
         self.pass(now);
-        if let Some(out) = self.attempts.get_mut(&attempt) {
-            (out.sent, out.written) = (self.now, true);
+        let Some(out) = self.attempts.get_mut(&attempt) else { return };
+        (out.sent, out.written) = (self.now, true);
+        self.timers.unset(out.timer);
+        out.timer = self.timers.set(tick(out.until), Timer::Attempt(attempt));
+        if let Some(open) = self.open.get_mut(&attempt.0) {
+            open.may_have_run = open.may_have_run.or(Some((attempt.1, self.now)));
         }
     }
 
@@ -453,6 +467,12 @@
     fn finish(&mut self, id: AttemptId, ending: Ending) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         self.timers.unset(attempt.timer);
+        if matches!(ending.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot) {
+            // It surely has not run: the window begins with a later attempt.
+            if let Some(open) = self.open.get_mut(&id.0) {
+                open.may_have_run = open.may_have_run.filter(|&(number, _)| number != id.1);
+            }
+        }
         let served = ending.outcome == Outcome::Ok;
         if served {
             self.conclude(id.0, Verdict::Served(ending.result));
@@ -531,8 +551,12 @@
             until,
             body: open.body.clone(),
         }));
-        let timer = self.timers.set(tick(until), Timer::Attempt(attempt));
-        self.attempts.insert(attempt, Attempt { engine, sent: self.now, written: false, timer });
+        // Engines drop a repeat only within the window: one that is not written by then must not be written any more.
+        let window_ends =
+            open.window.zip(open.may_have_run).map(|(window, (_, at))| at.saturating_add(window));
+        let write_by = window_ends.map_or(until, |ends| ends.saturating_sub(WINDOW_MARGIN).min(until));
+        let timer = self.timers.set(tick(write_by), Timer::Attempt(attempt));
+        self.attempts.insert(attempt, Attempt { engine, sent: self.now, written: false, until, timer });
     }
 
     /// Queues the end of an attempt that no connection tells of.
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -98,6 +98,7 @@
             tenant: TenantId(0),
             wait: self.rng.random_range(give_up / 20..give_up),
             retry: self.rng.random_bool(0.1),
+            window: (class == 2).then_some(9_000_000),
             once: (class == 2).then(|| format!("{:032x}", self.next)),
             cost: self.rng.random_range(1_000..400_000),
             memory_mb: self.rng.random_range(0.0..500.0),
