--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -61,6 +61,8 @@
     wears: bool,
     /// Connections that fill the queue, so that no other comes up.
     held: Option<Vec<TcpStream>>,
+    /// The thread that takes connections has seen that they are held, and takes none.
+    stands: bool,
 }
 
 /// An engine. A statement `pages N` has a result of that many pages, every other one of one page.
@@ -97,7 +99,7 @@
         let mine = engine.clone();
         thread::spawn(move || {
             for socket in mine.listener.incoming().flatten() {
-                while lock(&mine.state).held.is_some() {
+                while mine.is_held() {
                     thread::sleep(Duration::from_millis(1));
                 }
                 let mine = mine.clone();
@@ -108,6 +110,13 @@
         Ok(engine)
     }
 
+    /// Whether connections are held; noted as seen by the thread that takes them.
+    fn is_held(&self) -> bool {
+        let mut state = lock(&self.state);
+        state.stands = state.held.is_some();
+        state.stands
+    }
+
     /// From now on new connections don't come up, as if their first packets were lost; those there are go on.
     ///
     /// # Errors
@@ -115,6 +124,14 @@
     pub fn hold(&self) -> std::io::Result<()> {
         lock(&self.state).held = Some(Vec::new());
         rustix::net::listen(&*self.listener, 0)?;
+        // One connection is taken yet: were the queue filled before that, a place in it would get free.
+        if !lock(&self.state).stands {
+            let last = TcpStream::connect(self.address)?;
+            lock(&self.state).held.get_or_insert_with(Vec::new).push(last);
+            while !lock(&self.state).stands {
+                thread::sleep(Duration::from_millis(1));
+            }
+        }
         let fill = || TcpStream::connect_timeout(&self.address.into(), Duration::from_millis(100));
         while let Ok(socket) = fill() {
             lock(&self.state).held.get_or_insert_with(Vec::new).push(socket);
