What a new configuration changes beside its resolver can be named

SIGHUP moves a gateway to the resolver that the file names; all else of the file holds from the next start on, and the log did not say so. Config::not_taken_over names the parts (name, limits, settings), for the line that reports a reload. The listening address is left out, as the environment may name another one. Its test failed with the names not compared.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -56,6 +56,20 @@
     pub connections: Connections,
 }
 
+impl Config {
+    /// The parts in which a configuration that was read later differs, beside the resolver's address: they are not taken
+    /// over while this process runs, and hold from its next start on.
+    pub fn not_taken_over(&self, read: &Config) -> Vec<&'static str> {
+        let settings = self.settings != read.settings || self.names != read.names;
+        let differs = [
+            ("name", self.name != read.name),
+            ("limits", self.limits != read.limits),
+            ("settings", settings || self.connections != read.connections),
+        ];
+        differs.into_iter().filter(|(_, differs)| *differs).map(|(part, _)| part).collect()
+    }
+}
+
 fn address(what: &str, text: &str) -> Result<SocketAddr, String> {
     text.parse().map_err(|_| format!("{what}: {text:?} is not address:port"))
 }
--- a/crates/platform/tests/settings.rs
+++ b/crates/platform/tests/settings.rs
@@ -432,3 +432,23 @@
         assert!(!why.is_empty() && !why.contains('\n'), "{why}");
     }
 }
+
+/// A running gateway follows a new configuration to its resolver alone: what else is new in it has to be told.
+#[test]
+fn what_a_new_configuration_changes_beside_its_resolver_is_named() {
+    let running = configuration(|_| ()).expect("good settings");
+    let differs = |change: fn(&mut Value)| {
+        let read = configuration(change).expect("good settings");
+        running.not_taken_over(&read)
+    };
+    assert!(differs(|_| ()).is_empty());
+    assert_eq!(differs(|s| s["Classes"][2]["Name"] = json!("renamed")), ["settings"]);
+    assert_eq!(differs(|s| drop(s["Classes"].as_array_mut().expect("classes").pop())), ["settings"]);
+    assert_eq!(differs(with_tenants), ["settings"]);
+    assert_eq!(differs(|s| s["Limits"]["ConnIdleUs"] = json!(1)), ["settings"]);
+    let text = bed::config("127.0.0.1:2", &[]);
+    let parse = |text: &str| config::parse(text).expect("a good configuration");
+    assert!(parse(&text).not_taken_over(&parse(&bed::config("127.0.0.1:3", &[]))).is_empty());
+    let small = text.replace("\"memory_mb\":48", "\"memory_mb\":32");
+    assert_eq!(parse(&text).not_taken_over(&parse(&small)), ["limits"]);
+}
