Test: what a leaving client frees, also where its written attempts are withdrawn

The former only covered settings without leave to withdraw, where nothing gets free. Fails with the mark on leaving requests out of the dispatch, and with requests told one by one.

--- a/crates/platform/tests/core_orders.rs
+++ b/crates/platform/tests/core_orders.rs
@@ -242,24 +242,26 @@
 
 #[test]
 fn what_a_leaving_client_frees_is_not_given_to_its_own_requests() {
-    let mut bench = Bench::new(1, may_cancel(false));
-    for id in 0..20 {
-        assert_eq!(bench.ask(1, id, id as u64 + 1, 300.0), Taken::Yes);
-    }
-    let out = bench.launches();
-    for launch in &out {
-        bench.core.written(bench.now, launch.attempt);
-    }
-    assert!(bench.core.open() > out.len(), "some wait for room");
-    // One of them has room by now, as its first attempt is turned away in the moment in which its client leaves.
-    bench.core.client_gone(bench.now + 1_000, ClientId(1));
-    assert_eq!(bench.launches(), []);
-    assert_eq!(bench.core.open(), 0);
-    for launch in out {
-        bench.core.ended(bench.now + 2_000, launch.attempt, Ending::of(Outcome::Ok));
+    for allowed in [true, false] {
+        let mut bench = Bench::new(1, may_cancel(allowed));
+        for id in 0..20 {
+            assert_eq!(bench.ask(1, id, id as u64 + 1, 300.0), Taken::Yes);
+        }
+        let out = bench.launches();
+        for launch in &out {
+            bench.core.written(bench.now, launch.attempt);
+        }
+        assert!(bench.core.open() > out.len(), "some wait for room");
+        // Where attempts may be withdrawn, each that is makes room for one of those that wait.
+        bench.core.client_gone(bench.now + 1_000, ClientId(1));
+        assert_eq!(bench.launches(), []);
+        assert_eq!(bench.core.open(), 0);
+        for launch in out {
+            bench.core.ended(bench.now + 2_000, launch.attempt, Ending::of(Outcome::Ok));
+        }
+        assert_eq!(bench.effects(), []);
+        assert_eq!(bench.core.held()[..3], [0, 0, 0]);
     }
-    assert_eq!(bench.effects(), []);
-    assert_eq!(bench.core.held()[..3], [0, 0, 0]);
 }
 
 #[test]
