--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -491,14 +491,15 @@
     let class = &host.config.names.classes[launch.class];
     line.link.borrow_mut().fetch(launch, class, left, &mut out);
     line.carried.set(line.carried.get() + 1);
-    host.written(launch.attempt);
-    let written = line.send(&out);
-    if written {
+    let sent = line.send(&out);
+    // What did not get onto the connection waits for another one, and has surely not run.
+    if sent {
+        host.written(launch.attempt);
         engine.places.borrow_mut().insert(launch.attempt, (line.clone(), Instant::now()));
     } else {
         line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
     }
-    written
+    sent
 }
 
 /// Sends a probe and sees to its time-out.
