--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -355,6 +355,25 @@
         self.writer.answer_to(&question.bytes, "east", "std").unwrap()
     }
 
+    /// Has a list taken by the gateway.
+    pub fn publish(&self, serial: u32, engines: &[(SocketAddr, bool)]) {
+        self.publish_as(|question| self.list(question, serial, engines));
+    }
+
+    /// Has an answer taken by the gateway. One that it took is followed by a question from the same socket; one that came
+    /// too late, by a question from a new one.
+    pub fn publish_as(&self, answer: impl Fn(&Question) -> Vec<u8>) {
+        let mut asked = self.question();
+        loop {
+            self.send(&asked, &answer(&asked));
+            let next = self.question();
+            if next.from == asked.from {
+                return;
+            }
+            asked = next;
+        }
+    }
+
     /// Sends bytes to who asked.
     pub fn send(&self, question: &Question, bytes: &[u8]) {
         self.socket.send_to(bytes, question.from).unwrap();
@@ -442,6 +461,12 @@
         self.socket.write_all(&writer.frame()).unwrap();
     }
 
+    /// Returns once the gateway has taken the connection and looked at all that was sent on it.
+    pub fn settle(&mut self) {
+        self.send(&id(9_999), "nothing", 2_500);
+        assert_eq!(self.read().1, Got::Exception);
+    }
+
     /// Whether nothing comes for a while.
     pub fn is_silent(&mut self) -> bool {
         self.socket.set_read_timeout(Some(QUIET)).unwrap();
