Engines: what has waited past its time is not written

Seen by reading engine.rs: an attempt whose time was over could still be written if its connection came up before the task of the core's timer had its turn: then with a patience of one millisecond, and aborted in the same turn. It is now left to that timer, which ends it as never sent.

Lines at fault: `Engines::serve`.

No test forces the order: timers are fired by a thread of their own, and the one that is due wakes its task before the reactor looks at sockets again, so that the window is the turn of the tasks that are ready already.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -74,6 +74,11 @@
 }
 
 impl Waiting {
+    /// Its time is over; the core's timer ends it in a moment.
+    fn is_over(&self, now: Micros) -> bool {
+        matches!(&self.what, What::Launch(launch) if launch.until <= now)
+    }
+
     fn attempt(&self) -> Option<AttemptId> {
         self.what.attempt()
     }
@@ -322,7 +327,7 @@
                 continue;
             };
             let Some(waiting) = engine.waiting.borrow_mut().remove(at) else { return };
-            if write(host, engine, &line, &waiting) {
+            if waiting.is_over(host.clock.now()) || write(host, engine, &line, &waiting) {
                 continue;
             }
             // It turns out to be dead before anything was written: that proves nothing of the engine.
