--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -44,7 +44,7 @@
 /// The host. The front, the engines and the resolver share it.
 pub struct Host {
     /// The configuration of the start.
-    pub config: Config,
+    pub config: Rc<Config>,
     /// The time of the core.
     pub clock: Clock,
     core: RefCell<Core>,
@@ -82,7 +82,7 @@
         Rc::new(Host {
             engines: Engines::new(config.limits.descriptors().engines, config.connections.clone()),
             closing: ClosingConnections::new(config.limits.descriptors().closing),
-            config,
+            config: Rc::new(config),
             clock,
             core: RefCell::new(core),
             executor,
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -26,9 +26,21 @@
     call: Call,
 }
 
+/// What the frames of one read ask for.
+#[derive(Default)]
+struct Read {
+    /// Requests, less those that are taken back in the same read.
+    requests: Vec<Unsubmitted>,
+    /// Numbers of open requests that are taken back.
+    cancelled: Vec<i32>,
+}
+
 /// Handles all whole frames that have come in on a connection; false if it is to be closed.
 pub fn handle_frames(host: &Rc<Host>, client: &Rc<Client>) -> bool {
-    let handled = read_frames(host, client).and_then(|requests| submit(host, client, requests));
+    let handled = read_frames(host, client).and_then(|read| {
+        cancel(host, client, &read.cancelled);
+        submit(host, client, read.requests)
+    });
     if let Err(Violation(why)) = handled {
         if host.quotas[0].allows(host.clock.now()) {
             tracing::warn!(why, "connection closed");
@@ -39,26 +51,26 @@
     true
 }
 
-/// Reads the frames that are whole; gives the requests among them, less those that are taken back in the same read.
-fn read_frames(host: &Rc<Host>, client: &Rc<Client>) -> Result<Vec<Unsubmitted>, Violation> {
-    let mut requests = Vec::new();
+/// Reads the frames that are whole.
+fn read_frames(host: &Rc<Host>, client: &Rc<Client>) -> Result<Read, Violation> {
+    let mut read = Read::default();
     while !client.duplex.is_closed() {
         let frame = client.frames.borrow_mut().next();
         match frame {
-            Ok(Some(frame)) => handle_frame(host, client, &frame, &mut requests)?,
+            Ok(Some(frame)) => handle_frame(host, client, &frame, &mut read)?,
             Ok(None) => break,
             Err(ThriftError::Negative) => return Err(Violation("a frame of negative length")),
             Err(_) => return Err(Violation("a frame that is too long")),
         }
     }
-    Ok(requests)
+    Ok(read)
 }
 
 fn handle_frame(
     host: &Rc<Host>,
     client: &Rc<Client>,
     frame: &[u8],
-    requests: &mut Vec<Unsubmitted>,
+    read: &mut Read,
 ) -> Result<(), Violation> {
     client.note_frame();
     let mut cursor = Cursor::new(frame);
@@ -67,9 +79,9 @@
         _ if matches!(head.kind, Kind::Reply | Kind::Exception) => {
             client.answer_exception(&head, INVALID_MESSAGE_TYPE, "not a call");
         }
-        "dispatch" if head.kind == Kind::Call => read_dispatch(host, client, &head, cursor, requests)?,
+        "dispatch" if head.kind == Kind::Call => read_dispatch(host, client, &head, cursor, read)?,
         "cancelRequest" => match read_cancelled_number(cursor) {
-            Ok(seqid) => cancel(host, client, seqid, requests),
+            Ok(seqid) => note_cancelled(host, client, seqid, read),
             Err(e) => client.answer_exception(&head, PROTOCOL_ERROR, &e.to_string()),
         },
         "alive" if head.kind == Kind::Call => client.answer_alive(head.seqid, !host.is_stopping()),
@@ -78,13 +90,20 @@
     Ok(())
 }
 
-/// Takes a request back. One that came with the same read was never wanted: it must cost neither the module's room nor
-/// the engines' work, or a client that does it by the hundred keeps all others out.
-fn cancel(host: &Rc<Host>, client: &Rc<Client>, seqid: i32, requests: &mut Vec<Unsubmitted>) {
-    let before = requests.len();
-    requests.retain(|request| request.seqid != seqid);
-    if requests.len() == before {
-        host.core(|core, now| core.lapse(now, client.id, seqid));
+/// A request is taken back. One that came with the same read was never wanted: it must cost neither the module's room
+/// nor the engines' work, or a client that does it by the hundred keeps all others out.
+fn note_cancelled(host: &Host, client: &Client, seqid: i32, read: &mut Read) {
+    read.requests.retain(|request| request.seqid != seqid);
+    let open = host.look(|core| core.has(client.id, seqid));
+    if open && !read.cancelled.contains(&seqid) {
+        read.cancelled.push(seqid);
+    }
+}
+
+/// Takes open requests back, all at once: none of them gets an attempt in place of another that goes with it.
+fn cancel(host: &Rc<Host>, client: &Client, seqids: &[i32]) {
+    if !seqids.is_empty() {
+        host.core(|core, now| core.lapse_all(now, client.id, seqids));
     }
 }
 
@@ -124,21 +143,22 @@
     client: &Rc<Client>,
     head: &Head,
     cursor: Cursor<'_>,
-    requests: &mut Vec<Unsubmitted>,
+    read: &mut Read,
 ) -> Result<(), Violation> {
     // An answer under a number that is open twice could be taken for the other's.
     let (has, open) = host.look(|core| (core.has(client.id, head.seqid), core.open_of(client.id)));
-    if has || requests.iter().any(|request| request.seqid == head.seqid) {
+    let is_open = has && !read.cancelled.contains(&head.seqid);
+    if is_open || read.requests.iter().any(|request| request.seqid == head.seqid) {
         return Err(Violation("two requests under one number"));
     }
-    if open + requests.len() >= OPEN_REQUESTS {
+    if open + read.requests.len() >= OPEN_REQUESTS + read.cancelled.len() {
         return Err(Violation("more open requests than a connection may have"));
     }
-    let read = read_arguments(cursor).map_err(|e| e.to_string()).and_then(|(fields, body)| {
+    let parsed = read_arguments(cursor).map_err(|e| e.to_string()).and_then(|(fields, body)| {
         call::read(&fields, body, &host.config.names, &host.config.settings.classes)
     });
-    match read {
-        Ok(call) => requests.push(Unsubmitted { seqid: head.seqid, call }),
+    match parsed {
+        Ok(call) => read.requests.push(Unsubmitted { seqid: head.seqid, call }),
         Err(why) => {
             if host.quotas[0].allows(host.clock.now()) {
                 tracing::info!(why, "a request that can't be used");
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -45,7 +45,7 @@
         loop {
             match signals.next().await {
                 Some(Ok(Signal::Hup)) => {
-                    let task = reloaded(resolver.clone(), file.clone());
+                    let task = reloaded(resolver.clone(), host.config.clone(), file.clone());
                     // One that still looks at an older file is dropped with its task.
                     reload = Some(reloads.spawn(task));
                 }
@@ -92,23 +92,33 @@
     Ok((host, address))
 }
 
-/// Reads the configuration again and goes to the resolver that it names. What is half written is looked at again.
-async fn reloaded(resolver: Rc<Resolver>, file: PathBuf) {
+/// Reads the configuration again and goes to the resolver that it names. What is half written is looked at again. The
+/// rest of a configuration holds from the next start on: requests that wait keep the settings that they were taken under.
+async fn reloaded(resolver: Rc<Resolver>, running: Rc<Config>, file: PathBuf) {
+    let mut last = String::new();
     for turn in 0..LOOK_AGAIN.1 {
         match config::load(&file) {
             Ok(config) => {
                 tracing::info!(resolver = %config.resolver, "configuration read again");
+                let differs = running.not_taken_over(&config);
+                if !differs.is_empty() {
+                    tracing::warn!(?differs, "holds from the next start on");
+                }
                 if config.resolver != resolver.address() {
                     resolver.moved_to(config.resolver);
                 }
                 return;
             }
-            Err(why) if turn == 0 => tracing::warn!(why, "the old configuration stands; looking again"),
-            Err(_) => {}
+            Err(why) => {
+                if turn == 0 {
+                    tracing::warn!(why, "the old configuration stands; looking again");
+                }
+                last = why;
+            }
         }
         violetward_net::sleep(LOOK_AGAIN.0).await;
     }
-    tracing::error!("the configuration can't be used; the old one stands");
+    tracing::error!(why = last, "the configuration can't be used; the old one stands");
 }
 
 #[cfg(test)]
@@ -130,7 +140,8 @@
             std::thread::sleep(3 * LOOK_AGAIN.0);
             std::fs::write(whole, WHOLE).expect("a file");
         });
-        async_io::block_on(reloaded(resolver.clone(), file.clone()));
+        let running = Rc::new(config::parse(WHOLE).expect("a configuration"));
+        async_io::block_on(reloaded(resolver.clone(), running, file.clone()));
         writer.join().expect("written");
         std::fs::remove_file(file).ok();
         assert_eq!(resolver.address(), ([127, 0, 0, 1], 55).into());
