Custody: pin the encoded bytes of each message and of the stored marks

Before names change: gateways of different builds exchange these messages, and a voter reads after a restart what an earlier build stored. No test fixed the bytes.

Each of the eleven messages, each ending, both forms of a record, the answer to an unknown format and the stored marks are now pinned as bytes taken from the code as it was, and are read back to the same value.

--- a/crates/custody/src/wire.rs
+++ b/crates/custody/src/wire.rs
@@ -498,3 +498,6 @@
         Err(_) => Err(Spoilt::Damaged),
     }
 }
+
+#[cfg(test)]
+mod tests;
