--- a/crates/custody/examples/fleet.rs
+++ b/crates/custody/examples/fleet.rs
@@ -3,7 +3,9 @@
 use std::time::Instant;
 
 use violetward_custody::sim::{Case, Fleet};
-use violetward_custody::{Custodian, Effect, Life, Member, Out, Record, Repeat, State, StatementKey, Terms};
+use violetward_custody::{
+    Effect, Incarnation, Member, MemberState, Out, Record, Repeat, Settings, StatementKey, TakeoverNode,
+};
 
 const SECOND: u64 = 1_000_000;
 
@@ -66,14 +68,14 @@
 
 /// Three custodians whose datagrams come at once: what a statement costs a holder and its guardians, in microseconds.
 fn microseconds(repeat: Repeat, count: u64) {
-    let life = |n: usize| Life { name: format!("g{n}"), life: n as u64 + 1 };
+    let life = |n: usize| Incarnation { name: format!("g{n}"), life: n as u64 + 1 };
     let members: Vec<Member> = (0..300)
-        .map(|n| Member { life: life(n), site: format!("s{}", n % 3), state: State::Alive })
+        .map(|n| Member { life: life(n), site: format!("s{}", n % 3), state: MemberState::Alive })
         .collect();
     let mut now = SECOND;
-    let mut all: Vec<Custodian> = (0..300)
+    let mut all: Vec<TakeoverNode> = (0..300)
         .filter_map(|n| {
-            let terms = Terms {
+            let terms = Settings {
                 me: life(n),
                 site: format!("s{}", n % 3),
                 voters: (0..5).map(|v| format!("g{v}")).collect(),
@@ -84,22 +86,22 @@
                 most: 10_000,
                 most_octets: 1 << 30,
             };
-            Custodian::new(terms, None, now).ok()
+            TakeoverNode::new(terms, None, now).ok()
         })
         .collect();
-    all.iter_mut().for_each(|c| c.members(now, members.clone()));
-    let deliver = |all: &mut Vec<Custodian>, now: u64, first: usize| {
+    all.iter_mut().for_each(|c| c.update_members(now, members.clone()));
+    let deliver = |all: &mut Vec<TakeoverNode>, now: u64, first: usize| {
         let mut touched = vec![first];
         while let Some(n) = touched.pop() {
-            while let Some(effect) = all[n].effect() {
+            while let Some(effect) = all[n].next_effect() {
                 match effect {
-                    Effect::Say(to, bytes) | Effect::Send(to, bytes) => {
+                    Effect::SendDatagram(to, bytes) | Effect::SendRecords(to, bytes) => {
                         let to: usize = to[1..].parse().unwrap_or(0);
-                        all[to].heard(now, &format!("g{n}"), &bytes);
+                        all[to].handle_message(now, &format!("g{n}"), &bytes);
                         touched.push(to);
                     }
-                    Effect::Keep(_) => {
-                        all[n].kept(now);
+                    Effect::StoreMarks(_) => {
+                        all[n].marks_stored(now);
                         touched.push(n);
                     }
                     _ => {}
@@ -131,11 +133,11 @@
             passed: 0,
             ending: None,
         };
-        all[9].take(now, record);
+        all[9].add_statement(now, record);
         let out = Out { number: 0, engine: "e".into(), next: None, page: 0, sent: 0, within: SECOND };
-        all[9].intend(now, &key, 1, out);
+        all[9].request_attempt(now, &key, 1, out);
         deliver(&mut all, now, 9);
-        all[9].end(now, &key);
+        all[9].finish_statement(now, &key);
         all[9].wake(now);
         deliver(&mut all, now, 9);
     }
--- a/crates/custody/examples/histories.rs
+++ b/crates/custody/examples/histories.rs
@@ -4,20 +4,20 @@
 use std::sync::Mutex;
 
 use violetward_custody::sim::{play, Case, Counts};
-use violetward_custody::Plant;
+use violetward_custody::InjectedFault;
 
-const PLANTS: [Plant; 11] = [
-    Plant::None,
-    Plant::LeaseFromReceipt,
-    Plant::HalfIsQuorum,
-    Plant::MarkNotKept,
-    Plant::NoSilence,
-    Plant::ChainForgotten,
-    Plant::ChainNotAwaited,
-    Plant::ActsWithoutTenure,
-    Plant::IntentNotAwaited,
-    Plant::GrantNotWaitedOut,
-    Plant::VotesWithoutMarks,
+const PLANTS: [InjectedFault; 11] = [
+    InjectedFault::None,
+    InjectedFault::LeaseFromReceipt,
+    InjectedFault::HalfIsQuorum,
+    InjectedFault::MarksNotStored,
+    InjectedFault::NoStartupSilence,
+    InjectedFault::ReplicaListForgotten,
+    InjectedFault::ReplicaListNotAwaited,
+    InjectedFault::ActsWithoutLease,
+    InjectedFault::IntentNotAwaited,
+    InjectedFault::GrantNotWaitedOut,
+    InjectedFault::VotesWithoutMarks,
 ];
 
 fn at(times: &mut [u64], part: usize) -> f64 {
@@ -37,11 +37,13 @@
             scope.spawn(|| loop {
                 let seed = next.fetch_add(1, Ordering::Relaxed);
                 let found = broken.lock().is_ok_and(|b| !b.is_empty());
-                if seed >= to || (plant != Plant::None && found) {
+                if seed >= to || (plant != InjectedFault::None && found) {
                     break;
                 }
-                let case =
-                    Case { plant, ..if plant == Plant::None { Case::drawn(seed) } else { Case::default() } };
+                let case = Case {
+                    plant,
+                    ..if plant == InjectedFault::None { Case::drawn(seed) } else { Case::default() }
+                };
                 match (play(&case, seed), all.lock(), broken.lock()) {
                     (Ok(counts), Ok(mut all), _) => all.add(counts),
                     (Err(why), _, Ok(mut broken)) => broken.push((seed, why)),
--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/custodian.rs
@@ -15,10 +15,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use self::entry::{Entry, Past, Peer};
-use crate::tenure::{EndAsk, Spans, Tenure, Voter, ENDS_ALONE};
-use crate::wire::{Actor, Said, Spoilt, DATAGRAM};
-use crate::{Ending, Life, Micros, Record, StatementKey};
+use self::entry::{Peer, Statement, Tombstone};
+use crate::tenure::{FencingAttempt, Lease, LeaseTimes, Voter, ENDS_ALONE};
+use crate::wire::{Message, Participant, StoredMarksError, DATAGRAM};
+use crate::{Ending, Incarnation, Micros, Record, StatementKey};
 
 const MS: Micros = 1_000;
 /// Progress of one statement is told no more often.
@@ -45,9 +45,9 @@
 
 /// The settings of custody.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Terms {
+pub struct Settings {
     /// This process.
-    pub me: Life,
+    pub me: Incarnation,
     /// Its site: guardians are at other sites where there are some.
     pub site: String,
     /// Names of those that grant tenures.
@@ -68,7 +68,7 @@
 
 /// What membership believes of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum State {
+pub enum MemberState {
     /// It lives.
     Alive,
     /// It does not answer.
@@ -83,22 +83,22 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
     /// Which.
-    pub life: Life,
+    pub life: Incarnation,
     /// Its site.
     pub site: String,
     /// What is believed of it.
-    pub state: State,
+    pub state: MemberState,
 }
 
 /// Whether something may be done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Leave {
+pub enum Permission {
     /// Now.
-    Go,
-    /// Once [`Effect::Go`] or [`Effect::Tell`] says so; never if [`Effect::Dropped`] does.
-    Wait,
+    Granted,
+    /// Once [`Effect::StartAttempt`] or [`Effect::ReportEnding`] says so; never if [`Effect::Relinquished`] does.
+    Pending,
     /// Not by this gateway, or not now: its tenure does not hold, or it holds the statement no more.
-    Never,
+    Denied,
 }
 
 /// Where a statement is, as far as is known here.
@@ -107,7 +107,7 @@
     /// Here.
     Here,
     /// At that process.
-    At(Life),
+    At(Incarnation),
     /// This gateway is about to take it over.
     Taking,
     /// Nothing is known of it.
@@ -120,28 +120,28 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Effect {
     /// A datagram to a gateway, of a thousand octets at most; it may be lost.
-    Say(String, Vec<u8>),
-    /// Records to a gateway, over a stream; answered by [`Custodian::heard`], or [`Custodian::unsent`].
-    Send(String, Vec<u8>),
-    /// Keep this in place of what was kept before, then call [`Custodian::kept`].
-    Keep(Vec<u8>),
+    SendDatagram(String, Vec<u8>),
+    /// Records to a gateway, over a stream; answered by [`TakeoverNode::handle_message`], or [`TakeoverNode::handle_send_failure`].
+    SendRecords(String, Vec<u8>),
+    /// Keep this in place of what was kept before, then call [`TakeoverNode::marks_stored`].
+    StoreMarks(Vec<u8>),
     /// The intent of that attempt is recorded: it may be written to its engine.
-    Go(StatementKey, u32),
+    StartAttempt(StatementKey, u32),
     /// The decided ending is recorded: it may be told.
-    Tell(StatementKey),
+    ReportEnding(StatementKey),
     /// This gateway holds the statement from now on. An ending in the record may be told.
-    Adopt(Box<Record>),
+    TakenOver(Box<Record>),
     /// This gateway holds it no more: it stops what it does for it, tells nothing, and passes polls on.
-    Dropped(StatementKey),
+    Relinquished(StatementKey),
     /// No guardian is to be had.
-    Unprotected(StatementKey),
+    Unreplicated(StatementKey),
     /// For the log.
     Log(String),
 }
 
 /// A fault planted on purpose, to see that the simulation finds it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-pub enum Plant {
+pub enum InjectedFault {
     /// None.
     #[default]
     None,
@@ -150,15 +150,15 @@
     /// Half of the voters are a quorum.
     HalfIsQuorum,
     /// Marks are forgotten at a restart.
-    MarkNotKept,
+    MarksNotStored,
     /// A voter that has started again grants at once.
-    NoSilence,
+    NoStartupSilence,
     /// A guardian acknowledges a longer chain and goes on with the one it had.
-    ChainForgotten,
+    ReplicaListForgotten,
     /// A new guardian is told before those in front of it know of it.
-    ChainNotAwaited,
+    ReplicaListNotAwaited,
     /// The tenure is not looked at.
-    ActsWithoutTenure,
+    ActsWithoutLease,
     /// An attempt is not held back until its intent is recorded.
     IntentNotAwaited,
     /// A life that is marked is taken for over at once.
@@ -168,215 +168,215 @@
 }
 
 /// One gateway's part. See the crate's documentation.
-pub struct Custodian {
-    terms: Terms,
-    plant: Plant,
-    spans: Spans,
-    me: Actor,
+pub struct TakeoverNode {
+    settings: Settings,
+    fault: InjectedFault,
+    lease_times: LeaseTimes,
+    local: Participant,
     voter: Option<Voter>,
-    tenure: Tenure,
+    lease: Lease,
     /// Whether it held when this was last looked at, with the time of that look.
-    acting: bool,
-    renew: Micros,
+    lease_held: bool,
+    renew_at: Micros,
     /// When the other voters are asked again what they have marked.
-    known_again: Micros,
+    marks_query_at: Micros,
     /// A voter has said that this term is ended.
-    ended: bool,
-    lives: BTreeMap<Life, (State, String)>,
-    unlisted: BTreeMap<Life, Micros>,
+    fenced: bool,
+    members: BTreeMap<Incarnation, (MemberState, String)>,
+    unlisted_since: BTreeMap<Incarnation, Micros>,
     /// Those that may be guardians: at this site, hash.
-    candidates: Vec<(bool, u64, Life)>,
+    candidates: Vec<(bool, u64, Incarnation)>,
     /// Those whose program reads another format.
-    other: BTreeSet<Life>,
-    peers: BTreeMap<Actor, Peer>,
+    incompatible: BTreeSet<Incarnation>,
+    peers: BTreeMap<Participant, Peer>,
     /// The newest term of a life that was heard of.
-    newest: BTreeMap<Life, u32>,
+    newest_terms: BTreeMap<Incarnation, u32>,
     /// Through which term a life is surely over.
-    over: BTreeMap<Life, u32>,
-    ends: BTreeMap<Actor, EndAsk>,
+    fenced_through: BTreeMap<Incarnation, u32>,
+    fencing: BTreeMap<Participant, FencingAttempt>,
     /// Those of which somebody wants to know whether they are over, until then.
-    wanted: BTreeMap<Actor, Micros>,
-    entries: BTreeMap<StatementKey, Entry>,
+    fencing_wanted: BTreeMap<Participant, Micros>,
+    statements: BTreeMap<StatementKey, Statement>,
     /// Statements by those in their chains that may act for them.
-    refs: BTreeMap<Actor, BTreeSet<StatementKey>>,
+    statements_by_participant: BTreeMap<Participant, BTreeSet<StatementKey>>,
     /// What may be adopted, the earliest deadline first.
-    ready: BTreeSet<(Micros, StatementKey)>,
+    takeover_ready: BTreeSet<(Micros, StatementKey)>,
     /// To be looked at.
-    looks: BTreeSet<StatementKey>,
-    turn: Micros,
-    forwards: BTreeMap<StatementKey, Micros>,
+    to_review: BTreeSet<StatementKey>,
+    review_at: Micros,
+    forward_at: BTreeMap<StatementKey, Micros>,
     /// Held with something that waits.
-    waiting: BTreeSet<StatementKey>,
+    awaiting_replicas: BTreeSet<StatementKey>,
     /// When what is kept leaves.
     expiry: BTreeSet<(Micros, StatementKey)>,
-    kept: (usize, usize),
+    replica_usage: (usize, usize),
     /// Never taken here, until then.
     declined: BTreeMap<StatementKey, Micros>,
-    past: BTreeMap<StatementKey, Past>,
-    past_order: VecDeque<(StatementKey, Micros)>,
+    tombstones: BTreeMap<StatementKey, Tombstone>,
+    tombstone_order: VecDeque<(StatementKey, Micros)>,
     /// When the newest of those was remembered that had to go; 0: none had.
-    forgot: Micros,
-    taken: u64,
-    leaving: bool,
-    left: bool,
-    sweep: Micros,
+    last_tombstone_dropped: Micros,
+    last_number: u64,
+    handing_over: bool,
+    handed_over: bool,
+    sweep_at: Micros,
     /// The newest time that was told.
-    now: Micros,
+    latest_time: Micros,
     effects: VecDeque<Effect>,
 }
 
-impl Custodian {
+impl TakeoverNode {
     /// A gateway that starts, with what it had kept: `None` if it is its first start ever.
     ///
     /// # Errors
     /// If that is not what it kept.
-    pub fn new(terms: Terms, ends: Option<&[u8]>, now: Micros) -> Result<Custodian, Spoilt> {
-        Custodian::planted(terms, ends, now, Plant::None)
+    pub fn new(terms: Settings, ends: Option<&[u8]>, now: Micros) -> Result<TakeoverNode, StoredMarksError> {
+        TakeoverNode::with_injected_fault(terms, ends, now, InjectedFault::None)
     }
 
-    /// See [`Custodian::new`]; with a fault.
+    /// See [`TakeoverNode::new`]; with a fault.
     ///
     /// # Errors
     /// As there.
-    pub fn planted(
-        terms: Terms,
+    pub fn with_injected_fault(
+        terms: Settings,
         ends: Option<&[u8]>,
         now: Micros,
-        plant: Plant,
-    ) -> Result<Custodian, Spoilt> {
-        let spans = Spans { lease: terms.lease, drift: terms.drift };
+        plant: InjectedFault,
+    ) -> Result<TakeoverNode, StoredMarksError> {
+        let spans = LeaseTimes { lease: terms.lease, drift: terms.drift };
         let voter = terms.voters.contains(&terms.me.name);
         let voter = if voter { Some(Voter::new(spans, ends, now, terms.voters.len(), plant)?) } else { None };
-        let quorum = terms.voters.len() / 2 + usize::from(plant != Plant::HalfIsQuorum);
-        let mut this = Custodian {
-            me: Actor { life: terms.me.clone(), term: 0 },
-            terms,
-            plant,
-            spans,
+        let quorum = terms.voters.len() / 2 + usize::from(plant != InjectedFault::HalfIsQuorum);
+        let mut this = TakeoverNode {
+            local: Participant { life: terms.me.clone(), term: 0 },
+            settings: terms,
+            fault: plant,
+            lease_times: spans,
             voter,
-            tenure: Tenure::new(now, quorum.max(1)),
-            acting: false,
-            renew: now,
-            known_again: now,
-            ended: false,
-            lives: BTreeMap::new(),
-            unlisted: BTreeMap::new(),
+            lease: Lease::new(now, quorum.max(1)),
+            lease_held: false,
+            renew_at: now,
+            marks_query_at: now,
+            fenced: false,
+            members: BTreeMap::new(),
+            unlisted_since: BTreeMap::new(),
             candidates: Vec::new(),
-            other: BTreeSet::new(),
+            incompatible: BTreeSet::new(),
             peers: BTreeMap::new(),
-            newest: BTreeMap::new(),
-            over: BTreeMap::new(),
-            ends: BTreeMap::new(),
-            wanted: BTreeMap::new(),
-            entries: BTreeMap::new(),
-            refs: BTreeMap::new(),
-            ready: BTreeSet::new(),
-            looks: BTreeSet::new(),
-            turn: now,
-            forwards: BTreeMap::new(),
-            waiting: BTreeSet::new(),
+            newest_terms: BTreeMap::new(),
+            fenced_through: BTreeMap::new(),
+            fencing: BTreeMap::new(),
+            fencing_wanted: BTreeMap::new(),
+            statements: BTreeMap::new(),
+            statements_by_participant: BTreeMap::new(),
+            takeover_ready: BTreeSet::new(),
+            to_review: BTreeSet::new(),
+            review_at: now,
+            forward_at: BTreeMap::new(),
+            awaiting_replicas: BTreeSet::new(),
             expiry: BTreeSet::new(),
-            kept: (0, 0),
+            replica_usage: (0, 0),
             declined: BTreeMap::new(),
-            past: BTreeMap::new(),
-            past_order: VecDeque::new(),
-            forgot: 0,
-            taken: 0,
-            leaving: false,
-            left: false,
-            sweep: now + SWEEP,
-            now,
+            tombstones: BTreeMap::new(),
+            tombstone_order: VecDeque::new(),
+            last_tombstone_dropped: 0,
+            last_number: 0,
+            handing_over: false,
+            handed_over: false,
+            sweep_at: now + SWEEP,
+            latest_time: now,
             effects: VecDeque::new(),
         };
-        this.keep();
+        this.store_marks();
         Ok(this)
     }
 
     fn quorum(&self) -> usize {
-        (self.terms.voters.len() / 2 + usize::from(self.plant != Plant::HalfIsQuorum)).max(1)
+        (self.settings.voters.len() / 2 + usize::from(self.fault != InjectedFault::HalfIsQuorum)).max(1)
     }
 
     /// The next effect.
-    pub fn effect(&mut self) -> Option<Effect> {
+    pub fn next_effect(&mut self) -> Option<Effect> {
         self.effects.pop_front()
     }
 
-    fn say(&mut self, to: &str, said: &Said) {
-        let bytes = said.write(self.me.life.life, self.me.term);
+    fn send_message(&mut self, to: &str, said: &Message) {
+        let bytes = said.write(self.local.life.life, self.local.term);
         debug_assert!(bytes.len() <= DATAGRAM);
-        self.effects.push_back(Effect::Say(to.to_owned(), bytes));
+        self.effects.push_back(Effect::SendDatagram(to.to_owned(), bytes));
     }
 
-    fn keep(&mut self) {
+    fn store_marks(&mut self) {
         if let Some(bytes) = self.voter.as_mut().and_then(Voter::keep) {
-            self.effects.push_back(Effect::Keep(bytes));
+            self.effects.push_back(Effect::StoreMarks(bytes));
         }
     }
 
-    /// When [`Custodian::wake`] should be called next.
+    /// When [`TakeoverNode::wake`] should be called next.
     pub fn next_wake(&self) -> Option<Micros> {
         let peers = self.peers.values().flat_map(|p| {
             let due = p.due.filter(|_| p.flights.len() < FLIGHTS);
             [due, p.flights.values().map(|f| f.lost_at).min()].into_iter().flatten()
         });
-        let ends = self.ends.values().map(|e| {
-            let asked = self.acting.then(|| e.asked.map_or(0, |at| at + MARKS_AGAIN));
+        let ends = self.fencing.values().map(|e| {
+            let asked = self.lease_held.then(|| e.asked.map_or(0, |at| at + MARKS_AGAIN));
             asked.into_iter().chain(e.over).min().unwrap_or(Micros::MAX)
         });
-        let turns = !self.looks.is_empty() || (!self.ready.is_empty() && self.acting);
-        let forwards = self.forwards.values().copied().min();
-        let renew = (!self.left).then_some(self.renew);
-        let known = self.voter.as_ref().is_some_and(Voter::is_empty).then_some(self.known_again);
-        let most = [renew, known, Some(self.sweep), forwards, turns.then_some(self.turn)];
+        let turns = !self.to_review.is_empty() || (!self.takeover_ready.is_empty() && self.lease_held);
+        let forwards = self.forward_at.values().copied().min();
+        let renew = (!self.handed_over).then_some(self.renew_at);
+        let known = self.voter.as_ref().is_some_and(Voter::is_empty).then_some(self.marks_query_at);
+        let most = [renew, known, Some(self.sweep_at), forwards, turns.then_some(self.review_at)];
         peers.chain(ends).chain(most.into_iter().flatten()).min()
     }
 
     /// Does what is due.
     pub fn wake(&mut self, now: Micros) {
-        self.run(now);
+        self.advance(now);
     }
 
-    fn run(&mut self, now: Micros) {
-        self.now = now;
+    fn advance(&mut self, now: Micros) {
+        self.latest_time = now;
         // What was asked of the voters long before a pause says nothing of who holds what since then.
-        let holds = now < self.tenure.until;
+        let holds = now < self.lease.until;
         if holds {
-            self.tenure.held_at = now;
+            self.lease.held_at = now;
         }
-        let alone = now > self.tenure.held_at + ENDS_ALONE;
-        if !holds && (self.ended || alone) && !self.left {
-            self.next_term(now);
+        let alone = now > self.lease.held_at + ENDS_ALONE;
+        if !holds && (self.fenced || alone) && !self.handed_over {
+            self.begin_next_term(now);
         }
-        if self.renew <= now && !self.left {
+        if self.renew_at <= now && !self.handed_over {
             let settled = self.may_act(now);
-            self.renew = now + self.terms.lease / if settled { 3 } else { 8 };
-            self.ask(now);
+            self.renew_at = now + self.settings.lease / if settled { 3 } else { 8 };
+            self.request_lease(now);
         }
         let acting = self.may_act(now);
-        if acting && !self.acting {
-            self.looks.extend(self.waiting.iter().cloned());
+        if acting && !self.lease_held {
+            self.to_review.extend(self.awaiting_replicas.iter().cloned());
         }
-        self.acting = acting;
-        self.ends_due(now);
-        self.ask_marks(now);
-        self.ask_known(now);
-        if self.sweep <= now {
-            self.sweep = now + SWEEP;
-            self.swept(now);
+        self.lease_held = acting;
+        self.finish_fencing(now);
+        self.request_marks(now);
+        self.query_stored_marks(now);
+        if self.sweep_at <= now {
+            self.sweep_at = now + SWEEP;
+            self.sweep_expired(now);
         }
-        self.forward(now);
-        if self.turn <= now && !(self.looks.is_empty() && self.ready.is_empty()) {
-            self.turn = now + TURN;
+        self.forward_to_predecessors(now);
+        if self.review_at <= now && !(self.to_review.is_empty() && self.takeover_ready.is_empty()) {
+            self.review_at = now + TURN;
             for _ in 0..LOOKS {
-                let Some(key) = self.looks.pop_first() else { break };
-                self.look(now, &key);
+                let Some(key) = self.to_review.pop_first() else { break };
+                self.review_statement(now, &key);
             }
             for _ in 0..if acting { ADOPTS } else { 0 } {
-                let Some((_, key)) = self.ready.pop_first() else { break };
-                self.adopt(now, &key);
+                let Some((_, key)) = self.takeover_ready.pop_first() else { break };
+                self.take_over(now, &key);
             }
         }
-        let due: Vec<Actor> = self
+        let due: Vec<Participant> = self
             .peers
             .iter()
             .filter(|(_, p)| {
@@ -385,11 +385,11 @@
             .map(|(a, _)| a.clone())
             .collect();
         for actor in due {
-            self.lost_flights(now, &actor);
-            self.flush(now, &actor);
+            self.requeue_lost_batches(now, &actor);
+            self.send_batches(now, &actor);
         }
-        if self.leaving && !self.left && self.entries.values().all(|e| e.held().is_none()) {
-            self.leave(now);
+        if self.handing_over && !self.handed_over && self.statements.values().all(|e| e.held().is_none()) {
+            self.complete_hand_over(now);
         }
     }
 }
--- a/crates/custody/src/custodian/entry.rs
+++ b/crates/custody/src/custodian/entry.rs
@@ -2,12 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::wire::{Item, Link};
-use crate::{Ending, Life, Micros, Record, StatementKey};
+use crate::wire::{ReplicaEntry, ReplicaRecord};
+use crate::{Ending, Incarnation, Micros, Record, StatementKey};
 
 /// What a holder knows of one that stands behind it in the chain.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Guard {
+pub(super) struct ReplicaProgress {
     /// The version with which it came into the chain, as this holder tells it.
     pub(super) since: u64,
     pub(super) sent: u64,
@@ -19,9 +19,9 @@
 }
 
 #[derive(Debug, Default)]
-pub(super) struct Held {
+pub(super) struct Ownership {
     /// One for each link of the chain.
-    pub(super) guards: Vec<Guard>,
+    pub(super) guards: Vec<ReplicaProgress>,
     /// An attempt that waits until that version is recorded.
     pub(super) intent: Option<(u32, u64)>,
     /// An ending that waits so.
@@ -37,14 +37,14 @@
 
 #[derive(Debug)]
 pub(super) enum Role {
-    Held(Box<Held>),
-    Kept,
+    Owner(Box<Ownership>),
+    Replica,
 }
 
 #[derive(Debug)]
-pub(super) struct Entry {
+pub(super) struct Statement {
     pub(super) record: Record,
-    pub(super) links: Vec<Link>,
+    pub(super) links: Vec<ReplicaEntry>,
     /// This one's place among them.
     pub(super) at: usize,
     pub(super) role: Role,
@@ -53,18 +53,18 @@
     pub(super) stamped: Micros,
 }
 
-impl Entry {
-    pub(super) fn held(&self) -> Option<&Held> {
+impl Statement {
+    pub(super) fn held(&self) -> Option<&Ownership> {
         match &self.role {
-            Role::Held(held) => Some(held),
-            Role::Kept => None,
+            Role::Owner(held) => Some(held),
+            Role::Replica => None,
         }
     }
 
-    pub(super) fn held_mut(&mut self) -> Option<&mut Held> {
+    pub(super) fn held_mut(&mut self) -> Option<&mut Ownership> {
         match &mut self.role {
-            Role::Held(held) => Some(held),
-            Role::Kept => None,
+            Role::Owner(held) => Some(held),
+            Role::Replica => None,
         }
     }
 
@@ -73,14 +73,14 @@
     }
 
     /// Whether a link may be told: those that stood in the chain before it know of it, or never act.
-    pub(super) fn tellable(&self, held: &Held, i: usize) -> bool {
+    pub(super) fn tellable(&self, held: &Ownership, i: usize) -> bool {
         let before = usize::from(self.links[i].after).min(i);
         (0..before)
             .all(|j| j == self.at || self.links[j].gone || held.guards[j].acked >= held.guards[i].since)
     }
 
     /// Whether all that may ever act after this one know of a version.
-    pub(super) fn recorded(&self, held: &Held, version: u64) -> bool {
+    pub(super) fn recorded(&self, held: &Ownership, version: u64) -> bool {
         self.behind().all(|i| !held.guards[i].told || held.guards[i].acked >= version)
     }
 
@@ -93,12 +93,12 @@
         record
     }
 
-    pub(super) fn item(&self, now: Micros, whole: bool) -> Item {
+    pub(super) fn item(&self, now: Micros, whole: bool) -> ReplicaRecord {
         let mut record = self.now(now);
         if !whole {
             record.body = Vec::new();
         }
-        Item { record, whole, links: self.links.clone() }
+        ReplicaRecord { record, whole, links: self.links.clone() }
     }
 
     pub(super) fn octets(&self) -> usize {
@@ -110,7 +110,7 @@
 }
 
 #[derive(Debug)]
-pub(super) struct Flight {
+pub(super) struct InFlightBatch {
     pub(super) lost_at: Micros,
     /// Version, and whether it is a record of another one's that was passed on.
     pub(super) records: Vec<(StatementKey, u64)>,
@@ -121,7 +121,7 @@
 pub(super) struct Peer {
     /// The number of the last sending from there, and of the last one to there.
     pub(super) numbers: (u64, u64),
-    pub(super) flights: BTreeMap<u64, Flight>,
+    pub(super) flights: BTreeMap<u64, InFlightBatch>,
     pub(super) records: BTreeSet<StatementKey>,
     pub(super) ends: BTreeSet<StatementKey>,
     pub(super) due: Option<Micros>,
@@ -132,8 +132,8 @@
 }
 
 #[derive(Debug, Clone)]
-pub(super) enum Past {
+pub(super) enum Tombstone {
     Ended(Option<Ending>),
     /// Since a term of this process: others that may have it.
-    Moved(u32, Vec<Life>),
+    Moved(u32, Vec<Incarnation>),
 }
--- a/crates/custody/src/custodian/leases.rs
+++ b/crates/custody/src/custodian/leases.rs
@@ -2,79 +2,86 @@
 
 use std::collections::BTreeSet;
 
-use super::entry::Past;
-use super::{Custodian, Effect, Plant, BACK};
-use crate::tenure::{Answer, Tenure};
-use crate::wire::Said;
+use super::entry::Tombstone;
+use super::{Effect, InjectedFault, TakeoverNode, BACK};
+use crate::tenure::{Lease, LeaseAnswer};
+use crate::wire::Message;
 use crate::{Micros, StatementKey};
 
-impl Custodian {
-    /// Whether this gateway may start attempts and tell endings: its tenure holds for [`Terms::check`] more. To be asked just
+impl TakeoverNode {
+    /// Whether this gateway may start attempts and tell endings: its tenure holds for [`Settings::check`] more. To be asked just
     /// before.
     pub fn may_act(&self, now: Micros) -> bool {
-        now + self.terms.check < self.tenure.until || self.plant == Plant::ActsWithoutTenure
+        now + self.settings.check < self.lease.until || self.fault == InjectedFault::ActsWithoutLease
     }
 
-    pub(super) fn ask(&mut self, now: Micros) {
-        let voters = self.terms.voters.clone();
+    pub(super) fn request_lease(&mut self, now: Micros) {
+        let voters = self.settings.voters.clone();
         for voter in &voters {
-            if *voter == self.me.life.name {
-                let me = self.me.clone();
-                let answer = self.voter.as_mut().map_or(Answer::Nothing, |v| v.asked(now, &me));
-                self.keep();
-                self.answered(now, voter, now, &answer);
+            if *voter == self.local.life.name {
+                let me = self.local.clone();
+                let answer = self.voter.as_mut().map_or(LeaseAnswer::Silence, |v| v.asked(now, &me));
+                self.store_marks();
+                self.handle_lease_answer(now, voter, now, &answer);
             } else {
-                self.say(voter, &Said::Ask(now));
+                self.send_message(voter, &Message::LeaseRequest(now));
             }
         }
     }
 
-    pub(super) fn answered(&mut self, now: Micros, voter: &str, asked: Micros, answer: &Answer) {
+    pub(super) fn handle_lease_answer(
+        &mut self,
+        now: Micros,
+        voter: &str,
+        asked: Micros,
+        answer: &LeaseAnswer,
+    ) {
         match answer {
-            Answer::Granted => {
-                let asked = if self.plant == Plant::LeaseFromReceipt { now } else { asked };
-                self.tenure.granted(voter, asked, self.spans.held());
+            LeaseAnswer::Granted => {
+                let asked = if self.fault == InjectedFault::LeaseFromReceipt { now } else { asked };
+                self.lease.granted(voter, asked, self.lease_times.held());
             }
-            Answer::Ended(through) if *through >= self.me.term => self.ended = true,
-            Answer::Ended(_) | Answer::Nothing => {}
+            LeaseAnswer::Fenced(through) if *through >= self.local.term => self.fenced = true,
+            LeaseAnswer::Fenced(_) | LeaseAnswer::Silence => {}
         }
     }
 
     /// This term is over, as the voters have it: whatever was in hand is another's, and a new term begins with nothing.
-    pub(super) fn next_term(&mut self, now: Micros) {
-        let others: BTreeSet<String> = self.refs.keys().map(|a| a.life.name.clone()).collect();
-        let had: Vec<StatementKey> = self.entries.keys().cloned().collect();
-        self.me.term += 1;
+    pub(super) fn begin_next_term(&mut self, now: Micros) {
+        let others: BTreeSet<String> =
+            self.statements_by_participant.keys().map(|a| a.life.name.clone()).collect();
+        let had: Vec<StatementKey> = self.statements.keys().cloned().collect();
+        self.local.term += 1;
         self.declined.clear();
         self.peers.clear();
-        self.waiting.clear();
+        self.awaiting_replicas.clear();
         for key in had {
-            let Some(entry) = self.entries.get(&key) else { continue };
+            let Some(entry) = self.statements.get(&key) else { continue };
             let held = entry.held().filter(|h| h.adopting.is_none());
             let alone = held.is_some_and(|h| h.guards.iter().all(|g| g.acked == 0));
             if held.is_some_and(|h| !h.giving) {
-                self.effects.push_back(Effect::Dropped(key.clone()));
+                self.effects.push_back(Effect::Relinquished(key.clone()));
             }
-            if alone && now < self.tenure.held_at + BACK {
-                self.give_back(now, &key);
+            if alone && now < self.lease.held_at + BACK {
+                self.return_statement(now, &key);
                 continue;
             }
             let others = entry.behind().map(|i| entry.links[i].actor.life.clone()).collect();
-            self.forget(&key);
-            self.remember(key, Past::Moved(self.me.term - 1, others));
+            self.remove_statement(&key);
+            self.add_tombstone(key, Tombstone::Moved(self.local.term - 1, others));
         }
-        self.ended = false;
-        self.tenure = Tenure::new(now, self.quorum());
-        self.renew = now;
-        others.iter().for_each(|name| self.say(name, &Said::Me));
-        let term = self.me.term;
+        self.fenced = false;
+        self.lease = Lease::new(now, self.quorum());
+        self.renew_at = now;
+        others.iter().for_each(|name| self.send_message(name, &Message::TermAnnouncement));
+        let term = self.local.term;
         self.effects
             .push_back(Effect::Log(format!("ended by the voters: term {term} begins with nothing in hand")));
     }
 
     /// Nothing is held any more: whoever counts on this one as a guardian hears that its term is over.
-    pub(super) fn leave(&mut self, now: Micros) {
-        self.left = true;
-        self.next_term(now);
+    pub(super) fn complete_hand_over(&mut self, now: Micros) {
+        self.handed_over = true;
+        self.begin_next_term(now);
     }
 }
--- a/crates/custody/src/lib.rs
+++ b/crates/custody/src/lib.rs
@@ -16,26 +16,31 @@
 mod tenure;
 mod wire;
 
-pub use custodian::{Custodian, Effect, Leave, Member, Plant, State, Terms, Whereabouts};
-pub use wire::Spoilt;
+pub use custodian::{
+    Effect, InjectedFault, Member, MemberState, Permission, Settings, TakeoverNode, Whereabouts,
+};
+pub use wire::StoredMarksError;
 
 /// A time in microseconds of a clock that never goes back.
 pub type Micros = u64;
 
 /// One process of a gateway.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Life {
+pub struct Incarnation {
     /// The gateway's name, the same after a restart.
     pub name: String,
     /// Which process of that name, drawn at its start.
     pub life: u64,
 }
 
+/// The former name of [`Incarnation`], as some callers still write it.
+pub type Life = Incarnation;
+
 /// A statement, wherever it is: the life that took it, and its number there, from 1.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StatementKey {
     /// Who took it.
-    pub taken_by: Life,
+    pub taken_by: Incarnation,
     /// Its number there.
     pub number: u64,
 }
--- a/crates/custody/src/sim.rs
+++ b/crates/custody/src/sim.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use crate::{
-    Custodian, Effect, Ending, Leave, Life, Member, Micros, Out, Plant, Record, Repeat, State, StatementKey,
-    Terms, Whereabouts,
+    Effect, Ending, Incarnation, InjectedFault, Member, MemberState, Micros, Out, Permission, Record, Repeat,
+    Settings, StatementKey, TakeoverNode, Whereabouts,
 };
 
 const MS: Micros = 1_000;
@@ -49,7 +49,7 @@
     /// Statements of a hundred that are unsafe to repeat.
     pub unsafe_ones: u64,
     /// A planted fault.
-    pub plant: Plant,
+    pub plant: InjectedFault,
 }
 
 impl Default for Case {
@@ -68,7 +68,7 @@
             most: 1_000,
             body: 300,
             unsafe_ones: 50,
-            plant: Plant::None,
+            plant: InjectedFault::None,
         }
     }
 }
@@ -190,7 +190,7 @@
 }
 
 struct Node {
-    custodian: Option<Custodian>,
+    custodian: Option<TakeoverNode>,
     life: u64,
     disk: Option<Vec<u8>>,
     writing: Option<Vec<u8>>,
@@ -198,7 +198,7 @@
     still: Micros,
     woken: Micros,
     /// The lives seen of each other, the newest last.
-    view: Vec<Vec<(u64, State)>>,
+    view: Vec<Vec<(u64, MemberState)>>,
     works: BTreeMap<StatementKey, Work>,
     acting: bool,
     taken: u64,
@@ -352,7 +352,7 @@
         self.counts.faults[4] += 1;
         let clock = self.clock(n);
         if let Some(custodian) = &mut self.nodes[n].custodian {
-            custodian.hand_over(clock);
+            custodian.start_hand_over(clock);
             self.nodes[n].leaving = true;
         }
         self.carry_out(n);
@@ -386,8 +386,8 @@
         self.events.push(Reverse((when.max(self.now), self.order, n, what)));
     }
 
-    fn life(&self, n: usize) -> Life {
-        Life { name: name(n), life: self.nodes[n].life }
+    fn life(&self, n: usize) -> Incarnation {
+        Incarnation { name: name(n), life: self.nodes[n].life }
     }
 
     fn fail(&mut self, why: String) {
@@ -396,7 +396,7 @@
 
     fn start(&mut self, n: usize) {
         self.nodes[n].life = draw(&mut self.dice);
-        let terms = Terms {
+        let terms = Settings {
             me: self.life(n),
             site: format!("s{}", n % self.case.sites.max(1)),
             voters: (0..self.case.voters).map(name).collect(),
@@ -411,7 +411,7 @@
         let node = &mut self.nodes[n];
         (node.taken, node.leaving, node.left, node.acting, node.still) = (0, false, false, false, 0);
         (node.writing, node.woken) = (None, Micros::MAX);
-        match Custodian::planted(terms, node.disk.as_deref(), now, self.case.plant) {
+        match TakeoverNode::with_injected_fault(terms, node.disk.as_deref(), now, self.case.plant) {
             Ok(custodian) => node.custodian = Some(custodian),
             Err(why) => return self.fail(format!("g{n} cannot start: {why}")),
         }
@@ -461,21 +461,21 @@
         let (life, left) = (other.life, other.left);
         let dead = other.custodian.is_none() || other.still > now || cut || lie;
         let state = if left {
-            State::Left
+            MemberState::Left
         } else if dead {
-            State::Dead
+            MemberState::Dead
         } else {
-            State::Alive
+            MemberState::Alive
         };
         let seen = &mut self.nodes[n].view[of];
-        if seen.last().is_none_or(|s| s.0 != life) && state != State::Dead {
-            seen.iter_mut().for_each(|s| s.1 = State::Dead);
+        if seen.last().is_none_or(|s| s.0 != life) && state != MemberState::Dead {
+            seen.iter_mut().for_each(|s| s.1 = MemberState::Dead);
             seen.push((life, state));
             if seen.len() > 3 {
                 seen.remove(0);
             }
         } else if let Some(last) = seen.last_mut() {
-            last.1 = if last.0 == life { state } else { State::Dead };
+            last.1 = if last.0 == life { state } else { MemberState::Dead };
         }
     }
 
@@ -484,29 +484,29 @@
         for (of, seen) in self.nodes[n].view.iter().enumerate() {
             let site = format!("s{}", of % self.case.sites.max(1));
             members.extend(seen.iter().map(|&(life, state)| Member {
-                life: Life { name: name(of), life },
+                life: Incarnation { name: name(of), life },
                 site: site.clone(),
                 state,
             }));
         }
         let now = self.clock(n);
         if let Some(custodian) = &mut self.nodes[n].custodian {
-            custodian.members(now, members);
+            custodian.update_members(now, members);
         }
         self.carry_out(n);
     }
 
     fn carry_out(&mut self, n: usize) {
-        while let Some(effect) = self.nodes[n].custodian.as_mut().and_then(Custodian::effect) {
+        while let Some(effect) = self.nodes[n].custodian.as_mut().and_then(TakeoverNode::next_effect) {
             match effect {
-                Effect::Keep(bytes) => {
+                Effect::StoreMarks(bytes) => {
                     // A process that is killed before that has not kept it.
                     let late = self.within(MS, 10 * MS);
                     let life = self.nodes[n].life;
                     self.at(late, n, What::Kept(life));
                     self.nodes[n].writing = Some(bytes);
                 }
-                Effect::Say(to, bytes) => {
+                Effect::SendDatagram(to, bytes) => {
                     if bytes.len() > crate::wire::DATAGRAM {
                         self.fail(format!("a datagram of {} octets", bytes.len()));
                     }
@@ -514,32 +514,32 @@
                     self.counts.sent[1] += bytes.len() as u64;
                     self.say(n, number(&to), bytes);
                 }
-                Effect::Send(to, bytes) => {
+                Effect::SendRecords(to, bytes) => {
                     self.counts.sent[2] += 1;
                     self.counts.sent[3] += bytes.len() as u64;
                     self.send(n, number(&to), bytes);
                 }
-                Effect::Go(key, attempts) => self.go(n, &key, attempts),
-                Effect::Tell(key) => {
+                Effect::StartAttempt(key, attempts) => self.go(n, &key, attempts),
+                Effect::ReportEnding(key) => {
                     if let Some(work) = self.nodes[n].works.get_mut(&key) {
                         if let Stage::Ends(ending) = work.stage.clone() {
                             work.stage = Stage::Over(Some(ending));
                         }
                     }
                 }
-                Effect::Adopt(record) => self.adopted(n, &record),
-                Effect::Dropped(key) => {
+                Effect::TakenOver(record) => self.adopted(n, &record),
+                Effect::Relinquished(key) => {
                     self.counts.done[2] += 1;
                     self.nodes[n].works.remove(&key);
                     self.unhold(&key, n);
                 }
-                Effect::Unprotected(_) | Effect::Log(_) => {}
+                Effect::Unreplicated(_) | Effect::Log(_) => {}
             }
         }
         let now = self.clock(n);
         let Some(custodian) = &self.nodes[n].custodian else { return };
         let due = custodian.next_wake().unwrap_or(Micros::MAX);
-        let (acting, gone) = (custodian.may_act(now), custodian.handed_over());
+        let (acting, gone) = (custodian.may_act(now), custodian.hand_over_complete());
         if due < Micros::MAX {
             // By the true clock, and a little late rather than early.
             let span = due.saturating_sub(now);
@@ -645,7 +645,7 @@
         let now = self.clock(n);
         let mut token = vec![n];
         if let Some(custodian) = &mut self.nodes[n].custodian {
-            token.extend(custodian.take(now, record).iter().map(|life| number(&life.name)));
+            token.extend(custodian.add_statement(now, record).iter().map(|life| number(&life.name)));
         }
         let work = Work { stage: Stage::Open, attempts: 0, deadline: wait, repeat, step: 0 };
         self.nodes[n].works.insert(key.clone(), work);
@@ -748,16 +748,16 @@
                 };
                 let clock = self.clock(n);
                 let Some(custodian) = &mut self.nodes[n].custodian else { return };
-                match custodian.intend(clock, key, attempts, out) {
-                    Leave::Go => self.go(n, key, attempts),
-                    Leave::Wait => {
+                match custodian.request_attempt(clock, key, attempts, out) {
+                    Permission::Granted => self.go(n, key, attempts),
+                    Permission::Pending => {
                         self.counts.done[3] += 1;
                         if let Some(work) = self.nodes[n].works.get_mut(key) {
                             work.stage = Stage::Waits(now);
                         }
                         self.step_in(n, key, (work.deadline - 300 * MS).saturating_sub(now));
                     }
-                    Leave::Never => self.step_in(n, key, 100 * MS),
+                    Permission::Denied => self.step_in(n, key, 100 * MS),
                 }
             }
             Stage::Ends(ending) => self.decide(n, key, ending),
@@ -769,13 +769,13 @@
     fn decide(&mut self, n: usize, key: &StatementKey, ending: Ending) {
         let clock = self.clock(n);
         let Some(custodian) = &mut self.nodes[n].custodian else { return };
-        let leave = custodian.decide(clock, key, ending.clone());
+        let leave = custodian.request_ending(clock, key, ending.clone());
         let Some(work) = self.nodes[n].works.get_mut(key) else { return };
         work.stage = match leave {
-            Leave::Go => Stage::Over(Some(ending)),
-            Leave::Wait | Leave::Never => Stage::Ends(ending),
+            Permission::Granted => Stage::Over(Some(ending)),
+            Permission::Pending | Permission::Denied => Stage::Ends(ending),
         };
-        if leave == Leave::Never {
+        if leave == Permission::Denied {
             self.step_in(n, key, 200 * MS);
         }
     }
@@ -828,7 +828,7 @@
         }
         let next = Some(format!("next of {attempt}"));
         let out = Out { number: attempt, engine: "e".into(), next, page: 1, sent: 0, within: 5 * SECOND };
-        custodian.note(clock, key, Some(out), 0);
+        custodian.record_progress(clock, key, Some(out), 0);
         if whole {
             let well =
                 self.statements.get(key).and_then(|s| s.attempts.iter().rev().find(|a| a.0 == attempt));
@@ -865,14 +865,14 @@
             let clock = self.clock(n);
             let custodian = self.nodes[n].custodian.as_ref();
             let may = custodian.is_some_and(|c| c.may_act(clock));
-            match custodian.map(|c| c.whereabouts(key)) {
+            match custodian.map(|c| c.locate(key)) {
                 Some(Whereabouts::At(life)) => (next, late) = (number(&life.name), 30 * MS),
                 // It passes the poll on to whoever lives, as far as it reaches them.
                 Some(Whereabouts::Unknown | Whereabouts::Over(_)) => {
                     let has = |o: &usize| {
                         let node = &self.nodes[*o];
                         let reached = !self.cut[n][*o] && !self.cut[*o][n] && node.still <= self.now;
-                        let place = node.custodian.as_ref().filter(|_| reached).map(|c| c.whereabouts(key));
+                        let place = node.custodian.as_ref().filter(|_| reached).map(|c| c.locate(key));
                         place == Some(Whereabouts::Here)
                     };
                     next = (0..self.nodes.len()).find(has).unwrap_or(other);
@@ -915,7 +915,7 @@
             self.counts.statements[1] += 1;
             let clock = self.clock(n);
             if let Some(custodian) = &mut self.nodes[n].custodian {
-                custodian.end(clock, key);
+                custodian.finish_statement(clock, key);
             }
             self.nodes[n].works.remove(key);
             self.unhold(key, n);
@@ -936,7 +936,7 @@
                 if kind == 0 {
                     let held = self.nodes.iter().flat_map(|o| o.custodian.as_ref());
                     let key = self.statements.iter().find(|(_, s)| s.holder == n && !s.got).map(|(k, _)| k);
-                    let guard = key.and_then(|key| held.map(|c| c.chain(key)).find(|c| c.len() > 1));
+                    let guard = key.and_then(|key| held.map(|c| c.replica_list(key)).find(|c| c.len() > 1));
                     if let Some(guard) = guard.map(|c| number(&c[1].name)) {
                         self.kill(guard);
                         self.at(span, guard, What::Start);
@@ -1029,12 +1029,12 @@
         match what {
             What::Comes(from, bytes) => {
                 if let Some(custodian) = &mut self.nodes[n].custodian {
-                    custodian.heard(clock, &from, &bytes);
+                    custodian.handle_message(clock, &from, &bytes);
                 }
             }
             What::Unsent(to) => {
                 if let Some(custodian) = &mut self.nodes[n].custodian {
-                    custodian.unsent(clock, &to);
+                    custodian.handle_send_failure(clock, &to);
                 }
             }
             // Another one has been asked for since.
@@ -1051,7 +1051,7 @@
                 let Node { custodian, disk, writing, .. } = &mut self.nodes[n];
                 if let Some(custodian) = custodian.as_mut().filter(|_| of == life) {
                     *disk = writing.take().or(disk.take());
-                    custodian.kept(clock);
+                    custodian.marks_stored(clock);
                 }
             }
             What::Step(of, key, step) => {
@@ -1143,7 +1143,7 @@
         for (key, statement) in &mut self.statements {
             // What is only offered may be refused: whoever knew more is gone.
             let has = |n: &Node| {
-                n.custodian.as_ref().is_some_and(|c| !c.chain(key).is_empty() && !c.gives_back(key))
+                n.custodian.as_ref().is_some_and(|c| !c.replica_list(key).is_empty() && !c.is_returning(key))
             };
             statement.living = !statement.got && self.nodes.iter().any(has);
         }
@@ -1162,8 +1162,8 @@
                     let work = self.nodes[n].works.get(key).map(|w| w.stage.clone());
                     format!(
                         "\n  g{n} {:?} {work:?} {:?}",
-                        c.map(|c| c.whereabouts(key)),
-                        c.map(|c| c.story(key))
+                        c.map(|c| c.locate(key)),
+                        c.map(|c| c.describe(key))
                     )
                 })
                 .collect();
--- a/crates/custody/src/tenure.rs
+++ b/crates/custody/src/tenure.rs
@@ -5,8 +5,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::wire::{self, Actor, Spoilt};
-use crate::{Life, Micros, Plant};
+use crate::wire::{self, Participant, StoredMarksError};
+use crate::{Incarnation, InjectedFault, Micros};
 
 /// Grants and marks that one voter remembers at once; further ones are not given.
 pub(crate) const REMEMBERED: usize = 4_096;
@@ -15,12 +15,12 @@
 
 /// Times that hold whatever the clocks do within the allowed drift.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Spans {
+pub(crate) struct LeaseTimes {
     pub lease: Micros,
     pub drift: u64,
 }
 
-impl Spans {
+impl LeaseTimes {
     fn part(&self, span: Micros, times: u64) -> Micros {
         let drift = u128::from(self.drift.min(250_000) * times);
         (u128::from(span) * drift).div_ceil(1_000_000) as Micros
@@ -50,19 +50,19 @@
 
 /// What a voter answers.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Answer {
+pub(crate) enum LeaseAnswer {
     Granted,
-    Ended(u32),
-    Nothing,
+    Fenced(u32),
+    Silence,
 }
 
 /// A voter's part.
 pub(crate) struct Voter {
-    spans: Spans,
+    spans: LeaseTimes,
     /// By name.
     grants: BTreeMap<String, Grant>,
     /// Through which term a life is ended, and since when.
-    marks: BTreeMap<Life, (u32, Micros)>,
+    marks: BTreeMap<Incarnation, (u32, Micros)>,
     silent_until: Micros,
     /// Something was kept before this start, or has been since.
     started: bool,
@@ -70,14 +70,14 @@
     writing: bool,
     first: bool,
     /// Marks that are not on disk yet, and who waits for which: by the writing that is under way, and by the next one.
-    open: [BTreeSet<Life>; 2],
-    waiting: [Vec<(String, Actor)>; 2],
+    open: [BTreeSet<Incarnation>; 2],
+    waiting: [Vec<(String, Participant)>; 2],
     /// It has nothing that it kept, and learns first what the others have.
-    empty: Option<Empty>,
+    empty: Option<Recovery>,
 }
 
 /// A voter that has kept nothing: it starts for the first time, or its disk is lost, and with it marks that count still.
-struct Empty {
+struct Recovery {
     voters: usize,
     /// Others that have nothing either, and others that have told their marks after the silence.
     too: BTreeSet<String>,
@@ -86,16 +86,16 @@
 
 impl Voter {
     pub fn new(
-        spans: Spans,
+        spans: LeaseTimes,
         ends: Option<&[u8]>,
         now: Micros,
         voters: usize,
-        plant: Plant,
-    ) -> Result<Voter, Spoilt> {
+        plant: InjectedFault,
+    ) -> Result<Voter, StoredMarksError> {
         let marks = ends.map_or(Ok(Vec::new()), |bytes| wire::kept(bytes, REMEMBERED))?;
-        let marks = if plant == Plant::MarkNotKept { Vec::new() } else { marks };
-        let silent = plant != Plant::NoSilence;
-        let empty = ends.is_none() && voters > 1 && plant != Plant::VotesWithoutMarks;
+        let marks = if plant == InjectedFault::MarksNotStored { Vec::new() } else { marks };
+        let silent = plant != InjectedFault::NoStartupSilence;
+        let empty = ends.is_none() && voters > 1 && plant != InjectedFault::VotesWithoutMarks;
         let silent = silent && (ends.is_some() || empty);
         Ok(Voter {
             spans,
@@ -108,7 +108,7 @@
             first: ends.is_none(),
             open: Default::default(),
             waiting: Default::default(),
-            empty: empty.then(|| Empty { voters, too: BTreeSet::new(), told: BTreeSet::new() }),
+            empty: empty.then(|| Recovery { voters, too: BTreeSet::new(), told: BTreeSet::new() }),
         })
     }
 
@@ -153,39 +153,42 @@
     }
 
     /// Whether a life in a term may act on what this voter grants from now on.
-    pub fn asked(&mut self, now: Micros, who: &Actor) -> Answer {
+    pub fn asked(&mut self, now: Micros, who: &Participant) -> LeaseAnswer {
         if let Some((through, _)) = self.marks.get(&who.life).filter(|m| m.0 >= who.term) {
-            return Answer::Ended(*through);
+            return LeaseAnswer::Fenced(*through);
         }
         if !self.started || self.is_empty() || now < self.silent_until {
-            return Answer::Nothing;
+            return LeaseAnswer::Silence;
         }
         let until = now + self.spans.granted();
-        let Actor { life: Life { name, life }, term } = who;
+        let Participant { life: Incarnation { name, life }, term } = who;
         if let Some(grant) = self.grants.get_mut(name) {
             // A later term says that the earlier one is over; of another life only the time tells that.
             let runs = grant.until > now && (grant.life != *life || grant.term > *term);
             if runs || (grant.life == *life && grant.term > *term) {
-                return Answer::Nothing;
+                return LeaseAnswer::Silence;
             }
             if grant.life != *life {
-                let before = Actor { life: Life { name: name.clone(), life: grant.life }, term: grant.term };
+                let before = Participant {
+                    life: Incarnation { name: name.clone(), life: grant.life },
+                    term: grant.term,
+                };
                 *grant = Grant { life: *life, term: *term, until };
                 self.mark(now, &before);
-                return Answer::Granted;
+                return LeaseAnswer::Granted;
             }
         } else if self.grants.len() >= REMEMBERED {
             self.grants.retain(|_, g| g.until > now);
             if self.grants.len() >= REMEMBERED {
-                return Answer::Nothing;
+                return LeaseAnswer::Silence;
             }
         }
         self.grants.insert(name.clone(), Grant { life: *life, term: *term, until });
-        Answer::Granted
+        LeaseAnswer::Granted
     }
 
     /// Marks a life as ended through a term. Gives whether there was room for it.
-    fn mark(&mut self, now: Micros, who: &Actor) -> bool {
+    fn mark(&mut self, now: Micros, who: &Participant) -> bool {
         let known = self.marks.get(&who.life);
         if known.is_some_and(|m| m.0 >= who.term) {
             return true;
@@ -204,7 +207,7 @@
 
     /// Somebody wants lives ended: gives those whose marks are on disk already, with what this voter's grant still runs; the
     /// others follow from [`Voter::kept`].
-    pub fn end(&mut self, now: Micros, from: &str, who: Vec<Actor>) -> Vec<(Actor, Micros)> {
+    pub fn end(&mut self, now: Micros, from: &str, who: Vec<Participant>) -> Vec<(Participant, Micros)> {
         let mut told = Vec::new();
         if self.is_empty() {
             return told;
@@ -224,7 +227,7 @@
         told
     }
 
-    fn left(&self, now: Micros, who: &Actor) -> Micros {
+    fn left(&self, now: Micros, who: &Participant) -> Micros {
         let grant = self.grants.get(&who.life.name).filter(|g| g.life == who.life.life && g.term <= who.term);
         grant.map_or(0, |g| g.until).max(self.silent_until).saturating_sub(now)
     }
@@ -241,7 +244,7 @@
     }
 
     /// What was to be kept is: who is told of which marks.
-    pub fn kept(&mut self, now: Micros) -> Vec<(String, Actor, Micros)> {
+    pub fn kept(&mut self, now: Micros) -> Vec<(String, Participant, Micros)> {
         (self.writing, self.started) = (false, true);
         self.open[0].clear();
         let waited = std::mem::take(&mut self.waiting[0]);
@@ -250,7 +253,7 @@
 }
 
 /// A holder's own tenure.
-pub(crate) struct Tenure {
+pub(crate) struct Lease {
     /// The newest question that each voter has granted.
     granted: BTreeMap<String, Micros>,
     quorum: usize,
@@ -259,9 +262,9 @@
     pub until: Micros,
 }
 
-impl Tenure {
-    pub fn new(now: Micros, quorum: usize) -> Tenure {
-        Tenure { granted: BTreeMap::new(), quorum, held_at: now, until: 0 }
+impl Lease {
+    pub fn new(now: Micros, quorum: usize) -> Lease {
+        Lease { granted: BTreeMap::new(), quorum, held_at: now, until: 0 }
     }
 
     /// A voter has granted what was asked at a time: whoever it is, a quorum's grants run from the latest time that a quorum
@@ -280,14 +283,14 @@
 /// A life that is to be ended: the marks that have come, by voter, each with when it came and the time at which its grant has run
 /// out. A quorum counts if its marks came within one lease: a voter that has lost its disk keeps still for longer.
 #[derive(Default)]
-pub(crate) struct EndAsk {
+pub(crate) struct FencingAttempt {
     marks: BTreeMap<String, (Micros, Micros)>,
     pub asked: Option<Micros>,
     /// From when on the life is surely over; set once a quorum has marked it.
     pub over: Option<Micros>,
 }
 
-impl EndAsk {
+impl FencingAttempt {
     pub fn marked(&mut self, voter: &str, now: Micros, at: Micros, quorum: usize, lease: Micros) {
         let over = self.marks.entry(voter.to_owned()).or_insert((now, at));
         *over = (now, at.min(over.1));
--- a/crates/custody/src/wire.rs
+++ b/crates/custody/src/wire.rs
@@ -8,7 +8,7 @@
 
 use sha2::{Digest, Sha256};
 
-use crate::{Ending, Life, Micros, Out, Record, Repeat, StatementKey};
+use crate::{Ending, Incarnation, Micros, Out, Record, Repeat, StatementKey};
 
 /// The format of sayings.
 pub(crate) const FORMAT: u8 = 1;
@@ -29,15 +29,15 @@
 
 /// A life in one of its terms: a life that was ended while its process runs goes on in the next one, with nothing in hand.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Actor {
-    pub life: Life,
+pub(crate) struct Participant {
+    pub life: Incarnation,
     pub term: u32,
 }
 
 /// A member of a chain.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Link {
-    pub actor: Actor,
+pub(crate) struct ReplicaEntry {
+    pub actor: Participant,
     /// It never acts for this statement (any more): surely over, given up, or declined.
     pub gone: bool,
     /// How long the chain was before: so many of its members have to know of this one before it is told.
@@ -46,67 +46,67 @@
 
 /// A record as it is sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Item {
+pub(crate) struct ReplicaRecord {
     pub record: Record,
     /// The body is in it.
     pub whole: bool,
-    pub links: Vec<Link>,
+    pub links: Vec<ReplicaEntry>,
 }
 
 /// Why a record was not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Why {
+pub(crate) enum RejectReason {
     /// No room: never for this statement.
-    Full,
+    NoRoom,
     /// Its body is not known here.
-    Bodiless,
+    MissingBody,
     /// The statement has ended.
     Ended,
     /// The sender has nothing to say about it any more.
-    Past,
+    Obsolete,
 }
 
 /// What one custodian says to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Said {
+pub(crate) enum Message {
     /// Please grant me a tenure; asked at that time of mine.
-    Ask(Micros),
+    LeaseRequest(Micros),
     /// Granted, as asked at that time of yours.
-    Grant(Micros),
+    LeaseGrant(Micros),
     /// Your terms up to this one are ended.
-    Ended(u32),
+    Fenced(u32),
     /// Please end those, for good.
-    End(Vec<Actor>),
+    FenceRequest(Vec<Participant>),
     /// Those are ended; what I had granted them runs for so long yet.
-    Marked(Vec<(Actor, Micros)>),
+    FenceMarks(Vec<(Participant, Micros)>),
     /// Records, and statements that have ended, for that life and term; the number counts such sendings.
-    Batch { to: (u64, u32), number: u64, records: Vec<Item>, ends: Vec<StatementKey> },
+    Batch { to: (u64, u32), number: u64, records: Vec<ReplicaRecord>, ends: Vec<StatementKey> },
     /// That sending is here, but for these records.
-    Ack { to: (u64, u32), number: u64, not: Vec<(u16, Why)> },
+    Acknowledgement { to: (u64, u32), number: u64, not: Vec<(u16, RejectReason)> },
     /// I am in the life and term that this saying names.
-    Me,
+    TermAnnouncement,
     /// Which term are you in?
-    Which,
+    TermQuery,
     /// I have kept nothing: which lives have you marked? Asked at that time of mine.
-    Tell(Micros),
+    MarksQuery(Micros),
     /// Those, as they are kept; empty: I have kept nothing either.
-    Known { asked: Micros, kept: Vec<u8> },
+    StoredMarks { asked: Micros, kept: Vec<u8> },
 }
 
 /// Why octets are not taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Unread {
+pub(crate) enum DecodeError {
     /// They do not fit.
-    Bad,
+    Malformed,
     /// They have another format.
-    Format(u8),
+    UnknownFormat(u8),
     /// Their sender reads another format.
-    Reads(u8),
+    PeerFormat(u8),
 }
 
 /// What a voter had kept is not what it kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Spoilt {
+pub enum StoredMarksError {
     /// It is no file of custody's.
     Foreign,
     /// It has a format that this program does not know.
@@ -115,19 +115,19 @@
     Damaged,
 }
 
-impl fmt::Display for Spoilt {
+impl fmt::Display for StoredMarksError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Spoilt::Foreign => write!(f, "what is kept is no list of ended lives"),
-            Spoilt::Format(n) => {
+            StoredMarksError::Foreign => write!(f, "what is kept is no list of ended lives"),
+            StoredMarksError::Format(n) => {
                 write!(f, "the list of ended lives has format {n}, this program knows {KEPT_FORMAT}")
             }
-            Spoilt::Damaged => write!(f, "the list of ended lives is damaged"),
+            StoredMarksError::Damaged => write!(f, "the list of ended lives is damaged"),
         }
     }
 }
 
-impl std::error::Error for Spoilt {}
+impl std::error::Error for StoredMarksError {}
 
 struct W(Vec<u8>);
 
@@ -156,12 +156,12 @@
         self.0.extend_from_slice(text.as_bytes());
     }
 
-    fn life(&mut self, life: &Life) {
+    fn life(&mut self, life: &Incarnation) {
         self.text(&life.name);
         self.u64(life.life);
     }
 
-    fn actor(&mut self, actor: &Actor) {
+    fn actor(&mut self, actor: &Participant) {
         self.life(&actor.life);
         self.u32(actor.term);
     }
@@ -171,7 +171,7 @@
         self.u64(key.number);
     }
 
-    fn item(&mut self, item: &Item) {
+    fn item(&mut self, item: &ReplicaRecord) {
         let r = &item.record;
         self.key(&r.key);
         self.u64(r.version);
@@ -217,49 +217,49 @@
 struct R<'a>(&'a [u8]);
 
 impl<'a> R<'a> {
-    fn take(&mut self, n: usize) -> Result<&'a [u8], Unread> {
-        let (taken, rest) = self.0.split_at_checked(n).ok_or(Unread::Bad)?;
+    fn take(&mut self, n: usize) -> Result<&'a [u8], DecodeError> {
+        let (taken, rest) = self.0.split_at_checked(n).ok_or(DecodeError::Malformed)?;
         self.0 = rest;
         Ok(taken)
     }
 
-    fn array<const N: usize>(&mut self) -> Result<[u8; N], Unread> {
-        self.take(N)?.try_into().map_err(|_| Unread::Bad)
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], DecodeError> {
+        self.take(N)?.try_into().map_err(|_| DecodeError::Malformed)
     }
 
-    fn u8(&mut self) -> Result<u8, Unread> {
+    fn u8(&mut self) -> Result<u8, DecodeError> {
         Ok(self.array::<1>()?[0])
     }
 
-    fn u16(&mut self) -> Result<u16, Unread> {
+    fn u16(&mut self) -> Result<u16, DecodeError> {
         self.array().map(u16::from_be_bytes)
     }
 
-    fn u32(&mut self) -> Result<u32, Unread> {
+    fn u32(&mut self) -> Result<u32, DecodeError> {
         self.array().map(u32::from_be_bytes)
     }
 
-    fn u64(&mut self) -> Result<u64, Unread> {
+    fn u64(&mut self) -> Result<u64, DecodeError> {
         self.array().map(u64::from_be_bytes)
     }
 
-    fn text(&mut self, most: usize) -> Result<String, Unread> {
+    fn text(&mut self, most: usize) -> Result<String, DecodeError> {
         let n = usize::from(self.u16()?);
         if n > most {
-            return Err(Unread::Bad);
+            return Err(DecodeError::Malformed);
         }
-        String::from_utf8(self.take(n)?.to_vec()).map_err(|_| Unread::Bad)
+        String::from_utf8(self.take(n)?.to_vec()).map_err(|_| DecodeError::Malformed)
     }
 
-    fn life(&mut self) -> Result<Life, Unread> {
-        Ok(Life { name: self.text(NAME)?, life: self.u64()? })
+    fn life(&mut self) -> Result<Incarnation, DecodeError> {
+        Ok(Incarnation { name: self.text(NAME)?, life: self.u64()? })
     }
 
-    fn actor(&mut self) -> Result<Actor, Unread> {
-        Ok(Actor { life: self.life()?, term: self.u32()? })
+    fn actor(&mut self) -> Result<Participant, DecodeError> {
+        Ok(Participant { life: self.life()?, term: self.u32()? })
     }
 
-    fn key(&mut self) -> Result<StatementKey, Unread> {
+    fn key(&mut self) -> Result<StatementKey, DecodeError> {
         Ok(StatementKey { taken_by: self.life()?, number: self.u64()? })
     }
 
@@ -267,31 +267,31 @@
         &mut self,
         n: usize,
         most: usize,
-        mut one: impl FnMut(&mut Self) -> Result<T, Unread>,
-    ) -> Result<Vec<T>, Unread> {
+        mut one: impl FnMut(&mut Self) -> Result<T, DecodeError>,
+    ) -> Result<Vec<T>, DecodeError> {
         if n > most {
-            return Err(Unread::Bad);
+            return Err(DecodeError::Malformed);
         }
         (0..n).map(|_| one(self)).collect()
     }
 
-    fn out(&mut self) -> Result<Out, Unread> {
+    fn out(&mut self) -> Result<Out, DecodeError> {
         let (number, engine) = (self.u32()?, self.text(usize::from(u16::MAX))?);
         let next = if self.flag()? { Some(self.text(usize::from(u16::MAX))?) } else { None };
         Ok(Out { number, engine, next, page: self.u64()?, sent: self.u64()?, within: self.u64()? })
     }
 
-    fn flag(&mut self) -> Result<bool, Unread> {
+    fn flag(&mut self) -> Result<bool, DecodeError> {
         match self.u8()? {
             n @ 0..=1 => Ok(n == 1),
-            _ => Err(Unread::Bad),
+            _ => Err(DecodeError::Malformed),
         }
     }
 
-    fn item(&mut self) -> Result<Item, Unread> {
+    fn item(&mut self) -> Result<ReplicaRecord, DecodeError> {
         let (key, version, flags) = (self.key()?, self.u64()?, self.u8()?);
         if flags > 3 {
-            return Err(Unread::Bad);
+            return Err(DecodeError::Malformed);
         }
         let whole = flags & 2 != 0;
         let mut body = Vec::new();
@@ -307,60 +307,60 @@
             1 => Some(Ending::Cancelled),
             2 => Some(Ending::Refused(self.text(most)?)),
             3 => Some(Ending::Failed(self.text(most)?)),
-            _ => return Err(Unread::Bad),
+            _ => return Err(DecodeError::Malformed),
         };
         let n = usize::from(self.u8()?);
         let links =
-            self.many(n, CHAIN, |r| Ok(Link { actor: r.actor()?, gone: r.flag()?, after: r.u8()? }))?;
+            self.many(n, CHAIN, |r| Ok(ReplicaEntry { actor: r.actor()?, gone: r.flag()?, after: r.u8()? }))?;
         // Whoever is told after more than stand before it would never be told.
         if links.iter().enumerate().any(|(at, link)| usize::from(link.after) > at) {
-            return Err(Unread::Bad);
+            return Err(DecodeError::Malformed);
         }
         let repeat = if flags & 1 == 0 { Repeat::Harmless } else { Repeat::Unsafe };
         let record = Record { key, version, body, repeat, left, attempts, out, passed, ending };
-        Ok(Item { record, whole, links })
+        Ok(ReplicaRecord { record, whole, links })
     }
 }
 
-impl Said {
+impl Message {
     /// In octets, as said by a life in a term.
     pub fn write(&self, life: u64, term: u32) -> Vec<u8> {
         let kind = match self {
-            Said::Ask(_) => 1,
-            Said::Grant(_) => 2,
-            Said::Ended(_) => 3,
-            Said::End(_) => 4,
-            Said::Marked(_) => 5,
-            Said::Batch { .. } => 6,
-            Said::Ack { .. } => 7,
-            Said::Me => 8,
-            Said::Which => 9,
-            Said::Tell(_) => 10,
-            Said::Known { .. } => 11,
+            Message::LeaseRequest(_) => 1,
+            Message::LeaseGrant(_) => 2,
+            Message::Fenced(_) => 3,
+            Message::FenceRequest(_) => 4,
+            Message::FenceMarks(_) => 5,
+            Message::Batch { .. } => 6,
+            Message::Acknowledgement { .. } => 7,
+            Message::TermAnnouncement => 8,
+            Message::TermQuery => 9,
+            Message::MarksQuery(_) => 10,
+            Message::StoredMarks { .. } => 11,
         };
         let mut w = W(vec![FORMAT, kind]);
         w.u64(life);
         w.u32(term);
         match self {
-            Said::Ask(at) | Said::Grant(at) | Said::Tell(at) => w.u64(*at),
-            Said::Known { asked, kept } => {
+            Message::LeaseRequest(at) | Message::LeaseGrant(at) | Message::MarksQuery(at) => w.u64(*at),
+            Message::StoredMarks { asked, kept } => {
                 w.u64(*asked);
                 w.u32(kept.len() as u32);
                 w.0.extend_from_slice(kept);
             }
-            Said::Ended(through) => w.u32(*through),
-            Said::End(actors) => {
+            Message::Fenced(through) => w.u32(*through),
+            Message::FenceRequest(actors) => {
                 w.u16(actors.len() as u16);
                 actors.iter().for_each(|a| w.actor(a));
             }
-            Said::Marked(marks) => {
+            Message::FenceMarks(marks) => {
                 w.u16(marks.len() as u16);
                 for (actor, left) in marks {
                     w.actor(actor);
                     w.u64(*left);
                 }
             }
-            Said::Batch { to, number, records, ends } => {
+            Message::Batch { to, number, records, ends } => {
                 w.u64(to.0);
                 w.u32(to.1);
                 w.u64(*number);
@@ -369,7 +369,7 @@
                 w.u16(ends.len() as u16);
                 ends.iter().for_each(|key| w.key(key));
             }
-            Said::Ack { to, number, not } => {
+            Message::Acknowledgement { to, number, not } => {
                 w.u64(to.0);
                 w.u32(to.1);
                 w.u64(*number);
@@ -379,63 +379,68 @@
                     w.u8(*why as u8);
                 }
             }
-            Said::Me | Said::Which => {}
+            Message::TermAnnouncement | Message::TermQuery => {}
         }
         w.0
     }
 
     /// Reads one: the sender's life and term, and what it says.
-    pub fn read(bytes: &[u8]) -> Result<(u64, u32, Said), Unread> {
+    pub fn read(bytes: &[u8]) -> Result<(u64, u32, Message), DecodeError> {
         let mut r = R(bytes);
         let (format, kind) = (r.u8()?, r.u8()?);
         match kind {
-            OTHER => return Err(Unread::Reads(format)),
-            _ if format != FORMAT => return Err(Unread::Format(format)),
+            OTHER => return Err(DecodeError::PeerFormat(format)),
+            _ if format != FORMAT => return Err(DecodeError::UnknownFormat(format)),
             _ => {}
         }
         let (life, term) = (r.u64()?, r.u32()?);
         let said = match kind {
-            1 => Said::Ask(r.u64()?),
-            2 => Said::Grant(r.u64()?),
-            3 => Said::Ended(r.u32()?),
+            1 => Message::LeaseRequest(r.u64()?),
+            2 => Message::LeaseGrant(r.u64()?),
+            3 => Message::Fenced(r.u32()?),
             4 => {
                 let n = usize::from(r.u16()?);
-                Said::End(r.many(n, ITEMS, R::actor)?)
+                Message::FenceRequest(r.many(n, ITEMS, R::actor)?)
             }
             5 => {
                 let n = usize::from(r.u16()?);
-                Said::Marked(r.many(n, ITEMS, |r| Ok((r.actor()?, r.u64()?)))?)
+                Message::FenceMarks(r.many(n, ITEMS, |r| Ok((r.actor()?, r.u64()?)))?)
             }
             6 => {
                 let (to, number) = ((r.u64()?, r.u32()?), r.u64()?);
                 let n = usize::from(r.u16()?);
                 let records = r.many(n, ITEMS, R::item)?;
                 let n = usize::from(r.u16()?);
-                Said::Batch { to, number, records, ends: r.many(n, ITEMS, R::key)? }
+                Message::Batch { to, number, records, ends: r.many(n, ITEMS, R::key)? }
             }
             7 => {
                 let (to, number) = ((r.u64()?, r.u32()?), r.u64()?);
                 let n = usize::from(r.u16()?);
                 let not = r.many(n, ITEMS, |r| {
                     let at = r.u16()?;
-                    let whys = [Why::Full, Why::Bodiless, Why::Ended, Why::Past];
-                    Ok((at, *whys.get(usize::from(r.u8()?)).ok_or(Unread::Bad)?))
+                    let whys = [
+                        RejectReason::NoRoom,
+                        RejectReason::MissingBody,
+                        RejectReason::Ended,
+                        RejectReason::Obsolete,
+                    ];
+                    Ok((at, *whys.get(usize::from(r.u8()?)).ok_or(DecodeError::Malformed)?))
                 })?;
-                Said::Ack { to, number, not }
+                Message::Acknowledgement { to, number, not }
             }
-            8 => Said::Me,
-            9 => Said::Which,
-            10 => Said::Tell(r.u64()?),
+            8 => Message::TermAnnouncement,
+            9 => Message::TermQuery,
+            10 => Message::MarksQuery(r.u64()?),
             11 => {
                 let (asked, n) = (r.u64()?, r.u32()? as usize);
-                Said::Known { asked, kept: r.take(n)?.to_vec() }
+                Message::StoredMarks { asked, kept: r.take(n)?.to_vec() }
             }
-            _ => return Err(Unread::Bad),
+            _ => return Err(DecodeError::Malformed),
         };
         if r.0.is_empty() {
             Ok((life, term, said))
         } else {
-            Err(Unread::Bad)
+            Err(DecodeError::Malformed)
         }
     }
 }
@@ -446,7 +451,7 @@
 }
 
 /// Splits what names actors into parts that fit a datagram each.
-pub(crate) fn parts<T>(all: Vec<T>, name: impl Fn(&T) -> &Actor) -> Vec<Vec<T>> {
+pub(crate) fn parts<T>(all: Vec<T>, name: impl Fn(&T) -> &Participant) -> Vec<Vec<T>> {
     let mut parts: Vec<Vec<T>> = Vec::new();
     let mut room = 0;
     for one in all {
@@ -464,7 +469,7 @@
 }
 
 /// What a voter keeps.
-pub(crate) fn keep<'a>(marks: impl Iterator<Item = (&'a Life, u32)>) -> Vec<u8> {
+pub(crate) fn keep<'a>(marks: impl Iterator<Item = (&'a Incarnation, u32)>) -> Vec<u8> {
     let mut w = W([&MAGIC[..], &[KEPT_FORMAT]].concat());
     let marks: Vec<_> = marks.collect();
     w.u32(marks.len() as u32);
@@ -478,14 +483,14 @@
 }
 
 /// What a voter had kept.
-pub(crate) fn kept(bytes: &[u8], most: usize) -> Result<Vec<(Life, u32)>, Spoilt> {
+pub(crate) fn kept(bytes: &[u8], most: usize) -> Result<Vec<(Incarnation, u32)>, StoredMarksError> {
     if !bytes.starts_with(MAGIC) {
-        return Err(if bytes.is_empty() { Spoilt::Damaged } else { Spoilt::Foreign });
+        return Err(if bytes.is_empty() { StoredMarksError::Damaged } else { StoredMarksError::Foreign });
     }
     // The sum comes first: a turned bit of the format is no other format.
-    let (text, sum) = bytes.split_last_chunk::<32>().ok_or(Spoilt::Damaged)?;
+    let (text, sum) = bytes.split_last_chunk::<32>().ok_or(StoredMarksError::Damaged)?;
     if Sha256::digest(text)[..] != sum[..] {
-        return Err(Spoilt::Damaged);
+        return Err(StoredMarksError::Damaged);
     }
     let mut r = R(&text[MAGIC.len()..]);
     let read = |r: &mut R<'_>| {
@@ -493,9 +498,9 @@
         r.many(n, most, |r| Ok((r.life()?, r.u32()?)))
     };
     match r.u8() {
-        Ok(KEPT_FORMAT) => read(&mut r).ok().filter(|_| r.0.is_empty()).ok_or(Spoilt::Damaged),
-        Ok(other) => Err(Spoilt::Format(other)),
-        Err(_) => Err(Spoilt::Damaged),
+        Ok(KEPT_FORMAT) => read(&mut r).ok().filter(|_| r.0.is_empty()).ok_or(StoredMarksError::Damaged),
+        Ok(other) => Err(StoredMarksError::Format(other)),
+        Err(_) => Err(StoredMarksError::Damaged),
     }
 }
 
--- a/crates/custody/tests/histories.rs
+++ b/crates/custody/tests/histories.rs
@@ -1,7 +1,7 @@
 //! Drawn histories of small fleets, and the faults planted into them.
 
 use violetward_custody::sim::{play, Case, Counts, Fleet};
-use violetward_custody::Plant;
+use violetward_custody::InjectedFault;
 
 fn histories(case: &Case, seeds: std::ops::Range<u64>) -> Counts {
     let mut all = Counts::default();
@@ -19,23 +19,23 @@
 }
 
 /// Whether a planted fault is found within some histories.
-fn found(plant: Plant, case: &Case, within: u64) -> bool {
+fn found(plant: InjectedFault, case: &Case, within: u64) -> bool {
     (0..within).any(|seed| play(&Case { plant, ..case.clone() }, seed).is_err())
 }
 
 #[test]
 fn an_attempt_that_does_not_wait_for_its_intent_is_found() {
-    assert!(found(Plant::IntentNotAwaited, &Case::default(), 300));
+    assert!(found(InjectedFault::IntentNotAwaited, &Case::default(), 300));
 }
 
 #[test]
 fn acting_without_a_tenure_is_found() {
-    assert!(found(Plant::ActsWithoutTenure, &Case::default(), 300));
+    assert!(found(InjectedFault::ActsWithoutLease, &Case::default(), 300));
 }
 
 #[test]
 fn half_of_the_voters_as_a_quorum_is_found() {
-    assert!(found(Plant::HalfIsQuorum, &Case::default(), 300));
+    assert!(found(InjectedFault::HalfIsQuorum, &Case::default(), 300));
 }
 
 #[test]
@@ -50,13 +50,13 @@
 #[test]
 fn each_other_planted_fault_is_found() {
     let plants = [
-        Plant::LeaseFromReceipt,
-        Plant::MarkNotKept,
-        Plant::NoSilence,
-        Plant::ChainForgotten,
-        Plant::ChainNotAwaited,
-        Plant::GrantNotWaitedOut,
-        Plant::VotesWithoutMarks,
+        InjectedFault::LeaseFromReceipt,
+        InjectedFault::MarksNotStored,
+        InjectedFault::NoStartupSilence,
+        InjectedFault::ReplicaListForgotten,
+        InjectedFault::ReplicaListNotAwaited,
+        InjectedFault::GrantNotWaitedOut,
+        InjectedFault::VotesWithoutMarks,
     ];
     for plant in plants {
         assert!(found(plant, &Case::default(), 300), "{plant:?}");
--- a/crates/gateway/src/custody.rs
+++ b/crates/gateway/src/custody.rs
@@ -14,7 +14,8 @@
 use hmac::Mac;
 use serde::{Deserialize, Serialize};
 use violetward_custody::{
-    Custodian, Effect, Leave, Life, Member, Out, Record, State, StatementKey, Terms, Whereabouts,
+    Effect, Life, Member, MemberState, Out, Permission, Record, Settings, StatementKey, TakeoverNode,
+    Whereabouts,
 };
 use violetward_net::Alarm;
 use violetward_statement::pages::Ending;
@@ -126,7 +127,7 @@
 
 /// Custody in a running gateway.
 pub struct Custody {
-    machine: RefCell<Custodian>,
+    machine: RefCell<TakeoverNode>,
     me: Life,
     terms: CustodyTerms,
     station: Rc<Station>,
@@ -206,12 +207,12 @@
     crate::asking::get(address, "/v1/custody").await
 }
 
-fn state(state: violetward_membership::State) -> State {
+fn state(state: violetward_membership::State) -> MemberState {
     match state {
-        violetward_membership::State::Alive => State::Alive,
-        violetward_membership::State::Suspect => State::Suspect,
-        violetward_membership::State::Dead => State::Dead,
-        violetward_membership::State::Left => State::Left,
+        violetward_membership::State::Alive => MemberState::Alive,
+        violetward_membership::State::Suspect => MemberState::Suspect,
+        violetward_membership::State::Dead => MemberState::Dead,
+        violetward_membership::State::Left => MemberState::Left,
     }
 }
 
@@ -246,7 +247,7 @@
         let mut store = Files::open(&terms.folder).map_err(|why| unusable(&why))?;
         let ends = store.get(KEPT).map_err(|why| unusable(&why))?.map(|kept| kept.bytes);
         let (me, site) = peers.me();
-        let known = Terms {
+        let known = Settings {
             me: me.clone(),
             site,
             voters: terms.voters.clone(),
@@ -257,7 +258,7 @@
             most: terms.most.0,
             most_octets: terms.most.1,
         };
-        let machine = Custodian::new(known, ends.as_deref(), host.now()).map_err(|why| unusable(&why))?;
+        let machine = TakeoverNode::new(known, ends.as_deref(), host.now()).map_err(|why| unusable(&why))?;
         tracing::info!(name = me.name, life = format!("{:016x}", me.life), "custody");
         let (keeps, kept) = async_channel::unbounded();
         let custody = Rc::new(Custody {
@@ -302,10 +303,10 @@
         *self.keys.borrow_mut() = keys;
     }
 
-    fn with<T>(&self, host: &Rc<Host>, act: impl FnOnce(&mut Custodian, u64) -> T) -> T {
+    fn with<T>(&self, host: &Rc<Host>, act: impl FnOnce(&mut TakeoverNode, u64) -> T) -> T {
         let result = act(&mut self.machine.borrow_mut(), host.now());
         loop {
-            let effect = self.machine.borrow_mut().effect();
+            let effect = self.machine.borrow_mut().next_effect();
             match effect {
                 Some(effect) => self.carry_out(host, effect),
                 None => break,
@@ -317,26 +318,26 @@
 
     fn carry_out(&self, host: &Rc<Host>, effect: Effect) {
         match effect {
-            Effect::Say(to, bytes) => {
+            Effect::SendDatagram(to, bytes) => {
                 let mut said = Vec::with_capacity(bytes.len() + 1);
                 said.push(SAID);
                 said.extend_from_slice(&bytes);
                 host.peers().iter().for_each(|peers| peers.say(host, &to, &said));
             }
-            Effect::Send(to, bytes) => self.send(host, to, bytes),
-            Effect::Keep(bytes) => drop(self.keeps.try_send(bytes)),
-            Effect::Go(key, attempts) => {
+            Effect::SendRecords(to, bytes) => self.send(host, to, bytes),
+            Effect::StoreMarks(bytes) => drop(self.keeps.try_send(bytes)),
+            Effect::StartAttempt(key, attempts) => {
                 let id = self.local(&key).map(|id| AttemptId(id, attempts.saturating_sub(1)));
                 let launch = id.and_then(|id| self.unpark(host, id));
                 launch.into_iter().for_each(|launch| host.launch(*launch));
             }
-            Effect::Tell(key) => {
+            Effect::ReportEnding(key) => {
                 if let Some(id) = self.local(&key) {
                     host.core(|core, now| core.decided(now, id));
                 }
             }
-            Effect::Adopt(record) => self.adopt(host, &record),
-            Effect::Dropped(key) => {
+            Effect::TakenOver(record) => self.adopt(host, &record),
+            Effect::Relinquished(key) => {
                 if let Some(id) = self.local(&key) {
                     tracing::info!(n = id.0, at = host.now(), "another gateway holds it");
                     self.gone(id);
@@ -344,7 +345,7 @@
                 }
                 self.changed.notify(usize::MAX);
             }
-            Effect::Unprotected(key) => {
+            Effect::Unreplicated(key) => {
                 self.unprotected.set(self.unprotected.get() + 1);
                 if let Some(id) = self.local(&key).filter(|_| self.terms.refuses) {
                     let why = "no other gateway could keep it";
@@ -372,7 +373,7 @@
                     number,
                     "what was taken over cannot be read: {why}"
                 );
-                self.with(host, |m, now| m.end(now, &key));
+                self.with(host, |m, now| m.finish_statement(now, &key));
             }
         }
         self.changed.notify(usize::MAX);
@@ -405,7 +406,7 @@
             passed: 0,
             ending: None,
         };
-        self.with(host, |m, now| m.take(now, record));
+        self.with(host, |m, now| m.add_statement(now, record));
     }
 
     /// How a new statement is taken now. A gateway that has just started waits for its first tenure, as long as that can take.
@@ -432,7 +433,7 @@
         let until = Instant::now() + self.rest();
         loop {
             let news = self.came.listen();
-            if self.machine.borrow().settled(host.now(), &key, since) {
+            if self.machine.borrow().is_safely_replicated(host.now(), &key, since) {
                 return true;
             }
             if Instant::now() >= until {
@@ -471,10 +472,10 @@
             let within = launch.until.saturating_sub(host.now());
             Out { number: attempt.1, engine: launch.engine.clone(), next: None, page: 0, sent: 0, within }
         };
-        match self.with(host, |m, now| m.intend(now, &key, attempt.1 + 1, out)) {
-            Leave::Go => self.unpark(host, attempt),
-            Leave::Wait => None,
-            Leave::Never => {
+        match self.with(host, |m, now| m.request_attempt(now, &key, attempt.1 + 1, out)) {
+            Permission::Granted => self.unpark(host, attempt),
+            Permission::Pending => None,
+            Permission::Denied => {
                 // Without a tenure nothing is begun; one comes back, or the statement goes to another gateway.
                 let host = host.clone();
                 host.clone().spawn(async move {
@@ -503,7 +504,7 @@
     pub(crate) fn noted(&self, host: &Rc<Host>, id: StatementId) {
         let Some(key) = self.key(id) else { return };
         if let Some((_, out, passed)) = host.look(|core| core.progress(id)) {
-            self.with(host, |m, now| m.note(now, &key, out, passed));
+            self.with(host, |m, now| m.record_progress(now, &key, out, passed));
         }
     }
 
@@ -512,25 +513,25 @@
         let Some(key) = self.key(id) else {
             return host.core(|core, now| core.decided(now, id));
         };
-        match self.with(host, |m, now| m.decide(now, &key, recorded(ending))) {
-            Leave::Go => host.core(|core, now| core.decided(now, id)),
-            Leave::Wait => {}
-            // It's another gateway's: that one is told by `Effect::Dropped`. Without a tenure it has to wait.
-            Leave::Never if matches!(self.find(&key).0, Whereabouts::Here) => {
+        match self.with(host, |m, now| m.request_ending(now, &key, recorded(ending))) {
+            Permission::Granted => host.core(|core, now| core.decided(now, id)),
+            Permission::Pending => {}
+            // It's another gateway's: that one is told by `Effect::Relinquished`. Without a tenure it has to wait.
+            Permission::Denied if matches!(self.find(&key).0, Whereabouts::Here) => {
                 let (host, ending) = (host.clone(), ending.clone());
                 host.clone().spawn(async move {
                     violetward_net::sleep(REST).await;
                     host.custody().iter().for_each(|custody| custody.decide(&host, id, &ending));
                 });
             }
-            Leave::Never => {}
+            Permission::Denied => {}
         }
     }
 
     /// Nobody needs to know of a statement any more.
     pub(crate) fn forget(&self, host: &Rc<Host>, id: StatementId) {
         if let Some(key) = self.key(id) {
-            self.with(host, |m, now| m.end(now, &key));
+            self.with(host, |m, now| m.finish_statement(now, &key));
         }
     }
 
@@ -557,7 +558,7 @@
     /// The part of a page's path that can't be guessed, for a statement that is protected.
     pub fn slug(&self, id: StatementId, public_id: &str, after: Option<u64>, due: u64) -> Option<String> {
         let key = self.key(id)?;
-        let mut chain = self.machine.borrow().links(&key);
+        let mut chain = self.machine.borrow().replica_list_with_terms(&key);
         if chain.is_empty() {
             chain.push((key.taken_by.clone(), 0));
         }
@@ -614,14 +615,14 @@
 
     /// Where a statement is, and under which number if it is here.
     pub fn find(&self, key: &StatementKey) -> (Whereabouts, Option<StatementId>) {
-        (self.machine.borrow().whereabouts(key), self.local(key))
+        (self.machine.borrow().locate(key), self.local(key))
     }
 
     // ---- Other gateways --------------------------------------------------------------------------------
 
     /// Something came from a member by datagram.
     pub fn heard(&self, host: &Rc<Host>, from: &str, bytes: &[u8]) {
-        self.with(host, |m, now| m.heard(now, from, bytes));
+        self.with(host, |m, now| m.handle_message(now, from, bytes));
         self.came.notify(usize::MAX);
     }
 
@@ -634,7 +635,7 @@
             state: state(seen.record.state),
         };
         let members = peers.seen().into_iter().map(of).collect();
-        self.with(host, |m, now| m.members(now, members));
+        self.with(host, |m, now| m.update_members(now, members));
     }
 
     async fn look(self: Rc<Self>, host: Rc<Host>) {
@@ -650,7 +651,7 @@
     async fn wake(self: Rc<Self>, host: Rc<Host>) {
         loop {
             self.alarm.wait(&host.clock, || self.machine.borrow().next_wake()).await;
-            self.with(&host, Custodian::wake);
+            self.with(&host, TakeoverNode::wake);
             future::yield_now().await;
         }
     }
@@ -677,7 +678,7 @@
                 violetward_net::sleep(Duration::from_secs(1)).await;
             }
             if kept.is_empty() {
-                self.with(&host, Custodian::kept);
+                self.with(&host, TakeoverNode::marks_stored);
             }
         }
     }
@@ -695,7 +696,7 @@
             drop(lines);
             host.clone().spawn(async move {
                 let custody = host.custody();
-                custody.iter().for_each(|c| c.with(&host, |m, now| m.unsent(now, &to)));
+                custody.iter().for_each(|c| c.with(&host, |m, now| m.handle_send_failure(now, &to)));
             });
         }
     }
@@ -802,9 +803,9 @@
         if token.key.taken_by == self.me || !peers.gone_for(&token.key.taken_by, now, settled) {
             return false;
         }
-        open.retain(|(life, term)| !self.machine.borrow().surely_over(life, *term));
+        open.retain(|(life, term)| !self.machine.borrow().is_fenced(life, *term));
         for (life, term) in &open {
-            self.with(host, |m, now| m.want_over(now, life, *term));
+            self.with(host, |m, now| m.request_fencing(now, life, *term));
         }
         open.is_empty() && (ended || now >= token.due)
     }
@@ -844,17 +845,17 @@
 
     /// Everything held goes to others; nothing is begun any more.
     pub fn hand_over(&self, host: &Rc<Host>) {
-        self.with(host, Custodian::hand_over);
+        self.with(host, TakeoverNode::start_hand_over);
     }
 
     /// Nothing is held here any more.
     pub fn handed_over(&self) -> bool {
-        self.machine.borrow().handed_over()
+        self.machine.borrow().hand_over_complete()
     }
 
     /// How it stands.
     pub fn standing(&self, host: &Rc<Host>) -> Standing {
-        let [held, guarded, octets, waiting] = self.machine.borrow().held();
+        let [held, guarded, octets, waiting] = self.machine.borrow().usage();
         let counts = host.look(|core| core.counts);
         Standing {
             name: self.me.name.clone(),
@@ -897,7 +898,7 @@
             None => false,
         };
         if !sent {
-            custody.with(&host, |m, now| m.unsent(now, &to));
+            custody.with(&host, |m, now| m.handle_send_failure(now, &to));
         }
     }
 }
