--- a/crates/custody/src/lib.rs
+++ b/crates/custody/src/lib.rs
@@ -11,14 +11,12 @@
 //! the shorter one that is not surely over has taken it. Who stands in the chain acts for the statement if its own tenure
 //! holds and every life before it in the chain is surely over.
 
-mod custodian;
+mod node;
 pub mod sim;
 mod tenure;
 mod wire;
 
-pub use custodian::{
-    Effect, InjectedFault, Member, MemberState, Permission, Settings, TakeoverNode, Whereabouts,
-};
+pub use node::{Effect, InjectedFault, Member, MemberState, Permission, Settings, TakeoverNode, Whereabouts};
 pub use wire::StoredMarksError;
 
 /// A time in microseconds of a clock that never goes back.
--- a/crates/custody/src/custodian.rs
+++ b/crates/custody/src/node.rs
@@ -1,21 +1,21 @@
 //! One gateway's part of custody: its tenure, its vote, the statements it holds and the records it keeps for others.
 
-mod entry;
 mod fencing;
 mod leases;
 mod membership;
 mod messages;
+mod ownership;
 mod receiving;
 mod retention;
 mod selection;
-mod statements;
+mod statement;
 mod status;
 mod takeover;
 mod transmission;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use self::entry::{Peer, Statement, Tombstone};
+use self::statement::{Peer, Statement, Tombstone};
 use crate::tenure::{FencingAttempt, Lease, LeaseTimes, Voter, ENDS_ALONE};
 use crate::wire::{Message, Participant, StoredMarksError, DATAGRAM};
 use crate::{Ending, Incarnation, Micros, Record, StatementKey};
--- a/crates/custody/src/custodian/fencing.rs
+++ b/crates/custody/src/node/fencing.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::entry::Peer;
+use super::statement::Peer;
 use super::{Effect, InjectedFault, TakeoverNode, MARKS_AGAIN, MS, PEERS};
 use crate::tenure::{FencingAttempt, Voter};
 use crate::wire::{self, Message, Participant, DATAGRAM};
--- a/crates/custody/src/custodian/leases.rs
+++ b/crates/custody/src/node/leases.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::entry::Tombstone;
+use super::statement::Tombstone;
 use super::{Effect, InjectedFault, TakeoverNode, BACK};
 use crate::tenure::{Lease, LeaseAnswer};
 use crate::wire::Message;
--- a/crates/custody/src/custodian/membership.rs
+++ b/crates/custody/src/node/membership.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use super::entry::Peer;
 use super::selection::hash;
+use super::statement::Peer;
 use super::{Member, MemberState, TakeoverNode, PEERS};
 use crate::wire::Participant;
 use crate::{Incarnation, Micros, StatementKey};
--- a/crates/custody/src/custodian/statements.rs
+++ b/crates/custody/src/node/ownership.rs
@@ -1,6 +1,6 @@
 //! What the gateway says of the statements that it holds.
 
-use super::entry::{Ownership, ReplicaProgress, Role, Statement, Tombstone};
+use super::statement::{Ownership, ReplicaProgress, Role, Statement, Tombstone};
 use super::{Effect, InjectedFault, Permission, TakeoverNode, COALESCED};
 use crate::wire::ReplicaEntry;
 use crate::{Ending, Incarnation, Micros, Out, Record, Repeat, StatementKey};
--- a/crates/custody/src/custodian/receiving.rs
+++ b/crates/custody/src/node/receiving.rs
@@ -1,6 +1,6 @@
 //! Records that come from other gateways, to be kept for them.
 
-use super::entry::{Role, Statement, Tombstone};
+use super::statement::{Role, Statement, Tombstone};
 use super::{InjectedFault, TakeoverNode, BACK, LINGER};
 use crate::wire::{Message, Participant, RejectReason, ReplicaEntry, ReplicaRecord};
 use crate::{Micros, Record, StatementKey};
--- a/crates/custody/src/custodian/retention.rs
+++ b/crates/custody/src/node/retention.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::entry::{Statement, Tombstone};
+use super::statement::{Statement, Tombstone};
 use super::{TakeoverNode, LINGER, MS, PEERS};
 use crate::wire::{Message, Participant};
 use crate::{Incarnation, Micros, StatementKey};
--- a/crates/custody/src/custodian/selection.rs
+++ b/crates/custody/src/node/selection.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::entry::{ReplicaProgress, Statement};
+use super::statement::{ReplicaProgress, Statement};
 use super::{TakeoverNode, MS};
 use crate::wire::{Participant, ReplicaEntry, BODY, CHAIN};
 use crate::{Incarnation, Micros, StatementKey};
--- a/crates/custody/src/custodian/status.rs
+++ b/crates/custody/src/node/status.rs
@@ -1,6 +1,6 @@
 //! What is known here of statements, for the gateway and for its operators.
 
-use super::entry::{Statement, Tombstone};
+use super::statement::{Statement, Tombstone};
 use super::{TakeoverNode, Whereabouts};
 use crate::wire::{Participant, ReplicaEntry};
 use crate::{Incarnation, StatementKey};
--- a/crates/custody/src/custodian/takeover.rs
+++ b/crates/custody/src/node/takeover.rs
@@ -1,6 +1,6 @@
 //! Takeover: who holds a statement after something has changed, and giving statements up.
 
-use super::entry::{Ownership, ReplicaProgress, Role, Statement, Tombstone};
+use super::statement::{Ownership, ReplicaProgress, Role, Statement, Tombstone};
 use super::{Effect, TakeoverNode, BACK, COALESCED, FORWARD, LINGER};
 use crate::wire::Participant;
 use crate::{Micros, StatementKey};
--- a/crates/custody/src/custodian/transmission.rs
+++ b/crates/custody/src/node/transmission.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::entry::{InFlightBatch, Peer, Role, Tombstone};
+use super::statement::{InFlightBatch, Peer, Role, Tombstone};
 use super::{Effect, InjectedFault, TakeoverNode, FLIGHTS, FORWARD, LOOKS, MS, PEERS};
 use crate::wire::{Message, Participant, RejectReason, BODY, ITEMS};
 use crate::{Micros, StatementKey};
