--- a/crates/custody/examples/fleet.rs
+++ b/crates/custody/examples/fleet.rs
@@ -1,4 +1,5 @@
-//! What custody costs: a fleet at rest and with statements, one gateway killed, and all of them restarted in turn.
+//! What custody costs: a fleet at rest and with statements, one gateway killed, and all of them restarted in
+//! turn.
 
 use std::time::Instant;
 
@@ -66,25 +67,26 @@
     println!("taken, ended, lost: {lost:?}");
 }
 
-/// Three custodians whose datagrams come at once: what a statement costs a holder and its guardians, in microseconds.
+/// Three custodians whose datagrams come at once: what a statement costs a holder and its guardians, in
+/// microseconds.
 fn microseconds(repeat: Repeat, count: u64) {
     let life = |n: usize| Incarnation { name: format!("g{n}"), life: n as u64 + 1 };
     let members: Vec<Member> = (0..300)
-        .map(|n| Member { life: life(n), site: format!("s{}", n % 3), state: MemberState::Alive })
+        .map(|n| Member { incarnation: life(n), site: format!("s{}", n % 3), state: MemberState::Alive })
         .collect();
     let mut now = SECOND;
     let mut all: Vec<TakeoverNode> = (0..300)
         .filter_map(|n| {
             let terms = Settings {
-                me: life(n),
+                incarnation: life(n),
                 site: format!("s{}", n % 3),
                 voters: (0..5).map(|v| format!("g{v}")).collect(),
                 lease: 3_600 * SECOND,
-                drift: 200,
-                check: 0,
-                copies: 2,
-                most: 10_000,
-                most_octets: 1 << 30,
+                drift_ppm: 200,
+                action_margin: 0,
+                replicas: 2,
+                max_replica_records: 10_000,
+                max_replica_bytes: 1 << 30,
             };
             TakeoverNode::new(terms, None, now).ok()
         })
--- a/crates/custody/examples/histories.rs
+++ b/crates/custody/examples/histories.rs
@@ -1,4 +1,5 @@
-//! Plays drawn histories and prints what happened: `histories [FROM [TO [PLANT]]]`. A planted fault is looked for until it is found.
+//! Plays drawn histories and prints what happened: `histories [FROM [TO [PLANT]]]`. A planted fault is looked
+//! for until it is found.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
--- a/crates/custody/src/node/leases.rs
+++ b/crates/custody/src/node/leases.rs
@@ -1,30 +1,67 @@
-//! Leases: asking the voters for one, whether it allows actions now, and the next term after it was lost.
+//! This gateway's lease: requests to the voters, whether it allows actions now, and the next term after it
+//! was fenced.
 
 use std::collections::BTreeSet;
 
-use super::statement::Tombstone;
-use super::{Effect, InjectedFault, TakeoverNode, BACK};
-use crate::tenure::{Lease, LeaseAnswer};
+use super::tombstones::Tombstone;
+use super::{Effect, InjectedFault, TakeoverNode, RETURN_WINDOW};
+use crate::lease::Lease;
+use crate::voter::{LeaseAnswer, TERM_ENDS_ALONE_AFTER};
 use crate::wire::Message;
 use crate::{Micros, StatementKey};
 
+/// Requests for a lease within its duration: while it allows actions, and while it does not.
+const RENEWALS_PER_LEASE: u64 = 3;
+const REQUESTS_PER_LEASE: u64 = 8;
+
 impl TakeoverNode {
-    /// Whether this gateway may start attempts and tell endings: its tenure holds for [`Settings::check`] more. To be asked just
-    /// before.
+    /// Whether this gateway may start attempts and report endings: its lease stays valid for
+    /// [`Settings::action_margin`] (see [`super::Settings`]). To be asked just before the action.
+    ///
+    /// [`Settings::action_margin`]: super::Settings::action_margin
     pub fn may_act(&self, now: Micros) -> bool {
-        now + self.settings.check < self.lease.until || self.fault == InjectedFault::ActsWithoutLease
+        let valid = now + self.settings.action_margin < self.lease.expires_at;
+        valid || self.fault == InjectedFault::ActsWithoutLease
+    }
+
+    /// Begins the next term if this one was fenced, or has held no lease for very long.
+    pub(super) fn check_lease(&mut self, now: Micros) {
+        let is_valid = now < self.lease.expires_at;
+        if is_valid {
+            self.lease.last_valid_at = now;
+        }
+        let is_abandoned = now > self.lease.last_valid_at + TERM_ENDS_ALONE_AFTER;
+        if !is_valid && (self.told_fenced || is_abandoned) && !self.handed_over {
+            self.begin_next_term(now);
+        }
+    }
+
+    pub(super) fn renew_lease(&mut self, now: Micros) {
+        if self.renew_at > now || self.handed_over {
+            return;
+        }
+        let requests = if self.may_act(now) { RENEWALS_PER_LEASE } else { REQUESTS_PER_LEASE };
+        self.renew_at = now + self.settings.lease / requests;
+        self.request_lease(now);
+    }
+
+    /// What waited for a lease is reviewed once there is one.
+    pub(super) fn update_lease_held(&mut self, now: Micros) {
+        let may_act = self.may_act(now);
+        if may_act && !self.lease_held {
+            self.to_review.extend(self.awaiting_replicas.iter().cloned());
+        }
+        self.lease_held = may_act;
     }
 
-    pub(super) fn request_lease(&mut self, now: Micros) {
-        let voters = self.settings.voters.clone();
-        for voter in &voters {
-            if *voter == self.local.life.name {
-                let me = self.local.clone();
-                let answer = self.voter.as_mut().map_or(LeaseAnswer::Silence, |v| v.asked(now, &me));
-                self.store_marks();
-                self.handle_lease_answer(now, voter, now, &answer);
+    fn request_lease(&mut self, now: Micros) {
+        for voter in self.settings.voters.clone() {
+            if voter == self.local.incarnation.name {
+                let local = self.local.clone();
+                let answer = self.vote_on_lease(now, &local);
+                self.handle_lease_answer(now, &voter, now, &answer);
             } else {
-                self.send_message(voter, &Message::LeaseRequest(now));
+                self.send_message(&voter, &Message::LeaseRequest(now));
             }
         }
     }
@@ -33,53 +70,56 @@
         &mut self,
         now: Micros,
         voter: &str,
-        asked: Micros,
+        requested_at: Micros,
         answer: &LeaseAnswer,
     ) {
         match answer {
             LeaseAnswer::Granted => {
-                let asked = if self.fault == InjectedFault::LeaseFromReceipt { now } else { asked };
-                self.lease.granted(voter, asked, self.lease_times.held());
+                let from_receipt = self.fault == InjectedFault::LeaseFromReceipt;
+                let counted_from = if from_receipt { now } else { requested_at };
+                self.lease.add_grant(voter, counted_from, self.lease_times.holder_span());
             }
-            LeaseAnswer::Fenced(through) if *through >= self.local.term => self.fenced = true,
+            LeaseAnswer::Fenced(through) if *through >= self.local.term => self.told_fenced = true,
             LeaseAnswer::Fenced(_) | LeaseAnswer::Silence => {}
         }
     }
 
-    /// This term is over, as the voters have it: whatever was in hand is another's, and a new term begins with nothing.
-    pub(super) fn begin_next_term(&mut self, now: Micros) {
+    /// This term is fenced: what it owned is another gateway's, and the next term begins with nothing.
+    fn begin_next_term(&mut self, now: Micros) {
         let others: BTreeSet<String> =
-            self.statements_by_participant.keys().map(|a| a.life.name.clone()).collect();
-        let had: Vec<StatementKey> = self.statements.keys().cloned().collect();
+            self.statements_by_participant.keys().map(|who| who.incarnation.name.clone()).collect();
+        let keys: Vec<StatementKey> = self.statements.keys().cloned().collect();
         self.local.term += 1;
         self.declined.clear();
         self.peers.clear();
         self.awaiting_replicas.clear();
-        for key in had {
-            let Some(entry) = self.statements.get(&key) else { continue };
-            let held = entry.held().filter(|h| h.adopting.is_none());
-            let alone = held.is_some_and(|h| h.guards.iter().all(|g| g.acked == 0));
-            if held.is_some_and(|h| !h.giving) {
-                self.effects.push_back(Effect::Relinquished(key.clone()));
-            }
-            if alone && now < self.lease.held_at + BACK {
-                self.return_statement(now, &key);
-                continue;
-            }
-            let others = entry.behind().map(|i| entry.links[i].actor.life.clone()).collect();
-            self.remove_statement(&key);
-            self.add_tombstone(key, Tombstone::Moved(self.local.term - 1, others));
-        }
-        self.fenced = false;
+        keys.into_iter().for_each(|key| self.drop_statement_of_last_term(now, key));
+        self.told_fenced = false;
         self.lease = Lease::new(now, self.quorum());
         self.renew_at = now;
         others.iter().for_each(|name| self.send_message(name, &Message::TermAnnouncement));
         let term = self.local.term;
-        self.effects
-            .push_back(Effect::Log(format!("ended by the voters: term {term} begins with nothing in hand")));
+        self.log(format!("fenced by the voters: term {term} begins with no statements"));
+    }
+
+    fn drop_statement_of_last_term(&mut self, now: Micros, key: StatementKey) {
+        let Some(statement) = self.statements.get(&key) else { return };
+        let owned = statement.ownership().filter(|ownership| ownership.pending_takeover.is_none());
+        let known_nowhere_else = owned
+            .is_some_and(|ownership| ownership.progress.iter().all(|progress| progress.acked_version == 0));
+        if owned.is_some_and(|ownership| !ownership.resigning) {
+            self.effects.push_back(Effect::Relinquished(key.clone()));
+        }
+        if known_nowhere_else && now < self.lease.last_valid_at + RETURN_WINDOW {
+            return self.return_statement(now, &key);
+        }
+        let replicas = statement.successor_incarnations();
+        self.remove_statement(&key);
+        let in_term = self.local.term - 1;
+        self.add_tombstone(key, Tombstone::Moved { in_term, replicas });
     }
 
-    /// Nothing is held any more: whoever counts on this one as a guardian hears that its term is over.
+    /// Nothing is owned any more: whoever counts on this gateway as a replica hears that its term is over.
     pub(super) fn complete_hand_over(&mut self, now: Micros) {
         self.handed_over = true;
         self.begin_next_term(now);
--- a/crates/custody/src/node/membership.rs
+++ b/crates/custody/src/node/membership.rs
@@ -1,84 +1,120 @@
-//! Which processes are known: beliefs of membership, newest terms, and processes of another format.
+//! Which processes are known: what membership believes of them, their newest terms, and which message format
+//! they support.
 
 use std::collections::BTreeSet;
 
-use super::selection::hash;
-use super::statement::Peer;
-use super::{Member, MemberState, TakeoverNode, PEERS};
+use super::selection::{hash_incarnation, Candidate};
+use super::{Member, MemberState, TakeoverNode, MAX_PEERS};
 use crate::wire::Participant;
 use crate::{Incarnation, Micros, StatementKey};
 
+/// What membership believes of one process.
+pub(super) struct MemberInfo {
+    state: MemberState,
+    site: String,
+}
+
 impl TakeoverNode {
     /// What membership believes, whenever it changes.
     pub fn update_members(&mut self, now: Micros, members: Vec<Member>) {
-        let lives = members.into_iter().map(|m| (m.life, (m.state, m.site))).collect();
-        let before = std::mem::replace(&mut self.members, lives);
-        // A process of the same name in the place of one that was listed: that one is gone. One that was never listed may be newer.
-        let names: BTreeSet<&String> = self.members.keys().map(|l| &l.name).collect();
-        for life in before.into_keys().filter(|l| !self.members.contains_key(l) && names.contains(&l.name)) {
-            self.unlisted_since.insert(life, now.saturating_sub(self.settings.lease));
+        let info =
+            |member: Member| (member.incarnation, MemberInfo { state: member.state, site: member.site });
+        let members = members.into_iter().map(info).collect();
+        let before = std::mem::replace(&mut self.members, members);
+        // A process that was listed before another one of its name is gone. One that was never listed may be
+        // newer.
+        let names: BTreeSet<&String> = self.members.keys().map(|incarnation| &incarnation.name).collect();
+        let replaced = |incarnation: &Incarnation| {
+            !self.members.contains_key(incarnation) && names.contains(&incarnation.name)
+        };
+        for incarnation in before.into_keys().filter(replaced) {
+            self.unlisted_since.insert(incarnation, now.saturating_sub(self.settings.lease));
         }
-        self.candidates = self
-            .members
-            .iter()
-            .filter(|(life, (state, _))| *state == MemberState::Alive && life.name != self.local.life.name)
-            .map(|(life, (_, site))| (*site == self.settings.site, hash(life), life.clone()))
-            .collect();
-        self.members.keys().for_each(|l| {
-            self.unlisted_since.remove(l);
-        });
+        self.update_candidates();
+        self.unlisted_since.retain(|incarnation, _| !self.members.contains_key(incarnation));
         self.update_fencing_attempts(now);
-        // Those that lack guardians may have some now; what is held by one that is gone is found through it.
-        let lacking =
-            self.statements.iter().filter(|(_, e)| self.needs_replicas(now, e)).map(|(k, _)| k.clone());
-        let lacking: Vec<StatementKey> = lacking.collect();
-        self.to_review.extend(lacking);
+        // Statements without enough replicas may get some now.
+        self.review_statements_without_replicas(now);
         self.advance(now);
     }
 
-    /// Whether membership has a process for gone.
-    pub(super) fn believed_gone(&self, now: Micros, life: &Incarnation) -> bool {
-        match self.members.get(life) {
-            Some((state, _)) => matches!(state, MemberState::Dead | MemberState::Left),
+    fn update_candidates(&mut self) {
+        let local = &self.local.incarnation.name;
+        let is_candidate = |(incarnation, info): &(&Incarnation, &MemberInfo)| {
+            info.state == MemberState::Alive && incarnation.name != *local
+        };
+        let candidate = |(incarnation, info): (&Incarnation, &MemberInfo)| Candidate {
+            same_site: info.site == self.settings.site,
+            hash: hash_incarnation(incarnation),
+            incarnation: incarnation.clone(),
+        };
+        self.candidates = self.members.iter().filter(is_candidate).map(candidate).collect();
+    }
+
+    /// Whether membership believes that a process is gone.
+    pub(super) fn is_believed_gone(&self, now: Micros, incarnation: &Incarnation) -> bool {
+        match self.members.get(incarnation) {
+            Some(info) => matches!(info.state, MemberState::Dead | MemberState::Left),
             // One that is not listed yet is not gone.
-            None => self.unlisted_since.get(life).is_some_and(|since| now >= *since + self.settings.lease),
+            None => {
+                let since = self.unlisted_since.get(incarnation);
+                since.is_some_and(|since| now >= *since + self.settings.lease)
+            }
         }
     }
 
-    /// A process says by its saying which term it is in: its earlier ones are over.
-    pub(super) fn learn_term(&mut self, life: &Incarnation, term: u32) -> bool {
-        if self.newest_terms.len() >= PEERS && !self.newest_terms.contains_key(life) {
-            let (lives, refs) = (&self.members, &self.statements_by_participant);
-            self.newest_terms.retain(|l, _| lives.contains_key(l) || refs.keys().any(|a| a.life == *l));
-            if self.newest_terms.len() >= PEERS {
-                return false;
-            }
+    /// A process has sent a message in a term, which proves its earlier ones to be over. Returns whether the
+    /// message may be used: it is not if it is of an earlier term, or there is no room to remember the
+    /// process.
+    pub(super) fn learn_term(&mut self, incarnation: &Incarnation, term: u32) -> bool {
+        if !self.has_room_for_term_of(incarnation) {
+            return false;
         }
-        let newest = self.newest_terms.entry(life.clone()).or_insert(term);
+        let newest = self.newest_terms.entry(incarnation.clone()).or_insert(term);
         if *newest > term {
             return false;
         }
-        if *newest < term || (term > 0 && !self.fenced_through.contains_key(life)) {
+        if *newest < term || (term > 0 && !self.fenced_through.contains_key(incarnation)) {
             *newest = term;
-            self.record_fenced(&Participant { life: life.clone(), term: term - 1 });
+            self.record_fenced(&Participant { incarnation: incarnation.clone(), term: term - 1 });
         }
         true
     }
 
-    /// A gateway's program reads another format: none of its processes that were told of is a guardian.
+    fn has_room_for_term_of(&mut self, incarnation: &Incarnation) -> bool {
+        if self.newest_terms.len() < MAX_PEERS || self.newest_terms.contains_key(incarnation) {
+            return true;
+        }
+        let (members, referenced) = (&self.members, &self.statements_by_participant);
+        let is_needed = |known: &Incarnation| {
+            members.contains_key(known) || referenced.keys().any(|who| who.incarnation == *known)
+        };
+        self.newest_terms.retain(|known, _| is_needed(known));
+        self.newest_terms.len() < MAX_PEERS
+    }
+
+    /// The newest term of a process that was heard of, or a later one that is given.
+    pub(super) fn participant_in_newest_term(&self, incarnation: &Incarnation, term: u32) -> Participant {
+        let newest = self.newest_terms.get(incarnation).copied().unwrap_or(0);
+        Participant { incarnation: incarnation.clone(), term: term.max(newest) }
+    }
+
+    /// A gateway's program supports another message format only: none of its known processes is a replica.
     pub(super) fn exclude_incompatible_gateway(&mut self, now: Micros, name: &str) {
-        let lives: Vec<Incarnation> = self.members.keys().filter(|l| l.name == name).cloned().collect();
-        self.incompatible.extend(lives);
-        let of: Vec<(Participant, BTreeSet<StatementKey>)> = self
+        let listed: Vec<Incarnation> =
+            self.members.keys().filter(|incarnation| incarnation.name == name).cloned().collect();
+        self.incompatible.extend(listed);
+        let is_incompatible = |who: &Participant| self.incompatible.contains(&who.incarnation);
+        let excluded: Vec<(Participant, BTreeSet<StatementKey>)> = self
             .statements_by_participant
             .iter()
-            .filter(|(a, _)| a.life.name == name && self.incompatible.contains(&a.life))
-            .map(|(a, keys)| (a.clone(), keys.clone()))
+            .filter(|(who, _)| who.incarnation.name == name && is_incompatible(who))
+            .map(|(who, keys)| (who.clone(), keys.clone()))
             .collect();
-        for (actor, keys) in of {
-            keys.iter().for_each(|key| self.exclude_replica(key, &actor));
-            if let Some(peer) = self.peers.get_mut(&actor) {
-                *peer = Peer { numbers: peer.numbers, heard: peer.heard, ..Peer::default() };
+        for (participant, keys) in excluded {
+            keys.iter().for_each(|key| self.exclude_replica(key, &participant));
+            if let Some(peer) = self.peers.get_mut(&participant) {
+                peer.clear_queues();
             }
             self.to_review.extend(keys);
         }
--- a/crates/custody/src/node/messages.rs
+++ b/crates/custody/src/node/messages.rs
@@ -1,68 +1,98 @@
-//! Messages that come from other gateways.
+//! Messages from other gateways, each to what handles it.
 
 use super::{Effect, TakeoverNode};
-use crate::tenure::LeaseAnswer;
-use crate::wire::{self, DecodeError, Message, Participant};
+use crate::voter::LeaseAnswer;
+use crate::wire::{unsupported_format_reply, DecodeError, Message, Participant, ProcessTerm};
 use crate::{Incarnation, Micros};
 
 impl TakeoverNode {
-    /// A datagram or a sending, from a gateway that has proved its name.
+    /// A datagram, or records over a stream, from a gateway that has proved its name.
     pub fn handle_message(&mut self, now: Micros, from: &str, bytes: &[u8]) {
-        let (life, term, said) = match Message::read(bytes) {
-            Ok(read) => read,
-            Err(DecodeError::Malformed) => return,
-            Err(DecodeError::UnknownFormat(n)) => {
-                self.effects
-                    .push_back(Effect::Log(format!("{from} speaks format {n}, which is not known here")));
-                return self.effects.push_back(Effect::SendDatagram(from.to_owned(), wire::other_format()));
-            }
-            Err(DecodeError::PeerFormat(format)) => {
-                self.effects.push_back(Effect::Log(format!("{from} reads format {format}: no guardian")));
-                return self.exclude_incompatible_gateway(now, from);
-            }
+        let (process, message) = match Message::decode(bytes) {
+            Ok(decoded) => decoded,
+            Err(why) => return self.handle_undecodable(now, from, why),
         };
-        let life = Incarnation { name: from.to_owned(), life };
-        if !self.learn_term(&life, term) {
+        let incarnation = Incarnation { name: from.to_owned(), life: process.life };
+        if !self.learn_term(&incarnation, process.term) {
             return;
         }
-        let sender = Participant { life, term };
+        let sender = Participant { incarnation, term: process.term };
         if let Some(peer) = self.peers.get_mut(&sender) {
-            peer.heard = now;
+            peer.last_heard = now;
         }
-        match said {
-            Message::LeaseRequest(asked) => {
-                let answer = self.voter.as_mut().map_or(LeaseAnswer::Silence, |v| v.asked(now, &sender));
-                self.store_marks();
-                match answer {
-                    LeaseAnswer::Granted => self.send_message(from, &Message::LeaseGrant(asked)),
-                    LeaseAnswer::Fenced(through) => self.send_message(from, &Message::Fenced(through)),
-                    LeaseAnswer::Silence => {}
-                }
+        self.handle_decoded(now, sender, message);
+        self.advance(now);
+    }
+
+    fn handle_undecodable(&mut self, now: Micros, from: &str, why: DecodeError) {
+        match why {
+            DecodeError::Malformed => {}
+            DecodeError::UnknownFormat(format) => {
+                self.log(format!("{from} sends message format {format}, which is not supported here"));
+                self.effects.push_back(Effect::SendDatagram(from.to_owned(), unsupported_format_reply()));
             }
-            Message::LeaseGrant(asked) if self.settings.voters.iter().any(|v| v == from) && asked <= now => {
-                self.handle_lease_answer(now, from, asked, &LeaseAnswer::Granted);
+            DecodeError::PeerFormat(format) => {
+                self.log(format!("{from} supports message format {format} only: no replica"));
+                self.exclude_incompatible_gateway(now, from);
             }
-            Message::Fenced(through) if self.settings.voters.iter().any(|v| v == from) => {
-                self.handle_lease_answer(now, from, 0, &LeaseAnswer::Fenced(through));
+        }
+    }
+
+    fn handle_decoded(&mut self, now: Micros, sender: Participant, message: Message) {
+        let from = sender.incarnation.name.clone();
+        match message {
+            Message::LeaseRequest(requested_at) => self.answer_lease_request(now, &sender, requested_at),
+            Message::LeaseGrant(requested_at) => {
+                if self.is_voter(&from) && requested_at <= now {
+                    self.handle_lease_answer(now, &from, requested_at, &LeaseAnswer::Granted);
+                }
             }
-            Message::LeaseGrant(_) | Message::Fenced(_) | Message::TermAnnouncement => {}
-            Message::TermQuery => self.send_message(from, &Message::TermAnnouncement),
-            Message::MarksQuery(asked) => self.answer_marks_query(now, from, asked),
-            Message::StoredMarks { asked, kept } => self.learn_stored_marks(now, from, asked, &kept),
-            Message::FenceRequest(who) => self.handle_fence_request(now, from, who),
-            Message::FenceMarks(marks) => self.handle_fence_marks(now, from, marks),
-            Message::Batch { to, .. } if to != (self.local.life.life, self.local.term) => {
-                self.send_message(from, &Message::TermAnnouncement)
+            Message::Fenced(through) => {
+                if self.is_voter(&from) {
+                    self.handle_lease_answer(now, &from, 0, &LeaseAnswer::Fenced(through));
+                }
             }
-            Message::Batch { number, records, ends, .. } => {
-                self.handle_batch(now, sender, number, records, ends)
+            Message::TermAnnouncement => {}
+            Message::TermQuery => self.send_message(&from, &Message::TermAnnouncement),
+            Message::MarksQuery(asked_at) => self.answer_marks_query(now, &from, asked_at),
+            Message::StoredMarks { asked_at, marks } => {
+                self.learn_stored_marks(now, &from, asked_at, &marks);
             }
-            Message::Acknowledgement { to, number, not } => {
-                if to == (self.local.life.life, self.local.term) {
-                    self.handle_acknowledgement(now, &sender, number, &not);
+            Message::FenceRequest(who) => self.handle_fence_request(now, &from, who),
+            Message::FenceMarks(marks) => self.handle_fence_marks(now, &from, marks),
+            Message::Batch { to, number, records, ended } => {
+                if self.is_local(to) {
+                    self.handle_batch(now, sender, number, records, ended);
+                } else {
+                    self.send_message(&from, &Message::TermAnnouncement);
+                }
+            }
+            Message::Acknowledgement { to, number, rejected } => {
+                if self.is_local(to) {
+                    self.handle_acknowledgement(now, &sender, number, &rejected);
                 }
             }
         }
-        self.advance(now);
+    }
+
+    fn is_local(&self, process: ProcessTerm) -> bool {
+        process == self.local.process_term()
+    }
+
+    /// This gateway's own vote on a lease.
+    pub(super) fn vote_on_lease(&mut self, now: Micros, who: &Participant) -> LeaseAnswer {
+        let voter = self.voter.as_mut();
+        let answer = voter.map_or(LeaseAnswer::Silence, |voter| voter.request_lease(now, who));
+        self.begin_storing_marks();
+        answer
+    }
+
+    fn answer_lease_request(&mut self, now: Micros, sender: &Participant, requested_at: Micros) {
+        let to = &sender.incarnation.name;
+        match self.vote_on_lease(now, sender) {
+            LeaseAnswer::Granted => self.send_message(to, &Message::LeaseGrant(requested_at)),
+            LeaseAnswer::Fenced(through) => self.send_message(to, &Message::Fenced(through)),
+            LeaseAnswer::Silence => {}
+        }
     }
 }
--- a/crates/custody/src/node/ownership.rs
+++ b/crates/custody/src/node/ownership.rs
@@ -1,12 +1,14 @@
-//! What the gateway says of the statements that it holds.
+//! What the caller does with the statements that this gateway owns: adds them, asks for permission, reports
+//! progress, ends them.
 
-use super::statement::{Ownership, ReplicaProgress, Role, Statement, Tombstone};
-use super::{Effect, InjectedFault, Permission, TakeoverNode, COALESCED};
+use super::statement::{Ownership, PendingAttempt, ReplicaProgress, Role, Statement};
+use super::tombstones::Tombstone;
+use super::{Effect, InjectedFault, Permission, TakeoverNode, COALESCING_DELAY};
 use crate::wire::ReplicaEntry;
 use crate::{Ending, Incarnation, Micros, Out, Record, Repeat, StatementKey};
 
 impl TakeoverNode {
-    /// A statement that this life has taken. Gives its guardians as chosen.
+    /// A statement that this gateway has accepted. Returns the replicas that were selected.
     pub fn add_statement(&mut self, now: Micros, record: Record) -> Vec<Incarnation> {
         let key = record.key.clone();
         if self.statements.contains_key(&key) {
@@ -14,36 +16,48 @@
         }
         self.last_number = self.last_number.max(key.number);
         let deadline = now.saturating_add(record.left);
-        let me = ReplicaEntry { actor: self.local.clone(), gone: false, after: 0 };
-        let record = Record { version: 1, ..record };
-        let held = Ownership { guards: vec![ReplicaProgress::default()], ..Ownership::default() };
-        let role = Role::Owner(Box::new(held));
-        let entry = Statement { record, links: vec![me], at: 0, role, deadline, stamped: now };
-        self.statements.insert(key.clone(), entry);
+        let owner = ReplicaEntry { participant: self.local.clone(), excluded: false, added_after: 0 };
+        let ownership = Ownership { progress: vec![ReplicaProgress::default()], ..Ownership::default() };
+        let statement = Statement {
+            record: Record { version: 1, ..record },
+            replicas: vec![owner],
+            position: 0,
+            role: Role::Owner(Box::new(ownership)),
+            deadline,
+            recorded_at: now,
+        };
+        self.statements.insert(key.clone(), statement);
         self.review_statement(now, &key);
         self.replica_list(&key).split_off(1)
     }
 
-    /// Whether the client of a statement that was taken here at a time may be told that it is: it outlives this process from
-    /// then on. All that are to keep it have it, and the voters have granted the tenure within half a lease; or, if one is
-    /// silent, another one has it and the tenure was granted anew since. A holder that is cut off knows of that only at the end
-    /// of its lease, and what it takes until then nobody could act for before its client has given up.
+    /// Whether the client of a statement that was accepted here at a time may be told so: the statement
+    /// survives this process from then on. That is the case once all replicas have it and the voters have
+    /// granted the lease within half a lease; or, if a replica is silent, once another one has it and the
+    /// lease was granted anew since. An owner that is partitioned learns of that only at the end of its
+    /// lease, and what it accepts until then nobody could act for before the client has given up.
     pub fn is_safely_replicated(&self, now: Micros, key: &StatementKey, since: Micros) -> bool {
-        let Some((entry, held)) = self.statements.get(key).and_then(|e| e.held().map(|h| (e, h))) else {
+        let Some(statement) = self.statements.get(key) else { return true };
+        let Some(ownership) = statement.ownership() else { return true };
+        let granted_after =
+            |at: Micros| self.lease.expires_at >= at.saturating_add(self.lease_times.holder_span());
+        let has_record = |position: usize| ownership.progress[position].acked_version > 0;
+        let is_gone = |position: usize| self.is_believed_gone(now, statement.incarnation_at(position));
+        if granted_after(now.saturating_sub(self.settings.lease / 2))
+            && statement.successors().all(has_record)
+        {
             return true;
-        };
-        let asked_at = |at: Micros| self.lease.until >= at.saturating_add(self.lease_times.held());
-        let has = |i: usize| held.guards[i].acked > 0;
-        let none = entry.behind().all(|i| self.believed_gone(now, &entry.links[i].actor.life));
-        let fresh = asked_at(now.saturating_sub(self.settings.lease / 2));
-        (fresh && entry.behind().all(has)) || (asked_at(since) && (none || entry.behind().any(has)))
+        }
+        let all_gone = || statement.successors().all(is_gone);
+        granted_after(since) && (all_gone() || statement.successors().any(has_record))
     }
 
-    pub(super) fn actionable_statement(&mut self, now: Micros, key: &StatementKey) -> Option<&mut Statement> {
-        let may = self.may_act(now);
-        let entry = self.statements.get_mut(key)?;
-        let free = entry.held().is_some_and(|h| !h.giving && h.adopting.is_none());
-        (may && free).then_some(entry)
+    /// A statement for which this gateway may act now.
+    fn actionable_statement(&mut self, now: Micros, key: &StatementKey) -> Option<&mut Statement> {
+        let may_act = self.may_act(now);
+        let statement = self.statements.get_mut(key)?;
+        let is_active = statement.ownership().is_some_and(Ownership::is_active);
+        (may_act && is_active).then_some(statement)
     }
 
     /// Before an attempt is written to its engine: `attempts` have been spent then, this one included.
@@ -52,106 +66,117 @@
         now: Micros,
         key: &StatementKey,
         attempts: u32,
-        out: Out,
+        attempt: Out,
     ) -> Permission {
-        let waits = self.fault != InjectedFault::IntentNotAwaited;
-        let Some(entry) = self.actionable_statement(now, key).filter(|e| e.record.ending.is_none()) else {
+        let awaits_intent = self.fault != InjectedFault::IntentNotAwaited;
+        let statement = self.actionable_statement(now, key);
+        let Some(statement) = statement.filter(|statement| statement.record.ending.is_none()) else {
             return Permission::Denied;
         };
-        entry.record.version += 1;
-        entry.record.attempts = attempts;
-        entry.record.out = Some(out);
-        entry.stamped = now;
-        entry.record.left = entry.deadline.saturating_sub(now);
-        let version = entry.record.version;
-        if entry.record.repeat == Repeat::Harmless || !waits {
-            self.queue_record(now, key, COALESCED);
+        statement.record.version += 1;
+        statement.record.attempts = attempts;
+        statement.record.out = Some(attempt);
+        statement.record.left = statement.deadline.saturating_sub(now);
+        statement.recorded_at = now;
+        let version = statement.record.version;
+        if statement.record.repeat == Repeat::Harmless || !awaits_intent {
+            self.queue_record(now, key, COALESCING_DELAY);
             return Permission::Granted;
         }
-        if let Some(held) = entry.held_mut() {
-            held.intent = Some((attempts, version));
+        if let Some(ownership) = statement.ownership_mut() {
+            ownership.pending_attempt = Some(PendingAttempt { attempts, version });
         }
-        self.wait_for_replicas(now, key)
+        self.await_replicas(now, key)
     }
 
-    /// What waits is told at once, and what has nothing to wait for may go.
-    pub(super) fn wait_for_replicas(&mut self, now: Micros, key: &StatementKey) -> Permission {
+    /// What waits is sent at once. If there is nothing to wait for, the permission is the answer.
+    fn await_replicas(&mut self, now: Micros, key: &StatementKey) -> Permission {
         self.awaiting_replicas.insert(key.clone());
-        let before = self.effects.len();
+        let effects_before = self.effects.len();
         self.review_statement(now, key);
         self.advance(now);
-        // The word that may follow at once is given as the answer.
-        let word = |e: &Effect| matches!(e, Effect::StartAttempt(k, _) | Effect::ReportEnding(k) if k == key);
-        if let Some(at) = self.effects.iter().skip(before).position(word) {
-            self.effects.remove(before + at);
-            return Permission::Granted;
+        let permits = |effect: &Effect| match effect {
+            Effect::StartAttempt(permitted, _) | Effect::ReportEnding(permitted) => permitted == key,
+            _ => false,
+        };
+        let permission = self.effects.iter().skip(effects_before).position(permits);
+        match permission {
+            Some(position) => {
+                self.effects.remove(effects_before + position);
+                Permission::Granted
+            }
+            None => Permission::Pending,
         }
-        Permission::Pending
     }
 
-    /// Progress: the attempt that is out, if one is, and pages passed on. It follows when there is time.
-    pub fn record_progress(&mut self, now: Micros, key: &StatementKey, out: Option<Out>, passed: u64) {
-        let Some(entry) = self.statements.get_mut(key).filter(|e| e.held().is_some_and(|h| !h.giving)) else {
-            return;
-        };
-        entry.record.out = out;
-        entry.record.passed = passed;
-        entry.record.version += 1;
-        entry.stamped = now;
-        self.queue_record(now, key, COALESCED);
+    /// Progress: the attempt that is in flight, if any, and the pages passed on. It is sent when there is
+    /// time.
+    pub fn record_progress(&mut self, now: Micros, key: &StatementKey, attempt: Option<Out>, passed: u64) {
+        let is_kept =
+            |statement: &&mut Statement| statement.ownership().is_some_and(|ownership| !ownership.resigning);
+        let Some(statement) = self.statements.get_mut(key).filter(is_kept) else { return };
+        statement.record.out = attempt;
+        statement.record.passed = passed;
+        statement.record.version += 1;
+        statement.recorded_at = now;
+        self.queue_record(now, key, COALESCING_DELAY);
     }
 
-    /// Before an ending of the gateway's own is told.
+    /// Before an ending of the gateway's own is reported to the client.
     pub fn request_ending(&mut self, now: Micros, key: &StatementKey, ending: Ending) -> Permission {
-        let Some(entry) = self.actionable_statement(now, key) else { return Permission::Denied };
-        match &entry.record.ending {
-            Some(before) if *before != ending => return Permission::Denied,
+        let Some(statement) = self.actionable_statement(now, key) else { return Permission::Denied };
+        match &statement.record.ending {
+            Some(recorded) if *recorded != ending => return Permission::Denied,
             Some(_) => {}
             None => {
-                entry.record.ending = Some(ending);
-                entry.record.version += 1;
+                statement.record.ending = Some(ending);
+                statement.record.version += 1;
             }
         }
-        let version = entry.record.version;
-        let (harmless, out) = (entry.record.repeat == Repeat::Harmless, entry.record.attempts > 0);
-        let Some(held) = entry.held_mut() else { return Permission::Denied };
-        held.intent = None;
-        // A client that is told to try again must not have it run by a taker that knows nothing of that.
-        if harmless && !out {
-            self.queue_record(now, key, COALESCED);
+        let version = statement.record.version;
+        let is_harmless = statement.record.repeat == Repeat::Harmless;
+        let was_attempted = statement.record.attempts > 0;
+        let Some(ownership) = statement.ownership_mut() else { return Permission::Denied };
+        ownership.pending_attempt = None;
+        // After an attempt the ending waits for the replicas: a client that was told to try again must not
+        // have the statement run by a gateway that took it over and knows nothing of that.
+        if is_harmless && !was_attempted {
+            self.queue_record(now, key, COALESCING_DELAY);
             return Permission::Granted;
         }
-        held.ending.get_or_insert(version);
-        self.wait_for_replicas(now, key)
+        ownership.pending_ending.get_or_insert(version);
+        self.await_replicas(now, key)
     }
 
-    /// Its client has its end, or never comes back.
+    /// The client has its ending, or never comes back.
     pub fn finish_statement(&mut self, now: Micros, key: &StatementKey) {
-        if self.statements.get(key).is_none_or(|e| e.held().is_none_or(|h| h.giving)) {
+        let ownership = self.statements.get(key).and_then(Statement::ownership);
+        if ownership.is_none_or(|ownership| ownership.resigning) {
             return;
         }
-        let Some(entry) = self.remove_statement(key) else { return };
-        if let Some(held) = entry.held() {
-            for i in entry.behind().filter(|&i| held.guards[i].told) {
-                if let Some(peer) = self.peer_mut(&entry.links[i].actor) {
-                    peer.ends.insert(key.clone());
-                    peer.due = Some(peer.due.unwrap_or(now + COALESCED));
+        let Some(statement) = self.remove_statement(key) else { return };
+        if let Some(ownership) = statement.ownership() {
+            for position in statement.successors().filter(|&position| ownership.progress[position].notified) {
+                let participant = &statement.replicas[position].participant;
+                if let Some(peer) = self.peer_mut(participant) {
+                    peer.queue_ending(key.clone(), now + COALESCING_DELAY);
                 }
             }
         }
-        self.add_tombstone(key.clone(), Tombstone::Ended(entry.record.ending));
+        self.add_tombstone(key.clone(), Tombstone::Ended(statement.record.ending));
     }
 
-    /// A planned end: every statement that has a guardian goes to it, [`Effect::Relinquished`] each.
+    /// A planned end of the gateway: every statement that has a replica goes to it, with
+    /// [`Effect::Relinquished`] each.
     pub fn start_hand_over(&mut self, now: Micros) {
         self.handing_over = true;
-        let held = self.statements.iter().filter(|(_, e)| e.held().is_some()).map(|(k, _)| k.clone());
-        let held: Vec<StatementKey> = held.collect();
-        held.iter().for_each(|key| self.review_statement(now, key));
+        let owned = self.statements.iter().filter(|(_, statement)| statement.is_owned());
+        let owned: Vec<StatementKey> = owned.map(|(key, _)| key.clone()).collect();
+        owned.iter().for_each(|key| self.review_statement(now, key));
         self.advance(now);
     }
 
-    /// Whether nothing is held any more after [`TakeoverNode::start_hand_over`].
+    /// Whether nothing is owned any more after [`TakeoverNode::start_hand_over`].
     pub fn hand_over_complete(&self) -> bool {
         self.handed_over
     }
--- a/crates/custody/src/node/receiving.rs
+++ b/crates/custody/src/node/receiving.rs
@@ -1,13 +1,42 @@
-//! Records that come from other gateways, to be kept for them.
+//! Records that come from other gateways, to be kept as a replica.
 
-use super::statement::{Role, Statement, Tombstone};
-use super::{InjectedFault, TakeoverNode, BACK, LINGER};
-use crate::wire::{Message, Participant, RejectReason, ReplicaEntry, ReplicaRecord};
+use super::statement::{Role, Statement};
+use super::tombstones::Tombstone;
+use super::{InjectedFault, TakeoverNode, RETURN_WINDOW};
+use crate::wire::{Message, Participant, RejectReason, Rejection, ReplicaEntry, ReplicaRecord};
 use crate::{Micros, Record, StatementKey};
 
-/// Statements for which there was no room here, each until it cannot run any more: none of them may be taken later, when
-/// its holder counts on that.
-const DECLINED: usize = 65_536;
+/// Statements whose records were rejected for lack of room and are never accepted later, as their owners
+/// count on that.
+const MAX_DECLINED: usize = 65_536;
+
+impl Statement {
+    /// How many members both replica lists begin with.
+    fn common_members(&self, replicas: &[ReplicaEntry]) -> usize {
+        let pairs = self.replicas.iter().zip(replicas);
+        pairs.take_while(|(mine, theirs)| mine.participant == theirs.participant).count()
+    }
+
+    /// Takes over which of the common members are excluded; returns those that are so only now.
+    fn merge_exclusions(&mut self, common: &[ReplicaEntry]) -> Vec<Participant> {
+        let mut excluded = Vec::new();
+        for (mine, theirs) in self.replicas.iter_mut().zip(common) {
+            if theirs.excluded && !mine.excluded {
+                mine.excluded = true;
+                excluded.push(mine.participant.clone());
+            }
+        }
+        excluded
+    }
+
+    /// Replaces the record by a newer one, and keeps the body if that one has none.
+    fn replace_record(&mut self, now: Micros, record: Record, has_body: bool) {
+        self.deadline = now.saturating_add(record.left);
+        let body = if has_body { record.body } else { std::mem::take(&mut self.record.body) };
+        self.record = Record { body, ..record };
+        self.recorded_at = now;
+    }
+}
 
 impl TakeoverNode {
     pub(super) fn handle_batch(
@@ -16,140 +45,195 @@
         sender: Participant,
         number: u64,
         records: Vec<ReplicaRecord>,
-        ends: Vec<StatementKey>,
+        ended: Vec<StatementKey>,
     ) {
-        let over = self.is_participant_fenced(&sender);
+        let is_fenced = self.is_participant_fenced(&sender);
         let Some(peer) = self.peer_mut(&sender) else { return };
-        // One that comes late or twice would bring back what has been ended since.
-        if number <= peer.numbers.0 || over {
+        // A late or repeated batch would revive what has ended since.
+        if number <= peer.last_received || is_fenced {
             return;
         }
-        peer.numbers.0 = number;
-        let mut not = Vec::new();
-        for (at, item) in records.into_iter().enumerate() {
-            if let Err(why) = self.store_record(now, &sender, item) {
-                not.push((at as u16, why));
+        peer.last_received = number;
+        let mut rejected = Vec::new();
+        for (index, record) in records.into_iter().enumerate() {
+            if let Err(reason) = self.store_record(now, &sender, record) {
+                rejected.push(Rejection { index: index as u16, reason });
             }
         }
-        for key in ends {
-            if self.statements.get(&key).is_some_and(|e| e.held().is_none()) {
-                let ending = self.remove_statement(&key).and_then(|e| e.record.ending);
+        for key in ended {
+            if self.statements.get(&key).is_some_and(|statement| !statement.is_owned()) {
+                let ending = self.remove_statement(&key).and_then(|statement| statement.record.ending);
                 self.add_tombstone(key, Tombstone::Ended(ending));
             }
         }
-        let to = (sender.life.life, sender.term);
-        self.send_message(&sender.life.name, &Message::Acknowledgement { to, number, not });
+        let to = sender.process_term();
+        self.send_message(&sender.incarnation.name, &Message::Acknowledgement { to, number, rejected });
     }
 
-    /// A record comes.
-    pub(super) fn store_record(
+    fn store_record(
         &mut self,
         now: Micros,
         sender: &Participant,
-        item: ReplicaRecord,
+        received: ReplicaRecord,
     ) -> Result<(), RejectReason> {
-        let ReplicaRecord { record, whole, links } = item;
-        let key = record.key.clone();
+        let key = received.record.key.clone();
         if self.declined.contains_key(&key) {
             return Err(RejectReason::NoRoom);
         }
-        let place = |who: &Participant| links.iter().position(|l| l.actor == *who);
-        // What a process gives back that had it in an earlier term. One that had it in this term, and has it
-        // no more, never does again.
-        let earlier = |l: &ReplicaEntry| l.gone && l.actor.life == sender.life && l.actor.term < sender.term;
-        let known = self.last_tombstone_dropped == 0 || now >= self.last_tombstone_dropped + 2 * BACK;
-        let moved =
-            matches!(self.tombstones.get(&key), Some(Tombstone::Moved(term, _)) if *term == self.local.term);
-        let new = known && !moved;
-        let back = || links.iter().position(earlier).filter(|_| new);
-        let (Some(at), Some(by)) = (place(&self.local), place(sender).or_else(back)) else {
+        let position = received.replicas.iter().position(|entry| entry.participant == self.local);
+        let sender_position = self.position_of_sender(now, sender, &received);
+        let (Some(position), Some(sender_position)) = (position, sender_position) else {
             return Err(RejectReason::Obsolete);
         };
-        if links[at].gone {
+        if received.replicas[position].excluded {
             return Err(RejectReason::Obsolete);
         }
-        // Given back by this process, taken by another one, which wants it as a guardian now.
-        if self.is_returning(&key) && whole {
+        // Returned by this process and taken over by another one, which wants this one as a replica now.
+        if self.is_returning(&key) && received.has_body {
             self.remove_statement(&key);
         }
-        let me = self.local.clone();
-        let Some(entry) = self.statements.get_mut(&key) else {
-            if let Some(Tombstone::Ended(_)) = self.tombstones.get(&key) {
-                return Err(RejectReason::Ended);
-            }
-            if !whole {
-                return Err(RejectReason::MissingBody);
-            }
-            let deadline = now.saturating_add(record.left);
-            let entry = Statement { record, links, at, role: Role::Replica, deadline, stamped: now };
-            let octets = entry.octets();
-            if self.replica_usage.0 >= self.settings.most
-                || self.replica_usage.1 + octets > self.settings.most_octets
-            {
-                if self.declined.len() < DECLINED {
-                    self.declined.insert(key, deadline.saturating_add(LINGER));
-                    return Err(RejectReason::NoRoom);
-                }
-                return Err(RejectReason::Obsolete);
-            }
-            self.replica_usage = (self.replica_usage.0 + 1, self.replica_usage.1 + octets);
-            self.expiry.insert((deadline.saturating_add(LINGER), key.clone()));
-            for link in entry.links.iter().filter(|l| !l.gone && l.actor != me) {
-                self.statements_by_participant.entry(link.actor.clone()).or_default().insert(key.clone());
-            }
-            self.tombstones.remove(&key);
-            self.statements.insert(key.clone(), entry);
-            self.to_review.insert(key);
-            return Ok(());
-        };
-        // Two chains differ only where one names guardians that were never told: whoever stands before them and did not
-        // know of them has become the holder, and named others. What its record says holds then.
-        let common = entry.links.iter().zip(&links).take_while(|(a, b)| a.actor == b.actor).count();
-        if common <= entry.at {
-            return Err(RejectReason::Obsolete);
+        if self.statements.contains_key(&key) {
+            self.merge_record(now, sender_position, received)
+        } else {
+            self.add_replica_record(now, position, received)
         }
-        // One that is over, or has given up, only says so; it is not listened to any more.
-        if entry.links[..common].get(by).is_some_and(|l| l.gone) && !links[by].gone {
+    }
+
+    /// The sender's position in the replica list that it sent. A process that returns a statement is listed
+    /// in an earlier term; that counts unless this gateway had the statement in its current term, or may have
+    /// forgotten that it ended.
+    fn position_of_sender(
+        &self,
+        now: Micros,
+        sender: &Participant,
+        received: &ReplicaRecord,
+    ) -> Option<usize> {
+        let replicas = &received.replicas;
+        if let Some(position) = replicas.iter().position(|entry| entry.participant == *sender) {
+            return Some(position);
+        }
+        let tombstone = self.tombstones.get(&received.record.key);
+        let moved_in_this_term = matches!(
+            tombstone,
+            Some(Tombstone::Moved { in_term, .. }) if *in_term == self.local.term
+        );
+        let remembers_endings = self.tombstones.are_complete_for(now, 2 * RETURN_WINDOW);
+        if moved_in_this_term || !remembers_endings {
+            return None;
+        }
+        replicas.iter().position(|entry| {
+            let Participant { incarnation, term } = &entry.participant;
+            entry.excluded && *incarnation == sender.incarnation && *term < sender.term
+        })
+    }
+
+    /// The record of a statement that is not kept here yet.
+    fn add_replica_record(
+        &mut self,
+        now: Micros,
+        position: usize,
+        received: ReplicaRecord,
+    ) -> Result<(), RejectReason> {
+        let ReplicaRecord { record, has_body, replicas } = received;
+        let key = record.key.clone();
+        if let Some(Tombstone::Ended(_)) = self.tombstones.get(&key) {
+            return Err(RejectReason::Ended);
+        }
+        if !has_body {
+            return Err(RejectReason::MissingBody);
+        }
+        let deadline = now.saturating_add(record.left);
+        let role = Role::Replica;
+        let statement = Statement { record, replicas, position, role, deadline, recorded_at: now };
+        let bytes = statement.size_in_bytes();
+        let is_full = self.replica_usage.records >= self.settings.max_replica_records;
+        if is_full || self.replica_usage.bytes + bytes > self.settings.max_replica_bytes {
+            return Err(self.decline(key, statement.expires_at()));
+        }
+        self.replica_usage.records += 1;
+        self.replica_usage.bytes += bytes;
+        self.expiry.insert((statement.expires_at(), key.clone()));
+        for entry in statement.replicas.iter().filter(|entry| !entry.excluded) {
+            self.add_reference(&key, &entry.participant);
+        }
+        self.tombstones.remove(&key);
+        self.statements.insert(key.clone(), statement);
+        self.to_review.insert(key);
+        Ok(())
+    }
+
+    /// Without room a statement is declined for good. If that cannot be remembered, the sender may try again.
+    fn decline(&mut self, key: StatementKey, until: Micros) -> RejectReason {
+        if self.declined.len() >= MAX_DECLINED {
+            return RejectReason::Obsolete;
+        }
+        self.declined.insert(key, until);
+        RejectReason::NoRoom
+    }
+
+    /// The record of a statement that is kept here already.
+    ///
+    /// Two replica lists differ only behind members that were never notified: whoever stands before those and
+    /// did not know of them has become the owner, and named others. What its record says holds then.
+    fn merge_record(
+        &mut self,
+        now: Micros,
+        sender_position: usize,
+        received: ReplicaRecord,
+    ) -> Result<(), RejectReason> {
+        let key = received.record.key.clone();
+        let Some(statement) = self.statements.get_mut(&key) else { return Err(RejectReason::Obsolete) };
+        let common = statement.common_members(&received.replicas);
+        if common <= statement.position {
             return Err(RejectReason::Obsolete);
         }
-        let before = entry.octets();
-        let mut unref = Vec::new();
-        for (mine, told) in entry.links.iter_mut().zip(&links[..common]) {
-            if told.gone && !mine.gone {
-                mine.gone = true;
-                unref.push(mine.actor.clone());
-            }
+        // A sender that is excluded may only say so itself.
+        let known_sender = statement.replicas[..common].get(sender_position);
+        if known_sender.is_some_and(|entry| entry.excluded) && !received.replicas[sender_position].excluded {
+            return Err(RejectReason::Obsolete);
         }
-        if entry.held().is_none() {
-            if record.version > entry.record.version && self.fault != InjectedFault::ReplicaListForgotten {
-                unref.extend(entry.links.split_off(common).into_iter().map(|l| l.actor));
-                for link in &links[common..] {
-                    entry.links.push(link.clone());
-                    unref.retain(|a| *a != link.actor);
-                    if !link.gone && link.actor != me {
-                        self.statements_by_participant
-                            .entry(link.actor.clone())
-                            .or_default()
-                            .insert(key.clone());
-                    }
-                }
+        let bytes_before = statement.size_in_bytes();
+        let mut unreferenced = statement.merge_exclusions(&received.replicas[..common]);
+        if !statement.is_owned() {
+            let is_newer = received.record.version > statement.record.version;
+            if is_newer && self.fault != InjectedFault::ReplicaListForgotten {
+                let tail = &received.replicas[common..];
+                unreferenced.extend(self.replace_replicas_behind(&key, common, tail));
+                unreferenced.retain(|who| tail.iter().all(|entry| entry.participant != *who));
             }
-            if record.version > entry.record.version {
-                let old = entry.deadline;
-                entry.deadline = now.saturating_add(record.left);
-                let body = if whole { record.body } else { std::mem::take(&mut entry.record.body) };
-                entry.record = Record { body, ..record };
-                entry.stamped = now;
-                self.takeover_ready.remove(&(old, key.clone()));
-                self.expiry.remove(&(old.saturating_add(LINGER), key.clone()));
-                self.expiry.insert((entry.deadline.saturating_add(LINGER), key.clone()));
+            if is_newer {
+                self.replace_record(now, &key, received.record, received.has_body);
             }
-            self.replica_usage.1 = self.replica_usage.1 + entry.octets() - before;
-        }
-        for actor in unref {
-            self.remove_reference(&key, &actor);
+            let bytes = self.statements.get(&key).map_or(0, Statement::size_in_bytes);
+            self.replica_usage.bytes = self.replica_usage.bytes + bytes - bytes_before;
         }
+        unreferenced.iter().for_each(|who| self.remove_reference(&key, who));
         self.to_review.insert(key);
         Ok(())
     }
+
+    /// Replaces the members behind the common ones; returns those that were there.
+    fn replace_replicas_behind(
+        &mut self,
+        key: &StatementKey,
+        common: usize,
+        tail: &[ReplicaEntry],
+    ) -> Vec<Participant> {
+        let Some(statement) = self.statements.get_mut(key) else { return Vec::new() };
+        let replaced = statement.replicas.split_off(common);
+        statement.replicas.extend_from_slice(tail);
+        for entry in tail.iter().filter(|entry| !entry.excluded) {
+            self.add_reference(key, &entry.participant);
+        }
+        replaced.into_iter().map(|entry| entry.participant).collect()
+    }
+
+    fn replace_record(&mut self, now: Micros, key: &StatementKey, record: Record, has_body: bool) {
+        let Some(statement) = self.statements.get_mut(key) else { return };
+        let (deadline_before, expires_before) = (statement.deadline, statement.expires_at());
+        statement.replace_record(now, record, has_body);
+        self.takeover_ready.remove(&(deadline_before, key.clone()));
+        self.expiry.remove(&(expires_before, key.clone()));
+        self.expiry.insert((statement.expires_at(), key.clone()));
+    }
 }
--- a/crates/custody/src/node/retention.rs
+++ b/crates/custody/src/node/retention.rs
@@ -1,102 +1,113 @@
-//! How long records and ended statements are remembered.
+//! How long records and what belongs to them are kept, and the index of statements by participant.
 
 use std::collections::BTreeSet;
 
-use super::statement::{Statement, Tombstone};
-use super::{TakeoverNode, LINGER, MS, PEERS};
+use super::statement::Statement;
+use super::tombstones::Tombstone;
+use super::{TakeoverNode, MAX_PEERS, MILLISECOND};
 use crate::wire::{Message, Participant};
 use crate::{Incarnation, Micros, StatementKey};
 
-/// One in a chain that has said nothing for so long is asked which term it is in.
-const SILENT: Micros = 5_000 * MS;
-/// Statements that have ended, or went elsewhere, that are remembered.
-const PAST: usize = 16_384;
-/// A process that is not listed and of which nothing is held leaves after so long, and with it the number of its last sending.
-const FORGOTTEN: Micros = 600_000 * MS;
+/// A participant in a replica list that has sent nothing for so long is asked for its term.
+const SILENT_AFTER: Micros = 5_000 * MILLISECOND;
+/// A process that is not listed and of which nothing is kept leaves after so long, and with it the number of
+/// its last batch.
+const PEER_RETENTION: Micros = 600_000 * MILLISECOND;
 
 impl TakeoverNode {
+    /// Removes a statement and everything that refers to it.
     pub(super) fn remove_statement(&mut self, key: &StatementKey) -> Option<Statement> {
-        let entry = self.statements.remove(key)?;
-        for link in &entry.links {
-            self.remove_reference(key, &link.actor);
+        let statement = self.statements.remove(key)?;
+        for entry in &statement.replicas {
+            self.remove_reference(key, &entry.participant);
         }
-        self.takeover_ready.remove(&(entry.deadline, key.clone()));
-        self.expiry.remove(&(entry.deadline.saturating_add(LINGER), key.clone()));
-        // Few are given back; the time at which one leaves is none that follows from it.
-        if entry.held().is_some() && entry.links[entry.at].actor != self.local {
-            self.expiry.retain(|(_, k)| k != key);
+        self.takeover_ready.remove(&(statement.deadline, key.clone()));
+        self.expiry.remove(&(statement.expires_at(), key.clone()));
+        // Returned statements are few; the time at which one leaves does not follow from its deadline.
+        let own_entry = &statement.replicas[statement.position];
+        if statement.is_owned() && own_entry.participant != self.local {
+            self.expiry.retain(|(_, other)| other != key);
         }
         self.forward_at.remove(key);
         self.awaiting_replicas.remove(key);
         self.to_review.remove(key);
-        if entry.held().is_none() {
-            self.replica_usage =
-                (self.replica_usage.0 - 1, self.replica_usage.1.saturating_sub(entry.octets()));
+        if !statement.is_owned() {
+            self.replica_usage.records -= 1;
+            self.replica_usage.bytes = self.replica_usage.bytes.saturating_sub(statement.size_in_bytes());
         }
-        Some(entry)
+        Some(statement)
     }
 
-    pub(super) fn add_tombstone(&mut self, key: StatementKey, past: Tombstone) {
-        if self.tombstones.insert(key.clone(), past).is_none() {
-            self.tombstone_order.push_back((key, self.latest_time));
-        }
-        while self.tombstone_order.len() > PAST {
-            if let Some((old, at)) = self.tombstone_order.pop_front() {
-                self.tombstones.remove(&old);
-                self.last_tombstone_dropped = at + 1;
-            }
+    pub(super) fn add_tombstone(&mut self, key: StatementKey, tombstone: Tombstone) {
+        self.tombstones.add(self.latest_time, key, tombstone);
+    }
+
+    /// A participant may act for a statement. This gateway's own place needs no reference.
+    pub(super) fn add_reference(&mut self, key: &StatementKey, who: &Participant) {
+        if *who != self.local {
+            self.statements_by_participant.entry(who.clone()).or_default().insert(key.clone());
         }
     }
 
-    pub(super) fn remove_reference(&mut self, key: &StatementKey, actor: &Participant) {
-        if let Some(keys) = self.statements_by_participant.get_mut(actor) {
-            keys.remove(key);
-            if keys.is_empty() {
-                self.statements_by_participant.remove(actor);
-            }
+    pub(super) fn remove_reference(&mut self, key: &StatementKey, who: &Participant) {
+        let Some(keys) = self.statements_by_participant.get_mut(who) else { return };
+        keys.remove(key);
+        if keys.is_empty() {
+            self.statements_by_participant.remove(who);
         }
     }
 
-    /// One in the chain never acts for this statement.
-    pub(super) fn exclude_replica(&mut self, key: &StatementKey, actor: &Participant) {
-        if let Some(link) =
-            self.statements.get_mut(key).and_then(|e| e.links.iter_mut().find(|l| l.actor == *actor))
-        {
-            link.gone = true;
+    /// A member of a statement's replica list never acts for it.
+    pub(super) fn exclude_replica(&mut self, key: &StatementKey, who: &Participant) {
+        let statement = self.statements.get_mut(key);
+        let entry = statement
+            .and_then(|statement| statement.replicas.iter_mut().find(|entry| entry.participant == *who));
+        if let Some(entry) = entry {
+            entry.excluded = true;
         }
-        self.remove_reference(key, actor);
+        self.remove_reference(key, who);
     }
 
-    pub(super) fn sweep_expired(&mut self, now: Micros) {
-        while let Some((at, key)) = self.expiry.first().cloned().filter(|e| e.0 <= now) {
+    /// Drops what has reached its age, and asks for what may have been lost.
+    pub(super) fn sweep(&mut self, now: Micros) {
+        while let Some((at, key)) = self.expiry.first().cloned().filter(|(at, _)| *at <= now) {
             self.expiry.remove(&(at, key.clone()));
             self.remove_statement(&key);
         }
         self.declined.retain(|_, until| now < *until);
         self.fencing_wanted.retain(|_, until| now < *until);
-        // One may have become a guardian again that membership has said nothing new of: it tells its next term.
-        let lacking =
-            self.statements.iter().filter(|(_, e)| self.needs_replicas(now, e)).map(|(k, _)| k.clone());
-        let lacking: Vec<StatementKey> = lacking.collect();
-        self.to_review.extend(lacking);
+        // A process may have become a candidate again of which membership has said nothing new: it announces
+        // its next term.
+        self.review_statements_without_replicas(now);
         self.update_fencing_attempts(now);
-        // One that was ended and lives has said so, but that may have been lost.
-        let silent = |a: &&Participant| self.peers.get(a).is_none_or(|p| p.heard + SILENT <= now);
-        let mut silent: BTreeSet<String> =
-            self.statements_by_participant.keys().filter(silent).map(|a| a.life.name.clone()).collect();
-        // One that lives, and was ended by others, is a guardian again once its next term is known.
-        let ended = self.candidates.iter().filter(|c| self.is_fenced(&c.2, 0));
-        silent.extend(ended.map(|c| c.2.name.clone()));
-        silent.iter().for_each(|name| self.send_message(name, &Message::TermQuery));
-        let (refs, lives, wanted) = (&self.statements_by_participant, &self.members, &self.fencing_wanted);
-        let known = |life: &Incarnation| {
-            lives.contains_key(life) || refs.keys().chain(wanted.keys()).any(|a| a.life == *life)
+        self.query_terms(now);
+        self.forget_unneeded_processes(now);
+    }
+
+    /// Asks for the terms of participants that are silent, and of candidates that were fenced: a fenced
+    /// process that runs has announced its next term, but that may have been lost.
+    fn query_terms(&mut self, now: Micros) {
+        let is_silent =
+            |who: &&Participant| self.peers.get(who).is_none_or(|peer| peer.last_heard + SILENT_AFTER <= now);
+        let silent = self.statements_by_participant.keys().filter(is_silent);
+        let mut names: BTreeSet<String> = silent.map(|who| who.incarnation.name.clone()).collect();
+        let fenced = self.candidates.iter().filter(|candidate| self.is_fenced(&candidate.incarnation, 0));
+        names.extend(fenced.map(|candidate| candidate.incarnation.name.clone()));
+        names.iter().for_each(|name| self.send_message(name, &Message::TermQuery));
+    }
+
+    fn forget_unneeded_processes(&mut self, now: Micros) {
+        let (members, wanted) = (&self.members, &self.fencing_wanted);
+        let referenced = &self.statements_by_participant;
+        let is_needed = |incarnation: &Incarnation| {
+            let mut named = referenced.keys().chain(wanted.keys());
+            members.contains_key(incarnation) || named.any(|who| who.incarnation == *incarnation)
         };
-        self.unlisted_since.retain(|life, _| known(life));
-        self.incompatible.retain(|life| lives.contains_key(life));
-        self.peers.retain(|a, p| known(&a.life) || now < p.heard + FORGOTTEN);
-        if self.fenced_through.len() > PEERS {
-            self.fenced_through.retain(|life, _| known(life));
+        self.unlisted_since.retain(|incarnation, _| is_needed(incarnation));
+        self.incompatible.retain(|incarnation| members.contains_key(incarnation));
+        self.peers.retain(|who, peer| is_needed(&who.incarnation) || now < peer.last_heard + PEER_RETENTION);
+        if self.fenced_through.len() > MAX_PEERS {
+            self.fenced_through.retain(|incarnation, _| is_needed(incarnation));
         }
     }
 }
--- a/crates/custody/src/node/selection.rs
+++ b/crates/custody/src/node/selection.rs
@@ -1,92 +1,145 @@
-//! Selection of the replicas of a statement.
+//! Selection of a statement's replicas: at other sites first, spread by a hash of statement and process.
 
 use std::collections::BTreeSet;
 
 use super::statement::{ReplicaProgress, Statement};
-use super::{TakeoverNode, MS};
-use crate::wire::{Participant, ReplicaEntry, BODY, CHAIN};
+use super::{TakeoverNode, MILLISECOND};
+use crate::wire::{Participant, ReplicaEntry, MAX_BODY_BYTES, MAX_REPLICAS};
 use crate::{Incarnation, Micros, StatementKey};
 
-/// One that had no room is not chosen for so long.
-const FULL: Micros = 1_000 * MS;
+/// A process that had no room is not selected for so long.
+const AVOID_FULL_FOR: Micros = 1_000 * MILLISECOND;
 
-/// Scrambles a number: hashes of names and numbers that stay the same in every program.
-pub(super) fn scramble(n: u64) -> u64 {
-    let mut z = n.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ z >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ z >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ z >> 31
+/// A process that may become a replica.
+pub(super) struct Candidate {
+    pub(super) same_site: bool,
+    pub(super) hash: u64,
+    pub(super) incarnation: Incarnation,
 }
 
-pub(super) fn hash(life: &Incarnation) -> u64 {
-    life.name.bytes().fold(scramble(life.life), |h, b| scramble(h ^ u64::from(b)))
+/// A candidate in the order of preference for one statement.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct RankedCandidate<'a> {
+    same_site: bool,
+    rank: u64,
+    incarnation: &'a Incarnation,
+}
+
+/// Mixes the bits of a number (splitmix64): the same in every program, as owners and their successors have to
+/// agree.
+fn mix_bits(number: u64) -> u64 {
+    let mut mixed = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ mixed >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ mixed >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ mixed >> 31
+}
+
+pub(super) fn hash_incarnation(incarnation: &Incarnation) -> u64 {
+    let add_byte = |hash: u64, byte: u8| mix_bits(hash ^ u64::from(byte));
+    incarnation.name.bytes().fold(mix_bits(incarnation.life), add_byte)
 }
 
 impl TakeoverNode {
-    pub(super) fn needs_replicas(&self, now: Micros, entry: &Statement) -> bool {
-        entry.held().is_some()
-            && entry.behind().filter(|&i| !self.believed_gone(now, &entry.links[i].actor.life)).count()
-                < self.settings.copies
+    /// Successors of this gateway that membership does not believe gone.
+    fn living_successors(&self, now: Micros, statement: &Statement) -> usize {
+        let is_gone = |position: &usize| self.is_believed_gone(now, statement.incarnation_at(*position));
+        statement.successors().filter(|position| !is_gone(position)).count()
     }
 
-    /// Chooses guardians until there are enough.
+    /// Whether an owned statement has fewer replicas than it should.
+    pub(super) fn needs_replicas(&self, now: Micros, statement: &Statement) -> bool {
+        statement.is_owned() && self.living_successors(now, statement) < self.settings.replicas
+    }
+
+    pub(super) fn review_statements_without_replicas(&mut self, now: Micros) {
+        let lacking = self.statements.iter().filter(|(_, statement)| self.needs_replicas(now, statement));
+        let lacking: Vec<StatementKey> = lacking.map(|(key, _)| key.clone()).collect();
+        self.to_review.extend(lacking);
+    }
+
+    /// Selects replicas until there are enough, and appends them to the replica list.
     pub(super) fn select_replicas(&mut self, now: Micros, key: &StatementKey) {
-        let Some(entry) = self.statements.get(key) else { return };
-        if entry.record.body.len() > BODY {
+        let selected = self.best_candidates(now, key);
+        if selected.is_empty() {
             return;
         }
-        let living = entry.behind().filter(|&i| !self.believed_gone(now, &entry.links[i].actor.life)).count();
-        let full: BTreeSet<&Incarnation> = self
-            .peers
-            .iter()
-            .filter(|(_, p)| p.full.is_some_and(|at| now < at + FULL))
-            .map(|(a, _)| &a.life)
-            .collect();
-        let room = CHAIN - entry.links.len().min(CHAIN);
-        let salt = scramble(hash(&key.taken_by) ^ key.number);
-        let mut best: Vec<(bool, u64, &Incarnation)> = self
-            .candidates
-            .iter()
-            .filter(|c| !self.incompatible.contains(&c.2) && !full.contains(&c.2))
-            // Of one that was ended the next term has to be heard of first.
-            .filter(|c| !self.is_fenced(&c.2, 0))
-            .filter(|c| {
-                !entry
-                    .links
-                    .iter()
-                    .any(|l| l.actor.life == c.2 && !(l.gone && self.is_participant_fenced(&l.actor)))
-            })
-            .map(|c| (c.0, scramble(c.1 ^ salt), &c.2))
-            .collect();
-        let lack = self.settings.copies.saturating_sub(living).min(room).min(best.len());
-        if lack == 0 {
-            return;
+        let Some(statement) = self.statements.get_mut(key) else { return };
+        // The first replicas come with the statement itself; later ones with a version that names them.
+        if statement.replicas.len() > 1 || statement.record.version > 1 {
+            statement.record.version += 1;
         }
-        best.select_nth_unstable(lack - 1);
-        best.truncate(lack);
-        best.sort_unstable();
-        let chosen: Vec<Participant> = best
-            .into_iter()
-            .map(|(_, _, life)| Participant {
-                life: life.clone(),
-                term: self.newest_terms.get(life).copied().unwrap_or(0),
-            })
-            .collect();
-        let Some(entry) = self.statements.get_mut(key) else { return };
-        if chosen.is_empty() {
-            return;
+        let added_after = statement.replicas.len() as u8;
+        let progress =
+            ReplicaProgress { since_version: statement.record.version, ..ReplicaProgress::default() };
+        for participant in &selected {
+            let participant = participant.clone();
+            statement.replicas.push(ReplicaEntry { participant, excluded: false, added_after });
+            if let Some(ownership) = statement.ownership_mut() {
+                ownership.progress.push(progress);
+            }
         }
-        // The first ones of all come with the statement itself; later ones with a version that names them.
-        if entry.links.len() > 1 || entry.record.version > 1 {
-            entry.record.version += 1;
+        selected.iter().for_each(|participant| self.add_reference(key, participant));
+    }
+
+    /// As many candidates as a statement lacks, the best first.
+    fn best_candidates(&self, now: Micros, key: &StatementKey) -> Vec<Participant> {
+        let Some(statement) = self.statements.get(key) else { return Vec::new() };
+        if statement.record.body.len() > MAX_BODY_BYTES {
+            return Vec::new();
         }
-        let (after, since) = (entry.links.len() as u8, entry.record.version);
-        for actor in &chosen {
-            entry.links.push(ReplicaEntry { actor: actor.clone(), gone: false, after });
-            if let Some(held) = entry.held_mut() {
-                held.guards.push(ReplicaProgress { since, ..ReplicaProgress::default() });
-            }
-            self.statements_by_participant.entry(actor.clone()).or_default().insert(key.clone());
+        let mut ranked = self.rank_candidates(now, key, statement);
+        let lacking = self.settings.replicas.saturating_sub(self.living_successors(now, statement));
+        let room = MAX_REPLICAS.saturating_sub(statement.replicas.len());
+        let count = lacking.min(room).min(ranked.len());
+        if count == 0 {
+            return Vec::new();
         }
+        ranked.select_nth_unstable(count - 1);
+        ranked.truncate(count);
+        ranked.sort_unstable();
+        let in_newest_term =
+            |candidate: RankedCandidate<'_>| self.participant_in_newest_term(candidate.incarnation, 0);
+        ranked.into_iter().map(in_newest_term).collect()
+    }
+
+    fn rank_candidates<'a>(
+        &'a self,
+        now: Micros,
+        key: &StatementKey,
+        statement: &Statement,
+    ) -> Vec<RankedCandidate<'a>> {
+        let full = self.full_processes(now);
+        // A fenced process has to announce its next term first.
+        let is_usable = |incarnation: &Incarnation| {
+            !self.incompatible.contains(incarnation)
+                && !full.contains(incarnation)
+                && !self.is_fenced(incarnation, 0)
+                && !self.is_listed(statement, incarnation)
+        };
+        let salt = mix_bits(hash_incarnation(&key.taken_by) ^ key.number);
+        self.candidates
+            .iter()
+            .filter(|candidate| is_usable(&candidate.incarnation))
+            .map(|candidate| RankedCandidate {
+                same_site: candidate.same_site,
+                rank: mix_bits(candidate.hash ^ salt),
+                incarnation: &candidate.incarnation,
+            })
+            .collect()
+    }
+
+    /// Processes that had no room a short time ago.
+    fn full_processes(&self, now: Micros) -> BTreeSet<&Incarnation> {
+        let is_full = |full_since: Option<Micros>| full_since.is_some_and(|at| now < at + AVOID_FULL_FOR);
+        let full = self.peers.iter().filter(|(_, peer)| is_full(peer.full_since));
+        full.map(|(who, _)| &who.incarnation).collect()
+    }
+
+    /// Whether a process is in the replica list, other than in a fenced term.
+    fn is_listed(&self, statement: &Statement, incarnation: &Incarnation) -> bool {
+        statement.replicas.iter().any(|entry| {
+            let is_past = entry.excluded && self.is_participant_fenced(&entry.participant);
+            entry.participant.incarnation == *incarnation && !is_past
+        })
     }
 }
--- a/crates/custody/src/node/status.rs
+++ b/crates/custody/src/node/status.rs
@@ -1,87 +1,129 @@
-//! What is known here of statements, for the gateway and for its operators.
+//! What is known here of statements, for the caller and for operators.
 
-use super::statement::{Statement, Tombstone};
+use super::statement::Statement;
+use super::tombstones::Tombstone;
 use super::{TakeoverNode, Whereabouts};
 use crate::wire::{Participant, ReplicaEntry};
 use crate::{Incarnation, StatementKey};
 
+/// How much is kept here.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Statements that this gateway owns.
+    pub owned: usize,
+    /// Records kept for other gateways.
+    pub replica_records: usize,
+    /// Bytes of them.
+    pub replica_bytes: usize,
+    /// Owned statements with something that waits until it is recorded at the replicas.
+    pub awaiting_replicas: usize,
+}
+
 impl TakeoverNode {
-    /// The lives that a statement's chain names, its first holder first.
+    /// The processes in a statement's replica list, its first owner first.
     pub fn replica_list(&self, key: &StatementKey) -> Vec<Incarnation> {
-        self.replica_list_with_terms(key).into_iter().map(|(life, _)| life).collect()
+        self.replica_list_with_terms(key).into_iter().map(|(incarnation, _)| incarnation).collect()
     }
 
-    /// The same, each with the term in which it stands there.
+    /// The same, each with the term in which it is listed.
     pub fn replica_list_with_terms(&self, key: &StatementKey) -> Vec<(Incarnation, u32)> {
-        let of = |l: &ReplicaEntry| (l.actor.life.clone(), l.actor.term);
-        self.statements.get(key).map_or(Vec::new(), |e| e.links.iter().map(of).collect())
+        let Some(statement) = self.statements.get(key) else { return Vec::new() };
+        let with_term = |entry: &ReplicaEntry| {
+            let Participant { incarnation, term } = &entry.participant;
+            (incarnation.clone(), *term)
+        };
+        statement.replicas.iter().map(with_term).collect()
     }
 
     /// Where a statement is.
     pub fn locate(&self, key: &StatementKey) -> Whereabouts {
-        let now = self.latest_time;
-        let at =
-            |life: &Incarnation| !self.believed_gone(now, life) && !self.fenced_through.contains_key(life);
-        if let Some(entry) = self.statements.get(key) {
-            match entry.held() {
-                Some(held) if held.adopting.is_some() => return Whereabouts::Taking,
-                Some(held) if !held.giving => return Whereabouts::Here,
-                _ => {}
-            }
-            let open = |l: &&ReplicaEntry| {
-                !l.gone && !self.is_participant_fenced(&l.actor) && !self.believed_gone(now, &l.actor.life)
-            };
-            return match entry.links.iter().find(open) {
-                Some(link) if link.actor == self.local => Whereabouts::Taking,
-                Some(link) => Whereabouts::At(link.actor.life.clone()),
-                None => Whereabouts::Unknown,
-            };
+        if let Some(statement) = self.statements.get(key) {
+            return self.locate_kept(statement);
         }
         match self.tombstones.get(key) {
             Some(Tombstone::Ended(ending)) => Whereabouts::Over(ending.clone()),
-            Some(Tombstone::Moved(_, others)) => {
-                others.iter().find(|l| at(l)).map_or(Whereabouts::Unknown, |l| Whereabouts::At(l.clone()))
-            }
-            None if key.taken_by == self.local.life && key.number <= self.last_number => {
-                Whereabouts::Over(None)
-            }
-            None if key.taken_by == self.local.life => Whereabouts::Unknown,
-            None if self.members.contains_key(&key.taken_by) && at(&key.taken_by) => {
-                Whereabouts::At(key.taken_by.clone())
+            Some(Tombstone::Moved { replicas, .. }) => {
+                let running = replicas.iter().find(|incarnation| self.may_run(incarnation));
+                running.map_or(Whereabouts::Unknown, |incarnation| Whereabouts::At(incarnation.clone()))
             }
+            None => self.locate_by_number(key),
+        }
+    }
+
+    fn locate_kept(&self, statement: &Statement) -> Whereabouts {
+        match statement.ownership() {
+            Some(ownership) if ownership.pending_takeover.is_some() => return Whereabouts::Taking,
+            Some(ownership) if !ownership.resigning => return Whereabouts::Here,
+            _ => {}
+        }
+        let may_act = |entry: &&ReplicaEntry| {
+            let gone = self.is_believed_gone(self.latest_time, &entry.participant.incarnation);
+            !entry.excluded && !self.is_participant_fenced(&entry.participant) && !gone
+        };
+        match statement.replicas.iter().find(may_act) {
+            Some(entry) if entry.participant == self.local => Whereabouts::Taking,
+            Some(entry) => Whereabouts::At(entry.participant.incarnation.clone()),
             None => Whereabouts::Unknown,
         }
     }
 
-    /// Whether a statement is only offered to others, by a process that held it in a term that is over.
+    /// Of a statement that left no trace here only its key tells something.
+    fn locate_by_number(&self, key: &StatementKey) -> Whereabouts {
+        let accepted_by = &key.taken_by;
+        if *accepted_by == self.local.incarnation {
+            return if key.number <= self.last_number {
+                Whereabouts::Over(None)
+            } else {
+                Whereabouts::Unknown
+            };
+        }
+        if self.members.contains_key(accepted_by) && self.may_run(accepted_by) {
+            return Whereabouts::At(accepted_by.clone());
+        }
+        Whereabouts::Unknown
+    }
+
+    fn may_run(&self, incarnation: &Incarnation) -> bool {
+        let is_gone = self.is_believed_gone(self.latest_time, incarnation);
+        !is_gone && !self.fenced_through.contains_key(incarnation)
+    }
+
+    /// Whether a statement is only offered to others, by this process that owned it in an earlier term.
     pub fn is_returning(&self, key: &StatementKey) -> bool {
-        let given = |e: &Statement| e.held().is_some_and(|h| h.giving) && e.links[e.at].actor != self.local;
-        self.statements.get(key).is_some_and(given)
+        let Some(statement) = self.statements.get(key) else { return false };
+        let resigning = statement.ownership().is_some_and(|ownership| ownership.resigning);
+        resigning && statement.replicas[statement.position].participant != self.local
     }
 
-    /// Own statements, records kept for others, octets of them, and what waits to be recorded.
-    pub fn usage(&self) -> [usize; 4] {
-        [
-            self.statements.len() - self.replica_usage.0,
-            self.replica_usage.0,
-            self.replica_usage.1,
-            self.awaiting_replicas.len(),
-        ]
+    /// How much is kept here.
+    pub fn usage(&self) -> Usage {
+        Usage {
+            owned: self.statements.len() - self.replica_usage.records,
+            replica_records: self.replica_usage.records,
+            replica_bytes: self.replica_usage.bytes,
+            awaiting_replicas: self.awaiting_replicas.len(),
+        }
     }
 
-    /// A statement's chain in words: who in it never acts, and the version that each one behind this one has.
+    /// A statement's replica list in words, for reports of failed simulations.
     pub fn describe(&self, key: &StatementKey) -> String {
-        let Some(entry) = self.statements.get(key) else { return "nothing".into() };
-        let links = entry.links.iter().enumerate().map(|(i, link)| {
-            let Participant { life, term } = &link.actor;
-            let gone = if link.gone { " gone" } else { "" };
-            let lost = if self.believed_gone(self.latest_time, life) { " lost" } else { "" };
-            let acked = entry
-                .held()
-                .map_or(String::new(), |h| format!(" has {:x} of {:x}", h.guards[i].acked, h.guards[i].sent));
-            format!("{} {:x}/{term}{gone}{lost}{acked}", life.name, life.life >> 48)
+        let Some(statement) = self.statements.get(key) else { return "nothing".into() };
+        let entries = statement.replicas.iter().enumerate();
+        let entries: Vec<String> =
+            entries.map(|(position, entry)| self.describe_replica(statement, position, entry)).collect();
+        let version = statement.record.version;
+        format!("version {version:x}, position {} of {}", statement.position, entries.join(", "))
+    }
+
+    fn describe_replica(&self, statement: &Statement, position: usize, entry: &ReplicaEntry) -> String {
+        let Participant { incarnation, term } = &entry.participant;
+        let excluded = if entry.excluded { " excluded" } else { "" };
+        let is_gone = self.is_believed_gone(self.latest_time, incarnation);
+        let gone = if is_gone { " believed gone" } else { "" };
+        let progress = statement.ownership().map(|ownership| ownership.progress[position]);
+        let progress = progress.map_or(String::new(), |progress| {
+            format!(" acked {:x} of {:x}", progress.acked_version, progress.sent_version)
         });
-        let links: Vec<String> = links.collect();
-        format!("version {:x}, {} of {}", entry.record.version, entry.at, links.join(", "))
+        format!("{} {:x}/{term}{excluded}{gone}{progress}", incarnation.name, incarnation.life >> 48)
     }
 }
--- a/crates/custody/src/node/transmission.rs
+++ b/crates/custody/src/node/transmission.rs
@@ -1,212 +1,375 @@
-//! Records on their way to other gateways: batches, acknowledgements, losses and retransmission.
+//! Batches of records on their way to other gateways: queues, acknowledgements, failures and retransmission.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::statement::{InFlightBatch, Peer, Role, Tombstone};
-use super::{Effect, InjectedFault, TakeoverNode, FLIGHTS, FORWARD, LOOKS, MS, PEERS};
-use crate::wire::{Message, Participant, RejectReason, BODY, ITEMS};
+use super::statement::{Ownership, Role};
+use super::takeover::FORWARD_DELAY;
+use super::tombstones::Tombstone;
+use super::{Effect, InjectedFault, TakeoverNode, MAX_PEERS, MILLISECOND, REVIEWS_PER_TURN};
+use crate::wire::{
+    Message, Participant, RejectReason, Rejection, ReplicaRecord, MAX_BATCH_ITEMS, MAX_BODY_BYTES,
+};
 use crate::{Micros, StatementKey};
 
-/// Octets of one sending that ends with the record that passes them.
-const SENDING: usize = 256 << 10;
-/// A sending that is not answered for so long, and for its octets at ten a microsecond, is taken for lost.
-const ANSWERED: Micros = 100 * MS;
-/// Lost sendings in a row after which the time doubles no further.
-const DOUBLED: u32 = 4;
+/// Bytes of a batch; the record that passes them is its last one.
+const MAX_BATCH_BYTES: usize = 256 << 10;
+/// Bytes that a member of a replica list is counted with in a batch.
+const REPLICA_ENTRY_BYTES: usize = 128;
+/// Batches to one process that are not acknowledged yet.
+const MAX_IN_FLIGHT: usize = 32;
+/// A batch that is not acknowledged for so long, and for its transfer, counts as lost.
+const ACKNOWLEDGE_TIMEOUT: Micros = 100 * MILLISECOND;
+/// The transfer of a batch is expected to take a microsecond for so many bytes.
+const BYTES_PER_MICROSECOND: u64 = 10;
+/// Losses in a row after which the timeout doubles no further.
+const MAX_DOUBLINGS: u32 = 4;
+
+/// A version of a record that was sent.
+#[derive(Debug)]
+struct SentRecord {
+    key: StatementKey,
+    version: u64,
+}
+
+/// A batch that is not acknowledged yet.
+#[derive(Debug)]
+struct InFlightBatch {
+    lost_at: Micros,
+    records: Vec<SentRecord>,
+    ended: Vec<StatementKey>,
+}
+
+/// A process to which batches are sent, or from which they come.
+#[derive(Debug, Default)]
+pub(super) struct Peer {
+    /// The number of the last batch from there, and of the last one to there.
+    pub(super) last_received: u64,
+    last_sent: u64,
+    in_flight: BTreeMap<u64, InFlightBatch>,
+    queued_records: BTreeSet<StatementKey>,
+    queued_endings: BTreeSet<StatementKey>,
+    /// When the queues are sent.
+    send_at: Option<Micros>,
+    consecutive_losses: u32,
+    pub(super) last_heard: Micros,
+    /// When it rejected a record for lack of room.
+    pub(super) full_since: Option<Micros>,
+}
+
+impl Peer {
+    /// Forgets everything but the numbers of batches and when the process was heard.
+    pub(super) fn clear_queues(&mut self) {
+        *self = Peer {
+            last_received: self.last_received,
+            last_sent: self.last_sent,
+            last_heard: self.last_heard,
+            ..Peer::default()
+        };
+    }
+
+    fn has_queued(&self) -> bool {
+        !self.queued_records.is_empty() || !self.queued_endings.is_empty()
+    }
+
+    fn may_send(&self, now: Micros) -> bool {
+        self.send_at.is_some_and(|at| at <= now) && self.in_flight.len() < MAX_IN_FLIGHT
+    }
+
+    fn has_lost_batch(&self, now: Micros) -> bool {
+        self.in_flight.values().any(|batch| batch.lost_at <= now)
+    }
+
+    fn is_due(&self, now: Micros) -> bool {
+        self.send_at.is_some_and(|at| at <= now) || self.has_lost_batch(now)
+    }
+
+    pub(super) fn next_wake(&self) -> Option<Micros> {
+        let send_at = self.send_at.filter(|_| self.in_flight.len() < MAX_IN_FLIGHT);
+        let lost_at = self.in_flight.values().map(|batch| batch.lost_at).min();
+        send_at.into_iter().chain(lost_at).min()
+    }
+
+    /// Queues a record, to be sent at a time; a process that does not acknowledge is not sent more for it.
+    fn queue_record(&mut self, key: StatementKey, at: Micros) {
+        self.queued_records.insert(key);
+        let at = if self.consecutive_losses > 0 { self.send_at.unwrap_or(at) } else { at };
+        self.send_by(at);
+    }
+
+    /// Queues an ending, to be sent with what is due, or at a time.
+    pub(super) fn queue_ending(&mut self, key: StatementKey, at: Micros) {
+        self.queued_endings.insert(key);
+        self.send_at.get_or_insert(at);
+    }
+
+    fn send_by(&mut self, at: Micros) {
+        self.send_at = Some(self.send_at.map_or(at, |due| due.min(at)));
+    }
+
+    fn next_endings(&mut self) -> Vec<StatementKey> {
+        std::iter::from_fn(|| self.queued_endings.pop_first()).take(MAX_BATCH_ITEMS).collect()
+    }
+
+    /// Numbers grow with the clock: they go on where they were even if this peer was forgotten in between.
+    fn next_number(&mut self, now: Micros) -> u64 {
+        self.last_sent = now.max(self.last_sent + 1);
+        self.last_sent
+    }
+}
 
 impl TakeoverNode {
-    pub(super) fn peer_mut(&mut self, actor: &Participant) -> Option<&mut Peer> {
-        if self.peers.len() >= PEERS && !self.peers.contains_key(actor) {
+    pub(super) fn peer_mut(&mut self, who: &Participant) -> Option<&mut Peer> {
+        if self.peers.len() >= MAX_PEERS && !self.peers.contains_key(who) {
             return None;
         }
-        Some(self.peers.entry(actor.clone()).or_default())
+        Some(self.peers.entry(who.clone()).or_default())
+    }
+
+    // --- Queues ---
+
+    /// Queues a statement's record for the successors that may be notified and do not have the newest
+    /// version.
+    pub(super) fn queue_record(&mut self, now: Micros, key: &StatementKey, delay: Micros) {
+        let Some(statement) = self.statements.get(key) else { return };
+        let Some(ownership) = statement.ownership() else { return };
+        if statement.record.body.len() > MAX_BODY_BYTES {
+            return;
+        }
+        let successors = statement.successors().filter(|&position| {
+            let is_behind = ownership.progress[position].sent_version < statement.record.version;
+            is_behind && (self.notifies_at_once() || statement.may_notify(ownership, position))
+        });
+        let receivers: Vec<Participant> =
+            successors.map(|position| statement.replicas[position].participant.clone()).collect();
+        for who in receivers {
+            if let Some(peer) = self.peer_mut(&who) {
+                peer.queue_record(key.clone(), now + delay);
+            }
+        }
+    }
+
+    fn notifies_at_once(&self) -> bool {
+        self.fault == InjectedFault::ReplicaListNotAwaited
+    }
+
+    /// Passes records to the first member of their replica lists that may not know of them.
+    pub(super) fn forward_records(&mut self, now: Micros) {
+        let due = self.forward_at.iter().filter(|(_, at)| **at <= now);
+        let due: Vec<StatementKey> = due.map(|(key, _)| key.clone()).take(REVIEWS_PER_TURN).collect();
+        for key in due {
+            self.forward_at.insert(key.clone(), now + 2 * FORWARD_DELAY);
+            let Some(statement) = self.statements.get(&key) else { continue };
+            let Some(first) = statement.replicas.iter().find(|entry| !entry.excluded) else { continue };
+            let who = first.participant.clone();
+            if self.is_believed_gone(now, &who.incarnation) {
+                continue;
+            }
+            if let Some(peer) = self.peer_mut(&who) {
+                peer.queued_records.insert(key);
+                peer.send_at.get_or_insert(now);
+            }
+        }
     }
 
+    // --- Batches ---
+
+    pub(super) fn send_due_batches(&mut self, now: Micros) {
+        let due = self.peers.iter().filter(|(_, peer)| peer.is_due(now));
+        let due: Vec<Participant> = due.map(|(who, _)| who.clone()).collect();
+        for who in due {
+            self.requeue_lost_batches(now, &who);
+            self.send_batches(now, &who);
+        }
+    }
+
+    /// Sends what is queued for one process, in the order in which batches are numbered.
+    fn send_batches(&mut self, now: Micros, to: &Participant) {
+        while self.peers.get(to).is_some_and(|peer| peer.may_send(now)) {
+            let records = self.next_records(now, to);
+            let Some(peer) = self.peers.get_mut(to) else { return };
+            let ended = peer.next_endings();
+            if !peer.has_queued() {
+                peer.send_at = None;
+            }
+            if records.is_empty() && ended.is_empty() {
+                continue;
+            }
+            let number = peer.next_number(now);
+            let bytes = records.iter().map(batch_bytes).sum::<usize>() as u64;
+            let timeout = (ACKNOWLEDGE_TIMEOUT << peer.consecutive_losses) + bytes / BYTES_PER_MICROSECOND;
+            let sent = |item: &ReplicaRecord| SentRecord {
+                key: item.record.key.clone(),
+                version: item.record.version,
+            };
+            let batch = InFlightBatch {
+                lost_at: now + timeout,
+                records: records.iter().map(sent).collect(),
+                ended: ended.clone(),
+            };
+            peer.in_flight.insert(number, batch);
+            let message = Message::Batch { to: to.process_term(), number, records, ended };
+            let bytes = message.encode(self.local.process_term());
+            self.effects.push_back(Effect::SendRecords(to.incarnation.name.clone(), bytes));
+        }
+    }
+
+    /// The records of the next batch, taken from the queue.
+    fn next_records(&mut self, now: Micros, to: &Participant) -> Vec<ReplicaRecord> {
+        let Some(peer) = self.peers.get_mut(to) else { return Vec::new() };
+        let mut queued = std::mem::take(&mut peer.queued_records);
+        let (mut records, mut bytes) = (Vec::new(), 0);
+        while records.len() < MAX_BATCH_ITEMS && bytes < MAX_BATCH_BYTES {
+            let Some(key) = queued.pop_first() else { break };
+            let Some(record) = self.record_to_send(now, to, &key) else { continue };
+            bytes += batch_bytes(&record);
+            records.push(record);
+        }
+        if let Some(peer) = self.peers.get_mut(to) {
+            peer.queued_records = queued;
+        }
+        records
+    }
+
+    /// A statement's record for one member of its replica list, if it lacks one and may be notified.
+    fn record_to_send(&mut self, now: Micros, to: &Participant, key: &StatementKey) -> Option<ReplicaRecord> {
+        let notifies_at_once = self.notifies_at_once();
+        let statement = self.statements.get_mut(key)?;
+        let position =
+            statement.position_of(to).filter(|&position| !statement.replicas[position].excluded)?;
+        let version = statement.record.version;
+        let may_send = |ownership: &Ownership| {
+            let is_behind = ownership.progress[position].sent_version < version;
+            is_behind && (notifies_at_once || statement.may_notify(ownership, position))
+        };
+        let with_body = match statement.ownership() {
+            Some(ownership) if !may_send(ownership) => return None,
+            Some(ownership) => !ownership.progress[position].has_body,
+            None => true,
+        };
+        let record = statement.replica_record(now, with_body);
+        if let Some(ownership) = statement.ownership_mut() {
+            ownership.progress[position].sent_version = version;
+            ownership.progress[position].notified = true;
+            ownership.resignation_sent |= ownership.resigning;
+        }
+        Some(record)
+    }
+
+    // --- Acknowledgements and failures ---
+
     pub(super) fn handle_acknowledgement(
         &mut self,
         now: Micros,
         sender: &Participant,
         number: u64,
-        not: &[(u16, RejectReason)],
+        rejected: &[Rejection],
     ) {
         let Some(peer) = self.peers.get_mut(sender) else { return };
-        let Some(flight) = peer.flights.remove(&number) else { return };
-        peer.lost = 0;
-        if not.iter().any(|n| n.1 == RejectReason::NoRoom) {
-            peer.full = Some(now);
-        }
-        if !(peer.records.is_empty() && peer.ends.is_empty()) {
-            peer.due = Some(peer.due.map_or(now, |due| due.min(now)));
-        }
-        let not: BTreeMap<u16, RejectReason> = not.iter().copied().collect();
-        for (at, (key, version)) in flight.records.into_iter().enumerate() {
-            let why = not.get(&(at as u16)).copied();
-            let Some(entry) = self.statements.get_mut(&key) else { continue };
-            let Some(i) = entry.links.iter().position(|l| l.actor == *sender) else { continue };
-            if why == Some(RejectReason::Ended) {
-                if entry.held().is_some_and(|h| !h.giving && h.adopting.is_none()) {
-                    self.effects.push_back(Effect::Relinquished(key.clone()));
-                }
-                let ending = self.remove_statement(&key).and_then(|e| e.record.ending);
-                self.add_tombstone(key, Tombstone::Ended(ending));
-                continue;
-            }
-            match &mut entry.role {
-                Role::Owner(held) => {
-                    let guard = &mut held.guards[i];
-                    match why {
-                        None => {
-                            guard.acked = version.max(guard.acked);
-                            guard.body = true;
-                        }
-                        Some(RejectReason::MissingBody) => (guard.body, guard.sent) = (false, 0),
-                        Some(RejectReason::NoRoom) => self.exclude_replica(&key, sender),
-                        Some(_) => {}
+        let Some(batch) = peer.in_flight.remove(&number) else { return };
+        peer.consecutive_losses = 0;
+        if rejected.iter().any(|rejection| rejection.reason == RejectReason::NoRoom) {
+            peer.full_since = Some(now);
+        }
+        if peer.has_queued() {
+            peer.send_by(now);
+        }
+        let rejected: BTreeMap<u16, RejectReason> =
+            rejected.iter().map(|rejection| (rejection.index, rejection.reason)).collect();
+        for (index, sent) in batch.records.into_iter().enumerate() {
+            let rejection = rejected.get(&(index as u16)).copied();
+            self.handle_record_answer(now, sender, sent, rejection);
+        }
+    }
+
+    /// A record was accepted by another gateway, or rejected.
+    fn handle_record_answer(
+        &mut self,
+        now: Micros,
+        sender: &Participant,
+        sent: SentRecord,
+        rejection: Option<RejectReason>,
+    ) {
+        let SentRecord { key, version } = sent;
+        let Some(statement) = self.statements.get_mut(&key) else { return };
+        let Some(position) = statement.position_of(sender) else { return };
+        if rejection == Some(RejectReason::Ended) {
+            return self.end_elsewhere(key);
+        }
+        match &mut statement.role {
+            Role::Owner(ownership) => {
+                let progress = &mut ownership.progress[position];
+                match rejection {
+                    None => {
+                        progress.acked_version = version.max(progress.acked_version);
+                        progress.has_body = true;
                     }
-                }
-                Role::Replica => {
-                    if why == Some(RejectReason::NoRoom) {
-                        self.exclude_replica(&key, sender);
+                    Some(RejectReason::MissingBody) => {
+                        progress.has_body = false;
+                        progress.sent_version = 0;
                     }
-                    // It has it now, and goes on with it.
-                    self.forward_at.remove(&key);
+                    Some(_) => {}
                 }
             }
-            self.review_statement(now, &key);
+            // It has the record now, and goes on with the statement.
+            Role::Replica => drop(self.forward_at.remove(&key)),
+        }
+        if rejection == Some(RejectReason::NoRoom) {
+            self.exclude_replica(&key, sender);
         }
+        self.review_statement(now, &key);
     }
 
-    /// A sending could not be brought to a gateway.
+    /// Another gateway knows that a statement has ended.
+    fn end_elsewhere(&mut self, key: StatementKey) {
+        let Some(statement) = self.remove_statement(&key) else { return };
+        if statement.ownership().is_some_and(Ownership::is_active) {
+            self.effects.push_back(Effect::Relinquished(key.clone()));
+        }
+        self.add_tombstone(key, Tombstone::Ended(statement.record.ending));
+    }
+
+    /// Records could not be sent to a gateway.
     pub fn handle_send_failure(&mut self, now: Micros, to: &str) {
-        let of: Vec<Participant> = self.peers.keys().filter(|a| a.life.name == to).cloned().collect();
-        for actor in of {
-            if let Some(peer) = self.peers.get_mut(&actor) {
-                peer.flights.values_mut().for_each(|f| f.lost_at = now);
+        let of_gateway = self.peers.keys().filter(|who| who.incarnation.name == to);
+        let of_gateway: Vec<Participant> = of_gateway.cloned().collect();
+        for who in of_gateway {
+            if let Some(peer) = self.peers.get_mut(&who) {
+                peer.in_flight.values_mut().for_each(|batch| batch.lost_at = now);
             }
-            self.requeue_lost_batches(now, &actor);
+            self.requeue_lost_batches(now, &who);
         }
     }
 
-    pub(super) fn requeue_lost_batches(&mut self, now: Micros, actor: &Participant) {
-        let Some(peer) = self.peers.get_mut(actor) else { return };
-        let lost: Vec<u64> = peer.flights.iter().filter(|(_, f)| f.lost_at <= now).map(|f| *f.0).collect();
+    /// Queues the contents of lost batches again.
+    fn requeue_lost_batches(&mut self, now: Micros, to: &Participant) {
+        let Some(peer) = self.peers.get_mut(to) else { return };
+        let lost = peer.in_flight.iter().filter(|(_, batch)| batch.lost_at <= now);
+        let lost: Vec<u64> = lost.map(|(number, _)| *number).collect();
         if lost.is_empty() {
             return;
         }
-        peer.lost = (peer.lost + 1).min(DOUBLED);
-        let again = now + ((ANSWERED / 4) << peer.lost);
-        let mut keys = Vec::new();
+        peer.consecutive_losses = (peer.consecutive_losses + 1).min(MAX_DOUBLINGS);
+        peer.send_at = Some(now + ((ACKNOWLEDGE_TIMEOUT / 4) << peer.consecutive_losses));
+        let mut records = Vec::new();
         for number in lost {
-            let Some(flight) = peer.flights.remove(&number) else { continue };
-            peer.ends.extend(flight.ends);
-            keys.extend(flight.records);
-        }
-        peer.due = Some(again);
-        for (key, _) in keys {
-            let Some(entry) = self.statements.get_mut(&key) else { continue };
-            let Some(i) = entry.links.iter().position(|l| l.actor == *actor) else { continue };
-            if let Some(held) = entry.held_mut() {
-                held.guards[i].sent = held.guards[i].acked.min(held.guards[i].sent);
-                if let Some(peer) = self.peers.get_mut(actor) {
-                    peer.records.insert(key);
-                }
-            }
+            let Some(batch) = peer.in_flight.remove(&number) else { continue };
+            peer.queued_endings.extend(batch.ended);
+            records.extend(batch.records);
         }
-    }
-
-    /// Those behind it that may be told and do not know the newest version are.
-    pub(super) fn queue_record(&mut self, now: Micros, key: &StatementKey, within: Micros) {
-        let Some(entry) = self.statements.get(key) else { return };
-        let Some(held) = entry.held() else { return };
-        if entry.record.body.len() > BODY {
-            return;
-        }
-        let all = self.fault == InjectedFault::ReplicaListNotAwaited;
-        let told: Vec<Participant> = entry
-            .behind()
-            .filter(|&i| held.guards[i].sent < entry.record.version && (all || entry.tellable(held, i)))
-            .map(|i| entry.links[i].actor.clone())
-            .collect();
-        for actor in told {
-            if let Some(peer) = self.peer_mut(&actor) {
-                peer.records.insert(key.clone());
-                // One that does not answer is not asked faster.
-                let due = if peer.lost > 0 { peer.due.unwrap_or(now + within) } else { now + within };
-                peer.due = Some(peer.due.map_or(due, |d| d.min(due)));
-            }
-        }
-    }
-
-    pub(super) fn forward_to_predecessors(&mut self, now: Micros) {
-        let due: Vec<StatementKey> = self
-            .forward_at
-            .iter()
-            .filter(|(_, at)| **at <= now)
-            .map(|(k, _)| k.clone())
-            .take(LOOKS)
-            .collect();
-        for key in due {
-            self.forward_at.insert(key.clone(), now + 2 * FORWARD);
-            let Some(entry) = self.statements.get(&key) else { continue };
-            let Some(first) = entry.links.iter().find(|l| !l.gone) else { continue };
-            let actor = first.actor.clone();
-            if !self.believed_gone(now, &actor.life) {
-                if let Some(peer) = self.peer_mut(&actor) {
-                    peer.records.insert(key);
-                    peer.due = Some(peer.due.unwrap_or(now));
-                }
+        for SentRecord { key, .. } in records {
+            let Some(statement) = self.statements.get_mut(&key) else { continue };
+            let Some(position) = statement.position_of(to) else { continue };
+            let Some(ownership) = statement.ownership_mut() else { continue };
+            let progress = &mut ownership.progress[position];
+            progress.sent_version = progress.acked_version.min(progress.sent_version);
+            if let Some(peer) = self.peers.get_mut(to) {
+                peer.queued_records.insert(key);
             }
         }
     }
+}
 
-    /// Sends what is due to one, in the order in which it is numbered.
-    pub(super) fn send_batches(&mut self, now: Micros, actor: &Participant) {
-        while let Some(peer) = self.peers.get_mut(actor) {
-            let due = peer.due.is_some_and(|due| due <= now);
-            if !due || peer.flights.len() >= FLIGHTS {
-                return;
-            }
-            let (mut records, mut items, mut octets) = (Vec::new(), Vec::new(), 0);
-            while items.len() < ITEMS && octets < SENDING {
-                let Some(key) = peer.records.pop_first() else { break };
-                let Some(entry) = self.statements.get_mut(&key) else { continue };
-                let Some(i) = entry.links.iter().position(|l| l.actor == *actor && !l.gone) else { continue };
-                let version = entry.record.version;
-                let all = self.fault == InjectedFault::ReplicaListNotAwaited;
-                let whole = match entry.held() {
-                    Some(h) if h.guards[i].sent >= version || !(all || entry.tellable(h, i)) => continue,
-                    Some(h) => !h.guards[i].body,
-                    None => true,
-                };
-                let item = entry.item(now, whole);
-                octets += item.record.body.len() + 128 * entry.links.len();
-                if let Some(held) = entry.held_mut() {
-                    (held.guards[i].sent, held.guards[i].told) = (version, true);
-                    held.offered |= held.giving;
-                }
-                items.push(item);
-                records.push((key, version));
-            }
-            let mut ends = Vec::new();
-            while ends.len() < ITEMS {
-                let Some(key) = peer.ends.pop_first() else { break };
-                ends.push(key);
-            }
-            if peer.records.is_empty() && peer.ends.is_empty() {
-                peer.due = None;
-            }
-            if items.is_empty() && ends.is_empty() {
-                continue;
-            }
-            // Numbers grow with the clock: they go on where they were even if this peer was forgotten in between.
-            peer.numbers.1 = now.max(peer.numbers.1 + 1);
-            let number = peer.numbers.1;
-            let lost_at = now + (ANSWERED << peer.lost) + octets as u64 / 10;
-            peer.flights.insert(number, InFlightBatch { lost_at, records, ends: ends.clone() });
-            let to = (actor.life.life, actor.term);
-            let said = Message::Batch { to, number, records: items, ends };
-            let bytes = said.write(self.local.life.life, self.local.term);
-            self.effects.push_back(Effect::SendRecords(actor.life.name.clone(), bytes));
-        }
-    }
+/// The bytes that a record is counted with in a batch.
+fn batch_bytes(item: &ReplicaRecord) -> usize {
+    item.record.body.len() + REPLICA_ENTRY_BYTES * item.replicas.len()
 }
--- a/crates/custody/src/sim.rs
+++ b/crates/custody/src/sim.rs
@@ -1,10 +1,11 @@
-//! Whole fleets under a virtual clock, with a model of gateways, engines and clients around each custodian. Datagrams and
-//! sendings get lost, late, twice and out of order; clocks drift by all that is allowed; processes are killed, stand still, come
-//! back, leave; links are cut one way and both; membership is late and sometimes wrong.
+//! Whole fleets under a virtual clock, with a model of gateways, engines and clients around each custodian.
+//! Datagrams and sendings get lost, late, twice and out of order; clocks drift by all that is allowed;
+//! processes are killed, stand still, come back, leave; links are cut one way and both; membership is late
+//! and sometimes wrong.
 //!
-//! Checked at each step: no two processes may act for one statement at the same true time; what is unsafe to repeat is
-//! written to an engine once; one ending is told. After the faults: whoever still has a statement in hand brings it to an
-//! end by its deadline.
+//! Checked at each step: no two processes may act for one statement at the same true time; what is unsafe to
+//! repeat is written to an engine once; one ending is told. After the faults: whoever still has a statement
+//! in hand brings it to an end by its deadline.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -74,8 +75,8 @@
 }
 
 impl Case {
-    /// A case whose shape is drawn too: small and larger fleets, one to three guardians, guardians without room, calm and
-    /// bad networks.
+    /// A case whose shape is drawn too: small and larger fleets, one to three guardians, guardians without
+    /// room, calm and bad networks.
     pub fn drawn(seed: u64) -> Case {
         let mut dice = seed ^ 0x5eed;
         let mut of = |all: &[u64]| all[(draw(&mut dice) % all.len() as u64) as usize];
@@ -397,15 +398,15 @@
     fn start(&mut self, n: usize) {
         self.nodes[n].life = draw(&mut self.dice);
         let terms = Settings {
-            me: self.life(n),
+            incarnation: self.life(n),
             site: format!("s{}", n % self.case.sites.max(1)),
             voters: (0..self.case.voters).map(name).collect(),
             lease: self.case.lease,
-            drift: self.case.drift,
-            check: 0,
-            copies: self.case.copies,
-            most: self.case.most,
-            most_octets: 64 << 20,
+            drift_ppm: self.case.drift,
+            action_margin: 0,
+            replicas: self.case.copies,
+            max_replica_records: self.case.most,
+            max_replica_bytes: 64 << 20,
         };
         let now = self.clock(n);
         let node = &mut self.nodes[n];
@@ -484,7 +485,7 @@
         for (of, seen) in self.nodes[n].view.iter().enumerate() {
             let site = format!("s{}", of % self.case.sites.max(1));
             members.extend(seen.iter().map(|&(life, state)| Member {
-                life: Incarnation { name: name(of), life },
+                incarnation: Incarnation { name: name(of), life },
                 site: site.clone(),
                 state,
             }));
@@ -507,7 +508,7 @@
                     self.nodes[n].writing = Some(bytes);
                 }
                 Effect::SendDatagram(to, bytes) => {
-                    if bytes.len() > crate::wire::DATAGRAM {
+                    if bytes.len() > crate::wire::MAX_DATAGRAM_BYTES {
                         self.fail(format!("a datagram of {} octets", bytes.len()));
                     }
                     self.counts.sent[0] += 1;
--- a/crates/custody/src/wire/tests.rs
+++ b/crates/custody/src/wire/tests.rs
@@ -1,31 +1,33 @@
-//! The encoded bytes of each message and of the stored marks, pinned: gateways of different builds exchange them.
+//! The encoded bytes of each message and of the stored marks, pinned: gateways of different builds exchange
+//! them.
 
+use super::stored_marks::{decode_marks, encode_marks, Fence, StoredMarksError};
 use super::*;
+use crate::{Ending, Out, Repeat};
 
-const SENDER_LIFE: u64 = 0x0102_0304_0506_0708;
-const SENDER_TERM: u32 = 0x0a0b_0c0d;
+const SENDER: ProcessTerm = ProcessTerm { life: 0x0102_0304_0506_0708, term: 0x0a0b_0c0d };
 
-fn life(name: &str, life: u64) -> Incarnation {
+fn incarnation(name: &str, life: u64) -> Incarnation {
     Incarnation { name: name.into(), life }
 }
 
-fn actor(name: &str, number: u64, term: u32) -> Participant {
-    Participant { life: life(name, number), term }
+fn participant(name: &str, number: u64, term: u32) -> Participant {
+    Participant { incarnation: incarnation(name, number), term }
 }
 
 fn key(number: u64) -> StatementKey {
-    StatementKey { taken_by: life("g0", 0x77), number }
+    StatementKey { taken_by: incarnation("g0", 0x77), number }
 }
 
-fn links() -> Vec<ReplicaEntry> {
+fn replicas() -> Vec<ReplicaEntry> {
     vec![
-        ReplicaEntry { actor: actor("g0", 0x77, 1), gone: true, after: 0 },
-        ReplicaEntry { actor: actor("g1", 0x78, 2), gone: false, after: 1 },
+        ReplicaEntry { participant: participant("g0", 0x77, 1), excluded: true, added_after: 0 },
+        ReplicaEntry { participant: participant("g1", 0x78, 2), excluded: false, added_after: 1 },
     ]
 }
 
-fn item(whole: bool, repeat: Repeat, out: Option<Out>, ending: Option<Ending>) -> ReplicaRecord {
-    let body = if whole { b"select 1".to_vec() } else { Vec::new() };
+fn item(has_body: bool, repeat: Repeat, out: Option<Out>, ending: Option<Ending>) -> ReplicaRecord {
+    let body = if has_body { b"select 1".to_vec() } else { Vec::new() };
     let record = Record {
         key: key(5),
         version: 0x0100_0000_0002,
@@ -37,7 +39,7 @@
         passed: 4,
         ending,
     };
-    ReplicaRecord { record, whole, links: links() }
+    ReplicaRecord { record, has_body, replicas: replicas() }
 }
 
 fn out(next: Option<&str>) -> Out {
@@ -45,16 +47,25 @@
 }
 
 fn batch(items: Vec<ReplicaRecord>) -> Message {
-    Message::Batch { to: (0x1112, 0x13), number: 0x1415, records: items, ends: vec![key(8), key(9)] }
+    Message::Batch {
+        to: ProcessTerm { life: 0x1112, term: 0x13 },
+        number: 0x1415,
+        records: items,
+        ended: vec![key(8), key(9)],
+    }
+}
+
+fn mark(participant: Participant, remaining: Micros) -> FenceMark {
+    FenceMark { participant, remaining }
 }
 
 /// Checks the bytes of a message, and that they are read as that message.
 #[track_caller]
 fn pinned(message: &Message, body: &str) {
-    let bytes = message.write(SENDER_LIFE, SENDER_TERM);
+    let bytes = message.encode(SENDER);
     let hex: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
     assert_eq!(hex, body);
-    assert_eq!(Message::read(&bytes), Ok((SENDER_LIFE, SENDER_TERM, message.clone())));
+    assert_eq!(Message::decode(&bytes), Ok((SENDER, message.clone())));
 }
 
 /// Checks the bytes of one record within a batch.
@@ -84,56 +95,106 @@
 
 #[test]
 fn the_bytes_of_fencing_messages_are_pinned() {
-    let (first, second) = (actor("g1", 0x31, 1), actor("gate-2", 0x32, 2));
-    pinned(&Message::FenceRequest(vec![first.clone(), second.clone()]), "010401020304050607080a0b0c0d0002000267310000000000000031000000010006676174652d32000000000000003200000002");
-    pinned(&Message::FenceMarks(vec![(first, 0x33), (second, 0x34)]), "010501020304050607080a0b0c0d00020002673100000000000000310000000100000000000000330006676174652d320000000000000032000000020000000000000034");
+    let (first, second) = (participant("g1", 0x31, 1), participant("gate-2", 0x32, 2));
+    pinned(
+        &Message::FenceRequest(vec![first.clone(), second.clone()]),
+        concat!(
+            "010401020304050607080a0b0c0d0002000267310000000000000031000000010006676174652d32",
+            "000000000000003200000002",
+        ),
+    );
+    pinned(
+        &Message::FenceMarks(vec![mark(first, 0x33), mark(second, 0x34)]),
+        concat!(
+            "010501020304050607080a0b0c0d0002000267310000000000000031000000010000000000000033",
+            "0006676174652d320000000000000032000000020000000000000034",
+        ),
+    );
     pinned(&Message::MarksQuery(0x24), "010a01020304050607080a0b0c0d0000000000000024");
     pinned(
-        &Message::StoredMarks { asked: 0x25, kept: vec![1, 2, 3] },
+        &Message::StoredMarks { asked_at: 0x25, marks: vec![1, 2, 3] },
         "010b01020304050607080a0b0c0d000000000000002500000003010203",
     );
     pinned(
-        &Message::StoredMarks { asked: 0x26, kept: Vec::new() },
+        &Message::StoredMarks { asked_at: 0x26, marks: Vec::new() },
         "010b01020304050607080a0b0c0d000000000000002600000000",
     );
 }
 
 #[test]
 fn the_bytes_of_an_acknowledgement_are_pinned() {
-    let not = vec![
-        (0, RejectReason::NoRoom),
-        (1, RejectReason::MissingBody),
-        (2, RejectReason::Ended),
-        (3, RejectReason::Obsolete),
-    ];
+    let reasons =
+        [RejectReason::NoRoom, RejectReason::MissingBody, RejectReason::Ended, RejectReason::Obsolete];
+    let rejected = (0..).zip(reasons).map(|(index, reason)| Rejection { index, reason }).collect();
     pinned(
-        &Message::Acknowledgement { to: (0x1112, 0x13), number: 0x1415, not },
-        "010701020304050607080a0b0c0d00000000000011120000001300000000000014150004000000000101000202000303",
+        &Message::Acknowledgement { to: ProcessTerm { life: 0x1112, term: 0x13 }, number: 0x1415, rejected },
+        concat!(
+            "010701020304050607080a0b0c0d0000000000001112000000130000000000001415000400000000",
+            "0101000202000303",
+        ),
     );
 }
 
 #[test]
 fn the_bytes_of_records_are_pinned() {
-    pinned_item(item(true, Repeat::Harmless, None, None), "00026730000000000000007700000000000000050000010000000002020000000873656c65637420310000000003938700000000030000000000000004000002000267300000000000000077000000010100000267310000000000000078000000020001");
-    pinned_item(item(false, Repeat::Unsafe, Some(out(None)), Some(Ending::Cancelled)), "00026730000000000000007700000000000000050000010000000002010000000003938700000000030000000000000004010000000200026531000000000000000006000000000000000700000000000000080102000267300000000000000077000000010100000267310000000000000078000000020001");
+    pinned_item(
+        item(true, Repeat::Harmless, None, None),
+        concat!(
+            "00026730000000000000007700000000000000050000010000000002020000000873656c65637420",
+            "31000000000393870000000003000000000000000400000200026730000000000000007700000001",
+            "0100000267310000000000000078000000020001",
+        ),
+    );
+    pinned_item(
+        item(false, Repeat::Unsafe, Some(out(None)), Some(Ending::Cancelled)),
+        concat!(
+            "00026730000000000000007700000000000000050000010000000002010000000003938700000000",
+            "03000000000000000401000000020002653100000000000000000600000000000000070000000000",
+            "00000801020002673000000000000000770000000101000002673100000000000000780000000200",
+            "01",
+        ),
+    );
     let (refused, failed) = (Ending::Refused("no".into()), Ending::Failed("lost".into()));
-    pinned_item(item(false, Repeat::Harmless, Some(out(Some("/p/2"))), Some(refused)), "000267300000000000000077000000000000000500000100000000020000000000039387000000000300000000000000040100000002000265310100042f702f320000000000000006000000000000000700000000000000080200026e6f02000267300000000000000077000000010100000267310000000000000078000000020001");
-    pinned_item(item(true, Repeat::Unsafe, None, Some(failed)), "00026730000000000000007700000000000000050000010000000002030000000873656c65637420310000000003938700000000030000000000000004000300046c6f737402000267300000000000000077000000010100000267310000000000000078000000020001");
+    pinned_item(
+        item(false, Repeat::Harmless, Some(out(Some("/p/2"))), Some(refused)),
+        concat!(
+            "00026730000000000000007700000000000000050000010000000002000000000003938700000000",
+            "0300000000000000040100000002000265310100042f702f32000000000000000600000000000000",
+            "0700000000000000080200026e6f0200026730000000000000007700000001010000026731000000",
+            "0000000078000000020001",
+        ),
+    );
+    pinned_item(
+        item(true, Repeat::Unsafe, None, Some(failed)),
+        concat!(
+            "00026730000000000000007700000000000000050000010000000002030000000873656c65637420",
+            "310000000003938700000000030000000000000004000300046c6f73740200026730000000000000",
+            "0077000000010100000267310000000000000078000000020001",
+        ),
+    );
 }
 
 #[test]
 fn the_answer_to_an_unknown_format_is_pinned() {
-    assert_eq!(other_format(), [1, 255]);
-    assert_eq!(Message::read(&[2, 1, 0]), Err(DecodeError::UnknownFormat(2)));
-    assert_eq!(Message::read(&[2, 255]), Err(DecodeError::PeerFormat(2)));
+    assert_eq!(unsupported_format_reply(), [1, 255]);
+    assert_eq!(Message::decode(&[2, 1, 0]), Err(DecodeError::UnknownFormat(2)));
+    assert_eq!(Message::decode(&[2, 255]), Err(DecodeError::PeerFormat(2)));
 }
 
 #[test]
 fn the_bytes_of_stored_marks_are_pinned() {
-    let marks = [(life("g1", 0x31), 1), (life("gate-2", 0x32), 2)];
-    let bytes = keep(marks.iter().map(|(life, through)| (life, *through)));
+    let fence = |name, life, through_term| Fence { incarnation: incarnation(name, life), through_term };
+    let fences = [fence("g1", 0x31, 1), fence("gate-2", 0x32, 2)];
+    let bytes = encode_marks(&fences);
     let hex: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
-    assert_eq!(hex, "7677637573746f640100000002000267310000000000000031000000010006676174652d32000000000000003200000002f15b737a8ea2844924ff89cff21b79297d4f305d968cb2521a54e83173f09b75");
-    assert_eq!(kept(&bytes, 2), Ok(marks.to_vec()));
-    assert_eq!(kept(&bytes, 1), Err(StoredMarksError::Damaged), "more marks than allowed");
+    assert_eq!(
+        hex,
+        concat!(
+            "7677637573746f640100000002000267310000000000000031000000010006676174652d32000000",
+            "000000003200000002f15b737a8ea2844924ff89cff21b79297d4f305d968cb2521a54e83173f09b",
+            "75",
+        )
+    );
+    assert_eq!(decode_marks(&bytes, 2), Ok(fences.to_vec()));
+    assert_eq!(decode_marks(&bytes, 1), Err(StoredMarksError::Damaged), "more marks than allowed");
 }
--- a/crates/custody/tests/words.rs
+++ b/crates/custody/tests/words.rs
@@ -1,9 +1,9 @@
-//! What custodians say and keep, where it is not what it should be: other formats, spoilt octets, late sendings, no room, a
-//! gateway that is cut off.
+//! What custodians say and keep, where it is not what it should be: other formats, spoilt octets, late
+//! sendings, no room, a gateway that is cut off.
 
 use violetward_custody::{
     Effect, Incarnation, Member, MemberState, Out, Permission, Record, Repeat, Settings, StatementKey,
-    StoredMarksError, TakeoverNode,
+    StoredMarksError, TakeoverNode, Usage,
 };
 
 const SECOND: u64 = 1_000_000;
@@ -48,19 +48,19 @@
 impl Three {
     fn new(most: usize) -> Three {
         let members: Vec<Member> = (0..3)
-            .map(|n| Member { life: life(n), site: format!("s{n}"), state: MemberState::Alive })
+            .map(|n| Member { incarnation: life(n), site: format!("s{n}"), state: MemberState::Alive })
             .collect();
         let custodian = |n: usize| {
             let terms = Settings {
-                me: life(n),
+                incarnation: life(n),
                 site: format!("s{n}"),
                 voters: (0..3).map(|v| format!("g{v}")).collect(),
                 lease: 3 * SECOND,
-                drift: 200,
-                check: 0,
-                copies: 2,
-                most,
-                most_octets: 1 << 20,
+                drift_ppm: 200,
+                action_margin: 0,
+                replicas: 2,
+                max_replica_records: most,
+                max_replica_bytes: 1 << 20,
             };
             let mut custodian = TakeoverNode::new(terms, None, SECOND).expect("a first start");
             custodian.update_members(SECOND, members.clone());
@@ -108,7 +108,7 @@
 
     /// One of them sees the others so.
     fn sees(&mut self, n: usize, others: [(usize, MemberState); 2]) {
-        let of = |(o, state)| Member { life: life(o), site: format!("s{o}"), state };
+        let of = |(o, state)| Member { incarnation: life(o), site: format!("s{o}"), state };
         let mut members: Vec<Member> = others.map(of).into();
         members.push(of((n, MemberState::Alive)));
         self.all[n].update_members(self.now, members);
@@ -132,7 +132,7 @@
     assert_eq!(three.all[0].request_attempt(three.now, &key(1), 1, out()), Permission::Pending);
     three.deliver();
     assert!(three.done.contains(&(0, Effect::StartAttempt(key(1), 1))));
-    assert_eq!((three.all[1].usage()[1], three.all[2].usage()[1]), (1, 1));
+    assert_eq!((three.all[1].usage().replica_records, three.all[2].usage().replica_records), (1, 1));
 }
 
 #[test]
@@ -155,7 +155,7 @@
     }
     three.deliver();
     assert!(three.done.contains(&(0, Effect::StartAttempt(key(1), 1))));
-    assert_eq!(three.all[1].usage()[1], 0);
+    assert_eq!(three.all[1].usage().replica_records, 0);
 }
 
 #[test]
@@ -176,8 +176,8 @@
             three.all[2].handle_message(three.now, "g7", &turned);
         }
     }
-    assert_eq!(three.all[1].usage()[1], 1);
-    let before = three.all[2].usage()[1];
+    assert_eq!(three.all[1].usage().replica_records, 1);
+    let before = three.all[2].usage().replica_records;
     assert_eq!(before, 1, "a stranger is in no chain");
 }
 
@@ -190,11 +190,11 @@
     let late = three.sent.clone();
     three.all[0].finish_statement(three.now, &key(1));
     three.run(SECOND);
-    assert_eq!((three.all[1].usage()[1], three.all[2].usage()[1]), (0, 0));
+    assert_eq!((three.all[1].usage().replica_records, three.all[2].usage().replica_records), (0, 0));
     for (from, to, bytes) in late {
         three.hear(&format!("g{from}"), &to, &bytes);
     }
-    assert_eq!((three.all[1].usage()[1], three.all[2].usage()[1]), (0, 0));
+    assert_eq!((three.all[1].usage().replica_records, three.all[2].usage().replica_records), (0, 0));
 }
 
 #[test]
@@ -213,14 +213,14 @@
             "{number}"
         );
     }
-    assert_eq!((three.all[1].usage()[1], three.all[2].usage()[1]), (2, 2));
+    assert_eq!((three.all[1].usage().replica_records, three.all[2].usage().replica_records), (2, 2));
     assert!(three.done.contains(&(0, Effect::Unreplicated(key(5)))));
 }
 
 #[test]
 fn marks_that_were_kept_are_told_spoilt_foreign_or_of_another_format() {
     let mut three = Three::new(2);
-    let gone = |state| Member { life: life(2), site: "s2".into(), state };
+    let gone = |state| Member { incarnation: life(2), site: "s2".into(), state };
     three.all[0].add_statement(three.now, record(1));
     three.run(SECOND);
     three.all[1].update_members(three.now, vec![gone(MemberState::Dead)]);
@@ -238,15 +238,15 @@
     let kept = kept.expect("a mark is kept");
     let start = |bytes: &[u8]| {
         let terms = Settings {
-            me: Incarnation { name: "g1".into(), life: 7 },
+            incarnation: Incarnation { name: "g1".into(), life: 7 },
             site: String::new(),
             voters: vec!["g1".into()],
             lease: SECOND,
-            drift: 200,
-            check: 0,
-            copies: 2,
-            most: 1,
-            most_octets: 1,
+            drift_ppm: 200,
+            action_margin: 0,
+            replicas: 2,
+            max_replica_records: 1,
+            max_replica_bytes: 1,
         };
         TakeoverNode::new(terms, Some(bytes), 0).err()
     };
@@ -291,7 +291,7 @@
     three.all[1].request_fencing(three.now, &life(0), 0);
     three.run(6 * SECOND);
     assert!(three.all[1].is_fenced(&life(0), 0));
-    assert_eq!(three.all[1].usage(), [0; 4]);
+    assert_eq!(three.all[1].usage(), Usage::default());
     three.cut_off = None;
     three.sees(1, [(0, MemberState::Alive), (2, MemberState::Alive)]);
     three.run(4 * SECOND);
@@ -344,7 +344,7 @@
     // It started anew at once, and nobody had it for dead before.
     let new = Incarnation { life: 200, ..life(0) };
     for n in [1, 2] {
-        let of = |life| Member { life, site: "s0".into(), state: MemberState::Alive };
+        let of = |life| Member { incarnation: life, site: "s0".into(), state: MemberState::Alive };
         three.all[n].update_members(three.now, vec![of(life(1)), of(life(2)), of(new.clone())]);
     }
     three.run(3 * SECOND + SECOND / 5);
--- a/crates/gateway/src/custody.rs
+++ b/crates/gateway/src/custody.rs
@@ -248,15 +248,15 @@
         let ends = store.get(KEPT).map_err(|why| unusable(&why))?.map(|kept| kept.bytes);
         let (me, site) = peers.me();
         let known = Settings {
-            me: me.clone(),
+            incarnation: me.clone(),
             site,
             voters: terms.voters.clone(),
             lease: micros(terms.lease),
-            drift: terms.drift,
-            check: micros(terms.check),
-            copies: terms.copies,
-            most: terms.most.0,
-            most_octets: terms.most.1,
+            drift_ppm: terms.drift,
+            action_margin: micros(terms.check),
+            replicas: terms.copies,
+            max_replica_records: terms.most.0,
+            max_replica_bytes: terms.most.1,
         };
         let machine = TakeoverNode::new(known, ends.as_deref(), host.now()).map_err(|why| unusable(&why))?;
         tracing::info!(name = me.name, life = format!("{:016x}", me.life), "custody");
@@ -630,7 +630,7 @@
     pub fn members(&self, host: &Rc<Host>) {
         let Some(peers) = host.peers() else { return };
         let of = |seen: violetward_membership::Seen| Member {
-            life: Life { name: seen.record.name, life: seen.record.life },
+            incarnation: Life { name: seen.record.name, life: seen.record.life },
             site: seen.record.site,
             state: state(seen.record.state),
         };
@@ -855,16 +855,16 @@
 
     /// How it stands.
     pub fn standing(&self, host: &Rc<Host>) -> Standing {
-        let [held, guarded, octets, waiting] = self.machine.borrow().usage();
+        let usage = self.machine.borrow().usage();
         let counts = host.look(|core| core.counts);
         Standing {
             name: self.me.name.clone(),
             life: format!("{:016x}", self.me.life),
             tenure: self.may_act(host),
-            held,
-            guarded,
-            octets,
-            waiting,
+            held: usage.owned,
+            guarded: usage.replica_records,
+            octets: usage.replica_bytes,
+            waiting: usage.awaiting_replicas,
             adopted: counts.adopted,
             left: counts.left,
             unprotected: self.unprotected.get(),
