--- a/crates/custody/examples/fleet.rs
+++ b/crates/custody/examples/fleet.rs
@@ -16,45 +16,50 @@
     times.get(times.len().saturating_sub(1) * part / 100).map_or(0.0, |&t| t as f64 / 1_000.0)
 }
 
-fn fleet(gateways: usize, unsafe_ones: u64, statements: usize) {
+fn sent(fleet: &Fleet) -> [u64; 4] {
+    let counts = fleet.counts();
+    [counts.datagrams, counts.datagram_bytes, counts.record_sends, counts.record_bytes]
+}
+
+fn fleet(gateways: usize, unsafe_percent: u64, statements: usize) {
     let case = Case {
         gateways,
         voters: 5,
         sites: 3,
         lease: 3 * SECOND,
-        drift: 200,
-        loss: 0,
-        body: 600,
-        unsafe_ones,
-        most: 20_000,
+        drift_ppm: 200,
+        max_loss_per_mille: 0,
+        body_bytes: 600,
+        unsafe_percent,
+        max_replica_records: 20_000,
         ..Case::default()
     };
     let mut fleet = Fleet::new(case, 7);
     fleet.run(10 * SECOND);
-    let start = fleet.counts().sent;
+    let start = sent(&fleet);
     fleet.run(30 * SECOND);
     let rest: Vec<f64> =
-        fleet.counts().sent.iter().zip(start).map(|(a, b)| (a - b) as f64 / 30.0 / gateways as f64).collect();
+        sent(&fleet).iter().zip(start).map(|(a, b)| (a - b) as f64 / 30.0 / gateways as f64).collect();
     println!(
         "{gateways} gateways at rest, a gateway and second: {:.1} datagrams, {:.0} octets",
         rest[0], rest[1]
     );
-    let start = fleet.counts().sent;
-    fleet.load(statements, 0, 10 * SECOND);
+    let start = sent(&fleet);
+    fleet.schedule_statements(statements, 0, 10 * SECOND);
     fleet.run(40 * SECOND);
-    let cost: Vec<f64> = fleet.counts().sent.iter().zip(start).map(|(a, b)| (a - b) as f64).collect();
+    let cost: Vec<f64> = sent(&fleet).iter().zip(start).map(|(a, b)| (a - b) as f64).collect();
     let less = |i: usize| (cost[i] - rest[i] * 40.0 * gateways as f64) / statements as f64;
     println!(
-        "{statements} statements, {unsafe_ones} of 100 unsafe, each: {:.1} datagrams of {:.0} octets, {:.1} sendings of {:.0} octets; intent to word {:.1} ms, {:.1} ms (99th)",
-        less(0), less(1) / less(0), less(2), less(3) / less(2).max(0.01), at(&fleet.counts().intent_after, 50), at(&fleet.counts().intent_after, 99)
+        "{statements} statements, {unsafe_percent} of 100 unsafe, each: {:.1} datagrams of {:.0} octets, {:.1} sendings of {:.0} octets; intent to word {:.1} ms, {:.1} ms (99th)",
+        less(0), less(1) / less(0), less(2), less(3) / less(2).max(0.01), at(&fleet.counts().intent_delays, 50), at(&fleet.counts().intent_delays, 99)
     );
-    fleet.load(statements, 0, 2 * SECOND);
+    fleet.schedule_statements(statements, 0, 2 * SECOND);
     fleet.run(2 * SECOND);
-    let before = fleet.held();
+    let before = fleet.owned_statements();
     let n = (0..gateways).max_by_key(|&n| before[n]).unwrap_or(0);
-    fleet.fell(n);
+    fleet.kill_process(n);
     fleet.run(6 * SECOND);
-    let after = &fleet.counts().adopted_after;
+    let after = &fleet.counts().takeover_delays;
     println!(
         "g{n} killed with {} in hand: {} adopted, {:.0} ms after its fall at the median, {:.0} ms the last",
         before[n],
@@ -63,7 +68,7 @@
         at(after, 100)
     );
     fleet.run(40 * SECOND);
-    let lost = fleet.ended().map(|c| c.statements);
+    let lost = fleet.finish().map(|counts| [counts.accepted, counts.ended, counts.lost]);
     println!("taken, ended, lost: {lost:?}");
 }
 
--- a/crates/custody/examples/histories.rs
+++ b/crates/custody/examples/histories.rs
@@ -1,5 +1,5 @@
-//! Plays drawn histories and prints what happened: `histories [FROM [TO [PLANT]]]`. A planted fault is looked
-//! for until it is found.
+//! Plays drawn histories and prints what happened: `histories [FROM [TO [FAULT]]]`. With an injected fault, by
+//! its number, until it is found.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -7,7 +7,7 @@
 use violetward_custody::sim::{play, Case, Counts};
 use violetward_custody::InjectedFault;
 
-const PLANTS: [InjectedFault; 11] = [
+const FAULTS: [InjectedFault; 11] = [
     InjectedFault::None,
     InjectedFault::LeaseFromReceipt,
     InjectedFault::HalfIsQuorum,
@@ -29,7 +29,7 @@
 fn main() {
     let args: Vec<u64> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
     let arg = |i: usize, or| args.get(i).copied().unwrap_or(or);
-    let plant = PLANTS[arg(2, 0) as usize % PLANTS.len()];
+    let fault = FAULTS[arg(2, 0) as usize % FAULTS.len()];
     let (next, to) = (AtomicU64::new(arg(0, 0)), arg(1, 1_000));
     let (all, broken) = (Mutex::new(Counts::default()), Mutex::new(Vec::new()));
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get().div_ceil(2));
@@ -38,13 +38,12 @@
             scope.spawn(|| loop {
                 let seed = next.fetch_add(1, Ordering::Relaxed);
                 let found = broken.lock().is_ok_and(|b| !b.is_empty());
-                if seed >= to || (plant != InjectedFault::None && found) {
+                if seed >= to || (fault != InjectedFault::None && found) {
                     break;
                 }
-                let case = Case {
-                    plant,
-                    ..if plant == InjectedFault::None { Case::drawn(seed) } else { Case::default() }
-                };
+                let is_drawn = fault == InjectedFault::None;
+                let shape = if is_drawn { Case::drawn(seed) } else { Case::default() };
+                let case = Case { injected_fault: fault, ..shape };
                 match (play(&case, seed), all.lock(), broken.lock()) {
                     (Ok(counts), Ok(mut all), _) => all.add(counts),
                     (Err(why), _, Ok(mut broken)) => broken.push((seed, why)),
@@ -54,17 +53,21 @@
         }
     });
     let (mut all, broken) = (all.into_inner().unwrap_or_default(), broken.into_inner().unwrap_or_default());
-    println!("| {plant:?} | histories {} to {to} |", arg(0, 0));
+    println!("| {fault:?} | histories {} to {to} |", arg(0, 0));
     println!("| --- | --- |");
-    let [taken, ended, lost] = all.statements;
-    println!("| statements taken, ended, lost with all that had them | {taken}, {ended}, {lost} |");
-    let [started, adopted, dropped, waited] = all.done;
     println!(
-        "| attempts, adopted, dropped, intents that waited | {started}, {adopted}, {dropped}, {waited} |"
+        "| statements taken, ended, lost with all that had them | {}, {}, {} |",
+        all.accepted, all.ended, all.lost
     );
-    println!("| kills, stops, cuts, wrong beliefs, planned ends | {:?} |", all.faults);
-    println!("| datagrams and octets, sendings and octets | {:?} |", all.sent);
-    let (after, intent) = (&mut all.adopted_after, &mut all.intent_after);
+    println!(
+        "| attempts, adopted, dropped, intents that waited | {}, {}, {}, {} |",
+        all.attempts, all.takeovers, all.relinquished, all.awaited_intents
+    );
+    let faults = [all.kills, all.pauses, all.partitions, all.false_suspicions, all.hand_overs];
+    println!("| kills, stops, cuts, wrong beliefs, planned ends | {faults:?} |");
+    let sent = [all.datagrams, all.datagram_bytes, all.record_sends, all.record_bytes];
+    println!("| datagrams and octets, sendings and octets | {sent:?} |");
+    let (after, intent) = (&mut all.takeover_delays, &mut all.intent_delays);
     println!(
         "| from the fall to the adoption, ms, median and 99th | {:.0}, {:.0} |",
         at(after, 50),
--- /dev/null
+++ b/crates/custody/src/sim/events.rs
@@ -0,0 +1,182 @@
+//! Events of the simulation and what they do.
+
+use super::process::Process;
+use super::{Fleet, MILLISECOND, SECOND};
+use crate::{Micros, StatementKey};
+
+/// Something that happens at a gateway, or to a statement's client.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Event {
+    MessageArrives {
+        from: String,
+        bytes: Vec<u8>,
+    },
+    SendFails {
+        to: String,
+    },
+    Wake,
+    MarksStored {
+        life: u64,
+    },
+    /// A gateway goes on with a statement, unless it has planned another step since.
+    Proceed {
+        life: u64,
+        key: StatementKey,
+        step: u32,
+    },
+    /// An engine has accepted an attempt, or has finished it.
+    EngineAnswers {
+        life: u64,
+        key: StatementKey,
+        attempt: u32,
+        finished: bool,
+    },
+    /// Membership observes another gateway, or wrongly believes it dead.
+    ObserveMember {
+        member: usize,
+        believed_dead: bool,
+    },
+    ClientPolls(StatementKey),
+    AcceptStatement,
+    InjectFault,
+    HandOver,
+    PauseUntil(Micros),
+    MendLinks,
+    StartProcess,
+    EndFaults,
+    ExitProcess,
+}
+
+impl Event {
+    /// Whether it happens at a paused process too, as it is no event of the process itself.
+    fn is_external(&self) -> bool {
+        matches!(
+            self,
+            Event::EndFaults
+                | Event::MendLinks
+                | Event::InjectFault
+                | Event::PauseUntil(_)
+                | Event::ClientPolls(_)
+        )
+    }
+}
+
+/// An event and when it happens; events of one time happen in the order in which they were scheduled.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ScheduledEvent {
+    pub(super) at: Micros,
+    pub(super) order: u64,
+    pub(super) gateway: usize,
+    pub(super) event: Event,
+}
+
+impl Fleet {
+    pub(super) fn handle_scheduled(&mut self, scheduled: ScheduledEvent) {
+        let ScheduledEvent { at, gateway, event, .. } = scheduled;
+        let paused_until = self.processes[gateway].paused_until;
+        if paused_until > at && !event.is_external() {
+            if event == Event::Wake && self.processes[gateway].wake_at == at {
+                self.processes[gateway].wake_at = paused_until;
+            }
+            return self.schedule(paused_until, gateway, event);
+        }
+        self.now = self.now.max(at);
+        self.handle_event(at, gateway, event);
+    }
+
+    fn handle_event(&mut self, at: Micros, gateway: usize, event: Event) {
+        let current_life = self.processes[gateway].life;
+        match event {
+            Event::MessageArrives { from, bytes } => {
+                self.with_node(gateway, |node, clock| node.handle_message(clock, &from, &bytes));
+            }
+            Event::SendFails { to } => {
+                self.with_node(gateway, |node, clock| node.handle_send_failure(clock, &to));
+            }
+            // Another one has been scheduled since.
+            Event::Wake if self.processes[gateway].wake_at != at => return,
+            Event::Wake => self.wake(gateway),
+            Event::MarksStored { life } => self.marks_stored(gateway, life),
+            Event::Proceed { life, key, step } => {
+                let statement = self.processes[gateway].statements.get(&key);
+                if life == current_life && statement.is_some_and(|statement| statement.step == step) {
+                    self.proceed(gateway, &key);
+                }
+            }
+            Event::EngineAnswers { life, key, attempt, finished } => {
+                if life == current_life {
+                    self.engine_answers(gateway, &key, attempt, finished);
+                }
+            }
+            Event::ObserveMember { member, believed_dead } => {
+                if self.processes[gateway].node.is_some() {
+                    self.observe_member(gateway, member, believed_dead);
+                    self.update_members(gateway);
+                }
+            }
+            Event::ClientPolls(key) => return self.client_polls(&key),
+            Event::AcceptStatement => self.accept_statement(gateway),
+            Event::InjectFault if self.faults_over => {}
+            Event::InjectFault => self.inject_fault(gateway),
+            Event::HandOver => self.start_hand_over(gateway),
+            Event::PauseUntil(until) => self.pause(gateway, until),
+            Event::ExitProcess => self.exit_process(gateway),
+            Event::StartProcess => self.restart_process(gateway),
+            Event::MendLinks => self.mend_links(),
+            Event::EndFaults => self.end_faults(),
+        }
+        self.carry_out_effects(gateway);
+    }
+
+    fn wake(&mut self, gateway: usize) {
+        self.processes[gateway].wake_at = Micros::MAX;
+        self.with_node(gateway, |node, clock| {
+            if node.next_wake().is_some_and(|due| due <= clock) {
+                node.wake(clock);
+            }
+        });
+    }
+
+    fn marks_stored(&mut self, gateway: usize, life: u64) {
+        let process = &mut self.processes[gateway];
+        if process.life != life || process.node.is_none() {
+            return;
+        }
+        let Process { disk, unwritten_marks, .. } = process;
+        *disk = unwritten_marks.take().or(disk.take());
+        self.with_node(gateway, |node, clock| node.marks_stored(clock));
+    }
+
+    fn exit_process(&mut self, gateway: usize) {
+        if self.processes[gateway].has_left {
+            self.kill_process(gateway);
+            let at = self.random_time(200 * MILLISECOND, 2 * SECOND);
+            self.schedule(at, gateway, Event::StartProcess);
+        }
+    }
+
+    fn restart_process(&mut self, gateway: usize) {
+        if self.processes[gateway].node.is_none() {
+            self.start_process(gateway);
+            self.update_members(gateway);
+            self.schedule_observations(gateway);
+        }
+    }
+
+    fn mend_links(&mut self) {
+        self.cut_links.iter_mut().for_each(|row| row.fill(false));
+        (0..self.processes.len()).for_each(|other| self.schedule_observations(other));
+    }
+
+    fn end_faults(&mut self) {
+        self.faults_over = true;
+        self.cut_links.iter_mut().for_each(|row| row.fill(false));
+        for other in 0..self.processes.len() {
+            self.processes[other].paused_until = 0;
+            if self.processes[other].node.is_none() {
+                self.schedule(self.now, other, Event::StartProcess);
+            }
+            self.schedule_observations(other);
+        }
+    }
+}
--- /dev/null
+++ b/crates/custody/src/sim/faults.rs
@@ -0,0 +1,135 @@
+//! Faults of processes, disks, links and membership.
+
+use super::events::Event;
+use super::{gateway_number, Fleet, MILLISECOND, SECOND};
+use crate::{Micros, StatementKey};
+
+/// Faults are drawn as one of so many kinds; some kinds have more than one number.
+const FAULT_KINDS: u64 = 18;
+
+impl Fleet {
+    /// Draws a fault that begins at a gateway.
+    pub(super) fn inject_fault(&mut self, gateway: usize) {
+        let ends_at = self.random_time(200 * MILLISECOND, 5 * SECOND);
+        match self.random() % FAULT_KINDS {
+            0 => {
+                self.kill_process(gateway);
+                self.kill_successor_of(gateway, ends_at);
+                self.schedule(ends_at, gateway, Event::StartProcess);
+            }
+            1 | 2 => {
+                self.kill_process(gateway);
+                self.schedule(ends_at, gateway, Event::StartProcess);
+            }
+            3 => self.kill_process(gateway),
+            4 => self.kill_and_pause_successors(gateway, ends_at),
+            5..=7 => self.schedule(self.now, gateway, Event::PauseUntil(ends_at)),
+            8 => self.partition(|other| other == gateway, ends_at, gateway),
+            9 => self.partition(|other| other % 2 == gateway % 2, ends_at, gateway),
+            10 | 11 => self.cut_one_link(gateway, ends_at),
+            12 | 13 => self.suspect_falsely(gateway),
+            14 => self.restart_voters(gateway, ends_at),
+            15 if self.one_in(8) => self.restart_most(gateway),
+            17 => self.lose_disk(gateway),
+            _ => self.start_hand_over(gateway),
+        }
+    }
+
+    /// The replica that would take over one of a killed gateway's statements is killed too.
+    fn kill_successor_of(&mut self, gateway: usize, ends_at: Micros) {
+        let open = self
+            .statements
+            .iter()
+            .find(|(_, statement)| statement.owner == gateway && !statement.client_has_ending);
+        let Some(key) = open.map(|(key, _)| key.clone()) else { return };
+        if let Some(successor) = self.first_successor(&key) {
+            self.kill_process(successor);
+            self.schedule(ends_at, successor, Event::StartProcess);
+        }
+    }
+
+    fn first_successor(&self, key: &StatementKey) -> Option<usize> {
+        let nodes = self.processes.iter().flat_map(|process| process.node.as_ref());
+        let replica_list = nodes.map(|node| node.replica_list(key)).find(|list| list.len() > 1)?;
+        Some(gateway_number(&replica_list[1].name))
+    }
+
+    /// At about the time of a takeover those that may do it are paused.
+    fn kill_and_pause_successors(&mut self, gateway: usize, ends_at: Micros) {
+        self.kill_process(gateway);
+        for _ in 0..2 {
+            let paused = self.random_below(self.processes.len());
+            let at = self.random_time(800 * MILLISECOND, 2_500 * MILLISECOND);
+            self.schedule(at, paused, Event::PauseUntil(at + 3 * SECOND));
+        }
+        self.schedule(ends_at, gateway, Event::StartProcess);
+    }
+
+    /// Cuts all links between one side and the other gateways, sometimes in one direction only.
+    fn partition(&mut self, is_on_side: impl Fn(usize) -> bool, ends_at: Micros, gateway: usize) {
+        self.counts.partitions += 1;
+        let count = self.processes.len();
+        let is_one_way = self.one_in(3);
+        for from in 0..count {
+            for to in 0..count {
+                if is_on_side(from) != is_on_side(to) && (!is_one_way || is_on_side(from)) {
+                    self.cut_links[from][to] = true;
+                }
+            }
+        }
+        (0..count).for_each(|other| self.schedule_observations(other));
+        self.schedule(ends_at, gateway, Event::MendLinks);
+    }
+
+    fn cut_one_link(&mut self, gateway: usize, ends_at: Micros) {
+        self.counts.partitions += 1;
+        let other = self.random_below(self.processes.len());
+        self.cut_links[gateway][other] = gateway != other;
+        self.schedule(ends_at, gateway, Event::MendLinks);
+    }
+
+    fn suspect_falsely(&mut self, gateway: usize) {
+        self.counts.false_suspicions += 1;
+        let member = self.random_below(self.processes.len());
+        let ends_at = self.random_time(100 * MILLISECOND, 4 * SECOND);
+        self.believe_dead(gateway, member, ends_at);
+    }
+
+    fn believe_dead(&mut self, gateway: usize, member: usize, ends_at: Micros) {
+        if gateway != member {
+            self.schedule(self.now, gateway, Event::ObserveMember { member, believed_dead: true });
+            self.schedule(ends_at, gateway, Event::ObserveMember { member, believed_dead: false });
+        }
+    }
+
+    /// All voters are restarted, and somebody believes an owner dead at that moment.
+    fn restart_voters(&mut self, gateway: usize, ends_at: Micros) {
+        let member = self.random_below(self.processes.len());
+        self.believe_dead(gateway, member, ends_at);
+        for voter in 0..self.case.voters {
+            self.kill_process(voter);
+            let at = self.random_time(10 * MILLISECOND, 60 * MILLISECOND);
+            self.schedule(at, voter, Event::StartProcess);
+        }
+    }
+
+    fn restart_most(&mut self, gateway: usize) {
+        let count = self.processes.len();
+        for other in (0..count).filter(|other| other % 10 != gateway % 10) {
+            self.kill_process(other);
+            let at = self.random_time(SECOND, 4 * SECOND);
+            self.schedule(at, other, Event::StartProcess);
+        }
+    }
+
+    /// A voter loses its disk, once: more at a time than a quorum has to spare is not survived.
+    fn lose_disk(&mut self, gateway: usize) {
+        let voter = gateway % self.case.voters;
+        if !self.disk_lost && self.case.voters > 1 {
+            self.disk_lost = true;
+            self.kill_process(voter);
+            self.processes[voter].disk = None;
+            self.schedule(self.now, voter, Event::StartProcess);
+        }
+    }
+}
