Custody: a batch's records are gathered once, and reviews look up less

The contents of a batch are gathered with their keys, and nothing is asked for permission where nothing waits.

--- a/crates/custody/src/node/receiving.rs
+++ b/crates/custody/src/node/receiving.rs
@@ -112,9 +112,8 @@
         if let Some(position) = replicas.iter().position(|entry| entry.participant == *sender) {
             return Some(position);
         }
-        let tombstone = self.tombstones.get(&received.record.key);
         let moved_in_this_term = matches!(
-            tombstone,
+            self.tombstones.get(&received.record.key),
             Some(Tombstone::Moved { in_term, .. }) if *in_term == self.local.term
         );
         let remembers_endings = self.tombstones.are_complete_for(now, 2 * RETURN_WINDOW);
--- a/crates/custody/src/node/takeover.rs
+++ b/crates/custody/src/node/takeover.rs
@@ -131,12 +131,15 @@
         let Some(ownership) = statement.ownership() else { return };
         // The first record of a statement is what its client waits for.
         let is_new = ownership.progress.iter().all(|progress| !progress.notified);
-        let delay = if ownership.is_pending() || is_new { 0 } else { COALESCING_DELAY };
-        if may_act {
+        let is_pending = ownership.is_pending();
+        let delay = if is_pending || is_new { 0 } else { COALESCING_DELAY };
+        if is_pending && may_act {
             let progress = Self::recorded_progress(statement, ownership);
             self.permit(now, key, &progress);
         }
-        self.forget_if_nothing_pending(key);
+        if !is_pending {
+            self.awaiting_replicas.remove(key);
+        }
         self.queue_record(now, key, delay);
     }
 
@@ -172,11 +175,7 @@
             ownership.pending_takeover = None;
             self.effects.push_back(Effect::TakenOver(record));
         }
-    }
-
-    fn forget_if_nothing_pending(&mut self, key: &StatementKey) {
-        let ownership = self.statements.get(key).and_then(Statement::ownership);
-        if ownership.is_some_and(|ownership| !ownership.is_pending()) {
+        if !ownership.is_pending() {
             self.awaiting_replicas.remove(key);
         }
     }
--- a/crates/custody/src/node/transmission.rs
+++ b/crates/custody/src/node/transmission.rs
@@ -31,6 +31,15 @@
     version: u64,
 }
 
+/// The records of a batch that is about to be sent.
+#[derive(Default)]
+struct BatchContents {
+    records: Vec<ReplicaRecord>,
+    sent: Vec<SentRecord>,
+    /// What the records are counted with.
+    bytes: usize,
+}
+
 /// A batch that is not acknowledged yet.
 #[derive(Debug)]
 struct InFlightBatch {
@@ -185,7 +194,7 @@
     /// Sends what is queued for one process, in the order in which batches are numbered.
     fn send_batches(&mut self, now: Micros, to: &Participant) {
         while self.peers.get(to).is_some_and(|peer| peer.may_send(now)) {
-            let records = self.next_records(now, to);
+            let BatchContents { records, sent, bytes } = self.next_records(now, to);
             let Some(peer) = self.peers.get_mut(to) else { return };
             let ended = peer.next_endings();
             if !peer.has_queued() {
@@ -195,17 +204,9 @@
                 continue;
             }
             let number = peer.next_number(now);
-            let bytes = records.iter().map(batch_bytes).sum::<usize>() as u64;
-            let timeout = (ACKNOWLEDGE_TIMEOUT << peer.consecutive_losses) + bytes / BYTES_PER_MICROSECOND;
-            let sent = |item: &ReplicaRecord| SentRecord {
-                key: item.record.key.clone(),
-                version: item.record.version,
-            };
-            let batch = InFlightBatch {
-                lost_at: now + timeout,
-                records: records.iter().map(sent).collect(),
-                ended: ended.clone(),
-            };
+            let transfer = bytes as u64 / BYTES_PER_MICROSECOND;
+            let lost_at = now + (ACKNOWLEDGE_TIMEOUT << peer.consecutive_losses) + transfer;
+            let batch = InFlightBatch { lost_at, records: sent, ended: ended.clone() };
             peer.in_flight.insert(number, batch);
             let message = Message::Batch { to: to.process_term(), number, records, ended };
             let bytes = message.encode(self.local.process_term());
@@ -214,20 +215,21 @@
     }
 
     /// The records of the next batch, taken from the queue.
-    fn next_records(&mut self, now: Micros, to: &Participant) -> Vec<ReplicaRecord> {
-        let Some(peer) = self.peers.get_mut(to) else { return Vec::new() };
+    fn next_records(&mut self, now: Micros, to: &Participant) -> BatchContents {
+        let mut contents = BatchContents::default();
+        let Some(peer) = self.peers.get_mut(to) else { return contents };
         let mut queued = std::mem::take(&mut peer.queued_records);
-        let (mut records, mut bytes) = (Vec::new(), 0);
-        while records.len() < MAX_BATCH_ITEMS && bytes < MAX_BATCH_BYTES {
+        while contents.records.len() < MAX_BATCH_ITEMS && contents.bytes < MAX_BATCH_BYTES {
             let Some(key) = queued.pop_first() else { break };
-            let Some(record) = self.record_to_send(now, to, &key) else { continue };
-            bytes += batch_bytes(&record);
-            records.push(record);
+            let Some(item) = self.record_to_send(now, to, &key) else { continue };
+            contents.bytes += item.record.body.len() + REPLICA_ENTRY_BYTES * item.replicas.len();
+            contents.sent.push(SentRecord { key, version: item.record.version });
+            contents.records.push(item);
         }
         if let Some(peer) = self.peers.get_mut(to) {
             peer.queued_records = queued;
         }
-        records
+        contents
     }
 
     /// A statement's record for one member of its replica list, if it lacks one and may be notified.
@@ -368,8 +370,3 @@
         }
     }
 }
-
-/// The bytes that a record is counted with in a batch.
-fn batch_bytes(item: &ReplicaRecord) -> usize {
-    item.record.body.len() + REPLICA_ENTRY_BYTES * item.replicas.len()
-}
