Custody: tests and examples speak the glossary's terms; the benchmark is in steps

tests/words.rs is tests/takeover.rs; its ten tests keep what they check under names of the field's terms. The benchmark of a statement's cost was one function of 77 lines and is a small fleet with methods.

--- a/crates/custody/examples/fleet.rs
+++ b/crates/custody/examples/fleet.rs
@@ -1,4 +1,4 @@
-//! What custody costs: a fleet at rest and with statements, one gateway killed, and all of them restarted in
+//! What takeover costs: a fleet at rest and with statements, one gateway killed, and all of them restarted in
 //! turn.
 
 use std::time::Instant;
@@ -72,20 +72,29 @@
     println!("taken, ended, lost: {lost:?}");
 }
 
-/// Three custodians whose datagrams come at once: what a statement costs a holder and its guardians, in
-/// microseconds.
-fn microseconds(repeat: Repeat, count: u64) {
-    let life = |n: usize| Incarnation { name: format!("g{n}"), life: n as u64 + 1 };
-    let members: Vec<Member> = (0..300)
-        .map(|n| Member { incarnation: life(n), site: format!("s{}", n % 3), state: MemberState::Alive })
-        .collect();
-    let mut now = SECOND;
-    let mut all: Vec<TakeoverNode> = (0..300)
-        .filter_map(|n| {
-            let terms = Settings {
-                incarnation: life(n),
-                site: format!("s{}", n % 3),
-                voters: (0..5).map(|v| format!("g{v}")).collect(),
+const MICROBENCH_GATEWAYS: usize = 300;
+/// The gateway that accepts the statements.
+const OWNER: usize = 9;
+
+fn incarnation(gateway: usize) -> Incarnation {
+    Incarnation { name: format!("g{gateway}"), life: gateway as u64 + 1 }
+}
+
+/// Gateways whose messages arrive at once.
+struct DirectFleet {
+    nodes: Vec<TakeoverNode>,
+    now: u64,
+}
+
+impl DirectFleet {
+    fn new() -> DirectFleet {
+        let now = SECOND;
+        let site = |gateway: usize| format!("s{}", gateway % 3);
+        let node = |gateway: usize| {
+            let settings = Settings {
+                incarnation: incarnation(gateway),
+                site: site(gateway),
+                voters: (0..5).map(|voter| format!("g{voter}")).collect(),
                 lease: 3_600 * SECOND,
                 drift_ppm: 200,
                 action_margin: 0,
@@ -93,42 +102,57 @@
                 max_replica_records: 10_000,
                 max_replica_bytes: 1 << 30,
             };
-            TakeoverNode::new(terms, None, now).ok()
-        })
-        .collect();
-    all.iter_mut().for_each(|c| c.update_members(now, members.clone()));
-    let deliver = |all: &mut Vec<TakeoverNode>, now: u64, first: usize| {
+            TakeoverNode::new(settings, None, now).ok()
+        };
+        let member = |gateway: usize| Member {
+            incarnation: incarnation(gateway),
+            site: site(gateway),
+            state: MemberState::Alive,
+        };
+        let members: Vec<Member> = (0..MICROBENCH_GATEWAYS).map(member).collect();
+        let mut fleet = DirectFleet { nodes: (0..MICROBENCH_GATEWAYS).filter_map(node).collect(), now };
+        fleet.nodes.iter_mut().for_each(|node| node.update_members(now, members.clone()));
+        fleet.wake_all();
+        fleet.wake_all();
+        fleet.now += 100_000;
+        fleet.wake_all();
+        fleet
+    }
+
+    fn wake_all(&mut self) {
+        (0..MICROBENCH_GATEWAYS).for_each(|gateway| self.wake(gateway));
+    }
+
+    fn wake(&mut self, gateway: usize) {
+        self.nodes[gateway].wake(self.now);
+        self.deliver_from(gateway);
+    }
+
+    /// Carries out the effects of a gateway, and of those that its messages reach.
+    fn deliver_from(&mut self, first: usize) {
         let mut touched = vec![first];
-        while let Some(n) = touched.pop() {
-            while let Some(effect) = all[n].next_effect() {
+        while let Some(gateway) = touched.pop() {
+            while let Some(effect) = self.nodes[gateway].next_effect() {
                 match effect {
                     Effect::SendDatagram(to, bytes) | Effect::SendRecords(to, bytes) => {
                         let to: usize = to[1..].parse().unwrap_or(0);
-                        all[to].handle_message(now, &format!("g{n}"), &bytes);
+                        self.nodes[to].handle_message(self.now, &format!("g{gateway}"), &bytes);
                         touched.push(to);
                     }
                     Effect::StoreMarks(_) => {
-                        all[n].marks_stored(now);
-                        touched.push(n);
+                        self.nodes[gateway].marks_stored(self.now);
+                        touched.push(gateway);
                     }
                     _ => {}
                 }
             }
         }
-    };
-    for n in (0..300).chain(0..300) {
-        all[n].wake(now);
-        deliver(&mut all, now, n);
-    }
-    now += 100_000;
-    for n in 0..300 {
-        all[n].wake(now);
-        deliver(&mut all, now, n);
     }
-    let started = Instant::now();
-    for number in 1..=count {
-        now += 1_000;
-        let key = StatementKey { taken_by: life(9), number };
+
+    /// A statement from its acceptance to its end.
+    fn run_statement(&mut self, number: u64, repeat: Repeat) {
+        self.now += 1_000;
+        let key = StatementKey { taken_by: incarnation(OWNER), number };
         let record = Record {
             key: key.clone(),
             version: 0,
@@ -140,16 +164,22 @@
             passed: 0,
             ending: None,
         };
-        all[9].add_statement(now, record);
-        let out = Out { number: 0, engine: "e".into(), next: None, page: 0, sent: 0, within: SECOND };
-        all[9].request_attempt(now, &key, 1, out);
-        deliver(&mut all, now, 9);
-        all[9].finish_statement(now, &key);
-        all[9].wake(now);
-        deliver(&mut all, now, 9);
+        let attempt = Out { number: 0, engine: "e".into(), next: None, page: 0, sent: 0, within: SECOND };
+        self.nodes[OWNER].add_statement(self.now, record);
+        self.nodes[OWNER].request_attempt(self.now, &key, 1, attempt);
+        self.deliver_from(OWNER);
+        self.nodes[OWNER].finish_statement(self.now, &key);
+        self.wake(OWNER);
     }
+}
+
+/// What a statement costs its owner and its replicas, in microseconds.
+fn microseconds(repeat: Repeat, count: u64) {
+    let mut fleet = DirectFleet::new();
+    let started = Instant::now();
+    (1..=count).for_each(|number| fleet.run_statement(number, repeat));
     let each = started.elapsed().as_secs_f64() * 1e6 / count as f64;
-    println!("{repeat:?}: {each:.1} microseconds a statement, at its holder and its guardians together");
+    println!("{repeat:?}: {each:.1} microseconds a statement, at its owner and its replicas together");
 }
 
 fn main() {
--- a/crates/custody/tests/words.rs
+++ b/crates/custody/tests/takeover.rs
@@ -1,5 +1,5 @@
-//! What custodians say and keep, where it is not what it should be: other formats, spoilt octets, late
-//! sendings, no room, a gateway that is cut off.
+//! Three gateways whose messages arrive at once: replication, fencing, takeover, and what is malformed, late or
+//! without room.
 
 use violetward_custody::{
     Effect, Incarnation, Member, MemberState, Out, Permission, Record, Repeat, Settings, StatementKey,
@@ -34,15 +34,15 @@
     Out { number: 0, engine: "e1".into(), next: None, page: 0, sent: 0, within: SECOND }
 }
 
-/// Three gateways whose sayings come at once.
+/// Three gateways whose messages arrive at once.
 struct Three {
     all: Vec<TakeoverNode>,
     now: u64,
-    /// What was done besides saying, by whom, and all sendings.
+    /// All other effects, by whom; and all records that were sent.
     done: Vec<(usize, Effect)>,
     sent: Vec<(usize, String, Vec<u8>)>,
     /// Nothing passes between this one and the others.
-    cut_off: Option<usize>,
+    partitioned: Option<usize>,
 }
 
 impl Three {
@@ -50,8 +50,8 @@
         let members: Vec<Member> = (0..3)
             .map(|n| Member { incarnation: life(n), site: format!("s{n}"), state: MemberState::Alive })
             .collect();
-        let custodian = |n: usize| {
-            let terms = Settings {
+        let node = |n: usize| {
+            let settings = Settings {
                 incarnation: life(n),
                 site: format!("s{n}"),
                 voters: (0..3).map(|v| format!("g{v}")).collect(),
@@ -62,23 +62,23 @@
                 max_replica_records: most,
                 max_replica_bytes: 1 << 20,
             };
-            let mut custodian = TakeoverNode::new(terms, None, SECOND).expect("a first start");
-            custodian.update_members(SECOND, members.clone());
-            custodian
+            let mut node = TakeoverNode::new(settings, None, SECOND).expect("a first start");
+            node.update_members(SECOND, members.clone());
+            node
         };
         let mut three = Three {
-            all: (0..3).map(custodian).collect(),
+            all: (0..3).map(node).collect(),
             now: SECOND,
             done: Vec::new(),
             sent: Vec::new(),
-            cut_off: None,
+            partitioned: None,
         };
         three.run(SECOND);
         assert!(three.all.iter().all(|c| c.may_act(three.now)));
         three
     }
 
-    fn deliver(&mut self) {
+    fn deliver_all(&mut self) {
         let mut n = 0;
         while n < 3 {
             let Some(effect) = self.all[n].next_effect() else {
@@ -86,9 +86,9 @@
                 continue;
             };
             match effect {
-                Effect::SendDatagram(to, bytes) => self.hear(&format!("g{n}"), &to, &bytes),
+                Effect::SendDatagram(to, bytes) => self.deliver_message(&format!("g{n}"), &to, &bytes),
                 Effect::SendRecords(to, bytes) => {
-                    self.hear(&format!("g{n}"), &to, &bytes);
+                    self.deliver_message(&format!("g{n}"), &to, &bytes);
                     self.sent.push((n, to, bytes));
                 }
                 Effect::StoreMarks(_) => self.all[n].marks_stored(self.now),
@@ -98,21 +98,21 @@
         }
     }
 
-    fn hear(&mut self, from: &str, to: &str, bytes: &[u8]) {
+    fn deliver_message(&mut self, from: &str, to: &str, bytes: &[u8]) {
         let n: usize = to[1..].parse().expect("a number");
-        if self.cut_off.is_some_and(|cut| cut == n || from == format!("g{cut}")) {
+        if self.partitioned.is_some_and(|cut| cut == n || from == format!("g{cut}")) {
             return;
         }
         self.all[n].handle_message(self.now, from, bytes);
     }
 
-    /// One of them sees the others so.
-    fn sees(&mut self, n: usize, others: [(usize, MemberState); 2]) {
+    /// What the membership of one of them believes of the others.
+    fn set_membership(&mut self, n: usize, others: [(usize, MemberState); 2]) {
         let of = |(o, state)| Member { incarnation: life(o), site: format!("s{o}"), state };
         let mut members: Vec<Member> = others.map(of).into();
         members.push(of((n, MemberState::Alive)));
         self.all[n].update_members(self.now, members);
-        self.deliver();
+        self.deliver_all();
     }
 
     fn run(&mut self, span: u64) {
@@ -120,50 +120,50 @@
         while self.now < until {
             self.now += 5_000;
             (0..3).for_each(|n| self.all[n].wake(self.now));
-            self.deliver();
+            self.deliver_all();
         }
     }
 }
 
 #[test]
-fn an_intent_waits_for_both_guardians() {
+fn an_intent_waits_for_both_replicas() {
     let mut three = Three::new(100);
     assert_eq!(three.all[0].add_statement(three.now, record(1)).len(), 2);
     assert_eq!(three.all[0].request_attempt(three.now, &key(1), 1, out()), Permission::Pending);
-    three.deliver();
+    three.deliver_all();
     assert!(three.done.contains(&(0, Effect::StartAttempt(key(1), 1))));
     assert_eq!((three.all[1].usage().replica_records, three.all[2].usage().replica_records), (1, 1));
 }
 
 #[test]
-fn a_program_that_reads_another_format_is_told_and_is_no_guardian() {
+fn a_gateway_of_another_message_format_is_told_and_is_no_replica() {
     let mut three = Three::new(100);
-    // What a later format says is answered with the one that is known here, and changes nothing.
+    // A message of a later format is answered with the supported one, and changes nothing.
     three.all[0].handle_message(three.now, "g1", &[9, 6, 1, 2, 3]);
     let answer =
         std::iter::from_fn(|| three.all[0].next_effect()).find(|e| matches!(e, Effect::SendDatagram(..)));
     assert_eq!(answer, Some(Effect::SendDatagram("g1".into(), vec![1, 255])));
     three.all[0].add_statement(three.now, record(1));
     three.all[0].request_attempt(three.now, &key(1), 1, out());
-    // One guardian has the record; the other one says that it reads another format, and is not waited for.
+    // One replica has the record; the other one supports another format only, and is not awaited.
     while let Some(effect) = three.all[0].next_effect() {
         match effect {
-            Effect::SendRecords(to, bytes) if to == "g2" => three.hear("g0", "g2", &bytes),
+            Effect::SendRecords(to, bytes) if to == "g2" => three.deliver_message("g0", "g2", &bytes),
             Effect::SendRecords(..) => three.all[0].handle_message(three.now, "g1", &[0, 255]),
             _ => {}
         }
     }
-    three.deliver();
+    three.deliver_all();
     assert!(three.done.contains(&(0, Effect::StartAttempt(key(1), 1))));
     assert_eq!(three.all[1].usage().replica_records, 0);
 }
 
 #[test]
-fn octets_that_are_spoilt_change_nothing_and_stop_nobody() {
+fn malformed_bytes_change_nothing_and_stop_nobody() {
     let mut three = Three::new(100);
     three.all[0].add_statement(three.now, record(1));
     three.all[0].request_attempt(three.now, &key(1), 1, out());
-    three.deliver();
+    three.deliver_all();
     let sent: Vec<Vec<u8>> = three.sent.iter().map(|s| s.2.clone()).collect();
     for bytes in sent {
         for cut in 0..bytes.len() {
@@ -178,37 +178,37 @@
     }
     assert_eq!(three.all[1].usage().replica_records, 1);
     let before = three.all[2].usage().replica_records;
-    assert_eq!(before, 1, "a stranger is in no chain");
+    assert_eq!(before, 1, "a stranger is in no replica list");
 }
 
 #[test]
-fn a_sending_that_comes_late_brings_nothing_back() {
+fn a_late_batch_revives_nothing() {
     let mut three = Three::new(100);
     three.all[0].add_statement(three.now, record(1));
     three.all[0].request_attempt(three.now, &key(1), 1, out());
-    three.deliver();
+    three.deliver_all();
     let late = three.sent.clone();
     three.all[0].finish_statement(three.now, &key(1));
     three.run(SECOND);
     assert_eq!((three.all[1].usage().replica_records, three.all[2].usage().replica_records), (0, 0));
     for (from, to, bytes) in late {
-        three.hear(&format!("g{from}"), &to, &bytes);
+        three.deliver_message(&format!("g{from}"), &to, &bytes);
     }
     assert_eq!((three.all[1].usage().replica_records, three.all[2].usage().replica_records), (0, 0));
 }
 
 #[test]
-fn without_room_a_guardian_declines_and_the_statement_goes_on_with_the_other_word() {
+fn a_replica_without_room_declines_and_the_statement_goes_on() {
     let mut three = Three::new(2);
     for number in 1..=5 {
         three.all[0].add_statement(three.now, record(number));
-        let leave = three.all[0].request_attempt(three.now, &key(number), 1, out());
-        three.deliver();
+        let permission = three.all[0].request_attempt(three.now, &key(number), 1, out());
+        three.deliver_all();
         three.run(SECOND / 10);
-        // Once both have said that they have no room they are not even asked.
-        let word = three.done.contains(&(0, Effect::StartAttempt(key(number), 1)));
+        // Once both have declined they are not even asked.
+        let is_permitted_later = three.done.contains(&(0, Effect::StartAttempt(key(number), 1)));
         assert_eq!(
-            (leave, word),
+            (permission, is_permitted_later),
             if number < 4 { (Permission::Pending, true) } else { (Permission::Granted, false) },
             "{number}"
         );
@@ -218,7 +218,7 @@
 }
 
 #[test]
-fn marks_that_were_kept_are_told_spoilt_foreign_or_of_another_format() {
+fn stored_marks_that_are_damaged_or_foreign_are_rejected() {
     let mut three = Three::new(2);
     let gone = |state| Member { incarnation: life(2), site: "s2".into(), state };
     three.all[0].add_statement(three.now, record(1));
@@ -235,9 +235,9 @@
             }
         }
     }
-    let kept = kept.expect("a mark is kept");
+    let kept = kept.expect("marks are stored");
     let start = |bytes: &[u8]| {
-        let terms = Settings {
+        let settings = Settings {
             incarnation: Incarnation { name: "g1".into(), life: 7 },
             site: String::new(),
             voters: vec!["g1".into()],
@@ -248,7 +248,7 @@
             max_replica_records: 1,
             max_replica_bytes: 1,
         };
-        TakeoverNode::new(terms, Some(bytes), 0).err()
+        TakeoverNode::new(settings, Some(bytes), 0).err()
     };
     assert_eq!(start(&kept), None);
     for at in 0..kept.len() {
@@ -261,16 +261,16 @@
 }
 
 #[test]
-fn one_that_looks_dead_is_over_only_once_a_quorum_says_so_and_its_grant_has_run_out() {
+fn a_process_that_looks_dead_is_fenced_only_by_a_quorum_and_once_its_lease_has_run_out() {
     let mut three = Three::new(100);
-    three.cut_off = Some(1);
-    three.sees(1, [(0, MemberState::Dead), (2, MemberState::Dead)]);
+    three.partitioned = Some(1);
+    three.set_membership(1, [(0, MemberState::Dead), (2, MemberState::Dead)]);
     three.all[1].request_fencing(three.now, &life(0), 0);
     three.run(20 * SECOND);
-    assert!(!three.all[1].is_fenced(&life(0), 0), "the one that is cut off cannot know");
+    assert!(!three.all[1].is_fenced(&life(0), 0), "the partitioned one cannot know");
     assert!(three.all[0].may_act(three.now), "it goes on");
-    three.cut_off = Some(0);
-    three.sees(1, [(0, MemberState::Dead), (2, MemberState::Alive)]);
+    three.partitioned = Some(0);
+    three.set_membership(1, [(0, MemberState::Dead), (2, MemberState::Alive)]);
     three.all[1].request_fencing(three.now, &life(0), 0);
     three.run(SECOND);
     assert!(three.all[0].may_act(three.now), "its lease still runs");
@@ -282,72 +282,72 @@
 }
 
 #[test]
-fn what_nobody_else_has_heard_of_is_given_back_by_a_process_that_was_ended() {
+fn a_fenced_process_returns_what_nobody_else_has_heard_of() {
     let mut three = Three::new(100);
-    three.cut_off = Some(0);
+    three.partitioned = Some(0);
     three.all[0].add_statement(three.now, record(1));
     assert_eq!(three.all[0].request_attempt(three.now, &key(1), 1, out()), Permission::Pending);
-    three.sees(1, [(0, MemberState::Dead), (2, MemberState::Alive)]);
+    three.set_membership(1, [(0, MemberState::Dead), (2, MemberState::Alive)]);
     three.all[1].request_fencing(three.now, &life(0), 0);
     three.run(6 * SECOND);
     assert!(three.all[1].is_fenced(&life(0), 0));
     assert_eq!(three.all[1].usage(), Usage::default());
-    three.cut_off = None;
-    three.sees(1, [(0, MemberState::Alive), (2, MemberState::Alive)]);
+    three.partitioned = None;
+    three.set_membership(1, [(0, MemberState::Alive), (2, MemberState::Alive)]);
     three.run(4 * SECOND);
-    let adopted = |done: &(usize, Effect)| match done {
+    let taken_over = |done: &(usize, Effect)| match done {
         (n, Effect::TakenOver(record)) if *n > 0 && record.key == key(1) => {
             Some((record.attempts, record.out.is_none()))
         }
         _ => None,
     };
-    // What it had meant to do and had no leave for was never done.
-    assert_eq!(three.done.iter().filter_map(adopted).collect::<Vec<_>>(), [(0, true)]);
+    // The attempt that had no permission was never made.
+    assert_eq!(three.done.iter().filter_map(taken_over).collect::<Vec<_>>(), [(0, true)]);
     assert!(three.done.contains(&(0, Effect::Relinquished(key(1)))));
     assert!(!three.done.iter().any(|d| matches!(d, (_, Effect::StartAttempt(..)))));
 }
 
 #[test]
-fn a_client_is_told_that_its_statement_is_taken_once_others_have_it() {
+fn a_statement_is_acknowledged_to_its_client_once_others_have_it() {
     let mut three = Three::new(100);
     three.all[0].add_statement(three.now, record(1));
     assert!(!three.all[0].is_safely_replicated(three.now, &key(1), three.now));
-    // Not held back like later words.
+    // The first record is not held back like later ones.
     three.run(5_000);
     assert!(three.all[0].is_safely_replicated(three.now, &key(1), three.now));
-    // One keeper is silent: the other one and a tenure that was granted anew will do.
-    three.cut_off = Some(2);
+    // One replica is silent: the other one and a lease that was granted anew suffice.
+    three.partitioned = Some(2);
     let since = three.now;
     three.all[0].add_statement(since, record(2));
     three.run(5_000);
     assert!(!three.all[0].is_safely_replicated(three.now, &key(2), since));
     three.run(3 * SECOND / 2);
     assert!(three.all[0].is_safely_replicated(three.now, &key(2), since));
-    // Cut off from all, whether membership knows of that or not.
-    three.cut_off = Some(0);
+    // Partitioned from all, whether membership knows of that or not.
+    three.partitioned = Some(0);
     let since = three.now;
     three.all[0].add_statement(since, record(3));
     three.run(2 * SECOND);
     assert!(!three.all[0].is_safely_replicated(three.now, &key(3), since));
-    three.sees(0, [(1, MemberState::Dead), (2, MemberState::Dead)]);
+    three.set_membership(0, [(1, MemberState::Dead), (2, MemberState::Dead)]);
     three.all[0].add_statement(three.now, record(4));
     assert!(!three.all[0].is_safely_replicated(three.now, &key(3), since));
     assert!(!three.all[0].is_safely_replicated(three.now, &key(4), three.now));
 }
 
 #[test]
-fn what_a_process_held_that_came_back_under_its_name_waits_for_its_grant_alone() {
+fn statements_of_a_restarted_process_are_taken_over_once_its_lease_has_run_out() {
     let mut three = Three::new(100);
     three.all[0].add_statement(three.now, record(1));
     three.run(SECOND / 10);
-    three.cut_off = Some(0);
-    // It started anew at once, and nobody had it for dead before.
+    three.partitioned = Some(0);
+    // It was restarted at once, and nobody believed it dead before.
     let new = Incarnation { life: 200, ..life(0) };
     for n in [1, 2] {
         let of = |life| Member { incarnation: life, site: "s0".into(), state: MemberState::Alive };
         three.all[n].update_members(three.now, vec![of(life(1)), of(life(2)), of(new.clone())]);
     }
     three.run(3 * SECOND + SECOND / 5);
-    let adopted = |d: &&(usize, Effect)| matches!(&d.1, Effect::TakenOver(record) if record.key == key(1));
-    assert_eq!(three.done.iter().filter(adopted).count(), 1);
+    let taken_over = |d: &&(usize, Effect)| matches!(&d.1, Effect::TakenOver(record) if record.key == key(1));
+    assert_eq!(three.done.iter().filter(taken_over).count(), 1);
 }
