--- a/crates/custody/examples/fleet.rs
+++ b/crates/custody/examples/fleet.rs
@@ -1,9 +1,12 @@
-//! What custody costs: a fleet at rest and with statements, one gateway killed, and all of them restarted in turn.
+//! What takeover costs: a fleet at rest and with statements, one gateway killed, and all of them restarted in
+//! turn.
 
 use std::time::Instant;
 
 use violetward_custody::sim::{Case, Fleet};
-use violetward_custody::{Custodian, Effect, Life, Member, Out, Record, Repeat, State, StatementKey, Terms};
+use violetward_custody::{
+    Effect, Incarnation, Member, MemberState, Out, Record, Repeat, Settings, StatementKey, TakeoverNode,
+};
 
 const SECOND: u64 = 1_000_000;
 
@@ -13,45 +16,50 @@
     times.get(times.len().saturating_sub(1) * part / 100).map_or(0.0, |&t| t as f64 / 1_000.0)
 }
 
-fn fleet(gateways: usize, unsafe_ones: u64, statements: usize) {
+fn sent(fleet: &Fleet) -> [u64; 4] {
+    let counts = fleet.counts();
+    [counts.datagrams, counts.datagram_bytes, counts.record_sends, counts.record_bytes]
+}
+
+fn fleet(gateways: usize, unsafe_percent: u64, statements: usize) {
     let case = Case {
         gateways,
         voters: 5,
         sites: 3,
         lease: 3 * SECOND,
-        drift: 200,
-        loss: 0,
-        body: 600,
-        unsafe_ones,
-        most: 20_000,
+        drift_ppm: 200,
+        max_loss_per_mille: 0,
+        body_bytes: 600,
+        unsafe_percent,
+        max_replica_records: 20_000,
         ..Case::default()
     };
     let mut fleet = Fleet::new(case, 7);
     fleet.run(10 * SECOND);
-    let start = fleet.counts().sent;
+    let start = sent(&fleet);
     fleet.run(30 * SECOND);
     let rest: Vec<f64> =
-        fleet.counts().sent.iter().zip(start).map(|(a, b)| (a - b) as f64 / 30.0 / gateways as f64).collect();
+        sent(&fleet).iter().zip(start).map(|(a, b)| (a - b) as f64 / 30.0 / gateways as f64).collect();
     println!(
         "{gateways} gateways at rest, a gateway and second: {:.1} datagrams, {:.0} octets",
         rest[0], rest[1]
     );
-    let start = fleet.counts().sent;
-    fleet.load(statements, 0, 10 * SECOND);
+    let start = sent(&fleet);
+    fleet.schedule_statements(statements, 0, 10 * SECOND);
     fleet.run(40 * SECOND);
-    let cost: Vec<f64> = fleet.counts().sent.iter().zip(start).map(|(a, b)| (a - b) as f64).collect();
+    let cost: Vec<f64> = sent(&fleet).iter().zip(start).map(|(a, b)| (a - b) as f64).collect();
     let less = |i: usize| (cost[i] - rest[i] * 40.0 * gateways as f64) / statements as f64;
     println!(
-        "{statements} statements, {unsafe_ones} of 100 unsafe, each: {:.1} datagrams of {:.0} octets, {:.1} sendings of {:.0} octets; intent to word {:.1} ms, {:.1} ms (99th)",
-        less(0), less(1) / less(0), less(2), less(3) / less(2).max(0.01), at(&fleet.counts().intent_after, 50), at(&fleet.counts().intent_after, 99)
+        "{statements} statements, {unsafe_percent} of 100 unsafe, each: {:.1} datagrams of {:.0} octets, {:.1} sendings of {:.0} octets; intent to word {:.1} ms, {:.1} ms (99th)",
+        less(0), less(1) / less(0), less(2), less(3) / less(2).max(0.01), at(&fleet.counts().intent_delays, 50), at(&fleet.counts().intent_delays, 99)
     );
-    fleet.load(statements, 0, 2 * SECOND);
+    fleet.schedule_statements(statements, 0, 2 * SECOND);
     fleet.run(2 * SECOND);
-    let before = fleet.held();
+    let before = fleet.owned_statements();
     let n = (0..gateways).max_by_key(|&n| before[n]).unwrap_or(0);
-    fleet.fell(n);
+    fleet.kill_process(n);
     fleet.run(6 * SECOND);
-    let after = &fleet.counts().adopted_after;
+    let after = &fleet.counts().takeover_delays;
     println!(
         "g{n} killed with {} in hand: {} adopted, {:.0} ms after its fall at the median, {:.0} ms the last",
         before[n],
@@ -60,66 +68,91 @@
         at(after, 100)
     );
     fleet.run(40 * SECOND);
-    let lost = fleet.ended().map(|c| c.statements);
+    let lost = fleet.finish().map(|counts| [counts.accepted, counts.ended, counts.lost]);
     println!("taken, ended, lost: {lost:?}");
 }
 
-/// Three custodians whose datagrams come at once: what a statement costs a holder and its guardians, in microseconds.
-fn microseconds(repeat: Repeat, count: u64) {
-    let life = |n: usize| Life { name: format!("g{n}"), life: n as u64 + 1 };
-    let members: Vec<Member> = (0..300)
-        .map(|n| Member { life: life(n), site: format!("s{}", n % 3), state: State::Alive })
-        .collect();
-    let mut now = SECOND;
-    let mut all: Vec<Custodian> = (0..300)
-        .filter_map(|n| {
-            let terms = Terms {
-                me: life(n),
-                site: format!("s{}", n % 3),
-                voters: (0..5).map(|v| format!("g{v}")).collect(),
+const MICROBENCH_GATEWAYS: usize = 300;
+/// The gateway that accepts the statements.
+const OWNER: usize = 9;
+
+fn incarnation(gateway: usize) -> Incarnation {
+    Incarnation { name: format!("g{gateway}"), life: gateway as u64 + 1 }
+}
+
+/// Gateways whose messages arrive at once.
+struct DirectFleet {
+    nodes: Vec<TakeoverNode>,
+    now: u64,
+}
+
+impl DirectFleet {
+    fn new() -> DirectFleet {
+        let now = SECOND;
+        let site = |gateway: usize| format!("s{}", gateway % 3);
+        let node = |gateway: usize| {
+            let settings = Settings {
+                incarnation: incarnation(gateway),
+                site: site(gateway),
+                voters: (0..5).map(|voter| format!("g{voter}")).collect(),
                 lease: 3_600 * SECOND,
-                drift: 200,
-                check: 0,
-                copies: 2,
-                most: 10_000,
-                most_octets: 1 << 30,
+                drift_ppm: 200,
+                action_margin: 0,
+                replicas: 2,
+                max_replica_records: 10_000,
+                max_replica_bytes: 1 << 30,
             };
-            Custodian::new(terms, None, now).ok()
-        })
-        .collect();
-    all.iter_mut().for_each(|c| c.members(now, members.clone()));
-    let deliver = |all: &mut Vec<Custodian>, now: u64, first: usize| {
+            TakeoverNode::new(settings, None, now).ok()
+        };
+        let member = |gateway: usize| Member {
+            incarnation: incarnation(gateway),
+            site: site(gateway),
+            state: MemberState::Alive,
+        };
+        let members: Vec<Member> = (0..MICROBENCH_GATEWAYS).map(member).collect();
+        let mut fleet = DirectFleet { nodes: (0..MICROBENCH_GATEWAYS).filter_map(node).collect(), now };
+        fleet.nodes.iter_mut().for_each(|node| node.update_members(now, members.clone()));
+        fleet.wake_all();
+        fleet.wake_all();
+        fleet.now += 100_000;
+        fleet.wake_all();
+        fleet
+    }
+
+    fn wake_all(&mut self) {
+        (0..MICROBENCH_GATEWAYS).for_each(|gateway| self.wake(gateway));
+    }
+
+    fn wake(&mut self, gateway: usize) {
+        self.nodes[gateway].wake(self.now);
+        self.deliver_from(gateway);
+    }
+
+    /// Carries out the effects of a gateway, and of those that its messages reach.
+    fn deliver_from(&mut self, first: usize) {
         let mut touched = vec![first];
-        while let Some(n) = touched.pop() {
-            while let Some(effect) = all[n].effect() {
+        while let Some(gateway) = touched.pop() {
+            while let Some(effect) = self.nodes[gateway].next_effect() {
                 match effect {
-                    Effect::Say(to, bytes) | Effect::Send(to, bytes) => {
+                    Effect::SendDatagram(to, bytes) | Effect::SendRecords(to, bytes) => {
                         let to: usize = to[1..].parse().unwrap_or(0);
-                        all[to].heard(now, &format!("g{n}"), &bytes);
+                        self.nodes[to].handle_message(self.now, &format!("g{gateway}"), &bytes);
                         touched.push(to);
                     }
-                    Effect::Keep(_) => {
-                        all[n].kept(now);
-                        touched.push(n);
+                    Effect::StoreMarks(_) => {
+                        self.nodes[gateway].marks_stored(self.now);
+                        touched.push(gateway);
                     }
                     _ => {}
                 }
             }
         }
-    };
-    for n in (0..300).chain(0..300) {
-        all[n].wake(now);
-        deliver(&mut all, now, n);
-    }
-    now += 100_000;
-    for n in 0..300 {
-        all[n].wake(now);
-        deliver(&mut all, now, n);
     }
-    let started = Instant::now();
-    for number in 1..=count {
-        now += 1_000;
-        let key = StatementKey { taken_by: life(9), number };
+
+    /// A statement from its acceptance to its end.
+    fn run_statement(&mut self, number: u64, repeat: Repeat) {
+        self.now += 1_000;
+        let key = StatementKey { taken_by: incarnation(OWNER), number };
         let record = Record {
             key: key.clone(),
             version: 0,
@@ -131,16 +164,22 @@
             passed: 0,
             ending: None,
         };
-        all[9].take(now, record);
-        let out = Out { number: 0, engine: "e".into(), next: None, page: 0, sent: 0, within: SECOND };
-        all[9].intend(now, &key, 1, out);
-        deliver(&mut all, now, 9);
-        all[9].end(now, &key);
-        all[9].wake(now);
-        deliver(&mut all, now, 9);
+        let attempt = Out { number: 0, engine: "e".into(), next: None, page: 0, sent: 0, within: SECOND };
+        self.nodes[OWNER].add_statement(self.now, record);
+        self.nodes[OWNER].request_attempt(self.now, &key, 1, attempt);
+        self.deliver_from(OWNER);
+        self.nodes[OWNER].finish_statement(self.now, &key);
+        self.wake(OWNER);
     }
+}
+
+/// What a statement costs its owner and its replicas, in microseconds.
+fn microseconds(repeat: Repeat, count: u64) {
+    let mut fleet = DirectFleet::new();
+    let started = Instant::now();
+    (1..=count).for_each(|number| fleet.run_statement(number, repeat));
     let each = started.elapsed().as_secs_f64() * 1e6 / count as f64;
-    println!("{repeat:?}: {each:.1} microseconds a statement, at its holder and its guardians together");
+    println!("{repeat:?}: {each:.1} microseconds a statement, at its owner and its replicas together");
 }
 
 fn main() {
--- /dev/null
+++ b/crates/custody/src/node/messages.rs
@@ -0,0 +1,98 @@
+//! Messages from other gateways, each to what handles it.
+
+use super::{Effect, TakeoverNode};
+use crate::voter::LeaseAnswer;
+use crate::wire::{unsupported_format_reply, DecodeError, Message, Participant, ProcessTerm};
+use crate::{Incarnation, Micros};
+
+impl TakeoverNode {
+    /// A datagram, or records over a stream, from a gateway that has proved its name.
+    pub fn handle_message(&mut self, now: Micros, from: &str, bytes: &[u8]) {
+        let (process, message) = match Message::decode(bytes) {
+            Ok(decoded) => decoded,
+            Err(why) => return self.handle_undecodable(now, from, why),
+        };
+        let incarnation = Incarnation { name: from.to_owned(), life: process.life };
+        if !self.learn_term(&incarnation, process.term) {
+            return;
+        }
+        let sender = Participant { incarnation, term: process.term };
+        if let Some(peer) = self.peers.get_mut(&sender) {
+            peer.last_heard = now;
+        }
+        self.handle_decoded(now, sender, message);
+        self.advance(now);
+    }
+
+    fn handle_undecodable(&mut self, now: Micros, from: &str, why: DecodeError) {
+        match why {
+            DecodeError::Malformed => {}
+            DecodeError::UnknownFormat(format) => {
+                self.log(format!("{from} sends message format {format}, which is not supported here"));
+                self.effects.push_back(Effect::SendDatagram(from.to_owned(), unsupported_format_reply()));
+            }
+            DecodeError::PeerFormat(format) => {
+                self.log(format!("{from} supports message format {format} only: no replica"));
+                self.exclude_incompatible_gateway(now, from);
+            }
+        }
+    }
+
+    fn handle_decoded(&mut self, now: Micros, sender: Participant, message: Message) {
+        let from = sender.incarnation.name.clone();
+        match message {
+            Message::LeaseRequest(requested_at) => self.answer_lease_request(now, &sender, requested_at),
+            Message::LeaseGrant(requested_at) => {
+                if self.is_voter(&from) && requested_at <= now {
+                    self.handle_lease_answer(now, &from, requested_at, &LeaseAnswer::Granted);
+                }
+            }
+            Message::Fenced(through) => {
+                if self.is_voter(&from) {
+                    self.handle_lease_answer(now, &from, 0, &LeaseAnswer::Fenced(through));
+                }
+            }
+            Message::TermAnnouncement => {}
+            Message::TermQuery => self.send_message(&from, &Message::TermAnnouncement),
+            Message::MarksQuery(asked_at) => self.answer_marks_query(now, &from, asked_at),
+            Message::StoredMarks { asked_at, marks } => {
+                self.learn_stored_marks(now, &from, asked_at, &marks);
+            }
+            Message::FenceRequest(who) => self.handle_fence_request(now, &from, who),
+            Message::FenceMarks(marks) => self.handle_fence_marks(now, &from, marks),
+            Message::Batch { to, number, records, ended } => {
+                if self.is_local(to) {
+                    self.handle_batch(now, sender, number, records, ended);
+                } else {
+                    self.send_message(&from, &Message::TermAnnouncement);
+                }
+            }
+            Message::Acknowledgement { to, number, rejected } => {
+                if self.is_local(to) {
+                    self.handle_acknowledgement(now, &sender, number, &rejected);
+                }
+            }
+        }
+    }
+
+    fn is_local(&self, process: ProcessTerm) -> bool {
+        process == self.local.process_term()
+    }
+
+    /// This gateway's own vote on a lease.
+    pub(super) fn vote_on_lease(&mut self, now: Micros, who: &Participant) -> LeaseAnswer {
+        let voter = self.voter.as_mut();
+        let answer = voter.map_or(LeaseAnswer::Silence, |voter| voter.request_lease(now, who));
+        self.begin_storing_marks();
+        answer
+    }
+
+    fn answer_lease_request(&mut self, now: Micros, sender: &Participant, requested_at: Micros) {
+        let to = &sender.incarnation.name;
+        match self.vote_on_lease(now, sender) {
+            LeaseAnswer::Granted => self.send_message(to, &Message::LeaseGrant(requested_at)),
+            LeaseAnswer::Fenced(through) => self.send_message(to, &Message::Fenced(through)),
+            LeaseAnswer::Silence => {}
+        }
+    }
+}
