--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -496,15 +496,15 @@
     let class = &host.config.names.classes[launch.class];
     line.link.borrow_mut().fetch(launch, class, left, &mut out);
     line.carried.set(line.carried.get() + 1);
-    let sent = line.send(&out);
-    // What did not get onto the connection waits for another one, and has surely not run.
-    if sent {
+    let written = line.send(&out);
+    if written {
         host.written(launch.attempt);
         engine.places.borrow_mut().insert(launch.attempt, (line.clone(), Instant::now()));
     } else {
+        // It waits for another connection, and has surely not run.
         line.link.borrow_mut().withdraw(launch.attempt, &mut Vec::new());
     }
-    sent
+    written
 }
 
 /// Sends a probe and sees to its time-out.
