--- a/crates/custody/src/node/leases.rs
+++ b/crates/custody/src/node/leases.rs
@@ -16,7 +16,7 @@
 
 impl TakeoverNode {
     /// Whether this gateway may start attempts and report endings: its lease stays valid for
-    /// [`Settings::action_margin`] (see [`super::Settings`]). To be asked just before the action.
+    /// [`Settings::action_margin`]. To be asked just before the action.
     ///
     /// [`Settings::action_margin`]: super::Settings::action_margin
     pub fn may_act(&self, now: Micros) -> bool {
--- a/crates/custody/src/sim/case.rs
+++ b/crates/custody/src/sim/case.rs
@@ -113,7 +113,7 @@
     pub datagrams: u64,
     /// See `datagrams`.
     pub datagram_bytes: u64,
-    /// Sendings of records, and their bytes.
+    /// Times that records were sent, and their bytes.
     pub record_sends: u64,
     /// See `record_sends`.
     pub record_bytes: u64,
