A fleet's turns at a cold engine add up to its budget, also with few samples

Cause, lines at fault: `cold_allows` lets a gateway's turn come with the probability part / weight, and `cold_weight` was the plain mean of the work served so far. The mean of 1 / mean is more than 1 / the true mean where samples are few, the more the work varies, so the parts of many gateways with little traffic, or fresh ones, add up to more than one.

Change: the weight grows by WORK_VARIANCE / samples, which takes that error back. Three more ways to a second part are closed. Every send is kept for two spans, not only those to engines that were known to be cold, so that what went out before the list told of a start counts. An older list does not take a start back (`enlist`), which made a cold engine warm. An engine that one list lacks is not forgotten while it was sent something of late (`drop_removed`).

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -16,8 +16,7 @@
             out.push(Action::Terms { id, memory_mb, rank: self.rank(request) });
         }
         out.push(Action::Dispatch { id, engine, until });
-        let cold = self.is_cold(e).then_some(weight);
-        self.sent(id, flight, cold, WARM_GROUPS);
+        self.sent(id, flight, Some(weight), WARM_GROUPS);
     }
 
     /// How long an attempt should take.
--- a/src/logic/guard.rs
+++ b/src/logic/guard.rs
@@ -63,9 +63,8 @@
             return true;
         }
         let class = open.request.class.0;
-        let capacity = self.cores(e) * self.warmth(e);
-        let span = self.settings.fall_span as f64;
-        let all = self.settings.fall_multiple * capacity * span * COLD_MARGIN * self.share().min(self.even());
+        let rate = self.settings.fall_multiple * self.cores(e) * self.warmth(e) * COLD_MARGIN;
+        let all = rate * self.settings.fall_span as f64 * self.share().min(self.even());
         let uses: f64 = (0..self.learned.len()).map(|c| self.use_of(c)).sum();
         let part = all * self.use_of(class) / uses;
         let weight = self.cold_weight(open);
@@ -74,14 +73,16 @@
         let turn = unit(dice) + self.settings.me.0 as f64 * self.even();
         let budget = if turn.fract() < part / weight { part.max(weight) } else { part };
         let from = self.now.saturating_sub(self.settings.fall_span);
-        let sent = e.cold.iter().rev().take_while(|c| c.0 >= from).filter(|c| c.2 == class).map(|c| c.1);
+        let sent = e.recent.iter().rev().take_while(|c| c.0 >= from).filter(|c| c.2 == class).map(|c| c.1);
         weight + if ever { 0.0 } else { sent.sum::<f64>() } <= budget
     }
 
-    /// What a query weighs on a cold engine: the usual work of its class.
+    /// What a query weighs on a cold engine: its class's usual work, more where few samples tell it. Turns go
+    /// by one over it, and over a fleet means of few samples would make them add up to more than the whole.
     pub(super) fn cold_weight(&self, open: &Open) -> f64 {
-        let usual = self.learned[open.request.class.0].usual.get();
-        usual.unwrap_or_else(|| self.cost(&open.request, None)).max(1.0)
+        let usual = &self.learned[open.request.class.0].usual;
+        let work = usual.get().unwrap_or_else(|| self.cost(&open.request, None));
+        work.max(1.0) * (1.0 + WORK_VARIANCE / usual.samples.max(1.0))
     }
 
     /// The request is the first of its key that is not over, and the key does not rest.
--- a/src/logic/health.rs
+++ b/src/logic/health.rs
@@ -31,8 +31,7 @@
         let Some(e) = self.engines.get_mut(&flight.engine) else { return };
         // The process is gone, and when it is back it is cold, seconds before the list says so: trials by all
         // gateways would push it over. It hurts a sound engine that breaks connections: that gets turns only.
-        let sure = answer.outcome == Outcome::ConnectFailed;
-        if sure || answer.outcome == Outcome::Reset {
+        if matches!(answer.outcome, Outcome::ConnectFailed | Outcome::Reset) {
             e.broke_off(now);
         }
         if good || bad {
--- a/src/logic/tuned.rs
+++ b/src/logic/tuned.rs
@@ -89,6 +89,8 @@
 pub(super) const GRANT_STEPS: [f64; 2] = [0.06, 0.3];
 /// Part of the cold budget used: a window may touch two turns.
 pub(super) const COLD_MARGIN: f64 = 0.5;
+/// Variance of the work within a class, against the square of its mean; nothing tells it.
+pub(super) const WORK_VARIANCE: f64 = 2.0;
 /// How far a cold engine is thought to have warmed by the end of its span: how it gets there is not told.
 pub(super) const COLD_RAMP: f64 = 0.5;
 /// Power of worth for work against the average by which the backlog that a request may find shrinks.
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,8 +80,8 @@
     /// It has been silent, and the probe that is out decides.
     pub suspect: bool,
     pub sick: Option<Sick>,
-    /// Sends to it while cold: when, their weight and class.
-    pub cold: VecDeque<(Micros, f64, usize)>,
+    /// Sends to it of late, which count once it turns out to be cold: when, their weight and class.
+    pub recent: VecDeque<(Micros, f64, usize)>,
 }
 
 impl Engine {
@@ -109,7 +109,7 @@
             probing: false,
             suspect: false,
             sick: None,
-            cold: VecDeque::new(),
+            recent: VecDeque::new(),
         }
     }
 
@@ -481,15 +481,15 @@
         }
     }
 
-    /// An attempt has gone out; `cold` is its weight on a cold engine.
-    pub(crate) fn sent(&mut self, id: RequestId, flight: Flight, cold: Option<f64>, keep: usize) {
+    /// An attempt has gone out; `weight` is its weight on a cold engine, if this gateway sent it.
+    pub(crate) fn sent(&mut self, id: RequestId, flight: Flight, weight: Option<f64>, keep: usize) {
         let (now, at) = (self.now, flight.sent);
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(e) = self.engines.get_mut(&flight.engine) else { return };
         e.line.remove(&(open.goal, id));
         e.waiting = (e.waiting - open.charged).max(0.0);
         e.start(&flight, keep);
-        e.cold.extend(cold.map(|weight| (now, weight, open.request.class.0)));
+        e.recent.extend(weight.map(|weight| (now, weight, open.request.class.0)));
         self.extras.extend((open.attempts > 0 && flight.adopted.is_none()).then_some(now));
         open.place = Place::Out;
         open.charged = 0.0;
@@ -604,16 +604,18 @@
         }
     }
 
-    /// Takes entries of a list over; what has started anew is forgotten.
+    /// Takes entries of a list over; what has started anew is forgotten. No list takes a start back: an older one would make
+    /// a cold engine look warm.
     pub(crate) fn enlist(&mut self, entries: Vec<EngineEntry>, width: f64) {
         let classes = self.settings.classes.len();
-        for entry in entries {
+        for mut entry in entries {
             let fresh = || Engine::new(entry.clone(), classes, width, self.now);
             let e = self.engines.entry(entry.engine).or_insert_with(fresh);
             if entry.came_up > e.entry.came_up {
                 e.restart();
                 e.started = 0;
             }
+            entry.came_up = entry.came_up.max(e.entry.came_up);
             e.entry = entry;
         }
     }
@@ -662,10 +664,12 @@
         self.engines.iter().filter(|(_, e)| e.entry.listed != Listed::Up).map(|(&id, _)| id).collect()
     }
 
-    /// Forgets engines that are gone and owe no answer.
+    /// Forgets engines that are gone, owe no answer and were sent nothing of late: a list that lacks one for a moment must
+    /// not give a cold engine its part a second time.
     pub(crate) fn drop_removed(&mut self) {
         let owing: BTreeSet<EngineId> = self.flights.values().map(|f| f.engine).collect();
-        self.engines.retain(|id, e| e.entry.listed != Listed::Removed || owing.contains(id));
+        self.engines
+            .retain(|id, e| e.entry.listed != Listed::Removed || owing.contains(id) || !e.recent.is_empty());
     }
 
     /// Forgets what no rule needs any more, and attempts `unanswered` for so long past their time.
@@ -680,9 +684,12 @@
         let from = self.now.saturating_sub(window.saturating_add(2 * self.settings.quantum));
         trim(&mut self.taken, from, |&t| t);
         trim(&mut self.extras, from, |&t| t);
-        let cold_from = self.now.saturating_sub(self.settings.fall_span.saturating_mul(2));
+        let recent_from = self.now.saturating_sub(self.settings.fall_span.saturating_mul(2));
         for e in self.engines.values_mut() {
-            trim(&mut e.cold, cold_from, |c| c.0);
+            trim(&mut e.recent, recent_from, |c| c.0);
+        }
+        if self.engines.values().any(|e| e.entry.listed == Listed::Removed) {
+            self.drop_removed();
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -127,6 +127,64 @@
     assert!(sends > 0);
 }
 
+/// What a cold engine gets within one span from a gateway of four, after `before` has happened to it.
+fn sent_to_a_cold_one_after(before: impl FnOnce(&mut Bed, EngineEntry) -> f64) -> f64 {
+    let mut s = settings(class(Effect::Repeatable));
+    (s.gateways, s.budget) = (4, None);
+    let cold = EngineEntry { came_up: 99 * SECOND, ..entry(1) };
+    let mut bed = Bed::new(s, vec![entry(1)]);
+    let mut work = before(&mut bed, cold);
+    for id in 1_000..1_200 {
+        let sends = sent(&bed.ask(id)).len() + sent(&bed.answer(id, Outcome::Ok)).len();
+        work += 0.1 * sends as f64;
+        bed.now += 2_000;
+    }
+    work
+}
+
+/// As above: 4.08 s for the whole fleet within the span, this gateway's part of it.
+const PART_OF_FOUR: f64 = 4.08 / 4.0;
+
+#[test]
+fn an_older_list_does_not_make_a_cold_engine_warm() {
+    let work = sent_to_a_cold_one_after(|bed, cold| {
+        bed.feed(Event::Engines { kind: ListKind::Whole, entries: vec![cold] });
+        bed.feed(Event::Engines { kind: ListKind::Whole, entries: vec![entry(1)] });
+        0.0
+    });
+    assert!(work > 0.0 && work <= PART_OF_FOUR, "{work}");
+}
+
+#[test]
+fn a_list_that_lacks_a_cold_engine_for_a_moment_gives_no_second_part() {
+    let work = sent_to_a_cold_one_after(|bed, cold| {
+        let mut work = 0.0;
+        for id in 0..20 {
+            bed.feed(Event::Engines { kind: ListKind::Whole, entries: vec![cold.clone()] });
+            work += 0.1 * (sent(&bed.ask(id)).len() + sent(&bed.answer(id, Outcome::Ok)).len()) as f64;
+            bed.feed(Event::Engines { kind: ListKind::Whole, entries: vec![] });
+            bed.now += 2_000;
+        }
+        bed.feed(Event::Engines { kind: ListKind::Whole, entries: vec![cold] });
+        work
+    });
+    assert!(work > 0.0 && work <= PART_OF_FOUR, "{work}");
+}
+
+#[test]
+fn what_was_sent_before_the_list_told_of_the_start_counts_in_the_part() {
+    let work = sent_to_a_cold_one_after(|bed, cold| {
+        let mut before = 0.0;
+        for id in 0..8 {
+            before += 0.1 * (sent(&bed.ask(id)).len() + sent(&bed.answer(id, Outcome::Ok)).len()) as f64;
+            bed.now += SECOND / 20;
+        }
+        bed.feed(Event::Engines { kind: ListKind::Whole, entries: vec![cold] });
+        before
+    });
+    assert!(work > 0.0 && work <= PART_OF_FOUR, "{work}");
+}
+
 #[test]
 fn requests_of_a_key_run_one_at_a_time_in_their_order() {
     let mut ordered = class(Effect::Keyed { scope: KeyScope::All, window: 20 * SECOND });
