--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -325,7 +325,6 @@
 }
 
 fn platform(file: &std::path::Path, listen: Option<std::net::SocketAddr>) -> ExitCode {
-    tracing::info!("starting");
     let mut config = match violetward_platform::config::load(file) {
         Ok(config) => config,
         Err(why) => {
