Engines: what has been written is not taken for what still waits

Cause: `Engines::ask` writes an attempt, then asks whether any connection is ready for it. Since a connection may carry a request only once, the one that it has just been written on no longer counts as ready; if no other was, the last entry of the line of what waits was taken back as if it were this attempt. Where something else waited there, that entry was lost, and the attempt that had been written was told as never sent: the module sent the request again, and nothing gave the first up.

Change: each entry has a number, and only the entry with that number is taken back. An attempt that the core has given up is not written even if its withdrawal is still to be carried out behind another one's.

No test forces the order over sockets: it needs all connections in use, another entry whose request was on each of them, and a free one.

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -261,6 +261,11 @@
         [self.open.len(), self.numbers.len(), self.attempts.len(), self.listed.len(), self.timers.len()]
     }
 
+    /// Whether an attempt has been launched, and has neither ended nor been given up.
+    pub fn is_out(&self, attempt: AttemptId) -> bool {
+        self.attempts.contains_key(&attempt)
+    }
+
     /// Whether the connection has an open request under that number.
     pub fn has(&self, client: ClientId, seqid: i32) -> bool {
         self.numbers.contains_key(&(client, seqid))
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -53,6 +53,8 @@
 
 /// What waits for a connection.
 struct Waiting {
+    /// Tells it apart from all else that has waited for the same engine.
+    number: u64,
     what: What,
     since: Instant,
     /// Connections that it has found reset before anything of it was written.
@@ -167,6 +169,8 @@
     refused: Cell<Option<Instant>>,
     /// Probes in a row whose connection broke under them while the process went on.
     broken_probes: Cell<u32>,
+    /// How much has waited for a connection so far.
+    waited: Cell<u64>,
 }
 
 impl Engine {
@@ -209,8 +213,17 @@
         }
         self.broken_probes.set(self.broken_probes.get() + 1);
         told.retain(|told| !matches!(told, Told::Probed(..)));
-        let again = || Waiting { what: What::Probe, since: Instant::now(), resets: 0 };
-        self.waiting.borrow_mut().extend(std::iter::repeat_with(again).take(broken));
+        for _ in 0..broken {
+            self.wait(What::Probe);
+        }
+    }
+
+    /// Lets something wait for a connection, behind all that waits already; its number.
+    fn wait(&self, what: What) -> u64 {
+        let number = self.waited.replace(self.waited.get() + 1);
+        let waiting = Waiting { number, what, since: Instant::now(), resets: 0 };
+        self.waiting.borrow_mut().push_back(waiting);
+        number
     }
 
     /// What waits and is such, as never sent; `outcome` says why.
@@ -276,6 +289,7 @@
                     heard: Cell::new(Instant::now()),
                     refused: Cell::new(None),
                     broken_probes: Cell::new(0),
+                    waited: Cell::new(0),
                 })
             });
             engine.listed.set(listing.entry.listed);
@@ -308,13 +322,19 @@
     /// Has something written on a connection to an engine, now or as soon as there is one; false if there is no way.
     fn ask(&self, host: &Rc<Host>, engine: &Rc<Engine>, what: What) -> bool {
         let attempt = what.attempt();
-        engine.waiting.borrow_mut().push_back(Waiting { what, since: Instant::now(), resets: 0 });
+        let number = engine.wait(what);
         self.serve(host, engine);
         if engine.needs_dial(engine.late(within(host))) && self.may_dial(engine, attempt) {
             dial(host, engine, true);
         }
         let ready = |line: &Rc<Line>| line.is_coming() || line.is_up() && line.takes(attempt);
-        engine.lines.borrow().iter().any(ready) || engine.waiting.borrow_mut().pop_back().is_none()
+        if engine.lines.borrow().iter().any(ready) {
+            return true;
+        }
+        // What has been written waits no more, and others may: they must not be taken for it.
+        let mut waiting = engine.waiting.borrow_mut();
+        let place = waiting.iter().position(|w| w.number == number);
+        place.and_then(|place| waiting.remove(place)).is_none()
     }
 
     /// Writes what waits on the connections that are ready, and dials for the rest.
@@ -327,7 +347,9 @@
                 continue;
             };
             let Some(waiting) = engine.waiting.borrow_mut().remove(at) else { return };
-            if waiting.is_over(host.clock.now()) || write(host, engine, &line, &waiting) {
+            // One that the core has given up may not be written any more, also if its withdrawal is still to be carried out.
+            let wanted = waiting.attempt().is_none_or(|attempt| host.look(|core| core.is_out(attempt)));
+            if !wanted || waiting.is_over(host.clock.now()) || write(host, engine, &line, &waiting) {
                 continue;
             }
             // It turns out to be dead before anything was written: that proves nothing of the engine.
