--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -128,7 +128,8 @@
             None => over(self.opened, SILENT),
             Some(last) => over(last, IDLE) && host.look(|core| core.open_of(self.id)) == 0,
         };
-        if stalled || idle {
+        // What has arrived and was not read yet ends the idleness: it is for the reader, not for the close.
+        if stalled || idle && self.duplex.is_quiet() {
             self.duplex.close();
         }
     }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::Async;
 use futures_lite::future;
@@ -138,6 +138,12 @@
     }
 }
 
+/// Closes the connections that have been silent, idle or unread for too long at a time.
+pub fn close_overdue(host: &Host, now: Instant) {
+    let clients: Vec<_> = host.clients.borrow().values().cloned().collect();
+    clients.iter().for_each(|client| client.close_if_overdue(host, now));
+}
+
 /// Bytes of answers that clients have not taken yet.
 pub fn unread_bytes(host: &Host) -> usize {
     host.clients.borrow().values().map(|client| client.duplex.kept().0).sum()
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -203,13 +203,12 @@
         loop {
             violetward_net::sleep(Duration::from_millis(200)).await;
             let now = Instant::now();
-            let clients: Vec<_> = self.clients.borrow().values().cloned().collect();
-            clients.iter().for_each(|client| client.close_if_overdue(&self, now));
+            front::close_overdue(&self, now);
             self.engines.sweep(now);
             if now.duration_since(told) >= Duration::from_secs(10) {
                 told = now;
                 let (counts, held) = self.look(|core| (core.counts, core.held()));
-                let (clients, engines) = (clients.len(), self.engines.connections());
+                let (clients, engines) = (self.clients.borrow().len(), self.engines.connections());
                 tracing::info!(?counts, ?held, clients, engines, "so far");
             }
         }
--- a/crates/platform/tests/shutdown.rs
+++ b/crates/platform/tests/shutdown.rs
@@ -5,6 +5,7 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::time::Instant;
 
 use bed::scripted::*;
 use violetward_platform::front;
@@ -44,6 +45,20 @@
     assert_eq!(engine.fetches(), Vec::<String>::new());
 }
 
+#[test]
+fn a_request_that_came_just_before_its_connection_was_idle_for_too_long_is_served() {
+    let (gateway, engine) = one_engine();
+    let mut client = served_client(&gateway, &engine, 1);
+    let (mut socket, request) = (client.socket(), client.request(&id(2), "look", 2_500));
+    gateway.on_its_thread(move |host| {
+        socket.write_all(&request).unwrap();
+        front::close_overdue(host, Instant::now() + SOON);
+    });
+    let (connection, _) = engine.command("fetch");
+    engine.serve(connection, &id(2));
+    assert_eq!(client.read(), (2, served(&id(2))));
+}
+
 #[test]
 fn a_request_that_came_just_before_the_drain_is_refused_at_once() {
     let (gateway, engine) = one_engine();
