At a drain connections are closed between turns alone, behind all their answers

Its gateway's log has `answer` for two requests of that connection within 65 us and `gone` right behind. The core ends both in one step and queues two answers; `answer_request` wrote the first one, asked the core whether anything was open (`close_if_drained`, front.rs), was told no, and shut the connection; the second answer found it closed and was dropped. Class of fault: a state that is looked at while effects that follow from it are still to be carried out. The same look stood behind each read, where requests can be read and not yet handed in.

Change: a task of its own ends the connections, between turns, every 5 ms while the gateway drains; both looks within a turn are gone.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -17,6 +17,8 @@
 const ACCEPTED_IN_A_ROW: u64 = 16;
 /// The pause after a connection could not be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// How often connections are looked at for their end while the gateway drains.
+const CLOSE_DRAINED_EVERY: Duration = Duration::from_millis(5);
 /// The system's error codes for "no descriptor is free": in this process, and in the whole system.
 const OUT_OF_DESCRIPTORS: [i32; 2] = [24, 23];
 
@@ -132,7 +134,6 @@
         if read.unwrap_or(0) == 0 || !requests::handle_frames(host, client) {
             return;
         }
-        close_if_drained(host, client);
         // One that sends without pause must not keep others waiting.
         future::yield_now().await;
     }
@@ -160,18 +161,25 @@
         let fullest = clients.values().max_by_key(|client| client.duplex.kept().0);
         fullest.into_iter().for_each(|client| client.duplex.abort());
     }
-    close_if_drained(host, &client);
 }
 
-/// While the gateway drains, a connection ends with its last answer.
-fn close_if_drained(host: &Host, client: &Client) {
-    if host.is_draining() && client.is_idle(host) {
-        client.duplex.close();
+/// While the gateway drains, ends each connection behind its last answer. Never ends.
+///
+/// This is a task of its own, and nothing else closes connections for the drain: within a turn the core can have ended
+/// requests whose answers are still to be written, and a read can hold requests that the core has not seen yet.
+pub async fn run_drain(host: Rc<Host>) {
+    loop {
+        close_drained(&host);
+        violetward_net::sleep(CLOSE_DRAINED_EVERY).await;
     }
 }
 
-/// Closes connections that have nothing open, if the gateway drains.
+/// Closes the connections that have nothing open. To be called between turns.
 pub fn close_drained(host: &Host) {
     let clients: Vec<_> = host.clients.borrow().values().cloned().collect();
-    clients.iter().for_each(|client| close_if_drained(host, client));
+    for client in clients {
+        if client.is_idle(host) {
+            client.duplex.close();
+        }
+    }
 }
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -100,10 +100,11 @@
         self.phase.set(self.phase.get().max(Phase::Stopping));
     }
 
-    /// Requests are taken no more.
-    pub fn begin_drain(&self) {
+    /// Requests are taken no more, and connections end behind their last answers.
+    pub fn begin_drain(self: &Rc<Self>) {
         self.phase.set(Phase::Draining);
         self.drains.notify(usize::MAX);
+        self.spawn(front::run_drain(self.clone()));
     }
 
     /// The gateway is to end.
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -4,14 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::front;
 use crate::host::Host;
 
 /// How long after SIGTERM requests are still taken. The platform's front sends new connections for up to 0.4 s and
 /// requests for 0.2 s more; what it sends later than 0.7 s has to be answered before the process is killed, so that
 /// nothing with a deadline of its own may be taken by then.
 const STILL_TAKING: Duration = Duration::from_millis(650);
-/// How often it is looked whether connections have nothing open any more.
+/// How often it is looked whether all has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
 
 /// Ends a gateway; returns once every request has its answer and every connection is closed. Each part of that is
@@ -23,7 +22,6 @@
     violetward_net::sleep(STILL_TAKING).await;
     host.begin_drain();
     while !has_ended(host) {
-        front::close_drained(host);
         violetward_net::sleep(LOOK_EVERY).await;
     }
 }
