Signals are still read while a gateway ends, and an error in reading one is none

Seen by reading, after "requests were routed to draining or removed servers after the grace period": the loop over signals in `service::serve` ended with the first SIGTERM and dropped the reload it was at. A gateway that ends keeps what waits for up to its longest deadline, 9 s on the sites seen, and the list's old address answers nobody after a move: what began to drain 4 s after a SIGHUP was still sent requests. Class of fault: a way of learning that ends before the work that depends on it.

Change: reloads go on beside the shutdown; a second SIGTERM still changes nothing. `serve` of the other gateway took an error of its signal stream for a signal and ended; both read signals by one function of crates/net now, which passes errors over, and both set their handlers before they listen.

--- a/crates/gateway/src/service.rs
+++ b/crates/gateway/src/service.rs
@@ -9,8 +9,9 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use futures_lite::future;
 use violetward::Gateway;
+use violetward_net::next_signal;
 use violetward_transport::session::{Me, Patience};
 use violetward_transport::sockets::Station;
 
@@ -49,6 +50,8 @@
     address_file: Option<&Path>,
     decider: Box<dyn Decide>,
 ) -> std::io::Result<()> {
+    // Before anything can be reached from outside: a signal that comes early must not end the process.
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let executor = Rc::new(LocalExecutor::new());
     let drain_within = config.host.drain_within;
     let (host, address) = start(config, decider, executor.clone())?;
@@ -58,11 +61,10 @@
         std::fs::rename(&fresh, file)?;
     }
     tracing::info!(%address, "taking statements");
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     async_io::block_on(executor.run(async move {
-        signals.next().await;
+        next_signal(&mut signals).await;
         let second = async {
-            signals.next().await;
+            next_signal(&mut signals).await;
         };
         future::or(stop(&host, drain_within), second).await;
         tracing::info!(undelivered = host.look(|core| core.undelivered()), "stopped");
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 mod alarm;
 mod clock;
 mod duplex;
+mod signals;
 pub mod timer;
 
 use std::cell::{Cell, RefCell};
@@ -20,6 +21,7 @@
 use async_io::Async;
 pub use clock::Clock;
 pub use duplex::Duplex;
+pub use signals::next_signal;
 use futures_lite::{future, AsyncWriteExt};
 pub use timer::{sleep, sleep_until};
 use violetward_statement::http::{self, Headers, HttpError, Limits, Message, Reader, Side};
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::future;
 use violetward::{Gateway, Micros};
-use violetward_net::Clock;
+use violetward_net::{next_signal, Clock};
 
 use crate::config::{self, Config};
 use crate::core::{Core, Terms};
@@ -40,27 +40,44 @@
     let (host, address) = start(config, &executor, &resolver)?;
     tracing::info!(name, listen = %address, "taking requests");
     let file = file.to_owned();
-    let reloads = executor.clone();
+    let reload = {
+        let (spawner, running) = (executor.clone(), host.config.clone());
+        move || spawner.spawn(reloaded(resolver.clone(), running.clone(), file.clone()))
+    };
     async_io::block_on(executor.run(async move {
-        let mut reload = None;
-        loop {
-            match signals.next().await {
-                Some(Ok(Signal::Hup)) => {
-                    let task = reloaded(resolver.clone(), host.config.clone(), file.clone());
-                    // One that still looks at an older file is dropped with its task.
-                    reload = Some(reloads.spawn(task));
-                }
-                Some(Ok(_)) | None => break,
-                Some(Err(_)) => {}
+        let mut reloads = Reloads { begin: reload, last: None };
+        reloads.follow(&mut signals).await;
+        // Requests are still sent on until the last one has its answer, so that the list is still followed.
+        let goes_on = async {
+            loop {
+                reloads.follow(&mut signals).await;
             }
-        }
-        drop(reload);
-        shutdown::stop(&host).await;
+        };
+        future::or(shutdown::stop(&host), goes_on).await;
         tracing::info!(counts = ?host.look(|core| core.counts), "stopped");
     }));
     Ok(())
 }
 
+/// Reloads of the configuration, one at a time.
+struct Reloads<B> {
+    begin: B,
+    /// Dropped, and ended with that, when the next one begins.
+    last: Option<Task<()>>,
+}
+
+impl<B: Fn() -> Task<()>> Reloads<B> {
+    /// Begins a reload for each SIGHUP, until a signal to end comes.
+    async fn follow(&mut self, signals: &mut Signals) {
+        loop {
+            match next_signal(signals).await {
+                Signal::Hup => self.last = Some((self.begin)()),
+                _ => return,
+            }
+        }
+    }
+}
+
 /// Starts a gateway's tasks on an executor; they run as long as that does. Gives the address that it listens on.
 ///
 /// # Errors
