Test: the answer of a resolver that takes longer than its question's time is used

Seen by reading `resolver::ask`: an answer is waited for 0.15 s, then the question is asked anew on another socket and under another id. With a resolver that always takes longer, or one that a fleet asks all at once, no list is ever believed, and engines that drain are sent requests.

--- a/crates/platform/tests/list_races.rs
+++ b/crates/platform/tests/list_races.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bed::scripted::*;
+use bed::CONNECT_TIMEOUT;
 
 /// Has a request served by the engine, which shows that it is listed as up.
 fn assert_used(gateway: &Gateway, engine: &ScriptedEngine, number: u64) {
@@ -48,6 +49,26 @@
     assert_unused(&gateway, 1);
 }
 
+/// Seen by reading, after engines that drain were sent requests: an answer was waited for 0.15 s and then asked for anew,
+/// on another socket and under another id. From a resolver that takes longer than that no list was ever believed.
+#[test]
+fn the_answer_of_a_slow_resolver_counts() {
+    let (engine, later) = (ScriptedEngine::held(), ScriptedEngine::start());
+    let resolver = ScriptedResolver::start();
+    let patient = (CONNECT_TIMEOUT, "\"ConnectTimeoutUs\": 20000000");
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[patient]);
+    let mut client = Client::connect(&gateway);
+    client.send(&id(1), "report", 6_000);
+    client.settle();
+    let asked = resolver.question();
+    // It has been asked again by the time it answers the first question.
+    (0..2).for_each(|_| drop(resolver.question()));
+    resolver.send(&asked, &resolver.list(&asked, 2, &[(engine.address, true), (later.address, false)]));
+    let (connection, _) = later.command("fetch");
+    later.serve(connection, &id(1));
+    assert_eq!(client.read(), (1, served(&id(1))));
+}
+
 #[test]
 fn an_older_list_a_second_copy_and_another_ids_answer_change_nothing() {
     let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
