What the error of a socket's call says is told in one place, by a type

Cause: error numbers were looked at in four places, each with its own few. A look at what a client has sent that was interrupted (EINTR) took the client for gone, and requests that had been read were dropped without an answer (`Duplex::is_alive`, `requests::submit`); an interrupted or unreachable dial was told as an engine that refuses; writes ended a connection for want of buffers (ENOBUFS).

Change: `SocketFault` in crates/net says passing, shortage, unreachable, refused or broken; dials, reads, writes, looks and accepts act on it. A dial that is interrupted, short of something or finds no way goes on until its time is over and is then late, not refused. Error numbers stand in one file.

--- a/crates/net/src/duplex.rs
+++ b/crates/net/src/duplex.rs
@@ -10,6 +10,8 @@
 use event_listener::Event;
 use futures_lite::future;
 
+use crate::SocketFault;
+
 /// Bytes that [`Duplex::finish`] reads and discards at most: a peer that goes on sending is cut off beyond it.
 const DISCARD_BYTES: usize = 256 << 10;
 
@@ -70,7 +72,7 @@
                     rest = &rest[n..];
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if SocketFault::of(&e).is_transient() => break,
                 Err(_) => {
                     drop(kept);
                     self.abort();
@@ -123,7 +125,7 @@
                 Ok(read)
             });
             match read {
-                Err(e) if crate::is_passing(&e) => {}
+                Err(e) if crate::may_repeat(&e).await => {}
                 done => return done,
             }
         }
@@ -144,31 +146,32 @@
     /// Writes some of what is kept, as soon as the peer takes it.
     async fn write_kept(&self) -> io::Result<()> {
         self.socket.writable().await?;
-        let mut kept = self.kept.borrow_mut();
-        match (&mut self.socket.get_ref()).write(kept.as_slices().0) {
+        let written = (&mut self.socket.get_ref()).write(self.kept.borrow().as_slices().0);
+        match written {
             Ok(n) => {
                 self.moved.set(Instant::now());
+                let mut kept = self.kept.borrow_mut();
                 kept.drain(..n);
                 if kept.is_empty() {
                     *kept = VecDeque::new();
                 }
                 Ok(())
             }
-            Err(e) if crate::is_passing(&e) => Ok(()),
+            Err(e) if crate::may_repeat(&e).await => Ok(()),
             Err(e) => Err(e),
         }
     }
 
     /// Nothing is to be read and the peer has not closed: a quiet connection that can be used.
     pub fn is_quiet(&self) -> bool {
-        let peeked = self.socket.get_ref().peek(&mut [0]);
+        let peeked = crate::peek(self.socket.get_ref());
         !self.is_closed() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// The peer has not closed or reset it, as far as can be seen.
     pub fn is_alive(&self) -> bool {
-        let peeked = self.socket.get_ref().peek(&mut [0]);
-        !self.is_closed() && peeked.map_or_else(|e| e.kind() == io::ErrorKind::WouldBlock, |n| n > 0)
+        let peeked = crate::peek(self.socket.get_ref());
+        !self.is_closed() && peeked.map_or_else(|e| SocketFault::of(&e).is_transient(), |n| n > 0)
     }
 
     /// Begins an orderly end: nothing more is read, nothing more is accepted for sending, and the peer sees the end of
@@ -217,7 +220,8 @@
             match crate::with_scratch(|scratch| (&mut self.socket.get_ref()).read(scratch)) {
                 Ok(0) => return Ok(()),
                 Ok(n) => discarded += n,
-                Err(e) if crate::is_passing(&e) => self.socket.readable().await?,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.socket.readable().await?,
+                Err(e) if crate::may_repeat(&e).await => {}
                 Err(e) => return Err(e),
             }
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 mod alarm;
 mod clock;
 mod duplex;
+mod fault;
 mod signals;
 pub mod timer;
 
@@ -21,6 +22,7 @@
 use async_io::Async;
 pub use clock::Clock;
 pub use duplex::Duplex;
+pub use fault::SocketFault;
 pub use signals::next_signal;
 use futures_lite::{future, AsyncWriteExt};
 pub use timer::{sleep, sleep_until};
@@ -73,9 +75,27 @@
     SCRATCH.with_borrow_mut(|scratch| read(scratch))
 }
 
-/// The socket has nothing now, and is good.
-pub(crate) fn is_passing(e: &io::Error) -> bool {
-    matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+/// How long a call waits that failed because this machine is short of something.
+const SHORTAGE_PAUSE: Duration = Duration::from_millis(5);
+
+/// Whether a call on a socket that is as good as before may be made again, now: it waits while this machine is short of
+/// something.
+pub(crate) async fn may_repeat(error: &io::Error) -> bool {
+    let fault = SocketFault::of(error);
+    if fault == SocketFault::Shortage {
+        sleep(SHORTAGE_PAUSE).await;
+    }
+    fault.is_transient()
+}
+
+/// Looks at what has come on a socket without taking it.
+pub(crate) fn peek(socket: &TcpStream) -> io::Result<usize> {
+    loop {
+        match socket.peek(&mut [0]) {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
 }
 
 /// A socket with a reader of messages.
@@ -146,7 +166,7 @@
             });
             match read {
                 Ok(read) => return Ok(read > 0),
-                Err(e) if is_passing(&e) => {}
+                Err(e) if may_repeat(&e).await => {}
                 Err(e) => return Err(e),
             }
         }
@@ -160,11 +180,9 @@
 
     /// Whether the peer has closed and left nothing to read.
     pub fn is_closed(&self) -> bool {
-        let mut byte = [0];
-        match self.socket.get_ref().peek(&mut byte) {
-            Ok(0) => true,
-            Ok(_) => false,
-            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+        match peek(self.socket.get_ref()) {
+            Ok(read) => read == 0,
+            Err(e) => !SocketFault::of(&e).is_transient(),
         }
     }
 
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -6,7 +6,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,7 +14,7 @@
 use event_listener::Event;
 use futures_lite::future;
 use violetward::{EngineId, Listed, Load, Micros, Outcome};
-use violetward_net::Duplex;
+use violetward_net::{Duplex, SocketFault};
 use violetward_settings::Connections;
 
 use crate::core::{AttemptId, Ending, Launch};
@@ -29,13 +28,8 @@
 /// How often, and how many times, a witness is looked for after a connection broke.
 const WITNESS: (Duration, u32) = (Duration::from_millis(2), 8);
 
-/// How long a dial waits before it looks again for a free descriptor.
-const DESCRIPTOR_PAUSE: Duration = Duration::from_millis(5);
-
-/// Errors by which this machine, and not the engine, has no connection: the process's or the system's descriptors are all
-/// taken (the numbers are those of Linux), or its memory or ports.
-const NO_DESCRIPTOR: [i32; 2] = [24, 23];
-const NO_ROOM: [ErrorKind; 2] = [ErrorKind::OutOfMemory, ErrorKind::AddrNotAvailable];
+/// How long a dial waits that failed by something that says nothing of its engine.
+const DIAL_PAUSE: Duration = Duration::from_millis(5);
 
 /// How often a connection is dialled that is reset before anything could be asked on it.
 const DIALS: u32 = 4;
@@ -598,27 +592,32 @@
             // What was closed to make room for this one holds its descriptor for a moment yet.
             while host.engines.connections() > host.engines.most {
                 short.set(true);
-                violetward_net::sleep(DESCRIPTOR_PAUSE).await;
+                violetward_net::sleep(DIAL_PAUSE).await;
             }
-            let connected = Async::<TcpStream>::connect(engine.address.get()).await;
-            short.set(connected.as_ref().is_err_and(is_shortage));
-            match connected {
+            let error = match Async::<TcpStream>::connect(engine.address.get()).await {
                 Ok(socket) => return Ok(socket),
-                Err(_) if short.get() => {
-                    // Once for each dial: what gets free may be taken by somebody else every time.
-                    made_room = made_room || host.engines.make_room();
-                    violetward_net::sleep(DESCRIPTOR_PAUSE).await;
-                }
-                // Reset while it came up: somebody is there, and nothing has been asked yet. A refusal is final.
-                Err(e) if e.kind() == ErrorKind::ConnectionReset && dials < DIALS => dials += 1,
-                Err(e) => {
-                    tracing::debug!(engine = %format_args!("{:x}", engine.id.0), %e, dials, "no connection");
-                    if e.kind() == ErrorKind::ConnectionRefused {
+                Err(error) => error,
+            };
+            let fault = SocketFault::of(&error);
+            short.set(fault == SocketFault::Shortage);
+            match fault {
+                // Once for each dial: what gets free may be taken by somebody else every time.
+                SocketFault::Shortage => made_room = made_room || host.engines.make_room(),
+                // It says nothing of the engine's process: there may be a way in a moment.
+                SocketFault::Passing | SocketFault::Unreachable => {}
+                // Broken while it came up: somebody is there, and nothing has been asked yet.
+                SocketFault::Broken if dials < DIALS => dials += 1,
+                SocketFault::Broken | SocketFault::Refused => {
+                    tracing::debug!(engine = %format_args!("{:x}", engine.id.0), %error, dials, "no connection");
+                    if fault == SocketFault::Refused {
                         engine.refused.set(Some(Instant::now()));
                     }
                     return Err(Missed::Failed);
                 }
             }
+            if fault != SocketFault::Broken {
+                violetward_net::sleep(DIAL_PAUSE).await;
+            }
         }
     };
     let beside = async {
@@ -636,12 +635,6 @@
     violetward_net::timeout(within(host), reached).await.unwrap_or_else(|| Err(missed()))
 }
 
-/// It is this machine that lacks something.
-fn is_shortage(error: &std::io::Error) -> bool {
-    error.raw_os_error().is_some_and(|number| NO_DESCRIPTOR.contains(&number))
-        || NO_ROOM.contains(&error.kind())
-}
-
 /// Why a dial gave no connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Missed {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -7,6 +7,7 @@
 
 use async_io::Async;
 use futures_lite::future;
+use violetward_net::SocketFault;
 
 use crate::client::Client;
 use crate::core::{ClientId, Verdict};
@@ -19,8 +20,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// How often connections are looked at for their end while the gateway drains.
 const CLOSE_DRAINED_EVERY: Duration = Duration::from_millis(5);
-/// The system's error codes for "no descriptor is free": in this process, and in the whole system.
-const OUT_OF_DESCRIPTORS: [i32; 2] = [24, 23];
 
 /// Listens on the address of the configuration alone.
 ///
@@ -70,7 +69,7 @@
     if host.quotas[0].allows(host.clock.now()) {
         tracing::warn!(%error, "a connection could not be taken");
     }
-    if error.raw_os_error().is_some_and(|code| OUT_OF_DESCRIPTORS.contains(&code)) {
+    if SocketFault::of(error) == SocketFault::Shortage {
         evict_idle_client(host);
     }
 }
