A question for the list stays open for 1.5 s, so that a slow resolver's answer counts

Change: each question has its socket and id, up to eight are open at a time, and the first good answer to any of them counts; older ones end with it. Questions are asked as often as before, from the socket of the last good answer or else a fresh one; with no descriptor free the oldest one's socket serves on. Where the list moves all of them end.

--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -1,14 +1,19 @@
 //! Follows the list of engines by DNS over UDP.
+//!
+//! A question stays open while the next ones are asked: the answer of a slow resolver counts, whichever it answers.
 
 use std::cell::Cell;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::future;
 use violetward_dns::serial::is_newer;
+use violetward_net::SocketFault;
+use violetward_settings::Names;
 
 use crate::host::Host;
 use crate::list;
@@ -16,13 +21,17 @@
 /// How often the list is asked for. A change counts as told once an answer holds it, and 1.5 s after it happened at the
 /// latest: asking several times within that leaves room for answers that get lost.
 const EVERY: Duration = Duration::from_millis(250);
-/// How long an answer is waited for before the question is asked anew.
+/// How long an answer is waited for before the next question is asked, less [`PAUSE_STEP`].
 const WITHIN: Duration = Duration::from_millis(150);
-/// By how much the pause grows with each failure in a row. It never lets questions get rarer than [`EVERY`]: what changed
-/// while nothing was heard counts as told soon after the resolver is back.
+/// By how much that grows with each question in a row that found no answer. Questions never get rarer than [`EVERY`]: what
+/// changed while nothing was heard counts as told soon after the resolver is back.
 const PAUSE_STEP: Duration = Duration::from_millis(30);
-/// After so many failures in a row the log tells, and the pause grows no further.
+/// After so many questions in a row without an answer the log tells.
 const FAILURES_TOLD: u32 = 8;
+/// How long a question stays open. What happened counts as told after 1.5 s: an answer that is older helps nobody.
+const OPEN_TIME: Duration = Duration::from_millis(1_500);
+/// Questions that are open at a time, each with a socket of its own.
+const OPEN_MOST: usize = 8;
 /// Datagrams that are looked at for one question. Guards the thread that everything runs on against a flood of them.
 const DATAGRAMS_MOST: u32 = 32;
 /// Bytes of an answer; one octet more tells one that is longer.
@@ -53,69 +62,163 @@
 
     /// Follows the list, from the event with that number on. Never ends.
     pub async fn follow(self: Rc<Self>, host: Rc<Host>, mut have: u32) {
-        let mut socket = None;
+        let mut questions = Questions::to(self.address.get());
         let mut failures = 0u32;
         loop {
-            let mut moved = self.moved.listen();
-            let (address, asked_at) = (self.address.get(), Instant::now());
-            let question = async { Some(ask(&host, &mut socket, address, failures > 0).await) };
-            let gone = async {
-                (&mut moved).await;
-                None
-            };
-            // Once it has moved, nothing that the old address says counts any more, and nothing is waited for there.
-            let Some(answered) = future::or(gone, question).await else {
-                failures = 0;
-                continue;
-            };
-            let pause = match answered {
-                Ok(list) => {
-                    if failures >= FAILURES_TOLD {
-                        tracing::info!(%address, failures, "the resolver answers again");
-                    }
-                    failures = 0;
-                    if is_newer(list.number, have) {
-                        have = list.number;
-                        host.listed(&list, false);
-                    }
-                    EVERY
-                }
-                Err(why) => {
-                    failures = failures.saturating_add(1);
-                    if failures == FAILURES_TOLD {
-                        tracing::warn!(%address, why, "no good answer of the resolver: the old list stands");
-                    }
-                    // The first failures are asked anew at once: one answer lost must not cost a change its time.
-                    (PAUSE_STEP * failures.min(FAILURES_TOLD)).min(EVERY.saturating_sub(asked_at.elapsed()))
-                }
+            let moved = self.moved.listen();
+            if questions.address != self.address.get() {
+                // Nothing that the old address says counts any more.
+                (questions, failures) = (Questions::to(self.address.get()), 0);
+            }
+            let asking = async {
+                let failed = questions.ask_and_listen(&host, failures, &mut have).await;
+                failures = if failed { failures.saturating_add(1) } else { 0 };
             };
-            future::or(moved, violetward_net::sleep(pause)).await;
+            future::or(moved, asking).await;
+            if failures == FAILURES_TOLD {
+                let (address, why) = (questions.address, &questions.fault);
+                tracing::warn!(%address, why, "no good answer of the resolver: the old list stands");
+            }
         }
     }
 }
 
-/// The socket for the next question, with the address that it takes datagrams from.
-type Held = Option<(Async<UdpSocket>, SocketAddr)>;
+/// A question that may still be answered.
+struct Question {
+    socket: Async<UdpSocket>,
+    id: u16,
+    asked: Instant,
+    /// Datagrams that were looked at for it.
+    datagrams: u32,
+}
+
+/// The questions to one address.
+struct Questions {
+    address: SocketAddr,
+    /// Those that may still be answered, oldest first.
+    open: Vec<Question>,
+    /// The socket of the last one that was answered, for the next one.
+    proven: Option<Async<UdpSocket>>,
+    /// Why there was no good answer of late.
+    fault: String,
+}
+
+impl Questions {
+    fn to(address: SocketAddr) -> Self {
+        Questions { address, open: Vec::new(), proven: None, fault: "no answer".into() }
+    }
+
+    /// Asks once and takes what comes until the next question is due; true if no good answer came. `have` is the number of
+    /// the newest list that was taken.
+    async fn ask_and_listen(&mut self, host: &Rc<Host>, failures: u32, have: &mut u32) -> bool {
+        let asked = self.ask(Instant::now());
+        if let Err(why) = asked {
+            self.fault = why.to_string();
+        }
+        // After the first failures it is asked anew at once: one answer lost must not cost a change its time.
+        let patience = WITHIN + PAUSE_STEP * failures.saturating_add(1).min(FAILURES_TOLD);
+        let mut next = Instant::now() + patience.min(EVERY);
+        let mut failed = true;
+        while let Some(list) = self.receive_until(next, &host.config.names).await {
+            if failures >= FAILURES_TOLD && failed {
+                tracing::info!(address = %self.address, failures, "the resolver answers again");
+            }
+            (failed, next) = (false, Instant::now() + EVERY);
+            if is_newer(list.number, *have) {
+                *have = list.number;
+                host.listed(&list, false);
+            }
+        }
+        failed
+    }
+
+    /// Asks, under a fresh random id.
+    fn ask(&mut self, now: Instant) -> std::io::Result<()> {
+        self.open.retain(|question| now.duration_since(question.asked) < OPEN_TIME);
+        if self.open.len() >= OPEN_MOST {
+            self.open.remove(0);
+        }
+        let question = Question { socket: self.socket()?, id: rand::random(), asked: now, datagrams: 0 };
+        let bytes = list::question(question.id);
+        while let Err(error) = question.socket.get_ref().send(&bytes) {
+            if error.kind() != std::io::ErrorKind::Interrupted {
+                return Err(error);
+            }
+        }
+        self.open.push(question);
+        Ok(())
+    }
+
+    /// The socket for the next question: that of the last good answer, else a fresh one, so that what somebody else sends
+    /// to a port seen does not reach it. Where no descriptor is free the oldest question gives up its own: the list must
+    /// not be lost for want of one.
+    fn socket(&mut self) -> std::io::Result<Async<UdpSocket>> {
+        if let Some(socket) = self.proven.take() {
+            return Ok(socket);
+        }
+        open(self.address).or_else(|error| {
+            if self.open.is_empty() {
+                return Err(error);
+            }
+            Ok(self.open.remove(0).socket)
+        })
+    }
 
-/// Makes sure that there is a socket for an address. One of its own for each address, and a fresh one after failures: what
-/// an old question brings late, or what somebody else sends to a port seen, never reaches the new one. Where no descriptor
-/// is free, the old one serves on: the list must not be lost for want of one.
-fn prepare(held: &mut Held, address: SocketAddr, fresh: bool) -> std::io::Result<()> {
-    if !fresh && held.as_ref().is_some_and(|(_, to)| *to == address) {
-        return Ok(());
+    /// The next good answer to any open question, if one comes by then.
+    async fn receive_until(&mut self, until: Instant, names: &Names) -> Option<list::List> {
+        let received = async { Some(self.receive(names).await) };
+        let over = async {
+            violetward_net::sleep_until(until).await;
+            None
+        };
+        future::or(received, over).await
     }
-    match (open(address), held.take()) {
-        (Ok(socket), _) => *held = Some((socket, address)),
-        (Err(error), None) => return Err(error),
-        (Err(_), Some((socket, _))) => {
-            let connected = socket.get_ref().connect(address);
-            // What the old address has sent may still be in it.
-            (0..DATAGRAMS_MOST).take_while(|_| socket.get_ref().recv(&mut [0]).is_ok()).for_each(drop);
-            *held = Some((socket, address));
-            connected?;
+
+    /// The next good answer to any open question. Waits for ever where there is none.
+    async fn receive(&mut self, names: &Names) -> list::List {
+        let mut bytes = vec![0; ANSWER + 1];
+        loop {
+            let place = self.readable().await;
+            let question = &mut self.open[place];
+            match question.socket.get_ref().recv(&mut bytes) {
+                Ok(size) => match list::answer(&bytes[..size], question.id, names) {
+                    Ok(list) => {
+                        self.settle(place);
+                        return list;
+                    }
+                    Err(why) => {
+                        question.datagrams += 1;
+                        self.fault = why;
+                    }
+                },
+                Err(error) if SocketFault::of(&error) == SocketFault::Passing => {}
+                Err(error) => {
+                    self.fault = error.to_string();
+                    self.open.remove(place);
+                    continue;
+                }
+            }
+            if self.open[place].datagrams >= DATAGRAMS_MOST {
+                self.fault = "a flood of answers that don't fit".into();
+                self.open.remove(place);
+            }
         }
     }
-    Ok(())
+
+    /// The place of an open question whose socket has something to read.
+    async fn readable(&self) -> usize {
+        future::poll_fn(|context| {
+            let is_ready = |question: &Question| question.socket.poll_readable(context).is_ready();
+            self.open.iter().position(is_ready).map_or(Poll::Pending, Poll::Ready)
+        })
+        .await
+    }
+
+    /// A question has been answered; what was asked before it is of no more use.
+    fn settle(&mut self, place: usize) {
+        let answered = self.open.drain(..=place).next_back();
+        self.proven = answered.map(|question| question.socket);
+    }
 }
 
 /// A socket that takes datagrams from that address alone.
@@ -125,26 +228,3 @@
     socket.get_ref().connect(address)?;
     Ok(socket)
 }
-
-/// Asks once, with a fresh random id. Answers that don't fit are passed over while the time lasts: one that does may
-/// follow.
-async fn ask(host: &Host, held: &mut Held, address: SocketAddr, fresh: bool) -> Result<list::List, String> {
-    prepare(held, address, fresh).map_err(|e| format!("no socket: {e}"))?;
-    let Some((udp, _)) = held else { return Err("no socket".into()) };
-    let id = rand::random();
-    udp.send(&list::question(id)).await.map_err(|e| e.to_string())?;
-    let last = Cell::new(None);
-    let answer = async {
-        let mut bytes = vec![0; ANSWER + 1];
-        for _ in 0..DATAGRAMS_MOST {
-            let size = udp.recv(&mut bytes).await.map_err(|e| e.to_string())?;
-            match list::answer(&bytes[..size], id, &host.config.names) {
-                Ok(list) => return Ok(list),
-                Err(why) => last.set(Some(why)),
-            }
-        }
-        Err("a flood of answers that don't fit".to_owned())
-    };
-    let answer = violetward_net::timeout(WITHIN, answer).await;
-    answer.unwrap_or_else(|| Err(last.take().unwrap_or_else(|| "no answer".into())))
-}
