--- a/crates/gateway/tests/platform_waits.rs
+++ b/crates/gateway/tests/platform_waits.rs
@@ -79,7 +79,8 @@
 fn patience(engine: &PlatformEngine, id: &str) -> Vec<Duration> {
     let journal = engine.journal();
     let fetches = journal.iter().filter(|words| words[0] == "fetch" && words[1] == id);
-    let told = fetches.flat_map(|words| words[2].split(',')).filter_map(|field| field.strip_prefix("patience="));
+    let told =
+        fetches.flat_map(|words| words[2].split(',')).filter_map(|field| field.strip_prefix("patience="));
     told.map(|ms| Duration::from_millis(ms.parse().unwrap())).collect()
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -23,8 +23,8 @@
 pub use clock::Clock;
 pub use duplex::Duplex;
 pub use fault::SocketFault;
-pub use signals::next_signal;
 use futures_lite::{future, AsyncWriteExt};
+pub use signals::next_signal;
 pub use timer::{sleep, sleep_until};
 use violetward_statement::http::{self, Headers, HttpError, Limits, Message, Reader, Side};
 
