--- a/crates/gateway/tests/platform.rs
+++ b/crates/gateway/tests/platform.rs
@@ -106,7 +106,7 @@
     let engine = PlatformEngine::start().unwrap();
     engine.order(Fault::Hang);
     let (first, second) = (resolver(&engine), resolver(&engine));
-    second.tell(2, vec![Listed { id: "e-0".into(), address: engine.address, draining: true }]);
+    second.tell(2, vec![Listed { id: "e-0".into(), address: engine.address, draining: true, started_ms: 0 }]);
     let path = file("moved");
     std::fs::write(&path, config(&first, &engine)).unwrap();
     let (mut child, port, log) = start_with_log(&path);
--- a/crates/gateway/tests/program/mod.rs
+++ b/crates/gateway/tests/program/mod.rs
@@ -23,7 +23,8 @@
 /// A resolver that lists one engine, `e-0`.
 pub fn resolver(engine: &PlatformEngine) -> PlatformResolver {
     let resolver = PlatformResolver::start("east", "std").unwrap();
-    resolver.tell(1, vec![Listed { id: "e-0".into(), address: engine.address, draining: false }]);
+    resolver
+        .tell(1, vec![Listed { id: "e-0".into(), address: engine.address, draining: false, started_ms: 0 }]);
     resolver
 }
 
--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -349,9 +349,14 @@
     ) -> Vec<u8> {
         let listed = engines.iter().map(|&(id, address, draining)| {
             let SocketAddr::V4(address) = address else { panic!("{address} is not IPv4") };
-            Listed { id: id.to_owned(), address, draining }
+            Listed { id: id.to_owned(), address, draining, started_ms: 0 }
         });
-        self.writer.tell(serial, listed.collect());
+        self.answer(question, serial, listed.collect())
+    }
+
+    /// The answer to a question with a list.
+    pub fn answer(&self, question: &Question, serial: u32, engines: Vec<Listed>) -> Vec<u8> {
+        self.writer.tell(serial, engines);
         self.writer.answer_to(&question.bytes, "east", "std").unwrap()
     }
 
--- a/crates/platform/tests/leaving.rs
+++ b/crates/platform/tests/leaving.rs
@@ -24,7 +24,8 @@
 fn bed(may_cancel: bool) -> Bed {
     let engine = PlatformEngine::start().unwrap();
     let resolver = PlatformResolver::start("east", "std").unwrap();
-    resolver.tell(1, vec![Listed { id: "e-0".into(), address: engine.address, draining: false }]);
+    resolver
+        .tell(1, vec![Listed { id: "e-0".into(), address: engine.address, draining: false, started_ms: 0 }]);
     let text = bed::config(&resolver.address.to_string(), &[("e-0", engine.address.to_string())]);
     // The engine's connections come up as late as a test likes.
     let text = text.replace(bed::CONNECT_TIMEOUT, "\"ConnectTimeoutUs\": 20000000");
--- a/crates/platform/tests/list.rs
+++ b/crates/platform/tests/list.rs
@@ -31,6 +31,7 @@
         id: format!("s-{n:08x}"),
         address: format!("10.1.0.{n}:4100").parse().unwrap(),
         draining: n == 2,
+        started_ms: 0,
     };
     (1..=9).map(engine).collect()
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -335,6 +335,8 @@
     pub address: SocketAddrV4,
     /// It completes its work.
     pub draining: bool,
+    /// When it started late, in Unix milliseconds; else 0.
+    pub started_ms: u64,
 }
 
 #[derive(Debug, Default)]
@@ -427,6 +429,7 @@
                 id: "e-gone".into(),
                 address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
                 draining: false,
+                started_ms: 0,
             }],
             _ => state.engines.clone(),
         };
@@ -442,7 +445,7 @@
             if fault != Some(ListFault::NoAddresses) {
                 message.additionals.push(record(host.clone(), Data::A(*engine.address.ip())));
             }
-            let text = [format!("kind={kind}"), "cell=0".into(), "started=0".into()];
+            let text = [format!("kind={kind}"), "cell=0".into(), format!("started={}", engine.started_ms)];
             let text = text.map(String::into_bytes).to_vec();
             message.additionals.push(record(host, Data::Txt(text)));
         }
