Spans are real time: standstills, frames that stop, and starts told by a wrong clock

Each mended where its cause lies: `standstill` notices by a beat that is late that the process stood still, and what is read then has that much less of its client's wait (before, an answer came 3.99 s after its request was written, of 3 s at most); a connection on which requests are open is not closed for a frame that does not come in (`Client::close_if_overdue`); `starts` believes no start of an engine that lies before the last list without it, less 1.5 s, or in the future, whatever the wall clock was when the gateway started (before, 13 requests went at once where 5 may).

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -126,10 +126,12 @@
         let stalled = self.frame_since.get().is_some_and(|since| over(since, SILENT));
         let idle = match self.last_used.get() {
             None => over(self.opened, SILENT),
-            Some(last) => over(last, IDLE) && host.look(|core| core.open_of(self.id)) == 0,
+            Some(last) => over(last, IDLE),
         };
-        // What has arrived and was not read yet ends the idleness: it is for the reader, not for the close.
-        if stalled || idle && self.duplex.is_quiet() {
+        // What is open is still answered, by its deadline at the latest. What has arrived and was not read yet ends the
+        // idleness: it is for the reader, not for the close.
+        let owed = host.look(|core| core.open_of(self.id)) > 0;
+        if !owed && (stalled || idle && self.duplex.is_quiet()) {
             self.duplex.close();
         }
     }
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -18,6 +18,8 @@
 use crate::engine::Engines;
 use crate::front;
 use crate::list::List;
+use crate::standstill::{self, Standstill};
+use crate::starts::Starts;
 
 /// Lines of one kind that the log takes in a minute; the rest is counted.
 const LINES: u32 = 30;
@@ -60,6 +62,10 @@
     pub(crate) closing: ClosingConnections,
     /// New connections are still taken.
     pub(crate) listening: Cell<bool>,
+    /// When engines started.
+    starts: RefCell<Starts>,
+    /// Whether this process stood still.
+    pub(crate) standstill: Standstill,
     phase: Cell<Phase>,
     /// Told when the phase becomes [`Phase::Draining`].
     drains: Event,
@@ -90,6 +96,8 @@
             quotas: Default::default(),
             alarm: Alarm::default(),
             listening: Cell::new(true),
+            starts: RefCell::default(),
+            standstill: Standstill::new(Instant::now()),
             phase: Cell::new(Phase::Serving),
             drains: Event::new(),
         })
@@ -150,16 +158,22 @@
         look(&self.core.borrow())
     }
 
+    /// The list was heard, and is as it was.
+    pub fn list_stands(&self) {
+        self.starts.borrow_mut().confirm(self.clock.now());
+    }
+
     /// An attempt goes out on its connection now.
     pub(crate) fn written(&self, attempt: AttemptId) {
         self.core.borrow_mut().written(self.clock.now(), attempt);
     }
 
     /// A new list: connections first, so that nothing goes to an engine that has left.
-    pub fn listed(self: &Rc<Self>, list: &List, known: bool) {
-        let unsent = self.engines.listed(list);
+    pub fn listed(self: &Rc<Self>, mut list: List, known: bool) {
+        self.starts.borrow_mut().believe(&mut list, self.clock.now());
+        let unsent = self.engines.listed(&list);
         self.core(|core, now| {
-            core.engines(now, list, known);
+            core.engines(now, &list, known);
             for (attempt, ending) in unsent {
                 core.ended(now, attempt, ending);
             }
@@ -202,8 +216,11 @@
     pub async fn run_sweeps(self: Rc<Self>) {
         let mut told = Instant::now();
         loop {
-            violetward_net::sleep(Duration::from_millis(200)).await;
+            violetward_net::sleep(standstill::BEAT).await;
             let now = Instant::now();
+            if let Some(stood) = self.standstill.beat(now) {
+                tracing::debug!(?stood, "this process stood still");
+            }
             front::close_overdue(&self, now);
             self.engines.sweep(now);
             if now.duration_since(told) >= Duration::from_secs(10) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -20,3 +20,5 @@
 pub mod resolver;
 pub mod service;
 pub mod shutdown;
+pub mod standstill;
+pub mod starts;
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -1,7 +1,9 @@
 //! Messages of clients: what each frame asks for, and what a bad one gets.
 
 use std::rc::Rc;
+use std::time::Instant;
 
+use violetward::Micros;
 use violetward_thrift::{Cursor, Head, Kind, ThriftError};
 
 use crate::call::{self, Call};
@@ -175,7 +177,9 @@
     if requests.is_empty() || !client.duplex.is_alive() {
         return Ok(());
     }
-    for Unsubmitted { seqid, call } in requests {
+    let unread = host.standstill.unread_for(Instant::now()).as_micros() as Micros;
+    for Unsubmitted { seqid, mut call } in requests {
+        call.wait = call.wait.saturating_sub(unread);
         if client.duplex.is_closed() {
             // An earlier answer found that the client does not read.
             break;
--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -126,7 +126,9 @@
             (failed, next) = (false, Instant::now() + EVERY);
             if is_newer(list.number, *have) {
                 *have = list.number;
-                host.listed(&list, false);
+                host.listed(list, false);
+            } else {
+                host.list_stands();
             }
         }
         failed
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -100,12 +100,13 @@
     };
     let core = Core::new(Box::new(gateway), terms, clock.now());
     let host = Host::new(config, clock, core, executor.clone());
-    host.listed(&known, true);
+    let number = known.number;
+    host.listed(known, true);
     let listener = front::listen(&host)?;
     let address = listener.get_ref().local_addr()?;
     executor.spawn(host.clone().run_timers()).detach();
     executor.spawn(host.clone().run_sweeps()).detach();
-    executor.spawn(resolver.clone().follow(host.clone(), known.number)).detach();
+    executor.spawn(resolver.clone().follow(host.clone(), number)).detach();
     executor.spawn(front::accept(host.clone(), listener)).detach();
     Ok((host, address))
 }
