The log tells why each connection ended and how each request was concluded

Change: a connection has an `EndReason`, told when it ends with the number of requests that were open; one that this side ends while requests are open is an error in the log at any level. Each request is told with its id, attempts and time left when it is concluded. `lapsed_late` counts requests taken back in the last half second of their time. Connections in the accept queue at a drain are still taken after an accept that fails for a moment; before, the first error gave the queue up (by reading).

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -21,6 +21,27 @@
 /// Bytes kept for a client that does not read: some of the largest results.
 const UNREAD_BYTES: usize = 256 << 10;
 
+/// Why a connection of a client ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndReason {
+    /// The client ended it, or it broke.
+    ByClient,
+    /// The client sent what can't be served.
+    Violation,
+    /// No whole frame came within [`SILENT`].
+    Silent,
+    /// A frame did not come in whole within [`SILENT`].
+    StoppedWithinFrame,
+    /// Nothing was asked within [`IDLE`].
+    Idle,
+    /// Answers were not read within [`UNREAD`], or more of them than may be kept.
+    Unread,
+    /// It gave way to a new connection.
+    MadeRoom,
+    /// The gateway ends, and nothing was open.
+    Drained,
+}
+
 /// A connection of a client.
 pub struct Client {
     /// Which one.
@@ -34,6 +55,8 @@
     frame_since: Cell<Option<Instant>>,
     /// Its last frame or answer; `None` before the first frame.
     last_used: Cell<Option<Instant>>,
+    /// Why it ended, once this side has ended it.
+    ended: Cell<Option<EndReason>>,
 }
 
 /// Writes a result of the method `dispatch` or `alive`.
@@ -64,9 +87,28 @@
             opened: Instant::now(),
             frame_since: Cell::new(None),
             last_used: Cell::new(None),
+            ended: Cell::new(None),
         }
     }
 
+    /// Begins an orderly end.
+    pub fn close(&self, reason: EndReason) {
+        self.ended.set(self.ended.get().or(Some(reason)));
+        self.duplex.close();
+    }
+
+    /// Gives the connection up, since answers are not read.
+    pub fn cut_off(&self) {
+        self.ended.set(self.ended.get().or(Some(EndReason::Unread)));
+        self.duplex.abort();
+    }
+
+    /// Why it ended.
+    pub fn end_reason(&self) -> EndReason {
+        let unread = || if self.duplex.is_closed() { EndReason::Unread } else { EndReason::ByClient };
+        self.ended.get().unwrap_or_else(unread)
+    }
+
     /// Writes the final answer to a request.
     pub fn answer(&self, seqid: i32, verdict: &Verdict) {
         tracing::debug!(client = self.id.0, seqid, what = verdict.name(), "answer");
@@ -121,18 +163,22 @@
         let over = |since: Instant, span: Duration| now.saturating_duration_since(since) > span;
         let (kept, moved) = self.duplex.kept();
         if kept > 0 && over(moved, UNREAD) {
-            return self.duplex.abort();
+            return self.cut_off();
         }
         let stalled = self.frame_since.get().is_some_and(|since| over(since, SILENT));
-        let idle = match self.last_used.get() {
-            None => over(self.opened, SILENT),
-            Some(last) => over(last, IDLE),
+        let (idle, idle_reason) = match self.last_used.get() {
+            None => (over(self.opened, SILENT), EndReason::Silent),
+            Some(last) => (over(last, IDLE), EndReason::Idle),
         };
         // What is open is still answered, by its deadline at the latest. What has arrived and was not read yet ends the
         // idleness: it is for the reader, not for the close.
-        let owed = host.look(|core| core.open_of(self.id)) > 0;
-        if !owed && (stalled || idle && self.duplex.is_quiet()) {
-            self.duplex.close();
+        if host.look(|core| core.open_of(self.id)) > 0 {
+            return;
+        }
+        if stalled {
+            self.close(EndReason::StoppedWithinFrame);
+        } else if idle && self.duplex.is_quiet() {
+            self.close(idle_reason);
         }
     }
 
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -188,6 +188,9 @@
     pub overdue: u64,
     /// Refused for want of room, before the module.
     pub full: u64,
+    /// Taken back by clients, or their connections ended, when their time was all but over: they may have begun to count
+    /// earlier than this side did.
+    pub lapsed_late: u64,
 }
 
 /// The state machine. See the module's documentation.
@@ -211,6 +214,9 @@
 /// How long before the end of a window of repeats the last one is written: a timer is late by a turn of the host.
 const WINDOW_MARGIN: Micros = 5_000;
 
+/// A request that is taken back with no more of its time left than this is counted apart.
+const LAPSED_LATE: Micros = 500_000;
+
 /// All attempts of a request.
 fn attempts_of(id: RequestId) -> RangeInclusive<AttemptId> {
     AttemptId(id, 0)..=AttemptId(id, u32::MAX)
@@ -353,6 +359,8 @@
             if let Some(open) = self.close(id) {
                 tracing::debug!(client = client.0, seqid = open.seqid, id = %format_args!("{:016x}", id.0), "taken back");
                 self.counts.lapsed += 1;
+                let left = open.due.saturating_sub(self.now);
+                self.counts.lapsed_late += u64::from(left < LAPSED_LATE);
                 self.tell(Event::Lapsed(id));
             }
         }
@@ -438,6 +446,9 @@
             Verdict::Failed => &mut self.counts.failed,
         };
         *count += 1;
+        tracing::debug!(id = %format_args!("{:016x}", id.0), client = open.client.0, seqid = open.seqid,
+            verdict = verdict.name(), attempts = open.attempts, may_have_run = open.may_have_run.is_some(),
+            left_ms = open.due.saturating_sub(self.now) / 1000, "concluded");
         if !open.lapsing {
             self.effects.push_back(Effect::Answer(open.client, open.seqid, verdict));
         }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -9,7 +9,7 @@
 use futures_lite::future;
 use violetward_net::SocketFault;
 
-use crate::client::Client;
+use crate::client::{Client, EndReason};
 use crate::core::{ClientId, Verdict};
 use crate::host::Host;
 use crate::requests;
@@ -18,6 +18,8 @@
 const ACCEPTED_IN_A_ROW: u64 = 16;
 /// The pause after a connection could not be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Connections that could not be taken, after which the rest of the queue is given up when the gateway drains.
+const QUEUE_FAILURES: u32 = 50;
 /// How often connections are looked at for their end while the gateway drains.
 const CLOSE_DRAINED_EVERY: Duration = Duration::from_millis(5);
 
@@ -55,13 +57,30 @@
             }
         }
     }
-    while let Ok((socket, _)) = listener.get_ref().accept() {
-        number += 1;
-        if let Ok(socket) = Async::new(socket) {
-            admit(&host, ClientId(number), socket);
+    take_queue(&host, &listener, number).await;
+    host.listening.set(false);
+}
+
+/// Takes the connections that wait when the gateway drains. One that can't be taken does not end it: those behind it would
+/// be reset with the listener.
+async fn take_queue(host: &Rc<Host>, listener: &Async<TcpListener>, mut number: u64) {
+    let mut failures = 0;
+    while failures < QUEUE_FAILURES {
+        match listener.get_ref().accept() {
+            Ok((socket, _)) => {
+                number += 1;
+                if let Ok(socket) = Async::new(socket) {
+                    admit(host, ClientId(number), socket);
+                }
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            Err(error) => {
+                failures += 1;
+                note_accept_error(host, &error);
+                violetward_net::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
-    host.listening.set(false);
 }
 
 /// Out of descriptors in spite of the budget, or a connection that broke in the queue: neither spins.
@@ -99,7 +118,7 @@
     while let Some(place) = least_missed(&candidates) {
         let client = candidates.swap_remove(place);
         if client.duplex.is_quiet() {
-            client.duplex.close();
+            client.close(EndReason::MadeRoom);
             // Its task ends with the next turn; it is not counted any more.
             host.clients.borrow_mut().remove(&client.id);
             return true;
@@ -120,19 +139,33 @@
         client.duplex.drain().await;
     };
     future::or(read_requests(&host, &client), writing).await;
-    tracing::debug!(client = client.id.0, "gone");
     host.clients.borrow_mut().remove(&client.id);
+    note_end(&host, &client);
     host.core(|core, now| core.client_gone(now, client.id));
     host.closing.finish(&client.duplex).await;
 }
 
+/// Tells why a connection ended. One that this side ended with requests open owes answers: that is a fault, unless its
+/// client broke the protocol or does not read.
+fn note_end(host: &Host, client: &Client) {
+    let (reason, open) = (client.end_reason(), host.look(|core| core.open_of(client.id)));
+    let allowed = matches!(reason, EndReason::ByClient | EndReason::Violation | EndReason::Unread);
+    if open > 0 && !allowed && host.quotas[0].allows(host.clock.now()) {
+        tracing::error!(client = client.id.0, ?reason, open, "ended with requests open");
+    }
+    tracing::debug!(client = client.id.0, ?reason, open, "gone");
+}
+
 /// Reads requests until the client or this side ends the connection.
 async fn read_requests(host: &Rc<Host>, client: &Rc<Client>) {
     loop {
         let read = client.duplex.read(|bytes| client.frames.borrow_mut().feed(bytes)).await;
-        if read.unwrap_or(0) == 0 || !requests::handle_frames(host, client) {
+        if read.unwrap_or(0) == 0 {
             return;
         }
+        if !requests::handle_frames(host, client) {
+            return client.close(EndReason::Violation);
+        }
         // One that sends without pause must not keep others waiting.
         future::yield_now().await;
     }
@@ -158,7 +191,7 @@
     if client.duplex.kept().0 > 0 && unread_bytes(host) > host.config.limits.held_bytes() {
         let clients = host.clients.borrow();
         let fullest = clients.values().max_by_key(|client| client.duplex.kept().0);
-        fullest.into_iter().for_each(|client| client.duplex.abort());
+        fullest.into_iter().for_each(|client| client.cut_off());
     }
 }
 
@@ -178,7 +211,7 @@
     let clients: Vec<_> = host.clients.borrow().values().cloned().collect();
     for client in clients {
         if client.is_idle(host) {
-            client.duplex.close();
+            client.close(EndReason::Drained);
         }
     }
 }
