--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`siteplan`]: what the loss of a site would leave.
 //! - [`membership`]: simulated fleets of gateways in figures.
 //! - [`overhead`]: what the gateway costs against a bare relay; [`speed`]: speeds of its parts.
+//! - [`soak`]: gateways of a platform as processes, under days of overlapping faults.
 //! - [`storm`]: a thousand library clients while gateways restart.
 //! - [`baseline`]: random choice and least in flight, to run the same day with.
 
@@ -30,6 +31,7 @@
 pub mod report;
 pub mod script;
 pub mod siteplan;
+pub mod soak;
 pub mod speed;
 pub mod storm;
 pub mod trouble;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,7 +11,7 @@
 use violetward_lab::baseline::{Baseline, Rule};
 use violetward_lab::day::{self, Plan, Policy};
 use violetward_lab::report::Report;
-use violetward_lab::{cluster, demo, overhead, pinned, readlog, script, speed, storm, trouble};
+use violetward_lab::{cluster, demo, overhead, pinned, readlog, script, soak, speed, storm, trouble};
 use violetward_standin::model::Machine;
 use violetward_standin::server::{self, Setup};
 
@@ -37,6 +37,24 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Play real gateways of a platform through days of overlapping faults, and check the rules.
+    Soak {
+        /// A day is drawn from each.
+        #[arg(long = "seed", default_values_t = [1])]
+        seeds: Vec<u64>,
+        /// How many gateways.
+        #[arg(long, default_value_t = 5)]
+        gateways: usize,
+        /// For how many seconds faults are drawn.
+        #[arg(long, default_value_t = 15)]
+        seconds: u64,
+        /// One of so many system calls of the gateways goes wrong; 0: none.
+        #[arg(long, default_value_t = 50)]
+        calls_one_in: u64,
+        /// Where logs go.
+        #[arg(long, default_value = "logs/soak")]
+        folder: PathBuf,
+    },
     /// Start stand-in engines and a gateway, say how to try them, and show what happens, until stopped.
     Demo {
         /// Where the gateway listens.
@@ -362,6 +380,20 @@
         Command::Worth { folder, span, aims } => {
             readlog::Logs::read(&folder).map(|logs| print!("{}", logs.tables(span.max(0.1), &aims)))
         }
+        Command::Soak { seeds, gateways, seconds, calls_one_in, folder } => {
+            let setup = |seed| soak::Setup {
+                seed,
+                gateways,
+                seconds,
+                calls_one_in,
+                folder: soak::folder(&folder, seed),
+            };
+            seeds.into_iter().try_for_each(|seed| {
+                let outcome = soak::run(&setup(seed))?;
+                print!("seed {seed}: {}\n{outcome}", if outcome.is_good() { "passed" } else { "FAILED" });
+                outcome.is_good().then_some(()).ok_or_else(|| std::io::Error::other("a rule was broken"))
+            })
+        }
         Command::Relay { to, address_file } => overhead::relay(to, &address_file),
     };
     match result {
--- a/test.sh
+++ b/test.sh
@@ -20,6 +20,9 @@
   custody-pair custody-paused custody-rolled windows-one windows-halves site-acts | xargs -P 3 -I{} sh -c '
   timeout 150 target/release/violetward-lab cluster {} >target/cluster-{}.txt 2>&1 && echo "cluster {}: passed" ||
     { cat target/cluster-{}.txt; exit 255; }'
+# Real gateways of a platform under drawn days of overlapping faults, two days one after the other.
+timeout 120 target/release/violetward-lab soak --seed 4411 --seed 4412 --seconds 12 --folder target/soak >target/soak.txt 2>&1 &&
+  grep ': passed' target/soak.txt || { cat target/soak.txt; exit 1; }
 # Unmodified public clients against the demo, where Python and the package registry are at hand.
 clients=target/clients
 if [ -x "$clients/bin/python" ] || python3 -m venv "$clients" >/dev/null 2>&1; then
