--- a/crates/callfaults/src/lib.rs
+++ b/crates/callfaults/src/lib.rs
@@ -83,6 +83,11 @@
     one_in > 0 && draw() % one_in == 0
 }
 
+/// Whether a call on this socket is to go wrong. Sockets within the process are left alone: by them its signals travel.
+fn goes_wrong_on(fd: c_int) -> bool {
+    goes_wrong() && option(fd, libc::SO_DOMAIN) == libc::AF_INET
+}
+
 fn count(call: Call) {
     let count = COUNTS[call as usize].fetch_add(1, Ordering::Relaxed) + 1;
     if let Some(file) = orders().counts {
@@ -143,7 +148,7 @@
 #[no_mangle]
 pub unsafe extern "C" fn recv(fd: c_int, buffer: *mut c_void, length: usize, flags: c_int) -> isize {
     let receive = real!(c"recv", Receive);
-    if !goes_wrong() {
+    if !goes_wrong_on(fd) {
         return receive(fd, buffer, length, flags);
     }
     count(Call::Receive);
@@ -162,7 +167,7 @@
 #[no_mangle]
 pub unsafe extern "C" fn send(fd: c_int, buffer: *const c_void, length: usize, flags: c_int) -> isize {
     let send = real!(c"send", Send);
-    if !goes_wrong() {
+    if !goes_wrong_on(fd) {
         return send(fd, buffer, length, flags);
     }
     count(Call::Send);
@@ -174,10 +179,15 @@
 }
 
 fn is_datagram(fd: c_int) -> bool {
-    let (mut kind, mut length) = (0 as c_int, size_of::<c_int>() as libc::socklen_t);
+    option(fd, libc::SO_TYPE) == libc::SOCK_DGRAM
+}
+
+/// An option of a socket; 0 where it has none.
+fn option(fd: c_int, name: c_int) -> c_int {
+    let (mut value, mut length) = (0 as c_int, size_of::<c_int>() as libc::socklen_t);
     // SAFETY: both places are valid, and the length is that of the first.
-    unsafe { libc::getsockopt(fd, libc::SOL_SOCKET, libc::SO_TYPE, (&raw mut kind).cast(), &raw mut length) };
-    kind == libc::SOCK_DGRAM
+    unsafe { libc::getsockopt(fd, libc::SOL_SOCKET, name, (&raw mut value).cast(), &raw mut length) };
+    value
 }
 
 fn monotonic_ms() -> i64 {
--- a/crates/gateway/tests/platform.rs
+++ b/crates/gateway/tests/platform.rs
@@ -9,7 +9,7 @@
 
 use program::{file, logged, resolver, signal, start, start_with_log, SOON};
 use rustix::process::Signal;
-use violetward_standin::platform::{Fault, Listed, PlatformEngine, PlatformResolver};
+use violetward_standin::platform::{Fault, ListFault, Listed, PlatformEngine, PlatformResolver};
 use violetward_thrift::{Cursor, Frames, Kind, Writer};
 
 const SETTINGS: &str = r#"{"NInstances":1,"MachineTypes":["std"],"Zones":["east"],"QuantumUs":5000,
@@ -132,6 +132,26 @@
     std::fs::remove_file(path).ok();
 }
 
+/// Seen in a soak: a gateway whose SIGHUP got lost never heard of its list again, and sent requests to engines that drain.
+#[test]
+fn a_list_that_moves_without_a_signal_is_found_once_the_old_address_is_silent() {
+    let engine = PlatformEngine::start().unwrap();
+    let (first, second) = (resolver(&engine), resolver(&engine));
+    let path = file("silent");
+    std::fs::write(&path, config(&first, &engine)).unwrap();
+    let (mut child, _) = start(&path);
+    (0..500).for_each(|_| first.order(ListFault::Lost));
+    std::fs::write(&path, config(&second, &engine)).unwrap();
+    let since = Instant::now();
+    while second.asked() == 0 {
+        assert!(since.elapsed() < SOON, "the new resolver is not asked");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(path).ok();
+}
+
 #[test]
 fn a_shutdown_during_a_reload_does_not_wait_for_it() {
     let engine = PlatformEngine::start().unwrap();
--- a/crates/lab/src/soak/gateway.rs
+++ b/crates/lab/src/soak/gateway.rs
@@ -259,7 +259,7 @@
             std::thread::sleep(LOOK);
         }
         if gateway.ended().is_none() {
-            world.records.note(Event::Killed { gateway: number });
+            world.records.note(Event::Killed { gateway: number, after_sigterm: true });
         }
         self.kill(gateway);
         self.start_again(world, gateway);
@@ -272,7 +272,7 @@
         if !gateway.take() {
             return;
         }
-        world.records.note(Event::Killed { gateway: number });
+        world.records.note(Event::Killed { gateway: number, after_sigterm: false });
         gateway.in_front.store(false, Ordering::Release);
         self.kill(gateway);
         self.start_again(world, gateway);
--- a/crates/lab/src/soak/record.rs
+++ b/crates/lab/src/soak/record.rs
@@ -80,6 +80,8 @@
     Killed {
         /// Which one.
         gateway: usize,
+        /// It had been told to end.
+        after_sigterm: bool,
     },
     /// A gateway stands still from now on for a span.
     Stopped {
