A gateway whose resolver is silent looks at its configuration itself; dials have their own file

Cause: only SIGHUP made a gateway look where its list is. One that misses it, since it had just been started or the signal got lost, asks the dead address for good and sends requests to engines that drain. Change: after eight questions in a row without an answer, about 2 s, and after each eight more, the configuration is read; where it names another resolver, that one is asked.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -4,19 +4,22 @@
 //! there; where they do not, up to the settings' streams share one. What finds none ready waits with its engine, not with
 //! the connection that is dialled for it: the first one that comes up or gets free carries it.
 
+mod dial;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use async_io::Async;
 use event_listener::Event;
 use futures_lite::future;
 use violetward::{EngineId, Listed, Load, Micros, Outcome};
-use violetward_net::{Duplex, SocketFault};
+use violetward_net::Duplex;
 use violetward_settings::Connections;
 
+use dial::{dial, reach, within, Missed};
+
 use crate::core::{AttemptId, Ending, Launch};
 use crate::host::Host;
 use crate::link::{Link, Told};
@@ -28,9 +31,6 @@
 /// How often, and how many times, a witness is looked for after a connection broke.
 const WITNESS: (Duration, u32) = (Duration::from_millis(2), 8);
 
-/// How long a dial waits that failed by something that says nothing of its engine.
-const DIAL_PAUSE: Duration = Duration::from_millis(5);
-
 /// How often a connection is dialled that is reset before anything could be asked on it.
 const DIALS: u32 = 4;
 
@@ -38,13 +38,6 @@
 /// lie over that of fresh ones for requests to get fresh ones, and how fast what was seen fades. One break alone is less.
 const WORN: (f64, f64, Duration) = (0.02, 0.03, Duration::from_secs(10));
 
-/// A dial is late after this many times what dials to its engine usually take; then one more goes beside it, and after
-/// each further such multiple, up to a number. No dial is late before this part of the time-out: what is lost until then
-/// is not worth a handshake. Weight of one dial in what is usual.
-const LATE: (u32, u32) = (4, 2);
-const LATE_LEAST: u32 = 100;
-const DIAL_SAMPLE: u32 = 8;
-
 /// What waits for a connection.
 struct Waiting {
     /// Tells it apart from all else that has waited for the same engine.
@@ -182,22 +175,6 @@
         self.lines.borrow().iter().any(|l| l.is_coming())
     }
 
-    /// Fewer dials are out that are not late yet than there is waiting.
-    fn needs_dial(&self, late: Duration) -> bool {
-        let punctual = |l: &&Rc<Line>| l.is_coming() && l.up.get().elapsed() < late;
-        self.lines.borrow().iter().filter(punctual).count() < self.waiting.borrow().len()
-    }
-
-    /// After how long a dial is late.
-    fn late(&self, within: Duration) -> Duration {
-        (self.dial.get().unwrap_or_default() * LATE.0).max(within / LATE_LEAST)
-    }
-
-    fn note_dial(&self, took: Duration) {
-        let usual = self.dial.get().unwrap_or(took);
-        self.dial.set(Some((usual * (DIAL_SAMPLE - 1) + took.min(usual * 2)) / DIAL_SAMPLE));
-    }
-
     /// Probes whose connection broke wait for another one: they are asked again, but not for ever, since a connection that
     /// breaks says nothing of an engine that stands.
     fn ask_again(&self, told: &mut Vec<Told>) {
@@ -543,109 +520,6 @@
     true
 }
 
-fn within(host: &Host) -> Duration {
-    Duration::from_micros(host.config.connections.connect_timeout)
-}
-
-/// Begins a connection and the task that reads from it. Others may go beside it when it is late.
-fn dial(host: &Rc<Host>, engine: &Rc<Engine>, first: bool) {
-    let now = Instant::now();
-    let line = Rc::new(Line {
-        duplex: RefCell::new(None),
-        link: RefCell::new(Link::new()),
-        heard: Cell::new(now),
-        idle: Cell::new(now),
-        spent: Cell::new(false),
-        passed: Cell::new(false),
-        unneeded: Event::new(),
-        up: Cell::new(now),
-        carried: Cell::new(0),
-    });
-    engine.lines.borrow_mut().push(line.clone());
-    host.spawn(run(host.clone(), engine.clone(), line, first));
-}
-
-/// Dials beside one that is late as long as something waits for it. Never ends.
-async fn dial_beside(host: &Rc<Host>, engine: &Rc<Engine>, line: &Rc<Line>) {
-    let late = engine.late(within(host));
-    for turn in 0..LATE.1 {
-        violetward_net::sleep(late * LATE.0.pow(turn)).await;
-        if engine.needs_dial(late) && host.engines.may_dial(engine, None) {
-            line.passed.set(true);
-            dial(host, engine, false);
-        }
-    }
-    future::pending().await
-}
-
-/// A socket to an engine, if it is up in time and before it is not needed any more.
-async fn reach(
-    host: &Rc<Host>,
-    engine: &Rc<Engine>,
-    line: &Rc<Line>,
-    first: bool,
-) -> Result<Async<TcpStream>, Missed> {
-    let short = Cell::new(false);
-    let connecting = async {
-        let (mut dials, mut made_room) = (1, false);
-        loop {
-            // What was closed to make room for this one holds its descriptor for a moment yet.
-            while host.engines.connections() > host.engines.most {
-                short.set(true);
-                violetward_net::sleep(DIAL_PAUSE).await;
-            }
-            let error = match Async::<TcpStream>::connect(engine.address.get()).await {
-                Ok(socket) => return Ok(socket),
-                Err(error) => error,
-            };
-            let fault = SocketFault::of(&error);
-            short.set(fault == SocketFault::Shortage);
-            match fault {
-                // Once for each dial: what gets free may be taken by somebody else every time.
-                SocketFault::Shortage => made_room = made_room || host.engines.make_room(),
-                // It says nothing of the engine's process: there may be a way in a moment.
-                SocketFault::Passing | SocketFault::Unreachable => {}
-                // Broken while it came up: somebody is there, and nothing has been asked yet.
-                SocketFault::Broken if dials < DIALS => dials += 1,
-                SocketFault::Broken | SocketFault::Refused => {
-                    tracing::debug!(engine = %format_args!("{:x}", engine.id.0), %error, dials, "no connection");
-                    if fault == SocketFault::Refused {
-                        engine.refused.set(Some(Instant::now()));
-                    }
-                    return Err(Missed::Failed);
-                }
-            }
-            if fault != SocketFault::Broken {
-                violetward_net::sleep(DIAL_PAUSE).await;
-            }
-        }
-    };
-    let beside = async {
-        if first {
-            dial_beside(host, engine, line).await;
-        }
-        future::pending().await
-    };
-    let unneeded = async {
-        line.unneeded.listen().await;
-        Err(Missed::Late)
-    };
-    let reached = future::or(connecting, future::or(beside, unneeded));
-    let missed = || if short.get() { Missed::NoDescriptor } else { Missed::Late };
-    violetward_net::timeout(within(host), reached).await.unwrap_or_else(|| Err(missed()))
-}
-
-/// Why a dial gave no connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Missed {
-    /// It failed at once.
-    Failed,
-    /// It was not up in time.
-    Late,
-    /// This machine had no descriptor for it, all the time.
-    NoDescriptor,
-}
-
 async fn run(host: Rc<Host>, engine: Rc<Engine>, line: Rc<Line>, first: bool) {
     let reached = reach(&host, &engine, &line, first).await;
     let (began, took) = (line.up.get(), line.up.get().elapsed());
--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -41,12 +41,14 @@
 pub struct Resolver {
     address: Cell<SocketAddr>,
     moved: Event,
+    /// Told when it has been silent for long, and again after each further such span.
+    silent: Event,
 }
 
 impl Resolver {
     /// A resolver at an address.
     pub fn new(address: SocketAddr) -> Rc<Self> {
-        Rc::new(Resolver { address: Cell::new(address), moved: Event::new() })
+        Rc::new(Resolver { address: Cell::new(address), moved: Event::new(), silent: Event::new() })
     }
 
     /// It is elsewhere from now on.
@@ -60,6 +62,11 @@
         self.address.get()
     }
 
+    /// Waits until it has been silent for long.
+    pub(crate) async fn silence(&self) {
+        self.silent.listen().await;
+    }
+
     /// Follows the list, from the event with that number on. Never ends.
     pub async fn follow(self: Rc<Self>, host: Rc<Host>, mut have: u32) {
         let mut questions = Questions::to(self.address.get());
@@ -68,13 +75,17 @@
             let moved = self.moved.listen();
             if questions.address != self.address.get() {
                 // Nothing that the old address says counts any more.
-                (questions, failures) = (Questions::to(self.address.get()), 0);
+                questions.move_to(self.address.get());
+                failures = 0;
             }
             let asking = async {
                 let failed = questions.ask_and_listen(&host, failures, &mut have).await;
                 failures = if failed { failures.saturating_add(1) } else { 0 };
             };
             future::or(moved, asking).await;
+            if failures > 0 && failures % FAILURES_TOLD == 0 {
+                self.silent.notify(usize::MAX);
+            }
             if failures == FAILURES_TOLD {
                 let (address, why) = (questions.address, &questions.fault);
                 tracing::warn!(%address, why, "no good answer of the resolver: the old list stands");
@@ -99,13 +110,22 @@
     open: Vec<Question>,
     /// The socket of the last one that was answered, for the next one.
     proven: Option<Async<UdpSocket>>,
+    /// A socket of an earlier address, kept until there is one for this.
+    spare: Option<Async<UdpSocket>>,
     /// Why there was no good answer of late.
     fault: String,
 }
 
 impl Questions {
     fn to(address: SocketAddr) -> Self {
-        Questions { address, open: Vec::new(), proven: None, fault: "no answer".into() }
+        Questions { address, open: Vec::new(), proven: None, spare: None, fault: "no answer".into() }
+    }
+
+    /// Ends all questions; the next ones go elsewhere.
+    fn move_to(&mut self, address: SocketAddr) {
+        let last = self.open.drain(..).next_back().map(|question| question.socket);
+        self.spare = self.proven.take().or(last).or(self.spare.take());
+        self.address = address;
     }
 
     /// Asks once and takes what comes until the next question is due; true if no good answer came. `have` is the number of
@@ -152,18 +172,18 @@
     }
 
     /// The socket for the next question: that of the last good answer, else a fresh one, so that what somebody else sends
-    /// to a port seen does not reach it. Where no descriptor is free the oldest question gives up its own: the list must
-    /// not be lost for want of one.
+    /// to a port seen does not reach it. Where no descriptor is free that of the earlier address or of the oldest question
+    /// serves on: the list must not be lost for want of one.
     fn socket(&mut self) -> std::io::Result<Async<UdpSocket>> {
         if let Some(socket) = self.proven.take() {
             return Ok(socket);
         }
-        open(self.address).or_else(|error| {
-            if self.open.is_empty() {
-                return Err(error);
-            }
-            Ok(self.open.remove(0).socket)
-        })
+        match (open(self.address), self.spare.take()) {
+            (Ok(socket), _) => Ok(socket),
+            (Err(_), Some(spare)) => redirect(spare, self.address),
+            (Err(error), None) if self.open.is_empty() => Err(error),
+            (Err(_), None) => Ok(self.open.remove(0).socket),
+        }
     }
 
     /// The next good answer to any open question, if one comes by then.
@@ -223,6 +243,13 @@
     }
 }
 
+/// Has a socket take datagrams from another address. What the old one has sent may still be in it, and is dropped.
+fn redirect(socket: Async<UdpSocket>, address: SocketAddr) -> std::io::Result<Async<UdpSocket>> {
+    socket.get_ref().connect(address)?;
+    (0..DATAGRAMS_MOST).take_while(|_| socket.get_ref().recv(&mut [0]).is_ok()).for_each(drop);
+    Ok(socket)
+}
+
 /// A socket that takes datagrams from that address alone.
 fn open(address: SocketAddr) -> std::io::Result<Async<UdpSocket>> {
     let any: SocketAddr = if address.is_ipv4() { ([0; 4], 0).into() } else { ([0u16; 8], 0).into() };
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -40,6 +40,7 @@
     let (host, address) = start(config, &executor, &resolver)?;
     tracing::info!(name, listen = %address, "taking requests");
     let file = file.to_owned();
+    executor.spawn(look_for_moves(resolver.clone(), file.clone())).detach();
     let reload = {
         let (spawner, running) = (executor.clone(), host.config.clone());
         move || spawner.spawn(reloaded(resolver.clone(), running.clone(), file.clone()))
@@ -59,6 +60,19 @@
     Ok(())
 }
 
+/// Looks at the configuration where the resolver is silent: the signal that tells of its move can have got lost, or come
+/// before this process could take it. Never ends.
+async fn look_for_moves(resolver: Rc<Resolver>, file: PathBuf) {
+    loop {
+        resolver.silence().await;
+        let Ok(config) = config::load(&file) else { continue };
+        if config.resolver != resolver.address() {
+            tracing::warn!(resolver = %config.resolver, "the configuration names another resolver, and none answered");
+            resolver.moved_to(config.resolver);
+        }
+    }
+}
+
 /// Reloads of the configuration, one at a time.
 struct Reloads<B> {
     begin: B,
