--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -28,13 +28,13 @@
     ByClient,
     /// The client sent what can't be served.
     Violation,
-    /// No whole frame came within [`SILENT`].
+    /// No whole frame came in the time for a first one.
     Silent,
-    /// A frame did not come in whole within [`SILENT`].
+    /// A frame that had begun did not come in whole in its time.
     StoppedWithinFrame,
-    /// Nothing was asked within [`IDLE`].
+    /// Nothing was asked for longer than connections may be idle.
     Idle,
-    /// Answers were not read within [`UNREAD`], or more of them than may be kept.
+    /// Answers were not read in their time, or were more than may be kept.
     Unread,
     /// It gave way to a new connection.
     MadeRoom,
