Test: a cell's effect is counted before its gateway has the answer; both are waited for

Seen: the whole test beside three busy processes failed once, in `a_client_gone_with_its_cell_running_…`: one request was still open. The test waited until the engine had counted the effect and looked at the gateway at once; the engine counts before it answers, so that the gateway may not know yet. It waits for both now, within the same three seconds, and asserts the same. The product was not at fault.

--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -736,8 +736,10 @@
         drop(gone);
         let mut other = KernelClient::connect(&file).await.unwrap();
         assert_eq!(other.run(&lookup("SELECT id FROM players LIMIT 2")).await.unwrap().rows.len(), 2);
+        // The engine counts its effect before the gateway has its answer.
+        let is_over = || bed.effects() > 0 && bed.host.look(|core| core.open()) == 0;
         for _ in 0..300 {
-            if bed.effects() > 0 {
+            if is_over() {
                 break;
             }
             sleep(Duration::from_millis(10)).await;
