Platform: the log tells each query, answer and change of the engine list

Each query, answer (with age and number), rejected answer and failed call is logged at debug level, each change of an engine under the target violetward_platform::list, a list taken and each signal at info level. No behaviour changes.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -267,12 +267,15 @@
         let mut engines = self.engines.borrow_mut();
         let listed: HashSet<EngineId> = list.engines.values().map(|l| l.entry.engine).collect();
         for engine in engines.values().filter(|e| !listed.contains(&e.id)) {
-            engine.listed.set(Listed::Removed);
+            if engine.listed.replace(Listed::Removed) != Listed::Removed {
+                log_listed(engine, list.number);
+            }
             engine.retire_connections(&mut unsent);
         }
         for listing in list.engines.values() {
             let engine = engines.entry(listing.entry.engine).or_insert_with(|| {
-                tracing::debug!(name = listing.name, engine = %format_args!("{:x}", listing.entry.engine.0),
+                tracing::debug!(target: "violetward_platform::list", list = list.number, name = listing.name,
+                    engine = %format_args!("{:x}", listing.entry.engine.0), listed = ?listing.entry.listed,
                     "learned of an engine");
                 Rc::new(Engine {
                     id: listing.entry.engine,
@@ -289,9 +292,16 @@
                     next_number: Cell::new(0),
                 })
             });
-            engine.listed.set(listing.entry.listed);
+            if engine.listed.replace(listing.entry.listed) != listing.entry.listed {
+                log_listed(engine, list.number);
+            }
             let moved = engine.address.replace(listing.address) != listing.address;
             let restarted = engine.started.replace(listing.entry.came_up) != listing.entry.came_up;
+            if moved || restarted {
+                tracing::debug!(target: "violetward_platform::list", list = list.number, moved, restarted,
+                    engine = %format_args!("{:x}", engine.id.0), address = %listing.address,
+                    "engine is another process now");
+            }
             if moved || restarted || listing.entry.listed != Listed::Up {
                 engine.retire_connections(&mut unsent);
             }
@@ -507,6 +517,13 @@
     }
 }
 
+/// Logs that a list has changed whether an engine may get requests.
+fn log_listed(engine: &Engine, list_number: u32) {
+    tracing::debug!(target: "violetward_platform::list", list = list_number, listed = ?engine.listed.get(),
+        engine = %format_args!("{:x}", engine.id.0), connections = engine.connections.borrow().len(),
+        queued = engine.queue.borrow().len(), sent = engine.sent.borrow().len(), "engine listed");
+}
+
 /// Sends a queued entry on a connection that is up; false if the engine certainly did not get it completely.
 fn send(host: &Rc<Host>, engine: &Rc<Engine>, connection: &Rc<Connection>, queued: &Queued) -> bool {
     match &queued.work {
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -8,7 +8,7 @@
 use async_executor::LocalExecutor;
 use event_listener::Event;
 use futures_lite::future;
-use violetward::Micros;
+use violetward::{Listed, Micros};
 use violetward_net::{Alarm, Clock};
 
 use crate::client::Client;
@@ -185,6 +185,9 @@
     pub fn update_list(self: &Rc<Self>, mut list: List, initial: bool) {
         self.start_times.borrow_mut().correct(&mut list, self.clock.now());
         let unsent = self.engines.update_list(&list);
+        let engines = list.engines.len();
+        let draining = list.engines.values().filter(|listing| listing.entry.listed != Listed::Up).count();
+        tracing::info!(number = list.number, engines, draining, unsent = unsent.len(), "list taken");
         self.with_core(|core, now| {
             core.update_engines(now, &list, initial);
             for (attempt, completion) in unsent {
--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -141,6 +141,7 @@
     async fn poll_once(&mut self, host: &Rc<Host>, failures: u32, list_number: &mut u32) -> bool {
         let sent = self.send(Instant::now());
         if let Err(error) = sent {
+            tracing::debug!(address = %self.address, %error, "query not sent");
             self.last_error = error.to_string();
         }
         // After the first failures the next query is sent earlier: a lost answer must not delay the news of a
@@ -165,7 +166,13 @@
 
     /// Sends a query with a new random id.
     fn send(&mut self, now: Instant) -> std::io::Result<()> {
-        self.open.retain(|query| now.duration_since(query.sent) < QUERY_LIFETIME);
+        self.open.retain(|query| {
+            let is_alive = now.duration_since(query.sent) < QUERY_LIFETIME;
+            if !is_alive {
+                tracing::debug!(id = query.id, datagrams = query.datagrams, "query given up");
+            }
+            is_alive
+        });
         if self.open.len() >= OPEN_QUERIES_MAX {
             self.open.remove(0);
         }
@@ -176,6 +183,7 @@
                 return Err(error);
             }
         }
+        tracing::debug!(address = %self.address, id = query.id, open = self.open.len(), "query sent");
         self.open.push(query);
         Ok(())
     }
@@ -214,16 +222,20 @@
             match query.socket.get_ref().recv(&mut bytes) {
                 Ok(size) => match list::parse_answer(&bytes[..size], query.id, names) {
                     Ok(list) => {
+                        tracing::debug!(id = query.id, age = ?query.sent.elapsed(), number = list.number,
+                            "list received");
                         self.note_answered(index);
                         return list;
                     }
                     Err(why) => {
+                        tracing::debug!(id = query.id, age = ?query.sent.elapsed(), size, why, "answer ignored");
                         query.datagrams += 1;
                         self.last_error = why;
                     }
                 },
                 Err(error) if SocketErrorKind::of(&error) == SocketErrorKind::Retry => {}
                 Err(error) => {
+                    tracing::debug!(id = query.id, age = ?query.sent.elapsed(), %error, "receive failed");
                     self.last_error = error.to_string();
                     self.open.remove(index);
                     continue;
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -93,8 +93,11 @@
     async fn follow(&mut self, signals: &mut Signals) {
         loop {
             match next_signal(signals).await {
-                Signal::Hup => self.last = Some((self.start)()),
-                _ => return,
+                Signal::Hup => {
+                    tracing::info!("SIGHUP: reading the configuration again");
+                    self.last = Some((self.start)());
+                }
+                signal => return tracing::info!(?signal, "signal to stop"),
             }
         }
     }
