Platform: lists are accepted from a resolver that counts from a lower number

Seen by reading (a row of docs/platform.md that was open) and by a test over sockets: a list with a high number hides all later ones with lower numbers, so that no drain is learned of any more. Cause: a list counted only if its number was newer, whatever the resolver went on to say. Now six answers in a row, to queries from after the newest list was received, give that list up. Single older lists, as bad resolvers send them, are ignored as before; late answers to earlier queries do not count.

--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -1,5 +1,6 @@
 //! Polls the list of engines by DNS over UDP.
 
+mod order;
 mod queries;
 
 use std::cell::Cell;
@@ -9,9 +10,9 @@
 
 use event_listener::Event;
 use futures_lite::future;
-use violetward_dns::serial::is_newer;
 
 use crate::host::Host;
+use order::ListOrder;
 use queries::Queries;
 
 /// The interval of queries. By the rules of the platform, a gateway knows of a change once an answer contains
@@ -59,7 +60,8 @@
     }
 
     /// Polls the list and passes on newer ones than that with the given number. Never returns.
-    pub async fn follow(self: Rc<Self>, host: Rc<Host>, mut list_number: u32) {
+    pub async fn follow(self: Rc<Self>, host: Rc<Host>, list_number: u32) {
+        let mut order = ListOrder::after(list_number);
         let mut queries = Queries::to(self.address.get());
         let mut failures = 0u32;
         loop {
@@ -70,7 +72,7 @@
                 failures = 0;
             }
             let polling = async {
-                let failed = poll_once(&mut queries, &host, failures, &mut list_number).await;
+                let failed = poll_once(&mut queries, &host, failures, &mut order).await;
                 failures = if failed { failures.saturating_add(1) } else { 0 };
             };
             future::or(address_changed, polling).await;
@@ -86,8 +88,7 @@
 }
 
 /// Sends one query and handles answers until the next one is due; true if no valid answer came.
-/// `list_number` is the number of the newest list so far.
-async fn poll_once(queries: &mut Queries, host: &Rc<Host>, failures: u32, list_number: &mut u32) -> bool {
+async fn poll_once(queries: &mut Queries, host: &Rc<Host>, failures: u32, order: &mut ListOrder) -> bool {
     let started = Instant::now();
     // After the first failures the next query is sent earlier: a lost answer must not delay the news of a
     // change much.
@@ -95,14 +96,13 @@
     let timeout = if queries.send(started) { timeout.min(QUERY_INTERVAL) } else { SEND_RETRY_INTERVAL };
     let mut next_query = started + timeout;
     let mut failed = true;
-    while let Some(list) = queries.receive_until(next_query, &host.config.names).await {
+    while let Some((list, asked)) = queries.receive_until(next_query, &host.config.names).await {
         if failures >= FAILURES_LOGGED && failed {
             tracing::info!(address = %queries.address(), failures, "resolver answers again");
         }
         // Counted from the query: answers to earlier ones must not put off the next one.
         (failed, next_query) = (false, started + QUERY_INTERVAL);
-        if is_newer(list.number, *list_number) {
-            *list_number = list.number;
+        if order.accept(list.number, asked, Instant::now()) {
             host.update_list(list, false);
         } else {
             host.note_unchanged_list();
--- a/crates/platform/src/resolver/queries.rs
+++ b/crates/platform/src/resolver/queries.rs
@@ -66,15 +66,15 @@
         });
     }
 
-    /// Decodes an answer and closes its query.
-    fn take_answer(&mut self, bytes: &[u8], names: &Names) -> Result<List, String> {
+    /// Decodes an answer and closes its query; returns the list and when the query was sent.
+    fn take_answer(&mut self, bytes: &[u8], names: &Names) -> Result<(List, Instant), String> {
         let id = bytes.first_chunk().map(|id| u16::from_be_bytes(*id)).ok_or("answer has no id")?;
         let index = self.open.iter().position(|query| query.id == id).ok_or("answer to no open query")?;
         let list = list::parse_answer(bytes, id, names)?;
         let query = self.open.remove(index);
         self.is_proven |= query.sent == self.last_query;
         tracing::trace!(id, age = ?query.sent.elapsed(), number = list.number, "list received");
-        Ok(list)
+        Ok((list, query.sent))
     }
 }
 
@@ -178,8 +178,12 @@
         }
     }
 
-    /// The next valid answer to any open query; `None` if none comes in time.
-    pub(super) async fn receive_until(&mut self, deadline: Instant, names: &Names) -> Option<List> {
+    /// The next valid answer to any open query, and when that was sent; `None` if none comes in time.
+    pub(super) async fn receive_until(
+        &mut self,
+        deadline: Instant,
+        names: &Names,
+    ) -> Option<(List, Instant)> {
         let received = async { Some(self.receive(names).await) };
         let timed_out = async {
             violetward_net::sleep_until(deadline).await;
@@ -189,14 +193,14 @@
     }
 
     /// The next valid answer to any open query. Never returns if there is none.
-    async fn receive(&mut self, names: &Names) -> List {
+    async fn receive(&mut self, names: &Names) -> (List, Instant) {
         let mut bytes = vec![0; ANSWER_MAX_BYTES + 1];
         loop {
             let index = self.readable().await;
             let open = &mut self.sockets[index];
             let why = match open.socket.get_ref().recv(&mut bytes) {
                 Ok(size) => match open.take_answer(&bytes[..size], names) {
-                    Ok(list) => return list,
+                    Ok(answer) => return answer,
                     Err(why) => why,
                 },
                 Err(error) => match SocketErrorKind::of(&error) {
