Platform: after a pause of the process attempts wait for the current list

Seen by a test over sockets: a gateway that stood still for 1.8 s sent what lay in its sockets to an engine whose drain had been told meanwhile. Cause: nothing compared the age of the list with the pause; polling went on at the same moment as sending. Now a pause of a second or more (a change counts as known after 1.5 s, the list is polled four times a second) holds attempts back until the resolver has answered a query from after the pause, for 0.3 s at most. The check stands in Engines::send_queued, through which every attempt is sent, also those that timers and answers start.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -346,8 +346,18 @@
         index.and_then(|index| queue.remove(index)).is_none()
     }
 
-    /// Sends what is queued on the connections that are free, and dials for the rest.
+    /// Sends what is queued for all engines, as far as there are free connections.
+    pub fn send_all_queued(&self, host: &Rc<Host>) {
+        let engines: Vec<_> = self.engines.borrow().values().cloned().collect();
+        engines.iter().for_each(|engine| self.send_queued(host, engine));
+    }
+
+    /// Sends what is queued on the connections that are free, and dials for the rest. Sends nothing while the
+    /// list may be out of date.
     fn send_queued(&self, host: &Rc<Host>, engine: &Rc<Engine>) {
+        if !host.may_send() {
+            return;
+        }
         let mut index = 0;
         while index < engine.queue.borrow().len() {
             let attempt = engine.queue.borrow()[index].attempt();
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -16,6 +16,7 @@
 use crate::config::Config;
 use crate::core::{AttemptId, ClientId, Core, Effect};
 use crate::engine::Engines;
+use crate::freshness::{ListFreshness, HOLD_MIN_PAUSE};
 use crate::front;
 use crate::list::List;
 use crate::standstill::{PauseDetector, HEARTBEAT_INTERVAL};
@@ -78,6 +79,7 @@
     start_times: RefCell<StartTimes>,
     /// Detects pauses of this process.
     pub(crate) pauses: PauseDetector,
+    freshness: ListFreshness,
     phase: Cell<Phase>,
     /// Notified when the phase becomes [`Phase::Draining`].
     drain_started: Event,
@@ -110,6 +112,7 @@
             listening: Cell::new(true),
             start_times: RefCell::default(),
             pauses: PauseDetector::new(Instant::now()),
+            freshness: ListFreshness::default(),
             phase: Cell::new(Phase::Serving),
             drain_started: Event::new(),
         })
@@ -175,6 +178,38 @@
         self.start_times.borrow_mut().note_unchanged(self.clock.now());
     }
 
+    /// Whether attempts may be sent by the present list. After a pause of the process they wait until the
+    /// resolver has answered again, or for as long as they may be held back.
+    pub(crate) fn may_send(self: &Rc<Self>) -> bool {
+        self.check_pause();
+        !self.freshness.is_held(Instant::now())
+    }
+
+    /// Notes a valid answer of the resolver to a query that was sent at `asked`.
+    pub(crate) fn confirm_list(self: &Rc<Self>, asked: Instant) {
+        if self.freshness.confirm(asked) {
+            tracing::debug!("the list is current again: attempts go on");
+            self.engines.send_all_queued(self);
+        }
+    }
+
+    /// Checks whether the process has paused, and starts a hold if it did for long.
+    fn check_pause(self: &Rc<Self>) {
+        let now = Instant::now();
+        let Some(pause) = self.pauses.overdue(now) else { return };
+        tracing::debug!(?pause, "this process stood still");
+        self.pauses.heartbeat(now);
+        if pause < HOLD_MIN_PAUSE {
+            return;
+        }
+        let ends = self.freshness.hold(now);
+        let host = self.clone();
+        self.spawn(async move {
+            violetward_net::sleep_until(ends).await;
+            host.engines.send_all_queued(&host);
+        });
+    }
+
     /// Notes that an attempt is written to its connection now.
     pub(crate) fn attempt_written(&self, attempt: AttemptId) {
         self.core.borrow_mut().attempt_written(self.clock.now(), attempt);
@@ -234,10 +269,9 @@
         let mut last_status = Instant::now();
         loop {
             violetward_net::sleep(HEARTBEAT_INTERVAL).await;
+            self.check_pause();
             let now = Instant::now();
-            if let Some(pause) = self.pauses.heartbeat(now) {
-                tracing::debug!(?pause, "this process stood still");
-            }
+            self.pauses.heartbeat(now);
             front::close_timed_out(&self, now);
             self.engines.close_unused(now);
             if now.duration_since(last_status) >= STATUS_INTERVAL {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Without I/O and clock: [`core`] (requests, attempts, timers), [`call`] and [`group`] (parsing of
 //! requests), [`link`] (the protocol on a connection to an engine), [`list`] (the list of engines),
-//! [`config`], [`standstill`] and [`starts`].
+//! [`config`], [`freshness`], [`standstill`] and [`starts`].
 //!
 //! With I/O: [`front`], [`client`], [`requests`] and [`closing`] (client connections), [`engine`]
 //! (connections to engines), [`resolver`] (polling of the list), [`host`] (shared state), [`service`] (start
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod core;
 pub mod engine;
+pub mod freshness;
 pub mod front;
 pub mod group;
 pub mod host;
--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -107,6 +107,7 @@
         } else {
             host.note_unchanged_list();
         }
+        host.confirm_list(asked);
     }
     failed
 }
--- a/crates/platform/src/standstill.rs
+++ b/crates/platform/src/standstill.rs
@@ -45,8 +45,8 @@
         self.overdue(now).or(last_pause).unwrap_or_default()
     }
 
-    /// By how much the next heartbeat is overdue, if by more than the tolerance.
-    fn overdue(&self, now: Instant) -> Option<Duration> {
+    /// By how much the next heartbeat is overdue, if by more than the tolerance: the process has paused.
+    pub fn overdue(&self, now: Instant) -> Option<Duration> {
         let late =
             now.saturating_duration_since(self.last_heartbeat.get()).saturating_sub(HEARTBEAT_INTERVAL);
         (late > HEARTBEAT_TOLERANCE).then_some(late)
