Platform: failing test of a list of hundreds of engines, known red

The platform's page gives 8,000 bytes for an answer and fleets of up to 3,200 engines; the gateway drops longer answers and lists of over 1,000 engines whole, and so never learns of a drain there. The test sends 401 engines in some 30,000 bytes and fails (no fetch in 20 s).

--- a/crates/platform/tests/list_races.rs
+++ b/crates/platform/tests/list_races.rs
@@ -138,6 +138,21 @@
     fixture.assert_served_by_listed_later(client);
 }
 
+/// Guards against a limit below the largest list that a datagram can hold: the gateway of a large fleet would
+/// never learn of a drain.
+#[test]
+fn a_list_of_hundreds_of_engines_is_accepted() {
+    let fixture = ChangingList::start();
+    let client = fixture.send_request();
+    let query = fixture.resolver.next_query();
+    let draining = [(fixture.held.address, true); 400];
+    let engines = [&draining[..], &[(fixture.listed_later.address, false)]].concat();
+    let answer = fixture.resolver.encode_list(&query, 2, &engines);
+    assert!(answer.len() > 20_000, "{} bytes", answer.len());
+    fixture.resolver.send(&query, &answer);
+    fixture.assert_served_by_listed_later(client);
+}
+
 /// After 0.15 s without an answer the gateway sends another query from a new socket and with a new id. Guards
 /// against dropping the earlier query: from a resolver that takes longer, no list would ever be accepted, and
 /// draining engines would still be sent requests.
