Platform: answers of the resolver may have the size of a datagram

An answer of more than 8,000 bytes, or with more than 1,000 engines, was dropped whole (ANSWER_MAX_BYTES, ENGINES_MAX), so that a gateway of a larger fleet would never learn of a drain; the platform speaks of up to 3,200 engines. The buffer is that of a datagram now, the bound 4,000 engines. a_list_of_hundreds_of_engines_is_accepted failed before and passes.

--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -15,7 +15,7 @@
 /// The DNS name of the service whose SRV records list the engines.
 pub const SERVICE: &str = "_api._tcp.svc.local.";
 /// More engines than any fleet has; bounds the memory that an answer can take.
-const ENGINES_MAX: usize = 1_000;
+const ENGINES_MAX: usize = 4_000;
 
 /// An engine in the list.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/platform/src/resolver/queries.rs
+++ b/crates/platform/src/resolver/queries.rs
@@ -23,8 +23,8 @@
 /// Maximum number of datagrams that are examined on a socket for each query sent on it: a flood of them must
 /// not block the only thread.
 const DATAGRAMS_MAX: u32 = 32;
-/// Maximum size of an answer. The buffer has one byte more, to detect longer ones.
-const ANSWER_MAX_BYTES: usize = 8_000;
+/// Maximum size of a datagram, and so of an answer.
+const ANSWER_MAX_BYTES: usize = 65_535;
 /// How often the sending of a query is tried while the call is interrupted, or reports the error of an
 /// earlier datagram.
 const SEND_ATTEMPTS: u32 = 3;
@@ -194,7 +194,7 @@
 
     /// The next valid answer to any open query. Never returns if there is none.
     async fn receive(&mut self, names: &Names) -> (List, Instant) {
-        let mut bytes = vec![0; ANSWER_MAX_BYTES + 1];
+        let mut bytes = vec![0; ANSWER_MAX_BYTES];
         loop {
             let index = self.readable().await;
             let open = &mut self.sockets[index];
