Soak: lists that are told late and out of order, checked by when each gateway was told

The soak counted a drain as told 1.5 s after it, later still while the resolver was in trouble, and so could not see the incident's breaks. Each gateway has an address of the resolver for itself now, the records say which lists it was sent, and the check takes a drain as told with the first answer that says so.

The forged breaks of the check's test cover the new record.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -51,6 +51,9 @@
         /// One of so many system calls of the gateways goes wrong; 0: none.
         #[arg(long, default_value_t = 50)]
         calls_one_in: u64,
+        /// Trouble the engine list alone: engines come and drain while the resolver's answers overtake each other.
+        #[arg(long)]
+        lists: bool,
         /// Where logs go.
         #[arg(long, default_value = "logs/soak")]
         folder: PathBuf,
@@ -380,12 +383,13 @@
         Command::Worth { folder, span, aims } => {
             readlog::Logs::read(&folder).map(|logs| print!("{}", logs.tables(span.max(0.1), &aims)))
         }
-        Command::Soak { seeds, gateways, seconds, calls_one_in, folder } => {
+        Command::Soak { seeds, gateways, seconds, calls_one_in, lists, folder } => {
             let setup = |seed| soak::Setup {
                 seed,
                 gateways,
                 seconds,
                 calls_one_in,
+                lists_only: lists,
                 folder: soak::folder(&folder, seed),
             };
             seeds.into_iter().try_for_each(|seed| {
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -64,6 +64,8 @@
     stopped: Vec<(Duration, usize, Duration)>,
     troubled: Vec<(Duration, Duration)>,
     drains: HashMap<usize, Duration>,
+    /// The lists that were sent, by time: to whom, and the engines that are ready.
+    lists: Vec<(Duration, usize, Vec<usize>)>,
     end: Duration,
 }
 
@@ -83,8 +85,17 @@
         )
     }
 
-    /// When a drain counts as told.
-    fn told(&self, drained: Duration) -> Duration {
+    /// When a gateway counts as told that an engine drains: with the first answer that says so, and at the latest
+    /// some time after it began.
+    fn told(&self, gateway: usize, engine: usize, drained: Duration) -> Duration {
+        let says_so = |&&(at, told, ref ready): &&(Duration, usize, Vec<usize>)| {
+            at >= drained && told == gateway && !ready.contains(&engine)
+        };
+        let answered = self.lists.iter().find(says_so).map(|(at, ..)| *at);
+        answered.unwrap_or(Duration::MAX).min(self.told_at_the_latest(drained))
+    }
+
+    fn told_at_the_latest(&self, drained: Duration) -> Duration {
         let mut told = drained + TOLD_WITHIN;
         for &(at, span) in &self.troubled {
             if at <= told && at + span + SLACK >= drained {
@@ -137,6 +148,9 @@
             Event::Drains { engine } => {
                 circumstances.drains.entry(engine).or_insert(at);
             }
+            Event::ListTold { gateway, ref ready } => {
+                circumstances.lists.push((at, gateway, ready.clone()));
+            }
             Event::ListTroubled { span } => circumstances.troubled.push((at, span)),
             Event::Terminated { gateway } => circumstances.terminated.push((at, gateway)),
             Event::Killed { gateway, after_sigterm } => {
@@ -215,7 +229,7 @@
         }
         let Some(&drains) = circumstances.drains.get(&engine) else { continue };
         let grace = Duration::from_millis(STOP_SENDING_MS) + SOCKET_SLACK + SLACK;
-        let told = circumstances.told(drains);
+        let told = circumstances.told(written.gateway, engine, drains);
         if fetched > stood(told + grace) && drained.insert(engine) {
             broken(
                 "drain",
--- a/crates/lab/src/soak/gateway.rs
+++ b/crates/lab/src/soak/gateway.rs
@@ -179,7 +179,7 @@
         let config = json!({
             "name": format!("n{}", gateway.number), "listen": gateway.address.to_string(),
             "seed": format!("{:x}", self.seed ^ gateway.number as u64),
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": DESCRIPTORS}, "dns": resolver.address().to_string(),
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": DESCRIPTORS}, "dns": resolver.address(gateway.number).to_string(),
             "known": {"no": number, "items": [{"no": number, "roster": {"version": 1, "full": true, "servers": servers}}]},
             "settings": self.settings
         });
@@ -228,14 +228,14 @@
     }
 
     fn start_again(&self, world: &World, gateway: &Gateway) {
-        let told = world.resolver.address();
+        let told = world.resolver.address(gateway.number);
         let started = self.write_config(gateway, &world.resolver).and_then(|()| self.spawn(gateway));
         if let Err(error) = started {
             eprintln!("n{}: {error}", gateway.number);
         }
         // A reload that came while it started was not for it.
         std::thread::sleep(RELOADS_AFTER);
-        if told != world.resolver.address() {
+        if told != world.resolver.address(gateway.number) {
             self.write_config(gateway, &world.resolver).ok();
             gateway.signal(Signal::HUP);
         }
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -39,6 +39,8 @@
     pub seconds: u64,
     /// One of so many system calls of the gateways goes wrong; 0: none.
     pub calls_one_in: u64,
+    /// The day troubles the engine list alone ([`Day::draw_lists`]).
+    pub lists_only: bool,
     /// Where the gateways' logs go.
     pub folder: PathBuf,
 }
@@ -77,12 +79,13 @@
 /// # Errors
 /// If a part of it cannot be started.
 pub fn run(setup: &Setup) -> std::io::Result<Outcome> {
-    let day = Day::draw(setup.seed, setup.gateways, Duration::from_secs(setup.seconds));
+    let draw = if setup.lists_only { Day::draw_lists } else { Day::draw };
+    let day = draw(setup.seed, setup.gateways, Duration::from_secs(setup.seconds));
     print!("{day}");
     std::fs::create_dir_all(&setup.folder)?;
     let records = Records::new();
     let fleet = Fleet::start(&day, &records)?;
-    let resolver = Resolver::start(fleet.listed(), &records)?;
+    let resolver = Resolver::start(fleet.listed(), day.gateways, day.seed, &records)?;
     let gateways = Gateways::start(setup, &day, &resolver)?;
     let world = Arc::new(World { records, day, fleet, resolver, gateways, over: AtomicBool::new(false) });
     let clients: Vec<_> = (0..world.day.clients)
@@ -131,6 +134,7 @@
             }
             Fault::ListSilent { span } => world.resolver.silent(span),
             Fault::ListSlow { span, delay } => world.resolver.slow(span, delay),
+            Fault::ListScattered { span, most } => world.resolver.scatter(span, most),
             Fault::ListMoves => {
                 if world.resolver.move_away().is_ok() {
                     world.gateways.reload(&world);
--- a/crates/lab/src/soak/record.rs
+++ b/crates/lab/src/soak/record.rs
@@ -66,6 +66,13 @@
         /// The engine.
         engine: usize,
     },
+    /// A gateway is sent the first answer that holds a list.
+    ListTold {
+        /// Which one.
+        gateway: usize,
+        /// The engines that the list names as ready.
+        ready: Vec<usize>,
+    },
     /// From now on for a span the list is told late or not at all.
     ListTroubled {
         /// The span.
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -53,6 +53,13 @@
         /// By how much.
         delay: Duration,
     },
+    /// The resolver's answers are late, each by another time, so that they overtake each other.
+    ListScattered {
+        /// For how long.
+        span: Duration,
+        /// By how much at most.
+        most: Duration,
+    },
     /// The resolver is elsewhere; the configuration says where, and SIGHUP comes twice.
     ListMoves,
     /// Idle clients fill a gateway's descriptors.
@@ -90,6 +97,11 @@
     pub events: Vec<(Duration, Fault)>,
 }
 
+/// Time between two changes of the list on a day of lists.
+const LIST_CHANGES_EVERY: Duration = Duration::from_millis(600);
+/// By how much answers are late at most on a day of lists.
+const LIST_DELAY_MOST: Duration = Duration::from_millis(1_600);
+
 /// Mean time between two faults.
 const FAULT_EVERY_MS: u64 = 900;
 
@@ -118,10 +130,30 @@
         Day { seed, gateways, engines, clients: 8 * gateways, waits, clocks, events }
     }
 
+    /// Draws a day on which the resolver's answers overtake each other all the time, while engines come and drain in
+    /// turn. Nothing else goes wrong.
+    pub fn draw_lists(seed: u64, gateways: usize, span: Duration) -> Day {
+        let mut day = Day::draw(seed, gateways, Duration::ZERO);
+        day.clocks = vec![ClockStep::default(); gateways];
+        let mut at = Duration::from_millis(1_000);
+        let scattered = Fault::ListScattered { span: span.saturating_sub(at), most: LIST_DELAY_MOST };
+        day.events = vec![(at, scattered)];
+        for engine in 0.. {
+            at += LIST_CHANGES_EVERY;
+            day.events.push((at, Fault::Join));
+            at += LIST_CHANGES_EVERY;
+            day.events.push((at, Fault::Drain { engine }));
+            if at >= span {
+                break;
+            }
+        }
+        day
+    }
+
     fn fault(rng: &mut StdRng, gateways: usize, engines: &mut usize) -> Fault {
         let gateway = rng.random_range(0..gateways);
         let engine = rng.random_range(0..*engines);
-        match rng.random_range(0..14) {
+        match rng.random_range(0..16) {
             0..4 => Fault::Restart { gateway, series: rng.random_bool(0.5) },
             4 => Fault::Kill { gateway },
             5 => Fault::Stop { gateway, span: millis(rng, 200..1_500) },
@@ -134,6 +166,9 @@
             10 => Fault::ListSilent { span: millis(rng, 500..2_500) },
             11 => Fault::ListSlow { span: millis(rng, 1_500..4_000), delay: millis(rng, 160..900) },
             12 => Fault::ListMoves,
+            13 | 14 => {
+                Fault::ListScattered { span: millis(rng, 2_000..5_000), most: millis(rng, 500..2_000) }
+            }
             _ => Fault::Crowd { gateway },
         }
     }
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -119,9 +119,20 @@
     assert_eq!(with(&[drains(8_300)]), NONE, "within the time to be told and the grace");
     assert_eq!(with(&[drains(8_200)]), ["drain"]);
     let silent = (8_000, Event::ListTroubled { span: at(1_000) });
-    assert_eq!(with(&[drains(8_200), silent]), NONE, "the list was silent");
+    assert_eq!(with(&[drains(8_200), silent.clone()]), NONE, "the list was silent");
     let silent_before = (5_000, Event::ListTroubled { span: at(1_000) });
     assert_eq!(with(&[drains(8_200), silent_before]), ["drain"]);
+    let told =
+        |millis, gateway, ready: &[usize]| (millis, Event::ListTold { gateway, ready: ready.to_vec() });
+    assert_eq!(with(&[drains(9_000), told(9_500, GATEWAY, &[0, 2])]), ["drain"], "an answer said so");
+    assert_eq!(with(&[drains(9_000), told(9_900, GATEWAY, &[0, 2])]), NONE, "within the grace");
+    assert_eq!(with(&[drains(9_000), told(9_500, GATEWAY, &[0, 1])]), NONE, "listed as ready");
+    assert_eq!(with(&[drains(9_000), told(9_500, GATEWAY + 1, &[0, 2])]), NONE, "another gateway");
+    assert_eq!(
+        with(&[silent, drains(8_200), told(9_500, GATEWAY, &[0, 2])]),
+        ["drain"],
+        "told in spite of it"
+    );
 }
 
 #[test]
@@ -130,4 +141,7 @@
     assert_eq!(day(3), day(3));
     assert_ne!(day(3).events, day(4).events);
     assert!((1..20).all(|seed| day(seed).events.len() > 5));
+    let lists = |seed| Day::draw_lists(seed, 5, at(15_000));
+    assert_eq!(lists(3), lists(3));
+    assert!(lists(3).events.len() > 20);
 }
