Platform: the liveness of an engine in a file of its own; late answers are logged

Code for readers: engine.rs had the check of an engine whose connection broke beside its connections.

--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -7,6 +7,7 @@
 //! gets free, not necessarily the one that was dialled for it.
 
 mod dial;
+mod liveness;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -21,6 +22,7 @@
 use violetward_settings::ConnectionSettings;
 
 use dial::{connect, connect_timeout, dial, DialError};
+use liveness::is_alive;
 
 use crate::core::{AttemptId, Completion, Launch};
 use crate::host::Host;
@@ -30,11 +32,6 @@
 /// How many bytes are buffered for an engine that does not read; far more than the limit for statements.
 const UNSENT_MAX_BYTES: usize = 1 << 20;
 
-/// How often it is checked whether an engine is alive after one of its connections broke.
-const LIVENESS_CHECK_INTERVAL: Duration = Duration::from_millis(2);
-/// How many times that is checked.
-const LIVENESS_CHECKS: u32 = 8;
-
 /// Maximum number of connections that are dialled for a request while each is reset before anything was sent
 /// on it, and of consecutive health checks that are repeated because their connection broke.
 const DIALS_MAX: u32 = 4;
@@ -743,26 +740,3 @@
     process_events(host, engine, connection, events);
     host.engines.send_queued(host, engine);
 }
-
-/// Whether an engine's process is alive after one of its connections broke.
-///
-/// When a process dies, all its connections are reset and new ones are refused. So the process is alive if
-/// another connection is still open a moment later, or a new one comes up. It also is if a new one is late,
-/// since a refusal would have come by then.
-async fn is_alive(host: &Rc<Host>, engine: &Rc<Engine>) -> bool {
-    let broke = Instant::now();
-    let is_open = |c: &Rc<Connection>| c.duplex.borrow().as_ref().is_some_and(|d| d.is_alive());
-    for check in 0..LIVENESS_CHECKS {
-        violetward_net::sleep(LIVENESS_CHECK_INTERVAL).await;
-        if engine.connections.borrow().iter().any(is_open) {
-            return true;
-        }
-        if engine.last_refused.get().is_some_and(|refused| refused >= broke) {
-            return false;
-        }
-        if check == 0 && !engine.is_dialling() && engine.listed.get() == Listed::Up {
-            dial(host, engine, true);
-        }
-    }
-    engine.is_dialling()
-}
--- a/crates/platform/src/resolver/queries.rs
+++ b/crates/platform/src/resolver/queries.rs
@@ -18,6 +18,8 @@
 
 /// How long a query stays open.
 const QUERY_LIFETIME: Duration = Duration::from_secs(10);
+/// Answers later than this are logged.
+const LATE_ANSWER: Duration = Duration::from_millis(100);
 /// Maximum number of sockets. Once all of them have open queries, further queries share them.
 const SOCKETS_MAX: usize = 8;
 /// Maximum number of datagrams that are examined on a socket for each query sent on it: a flood of them must
@@ -73,7 +75,11 @@
         let list = list::parse_answer(bytes, id, names)?;
         let query = self.open.remove(index);
         self.is_proven |= query.sent == self.last_query;
-        tracing::trace!(id, age = ?query.sent.elapsed(), number = list.number, "list received");
+        let age = query.sent.elapsed();
+        if age > LATE_ANSWER {
+            tracing::debug!(id, ?age, number = list.number, "late answer");
+        }
+        tracing::trace!(id, ?age, number = list.number, "list received");
         Ok((list, query.sent))
     }
 }
