Platform: failing tests of the queries behind bad, older and lost answers, known red

Three bad answers in a row leave a gateway without the news of a drain for 0.6 to 0.9 s; the rule gives 0.25 s and 0.05 s on sockets. The bound of the tests is that grace. All four fail on this code.

--- a/crates/platform/tests/list_races.rs
+++ b/crates/platform/tests/list_races.rs
@@ -138,6 +138,74 @@
     fixture.assert_served_by_listed_later(client);
 }
 
+/// How long after a drain is told nothing may be sent to its engine any more, as the platform's rule has it.
+const DRAIN_GRACE: Duration = Duration::from_millis(300);
+
+/// Guards against waiting after an answer that can't be used: a drain that it should have told counts as told
+/// soon, and several further answers may be bad as well.
+#[test]
+fn a_bad_answer_is_followed_by_several_queries_within_the_grace_of_a_drain() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let _gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    let first = resolver.next_query();
+    let answer = resolver.encode_list(&first, 2, &[(engine.address, true)]);
+    // Cut short, and with the error code of a failed server.
+    resolver.send(&first, &answer[..answer.len() / 2]);
+    let told = Instant::now();
+    for _ in 0..2 {
+        let query = resolver.next_query();
+        let mut failure = resolver.encode_list(&query, 2, &[(engine.address, true)]);
+        failure[3] |= 2;
+        resolver.send(&query, &failure);
+    }
+    drop(resolver.next_query());
+    assert!(told.elapsed() < DRAIN_GRACE, "{:?} until the third further query", told.elapsed());
+}
+
+/// Guards against taking an older list for an answer that brings the gateway up to date.
+#[test]
+fn an_older_list_is_followed_by_several_queries_within_the_grace_of_a_drain() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    resolver.publish(9, &[(engine.address, false)]);
+    let query = resolver.next_query();
+    let told = Instant::now();
+    resolver.send(&query, &resolver.encode_list(&query, 8, &[(engine.address, false)]));
+    for _ in 0..2 {
+        let query = resolver.next_query();
+        resolver.send(&query, &resolver.encode_list(&query, 8, &[(engine.address, false)]));
+    }
+    drop(resolver.next_query());
+    assert!(told.elapsed() < DRAIN_GRACE, "{:?} until the third further query", told.elapsed());
+    assert_engine_used(&gateway, &engine, 1);
+}
+
+/// Guards against waiting long for an answer that was lost.
+#[test]
+fn a_lost_answer_is_followed_by_further_queries_within_the_grace_of_a_drain() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let _gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    drop(resolver.next_query());
+    let told = Instant::now();
+    (0..2).for_each(|_| drop(resolver.next_query()));
+    assert!(told.elapsed() < DRAIN_GRACE, "{:?} until the second further query", told.elapsed());
+}
+
+/// Guards against an interval of queries that leaves no time for a second one within the grace of a drain.
+#[test]
+fn the_list_is_queried_twice_within_the_grace_of_a_drain() {
+    const QUERIES: u32 = 10;
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let _gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    resolver.publish(2, &[(engine.address, false)]);
+    let started = Instant::now();
+    for _ in 0..QUERIES {
+        let query = resolver.next_query();
+        resolver.send(&query, &resolver.encode_list(&query, 2, &[(engine.address, false)]));
+    }
+    assert!(started.elapsed() < DRAIN_GRACE / 2 * QUERIES, "{:?} for {QUERIES} queries", started.elapsed());
+}
+
 /// Guards against a limit below the largest list that a datagram can hold: the gateway of a large fleet would
 /// never learn of a drain.
 #[test]
