Platform: the list is asked for again at once after a bad, older or lost answer

Callers saw requests at engines up to 1.3 s after their drain counts as told. Cause: poll_once waited 0.18 to 0.25 s after each of them, and after an older list as long as after a good one, so that three in a row outlast the rule's 0.25 s and what the platform gives for asking.

Now a bad answer or an older list is followed by a query after 10 ms, a lost one after 20 ms, doubling up to 0.25 s, and good answers by one every 0.1 s, so that a grace holds several tries. Answers with older lists no longer count as news of the present list for start times.

--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -12,21 +12,21 @@
 use futures_lite::future;
 
 use crate::host::Host;
-use order::ListOrder;
-use queries::Queries;
+use order::{ListOrder, Relation};
+use queries::{Queries, Received};
 
-/// The interval of queries. By the rules of the platform, a gateway knows of a change once an answer contains
-/// it, and at the latest 1.5 s after it happened. Several queries within that time allow for lost answers.
-const QUERY_INTERVAL: Duration = Duration::from_millis(250);
-/// How long an answer is awaited before the next query is sent, less [`BACKOFF_STEP`].
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
-/// By how much the wait for an answer grows with each consecutive query without one. The wait never exceeds
-/// [`QUERY_INTERVAL`]: changes during an outage count as known soon after the resolver is back.
-const BACKOFF_STEP: Duration = Duration::from_millis(30);
-/// The number of consecutive queries without an answer after which the failure is logged.
+/// The interval of queries while answers are good: the grace in which a drain must be heeded, counted from when
+/// an answer could have told of it, is long enough for two.
+const QUERY_INTERVAL: Duration = Duration::from_millis(100);
+/// How long an answer is awaited before the first repeated query.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(20);
+/// How long after an answer that can't be used the first repeated query is sent.
+const BAD_ANSWER_PAUSE: Duration = Duration::from_millis(10);
+/// The longest interval of repeated queries. The wait doubles with each consecutive failure up to this: changes
+/// during an outage count as known soon after the resolver is back.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// The number of consecutive queries without a good answer after which the failure is logged.
 const FAILURES_LOGGED: u32 = 8;
-/// How long to wait after a query could not be sent.
-const SEND_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The resolver that the list of engines comes from.
 pub struct Resolver {
@@ -87,27 +87,41 @@
     }
 }
 
-/// Sends one query and handles answers until the next one is due; true if no valid answer came.
+/// The wait before the next query after a number of consecutive failures.
+fn retry_interval(first: Duration, failures: u32) -> Duration {
+    first.saturating_mul(1 << failures.min(FAILURES_LOGGED)).min(MAX_RETRY_INTERVAL)
+}
+
+/// Sends one query and handles answers until the next one is due; true if no good answer came.
 async fn poll_once(queries: &mut Queries, host: &Rc<Host>, failures: u32, order: &mut ListOrder) -> bool {
     let started = Instant::now();
-    // After the first failures the next query is sent earlier: a lost answer must not delay the news of a
-    // change much.
-    let timeout = ANSWER_TIMEOUT + BACKOFF_STEP * failures.saturating_add(1).min(FAILURES_LOGGED);
-    let timeout = if queries.send(started) { timeout.min(QUERY_INTERVAL) } else { SEND_RETRY_INTERVAL };
-    let mut next_query = started + timeout;
+    queries.send(started);
+    let mut next_query = started + retry_interval(ANSWER_TIMEOUT, failures);
     let mut failed = true;
-    while let Some((list, asked)) = queries.receive_until(next_query, &host.config.names).await {
-        if failures >= FAILURES_LOGGED && failed {
-            tracing::info!(address = %queries.address(), failures, "resolver answers again");
-        }
-        // Counted from the query: answers to earlier ones must not put off the next one.
-        (failed, next_query) = (false, started + QUERY_INTERVAL);
-        if order.accept(list.number, asked, Instant::now()) {
-            host.update_list(list, false);
-        } else {
-            host.note_unchanged_list();
+    while let Some(received) = queries.receive_until(next_query, &host.config.names).await {
+        let now = Instant::now();
+        if take_answer(received, host, order, now) {
+            if failures >= FAILURES_LOGGED && failed {
+                tracing::info!(address = %queries.address(), failures, "resolver answers again");
+            }
+            // Counted from the query: answers to earlier ones must not put off the next one.
+            (failed, next_query) = (false, started + QUERY_INTERVAL);
+        } else if failed {
+            // The resolver has answered and told nothing: it is asked again soon.
+            next_query = next_query.min(now + retry_interval(BAD_ANSWER_PAUSE, failures));
         }
-        host.confirm_list(asked);
     }
     failed
 }
+
+/// Handles an answer; false if it is bad or its list is older than the present one.
+fn take_answer(received: Received, host: &Rc<Host>, order: &mut ListOrder, now: Instant) -> bool {
+    let Received::List(list, asked) = received else { return false };
+    match order.compare(list.number, asked, now) {
+        Relation::Older => return false,
+        Relation::Same => host.note_unchanged_list(),
+        Relation::Newer => host.update_list(list, false),
+    }
+    host.confirm_list(asked);
+    true
+}
--- a/crates/platform/src/resolver/queries.rs
+++ b/crates/platform/src/resolver/queries.rs
@@ -84,6 +84,14 @@
     }
 }
 
+/// What came from the resolver.
+pub(super) enum Received {
+    /// A valid answer: the list, and when its query was sent.
+    List(List, Instant),
+    /// Something that can't be used.
+    Invalid,
+}
+
 /// The queries to the present address of the resolver.
 pub(super) struct Queries {
     address: SocketAddr,
@@ -118,16 +126,14 @@
         self.address = address;
     }
 
-    /// Sends a query with a new random id; false if that was not possible.
-    pub(super) fn send(&mut self, now: Instant) -> bool {
+    /// Sends a query with a new random id, if that is possible.
+    pub(super) fn send(&mut self, now: Instant) {
         self.sockets.iter_mut().for_each(|open| open.expire(now));
         let sent = self.pick_socket(now).and_then(|index| self.send_on(index, now));
         if let Err(error) = sent {
             tracing::debug!(address = %self.address, %error, "query not sent");
             self.last_error = error.to_string();
-            return false;
         }
-        true
     }
 
     fn send_on(&mut self, index: usize, now: Instant) -> std::io::Result<()> {
@@ -184,12 +190,8 @@
         }
     }
 
-    /// The next valid answer to any open query, and when that was sent; `None` if none comes in time.
-    pub(super) async fn receive_until(
-        &mut self,
-        deadline: Instant,
-        names: &Names,
-    ) -> Option<(List, Instant)> {
+    /// What comes next from the resolver; `None` if nothing comes in time.
+    pub(super) async fn receive_until(&mut self, deadline: Instant, names: &Names) -> Option<Received> {
         let received = async { Some(self.receive(names).await) };
         let timed_out = async {
             violetward_net::sleep_until(deadline).await;
@@ -198,15 +200,15 @@
         future::or(received, timed_out).await
     }
 
-    /// The next valid answer to any open query. Never returns if there is none.
-    async fn receive(&mut self, names: &Names) -> (List, Instant) {
+    /// What comes next from the resolver. Never returns if nothing comes.
+    async fn receive(&mut self, names: &Names) -> Received {
         let mut bytes = vec![0; ANSWER_MAX_BYTES];
         loop {
             let index = self.readable().await;
             let open = &mut self.sockets[index];
             let why = match open.socket.get_ref().recv(&mut bytes) {
                 Ok(size) => match open.take_answer(&bytes[..size], names) {
-                    Ok(answer) => return answer,
+                    Ok((list, asked)) => return Received::List(list, asked),
                     Err(why) => why,
                 },
                 Err(error) => match SocketErrorKind::of(&error) {
@@ -228,6 +230,7 @@
                 self.last_error = "too many invalid answers to one query".into();
                 self.sockets.remove(index);
             }
+            return Received::Invalid;
         }
     }
 
