Platform: a list is no longer known by its number alone

Callers saw requests at draining engines for seconds, at gateways that had just restarted.

Cause: poll_once compared numbers and nothing else. Now ListTracker compares lists. A newer number is used at once, as before; drains are heeded at once under any number; a list that contradicts the present one under its number, or that brings a draining engine back, waits for a second answer that agrees, which is asked for after 10 ms. Answers with the content of the last valid one are not decoded again, so that the denser queries cost little.

--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -1,7 +1,7 @@
 //! Polls the list of engines by DNS over UDP.
 
-mod order;
 mod queries;
+mod tracker;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -12,8 +12,9 @@
 use futures_lite::future;
 
 use crate::host::Host;
-use order::{ListOrder, Relation};
+use crate::list::List;
 use queries::{Queries, Received};
+use tracker::{ListTracker, Verdict};
 
 /// The interval of queries while answers are good: the grace in which a drain must be heeded, counted from when
 /// an answer could have told of it, is long enough for two.
@@ -59,9 +60,9 @@
         self.silent.listen().await;
     }
 
-    /// Polls the list and passes on newer ones than that with the given number. Never returns.
-    pub async fn follow(self: Rc<Self>, host: Rc<Host>, list_number: u32) {
-        let mut order = ListOrder::after(list_number);
+    /// Polls the list and passes on what changes from the initial one. Never returns.
+    pub async fn follow(self: Rc<Self>, host: Rc<Host>, initial: List) {
+        let mut tracker = ListTracker::new(initial);
         let mut queries = Queries::to(self.address.get());
         let mut failures = 0u32;
         loop {
@@ -72,7 +73,7 @@
                 failures = 0;
             }
             let polling = async {
-                let failed = poll_once(&mut queries, &host, failures, &mut order).await;
+                let failed = poll_once(&mut queries, &host, failures, &mut tracker).await;
                 failures = if failed { failures.saturating_add(1) } else { 0 };
             };
             future::or(address_changed, polling).await;
@@ -93,14 +94,14 @@
 }
 
 /// Sends one query and handles answers until the next one is due; true if no good answer came.
-async fn poll_once(queries: &mut Queries, host: &Rc<Host>, failures: u32, order: &mut ListOrder) -> bool {
+async fn poll_once(queries: &mut Queries, host: &Rc<Host>, failures: u32, tracker: &mut ListTracker) -> bool {
     let started = Instant::now();
     queries.send(started);
     let mut next_query = started + retry_interval(ANSWER_TIMEOUT, failures);
     let mut failed = true;
     while let Some(received) = queries.receive_until(next_query, &host.config.names).await {
         let now = Instant::now();
-        if take_answer(received, host, order, now) {
+        if take_answer(received, host, tracker, now) {
             if failures >= FAILURES_LOGGED && failed {
                 tracing::info!(address = %queries.address(), failures, "resolver answers again");
             }
@@ -114,13 +115,17 @@
     failed
 }
 
-/// Handles an answer; false if it is bad or its list is older than the present one.
-fn take_answer(received: Received, host: &Rc<Host>, order: &mut ListOrder, now: Instant) -> bool {
+/// Handles an answer; false if it does not confirm which list is the present one.
+fn take_answer(received: Received, host: &Rc<Host>, tracker: &mut ListTracker, now: Instant) -> bool {
     let Received::List(list, asked) = received else { return false };
-    match order.compare(list.number, asked, now) {
-        Relation::Older => return false,
-        Relation::Same => host.note_unchanged_list(),
-        Relation::Newer => host.update_list(list, false),
+    match tracker.judge(list, asked, now) {
+        Verdict::Older | Verdict::Doubtful => return false,
+        Verdict::UseDrains(list) => {
+            host.update_list((*list).clone(), false);
+            return false;
+        }
+        Verdict::Use(list) => host.update_list((*list).clone(), false),
+        Verdict::Unchanged => host.note_unchanged_list(),
     }
     host.confirm_list(asked);
     true
--- a/crates/platform/src/resolver/queries.rs
+++ b/crates/platform/src/resolver/queries.rs
@@ -6,6 +6,7 @@
 //! moves.
 
 use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -39,6 +40,12 @@
     sent: Instant,
 }
 
+/// A valid answer without its id, and its list.
+struct ValidAnswer {
+    content: Vec<u8>,
+    list: Rc<List>,
+}
+
 /// A socket and the queries that were sent on it.
 struct QuerySocket {
     socket: Async<UdpSocket>,
@@ -68,11 +75,25 @@
         });
     }
 
-    /// Decodes an answer and closes its query; returns the list and when the query was sent.
-    fn take_answer(&mut self, bytes: &[u8], names: &Names) -> Result<(List, Instant), String> {
+    /// Decodes an answer and closes its query; returns the list and when the query was sent. `last` is the last
+    /// valid answer: one with the same content is not decoded again.
+    fn take_answer(
+        &mut self,
+        bytes: &[u8],
+        last: &mut Option<ValidAnswer>,
+        names: &Names,
+    ) -> Result<(Rc<List>, Instant), String> {
         let id = bytes.first_chunk().map(|id| u16::from_be_bytes(*id)).ok_or("answer has no id")?;
         let index = self.open.iter().position(|query| query.id == id).ok_or("answer to no open query")?;
-        let list = list::parse_answer(bytes, id, names)?;
+        let content = &bytes[size_of::<u16>()..];
+        let list = match last {
+            Some(last) if last.content == content => last.list.clone(),
+            _ => {
+                let list = Rc::new(list::parse_answer(bytes, id, names)?);
+                *last = Some(ValidAnswer { content: content.to_vec(), list: list.clone() });
+                list
+            }
+        };
         let query = self.open.remove(index);
         self.is_proven |= query.sent == self.last_query;
         let age = query.sent.elapsed();
@@ -87,7 +108,7 @@
 /// What came from the resolver.
 pub(super) enum Received {
     /// A valid answer: the list, and when its query was sent.
-    List(List, Instant),
+    List(Rc<List>, Instant),
     /// Something that can't be used.
     Invalid,
 }
@@ -98,6 +119,7 @@
     sockets: Vec<QuerySocket>,
     /// A socket from the previous address, kept in case no new one can be opened.
     spare_socket: Option<Async<UdpSocket>>,
+    last_valid: Option<ValidAnswer>,
     /// Why the last query failed.
     last_error: String,
 }
@@ -105,7 +127,13 @@
 impl Queries {
     /// No queries yet, to an address.
     pub(super) fn to(address: SocketAddr) -> Self {
-        Queries { address, sockets: Vec::new(), spare_socket: None, last_error: "no answer".into() }
+        Queries {
+            address,
+            sockets: Vec::new(),
+            spare_socket: None,
+            last_valid: None,
+            last_error: "no answer".into(),
+        }
     }
 
     /// The address that queries are sent to.
@@ -207,7 +235,7 @@
             let index = self.readable().await;
             let open = &mut self.sockets[index];
             let why = match open.socket.get_ref().recv(&mut bytes) {
-                Ok(size) => match open.take_answer(&bytes[..size], names) {
+                Ok(size) => match open.take_answer(&bytes[..size], &mut self.last_valid, names) {
                     Ok((list, asked)) => return Received::List(list, asked),
                     Err(why) => why,
                 },
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -126,13 +126,12 @@
     };
     let core = Core::new(Box::new(module), core_config, clock.now());
     let host = Host::new(config, clock, core, executor.clone());
-    let list_number = initial_list.number;
-    host.update_list(initial_list, true);
+    host.update_list(initial_list.clone(), true);
     let listener = front::listen(&host)?;
     let address = listener.get_ref().local_addr()?;
     executor.spawn(host.clone().run_timers()).detach();
     executor.spawn(host.clone().run_periodic_work()).detach();
-    executor.spawn(resolver.clone().follow(host.clone(), list_number)).detach();
+    executor.spawn(resolver.clone().follow(host.clone(), initial_list)).detach();
     executor.spawn(front::accept(host.clone(), listener)).detach();
     Ok((host, address))
 }
