--- a/crates/platform/tests/list_races.rs
+++ b/crates/platform/tests/list_races.rs
@@ -156,6 +156,25 @@
     fixture.assert_served_by_listed_later(fixture.send_request());
 }
 
+/// Guards against trusting the number of a single list: lists are numbered from the start of a gateway, and a bad
+/// resolver sends one of the previous life, whose number is still to come.
+#[test]
+fn lists_are_accepted_after_one_of_the_previous_life_with_a_higher_number() {
+    let fixture = ChangingList::start();
+    let first = fixture.resolver.next_query();
+    let engines = [(fixture.held.address, false)];
+    let previous = [(fixture.held.address, false), (fixture.resolver.address, false)];
+    fixture.resolver.send(&first, &fixture.resolver.encode_list(&first, 7, &previous));
+    for _ in 0..2 {
+        let query = fixture.resolver.next_query();
+        fixture.resolver.send(&query, &fixture.resolver.encode_list(&query, 1, &engines));
+    }
+    fixture.send_changed_list(&fixture.resolver.next_query());
+    // The gateway has handled the answers when it sends the next query.
+    drop(fixture.resolver.next_query());
+    fixture.assert_served_by_listed_later(fixture.send_request());
+}
+
 /// Guards against waiting for a second answer with the news of a drain: the resolver may be silent afterwards.
 #[test]
 fn a_drain_under_the_present_number_is_heeded_at_once() {
