Platform: a single list with a newer number hides no other lists

Callers saw requests at draining engines for up to seconds at gateways that had just restarted.

Cause: the newest number seen was a bound for good. Now a list is confirmed by a second answer that agrees. A newer number is still used at once, but only a confirmed list hides lower numbers; two answers that agree on a list from the confirmed one on replace an unconfirmed one, with its drains kept. Where numbers restart, six older lists over two seconds are believed as before.

lists_are_accepted_after_one_of_the_previous_life_with_a_higher_number failed before and passes.

--- a/crates/platform/src/resolver.rs
+++ b/crates/platform/src/resolver.rs
@@ -64,17 +64,21 @@
     pub async fn follow(self: Rc<Self>, host: Rc<Host>, initial: List) {
         let mut tracker = ListTracker::new(initial);
         let mut queries = Queries::to(self.address.get());
-        let mut failures = 0u32;
+        let (mut failures, mut doubts) = (0u32, 0u32);
         loop {
             let address_changed = self.address_changed.listen();
             if queries.address() != self.address.get() {
                 // Answers from the old address are no longer valid.
                 queries.set_address(self.address.get());
-                failures = 0;
+                (failures, doubts) = (0, 0);
             }
             let polling = async {
-                let failed = poll_once(&mut queries, &host, failures, &mut tracker).await;
-                failures = if failed { failures.saturating_add(1) } else { 0 };
+                let poll = Poll { failures, doubts };
+                (failures, doubts) = match poll.run(&mut queries, &host, &mut tracker).await {
+                    PollOutcome::Confirmed => (0, 0),
+                    PollOutcome::Doubtful => (0, doubts.saturating_add(1)),
+                    PollOutcome::Failed => (failures.saturating_add(1), doubts),
+                };
             };
             future::or(address_changed, polling).await;
             if failures > 0 && failures % FAILURES_LOGGED == 0 {
@@ -93,40 +97,61 @@
     first.saturating_mul(1 << failures.min(FAILURES_LOGGED)).min(MAX_RETRY_INTERVAL)
 }
 
-/// Sends one query and handles answers until the next one is due; true if no good answer came.
-async fn poll_once(queries: &mut Queries, host: &Rc<Host>, failures: u32, tracker: &mut ListTracker) -> bool {
-    let started = Instant::now();
-    queries.send(started);
-    let mut next_query = started + retry_interval(ANSWER_TIMEOUT, failures);
-    let mut failed = true;
-    while let Some(received) = queries.receive_until(next_query, &host.config.names).await {
-        let now = Instant::now();
-        if take_answer(received, host, tracker, now) {
-            if failures >= FAILURES_LOGGED && failed {
-                tracing::info!(address = %queries.address(), failures, "resolver answers again");
+/// How a poll ended. The greatest outcome of its answers counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum PollOutcome {
+    /// No valid answer came.
+    Failed,
+    /// A valid answer came, and it does not tell which list is the present one.
+    Doubtful,
+    /// The present list is known.
+    Confirmed,
+}
+
+/// One query, and the answers that come until the next one is due.
+struct Poll {
+    /// How many polls before it failed in a row.
+    failures: u32,
+    /// How many polls since the present list was last known were doubtful.
+    doubts: u32,
+}
+
+impl Poll {
+    async fn run(&self, queries: &mut Queries, host: &Rc<Host>, tracker: &mut ListTracker) -> PollOutcome {
+        let started = Instant::now();
+        queries.send(started);
+        let mut next_query = started + retry_interval(ANSWER_TIMEOUT, self.failures);
+        let mut outcome = PollOutcome::Failed;
+        while let Some(received) = queries.receive_until(next_query, &host.config.names).await {
+            let now = Instant::now();
+            let answer = take_answer(received, host, tracker, now);
+            if self.failures >= FAILURES_LOGGED && answer > outcome && outcome == PollOutcome::Failed {
+                tracing::info!(address = %queries.address(), failures = self.failures, "resolver answers again");
             }
-            // Counted from the query: answers to earlier ones must not put off the next one.
-            (failed, next_query) = (false, started + QUERY_INTERVAL);
-        } else if failed {
-            // The resolver has answered and told nothing: it is asked again soon.
-            next_query = next_query.min(now + retry_interval(BAD_ANSWER_PAUSE, failures));
+            outcome = outcome.max(answer);
+            next_query = match (outcome, answer) {
+                // Counted from the query: answers to earlier ones must not put off the next one.
+                (PollOutcome::Confirmed, _) => started + QUERY_INTERVAL,
+                (_, PollOutcome::Doubtful) => now + retry_interval(BAD_ANSWER_PAUSE, self.doubts),
+                _ => next_query.min(now + retry_interval(BAD_ANSWER_PAUSE, self.failures)),
+            };
         }
+        outcome
     }
-    failed
 }
 
-/// Handles an answer; false if it does not confirm which list is the present one.
-fn take_answer(received: Received, host: &Rc<Host>, tracker: &mut ListTracker, now: Instant) -> bool {
-    let Received::List(list, asked) = received else { return false };
+/// Handles an answer.
+fn take_answer(received: Received, host: &Rc<Host>, tracker: &mut ListTracker, now: Instant) -> PollOutcome {
+    let Received::List(list, asked) = received else { return PollOutcome::Failed };
     match tracker.judge(list, asked, now) {
-        Verdict::Older | Verdict::Doubtful => return false,
+        Verdict::Older | Verdict::Doubtful => return PollOutcome::Doubtful,
         Verdict::UseDrains(list) => {
             host.update_list((*list).clone(), false);
-            return false;
+            return PollOutcome::Doubtful;
         }
         Verdict::Use(list) => host.update_list((*list).clone(), false),
         Verdict::Unchanged => host.note_unchanged_list(),
     }
     host.confirm_list(asked);
-    true
+    PollOutcome::Confirmed
 }
--- a/crates/platform/src/resolver/tracker.rs
+++ b/crates/platform/src/resolver/tracker.rs
@@ -1,9 +1,15 @@
 //! Decides which of the resolver's lists the gateway uses.
 //!
-//! Resolvers in trouble send older lists, under their own numbers or under newer ones. So a number alone does not
-//! identify a list. A list with a newer number is used at once, and so is the news that an engine drains, under
-//! any number. A list that contradicts the present one under its number, or that brings a draining engine back,
-//! is used once a second answer agrees with it.
+//! Resolvers in trouble send older lists. A gateway's lists are numbered from its start, so that a list of its
+//! previous life may come under a number that is still to come: a number alone does not identify a list. So a
+//! list is confirmed once two answers agree on it.
+//!
+//! - A list with a newer number is used at once, but it takes over from the confirmed one only when a second
+//!   answer agrees. Until then two answers that agree on a list not older than the confirmed one replace it.
+//! - A list that contradicts the present one under its number, or that brings a draining engine back, is used
+//!   when a second answer agrees.
+//! - That an engine drains is heeded at once, under the present number too: the resolver may be silent
+//!   afterwards.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -40,6 +46,8 @@
     present: Rc<List>,
     /// When the present list was received; `None` for the one in the configuration.
     received: Option<Instant>,
+    /// The number of the last confirmed list. The one in the configuration is confirmed.
+    confirmed_number: u32,
     /// A list that waits for a second answer to agree with it.
     candidate: Option<Rc<List>>,
     /// How many answers in a row had older lists.
@@ -51,28 +59,55 @@
 impl ListTracker {
     /// A tracker whose present list is the initial one.
     pub(super) fn new(initial: List) -> Self {
-        ListTracker::with(Rc::new(initial), None)
-    }
-
-    fn with(present: Rc<List>, received: Option<Instant>) -> Self {
-        ListTracker { present, received, candidate: None, older: 0, older_since: None }
+        ListTracker {
+            confirmed_number: initial.number,
+            present: Rc::new(initial),
+            received: None,
+            candidate: None,
+            older: 0,
+            older_since: None,
+        }
     }
 
     /// Judges the list in an answer to a query that was sent at `asked`.
     pub(super) fn judge(&mut self, list: Rc<List>, asked: Instant, now: Instant) -> Verdict {
         if list == self.present {
-            (self.candidate, self.older, self.older_since) = (None, 0, None);
+            (self.older, self.older_since) = (0, None);
+            self.candidate = None;
+            self.confirmed_number = list.number;
             return Verdict::Unchanged;
         }
-        let same_number = list.number == self.present.number;
-        if !same_number && !is_newer(list.number, self.present.number) && !self.is_refuted(asked, now) {
-            return Verdict::Older;
+        let is_newer_than_present = is_newer(list.number, self.present.number);
+        if is_newer_than_present && !self.revives_an_engine(&list) {
+            self.replace(list.clone(), now);
+            return Verdict::Use(list);
         }
-        let is_doubtful = same_number || self.revives_an_engine(&list);
-        if is_doubtful && self.candidate.as_ref() != Some(&list) {
-            return self.doubt(list);
+        // The present list hides older ones once it is confirmed.
+        let is_older = is_newer(self.confirmed_number, list.number)
+            || self.confirmed_number == self.present.number && list.number != self.present.number;
+        if is_older && !is_newer_than_present {
+            return if self.is_refuted(asked, now) { self.confirm(list, now) } else { Verdict::Older };
         }
-        *self = ListTracker::with(list.clone(), Some(now));
+        if self.candidate.as_ref() == Some(&list) {
+            return self.confirm(list, now);
+        }
+        self.doubt(list)
+    }
+
+    /// Uses another list, which is not confirmed yet.
+    fn replace(&mut self, list: Rc<List>, now: Instant) {
+        (self.present, self.received, self.candidate) = (list, Some(now), None);
+        (self.older, self.older_since) = (0, None);
+    }
+
+    /// Uses a list on which two answers agree. If its number is lower than the present one's, that was an older
+    /// list, whose drains are true all the same.
+    fn confirm(&mut self, list: Rc<List>, now: Instant) -> Verdict {
+        self.confirmed_number = list.number;
+        let merged =
+            if is_newer(self.present.number, list.number) { with_drains(&list, &self.present) } else { None };
+        let list = merged.map_or(list, Rc::new);
+        self.replace(list.clone(), now);
         Verdict::Use(list)
     }
 
@@ -96,25 +131,30 @@
         self.present.engines.iter().any(drains)
     }
 
-    /// Makes a list the candidate, and adds its drains to the present list.
+    /// Makes a list the candidate, and adds its drains to the present list unless its number is lower.
     fn doubt(&mut self, list: Rc<List>) -> Verdict {
         tracing::debug!(
             number = list.number,
             present = self.present.number,
             "list waits for a second answer"
         );
-        let mut present = (*self.present).clone();
-        for (name, listing) in &list.engines {
-            let known = present.engines.get_mut(name).filter(|known| known.address == listing.address);
-            if let Some(known) = known.filter(|_| listing.entry.listed == Listed::Draining) {
-                known.entry.listed = Listed::Draining;
-            }
-        }
+        let has_lower_number = is_newer(self.present.number, list.number);
+        let present = if has_lower_number { None } else { with_drains(&self.present, &list) };
         self.candidate = Some(list);
-        if present == *self.present {
-            return Verdict::Doubtful;
-        }
+        let Some(present) = present else { return Verdict::Doubtful };
         self.present = Rc::new(present);
         Verdict::UseDrains(self.present.clone())
     }
 }
+
+/// A list with the drains that another one tells of its engines; `None` if that changes nothing.
+fn with_drains(list: &List, other: &List) -> Option<List> {
+    let mut merged = list.clone();
+    for (name, listing) in &other.engines {
+        let known = merged.engines.get_mut(name).filter(|known| known.address == listing.address);
+        if let Some(known) = known.filter(|_| listing.entry.listed == Listed::Draining) {
+            known.entry.listed = Listed::Draining;
+        }
+    }
+    (merged != *list).then_some(merged)
+}
