--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -51,7 +51,8 @@
         /// One of so many system calls of the gateways goes wrong; 0: none.
         #[arg(long, default_value_t = 50)]
         calls_one_in: u64,
-        /// Trouble the engine list alone: engines come and drain while the resolver's answers overtake each other.
+        /// Trouble the engine list alone: engines come and drain and gateways are killed, while the resolver's answers
+        /// overtake each other or are bad.
         #[arg(long)]
         lists: bool,
         /// Where logs go.
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -134,6 +134,7 @@
             }
             Fault::ListSilent { span } => world.resolver.silent(span),
             Fault::ListSlow { span, delay } => world.resolver.slow(span, delay),
+            Fault::ListBad { span } => world.resolver.bad(span),
             Fault::ListScattered { span, most } => world.resolver.scatter(span, most),
             Fault::ListMoves => {
                 if world.resolver.move_away().is_ok() {
--- a/crates/lab/src/soak/resolver.rs
+++ b/crates/lab/src/soak/resolver.rs
@@ -14,6 +14,11 @@
 /// How long after a move, counted from SIGHUP, the list counts as told.
 const MOVE_TIME: Duration = Duration::from_millis(4_000);
 
+/// The share of bad answers while there are any.
+const BAD_SHARE: f64 = 0.35;
+/// The place of the error code in a message, and that of a server that failed.
+const ERROR_CODE: (usize, u8) = (3, 2);
+
 /// How answers are late.
 #[derive(Debug, Clone, Copy)]
 enum Delay {
@@ -28,6 +33,8 @@
     writer: PlatformResolver,
     serial: u32,
     listed: Vec<Listed>,
+    /// The list before the present one.
+    previous: Vec<Listed>,
     /// Where each gateway is answered.
     addresses: Vec<SocketAddr>,
     /// The number of the newest list that each gateway was sent.
@@ -35,6 +42,7 @@
     silent_until: Instant,
     late_until: Instant,
     delay: Delay,
+    bad_until: Instant,
     rng: StdRng,
 }
 
@@ -61,10 +69,12 @@
             told: vec![1; gateways],
             writer,
             serial: 1,
+            previous: listed.clone(),
             listed,
             silent_until: now,
             late_until: now,
             delay: Delay::Fixed(Duration::ZERO),
+            bad_until: now,
             rng: StdRng::seed_from_u64(seed),
         };
         let resolver = Resolver { state: Arc::new(Mutex::new(state)), records: records.clone() };
@@ -93,7 +103,12 @@
         state.serial += 1;
         let serial = state.serial;
         state.writer.tell(serial, listed.clone());
-        state.listed = listed;
+        state.previous = std::mem::replace(&mut state.listed, listed);
+    }
+
+    /// Gives bad answers between good ones for a span. What good ones would tell still counts as told in time.
+    pub fn bad(&self, span: Duration) {
+        self.lock().bad_until = Instant::now() + span;
     }
 
     /// Says nothing for a span.
@@ -159,6 +174,11 @@
                 continue;
             }
             let query = bytes[..size].to_vec();
+            if now < state.bad_until && state.rng.random_bool(BAD_SHARE) {
+                let answer = state.word_badly(&query);
+                answer.iter().for_each(|answer| drop(self.socket.send_to(answer, from)));
+                continue;
+            }
             let delay = if now < state.late_until { state.delay } else { Delay::Fixed(Duration::ZERO) };
             match delay {
                 Delay::Fixed(delay) => {
@@ -221,4 +241,25 @@
         let numbers = ready.filter_map(|engine| engine.id.strip_prefix("e-")?.parse().ok());
         Some(Answer { bytes, serial: self.serial, ready: numbers.collect() })
     }
+
+    /// A bad answer to a query: none, one of another id, with an error, cut short, or the list before the present one,
+    /// under its own number or the next.
+    fn word_badly(&mut self, query: &[u8]) -> Option<Vec<u8>> {
+        let kind = self.rng.random_range(0..6);
+        if kind >= 4 {
+            let number = if kind == 4 { self.serial.saturating_sub(1) } else { self.serial + 1 };
+            self.writer.tell(number, self.previous.clone());
+            let answer = self.writer.answer_to(query, "east", "std");
+            self.writer.tell(self.serial, self.listed.clone());
+            return answer;
+        }
+        let mut answer = self.writer.answer_to(query, "east", "std")?;
+        match kind {
+            0 => return None,
+            1 => answer[0] = !answer[0],
+            2 => answer[ERROR_CODE.0] |= ERROR_CODE.1,
+            _ => answer.truncate(answer.len() / 2),
+        }
+        Some(answer)
+    }
 }
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -60,6 +60,11 @@
         /// By how much at most.
         most: Duration,
     },
+    /// Some of the resolver's answers are lost, of another id, errors, cut short, or older lists under any number.
+    ListBad {
+        /// For how long.
+        span: Duration,
+    },
     /// The resolver is elsewhere; the configuration says where, and SIGHUP comes twice.
     ListMoves,
     /// Idle clients fill a gateway's descriptors.
@@ -130,30 +135,33 @@
         Day { seed, gateways, engines, clients: 8 * gateways, waits, clocks, events }
     }
 
-    /// Draws a day on which the resolver's answers overtake each other all the time, while engines come and drain in
-    /// turn. Nothing else goes wrong.
+    /// Draws a day on which the resolver's answers overtake each other in its first half and are partly bad in its
+    /// second one, while engines come and drain in turn and gateways are killed. Nothing else goes wrong.
     pub fn draw_lists(seed: u64, gateways: usize, span: Duration) -> Day {
         let mut day = Day::draw(seed, gateways, Duration::ZERO);
         day.clocks = vec![ClockStep::default(); gateways];
         let mut at = Duration::from_millis(1_000);
-        let scattered = Fault::ListScattered { span: span.saturating_sub(at), most: LIST_DELAY_MOST };
-        day.events = vec![(at, scattered)];
+        let half = span.saturating_sub(at) / 2;
+        let scattered = Fault::ListScattered { span: half, most: LIST_DELAY_MOST };
+        day.events = vec![(at, scattered), (at + half, Fault::ListBad { span: half })];
         for engine in 0.. {
             at += LIST_CHANGES_EVERY;
             day.events.push((at, Fault::Join));
             at += LIST_CHANGES_EVERY;
             day.events.push((at, Fault::Drain { engine }));
+            day.events.push((at, Fault::Kill { gateway: engine % gateways }));
             if at >= span {
                 break;
             }
         }
+        day.events.sort_by_key(|(at, _)| *at);
         day
     }
 
     fn fault(rng: &mut StdRng, gateways: usize, engines: &mut usize) -> Fault {
         let gateway = rng.random_range(0..gateways);
         let engine = rng.random_range(0..*engines);
-        match rng.random_range(0..16) {
+        match rng.random_range(0..18) {
             0..4 => Fault::Restart { gateway, series: rng.random_bool(0.5) },
             4 => Fault::Kill { gateway },
             5 => Fault::Stop { gateway, span: millis(rng, 200..1_500) },
--- a/crates/platform/src/resolver/tracker.rs
+++ b/crates/platform/src/resolver/tracker.rs
@@ -77,16 +77,20 @@
             self.confirmed_number = list.number;
             return Verdict::Unchanged;
         }
-        let is_newer_than_present = is_newer(list.number, self.present.number);
-        if is_newer_than_present && !self.revives_an_engine(&list) {
+        if is_newer(list.number, self.present.number) && !self.revives_an_engine(&list) {
             self.replace(list.clone(), now);
             return Verdict::Use(list);
         }
-        // The present list hides older ones once it is confirmed.
-        let is_older = is_newer(self.confirmed_number, list.number)
-            || self.confirmed_number == self.present.number && list.number != self.present.number;
-        if is_older && !is_newer_than_present {
-            return if self.is_refuted(asked, now) { self.confirm(list, now) } else { Verdict::Older };
+        let has_lower_number = is_newer(self.present.number, list.number);
+        if has_lower_number && self.received.is_some_and(|received| asked < received) {
+            // It may have been sent before the present list.
+            return Verdict::Older;
+        }
+        // Once the present list is confirmed, it hides those with lower numbers.
+        let is_hidden =
+            self.confirmed_number == self.present.number || is_newer(self.confirmed_number, list.number);
+        if has_lower_number && is_hidden {
+            return if self.is_refuted(now) { self.confirm(list, now) } else { Verdict::Older };
         }
         if self.candidate.as_ref() == Some(&list) {
             return self.confirm(list, now);
@@ -113,10 +117,7 @@
 
     /// Notes an answer with an older list; whether enough of them have come in a row to give up the newest one:
     /// the resolver counts from a lower number now, and the present number would hide all its lists.
-    fn is_refuted(&mut self, asked: Instant, now: Instant) -> bool {
-        if self.received.is_some_and(|received| asked < received) {
-            return false;
-        }
+    fn is_refuted(&mut self, now: Instant) -> bool {
         self.older += 1;
         let since = *self.older_since.get_or_insert(now);
         self.older >= OLDER_LISTS_MAX && now.saturating_duration_since(since) >= OLDER_LISTS_TIME
--- a/test.sh
+++ b/test.sh
@@ -22,7 +22,7 @@
 # Real gateways of a platform under drawn days of overlapping faults, two days one after the other.
 timeout 120 target/release/violetward-lab soak --seed 4411 --seed 4412 --seconds 12 --folder target/soak >target/soak.txt 2>&1 &&
   grep ': passed' target/soak.txt || { cat target/soak.txt; exit 1; }
-# A day on which the resolver's answers overtake each other while engines come and drain.
+# A day on which the resolver's answers overtake each other or are bad while engines come and drain.
 timeout 60 target/release/violetward-lab soak --lists --seed 3 --seconds 8 --folder target/soak >target/soak-lists.txt 2>&1 &&
   sed 's/^seed/lists, seed/' target/soak-lists.txt | grep ': passed' || { cat target/soak-lists.txt; exit 1; }
 # Unmodified public clients against the demo, where Python and the package registry are at hand.
