--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -4,7 +4,6 @@
 import json
 import os
 import re
-import select
 import shutil
 import signal
 import socket
@@ -484,14 +483,14 @@
 class Gateway:
     """A process of the program, started as the deploy file says."""
 
-    def __init__(self, record, settings, engines, resolver, name="n0", log=None, limits=None):
+    def __init__(self, record, settings, engines, resolver, name="n0"):
         self.record, self.name = record, name
         self.folder = tempfile.mkdtemp(prefix="review-")
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
         self.config = os.path.join(self.folder, "config.json")
-        self.settings, self.log = settings, log
-        self.limits = limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+        self.settings = settings
+        self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.engines, self.resolver = engines, resolver
         self.process = None
 
@@ -506,20 +505,26 @@
             json.dump(config, out)
 
     def start(self):
-        self.write_config()
+        """Starts a process and waits until it answers `alive`."""
+        for _ in range(3):
+            self.write_config()
+            if self.launch():
+                return self
+            # Somebody else has taken the port since it was found free.
+            with socket.create_server(("127.0.0.1", 0)) as free:
+                self.address = free.getsockname()
+        raise CannotRun("the gateway ended at its start")
+
+    def launch(self):
         environment = dict(os.environ, PROXY_NAME=self.name, PROXY_LISTEN="%s:%d" % self.address,
                            PROXY_CONFIG=self.config, TMPDIR=self.folder)
-        command = deploy_command()
-        if os.environ.get("REVIEW_DEBUG"):
-            command = command.replace("violetward ", "violetward --log-level debug ")
-        log = open(self.log or os.path.join(self.folder, "log"), "ab")
-        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment,
-                                        stdin=subprocess.DEVNULL, stdout=log, stderr=log)
-        log.close()
+        with open(os.path.join(self.folder, "log"), "ab") as log:
+            self.process = subprocess.Popen(["/bin/sh", "-c", deploy_command()], cwd=ROOT, env=environment,
+                                            stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         until = time.monotonic() + 30
         while time.monotonic() < until:
             if self.process.poll() is not None:
-                raise CannotRun("the gateway ended at its start")
+                return False
             try:
                 client = Client(self.record, "front", self.address)
             except OSError:
@@ -529,7 +534,7 @@
             client.close()
             if ready:
                 self.record.note("gateway %s: ready, process %d" % (self.name, self.process.pid))
-                return self
+                return True
             time.sleep(0.02)
         raise CannotRun("the gateway was not ready within 30 s")
 
@@ -565,6 +570,11 @@
 def run_case(folder, case):
     """Runs `case(record, cleanup)`, which returns the breaks of the rule; ends all processes."""
     record, cleanup, code = Record(folder), [], 2
+
+    def out_of_time(_number, _frame):
+        raise CannotRun("out of time")
+
+    signal.signal(signal.SIGTERM, out_of_time)
     try:
         breaks = case(record, cleanup)
         for text in breaks:
@@ -582,6 +592,7 @@
         import traceback
         traceback.print_exc()
     finally:
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         for end in reversed(cleanup):
             end()
         record.write()
