Platform: connections end for time without progress, not for unread bytes

Cause: Duplex::send aborted a connection once 256 KiB waited. A number of bytes does not tell who reads. Results were collected as fast as engines gave them, whatever the client took.

Evidence: by the debug log the connection ended 0.33 s after its requests with `gone reason=Unread open=18`. The time-out (2.5 s) and the bound over all connections (24 MB there, 1.5 MB waited) are excluded by these figures.

A result that waits has ended for the decision module. Requests of a client are not read on while its short answers wait. A request waits in its engine's queue behind unsent bytes in place of an abort at 1 MiB.

The link test now asks for pages explicitly, and that each is asked for once.

--- a/crates/net/src/duplex.rs
+++ b/crates/net/src/duplex.rs
@@ -1,5 +1,4 @@
-//! A socket that is read and written concurrently, with a bounded buffer for bytes that the peer is slow to
-//! read.
+//! A socket that is read and written concurrently, with a buffer for bytes that the peer is slow to read.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -19,6 +18,10 @@
 /// A socket whose writes never wait: bytes that the kernel does not accept at once are buffered until
 /// [`Duplex::run_writer`] writes them.
 ///
+/// The buffer has no limit of its own, since the number of buffered bytes does not tell a peer that does not
+/// read from one that has asked for much. [`Duplex::stalled_since`] does. The owner bounds the bytes of all
+/// its connections together.
+///
 /// [`Duplex::close`] followed by [`Duplex::finish`] shuts the connection down in order: buffered bytes are
 /// still sent, and bytes that the peer sends meanwhile are discarded, so that no reset overtakes the last
 /// answer. [`Duplex::abort`] drops the connection at once. After either, [`Duplex::read`] returns no more
@@ -27,14 +30,15 @@
 pub struct Duplex {
     socket: Async<TcpStream>,
     unsent: RefCell<VecDeque<u8>>,
-    max_unsent_bytes: usize,
     /// Notified when bytes have been added to `unsent`.
     unsent_added: Event,
+    /// Notified when the last byte of `unsent` was written, and when the connection is closed.
+    all_sent: Event,
     state: Cell<State>,
     /// Notified when the state changes from [`State::Open`].
     closed: Event,
-    /// When the kernel last accepted bytes.
-    last_write: Cell<Instant>,
+    /// When the kernel last accepted bytes, or when bytes began to wait in an empty buffer.
+    last_progress: Cell<Instant>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,23 +51,22 @@
 }
 
 impl Duplex {
-    /// Wraps a socket. Up to `max_unsent_bytes` are buffered for a peer that does not read.
-    pub fn new(socket: Async<TcpStream>, max_unsent_bytes: usize) -> Self {
-        socket.get_ref().set_nodelay(true).ok();
+    /// Wraps a socket.
+    pub fn new(socket: Async<TcpStream>) -> Self {
+        crate::set_stream_options(socket.get_ref());
         Duplex {
             socket,
             unsent: RefCell::default(),
-            max_unsent_bytes,
             unsent_added: Event::new(),
+            all_sent: Event::new(),
             state: Cell::new(State::Open),
             closed: Event::new(),
-            last_write: Cell::new(Instant::now()),
+            last_progress: Cell::new(Instant::now()),
         }
     }
 
-    /// Writes bytes to the socket and buffers the rest. Returns false if the connection is closed or has to
-    /// be aborted because the socket failed or the buffer is full; a part of the bytes may have been sent in
-    /// the latter cases.
+    /// Writes bytes to the socket and buffers the rest. Returns false if the connection is closed, or has to
+    /// be aborted because the socket failed; a part of the bytes may have been sent in the latter case.
     pub fn send(&self, bytes: &[u8]) -> bool {
         if self.is_closed() {
             return false;
@@ -72,10 +75,7 @@
         let mut rest = bytes;
         while unsent.is_empty() && !rest.is_empty() {
             match (&mut self.socket.get_ref()).write(rest) {
-                Ok(written) => {
-                    self.last_write.set(Instant::now());
-                    rest = &rest[written..];
-                }
+                Ok(written) => rest = &rest[written..],
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if SocketErrorKind::of(&e).is_transient() => break,
                 Err(_) => {
@@ -85,22 +85,41 @@
                 }
             }
         }
-        if unsent.len() + rest.len() > self.max_unsent_bytes {
-            // Bounds the memory used for peers that send requests but do not read the answers.
-            drop(unsent);
-            self.abort();
-            return false;
-        }
         if !rest.is_empty() {
+            if unsent.is_empty() {
+                self.last_progress.set(Instant::now());
+            }
             unsent.extend(rest);
             self.unsent_added.notify(1);
         }
         true
     }
 
-    /// The number of buffered bytes, and when bytes were last written to the socket (or when it was wrapped).
-    pub fn unsent(&self) -> (usize, Instant) {
-        (self.unsent.borrow().len(), self.last_write.get())
+    /// The number of buffered bytes.
+    pub fn unsent_bytes(&self) -> usize {
+        self.unsent.borrow().len()
+    }
+
+    /// Since when the kernel has accepted none of the buffered bytes; `None` if none are buffered. Tries to
+    /// write some first: this process may have been stopped while the peer was reading.
+    pub fn stalled_since(&self) -> Option<Instant> {
+        if self.unsent.borrow().is_empty() {
+            return None;
+        }
+        // The writer finds out about errors.
+        self.try_write_unsent().ok();
+        (!self.unsent.borrow().is_empty()).then(|| self.last_progress.get())
+    }
+
+    /// Waits until no bytes are buffered or this side has closed the connection.
+    pub async fn wait_all_sent(&self) {
+        loop {
+            let all_sent = self.all_sent.listen();
+            if self.unsent.borrow().is_empty() || self.is_closed() {
+                return;
+            }
+            all_sent.await;
+        }
     }
 
     /// Reads once and passes the bytes to `consume`. Returns 0 at the end of the stream and once this side
@@ -137,14 +156,17 @@
         }
     }
 
-    /// Writes the buffered bytes whenever the socket accepts more. Returns only when the socket fails.
-    pub async fn run_writer(&self) -> io::Error {
+    /// Writes the buffered bytes whenever the socket accepts more, and calls `on_progress` each time. Returns
+    /// only when the socket fails.
+    pub async fn run_writer(&self, on_progress: impl Fn()) -> io::Error {
         loop {
             let unsent_added = self.unsent_added.listen();
             if self.unsent.borrow().is_empty() {
                 unsent_added.await;
             } else if let Err(e) = self.write_unsent().await {
                 return e;
+            } else {
+                on_progress();
             }
         }
     }
@@ -152,20 +174,26 @@
     /// Waits until the socket is writable, then writes some of the buffered bytes.
     async fn write_unsent(&self) -> io::Result<()> {
         self.socket.writable().await?;
-        let result = (&mut self.socket.get_ref()).write(self.unsent.borrow().as_slices().0);
-        match result {
-            Ok(written) => {
-                self.last_write.set(Instant::now());
-                let mut unsent = self.unsent.borrow_mut();
-                unsent.drain(..written);
-                if unsent.is_empty() {
-                    *unsent = VecDeque::new();
-                }
-                Ok(())
-            }
+        match self.try_write_unsent() {
             Err(e) if crate::should_retry(&e).await => Ok(()),
-            Err(e) => Err(e),
+            result => result,
+        }
+    }
+
+    /// Writes as many of the buffered bytes as the socket accepts in one call.
+    fn try_write_unsent(&self) -> io::Result<()> {
+        let mut unsent = self.unsent.borrow_mut();
+        if unsent.is_empty() {
+            return Ok(());
+        }
+        let written = (&mut self.socket.get_ref()).write(unsent.as_slices().0)?;
+        self.last_progress.set(Instant::now());
+        unsent.drain(..written);
+        if unsent.is_empty() {
+            *unsent = VecDeque::new();
+            self.all_sent.notify(usize::MAX);
         }
+        Ok(())
     }
 
     /// Whether the connection is open at both ends and no received data is left to read.
@@ -189,6 +217,7 @@
         }
         self.state.set(State::Closing);
         self.closed.notify(usize::MAX);
+        self.all_sent.notify(usize::MAX);
         if self.unsent.borrow().is_empty() {
             self.socket.get_ref().shutdown(Shutdown::Write).ok();
         }
@@ -199,25 +228,28 @@
         self.state.set(State::Aborted);
         self.unsent.take();
         self.closed.notify(usize::MAX);
+        self.all_sent.notify(usize::MAX);
         self.socket.get_ref().shutdown(Shutdown::Both).ok();
     }
 
-    /// Completes an orderly shutdown within a time limit: sends the buffered bytes, ends the stream, then
-    /// discards what the peer sends until the peer closes too. Closing a socket with unread bytes would reset
-    /// the connection, and the reset could overtake the bytes sent last. Returns at once after
+    /// Completes an orderly shutdown: sends the buffered bytes, ends the stream, then discards what the peer
+    /// sends until the peer closes too. Closing a socket with unread bytes would reset the connection, and
+    /// the reset could overtake the bytes sent last. Gives up when none of the buffered bytes could be sent
+    /// for the time `limit`, or the peer does not close within that time. Returns at once after
     /// [`Duplex::abort`].
     pub async fn finish(&self, limit: Duration) {
         self.close();
-        let shutdown = async {
-            while self.unsent().0 > 0 {
-                self.write_unsent().await?;
+        if self.state.get() != State::Closing {
+            return;
+        }
+        // A failure means that the peer is gone already: nothing is left to send or to wait for.
+        while self.unsent_bytes() > 0 {
+            if !matches!(crate::timeout(limit, self.write_unsent()).await, Some(Ok(()))) {
+                return;
             }
-            self.socket.get_ref().shutdown(Shutdown::Write)?;
-            self.discard().await
-        };
-        if self.state.get() == State::Closing {
-            // An error means that the peer is gone already: nothing is left to send or to wait for.
-            let _: Option<io::Result<()>> = crate::timeout(limit, shutdown).await;
+        }
+        if self.socket.get_ref().shutdown(Shutdown::Write).is_ok() {
+            let _: Option<io::Result<()>> = crate::timeout(limit, self.discard()).await;
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 mod duplex;
 mod error_kind;
 mod signals;
+mod stream;
 pub mod timer;
 
 use std::cell::{Cell, RefCell};
@@ -24,8 +25,9 @@
 pub use clock::Clock;
 pub use duplex::Duplex;
 pub use error_kind::SocketErrorKind;
-use futures_lite::{future, AsyncWriteExt};
+use futures_lite::future;
 pub use signals::next_signal;
+pub use stream::{set_stream_options, write_all};
 pub use timer::{sleep, sleep_until};
 use violetward_statement::http::{self, Headers, HttpError, Limits, Message, Reader, Side};
 
@@ -128,7 +130,7 @@
     }
 
     fn new(socket: Async<TcpStream>, side: Side, limits: Limits) -> Self {
-        socket.get_ref().set_nodelay(true).ok();
+        set_stream_options(socket.get_ref());
         Connection {
             socket,
             reader: Reader::new(side, limits),
@@ -153,7 +155,7 @@
                 return Ok(Some(message));
             }
             if self.reader.expects_continue() {
-                self.socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                stream::write(&self.socket, b"HTTP/1.1 100 Continue\r\n\r\n", None).await?;
             }
             if !self.fill().await? {
                 return self.reader.finish().map_err(NetError::Http);
@@ -200,16 +202,17 @@
     /// # Errors
     /// If the socket fails; some of the bytes may have been sent then.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let mut rest = bytes;
-        while !rest.is_empty() {
-            let written = self.socket.write(rest).await?;
-            if written == 0 {
-                return Err(io::ErrorKind::WriteZero.into());
-            }
-            self.has_written = true;
-            rest = &rest[written..];
-        }
-        Ok(())
+        self.has_written |= !bytes.is_empty();
+        stream::write(&self.socket, bytes, None).await
+    }
+
+    /// Writes all of `bytes` at the pace of the peer, which must accept some of them within each `max_stall`.
+    ///
+    /// # Errors
+    /// If the socket fails or the peer stalls; some of the bytes may have been sent then.
+    pub async fn write_to_reader(&mut self, bytes: &[u8], max_stall: Duration) -> io::Result<()> {
+        self.has_written |= !bytes.is_empty();
+        write_all(&self.socket, bytes, max_stall).await
     }
 
     /// Sends a request and reads its response.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -16,10 +16,11 @@
 const FRAME_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Time-out between requests. Clients close idle connections after 4 s.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(6_000);
-/// How long a client may leave an answer unread.
+/// How long a client may take none of the bytes that wait for it.
 const UNREAD_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How many bytes are buffered for a client that does not read: a few results of the largest size.
-const UNREAD_MAX_BYTES: usize = 256 << 10;
+/// Bytes of answers without a result that may wait for a client while its requests are still read: far more
+/// than those to all requests that one connection may have open.
+const SHORT_ANSWERS_MAX_BYTES: usize = 64 << 10;
 
 /// Why a client connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -34,7 +35,7 @@
     IncompleteFrame,
     /// It was idle for too long.
     Idle,
-    /// Answers stayed unread for too long, or exceeded the buffer.
+    /// The client took none of its waiting answers for too long.
     Unread,
     /// It was closed to make room for a new connection.
     Evicted,
@@ -57,6 +58,8 @@
     last_used: Cell<Option<Instant>>,
     /// Why this side ended the connection, once it has.
     end_reason: Cell<Option<EndReason>>,
+    /// Bytes of answers without a result since the last time when none were waiting.
+    short_answer_bytes: Cell<usize>,
 }
 
 /// Writes the result of the method `dispatch` or `alive`.
@@ -82,12 +85,13 @@
     pub fn new(id: ClientId, socket: Async<TcpStream>, frame_max_bytes: usize) -> Self {
         Client {
             id,
-            duplex: Duplex::new(socket, UNREAD_MAX_BYTES),
+            duplex: Duplex::new(socket),
             frames: RefCell::new(FrameDecoder::new(frame_max_bytes)),
             opened: Instant::now(),
             frame_since: Cell::new(None),
             last_used: Cell::new(None),
             end_reason: Cell::new(None),
+            short_answer_bytes: Cell::new(0),
         }
     }
 
@@ -98,15 +102,20 @@
     }
 
     /// Closes the connection at once because the client does not read its answers.
-    pub fn abort_unread(&self) {
+    fn abort_unread(&self, stalled: Duration) {
+        tracing::debug!(
+            client = self.id.0,
+            unsent = self.duplex.unsent_bytes(),
+            ?stalled,
+            "answers are not read"
+        );
         self.end_reason.set(self.end_reason.get().or(Some(EndReason::Unread)));
         self.duplex.abort();
     }
 
     /// Why the connection ended.
     pub fn end_reason(&self) -> EndReason {
-        let default = || if self.duplex.is_closed() { EndReason::Unread } else { EndReason::ByClient };
-        self.end_reason.get().unwrap_or_else(default)
+        self.end_reason.get().unwrap_or(EndReason::ByClient)
     }
 
     /// Sends the final answer to a request.
@@ -122,14 +131,39 @@
             Reply::Failed => write_exception(&mut writer, 2, &[]),
         }
         self.last_used.set(Some(Instant::now()));
-        self.duplex.send(&writer.into_frame());
+        let frame = writer.into_frame();
+        if matches!(reply, Reply::Served(_)) {
+            self.duplex.send(&frame);
+        } else {
+            self.send_short(&frame);
+        }
+    }
+
+    /// Sends an answer without a result.
+    fn send_short(&self, frame: &[u8]) {
+        self.duplex.send(frame);
+        let is_waiting = self.duplex.unsent_bytes() > 0;
+        self.short_answer_bytes.set(if is_waiting { self.short_answer_bytes.get() + frame.len() } else { 0 });
+    }
+
+    /// Waits until the client has taken enough of its answers for its next requests to be read. Results do not
+    /// count: they are requested from engines at the pace of the client. `memory_is_short`: the answers that
+    /// wait for all clients have reached their limit.
+    pub async fn wait_until_read(&self, memory_is_short: impl Fn() -> bool) {
+        let waiting = self.short_answer_bytes.get();
+        if waiting > SHORT_ANSWERS_MAX_BYTES || (waiting > 0 && memory_is_short()) {
+            self.duplex.wait_all_sent().await;
+            self.short_answer_bytes.set(0);
+            // The rest of a frame was not read meanwhile.
+            self.frame_since.set(self.frame_since.get().map(|_| Instant::now()));
+        }
     }
 
     /// Sends the answer to `alive`.
     pub fn answer_alive(&self, seqid: i32, ok: bool) {
         let mut writer = Writer::message("alive", MessageType::Reply, seqid);
         write_result(&mut writer, b"", ok);
-        self.duplex.send(&writer.into_frame());
+        self.send_short(&writer.into_frame());
     }
 
     /// Sends a Thrift application exception as the answer to a message.
@@ -142,7 +176,7 @@
         writer.binary(1, message.as_bytes());
         writer.i32(2, code);
         writer.end_struct();
-        self.duplex.send(&writer.into_frame());
+        self.send_short(&writer.into_frame());
     }
 
     /// Notes that a complete frame was received.
@@ -161,9 +195,13 @@
     /// Closes the connection if one of its time-outs has expired.
     pub fn close_if_timed_out(&self, host: &Host, now: Instant) {
         let expired = |since: Instant, timeout: Duration| now.saturating_duration_since(since) > timeout;
-        let (unread, last_progress) = self.duplex.unsent();
-        if unread > 0 && expired(last_progress, UNREAD_TIMEOUT) {
-            return self.abort_unread();
+        if let Some(since) = self.duplex.stalled_since() {
+            if expired(since, UNREAD_TIMEOUT) {
+                self.abort_unread(now.saturating_duration_since(since));
+            }
+            // Whoever still takes answers is not idle.
+            self.last_used.set(Some(now));
+            return;
         }
         let stalled = self.frame_since.get().is_some_and(|since| expired(since, FRAME_TIMEOUT));
         let (idle, idle_reason) = match self.last_used.get() {
@@ -191,7 +229,7 @@
     pub fn seems_idle(&self, host: &Host) -> bool {
         !self.duplex.is_closed()
             && self.frame_since.get().is_none()
-            && self.duplex.unsent().0 == 0
+            && self.duplex.unsent_bytes() == 0
             && host.read_core(|core| core.open_requests_of(self.id)) == 0
     }
 
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -140,6 +140,8 @@
     attempts: u32,
     /// The client has cancelled the request; the decision module has not been told yet.
     cancelling: bool,
+    /// The decision module has been told that the request was served; its result is still to come.
+    is_concluded: bool,
 }
 
 /// An outstanding attempt.
@@ -151,6 +153,9 @@
     written: bool,
     deadline: Micros,
     timer: TimerKey,
+    /// The engine has served it, and the rest of the result waits there for the client. For the decision
+    /// module it has ended.
+    held: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -238,6 +243,12 @@
     AttemptId(id, 0)..=AttemptId(id, u32::MAX)
 }
 
+/// The event that tells the decision module the end of an attempt that a connection has reported.
+fn end_event(id: AttemptId, completion: Completion, took: Micros, complete: bool) -> Event {
+    let Completion { outcome, work, memory_mb, load, .. } = completion;
+    Event::Answer(Answer { id: id.0, attempt: id.1, outcome, took, complete, work, memory_mb, load })
+}
+
 /// The tick of the timer wheel, in milliseconds, for a time. Rounds up so that no timer fires early.
 fn tick(at: Micros) -> u64 {
     at.div_ceil(1000)
@@ -293,6 +304,11 @@
         self.by_seqid.contains_key(&(client, seqid))
     }
 
+    /// The connection of an open request.
+    pub fn client_of(&self, id: RequestId) -> Option<ClientId> {
+        self.open.get(&id).map(|open| open.client)
+    }
+
     /// The number of open requests of a connection.
     pub fn open_requests_of(&self, client: ClientId) -> usize {
         self.by_seqid.range((client, i32::MIN)..=(client, i32::MAX)).count()
@@ -332,6 +348,7 @@
             grant: (0.0, 1),
             attempts: 0,
             cancelling: false,
+            is_concluded: false,
         };
         self.open.insert(call.id, open);
         self.by_seqid.insert((client, seqid), call.id);
@@ -386,7 +403,7 @@
                 self.counts.lapsed += 1;
                 let left = open.deadline.saturating_sub(self.now);
                 self.counts.lapsed_late += u64::from(left < LATE_CANCEL_US);
-                self.notify_module(Event::Lapsed(id));
+                self.notify_lapsed(id, &open);
             }
         }
     }
@@ -411,6 +428,20 @@
         }
     }
 
+    /// Notes that an engine has served an attempt, and that the rest of the result waits there for the client.
+    /// The decision module is told the attempt's end now: from here on it occupies no part of the engine, and
+    /// its time says nothing about the engine. `completion` has no result yet.
+    pub fn result_held(&mut self, now: Micros, id: AttemptId, completion: Completion) {
+        self.advance_time(now);
+        let Some(attempt) = self.attempts.get_mut(&id).filter(|attempt| !attempt.held) else { return };
+        attempt.held = true;
+        let took = self.now.saturating_sub(attempt.sent);
+        if let Some(open) = self.open.get_mut(&id.0) {
+            open.is_concluded = true;
+        }
+        self.notify_module(end_event(id, completion, took, true));
+    }
+
     /// Notes that an attempt has ended on its connection. Cancelled attempts are ignored.
     pub fn attempt_ended(&mut self, now: Micros, attempt: AttemptId, completion: Completion) {
         self.advance_time(now);
@@ -440,6 +471,10 @@
         for timer in expired.drain(..) {
             match timer {
                 Timer::Module(handle) => self.notify_module(Event::Elapsed(handle)),
+                Timer::Attempt(attempt) if self.attempts.get(&attempt).is_some_and(|a| a.held) => {
+                    // The client did not take its answers in time.
+                    self.finish_request(attempt.0, Reply::Failed);
+                }
                 Timer::Attempt(attempt) => {
                     self.cancel_attempt(attempt, Outcome::Timeout);
                     self.process_inbox();
@@ -448,7 +483,7 @@
                     if let Some(open) = self.remove_request(id) {
                         self.counts.overdue += 1;
                         self.effects.push_back(Effect::Answer(open.client, open.seqid, Reply::Failed));
-                        self.notify_module(Event::Lapsed(id));
+                        self.notify_lapsed(id, &open);
                     }
                 }
             }
@@ -479,16 +514,24 @@
         }
     }
 
-    /// Removes an open request. Its unwritten attempts are cancelled, since its client is answered or gone;
-    /// cancelling the written ones is up to the decision module.
+    /// Tells the decision module that a request has ended, unless it takes it for served.
+    fn notify_lapsed(&mut self, id: RequestId, open: &OpenRequest) {
+        if !open.is_concluded {
+            self.notify_module(Event::Lapsed(id));
+        }
+    }
+
+    /// Removes an open request. Its unwritten attempts and the one whose result waits are cancelled, since its
+    /// client is answered or gone; cancelling the others is up to the decision module.
     fn remove_request(&mut self, id: RequestId) -> Option<OpenRequest> {
         let open = self.open.remove(&id)?;
         self.by_seqid.remove(&(open.client, open.seqid));
         self.timers.cancel(open.overdue_timer);
         self.body_bytes -= open.body.len();
         let attempts = self.attempts.range(attempts_of(id));
-        let unwritten = attempts.filter(|(_, attempt)| !attempt.written).map(|(&attempt, _)| attempt);
-        for attempt in unwritten.collect::<Vec<_>>() {
+        let own =
+            attempts.filter(|(_, attempt)| !attempt.written || attempt.held).map(|(&attempt, _)| attempt);
+        for attempt in own.collect::<Vec<_>>() {
             self.cancel_attempt(attempt, Outcome::Moot);
         }
         Some(open)
@@ -503,32 +546,36 @@
             id = %format_args!("{:016x}", id.0 .0), attempt = id.1, ?outcome, "given up");
         self.timers.cancel(attempt.timer);
         self.effects.push_back(Effect::CancelAttempt(attempt.engine, id));
+        if attempt.held {
+            return;
+        }
         self.queue_attempt_end(id, outcome, self.now.saturating_sub(attempt.sent));
     }
 
     fn finish_attempt(&mut self, id: AttemptId, completion: Completion) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         self.timers.cancel(attempt.timer);
+        if attempt.held {
+            // The decision module has counted it as served: without its result it is not tried again.
+            let reply = match completion.outcome {
+                Outcome::Ok => Reply::Served(completion.result),
+                _ => Reply::Failed,
+            };
+            return self.finish_request(id.0, reply);
+        }
         if matches!(completion.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot) {
             // This attempt has certainly not run, so the dedup window starts with a later one.
             if let Some(open) = self.open.get_mut(&id.0) {
                 open.may_have_run = open.may_have_run.filter(|&(number, _)| number != id.1);
             }
         }
-        let served = completion.outcome == Outcome::Ok;
-        if served {
-            self.finish_request(id.0, Reply::Served(completion.result));
+        let mut completion = completion;
+        if completion.outcome == Outcome::Ok {
+            let result = std::mem::take(&mut completion.result);
+            self.finish_request(id.0, Reply::Served(result));
         }
-        self.notify_module(Event::Answer(Answer {
-            id: id.0,
-            attempt: id.1,
-            outcome: completion.outcome,
-            took: self.now.saturating_sub(attempt.sent),
-            complete: !self.open.contains_key(&id.0),
-            work: completion.work,
-            memory_mb: completion.memory_mb,
-            load: completion.load,
-        }));
+        let complete = !self.open.contains_key(&id.0);
+        self.notify_module(end_event(id, completion, self.now.saturating_sub(attempt.sent), complete));
     }
 
     /// Passes an event to the decision module ahead of the queued ones.
@@ -601,7 +648,10 @@
         let write_by =
             window_end.map_or(deadline, |end| end.saturating_sub(DEDUP_WINDOW_MARGIN_US).min(deadline));
         let timer = self.timers.schedule(tick(write_by), Timer::Attempt(attempt));
-        self.attempts.insert(attempt, Attempt { engine, sent: self.now, written: false, deadline, timer });
+        self.attempts.insert(
+            attempt,
+            Attempt { engine, sent: self.now, written: false, deadline, timer, held: false },
+        );
     }
 
     /// Queues the end of an attempt that no connection reports.
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -29,9 +29,6 @@
 use crate::link::{EngineEvent, Link};
 use crate::list::List;
 
-/// How many bytes are buffered for an engine that does not read; far more than the limit for statements.
-const UNSENT_MAX_BYTES: usize = 1 << 20;
-
 /// Maximum number of connections that are dialled for a request while each is reset before anything was sent
 /// on it, and of consecutive health checks that are repeated because their connection broke.
 const DIALS_MAX: u32 = 4;
@@ -141,7 +138,7 @@
 
     /// Whether bytes are buffered that the engine has not received.
     fn has_unsent(&self) -> bool {
-        self.duplex.borrow().as_ref().is_some_and(|d| d.unsent().0 > 0)
+        self.duplex.borrow().as_ref().is_some_and(|d| d.unsent_bytes() > 0)
     }
 
     /// Whether, as far as can be seen, no bytes are in flight in either direction and no message is
@@ -418,8 +415,11 @@
             connections.iter().filter(idle).filter(|c| c.requests_sent.get() > 0).for_each(|c| c.abort());
         }
         connections.iter().filter(idle).filter(|c| !c.is_quiet()).for_each(|c| c.abort());
-        let fits =
-            |c: &&Rc<Connection>| c.is_up() && c.accepts(attempt) && c.pending() < self.settings.streams;
+        // Behind bytes that the engine has not read, a request waits in the queue: it can still take another
+        // connection or be cancelled there.
+        let fits = |c: &&Rc<Connection>| {
+            c.is_up() && c.accepts(attempt) && c.pending() < self.settings.streams && !c.has_unsent()
+        };
         // The engine is least likely to have closed the connection that was used last.
         let best = connections.iter().filter(fits).filter(idle).max_by_key(|c| c.idle_since.get());
         let shared = || connections.iter().filter(fits).min_by_key(|c| c.pending());
@@ -464,6 +464,7 @@
         let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
         engine.queue.borrow_mut().retain(|queued| queued.attempt() != Some(attempt));
         let Some((connection, sent)) = engine.sent.borrow_mut().remove(&attempt) else { return };
+        host.end_result(attempt);
         let mut out = Vec::new();
         connection.link.borrow_mut().cancel(attempt, &mut out);
         connection.send(&out);
@@ -481,6 +482,15 @@
         self.send_queued(host, &engine);
     }
 
+    /// Requests the further pages of the result of an attempt.
+    pub fn request_pages(&self, engine: EngineId, attempt: AttemptId) {
+        let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
+        let Some((connection, _)) = engine.sent.borrow().get(&attempt).cloned() else { return };
+        let mut out = Vec::new();
+        connection.link.borrow_mut().request_pages(attempt, &mut out);
+        connection.send(&out);
+    }
+
     /// Changes the priority of an attempt, which may be queued or sent.
     pub fn renice(&self, engine: EngineId, attempt: AttemptId, priority: u8) {
         let Some(engine) = self.engines.borrow().get(&engine).cloned() else { return };
@@ -608,14 +618,20 @@
     };
     tracing::debug!(engine = %format_args!("{:x}", engine.id.0), ?took, first, "up");
     engine.update_usual_dial_time(took);
-    let duplex = Rc::new(Duplex::new(socket, UNSENT_MAX_BYTES));
+    let duplex = Rc::new(Duplex::new(socket));
     *connection.duplex.borrow_mut() = Some(duplex.clone());
     for time in [&connection.last_heard, &connection.up_since, &connection.idle_since, &engine.last_heard] {
         time.set(Instant::now());
     }
     host.engines.send_queued(&host, &engine);
     future::or(read(&host, &engine, &connection, &duplex), async {
-        duplex.run_writer().await;
+        // What waits in the queue may be behind bytes that the engine had not read.
+        let on_progress = || {
+            if duplex.unsent_bytes() == 0 {
+                host.engines.send_queued(&host, &engine);
+            }
+        };
+        duplex.run_writer(on_progress).await;
         // Bytes that came before the connection broke are still to be read; the reader then finds the end.
         future::pending().await
     })
@@ -687,16 +703,22 @@
         engine.broken_probes.set(0);
     }
     for event in &events {
-        if let EngineEvent::AttemptEnded(attempt, completion) = event {
-            if completion.outcome == Outcome::Ok {
-                host.engines.update_break_rate(connection, false);
+        match event {
+            EngineEvent::AttemptEnded(attempt, completion) => {
+                if completion.outcome == Outcome::Ok {
+                    host.engines.update_break_rate(connection, false);
+                }
+                tracing::debug!(engine = %format_args!("{:x}", engine.id.0),
+                    id = %crate::link::id_text(*attempt), attempt = attempt.1, outcome = ?completion.outcome,
+                    work = ?completion.work, load = ?completion.load, "ended");
+                engine.sent.borrow_mut().remove(attempt);
+                host.end_result(*attempt);
             }
-            tracing::debug!(engine = %format_args!("{:x}", engine.id.0), id = %crate::link::id_text(*attempt),
-                attempt = attempt.1, outcome = ?completion.outcome, work = ?completion.work,
-                load = ?completion.load, "ended");
-            engine.sent.borrow_mut().remove(attempt);
+            EngineEvent::ResultBegun(attempt, size, _) => host.begin_result(engine.id, *attempt, *size),
+            EngineEvent::ProbeEnded(..) => {}
         }
     }
+    host.request_results();
     // Queued entries go before what the decision module sends in reaction to the events.
     host.engines.send_queued(host, engine);
     host.with_core(|core, now| {
@@ -706,9 +728,16 @@
                     core.attempt_ended(now, attempt, completion)
                 }
                 EngineEvent::ProbeEnded(ok, load) => core.probe_ended(now, engine.id, ok, load),
+                EngineEvent::ResultBegun(attempt, _, completion) => {
+                    if host.is_result_waiting(attempt) {
+                        core.result_held(now, attempt, completion);
+                    }
+                }
             }
         }
     });
+    // The answers have taken up room, or found no client.
+    host.request_results();
 }
 
 /// Removes a connection that has ended, and ends what is pending on it. `by_peer`: this side did not close
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -139,12 +139,14 @@
 /// Serves a connection until either side ends it, then closes it.
 async fn serve(host: Rc<Host>, client: Rc<Client>) {
     let writing = async {
-        client.duplex.run_writer().await;
+        client.duplex.run_writer(|| host.request_results()).await;
     };
     future::or(read_requests(&host, &client), writing).await;
     host.clients.borrow_mut().remove(&client.id);
     note_end(&host, &client);
     host.with_core(|core, now| core.client_disconnected(now, client.id));
+    // What waited for this client is no longer in the way of others.
+    host.request_results();
     host.closing.finish(&client.duplex).await;
 }
 
@@ -171,6 +173,7 @@
         }
         // A client that sends without pause must not delay others.
         future::yield_now().await;
+        client.wait_until_read(|| unread_bytes(host) > host.config.limits.buffer_max_bytes()).await;
     }
 }
 
@@ -182,19 +185,31 @@
 
 /// Bytes of answers that clients have not read yet.
 pub fn unread_bytes(host: &Host) -> usize {
-    host.clients.borrow().values().map(|client| client.duplex.unsent().0).sum()
+    host.clients.borrow().values().map(|client| client.duplex.unsent_bytes()).sum()
 }
 
-/// Sends the final answer to a client's request. All unread answers together are bounded: if they exceed the
-/// bound, the connection with the most unread bytes is closed.
+/// Sends the final answer to a client's request. A result for which there is no memory is answered as failed:
+/// the connections that use the memory are being read, or will be closed for not being read.
 pub(crate) fn answer_request(host: &Host, id: ClientId, seqid: i32, reply: &Reply) {
     let client = host.clients.borrow().get(&id).cloned();
     let Some(client) = client else { return };
-    client.answer(seqid, reply);
-    if client.duplex.unsent().0 > 0 && unread_bytes(host) > host.config.limits.buffer_max_bytes() {
-        let clients = host.clients.borrow();
-        let fullest = clients.values().max_by_key(|client| client.duplex.unsent().0);
-        fullest.into_iter().for_each(|client| client.abort_unread());
+    match reply {
+        // A connection that has taken all of its answers buffers one result at most.
+        Reply::Served(result)
+            if client.duplex.unsent_bytes() > 0 && !host.has_room_for_result(result.len()) =>
+        {
+            if host.log_quotas.clients.allows(host.clock.now()) {
+                tracing::warn!(
+                    client = id.0,
+                    seqid,
+                    bytes = result.len(),
+                    unread = unread_bytes(host),
+                    "no memory for a result: its request is answered as failed"
+                );
+            }
+            client.answer(seqid, &Reply::Failed);
+        }
+        _ => client.answer(seqid, reply),
     }
 }
 
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -8,7 +8,7 @@
 use async_executor::LocalExecutor;
 use event_listener::Event;
 use futures_lite::future;
-use violetward::{Listed, Micros};
+use violetward::{EngineId, Listed, Micros};
 use violetward_net::{Alarm, Clock};
 
 use crate::client::Client;
@@ -18,7 +18,9 @@
 use crate::engine::Engines;
 use crate::freshness::{ListFreshness, HOLD_MIN_PAUSE};
 use crate::front;
+use crate::link::ResultSize;
 use crate::list::List;
+use crate::result_flow::{ResultFlow, UnreadBytes};
 use crate::standstill::{PauseDetector, HEARTBEAT_INTERVAL};
 use crate::starts::StartTimes;
 
@@ -77,6 +79,8 @@
     /// The listener is open.
     pub(crate) listening: Cell<bool>,
     start_times: RefCell<StartTimes>,
+    /// The results of which some pages are still to come.
+    results: RefCell<ResultFlow>,
     /// Detects pauses of this process.
     pub(crate) pauses: PauseDetector,
     freshness: ListFreshness,
@@ -96,12 +100,23 @@
     Draining,
 }
 
+impl UnreadBytes for Host {
+    fn of_client(&self, client: ClientId) -> usize {
+        self.clients.borrow().get(&client).map_or(0, |client| client.duplex.unsent_bytes())
+    }
+
+    fn of_all(&self) -> usize {
+        front::unread_bytes(self)
+    }
+}
+
 impl Host {
     /// Creates the host for a core with the same configuration.
     pub fn new(config: Config, clock: Clock, core: Core, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
         Rc::new(Host {
             engines: Engines::new(config.limits.descriptors().engines, config.connections.clone()),
             closing: ClosingConnections::new(config.limits.descriptors().closing),
+            results: RefCell::new(ResultFlow::new(config.limits.buffer_max_bytes())),
             config: Rc::new(config),
             clock,
             core: RefCell::new(core),
@@ -210,6 +225,39 @@
         });
     }
 
+    /// Notes that the first page of a result has come.
+    pub(crate) fn begin_result(&self, engine: EngineId, attempt: AttemptId, size: ResultSize) {
+        match self.read_core(|core| core.client_of(attempt.0)) {
+            Some(client) => self.results.borrow_mut().begin(attempt, engine, client, size),
+            // The request has ended, and its attempt with it as soon as the result is complete or cancelled.
+            None => self.engines.request_pages(engine, attempt),
+        }
+    }
+
+    /// Whether the further pages of a result wait at the engine until there is room for them.
+    pub(crate) fn is_result_waiting(&self, attempt: AttemptId) -> bool {
+        self.results.borrow().is_waiting(attempt)
+    }
+
+    /// Notes that a result is complete, or no longer wanted.
+    pub(crate) fn end_result(&self, attempt: AttemptId) {
+        self.results.borrow_mut().end(attempt);
+    }
+
+    /// Requests the further pages of the results for which there is room.
+    pub(crate) fn request_results(&self) {
+        loop {
+            let next = self.results.borrow_mut().next_request(self);
+            let Some((engine, attempt)) = next else { return };
+            self.engines.request_pages(engine, attempt);
+        }
+    }
+
+    /// Whether a complete result may wait for its client.
+    pub(crate) fn has_room_for_result(&self, bytes: usize) -> bool {
+        self.results.borrow().has_room(bytes, self)
+    }
+
     /// Notes that an attempt is written to its connection now.
     pub(crate) fn attempt_written(&self, attempt: AttemptId) {
         self.core.borrow_mut().attempt_written(self.clock.now(), attempt);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod list;
 pub mod requests;
 pub mod resolver;
+pub mod result_flow;
 pub mod service;
 pub mod shutdown;
 pub mod standstill;
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -31,6 +31,18 @@
     AttemptEnded(AttemptId, Completion),
     /// A health check has ended: whether the engine is healthy, and its load.
     ProbeEnded(bool, Load),
+    /// An attempt was served, and the engine has further pages of its result, which come after
+    /// [`Link::request_pages`]. The completion has no result yet.
+    ResultBegun(AttemptId, ResultSize, Completion),
+}
+
+/// The size of a result of several pages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResultSize {
+    /// Bytes of the first page, which has come.
+    pub first_page: usize,
+    /// The largest number of bytes that the other pages can have.
+    pub rest_max: usize,
 }
 
 /// A result of which some pages are still to come.
@@ -41,6 +53,8 @@
     pages: BTreeMap<usize, Vec<u8>>,
     /// Bytes of these pages.
     bytes: usize,
+    /// The pages after the first one were requested.
+    is_requested: bool,
     /// What the engine reported at the end of the attempt.
     completion: Completion,
 }
@@ -148,6 +162,19 @@
         }
     }
 
+    /// Requests the further pages of a result that has begun, once.
+    pub fn request_pages(&mut self, attempt: AttemptId, out: &mut Vec<u8>) {
+        let id = id_text(attempt);
+        let pending = self.pending.get_mut(&id).filter(|pending| pending.attempt == attempt);
+        let Some(partial) = pending.and_then(|pending| pending.partial.as_mut()) else { return };
+        if std::mem::replace(&mut partial.is_requested, true) {
+            return;
+        }
+        for page in 1..partial.page_count {
+            write_array(out, &[b"more", id.as_bytes(), page.to_string().as_bytes()]);
+        }
+    }
+
     /// Requests the engine's health and load. Returns a tag for [`Link::cancel_probe`].
     pub fn probe(&mut self, out: &mut Vec<u8>) -> String {
         self.last_tag += 1;
@@ -238,11 +265,14 @@
                     memory_mb: fields.number::<f64>("used")?.filter(|mb| (0.0..1e9).contains(mb)),
                     ..completion(Outcome::Ok)
                 };
-                pending.partial =
-                    Some(PartialResult { page_count, pages: BTreeMap::new(), bytes: 0, completion });
-                for page in 1..page_count {
-                    write_array(out, &[b"more", id.as_bytes(), page.to_string().as_bytes()]);
+                if page_count > 1 {
+                    let rest_max = ((page_count - 1) * PAGE_MAX_BYTES).min(RESULT_MAX_BYTES);
+                    let size = ResultSize { first_page: body.len(), rest_max };
+                    events.push(EngineEvent::ResultBegun(pending.attempt, size, completion.clone()));
                 }
+                let pages = BTreeMap::new();
+                pending.partial =
+                    Some(PartialResult { page_count, pages, bytes: 0, is_requested: false, completion });
                 None
             }
             "batch" => None,
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -187,7 +187,7 @@
     for Unsubmitted { seqid, mut call } in requests {
         call.wait = call.wait.saturating_sub(backlog_age);
         if client.duplex.is_closed() {
-            // Sending an earlier answer showed that the client does not read.
+            // Sending an earlier answer showed that the connection is broken.
             break;
         }
         tracing::debug!(client = client.id.0, seqid, ?call, "request");
--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -128,6 +128,11 @@
         self.events.recv_timeout(TIMEOUT).expect("an event at the engine")
     }
 
+    /// Waits for the next event, however long that takes: for engines that serve until the process ends.
+    pub fn next_event_without_limit(&self) -> ConnectionEvent {
+        self.events.recv().expect("an event at the engine")
+    }
+
     /// Waits for the next command whose first word is `word` and returns its connection and words. Earlier
     /// events are discarded.
     pub fn wait_for_command(&self, word: &str) -> (usize, Vec<String>) {
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -74,6 +74,48 @@
     assert_eq!(*durations.borrow(), [30_000]);
 }
 
+/// Guards against a slow reader that occupies an engine or makes it look slow: the module is told the end of an
+/// attempt once its engine has served it, though the result still waits there for the client.
+#[test]
+fn a_result_that_waits_for_its_client_has_ended_for_the_module_and_is_answered_once() {
+    let (held_at, over) = (230_000, 6_000_000);
+    let ok = || Completion { result: RESULT.to_vec(), ..Completion::new(Outcome::Ok) };
+    type End = fn(&mut Core, Micros, AttemptId, Completion);
+    let ends: [(End, Option<Reply>); 4] = [
+        (|core, now, attempt, ok| core.attempt_ended(now, attempt, ok), Some(Reply::Served(RESULT.to_vec()))),
+        (
+            |core, now, attempt, _| core.attempt_ended(now, attempt, Completion::new(Outcome::Broken)),
+            Some(Reply::Failed),
+        ),
+        (|core, now, _, _| core.wake(now + 6_000_000), Some(Reply::Failed)),
+        (|core, now, _, _| core.client_disconnected(now, ClientId(1)), None),
+    ];
+    for (end, reply) in ends {
+        let mut simulation = Simulation::new(1);
+        let (call, now) = (simulation.random_call(), simulation.now);
+        let durations = Rc::default();
+        let module = Box::new(DurationRecorder(Rc::clone(&durations)));
+        let mut core = Core::new(module, simulation.core_config.clone(), now);
+        core.update_engines(now, &list(1, 0, 1), true);
+        let attempt = AttemptId(call.id, 0);
+        core.submit(now, ClientId(1), 1, Call { wait: 5_000_000, ..call });
+        core.attempt_written(now + 200_000, attempt);
+        core.result_held(now + held_at, attempt, Completion::new(Outcome::Ok));
+        assert_eq!(*durations.borrow(), [30_000]);
+        assert!(core.is_outstanding(attempt) && core.open_requests() == 1);
+        end(&mut core, now + 2 * held_at, attempt, ok());
+        core.wake(now + 2 * over);
+        assert_eq!(*durations.borrow(), [30_000], "the module is told the end once");
+        let effects: Vec<_> = std::iter::from_fn(|| core.next_effect()).collect();
+        let answers = effects.iter().filter_map(|effect| match effect {
+            Effect::Answer(_, _, reply) => Some(reply.clone()),
+            _ => None,
+        });
+        assert_eq!(answers.collect::<Vec<_>>(), Vec::from_iter(reply));
+        assert_eq!(core.entry_counts()[..3], [0; 3]);
+    }
+}
+
 /// A list of `count` engines whose names and addresses are numbered from `from`.
 fn list(number: u32, from: u64, count: u64) -> List {
     let address = |n: u64| format!("10.0.{}.{}:4100", n / 250 % 250, n % 250 + 1);
--- a/crates/platform/tests/link.rs
+++ b/crates/platform/tests/link.rs
@@ -3,7 +3,7 @@
 
 use violetward::{EngineId, Outcome, RequestId};
 use violetward_platform::core::{AttemptId, Completion, Launch};
-use violetward_platform::link::{EngineEvent, Link};
+use violetward_platform::link::{EngineEvent, Link, ResultSize};
 use violetward_resp::write_array;
 
 /// The request id of the tests as it is encoded.
@@ -73,7 +73,13 @@
 #[test]
 fn pages_are_accepted_in_any_order_and_more_than_once() {
     let mut link = link_with_attempt();
-    let (out, _) = feed(&mut link, &answer("ok", "batches=3", "a\tb\t0\n")).unwrap();
+    let (out, events) = feed(&mut link, &answer("ok", "batches=3", "a\tb\t0\n")).unwrap();
+    let [EngineEvent::ResultBegun(attempt, size, _)] = events[..] else { panic!("{events:?}") };
+    assert_eq!(size, ResultSize { first_page: 6, rest_max: 12_000 });
+    // The further pages are requested when there is room for them, each once.
+    assert!(out.is_empty());
+    let mut out = Vec::new();
+    (0..2).for_each(|_| link.request_pages(attempt, &mut out));
     let more = |page: &[u8]| encode(&[b"more", REQUEST_ID_TEXT.as_bytes(), page]);
     assert_eq!(out, [more(b"1"), more(b"2")].concat());
     for (page, body) in [("batch=2", "a\tb\t2\n"), ("batch=2", "a\tb\t9\n")] {
