serve: replies, notebook messages and zone answers are written at the reader's pace

A page had `stream-idle` (30 s) for its whole write, however steadily the client read, and so had a notebook's message and a zone transfer; a notebook client with 512 waiting replies was disconnected although it read.

Change: write_all counts the time without progress. A notebook connection with 512 waiting messages is not read on; iopub still drops for slow subscribers, as ZeroMQ does.

Measured: found by reading. The net test a_write_lasts_as_long_as_its_peer_reads covers write_all; the notebook's queue has no test of its own.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -140,12 +140,11 @@
         }
     }
 
-    /// Writes a reply. Returns whether the client has taken it in time.
+    /// Writes a reply at the pace of the client. Returns whether the client has taken it whole.
     async fn send(&self, connection: &mut Connection, reply: Reply, keep_alive: bool) -> bool {
         let mut out = Vec::with_capacity(reply.body.len() + 256);
         http::write_response(&mut out, reply.status, &reply.headers, &reply.body, keep_alive);
-        let sent = timeout(self.host.config.host.stream_idle_timeout, connection.write(&out)).await;
-        matches!(sent, Some(Ok(())))
+        connection.write_to_reader(&out, self.host.config.host.stream_idle_timeout).await.is_ok()
     }
 
     /// Answers a request that another gateway has forwarded.
--- a/crates/gateway/src/notebook.rs
+++ b/crates/gateway/src/notebook.rs
@@ -8,7 +8,8 @@
 
 use async_channel::{Receiver, Sender};
 use async_io::Async;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use event_listener::Event;
+use futures_lite::{future, AsyncReadExt};
 use serde_json::{json, Value};
 use violetward_kernel::kernel::{self, CellEnd, Channel, Kernel, Out, Table};
 use violetward_kernel::message::Signer;
@@ -25,7 +26,7 @@
 
 /// Maximum number of messages queued for an iopub subscriber; further ones are dropped for this subscriber.
 const MAX_QUEUED_IOPUB: usize = 512;
-/// Maximum number of replies queued for a client; a client that exceeds it is disconnected.
+/// Number of messages queued for a connection from which on no more of its messages are read.
 const MAX_QUEUED_REPLIES: usize = 512;
 /// Maximum number of notebook sessions that carry state from one cell to the next.
 const MAX_CARRIED_SESSIONS: usize = 65_536;
@@ -147,13 +148,15 @@
         socket: Socket,
         channel: Option<Channel>,
     ) -> Result<(), String> {
-        stream.get_ref().set_nodelay(true).ok();
-        let (sender, outgoing) = async_channel::bounded(MAX_QUEUED_REPLIES.max(MAX_QUEUED_IOPUB));
+        violetward_net::set_stream_options(stream.get_ref());
+        // The number of queued messages does not tell whether the client reads; the writer does. A client
+        // whose replies pile up is not read from, so that the queue is bounded by the cells that are open.
+        let (sender, outgoing) = async_channel::unbounded();
         sender.try_send([zmtp::greeting(), zmtp::ready(socket)].concat()).ok();
-        let stream = Rc::new(stream);
+        let (stream, written) = (Rc::new(stream), Event::new());
         future::or(
-            write(stream.clone(), outgoing, self.host.config.host.stream_idle_timeout),
-            self.read(connection, stream, socket, channel, sender),
+            write(&stream, outgoing, self.host.config.host.stream_idle_timeout, &written),
+            self.read(connection, &stream, socket, channel, sender, &written),
         )
         .await
     }
@@ -162,17 +165,19 @@
     async fn read(
         self: &Rc<Self>,
         connection: u64,
-        stream: Rc<Async<TcpStream>>,
+        stream: &Async<TcpStream>,
         socket: Socket,
         channel: Option<Channel>,
         sender: Peer,
+        written: &Event,
     ) -> Result<(), String> {
         let mut reader = Reader::new(socket, Limits::default());
         let mut chunk = vec![0; READ_CHUNK_BYTES];
         let mut ready = false;
         loop {
+            wait_for_room(&sender, written).await;
             let within = self.host.config.host.request_timeout;
-            let read = async { (&*stream).read(&mut chunk).await };
+            let read = async { (&mut &*stream).read(&mut chunk).await };
             // The handshake is limited in time; after it, a peer may stay silent.
             let read = if ready { Some(read.await) } else { timeout(within, read).await };
             let size = read.ok_or("no handshake in time")?.map_err(|e| e.to_string())?;
@@ -192,7 +197,7 @@
                         }
                     }
                     Got::Message(parts) if socket == Socket::Rep => {
-                        sender.try_send(zmtp::message(&parts)).map_err(|_| "too many unsent heartbeats")?;
+                        sender.try_send(zmtp::message(&parts)).ok();
                     }
                     Got::Message(parts) => {
                         if let Some(channel) = channel {
@@ -213,7 +218,7 @@
                         }
                     }
                     Got::Ping(context) => {
-                        sender.try_send(zmtp::pong(&context)).map_err(|_| "too many unsent pongs")?;
+                        sender.try_send(zmtp::pong(&context)).ok();
                     }
                 }
             }
@@ -249,13 +254,9 @@
                     let Some((connection, return_path)) = identities.split_first() else { continue };
                     let connection = u64::from_be_bytes(connection.as_slice().try_into().unwrap_or_default());
                     let bytes = zmtp::message(&self.write(return_path, &parent, kind, &content));
-                    let queue_full =
-                        self.clients.borrow().get(&connection).is_some_and(|c| c.try_send(bytes).is_err());
-                    if queue_full {
-                        // The client does not read its replies. Closing its queue ends the connection.
-                        if let Some(client) = self.clients.borrow_mut().remove(&connection) {
-                            client.close();
-                        }
+                    if let Some(client) = self.clients.borrow().get(&connection) {
+                        // Fails only if the connection is about to end.
+                        client.try_send(bytes).ok();
                     }
                 }
                 Out::Publish { parent, kind, content } => self.publish(&parent, kind, &content),
@@ -298,7 +299,7 @@
         let bytes = zmtp::message(&self.write(std::slice::from_ref(&topic), parent, kind, content));
         for (prefixes, peer) in self.subscribers.borrow().values() {
             let wanted = prefixes.iter().any(|p| topic.starts_with(p));
-            if wanted && peer.try_send(bytes.clone()).is_err() {
+            if wanted && (peer.len() >= MAX_QUEUED_IOPUB || peer.try_send(bytes.clone()).is_err()) {
                 self.dropped.set(self.dropped.get() + 1);
             }
         }
@@ -402,17 +403,29 @@
     }
 }
 
-/// Writes queued messages to the connection until it ends.
+/// Writes queued messages to the connection until it ends, and notifies `written` after each.
 async fn write(
-    stream: Rc<Async<TcpStream>>,
+    stream: &Async<TcpStream>,
     outgoing: Receiver<Vec<u8>>,
-    within: std::time::Duration,
+    max_stall: std::time::Duration,
+    written: &Event,
 ) -> Result<(), String> {
     while let Ok(bytes) = outgoing.recv().await {
-        let sent = timeout(within, async { (&*stream).write_all(&bytes).await }).await;
-        sent.ok_or("messages not read in time")?.map_err(|e| e.to_string())?;
+        violetward_net::write_all(stream, &bytes, max_stall).await.map_err(|e| e.to_string())?;
+        written.notify(1);
+    }
+    Ok(())
+}
+
+/// Waits until few enough messages are queued for a connection to read from it again.
+async fn wait_for_room(queue: &Peer, written: &Event) {
+    loop {
+        let message_written = written.listen();
+        if queue.len() < MAX_QUEUED_REPLIES {
+            return;
+        }
+        message_written.await;
     }
-    Err("too many unread replies".into())
 }
 
 /// Adds a page to a cell's table, which keeps at most `max_rows` rows.
--- a/crates/gateway/src/zone_server.rs
+++ b/crates/gateway/src/zone_server.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::AsyncReadExt;
 use violetward_dns::message::Stream;
 use violetward_net::{sleep, timeout};
 
@@ -101,7 +101,7 @@
             while let Some(message) = stream.next_message() {
                 for answer in self.handle(&message, true) {
                     let Some(framed) = Stream::frame(&answer) else { return };
-                    if !matches!(timeout(idle, socket.write_all(&framed)).await, Some(Ok(()))) {
+                    if violetward_net::write_all(&socket, &framed, idle).await.is_err() {
                         return;
                     }
                 }
