Platform: the end of a cancelled result makes room for those that wait

What callers would have seen: with results of one client on their way that are given up, those that wait behind them were collected by chance only, at the next answer or write, else failed at their deadline.

Cause: Engines::cancel gave the room back and nothing used it. Change: it asks for the next results. A result that waits also has all of its request's time, not that of its attempt, since no other attempt follows.

Test: a_waiting_result_is_collected_when_those_before_it_are_cancelled failed before (no page of the two that wait was asked for).

--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -438,6 +438,9 @@
         let took = self.now.saturating_sub(attempt.sent);
         if let Some(open) = self.open.get_mut(&id.0) {
             open.is_concluded = true;
+            // No other attempt will serve the request, so that this one has all of its time.
+            self.timers.cancel(attempt.timer);
+            attempt.timer = self.timers.schedule(tick(open.deadline), Timer::Attempt(id));
         }
         self.notify_module(end_event(id, completion, took, true));
     }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -480,6 +480,8 @@
         }
         connection.idle_since.set(Instant::now());
         self.send_queued(host, &engine);
+        // What it had requested or held is room for other results.
+        host.request_results();
     }
 
     /// Requests the further pages of the result of an attempt.
--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -147,13 +147,22 @@
     /// Consumes the pending events, until none comes for [`QUIET_PERIOD`], and returns the request ids of the
     /// `fetch` commands among them.
     pub fn collect_fetches(&self) -> Vec<String> {
+        self.collect("fetch")
+    }
+
+    /// Like [`ScriptedEngine::collect_fetches`], for the `more` commands.
+    pub fn collect_more(&self) -> Vec<String> {
+        self.collect("more")
+    }
+
+    fn collect(&self, word: &str) -> Vec<String> {
         // Commands that the gateway wrote before it answered its client may not have reached the reader yet.
         let events = std::iter::from_fn(|| self.events.recv_timeout(QUIET_PERIOD).ok());
-        let fetched_id = |event| match event {
-            ConnectionEvent::Command(_, words) if words[0] == "fetch" => Some(words[1].clone()),
+        let request_id = |event| match event {
+            ConnectionEvent::Command(_, words) if words[0] == word => Some(words[1].clone()),
             _ => None,
         };
-        events.filter_map(fetched_id).collect()
+        events.filter_map(request_id).collect()
     }
 
     /// Waits until the gateway has closed a connection.
--- a/crates/platform/tests/slow_readers.rs
+++ b/crates/platform/tests/slow_readers.rs
@@ -226,3 +226,32 @@
     });
     reader.join().unwrap();
 }
+
+/// Guards against results that wait for good behind those that are no longer wanted: the end of one makes room.
+#[test]
+fn a_waiting_result_is_collected_when_those_before_it_are_cancelled() {
+    /// As many results as may be on their way to a client, and two more.
+    const REQUESTS: u64 = 6;
+    const REQUESTED: u64 = 4;
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    let mut client = connect(&gateway);
+    // An engine runs more of this class at a time.
+    client.send_burst((1..=REQUESTS).map(request_id), "look", 2_500);
+    let fields = format!("batches={PAGES},cpu=20.5,used=64.0,l=util:0.25");
+    // All are served, and the engine sends no further page.
+    let fetches: Vec<_> = (0..REQUESTS).map(|_| engine.wait_for_command("fetch")).collect();
+    for (connection, words) in &fetches {
+        engine.send_answer(*connection, [&words[1], "ok", &fields, &large_page(&words[1])]);
+    }
+    let mut requested: Vec<String> = Vec::new();
+    while requested.len() < REQUESTED as usize * (PAGES - 1) {
+        requested.push(engine.wait_for_command("more").1[1].clone());
+    }
+    let (requested, waiting): (Vec<u64>, Vec<u64>) =
+        (1..=REQUESTS).partition(|n| requested.contains(&request_id(*n)));
+    assert_eq!(waiting.len() as u64, REQUESTS - REQUESTED, "{requested:?} were asked for");
+    requested.iter().for_each(|&n| client.cancel(n as i32));
+    let asked_for = engine.collect_more();
+    assert!(waiting.iter().all(|&n| asked_for.contains(&request_id(n))), "{waiting:?} wait, {asked_for:?}");
+}
