--- a/crates/gateway/tests/program/mod.rs
+++ b/crates/gateway/tests/program/mod.rs
@@ -77,3 +77,10 @@
 pub fn send_signal(child: &Child, signal: Signal) {
     kill_process(Pid::from_child(child), signal).unwrap();
 }
+
+/// The highest resident memory that a process has had so far, in megabytes.
+pub fn peak_memory_mb(child: &Child) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+    let kilobytes = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+    kilobytes.and_then(|number| number.trim().parse::<f64>().ok()).expect("a peak") / 1024.0
+}
