Codecs: a decoder that waits for the rest of a message holds no more than was received

Measured: the two new tests fail with the former code for the rest (21,003 bytes are kept for 3 that wait in the Thrift decoder) and pass with this.

--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -109,6 +109,13 @@
         self.partial.is_none() && self.consumed == self.buffer.len()
     }
 
+    /// The memory that it has allocated, in bytes: at most about twice what has been received of an array that
+    /// is not complete, once [`Reader::next_array`] has returned `None`.
+    pub fn allocated_bytes(&self) -> usize {
+        let strings = self.partial.iter().flat_map(|array| &array.strings);
+        self.buffer.capacity() + strings.map(Vec::capacity).sum::<usize>()
+    }
+
     /// The next complete array; `None` until more bytes are received.
     ///
     /// # Errors
@@ -122,12 +129,10 @@
             (self.buffer, self.consumed, self.partial) = (Vec::new(), 0, None);
             self.error = Some(error);
         } else if matches!(result, Ok(None)) {
-            // Only part of a string is left. The buffer of an idle connection is freed.
-            if self.consumed == self.buffer.len() {
-                (self.buffer, self.consumed) = (Vec::new(), 0);
-            } else if self.consumed > 0 {
-                self.buffer.drain(..self.consumed);
-                self.consumed = 0;
+            // Only part of a string is left, or nothing. The rest of the buffer is freed: many connections may
+            // wait for the rest of an array.
+            if self.consumed > 0 {
+                (self.buffer, self.consumed) = (self.buffer[self.consumed..].to_vec(), 0);
             }
         }
         result
--- a/crates/resp/tests/reader.rs
+++ b/crates/resp/tests/reader.rs
@@ -79,3 +79,22 @@
     reader.feed(&bytes);
     assert_eq!(read_all(&mut reader), Err(RespError::TooLarge));
 }
+
+/// Guards against buffers that keep the size of a large read while the rest of an array is awaited.
+#[test]
+fn the_buffer_of_an_incomplete_array_is_at_most_about_twice_what_was_received() {
+    const SMALL_ALLOCATION_BYTES: usize = 64;
+    let mut array = Vec::new();
+    write_array(&mut array, &[b"0123456789abcdef", b"ok", &[b'x'; 6_000]]);
+    let mut reader = Reader::new(Limits::default());
+    reader.feed(&array.repeat(10));
+    reader.feed(&array[..40]);
+    while reader.next_array().unwrap().is_some() {}
+    let mut received = 40;
+    for chunk in array[40..array.len() - 1].chunks(100) {
+        assert!(reader.allocated_bytes() <= 2 * received + SMALL_ALLOCATION_BYTES, "for {received} bytes");
+        reader.feed(chunk);
+        received += chunk.len();
+        assert_eq!(reader.next_array(), Ok(None));
+    }
+}
--- a/crates/thrift/src/lib.rs
+++ b/crates/thrift/src/lib.rs
@@ -99,9 +99,29 @@
     /// Adds received bytes. To bound the memory used, call [`FrameDecoder::next_frame`] until it returns
     /// `None` before adding more.
     pub fn feed(&mut self, bytes: &[u8]) {
+        let needed = self.buffer.len() + bytes.len();
+        if needed > self.buffer.capacity() {
+            // Doubles as a vector does, but not beyond the frame that is being received.
+            let capacity = needed.max((2 * self.buffer.len()).min(self.awaited_bytes()));
+            self.buffer.reserve_exact(capacity - self.buffer.len());
+        }
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// The size of the frame at the start of the buffer with its length; 0 if the length has not been received
+    /// or exceeds the limit.
+    fn awaited_bytes(&self) -> usize {
+        let length = self.buffer.first_chunk::<LENGTH_BYTES>();
+        let size = length.and_then(|&length| usize::try_from(i32::from_be_bytes(length)).ok());
+        size.filter(|&size| size <= self.max_frame_bytes).map_or(0, |size| LENGTH_BYTES + size)
+    }
+
+    /// The memory that it has allocated, in bytes: at most twice what has been received and not returned, once
+    /// [`FrameDecoder::next_frame`] has returned `None`.
+    pub fn allocated_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Whether part of a frame has been received that has not been returned.
     pub fn has_partial_frame(&self) -> bool {
         self.consumed < self.buffer.len()
@@ -126,12 +146,10 @@
                 return Ok(Some(frame));
             }
         }
-        // Only part of a frame is left. The buffer of an idle connection is freed.
-        if self.consumed == self.buffer.len() {
-            (self.buffer, self.consumed) = (Vec::new(), 0);
-        } else if self.consumed > 0 {
-            self.buffer.drain(..self.consumed);
-            self.consumed = 0;
+        // Only part of a frame is left, or nothing. The rest of the buffer is freed: many connections may wait
+        // for the rest of a frame.
+        if self.consumed > 0 {
+            (self.buffer, self.consumed) = (self.buffer[self.consumed..].to_vec(), 0);
         }
         Ok(None)
     }
--- a/crates/thrift/tests/messages.rs
+++ b/crates/thrift/tests/messages.rs
@@ -153,3 +153,27 @@
     assert_eq!(Cursor::new(&[12, 0, 1].repeat(100)).skip(12), Err(ThriftError::NestedTooDeep));
     assert_eq!(Cursor::new(&[0, 0, 0, 5, 0, 0, 0, 1]).message_header(), Err(ThriftError::UnsupportedVersion));
 }
+
+/// Guards against buffers that keep the size of a large read while a small rest is awaited, and against such
+/// that grow beyond the frame that is received.
+#[test]
+fn the_buffer_of_an_incomplete_frame_is_at_most_twice_what_was_received() {
+    const MAX_FRAME_BYTES: usize = 64 << 10;
+    let whole = Writer::message("alive", MessageType::Call, 1).into_frame();
+    let frame = [&(MAX_FRAME_BYTES as i32).to_be_bytes()[..], &vec![0; MAX_FRAME_BYTES - 1]].concat();
+    for chunk_bytes in [1, 100, 4_000, 40_000] {
+        let mut decoder = FrameDecoder::new(MAX_FRAME_BYTES);
+        decoder.feed(&whole.repeat(1_000));
+        decoder.feed(&frame[..3]);
+        while decoder.next_frame().unwrap().is_some() {}
+        let mut received = 3;
+        assert!(decoder.allocated_bytes() <= 2 * received, "{} bytes", decoder.allocated_bytes());
+        for chunk in frame[3..].chunks(chunk_bytes) {
+            decoder.feed(chunk);
+            received += chunk.len();
+            assert_eq!(decoder.next_frame(), Ok(None));
+            let allocated = decoder.allocated_bytes();
+            assert!(allocated <= (2 * received).min(frame.len() + 1), "{allocated} bytes for {received}");
+        }
+    }
+}
