Platform: what is held for peers has one bound over the process

Cause: every buffer was bounded for one connection and the sum was left to chance: 584 connections times a frame of 64 KiB, doubled by the vector, is more than 32 MB. Only idle connections made room for new ones, and a connection with half a request was not idle, so calm clients went first.

Change: package violetward-overload, without I/O and clock: a ledger of what is allocated for unfinished requests, answers, engines and connections, with one limit of three eighths of the memory (statements have an eighth as before), and the order in which peers make room. Who has sent nothing of use goes first, who takes most goes before others, whoever is owed an answer keeps its connection and gets it. Connections that sent nothing of use also make room for new ones first. Frames of one connection are handled 32 in a turn, so that many in one read wait for others. The status line tells the ledger, each dropped request is logged.

--- a/crates/net/src/duplex.rs
+++ b/crates/net/src/duplex.rs
@@ -9,18 +9,21 @@
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::future;
+use violetward_overload::Charge;
 
 use crate::SocketErrorKind;
 
 /// Bytes that [`Duplex::finish`] discards at most. A peer that sends more is disconnected.
 const MAX_DISCARDED_BYTES: usize = 256 << 10;
+/// A full buffer grows by its size divided by this.
+const GROWTH_DIVISOR: usize = 8;
 
 /// A socket whose writes never wait: bytes that the kernel does not accept at once are buffered until
 /// [`Duplex::run_writer`] writes them.
 ///
 /// The buffer has no limit of its own, since the number of buffered bytes does not tell a peer that does not
-/// read from one that has asked for much. [`Duplex::stalled_since`] does. The owner bounds the bytes of all
-/// its connections together.
+/// read from one that has asked for much. [`Duplex::stalled_since`] does. The owner bounds the memory of all
+/// its connections together, by the [`Charge`] that the buffer's memory is counted in.
 ///
 /// [`Duplex::close`] followed by [`Duplex::finish`] shuts the connection down in order: buffered bytes are
 /// still sent, and bytes that the peer sends meanwhile are discarded, so that no reset overtakes the last
@@ -30,6 +33,8 @@
 pub struct Duplex {
     socket: Async<TcpStream>,
     unsent: RefCell<VecDeque<u8>>,
+    /// Counts the memory of `unsent`.
+    charge: Charge,
     /// Notified when bytes have been added to `unsent`.
     unsent_added: Event,
     /// Notified when the last byte of `unsent` was written, and when the connection is closed.
@@ -50,13 +55,23 @@
     Aborted,
 }
 
+/// Makes room for more bytes. Grows by less than a vector does: what is allocated counts.
+fn reserve(buffer: &mut VecDeque<u8>, additional: usize) {
+    let (needed, capacity) = (buffer.len() + additional, buffer.capacity());
+    if needed > capacity {
+        let grown = needed.max(capacity + capacity / GROWTH_DIVISOR);
+        buffer.reserve_exact(grown - buffer.len());
+    }
+}
+
 impl Duplex {
-    /// Wraps a socket.
-    pub fn new(socket: Async<TcpStream>) -> Self {
+    /// Wraps a socket. The memory of buffered bytes is counted in `charge`.
+    pub fn new(socket: Async<TcpStream>, charge: Charge) -> Self {
         crate::set_stream_options(socket.get_ref());
         Duplex {
             socket,
             unsent: RefCell::default(),
+            charge,
             unsent_added: Event::new(),
             all_sent: Event::new(),
             state: Cell::new(State::Open),
@@ -89,7 +104,9 @@
             if unsent.is_empty() {
                 self.last_progress.set(Instant::now());
             }
+            reserve(&mut unsent, rest.len());
             unsent.extend(rest);
+            self.charge.set(unsent.capacity());
             self.unsent_added.notify(1);
         }
         true
@@ -192,7 +209,11 @@
         if unsent.is_empty() {
             *unsent = VecDeque::new();
             self.all_sent.notify(usize::MAX);
+        } else if unsent.len() < unsent.capacity() / 4 {
+            let twice = 2 * unsent.len();
+            unsent.shrink_to(twice);
         }
+        self.charge.set(unsent.capacity());
         Ok(())
     }
 
@@ -227,6 +248,7 @@
     pub fn abort(&self) {
         self.state.set(State::Aborted);
         self.unsent.take();
+        self.charge.set(0);
         self.closed.notify(usize::MAX);
         self.all_sent.notify(usize::MAX);
         self.socket.get_ref().shutdown(Shutdown::Both).ok();
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -2,13 +2,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_io::Async;
 use violetward_net::Duplex;
-use violetward_thrift::{FrameDecoder, MessageHeader, MessageType, Writer};
+use violetward_overload::{shed_order, Charge, Holding, MemoryLedger, PeerState, ShedOrder};
+use violetward_thrift::{FrameDecoder, MessageHeader, MessageType, ThriftError, Writer};
 
 use crate::core::{ClientId, Reply};
+use crate::front;
 use crate::host::Host;
 
 /// Time-out for the first frame of a connection, and for receiving any frame completely. Misbehaving clients
@@ -21,6 +24,8 @@
 /// Bytes of answers without a result that may wait for a client while its requests are still read: far more
 /// than those to all requests that one connection may have open.
 const SHORT_ANSWERS_MAX_BYTES: usize = 64 << 10;
+/// About the memory of a connection without what is buffered for it: its state and its task.
+const CONNECTION_BYTES: usize = 4 << 10;
 
 /// Why a client connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,23 +44,43 @@
     Unread,
     /// It was closed to make room for a new connection.
     Evicted,
+    /// It was closed, or is no longer read, to make room in the memory for others.
+    MemoryShort,
     /// The gateway is draining, and the connection had no open requests.
     Drained,
 }
 
+/// What is done with the frames that were received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Handling {
+    /// All complete ones have been handled.
+    Done,
+    /// The next ones wait until the client has taken its answers.
+    Paused,
+    /// The next ones are handled in the next turn of the event loop.
+    Active,
+}
+
 /// A client connection.
 pub struct Client {
     /// The connection's id.
     pub id: ClientId,
     /// The socket.
     pub duplex: Duplex,
-    /// The decoder of incoming frames.
-    pub frames: RefCell<FrameDecoder>,
+    /// The decoder of incoming frames; `None` once no more requests are read.
+    frames: RefCell<Option<FrameDecoder>>,
+    /// Counts the memory of `frames`.
+    input_charge: Charge,
+    /// Counts the memory of the connection itself; held until it is dropped.
+    _connection_charge: Charge,
     opened: Instant,
+    handling: Cell<Handling>,
     /// Since when the last frame has been incomplete.
     frame_since: Cell<Option<Instant>>,
     /// When the last frame was received or the last answer sent; `None` before the first frame.
     last_used: Cell<Option<Instant>>,
+    /// It has sent a request that could be used.
+    has_sent_request: Cell<bool>,
     /// Why this side ended the connection, once it has.
     end_reason: Cell<Option<EndReason>>,
     /// Bytes of answers without a result since the last time when none were waiting.
@@ -81,26 +106,100 @@
 }
 
 impl Client {
-    /// Wraps the socket of a new connection; frames may have up to `frame_max_bytes`.
-    pub fn new(id: ClientId, socket: Async<TcpStream>, frame_max_bytes: usize) -> Self {
+    /// Wraps the socket of a new connection; frames may have up to `frame_max_bytes`. What is held for it is
+    /// charged to `memory`.
+    pub fn new(
+        id: ClientId,
+        socket: Async<TcpStream>,
+        frame_max_bytes: usize,
+        memory: &Rc<MemoryLedger>,
+    ) -> Self {
+        let connection_charge = memory.charge(Holding::Connections);
+        connection_charge.set(CONNECTION_BYTES);
         Client {
             id,
-            duplex: Duplex::new(socket),
-            frames: RefCell::new(FrameDecoder::new(frame_max_bytes)),
+            duplex: Duplex::new(socket, memory.charge(Holding::Answers)),
+            frames: RefCell::new(Some(FrameDecoder::new(frame_max_bytes))),
+            input_charge: memory.charge(Holding::Input),
+            _connection_charge: connection_charge,
             opened: Instant::now(),
+            handling: Cell::new(Handling::Done),
             frame_since: Cell::new(None),
             last_used: Cell::new(None),
+            has_sent_request: Cell::new(false),
             end_reason: Cell::new(None),
             short_answer_bytes: Cell::new(0),
         }
     }
 
+    /// Takes received bytes in; drops them if no more requests are read.
+    pub fn receive(&self, bytes: &[u8]) {
+        if let Some(frames) = &mut *self.frames.borrow_mut() {
+            frames.feed(bytes);
+            self.input_charge.set(frames.allocated_bytes());
+        }
+    }
+
+    /// The next complete frame that was received; `None` until more bytes are received.
+    ///
+    /// # Errors
+    /// If the length of the frame is not allowed.
+    pub fn next_frame(&self) -> Result<Option<Vec<u8>>, ThriftError> {
+        let mut frames = self.frames.borrow_mut();
+        let Some(decoder) = &mut *frames else { return Ok(None) };
+        let frame = decoder.next_frame();
+        self.input_charge.set(decoder.allocated_bytes());
+        frame
+    }
+
+    /// Reads no more requests, and frees what was received of the next one. Whatever still comes is dropped.
+    fn end_input(&self) {
+        self.frames.take();
+        self.input_charge.set(0);
+    }
+
     /// Starts an orderly close.
     pub fn close(&self, reason: EndReason) {
         self.end_reason.set(self.end_reason.get().or(Some(reason)));
+        self.end_input();
         self.duplex.close();
     }
 
+    /// Frees the memory of an unfinished request. Answers that are owed are still sent; the connection is closed
+    /// behind the last one, since what follows the unfinished request can't be read.
+    pub fn shed(&self, host: &Host) {
+        self.end_input();
+        self.end_reason.set(self.end_reason.get().or(Some(EndReason::MemoryShort)));
+        if !self.is_owed_answers(host) {
+            self.close(EndReason::MemoryShort);
+        }
+    }
+
+    /// Whether answers to requests that were received are still to be sent, or to be taken by the client.
+    fn is_owed_answers(&self, host: &Host) -> bool {
+        self.handling.get() != Handling::Done
+            || self.duplex.unsent_bytes() > 0
+            || host.read_core(|core| core.open_requests_of(self.id)) > 0
+    }
+
+    /// The memory of an unfinished request, in bytes.
+    pub fn input_bytes(&self) -> usize {
+        self.input_charge.bytes()
+    }
+
+    /// Its place among the clients that make room when memory is short; the least goes first. Those whose
+    /// complete frames are being handled come last.
+    pub fn shed_order(&self, host: &Host, now: Instant) -> (bool, ShedOrder) {
+        let since = self.frame_since.get();
+        let order = shed_order(&PeerState {
+            has_sent_request: self.has_sent_request.get(),
+            open_requests: host.read_core(|core| core.open_requests_of(self.id)),
+            unfinished_bytes: self.input_bytes(),
+            unfinished_for: since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since)),
+        });
+        (self.handling.get() == Handling::Active, order)
+    }
+
     /// Closes the connection at once because the client does not read its answers.
     fn abort_unread(&self, stalled: Duration) {
         tracing::debug!(
@@ -110,6 +209,7 @@
             "answers are not read"
         );
         self.end_reason.set(self.end_reason.get().or(Some(EndReason::Unread)));
+        self.end_input();
         self.duplex.abort();
     }
 
@@ -147,12 +247,15 @@
     }
 
     /// Waits until the client has taken enough of its answers for its next requests to be read. Results do not
-    /// count: they are requested from engines at the pace of the client. `memory_is_short`: the answers that
-    /// wait for all clients have reached their limit.
-    pub async fn wait_until_read(&self, memory_is_short: impl Fn() -> bool) {
+    /// count: they are requested from engines at the pace of the client. When the answers that wait for all
+    /// clients have reached their limit, it has to take all of them.
+    pub async fn wait_until_read(&self, host: &Host) {
         let waiting = self.short_answer_bytes.get();
+        let memory_is_short = || front::unread_bytes(host) > host.config.limits.buffer_max_bytes();
         if waiting > SHORT_ANSWERS_MAX_BYTES || (waiting > 0 && memory_is_short()) {
+            let handling = self.handling.replace(self.handling.get().min(Handling::Paused));
             self.duplex.wait_all_sent().await;
+            self.handling.set(handling);
             self.short_answer_bytes.set(0);
             // The rest of a frame was not read meanwhile.
             self.frame_since.set(self.frame_since.get().map(|_| Instant::now()));
@@ -179,6 +282,16 @@
         self.send_short(&writer.into_frame());
     }
 
+    /// Notes that complete frames of a read may be left to be handled.
+    pub fn begin_handling(&self) {
+        self.handling.set(Handling::Active);
+    }
+
+    /// Notes that a request was received that can be used.
+    pub fn note_request(&self) {
+        self.has_sent_request.set(true);
+    }
+
     /// Notes that a complete frame was received.
     pub fn note_frame(&self) {
         self.last_used.set(Some(Instant::now()));
@@ -188,7 +301,8 @@
 
     /// Notes that all complete frames of a read have been handled; an incomplete one may be left.
     pub fn note_read(&self) {
-        let incomplete = self.frames.borrow().has_partial_frame();
+        self.handling.set(Handling::Done);
+        let incomplete = self.frames.borrow().as_ref().is_some_and(FrameDecoder::has_partial_frame);
         self.frame_since.set(incomplete.then(|| self.frame_since.get().unwrap_or_else(Instant::now)));
     }
 
@@ -210,10 +324,12 @@
         };
         // Open requests are still answered, by their deadlines at the latest. A connection on which unread
         // bytes have arrived is not idle either: the reader will handle them.
-        if host.read_core(|core| core.open_requests_of(self.id)) > 0 {
+        if self.is_owed_answers(host) {
             return;
         }
-        if stalled {
+        if self.frames.borrow().is_none() {
+            self.close(EndReason::MemoryShort);
+        } else if stalled {
             self.close(EndReason::IncompleteFrame);
         } else if idle && self.duplex.is_idle() {
             self.close(idle_reason);
@@ -222,20 +338,21 @@
 
     /// Whether no request is open or incomplete, no answer is unread, and no bytes wait in the socket.
     pub fn is_idle(&self, host: &Host) -> bool {
-        self.seems_idle(host) && self.duplex.is_idle()
+        self.is_evictable(host) && self.frame_since.get().is_none() && self.duplex.is_idle()
     }
 
-    /// Like [`Client::is_idle`], but without the system call that checks the socket for unread bytes.
-    pub fn seems_idle(&self, host: &Host) -> bool {
-        !self.duplex.is_closed()
-            && self.frame_since.get().is_none()
-            && self.duplex.unsent_bytes() == 0
-            && host.read_core(|core| core.open_requests_of(self.id)) == 0
+    /// Whether it is open and no answer is owed. Without a system call: bytes may wait in the socket.
+    pub fn is_evictable(&self, host: &Host) -> bool {
+        !self.duplex.is_closed() && !self.is_owed_answers(host)
     }
 
-    /// The sort key in which idle connections are evicted: first those that never sent a request, then those
-    /// that have been idle for longest.
-    pub fn eviction_order(&self) -> (bool, Instant) {
-        (self.last_used.get().is_some(), self.last_used.get().unwrap_or(self.opened))
+    /// The sort key in which connections without open requests are closed to make room for a new one: first those
+    /// that have not sent a request that could be used, oldest first; then those that have been idle for longest;
+    /// last those that are in the middle of a further request.
+    pub fn eviction_order(&self) -> (bool, bool, Instant) {
+        if !self.has_sent_request.get() {
+            return (false, false, self.opened);
+        }
+        (true, self.frame_since.get().is_some(), self.last_used.get().unwrap_or(self.opened))
     }
 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -145,6 +145,17 @@
     /// Maximum total size of the statements of open requests, and of the answers that clients have not read
     /// yet: an eighth of the memory each.
     pub fn buffer_max_bytes(&self) -> usize {
-        usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20) / 8
+        self.memory_bytes() / 8
+    }
+
+    /// Maximum total size of what is held for clients and engines, statements apart: three eighths of the memory.
+    /// With the eighth for statements that is half of it; the rest is for the program, its state and what an
+    /// allocator loses between buffers of changing sizes.
+    pub fn held_max_bytes(&self) -> usize {
+        self.memory_bytes() / 8 * 3
+    }
+
+    fn memory_bytes(&self) -> usize {
+        usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20)
     }
 }
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -19,6 +19,7 @@
 use futures_lite::future;
 use violetward::{EngineId, Listed, Load, Micros, Outcome};
 use violetward_net::Duplex;
+use violetward_overload::{Charge, Holding};
 use violetward_settings::ConnectionSettings;
 
 use dial::{connect, connect_timeout, dial, DialError};
@@ -86,6 +87,8 @@
     /// `None` until the connection is up.
     duplex: RefCell<Option<Rc<Duplex>>>,
     link: RefCell<Link>,
+    /// Counts the memory of what the engine has sent in part.
+    input_charge: Charge,
     /// When bytes were last received.
     last_heard: Cell<Instant>,
     /// Since when nothing is pending on it.
@@ -620,7 +623,7 @@
     };
     tracing::debug!(engine = %format_args!("{:x}", engine.id.0), ?took, first, "up");
     engine.update_usual_dial_time(took);
-    let duplex = Rc::new(Duplex::new(socket));
+    let duplex = Rc::new(Duplex::new(socket, host.memory.charge(Holding::Engines)));
     *connection.duplex.borrow_mut() = Some(duplex.clone());
     for time in [&connection.last_heard, &connection.up_since, &connection.idle_since, &engine.last_heard] {
         time.set(Instant::now());
@@ -672,6 +675,7 @@
         if read == 0 {
             return;
         }
+        connection.input_charge.set(connection.link.borrow().allocated_bytes());
         connection.last_heard.set(Instant::now());
         engine.last_heard.set(Instant::now());
         connection.send(&out);
--- a/crates/platform/src/engine/dial.rs
+++ b/crates/platform/src/engine/dial.rs
@@ -9,6 +9,7 @@
 use event_listener::Event;
 use futures_lite::future;
 use violetward_net::SocketErrorKind;
+use violetward_overload::Holding;
 
 use super::{run, Connection, Engine, DIALS_MAX};
 use crate::host::Host;
@@ -59,6 +60,7 @@
     let connection = Rc::new(Connection {
         duplex: RefCell::new(None),
         link: RefCell::new(Link::new()),
+        input_charge: host.memory.charge(Holding::Engines),
         last_heard: Cell::new(now),
         idle_since: Cell::new(now),
         retired: Cell::new(false),
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -8,6 +8,7 @@
 use async_io::Async;
 use futures_lite::future;
 use violetward_net::SocketErrorKind;
+use violetward_overload::Holding;
 
 use crate::client::{Client, EndReason};
 use crate::core::{ClientId, Reply};
@@ -90,7 +91,7 @@
         tracing::warn!(%error, "accepting a connection failed");
     }
     if SocketErrorKind::of(error) == SocketErrorKind::ResourceShortage {
-        evict_idle_client(host);
+        evict_client(host);
     }
 }
 
@@ -98,25 +99,28 @@
 fn admit(host: &Rc<Host>, id: ClientId, socket: Async<TcpStream>) {
     let max = host.config.limits.descriptors().clients;
     let full = host.clients.borrow().len() >= max;
-    if full && !evict_idle_client(host) {
+    if full && !evict_client(host) {
         if host.log_quotas.clients.allows(host.clock.now()) {
-            tracing::warn!(max, "client connection rejected: the limit is reached and none is idle");
+            tracing::warn!(
+                max,
+                "client connection rejected: the limit is reached and all have open requests"
+            );
         }
         return;
     }
-    let client = Rc::new(Client::new(id, socket, host.config.limits.frame_max_bytes()));
+    let client = Rc::new(Client::new(id, socket, host.config.limits.frame_max_bytes(), &host.memory));
     host.clients.borrow_mut().insert(id, client.clone());
     host.spawn(serve(host.clone(), client));
 }
 
-/// Closes the idle connection that comes first in the eviction order; false if all are in use.
+/// Closes the connection that comes first in the eviction order; false if all have open requests.
 ///
-/// This runs for every new connection while idle ones use up the descriptors. To keep it cheap, only the
+/// This runs for every new connection while others use up the descriptors. To keep it cheap, only the
 /// chosen connection is checked with a system call, not all of them.
-fn evict_idle_client(host: &Host) -> bool {
+fn evict_client(host: &Host) -> bool {
     let mut candidates: Vec<Rc<Client>> = {
         let clients = host.clients.borrow();
-        clients.values().filter(|client| client.seems_idle(host)).cloned().collect()
+        clients.values().filter(|client| client.is_evictable(host)).cloned().collect()
     };
     while let Some(index) = first_to_evict(&candidates) {
         let client = candidates.swap_remove(index);
@@ -164,16 +168,40 @@
 /// Reads requests until either side ends the connection.
 async fn read_requests(host: &Rc<Host>, client: &Rc<Client>) {
     loop {
-        let read = client.duplex.read(|bytes| client.frames.borrow_mut().feed(bytes)).await;
+        let read = client.duplex.read(|bytes| client.receive(bytes)).await;
         if read.unwrap_or(0) == 0 {
             return;
         }
-        if !requests::handle_frames(host, client) {
+        client.begin_handling();
+        make_room(host);
+        if !requests::handle_received(host, client).await {
             return client.close(EndReason::Violation);
         }
         // A client that sends without pause must not delay others.
         future::yield_now().await;
-        client.wait_until_read(|| unread_bytes(host) > host.config.limits.buffer_max_bytes()).await;
+    }
+}
+
+/// Frees the memory of unfinished requests until what is held for all peers is within its limit.
+fn make_room(host: &Host) {
+    while host.memory.excess() > 0 {
+        let now = Instant::now();
+        let first = {
+            let clients = host.clients.borrow();
+            let holders = clients.values().filter(|client| client.input_bytes() > 0);
+            holders.min_by_key(|client| client.shed_order(host, now)).cloned()
+        };
+        let Some(client) = first else { return };
+        if host.log_quotas.memory.allows(host.clock.now()) {
+            let (bytes, memory) = (client.input_bytes(), &host.memory);
+            tracing::warn!(
+                client = client.id.0,
+                bytes,
+                ?memory,
+                "memory is short: an unfinished request is dropped"
+            );
+        }
+        client.shed(host);
     }
 }
 
@@ -183,9 +211,9 @@
     clients.iter().for_each(|client| client.close_if_timed_out(host, now));
 }
 
-/// Bytes of answers that clients have not read yet.
+/// The memory of answers that clients have not read yet, in bytes.
 pub fn unread_bytes(host: &Host) -> usize {
-    host.clients.borrow().values().map(|client| client.duplex.unsent_bytes()).sum()
+    host.memory.used_for(Holding::Answers)
 }
 
 /// Sends the final answer to a client's request. A result for which there is no memory is answered as failed:
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -10,6 +10,7 @@
 use futures_lite::future;
 use violetward::{EngineId, Listed, Micros};
 use violetward_net::{Alarm, Clock};
+use violetward_overload::MemoryLedger;
 
 use crate::client::Client;
 use crate::closing::ClosingConnections;
@@ -57,6 +58,8 @@
     pub engines: LogQuota,
     /// Messages of the decision module.
     pub module: LogQuota,
+    /// Lines about room that is made in the memory.
+    pub memory: LogQuota,
 }
 
 /// The state that the tasks for clients, engines and the resolver share.
@@ -71,6 +74,8 @@
     pub(crate) clients: RefCell<HashMap<ClientId, Rc<Client>>>,
     /// Connections to engines.
     pub engines: Engines,
+    /// What is held for clients and engines.
+    pub memory: Rc<MemoryLedger>,
     /// Limits on log lines.
     pub log_quotas: LogQuotas,
     alarm: Alarm,
@@ -117,6 +122,7 @@
             engines: Engines::new(config.limits.descriptors().engines, config.connections.clone()),
             closing: ClosingConnections::new(config.limits.descriptors().closing),
             results: RefCell::new(ResultFlow::new(config.limits.buffer_max_bytes())),
+            memory: MemoryLedger::new(config.limits.held_max_bytes()),
             config: Rc::new(config),
             clock,
             core: RefCell::new(core),
@@ -326,7 +332,8 @@
                 last_status = now;
                 let (counts, held) = self.read_core(|core| (core.counts, core.entry_counts()));
                 let (clients, engines) = (self.clients.borrow().len(), self.engines.connection_count());
-                tracing::info!(?counts, ?held, clients, engines, "so far");
+                let memory = &self.memory;
+                tracing::info!(?counts, ?held, clients, engines, ?memory, "so far");
             }
         }
     }
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -114,6 +114,12 @@
         self.pending.len() + self.probes.len()
     }
 
+    /// The memory of messages and results that are not complete, in bytes.
+    pub fn allocated_bytes(&self) -> usize {
+        let partial = self.pending.values().filter_map(|pending| pending.partial.as_ref());
+        self.reader.allocated_bytes() + partial.map(|partial| partial.bytes).sum::<usize>()
+    }
+
     /// Whether an attempt may be requested here. That is not so during or after an earlier attempt at the
     /// same request: answers carry only the request's id, so a late answer to the earlier attempt would be
     /// taken for the new one's.
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use futures_lite::future;
 use violetward::Micros;
 use violetward_thrift::{Cursor, MessageHeader, MessageType, ThriftError};
 
@@ -13,6 +14,8 @@
 
 /// Maximum number of open requests of one connection.
 const OPEN_REQUESTS_MAX: usize = 32;
+/// Maximum number of frames of one connection that are handled in one turn of the event loop.
+const FRAMES_PER_TURN: usize = 32;
 
 /// Codes of Thrift application exceptions.
 const UNKNOWN_METHOD: i32 = 1;
@@ -38,34 +41,54 @@
 }
 
 /// Handles all complete frames that were received on a connection; false if the connection has to be closed.
-pub fn handle_frames(host: &Rc<Host>, client: &Rc<Client>) -> bool {
-    let handled = read_frames(host, client).and_then(|batch| {
-        cancel(host, client, &batch.cancelled);
-        submit(host, client, batch.requests)
-    });
+pub async fn handle_received(host: &Rc<Host>, client: &Rc<Client>) -> bool {
+    let handled = match read_frames(host, client).await {
+        Ok(batch) => {
+            cancel(host, client, &batch.cancelled);
+            submit(host, client, batch.requests)
+        }
+        Err(violation) => Err(violation),
+    };
     if let Err(Violation(why)) = handled {
         if host.log_quotas.clients.allows(host.clock.now()) {
-            tracing::warn!(why, "connection closed");
+            tracing::warn!(client = client.id.0, why, "connection closed");
         }
         return false;
     }
     client.note_read();
+    client.wait_until_read(host).await;
     true
 }
 
-/// Reads all complete frames.
-fn read_frames(host: &Rc<Host>, client: &Rc<Client>) -> Result<Batch, Violation> {
+/// Reads all complete frames, a few in each turn of the event loop: other connections get their turns between
+/// them, however many frames came with one read.
+async fn read_frames(host: &Rc<Host>, client: &Rc<Client>) -> Result<Batch, Violation> {
     let mut batch = Batch::default();
-    while !client.duplex.is_closed() {
-        let frame = client.frames.borrow_mut().next_frame();
-        match frame {
-            Ok(Some(frame)) => handle_frame(host, client, &frame, &mut batch)?,
-            Ok(None) => break,
+    loop {
+        if read_some_frames(host, client, &mut batch)? {
+            return Ok(batch);
+        }
+        future::yield_now().await;
+        client.wait_until_read(host).await;
+    }
+}
+
+/// Reads up to [`FRAMES_PER_TURN`] frames; true if no complete one is left.
+fn read_some_frames(host: &Rc<Host>, client: &Rc<Client>, batch: &mut Batch) -> Result<bool, Violation> {
+    // Some requests may have been answered since the last turn.
+    host.read_core(|core| batch.cancelled.retain(|&seqid| core.has_request(client.id, seqid)));
+    for _ in 0..FRAMES_PER_TURN {
+        if client.duplex.is_closed() {
+            return Ok(true);
+        }
+        match client.next_frame() {
+            Ok(Some(frame)) => handle_frame(host, client, &frame, batch)?,
+            Ok(None) => return Ok(true),
             Err(ThriftError::NegativeLength) => return Err(Violation("frame of negative length")),
             Err(_) => return Err(Violation("frame is too long")),
         }
     }
-    Ok(batch)
+    Ok(false)
 }
 
 fn handle_frame(
@@ -89,7 +112,8 @@
             Err(e) => client.answer_exception(&head, PROTOCOL_ERROR, &e.to_string()),
         },
         "alive" if head.message_type == MessageType::Call => {
-            client.answer_alive(head.seqid, !host.is_stopping())
+            client.note_request();
+            client.answer_alive(head.seqid, !host.is_stopping());
         }
         _ => client.answer_exception(&head, UNKNOWN_METHOD, "no such method"),
     }
@@ -166,7 +190,10 @@
         call::parse(&fields, body, &host.config.names, &host.config.settings.classes)
     });
     match parsed {
-        Ok(call) => batch.requests.push(Unsubmitted { seqid: head.seqid, call }),
+        Ok(call) => {
+            client.note_request();
+            batch.requests.push(Unsubmitted { seqid: head.seqid, call });
+        }
         Err(why) => {
             if host.log_quotas.clients.allows(host.clock.now()) {
                 tracing::info!(why, "a request that can't be used");
