Platform: an id that may have run is not run again for the next client that uses it

Cause: a request was forgotten with its client, and its attempts as soon as they had been given up; engines and their answers know a request by its id alone, so that the second bearer's request ran again and the first one's late answer could be taken for it.

Change: ids of ended requests of which an attempt was written and is not known to have never run are remembered for 60 s, at most one for each 2 KiB of the memory; another request with such an id gets an exception. What has certainly not run may come again.

The core's test that wanted such an id accepted again at the end of its attempts was wrong by "Identity" in the conventions; two as strict stand in its place, and the drawn sequences of events expect the rule in every step. Ruled out: usual clients, whose ids are new with every try by PROTOCOL; what they send again over the close of a resting connection has not been written to an engine.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -155,6 +155,11 @@
         self.memory_bytes() / 8 * 3
     }
 
+    /// How many ids of ended requests are remembered; one takes some 64 bytes.
+    pub fn recent_ids_max(&self) -> usize {
+        self.memory_bytes() / (2 << 10)
+    }
+
     fn memory_bytes(&self) -> usize {
         usize::try_from(self.memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20)
     }
--- a/crates/platform/src/core.rs
+++ b/crates/platform/src/core.rs
@@ -16,6 +16,7 @@
 
 use crate::call::Call;
 use crate::list::List;
+use crate::recent_ids::RecentIds;
 
 /// A client connection. Ids are never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -92,8 +93,7 @@
     Accepted,
     /// The same connection has an open request with this id.
     OwnIdReused,
-    /// Another client has an open request with this id, or attempts of an earlier request with it are
-    /// outstanding.
+    /// Another client has an open request with this id, or an earlier request with it may have run.
     IdInUse,
     /// The limit on open requests or on the size of their statements is reached; the client may safely retry.
     Full,
@@ -131,6 +131,8 @@
     dedup_window: Option<Micros>,
     /// The first attempt that may have run: its number, and when it was written.
     may_have_run: Option<(u32, Micros)>,
+    /// The number of attempts that were written and are not known to have never run.
+    uncertain_attempts: u32,
     body: Rc<[u8]>,
     deadline: Micros,
     overdue_timer: TimerKey,
@@ -177,6 +179,8 @@
     pub open_cap: usize,
     /// Maximum total size of the statements of open requests in bytes; further requests are refused likewise.
     pub body_bytes_cap: usize,
+    /// Maximum number of ids of ended requests that are remembered.
+    pub recent_ids_max: usize,
     /// Time reserved for the answer to travel to the client. The decision module gets a deadline that is
     /// earlier by this.
     pub answer_margin: Micros,
@@ -216,6 +220,8 @@
     /// Open requests by connection and sequence number.
     by_seqid: BTreeMap<(ClientId, i32), RequestId>,
     attempts: BTreeMap<AttemptId, Attempt>,
+    /// Requests that have ended and may have run.
+    recent_ids: RecentIds,
     /// Engines in the current list.
     listed: HashSet<EngineId>,
     timers: TimerWheel<Timer>,
@@ -259,6 +265,7 @@
     pub fn new(module: Box<dyn Decide>, config: CoreConfig, now: Micros) -> Self {
         Core {
             module,
+            recent_ids: RecentIds::new(config.recent_ids_max),
             config,
             open: HashMap::new(),
             by_seqid: BTreeMap::new(),
@@ -320,7 +327,8 @@
         if let Some(open) = self.open.get(&call.id) {
             return if open.client == client { Admission::OwnIdReused } else { Admission::IdInUse };
         }
-        if self.attempts.range(attempts_of(call.id)).next().is_some() {
+        let may_have_run = self.recent_ids.contains(self.now, call.id);
+        if may_have_run || self.attempts.range(attempts_of(call.id)).next().is_some() {
             return Admission::IdInUse;
         }
         let has_room = self.open.len() < self.config.open_cap
@@ -342,6 +350,7 @@
             idempotency_key: call.idempotency_key,
             dedup_window: call.dedup_window,
             may_have_run: None,
+            uncertain_attempts: 0,
             body: call.body,
             deadline,
             overdue_timer: self.timers.schedule(overdue_at, Timer::Overdue(call.id)),
@@ -420,11 +429,13 @@
     pub fn attempt_written(&mut self, now: Micros, id: AttemptId) {
         self.advance_time(now);
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        let was_written = attempt.written;
         (attempt.sent, attempt.written) = (self.now, true);
         self.timers.cancel(attempt.timer);
         attempt.timer = self.timers.schedule(tick(attempt.deadline), Timer::Attempt(id));
         if let Some(open) = self.open.get_mut(&id.0) {
             open.may_have_run = open.may_have_run.or(Some((id.1, self.now)));
+            open.uncertain_attempts += u32::from(!was_written);
         }
     }
 
@@ -531,6 +542,9 @@
         self.by_seqid.remove(&(open.client, open.seqid));
         self.timers.cancel(open.overdue_timer);
         self.body_bytes -= open.body.len();
+        if open.uncertain_attempts > 0 {
+            self.recent_ids.note(self.now, id);
+        }
         let attempts = self.attempts.range(attempts_of(id));
         let own =
             attempts.filter(|(_, attempt)| !attempt.written || attempt.held).map(|(&attempt, _)| attempt);
@@ -570,6 +584,7 @@
             // This attempt has certainly not run, so the dedup window starts with a later one.
             if let Some(open) = self.open.get_mut(&id.0) {
                 open.may_have_run = open.may_have_run.filter(|&(number, _)| number != id.1);
+                open.uncertain_attempts -= u32::from(attempt.written);
             }
         }
         let mut completion = completion;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod host;
 pub mod link;
 pub mod list;
+pub mod recent_ids;
 pub mod requests;
 pub mod resolver;
 pub mod result_flow;
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -121,6 +121,7 @@
         attempts_cap: config.settings.attempts_cap,
         open_cap: if open_cap == 0 { usize::MAX } else { open_cap },
         body_bytes_cap: config.limits.buffer_max_bytes(),
+        recent_ids_max: config.limits.recent_ids_max(),
         answer_margin: ANSWER_MARGIN_US,
         client_delay: CLIENT_DELAY_US,
     };
--- a/crates/platform/tests/core.rs
+++ b/crates/platform/tests/core.rs
@@ -136,6 +136,7 @@
             attempts_cap: 3,
             open_cap: 1_000,
             body_bytes_cap: 1 << 20,
+            recent_ids_max: 1 << 10,
             answer_margin: ANSWER_MARGIN_US,
             client_delay: CLIENT_DELAY_US,
         };
--- a/crates/platform/tests/core_orders.rs
+++ b/crates/platform/tests/core_orders.rs
@@ -19,6 +19,7 @@
     Admission, AttemptId, ClientId, Completion, Core, CoreConfig, Effect, Launch, Reply,
 };
 use violetward_platform::list::{Known, List};
+use violetward_platform::recent_ids::REMEMBERED_FOR_US;
 
 const START_US: Micros = 1_700_000_000_000_000;
 const ANSWER_MARGIN_US: Micros = 15_000;
@@ -43,6 +44,7 @@
         attempts_cap: config.settings.attempts_cap,
         open_cap: OPEN_REQUESTS_CAP,
         body_bytes_cap: 1 << 20,
+        recent_ids_max: 1 << 10,
         answer_margin: ANSWER_MARGIN_US,
         client_delay: 310_000,
     }
@@ -351,8 +353,10 @@
     assert_eq!(driver.attempt_log.borrow().outcomes.len(), 1);
 }
 
+/// Guards against a request that runs again for the next client that uses its id, and against an answer to the
+/// earlier one that is taken for one to the later one: engines know requests by their ids alone.
 #[test]
-fn an_id_is_in_use_until_all_its_attempts_have_ended() {
+fn an_id_that_may_have_run_is_not_accepted_again() {
     let mut driver = CoreDriver::new(2, set_may_cancel(false));
     let launch = driver.launch_one();
     assert_eq!(driver.submit(1, 2, 1, 20.0), Admission::OwnIdReused);
@@ -361,6 +365,23 @@
     driver.core.cancel_request(driver.now, ClientId(1), 1);
     assert_eq!(driver.submit(1, 2, 1, 20.0), Admission::IdInUse);
     driver.core.attempt_ended(driver.now, launch.attempt, Completion::new(Outcome::Error));
+    assert_eq!(driver.submit(2, 1, 1, 20.0), Admission::IdInUse);
+    driver.now += REMEMBERED_FOR_US;
+    assert_eq!(driver.submit(2, 1, 1, 20.0), Admission::IdInUse);
+    driver.now += 1;
+    assert_eq!(driver.submit(2, 1, 1, 20.0), Admission::Accepted);
+}
+
+/// Guards against refusing an id that certainly has not run: its client may try again with it elsewhere, and here.
+#[test]
+fn an_id_whose_attempts_have_not_run_is_in_use_until_they_have_ended() {
+    let mut driver = CoreDriver::new(2, set_may_cancel(false));
+    let launch = driver.launch_one();
+    driver.core.attempt_written(driver.now, launch.attempt);
+    driver.core.attempt_ended(driver.now, launch.attempt, Completion::new(Outcome::Full));
+    let second = driver.take_launches().remove(0);
+    driver.core.cancel_request(driver.now, ClientId(1), 1);
+    driver.core.attempt_ended(driver.now, second.attempt, Completion::new(Outcome::Moot));
     assert_eq!(driver.submit(2, 1, 1, 20.0), Admission::Accepted);
     assert_eq!(driver.take_launches()[0].attempt, launch.attempt);
 }
@@ -500,6 +521,8 @@
     seqid: i32,
     class: usize,
     key: Option<OrderKey>,
+    /// It may have run, as far as was known when it was answered or left by its client.
+    ended_uncertain: bool,
     /// It has neither been answered nor been left by its client.
     open: bool,
     client_left: bool,
@@ -788,7 +811,7 @@
         let request = request.unwrap_or_else(|| panic!("seed {seed}: an answer to no open request"));
         assert!(!request.client_left, "seed {seed}: an answer to a client that has left");
         assert!(now <= request.due + TICK_US, "seed {seed}: an answer too late");
-        request.open = false;
+        (request.open, request.ended_uncertain) = (false, request.may_have_run());
         let effect = self.config.settings.classes[request.class].effect;
         match reply {
             Reply::Served(result) => {
@@ -843,7 +866,9 @@
         self.next_request += 1;
         let expected = match self.requests.get(&call.id) {
             Some(request) if request.open && request.client == client => Admission::OwnIdReused,
-            Some(request) if request.open || request.is_running() => Admission::IdInUse,
+            Some(request) if request.open || request.is_running() || request.ended_uncertain => {
+                Admission::IdInUse
+            }
             _ if self.requests.values().filter(|request| request.open).count() >= OPEN_REQUESTS_CAP => {
                 Admission::Full
             }
@@ -856,6 +881,7 @@
                 seqid,
                 class: call.class,
                 key: call.key.clone(),
+                ended_uncertain: false,
                 open: true,
                 client_left: false,
                 due: self.now + call.wait,
@@ -913,6 +939,7 @@
         for request in self.requests.values_mut().filter(|request| request.open && request.client == client) {
             if disconnects || request.seqid == seqid {
                 (request.open, request.client_left) = (false, true);
+                request.ended_uncertain = request.may_have_run();
             }
         }
         if disconnects {
--- a/crates/platform/tests/settings.rs
+++ b/crates/platform/tests/settings.rs
@@ -76,6 +76,7 @@
             attempts_cap: config.settings.attempts_cap,
             open_cap: 1_000,
             body_bytes_cap: 1 << 20,
+            recent_ids_max: 1 << 10,
             answer_margin: 15_000,
             client_delay: 310_000,
         };
