Platform: nothing is begun for a client that has closed its connection

Cause: the end of a connection was found by reading, so only behind all that the client had sent; a look at the socket took unread bytes for a client that is there.

Change: the end of the peer's side is asked of the kernel (poll, RDHUP) in each turn of a connection's frames, before requests are submitted and before each attempt is written; and while a client's bytes hold requests, everything else that waits in its socket is read first, since the end, or take-backs, may be behind it.

What a gateway cannot know: an end that waits in the client's own kernel behind bytes for which there is no room yet.

--- a/crates/net/src/duplex.rs
+++ b/crates/net/src/duplex.rs
@@ -9,6 +9,7 @@
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::future;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use violetward_overload::Charge;
 
 use crate::SocketErrorKind;
@@ -230,6 +231,16 @@
         !self.is_closed() && peeked.map_or_else(|e| SocketErrorKind::of(&e).is_transient(), |n| n > 0)
     }
 
+    /// Whether the peer has ended its side of the connection, or the connection broke, also if received data is
+    /// left to read: reading alone finds the end only behind that data.
+    pub fn has_peer_closed(&self) -> bool {
+        let mut sockets = [PollFd::new(self.socket.get_ref(), PollFlags::RDHUP)];
+        // A call that fails tells nothing of the peer.
+        let polled = poll(&mut sockets, Some(&Timespec::default()));
+        let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        polled.is_ok() && sockets[0].revents().intersects(ends)
+    }
+
     /// Begins an orderly shutdown: nothing more is read or accepted for sending, and the peer sees the end of
     /// the stream after the last buffered byte. [`Duplex::finish`] completes it.
     pub fn close(&self) {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -71,6 +71,8 @@
     frames: RefCell<Option<FrameDecoder>>,
     /// Counts the memory of `frames`.
     input_charge: Charge,
+    /// Counts the statements that were read and are not submitted yet.
+    statements_charge: Charge,
     /// Counts the memory of the connection itself; held until it is dropped.
     _connection_charge: Charge,
     opened: Instant,
@@ -121,6 +123,7 @@
             duplex: Duplex::new(socket, memory.charge(Holding::Answers)),
             frames: RefCell::new(Some(FrameDecoder::new(frame_max_bytes))),
             input_charge: memory.charge(Holding::Input),
+            statements_charge: memory.charge(Holding::Input),
             _connection_charge: connection_charge,
             opened: Instant::now(),
             handling: Cell::new(Handling::Done),
@@ -140,6 +143,11 @@
         }
     }
 
+    /// Counts statements that were read and are not submitted yet, in bytes.
+    pub fn hold_statements(&self, bytes: usize) {
+        self.statements_charge.set(bytes);
+    }
+
     /// The next complete frame that was received; `None` until more bytes are received.
     ///
     /// # Errors
@@ -152,6 +160,16 @@
         frame
     }
 
+    /// Whether the client has closed the connection, or it broke; then it is closed here too. What the client had
+    /// sent may still be unread.
+    pub fn has_left(&self) -> bool {
+        let has_left = self.duplex.has_peer_closed() || !self.duplex.is_alive();
+        if has_left {
+            self.close(EndReason::ByClient);
+        }
+        has_left
+    }
+
     /// Reads no more requests, and frees what was received of the next one. Whatever still comes is dropped.
     fn end_input(&self) {
         self.frames.take();
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -364,8 +364,7 @@
             };
             let Some(queued) = engine.queue.borrow_mut().remove(index) else { return };
             // The core may have cancelled the attempt while the effect of that is still to be carried out.
-            let wanted =
-                queued.attempt().is_none_or(|attempt| host.read_core(|core| core.is_outstanding(attempt)));
+            let wanted = queued.attempt().is_none_or(|attempt| host.is_wanted(attempt));
             if !wanted || queued.is_expired(host.clock.now()) || send(host, engine, &connection, &queued) {
                 continue;
             }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -167,13 +167,7 @@
 
 /// Reads requests until either side ends the connection.
 async fn read_requests(host: &Rc<Host>, client: &Rc<Client>) {
-    loop {
-        let read = client.duplex.read(|bytes| client.receive(bytes)).await;
-        if read.unwrap_or(0) == 0 {
-            return;
-        }
-        client.begin_handling();
-        make_room(host);
+    while receive(host, client).await {
         if !requests::handle_received(host, client).await {
             return client.close(EndReason::Violation);
         }
@@ -182,6 +176,17 @@
     }
 }
 
+/// Reads once from a client; false once the connection has ended. Other clients may have to make room.
+pub(crate) async fn receive(host: &Rc<Host>, client: &Rc<Client>) -> bool {
+    let read = client.duplex.read(|bytes| client.receive(bytes)).await;
+    if read.unwrap_or(0) == 0 {
+        return false;
+    }
+    client.begin_handling();
+    make_room(host);
+    true
+}
+
 /// Frees the memory of unfinished requests until what is held for all peers is within its limit.
 fn make_room(host: &Host) {
     while host.memory.excess() > 0 {
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -264,6 +264,17 @@
         self.results.borrow().has_room(bytes, self)
     }
 
+    /// Whether an attempt is outstanding and its client is still connected. The reader of a client that sent much
+    /// finds the end of the connection late.
+    pub(crate) fn is_wanted(&self, attempt: AttemptId) -> bool {
+        let client = self.read_core(|core| {
+            let outstanding = core.is_outstanding(attempt);
+            core.client_of(attempt.0).filter(|_| outstanding)
+        });
+        let client = client.and_then(|id| self.clients.borrow().get(&id).cloned());
+        client.is_some_and(|client| !client.has_left())
+    }
+
     /// Notes that an attempt is written to its connection now.
     pub(crate) fn attempt_written(&self, attempt: AttemptId) {
         self.core.borrow_mut().attempt_written(self.clock.now(), attempt);
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -10,12 +10,16 @@
 use crate::call::{self, Call};
 use crate::client::Client;
 use crate::core::{Admission, Reply};
+use crate::front;
 use crate::host::Host;
 
 /// Maximum number of open requests of one connection.
 const OPEN_REQUESTS_MAX: usize = 32;
 /// Maximum number of frames of one connection that are handled in one turn of the event loop.
 const FRAMES_PER_TURN: usize = 32;
+/// Maximum number of reads before the requests in them are submitted: enough for all requests that one connection
+/// may have open.
+const READS_PER_BATCH: usize = 40;
 
 /// Codes of Thrift application exceptions.
 const UNKNOWN_METHOD: i32 = 1;
@@ -31,10 +35,10 @@
     call: Call,
 }
 
-/// The requests and cancellations in the frames of one read.
+/// The requests and cancellations in the frames that are handled together.
 #[derive(Default)]
 struct Batch {
-    /// New requests, without those that a later frame of the same read cancels.
+    /// New requests, without those that a later frame of the same batch cancels.
     requests: Vec<Unsubmitted>,
     /// Sequence numbers of open requests to be cancelled.
     cancelled: Vec<i32>,
@@ -42,7 +46,11 @@
 
 /// Handles all complete frames that were received on a connection; false if the connection has to be closed.
 pub async fn handle_received(host: &Rc<Host>, client: &Rc<Client>) -> bool {
-    let handled = match read_frames(host, client).await {
+    let read = read_batch(host, client).await;
+    client.hold_statements(0);
+    let handled = match read {
+        // Nothing that a client has sent is begun once it has gone, however much of it is left to be read.
+        Ok(_) if client.has_left() => return true,
         Ok(batch) => {
             cancel(host, client, &batch.cancelled);
             submit(host, client, batch.requests)
@@ -60,23 +68,38 @@
     true
 }
 
-/// Reads all complete frames, a few in each turn of the event loop: other connections get their turns between
-/// them, however many frames came with one read.
-async fn read_frames(host: &Rc<Host>, client: &Rc<Client>) -> Result<Batch, Violation> {
+/// Reads all complete frames, and while they contain requests, whatever else the client has sent: the end of the
+/// connection, or cancellations, may be behind it.
+async fn read_batch(host: &Rc<Host>, client: &Rc<Client>) -> Result<Batch, Violation> {
     let mut batch = Batch::default();
-    loop {
-        if read_some_frames(host, client, &mut batch)? {
-            return Ok(batch);
+    for _ in 0..READS_PER_BATCH {
+        read_frames(host, client, &mut batch).await?;
+        client.hold_statements(batch.requests.iter().map(|request| request.call.body.len()).sum());
+        let has_read_all = batch.requests.is_empty() || client.duplex.is_idle() || host.memory.excess() > 0;
+        if has_read_all || !front::receive(host, client).await {
+            break;
         }
+    }
+    Ok(batch)
+}
+
+/// Reads all complete frames that were received, a few in each turn of the event loop: other connections get
+/// their turns between them, however many frames came with one read.
+async fn read_frames(host: &Rc<Host>, client: &Rc<Client>, batch: &mut Batch) -> Result<(), Violation> {
+    while !read_some_frames(host, client, batch)? {
         future::yield_now().await;
         client.wait_until_read(host).await;
     }
+    Ok(())
 }
 
 /// Reads up to [`FRAMES_PER_TURN`] frames; true if no complete one is left.
 fn read_some_frames(host: &Rc<Host>, client: &Rc<Client>, batch: &mut Batch) -> Result<bool, Violation> {
     // Some requests may have been answered since the last turn.
     host.read_core(|core| batch.cancelled.retain(|&seqid| core.has_request(client.id, seqid)));
+    if client.has_left() {
+        return Ok(true);
+    }
     for _ in 0..FRAMES_PER_TURN {
         if client.duplex.is_closed() {
             return Ok(true);
@@ -207,7 +230,7 @@
 /// Submits requests to the core in the order in which they came. Requests of a client that has disconnected
 /// are dropped. While the gateway drains, every request is refused at once.
 fn submit(host: &Rc<Host>, client: &Rc<Client>, requests: Vec<Unsubmitted>) -> Result<(), Violation> {
-    if requests.is_empty() || !client.duplex.is_alive() {
+    if requests.is_empty() {
         return Ok(());
     }
     let backlog_age = host.pauses.backlog_age(Instant::now()).as_micros() as Micros;
@@ -229,7 +252,7 @@
             Admission::IdInUse => {
                 let head =
                     MessageHeader { method: "dispatch".into(), message_type: MessageType::Call, seqid };
-                client.answer_exception(&head, PROTOCOL_ERROR, "id: in use");
+                client.answer_exception(&head, PROTOCOL_ERROR, "id: used before");
             }
         }
     }
