serve: unfinished requests of all fronts have one bound over the process

Cause: the same as on the platform, a bound for each connection and none for the sum.

Change: `(limits (memory SIZE))`, 256 MB if not given; a quarter of it is for requests that have not come in completely, over the statement API and the notebook. Decoders free their buffers between messages. Platform: a client that has closed its connection makes room for a new one before an idle one does.

--- a/crates/gateway/src/config/limits.rs
+++ b/crates/gateway/src/config/limits.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The memory that clients may take if the configuration does not say how much.
+const DEFAULT_MEMORY_BYTES: u64 = 256 << 20;
+
 /// Reads both sections; missing ones have default values.
 pub(super) fn host_limits(
     checker: &mut Checker,
@@ -20,6 +23,7 @@
         "page",
         "open",
         "connections",
+        "memory",
         "request-within",
         "idle-connection",
         "stream-idle",
@@ -43,6 +47,7 @@
         max_page_bytes: fields.size(checker, "page", 16 << 20) as usize,
         max_open_statements: fields.integer(checker, "open", (1, 10_000_000), 20_000) as usize,
         max_connections: fields.integer(checker, "connections", (1, 10_000_000), 20_000) as usize,
+        memory_bytes: fields.size(checker, "memory", DEFAULT_MEMORY_BYTES) as usize,
         request_timeout: fields.duration(checker, "request-within", ms(10_000)),
         connection_idle_timeout: fields.duration(checker, "idle-connection", ms(120_000)),
         stream_idle_timeout: fields.duration(checker, "stream-idle", ms(30_000)),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -107,6 +107,7 @@
     async fn serve(&self, socket: Async<std::net::TcpStream>) {
         let http_limits = Limits { body: self.host.config.host.max_statement_bytes, ..Limits::default() };
         let mut connection = Connection::server(socket, http_limits);
+        let unfinished = self.host.unfinished.register();
         let limits = &self.host.config.host;
         if self.connections.get() > limits.max_connections {
             let reply = Reply::text(503, "too many connections; nothing was taken");
@@ -119,7 +120,18 @@
             {
                 return;
             }
-            let message = match timeout(limits.request_timeout, connection.read()).await {
+            let read = timeout(limits.request_timeout, connection.read_metered(&unfinished));
+            let read = async { Some(read.await) };
+            let shed = async {
+                unfinished.shed().await;
+                None
+            };
+            let Some(read) = future::or(shed, read).await else {
+                connection.end_input();
+                unfinished.note_freed();
+                return self.refuse_for_memory(connection).await;
+            };
+            let message = match read {
                 Some(Ok(Some(message))) => message,
                 Some(Ok(None)) | Some(Err(NetError::Io(_))) => return,
                 Some(Err(NetError::Http(e))) => {
@@ -132,6 +144,7 @@
                     return;
                 }
             };
+            unfinished.note_request();
             let keep_alive = message.keep_alive;
             let Some(reply) = self.answer(&message, &connection).await else { return };
             if !self.send(&mut connection, reply, keep_alive).await || !keep_alive {
@@ -140,6 +153,13 @@
         }
     }
 
+    /// Ends a connection whose request has not come in completely, to make room for others.
+    async fn refuse_for_memory(&self, mut connection: Connection) {
+        let mut reply = Reply::text(503, "memory is short, and the request was not whole; nothing was taken");
+        reply.headers.push("Retry-After", "1");
+        self.send(&mut connection, reply, false).await;
+    }
+
     /// Writes a reply at the pace of the client. Returns whether the client has taken it whole.
     async fn send(&self, connection: &mut Connection, reply: Reply, keep_alive: bool) -> bool {
         let mut out = Vec::with_capacity(reply.body.len() + 256);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -22,6 +22,7 @@
 use crate::outage::SiteMonitor;
 use crate::peers::Peers;
 use crate::terms::Config;
+use crate::unfinished::UnfinishedRequests;
 use crate::windows::Windows;
 
 /// Maximum number of sessions waiting to be released.
@@ -66,6 +67,8 @@
     pub(crate) front: RefCell<std::rc::Weak<Front>>,
     /// Monitoring of sites, if configured.
     pub(crate) outage: RefCell<Option<Rc<SiteMonitor>>>,
+    /// The requests of all fronts that have not come in completely.
+    pub(crate) unfinished: Rc<UnfinishedRequests>,
     core: RefCell<Core>,
     executor: Rc<LocalExecutor<'static>>,
     attempts: RefCell<HashMap<AttemptId, AttemptControl>>,
@@ -94,6 +97,7 @@
             release_sender,
             release_receiver,
             core: RefCell::new(core),
+            unfinished: UnfinishedRequests::new(config.host.unfinished_max_bytes()),
             config,
             instance,
             clock: Clock::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod sessions;
 pub mod terms;
 pub mod timestamp;
+pub mod unfinished;
 pub mod watch;
 pub mod windows;
 pub mod zone_responder;
--- a/crates/gateway/src/notebook.rs
+++ b/crates/gateway/src/notebook.rs
@@ -14,7 +14,7 @@
 use violetward_kernel::kernel::{self, CellEnd, Channel, Kernel, Out, Table};
 use violetward_kernel::message::Signer;
 use violetward_kernel::zmtp::{self, Got, Limits, Reader, Socket};
-use violetward_net::{sleep, timeout};
+use violetward_net::{sleep, timeout, InputMeter};
 use violetward_session::kind::PROPERTY;
 use violetward_statement::carried::Carried;
 use violetward_statement::pages::{Page, Turn};
@@ -23,6 +23,7 @@
 
 use crate::core::{StatementId, Submission};
 use crate::host::Host;
+use crate::unfinished::UnfinishedRequest;
 
 /// Maximum number of messages queued for an iopub subscriber; further ones are dropped for this subscriber.
 const MAX_QUEUED_IOPUB: usize = 512;
@@ -154,11 +155,16 @@
         let (sender, outgoing) = async_channel::unbounded();
         sender.try_send([zmtp::greeting(), zmtp::ready(socket)].concat()).ok();
         let (stream, written) = (Rc::new(stream), Event::new());
-        future::or(
+        let unfinished = self.host.unfinished.register();
+        let shed = async {
+            unfinished.shed().await;
+            Err("memory is short, and its message was not whole".to_owned())
+        };
+        let served = future::or(
             write(&stream, outgoing, self.host.config.host.stream_idle_timeout, &written),
-            self.read(connection, &stream, socket, channel, sender, &written),
-        )
-        .await
+            self.read(connection, &stream, socket, channel, (sender, &written), &unfinished),
+        );
+        future::or(shed, served).await
     }
 
     /// Reads and handles the messages of a connection until it ends.
@@ -168,14 +174,17 @@
         stream: &Async<TcpStream>,
         socket: Socket,
         channel: Option<Channel>,
-        sender: Peer,
-        written: &Event,
+        (sender, written): (Peer, &Event),
+        unfinished: &UnfinishedRequest,
     ) -> Result<(), String> {
         let mut reader = Reader::new(socket, Limits::default());
         let mut chunk = vec![0; READ_CHUNK_BYTES];
         let mut ready = false;
         loop {
             wait_for_room(&sender, written).await;
+            while !unfinished.has_room() {
+                future::yield_now().await;
+            }
             let within = self.host.config.host.request_timeout;
             let read = async { (&mut &*stream).read(&mut chunk).await };
             // The handshake is limited in time; after it, a peer may stay silent.
@@ -185,6 +194,7 @@
                 return Ok(());
             }
             reader.feed(&chunk[..size]);
+            unfinished.note(reader.allocated_bytes());
             while let Some(got) = reader.next().map_err(|e| e.to_string())? {
                 match got {
                     Got::Ready(_) => {
@@ -200,8 +210,8 @@
                         sender.try_send(zmtp::message(&parts)).ok();
                     }
                     Got::Message(parts) => {
-                        if let Some(channel) = channel {
-                            self.request(connection, channel, &parts);
+                        if channel.is_some_and(|channel| self.request(connection, channel, &parts)) {
+                            unfinished.note_request();
                         }
                     }
                     Got::Subscribe(subscribes, prefix) => {
@@ -222,11 +232,14 @@
                     }
                 }
             }
+            unfinished.note(reader.allocated_bytes());
+            // Reading does not wait while the peer sends: others must get their turns.
+            future::yield_now().await;
         }
     }
 
-    /// Handles a message of a request socket.
-    fn request(self: &Rc<Self>, connection: u64, channel: Channel, parts: &[Vec<u8>]) {
+    /// Handles a message of a request socket; false if it is rejected.
+    fn request(self: &Rc<Self>, connection: u64, channel: Channel, parts: &[Vec<u8>]) -> bool {
         let message = self.signer.borrow_mut().read(parts);
         match message {
             Ok(mut message) => {
@@ -238,10 +251,12 @@
                 message.identities.insert(0, connection.to_be_bytes().to_vec());
                 let outputs = self.kernel.borrow_mut().handle(channel, message);
                 self.apply_outputs(outputs);
+                true
             }
             Err(why) => {
                 self.refused.set(self.refused.get() + 1);
                 tracing::warn!("notebook message rejected: {why}");
+                false
             }
         }
     }
--- a/crates/gateway/src/terms.rs
+++ b/crates/gateway/src/terms.rs
@@ -201,6 +201,8 @@
     pub max_open_statements: usize,
     /// Maximum number of client connections; further ones are closed with 503 before a request is read.
     pub max_connections: usize,
+    /// The memory of the process that is meant for clients, in bytes.
+    pub memory_bytes: usize,
     /// Maximum time from the first byte of a request to its last.
     pub request_timeout: Duration,
     /// Time after which an idle client connection is closed.
@@ -223,6 +225,14 @@
     pub repeat_property: String,
 }
 
+impl HostLimits {
+    /// Maximum memory of requests that clients have not sent completely, in bytes: a quarter of the memory. The
+    /// rest is for statements, their results, connections and what an allocator loses.
+    pub fn unfinished_max_bytes(&self) -> usize {
+        self.memory_bytes / 4
+    }
+}
+
 /// How a statement's class, key, group and tenant are determined.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Selection {
--- a/crates/kernel/src/zmtp.rs
+++ b/crates/kernel/src/zmtp.rs
@@ -183,8 +183,10 @@
 
     /// Takes bytes in; [`Reader::next`] should be called until it gives nothing before more is fed.
     pub fn feed(&mut self, bytes: &[u8]) {
-        self.buffer.drain(..self.used);
-        self.used = 0;
+        if self.used > 0 {
+            // The rest of the buffer is freed: many connections may wait for the rest of a message.
+            (self.buffer, self.used) = (self.buffer[self.used..].to_vec(), 0);
+        }
         self.buffer.extend_from_slice(bytes);
     }
 
@@ -193,6 +195,11 @@
         self.buffer.len() - self.used + self.held
     }
 
+    /// The memory that is allocated for a message that is not whole, in bytes.
+    pub fn allocated_bytes(&self) -> usize {
+        self.buffer.capacity() + self.parts.iter().map(Vec::capacity).sum::<usize>()
+    }
+
     /// What has come in whole.
     ///
     /// # Errors
@@ -203,6 +210,8 @@
         if let Err(error) = result {
             self.state = State::Broken(error);
             (self.buffer, self.parts, self.used, self.held) = (Vec::new(), Vec::new(), 0, 0);
+        } else if self.used == self.buffer.len() {
+            (self.buffer, self.used) = (Vec::new(), 0);
         }
         result
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -103,6 +103,23 @@
     }
 }
 
+/// Bounds the memory of messages that have not been received completely.
+pub trait InputMeter {
+    /// Takes note of what the incomplete message of a connection takes in memory now, in bytes.
+    fn note(&self, bytes: usize);
+    /// Whether more may be received now; otherwise the caller asks again after other tasks had their turn.
+    fn has_room(&self) -> bool;
+}
+
+/// No bound.
+impl InputMeter for () {
+    fn note(&self, _bytes: usize) {}
+
+    fn has_room(&self) -> bool {
+        true
+    }
+}
+
 /// An HTTP connection: a socket and the reader of its messages.
 #[derive(Debug)]
 pub struct Connection {
@@ -144,19 +161,37 @@
         self.reader.is_within()
     }
 
+    /// Frees what was received of a message that is not complete. The connection can only be written to then.
+    pub fn end_input(&mut self) {
+        self.reader.abandon();
+    }
+
     /// Reads the next message; `None` if the peer closed the connection between two messages.
     ///
     /// # Errors
     /// If the socket fails or the peer sends something else than a complete message.
     pub async fn read(&mut self) -> Result<Option<Message>, NetError> {
+        self.read_metered(&()).await
+    }
+
+    /// Like [`Connection::read`], with the memory of the incomplete message bounded by a meter.
+    ///
+    /// # Errors
+    /// If the socket fails or the peer sends something else than a complete message.
+    pub async fn read_metered(&mut self, meter: &impl InputMeter) -> Result<Option<Message>, NetError> {
         loop {
-            if let Some(message) = self.reader.next().map_err(NetError::Http)? {
+            let message = self.reader.next().map_err(NetError::Http)?;
+            meter.note(self.reader.allocated_bytes());
+            if let Some(message) = message {
                 self.has_written = false;
                 return Ok(Some(message));
             }
             if self.reader.expects_continue() {
                 stream::write(&self.socket, b"HTTP/1.1 100 Continue\r\n\r\n", None).await?;
             }
+            while !meter.has_room() {
+                future::yield_now().await;
+            }
             if !self.fill().await? {
                 return self.reader.finish().map_err(NetError::Http);
             }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -124,7 +124,8 @@
     };
     while let Some(index) = first_to_evict(&candidates) {
         let client = candidates.swap_remove(index);
-        if client.duplex.is_idle() {
+        // One that the client has closed may still have bytes to be read.
+        if client.has_left() || client.duplex.is_idle() {
             client.close(EndReason::Evicted);
             // Its task ends in the next turn of the event loop; it must not be counted until then.
             host.clients.borrow_mut().remove(&client.id);
--- a/crates/statement/src/http.rs
+++ b/crates/statement/src/http.rs
@@ -255,6 +255,19 @@
         self.buffer.len() - self.used + self.body.len()
     }
 
+    /// The memory that is allocated for a message that is not whole, in bytes.
+    pub fn allocated_bytes(&self) -> usize {
+        let fields = self.headers.fields.capacity() * std::mem::size_of::<(u32, u32, u32)>();
+        self.buffer.capacity() + self.body.capacity() + self.headers.text.capacity() + fields
+    }
+
+    /// Drops what has come of a message and frees its memory; no further message can be read.
+    pub fn abandon(&mut self) {
+        self.state = State::Broken(HttpError::Truncated);
+        (self.buffer, self.body, self.headers) = Default::default();
+        (self.used, self.searched) = (0, 0);
+    }
+
     /// Whether the peer waits for `100 Continue` before it sends its body (RFC 9110, section 10.1.1). Tells so once.
     pub fn expects_continue(&mut self) -> bool {
         std::mem::take(&mut self.expects) && self.held() == 0
@@ -267,7 +280,13 @@
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Result<Option<Message>, HttpError> {
         match self.step() {
-            Ok(message) => Ok(message),
+            Ok(message) => {
+                // Many connections may rest between two messages, or wait for the rest of one.
+                if self.used == self.buffer.len() {
+                    (self.buffer, self.used, self.searched) = (Vec::new(), 0, 0);
+                }
+                Ok(message)
+            }
             Err(error) => {
                 self.state = State::Broken(error);
                 self.buffer = Vec::new();
