--- a/crates/gateway/tests/serve_crowds.rs
+++ b/crates/gateway/tests/serve_crowds.rs
@@ -47,14 +47,14 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_violetward"));
         command.arg("serve").arg(folder.join("gateway.lisp")).arg("--address-file").arg(&address_file);
         let child = command.stderr(Stdio::null()).spawn().unwrap();
+        let mut gateway = Gateway { child, address: String::new(), folder };
         let since = Instant::now();
-        loop {
-            if let Ok(address) = std::fs::read_to_string(&address_file) {
-                return Gateway { child, address, folder };
-            }
+        while gateway.address.is_empty() {
             assert!(since.elapsed() < EVENT_TIMEOUT, "the gateway does not start");
             std::thread::sleep(Duration::from_millis(10));
+            gateway.address = std::fs::read_to_string(&address_file).unwrap_or_default();
         }
+        gateway
     }
 
     /// The address of the kernel's socket for cells.
--- a/crates/lab/src/soak/client.rs
+++ b/crates/lab/src/soak/client.rs
@@ -19,9 +19,11 @@
 const CONNECT_WITHIN: Duration = Duration::from_millis(1_000);
 /// Beyond the time at which an answer counts as lost, a client waits this much longer: a gateway that stood still answers late.
 const PATIENCE: Duration = Duration::from_millis(2_500);
-/// Idle clients of a crowd, and how long they stay.
-const CROWD: usize = 120;
+/// Clients of a crowd, more than a gateway has descriptors for, and how long they stay.
+const CROWD: usize = 700;
 const CROWD_STAYS: Duration = Duration::from_millis(2_500);
+/// The length of a large request that every gateway accepts.
+const LARGE_FRAME_BYTES: usize = 65_000;
 /// Order keys in use.
 const KEYS: u64 = 12;
 
@@ -92,12 +94,21 @@
     }
 }
 
-/// Idle clients fill a gateway's descriptors for a while. Some never say a word.
+/// Clients that ask nothing fill a gateway's descriptors for a while: idle ones, or, on days of odd seeds, such that
+/// send most of a large request.
 pub fn crowd(world: &World, gateway: usize) {
     let address = world.gateways.address(gateway);
-    let idle: Vec<TcpStream> = (0..CROWD).filter_map(|_| connect(address).ok()).collect();
+    let sends = world.day.seed % 2 == 1;
+    let mut sockets: Vec<TcpStream> = (0..CROWD).filter_map(|_| connect(address).ok()).collect();
+    if sends {
+        let part =
+            [&(LARGE_FRAME_BYTES as u32).to_be_bytes()[..], &vec![0; LARGE_FRAME_BYTES - 500]].concat();
+        for socket in &mut sockets {
+            // The gateway may have closed it, or read no further.
+            socket.set_nonblocking(true).and_then(|()| socket.write(&part)).ok();
+        }
+    }
     std::thread::sleep(CROWD_STAYS);
-    drop(idle);
 }
 
 fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
--- a/crates/lab/src/soak/gateway.rs
+++ b/crates/lab/src/soak/gateway.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -29,7 +29,9 @@
 /// How often a process is looked at.
 const LOOK: Duration = Duration::from_millis(5);
 /// The descriptors that a gateway is told it may have.
-pub const DESCRIPTORS: u64 = 256;
+pub const DESCRIPTORS: u64 = 1_024;
+/// The memory that a gateway is told it may have, the least of the platform.
+const MEMORY_MB: u64 = 32;
 
 /// Starts processes from one thread that lasts: the system ends a process that was started `--with-parent` with the thread
 /// that started it.
@@ -79,6 +81,8 @@
     busy: AtomicBool,
     /// Since when its process listens.
     ready: Mutex<Option<Instant>>,
+    /// The highest resident memory of its processes that have ended, in kilobytes.
+    peak_memory_kb: AtomicU64,
 }
 
 impl Gateway {
@@ -92,6 +96,14 @@
         }
     }
 
+    /// Notes the highest resident memory of its process.
+    fn note_peak_memory(&self, child: &Child) {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+        let peak = peak.and_then(|number| number.trim().parse().ok()).unwrap_or(0);
+        self.peak_memory_kb.fetch_max(peak, Ordering::AcqRel);
+    }
+
     /// Whether it has ended by itself, and how.
     fn ended(&self) -> Option<std::process::ExitStatus> {
         self.child().as_mut().and_then(|child| child.try_wait().ok().flatten())
@@ -130,6 +142,7 @@
                 in_front: AtomicBool::new(true),
                 busy: AtomicBool::new(false),
                 ready: Mutex::new(None),
+                peak_memory_kb: AtomicU64::new(0),
             });
         }
         let gateways = Gateways {
@@ -179,7 +192,7 @@
         let config = json!({
             "name": format!("n{}", gateway.number), "listen": gateway.address.to_string(),
             "seed": format!("{:x}", self.seed ^ gateway.number as u64),
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": DESCRIPTORS}, "dns": resolver.address(gateway.number).to_string(),
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS}, "dns": resolver.address(gateway.number).to_string(),
             "known": {"no": number, "items": [{"no": number, "roster": {"version": 1, "full": true, "servers": servers}}]},
             "settings": self.settings
         });
@@ -222,6 +235,7 @@
     fn kill(&self, gateway: &Gateway) {
         gateway.set_ready(None);
         if let Some(mut child) = gateway.child().take() {
+            gateway.note_peak_memory(&child);
             child.kill().ok();
             child.wait().ok();
         }
@@ -311,6 +325,12 @@
         self.all.iter().filter_map(died).collect()
     }
 
+    /// The highest resident memory of each gateway's processes, in kilobytes, and whether it is over the limit.
+    pub fn peak_memory_kb(&self) -> Vec<(u64, bool)> {
+        let peaks = self.all.iter().map(|gateway| gateway.peak_memory_kb.load(Ordering::Acquire));
+        peaks.map(|peak| (peak, peak > MEMORY_MB << 10)).collect()
+    }
+
     /// How often each kind of call went wrong, over all gateways. A process counts from nothing: the last ones' counts.
     pub fn calls(&self) -> [u64; 4] {
         let mut sum = [0; 4];
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -24,7 +24,10 @@
 
 use engine::Fleet;
 use resolver::Resolver;
+use violetward_standin::platform::limit_descriptors;
 
+/// The descriptors that the lab needs for several crowds at once.
+const OWN_DESCRIPTORS: u64 = 16_384;
 /// How long after the last fault clients still ask, so that what a fault breaks can show.
 const AFTERMATH: Duration = Duration::from_millis(3_500);
 
@@ -56,6 +59,8 @@
     pub calls: [u64; 4],
     /// Faults that were ordered and never came up.
     pub silent: Vec<&'static str>,
+    /// The highest resident memory of a gateway's process, in kilobytes.
+    pub peak_memory_kb: u64,
 }
 
 /// What all threads of a run share.
@@ -83,6 +88,7 @@
     let day = draw(setup.seed, setup.gateways, Duration::from_secs(setup.seconds));
     print!("{day}");
     std::fs::create_dir_all(&setup.folder)?;
+    limit_descriptors(OWN_DESCRIPTORS)?;
     let records = Records::new();
     let fleet = Fleet::start(&day, &records)?;
     let resolver = Resolver::start(fleet.listed(), day.gateways, day.seed, &records)?;
@@ -155,6 +161,14 @@
         id: 0,
         why: why.clone(),
     }));
+    let peaks = world.gateways.peak_memory_kb();
+    breaks.extend(peaks.iter().enumerate().filter(|(_, (_, over))| *over).map(|(number, (peak, _))| Break {
+        rule: "memory",
+        at: Duration::ZERO,
+        id: 0,
+        why: format!("n{number} had {peak} kB resident"),
+    }));
+    let peak_memory_kb = peaks.iter().map(|(peak, _)| *peak).max().unwrap_or(0);
     let count = |is: fn(&Event) -> bool| records.iter().filter(|(_, event)| is(event)).count();
     let written = count(|e| matches!(e, Event::Written(_)));
     let served = count(|e| matches!(e, Event::Answered { served: true, .. }));
@@ -169,7 +183,7 @@
         silent.push("the wall clock's step");
     }
     let unanswered = written.saturating_sub(served + other);
-    Outcome { breaks, requests: [written, served, other, unanswered], calls, silent }
+    Outcome { breaks, requests: [written, served, other, unanswered], calls, silent, peak_memory_kb }
 }
 
 impl Outcome {
@@ -193,6 +207,7 @@
             "requests {written}: served {served}, refused or failed {other}, without an answer {unanswered}"
         )?;
         writeln!(f, "calls gone wrong: accepts {accepts}, receives {receives}, sends {sends}; looks at a stepped clock {looks}")?;
+        writeln!(f, "highest resident memory of a gateway: {} kB", self.peak_memory_kb)?;
         for name in &self.silent {
             writeln!(f, "NEVER CAME UP: {name}")?;
         }
