Platform: what was received of a request is freed as soon as reading ends

Need: by reading, the input of a connection that the client had ended stayed counted, and could make no room, for up to half a second, on as many connections as may be closing. Change: it is freed when reading ends.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -171,7 +171,7 @@
     }
 
     /// Reads no more requests, and frees what was received of the next one. Whatever still comes is dropped.
-    fn end_input(&self) {
+    pub fn end_input(&self) {
         self.frames.take();
         self.input_charge.set(0);
     }
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -147,6 +147,7 @@
         client.duplex.run_writer(|| host.request_results()).await;
     };
     future::or(read_requests(&host, &client), writing).await;
+    client.end_input();
     host.clients.borrow_mut().remove(&client.id);
     note_end(&host, &client);
     host.with_core(|core, now| core.client_disconnected(now, client.id));
