Custody: voters fence only whom they have not heard for a lease themselves

Nothing bound a fence to what the voters themselves hear. Change: a holder tells the voters with each renewal that it holds its lease (new message, one byte of kind; earlier versions pass over it). A voter stores a fence only if it has not heard that for the duration of a lease while it was itself in contact with a quorum of voters without a gap; it defers other requests. Two quorums share a voter, so whoever holds its lease is fenced by nobody. A cut or a standstill begins the voter's own contact anew, and a process that is heard again after a silence gets a lease's time. The simulated membership sees one-way cuts as the real one does; histories draw gateways that hear nobody, and polls that ask for fences. The fault NoStartupSilence takes out both guards against forgotten grants now, since either alone suffices (before, one was not there). damaged_and_foreign_stored_marks_... had its marks from a voter that was cut off from all others and fenced on belief alone, which is this fault; it asks the same of marks made with a quorum.

--- a/crates/custody/src/lease.rs
+++ b/crates/custody/src/lease.rs
@@ -44,6 +44,15 @@
     }
 }
 
+/// A span without a gap in which a quorum of voters has granted this process its lease. Between these times it
+/// was in contact with a quorum, and heard from every process that was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct QuorumContact {
+    pub since: Micros,
+    /// The newest time at which contact is proved: when the newest granted request was sent.
+    pub until: Micros,
+}
+
 /// The lease of this process.
 pub(crate) struct Lease {
     /// By voter, the time of the newest request that the voter has granted.
@@ -52,24 +61,45 @@
     /// When the lease was last known to be valid.
     pub last_valid_at: Micros,
     pub expires_at: Micros,
+    contact: Option<QuorumContact>,
 }
 
 impl Lease {
     /// A lease that has not been granted yet.
     pub fn new(now: Micros, quorum: usize) -> Lease {
-        Lease { granted_requests: BTreeMap::new(), quorum, last_valid_at: now, expires_at: 0 }
+        Lease { granted_requests: BTreeMap::new(), quorum, last_valid_at: now, expires_at: 0, contact: None }
     }
 
-    /// Adds a voter's grant of the request made at `requested_at`. The lease lasts for `holder_span` from the
-    /// latest time such that a quorum of voters has granted requests made then or later.
-    pub fn add_grant(&mut self, voter: &str, requested_at: Micros, holder_span: Micros) {
+    /// Adds a voter's grant, received now, of the request made at `requested_at`. The lease lasts for
+    /// `holder_span` from the latest time such that a quorum of voters has granted requests made then or later.
+    pub fn add_grant(&mut self, now: Micros, voter: &str, requested_at: Micros, holder_span: Micros) {
         let newest = self.granted_requests.entry(voter.to_owned()).or_default();
         *newest = requested_at.max(*newest);
         let mut newest_first: Vec<Micros> = self.granted_requests.values().copied().collect();
         newest_first.sort_unstable_by(|a, b| b.cmp(a));
         let oldest_of_quorum = self.quorum.checked_sub(1).and_then(|position| newest_first.get(position));
-        if let Some(requested_at) = oldest_of_quorum {
+        if let Some(&requested_at) = oldest_of_quorum {
+            self.extend_contact(now, requested_at);
             self.expires_at = self.expires_at.max(requested_at + holder_span);
         }
     }
+
+    fn extend_contact(&mut self, now: Micros, requested_at: Micros) {
+        let is_uninterrupted = now < self.expires_at;
+        let current = self.contact.filter(|_| is_uninterrupted);
+        let contact = current.unwrap_or(QuorumContact { since: requested_at, until: requested_at });
+        self.contact = Some(QuorumContact { until: contact.until.max(requested_at), ..contact });
+    }
+
+    /// Lets the contact begin anew after this process has stood still: what arrived meanwhile is not read yet.
+    pub fn restart_contact(&mut self, now: Micros) {
+        if let Some(contact) = &mut self.contact {
+            contact.since = now;
+        }
+    }
+
+    /// The contact with a quorum of voters, while the lease is valid.
+    pub fn quorum_contact(&self, now: Micros) -> Option<QuorumContact> {
+        self.contact.filter(|_| now < self.expires_at)
+    }
 }
--- a/crates/custody/src/lib.rs
+++ b/crates/custody/src/lib.rs
@@ -8,11 +8,14 @@
 //! **Protocol.** An *incarnation* of a gateway (one process of its name) acts under a *lease* that a quorum
 //! of voters grants; the holder counts it from the time of its request. A failed incarnation is *fenced*: a
 //! quorum of voters stores a mark and never grants to it again, and the fence takes effect once the leases
-//! that these voters granted have expired. A statement has a *replica list*: its owner, then its replicas.
-//! Only the owner changes the list, and only by appending to it; an extended list is in force once every
-//! member of the shorter one that is not fenced has acknowledged it. A member of the list acts for the
-//! statement if its own lease is valid and every member before it is fenced or has resigned.
+//! that these voters granted have expired. A voter stores a mark only on evidence of its own: it has listened
+//! for the duration of a lease and has not heard that the process holds its lease. A statement has a *replica
+//! list*: its owner, then its replicas. Only the owner changes the list, and only by appending to it; an
+//! extended list is in force once every member of the shorter one that is not fenced has acknowledged it. A
+//! member of the list acts for the statement if its own lease is valid and every member before it is fenced or
+//! has resigned.
 
+mod evidence;
 mod lease;
 mod node;
 pub mod sim;
--- a/crates/custody/src/node.rs
+++ b/crates/custody/src/node.rs
@@ -159,7 +159,8 @@
     HalfIsQuorum,
     /// A voter forgets its fences at a restart.
     MarksNotStored,
-    /// A restarted voter grants leases at once.
+    /// A restarted voter grants leases at once, and fences without evidence: either guard alone keeps it from
+    /// reporting that a lease which it has forgotten is over.
     NoStartupSilence,
     /// A replica acknowledges an extended replica list but keeps its previous one.
     ReplicaListForgotten,
@@ -173,6 +174,8 @@
     GrantNotWaitedOut,
     /// A voter that has lost its disk votes as if the fleet started for the first time.
     VotesWithoutMarks,
+    /// A voter fences whomever it is asked to fence, even if it hears that one or has just been cut off.
+    FencesWithoutEvidence,
 }
 
 /// Usage by the records held for other gateways.
@@ -361,12 +364,14 @@
     }
 
     fn advance(&mut self, now: Micros) {
+        self.detect_standstill(now);
         self.latest_time = now;
         self.check_lease(now);
         self.renew_lease(now);
         self.update_lease_held(now);
         self.finish_fencing(now);
         self.request_marks(now);
+        self.answer_deferred_requests(now);
         self.query_stored_marks(now);
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP_INTERVAL;
--- a/crates/custody/src/node/fencing.rs
+++ b/crates/custody/src/node/fencing.rs
@@ -10,6 +10,8 @@
 
 /// Time between two requests to a voter that has not answered.
 const RETRY_INTERVAL: Micros = 300 * MILLISECOND;
+/// How long a voter remembers a request that it cannot answer yet, unless it is repeated.
+const DEFERRED_REQUEST_LIFETIME: Micros = 3 * RETRY_INTERVAL;
 /// How long a fencing request of the caller stays in force.
 const REQUEST_LIFETIME: Micros = 30_000 * MILLISECOND;
 
@@ -150,8 +152,8 @@
 
     /// Asks the voters for the marks that are missing.
     pub(super) fn request_marks(&mut self, now: Micros) {
-        // Without a lease nothing could be taken over. This gateway may also be the partitioned one: once the
-        // partition ends, its outdated view would fence processes that run.
+        // Without a lease nothing could be taken over. A lease does not show that this gateway's view is current:
+        // the voters therefore fence only processes that they have not heard either.
         if !self.lease_held || !self.fencing.values().any(|attempt| attempt.is_request_due(now)) {
             return;
         }
@@ -233,13 +235,44 @@
         }
     }
 
+    /// Handles a gateway's request to fence participants. The request is deferred for those that this voter
+    /// has heard too recently, or has not listened for long enough to.
     pub(super) fn handle_fence_request(&mut self, now: Micros, from: &str, participants: Vec<Participant>) {
+        let contact = self.lease.quorum_contact(now);
         let Some(voter) = &mut self.voter else { return };
-        let marks = voter.fence(now, from, participants);
+        let mut silent = Vec::new();
+        for participant in participants {
+            if voter.may_fence(&participant, contact) {
+                silent.push(participant);
+                continue;
+            }
+            // A grant from then on completes the evidence.
+            if let Some(due) = voter.evidence.due_at(&participant, contact) {
+                self.renew_at = self.renew_at.min(due.max(now));
+            }
+            voter.defer_fence(participant, from, now + DEFERRED_REQUEST_LIFETIME);
+        }
+        let marks = voter.fence(now, from, silent);
         self.begin_storing_marks();
         self.send_marks(now, from, marks);
     }
 
+    /// Answers the deferred requests to fence participants that have been silent for long enough by now.
+    pub(super) fn answer_deferred_requests(&mut self, now: Micros) {
+        let contact = self.lease.quorum_contact(now);
+        let Some(voter) = &mut self.voter else { return };
+        for (from, participants) in voter.take_due_requests(now, contact) {
+            self.handle_fence_request(now, &from, participants);
+        }
+    }
+
+    /// Records as a voter that a participant requests its lease, and whether it says that it holds it.
+    pub(super) fn record_heard(&mut self, now: Micros, participant: &Participant, holds_lease: bool) {
+        if let Some(voter) = &mut self.voter {
+            voter.evidence.record_heard(now, participant, holds_lease);
+        }
+    }
+
     /// As a recovering voter, queries the other voters for their marks until the recovery is complete.
     pub(super) fn query_stored_marks(&mut self, now: Micros) {
         let is_recovering = self.voter.as_ref().is_some_and(Voter::is_recovering);
--- a/crates/custody/src/node/leases.rs
+++ b/crates/custody/src/node/leases.rs
@@ -14,6 +14,8 @@
 const RENEWALS_PER_LEASE: u64 = 3;
 /// Requests per lease duration while it does not.
 const REQUESTS_PER_LEASE: u64 = 8;
+/// A process that has not run for this part of a lease has stood still; it requests its lease more often.
+const STANDSTILLS_PER_LEASE: u64 = 2;
 
 impl TakeoverNode {
     /// Whether this gateway may start attempts and report endings: its lease stays valid for at least
@@ -55,14 +57,26 @@
         self.lease_held = may_act;
     }
 
+    /// Lets the contact with the voters begin anew if this process has stood still since it last ran.
+    pub(super) fn detect_standstill(&mut self, now: Micros) {
+        if now > self.latest_time + self.settings.lease / STANDSTILLS_PER_LEASE {
+            self.lease.restart_contact(now);
+        }
+    }
+
     fn request_lease(&mut self, now: Micros) {
+        let is_held = now < self.lease.expires_at;
         for voter in self.settings.voters.clone() {
             if voter == self.local.incarnation.name {
                 let local = self.local.clone();
+                self.record_heard(now, &local, is_held);
                 let answer = self.vote_on_lease(now, &local);
                 self.handle_lease_answer(now, &voter, now, &answer);
             } else {
                 self.send_message(&voter, &Message::LeaseRequest(now));
+                if is_held {
+                    self.send_message(&voter, &Message::LeaseHeld);
+                }
             }
         }
     }
@@ -78,7 +92,7 @@
             LeaseAnswer::Granted => {
                 let from_receipt = self.fault == InjectedFault::LeaseFromReceipt;
                 let counted_from = if from_receipt { now } else { requested_at };
-                self.lease.add_grant(voter, counted_from, self.lease_times.holder_span());
+                self.lease.add_grant(now, voter, counted_from, self.lease_times.holder_span());
             }
             LeaseAnswer::Fenced(through) if *through >= self.local.term => self.term_fenced = true,
             LeaseAnswer::Fenced(_) | LeaseAnswer::NoAnswer => {}
--- a/crates/custody/src/node/messages.rs
+++ b/crates/custody/src/node/messages.rs
@@ -13,6 +13,7 @@
             Err(error) => return self.handle_undecodable(now, from, error),
         };
         let incarnation = Incarnation { name: from.to_owned(), number: process.incarnation_number };
+        self.detect_standstill(now);
         if !self.learn_term(&incarnation, process.term) {
             return;
         }
@@ -56,6 +57,7 @@
                     self.handle_lease_answer(now, &from, 0, &LeaseAnswer::Fenced(through));
                 }
             }
+            Message::LeaseHeld => self.record_heard(now, &sender, true),
             Message::TermAnnouncement => {}
             Message::TermQuery => self.send_message(&from, &Message::TermAnnouncement),
             Message::MarksQuery(asked_at) => self.answer_marks_query(now, &from, asked_at),
@@ -95,6 +97,7 @@
 
     fn answer_lease_request(&mut self, now: Micros, sender: &Participant, requested_at: Micros) {
         let to = &sender.incarnation.name;
+        self.record_heard(now, sender, false);
         match self.vote_on_lease(now, sender) {
             LeaseAnswer::Granted => self.send_message(to, &Message::LeaseGrant(requested_at)),
             LeaseAnswer::Fenced(through) => self.send_message(to, &Message::Fenced(through)),
--- a/crates/custody/src/node/status.rs
+++ b/crates/custody/src/node/status.rs
@@ -20,6 +20,12 @@
 }
 
 impl TakeoverNode {
+    /// The number of this process's term, from 0: a process that is fenced while it runs goes on in the next
+    /// one, without the statements that it owned.
+    pub fn term(&self) -> u32 {
+        self.local.term
+    }
+
     /// The processes in a statement's replica list, starting with its first owner.
     pub fn replica_list(&self, key: &StatementKey) -> Vec<Incarnation> {
         self.replica_list_with_terms(key).into_iter().map(|(incarnation, _)| incarnation).collect()
--- a/crates/custody/src/sim.rs
+++ b/crates/custody/src/sim.rs
@@ -23,7 +23,7 @@
 use self::clients::ClientStatement;
 use self::events::{Event, ScheduledEvent};
 use self::process::Process;
-use crate::{Incarnation, Micros, StatementKey};
+use crate::{Incarnation, Micros, StatementKey, TakeoverNode};
 
 const MILLISECOND: Micros = 1_000;
 const SECOND: Micros = 1_000 * MILLISECOND;
@@ -118,7 +118,7 @@
         (0..count).for_each(|gateway| fleet.start_process(gateway));
         for gateway in 0..count {
             let others = (0..count).filter(|&other| other != gateway);
-            others.for_each(|other| fleet.observe_member(gateway, other, false));
+            others.for_each(|other| fleet.observe_member(gateway, other));
             fleet.update_members(gateway);
         }
         fleet
@@ -146,6 +146,11 @@
         self.processes.iter().map(|process| process.statements.len()).collect()
     }
 
+    /// The term of each gateway's process; `None` if it does not run.
+    pub fn terms(&self) -> Vec<Option<u32>> {
+        self.processes.iter().map(|process| process.node.as_ref().map(TakeoverNode::term)).collect()
+    }
+
     /// The counts so far.
     pub fn counts(&self) -> &Counts {
         &self.counts
--- a/crates/custody/src/sim/clients.rs
+++ b/crates/custody/src/sim/clients.rs
@@ -146,6 +146,7 @@
             }
             // The gateway forwards the poll to the owner if it can reach it.
             Some(StatementLocation::Unknown | StatementLocation::Ended(_)) => {
+                self.request_fencing_of_token(polled, key);
                 let owner = self.reachable_owner(polled, key);
                 (owner.unwrap_or(alternative), POLL_INTERVAL)
             }
@@ -161,6 +162,17 @@
         (next, delay)
     }
 
+    /// A gateway that does not know a statement requests that those which its token names be fenced, if they
+    /// are gone according to membership.
+    fn request_fencing_of_token(&mut self, polled: usize, key: &StatementKey) {
+        let Some(statement) = self.statements.get(key) else { return };
+        for member in statement.token.clone().into_iter().filter(|&member| member != polled) {
+            let incarnation = self.incarnation(member);
+            self.with_node(polled, |node, clock| node.request_fencing(clock, &incarnation, 0));
+        }
+        self.carry_out_effects(polled);
+    }
+
     /// The first gateway that owns a statement and is reachable from another gateway.
     fn reachable_owner(&self, from: usize, key: &StatementKey) -> Option<usize> {
         let is_reachable = |gateway: usize, process: &Process| {
--- a/crates/custody/src/sim/events.rs
+++ b/crates/custody/src/sim/events.rs
@@ -31,10 +31,9 @@
         attempt: u32,
         finished: bool,
     },
-    /// Membership observes another gateway, or wrongly believes it dead.
+    /// Membership observes another gateway.
     ObserveMember {
         member: usize,
-        believed_dead: bool,
     },
     ClientPolls(StatementKey),
     AcceptStatement,
@@ -110,9 +109,9 @@
                     self.engine_answers(gateway, &key, attempt, finished);
                 }
             }
-            Event::ObserveMember { member, believed_dead } => {
+            Event::ObserveMember { member } => {
                 if self.processes[gateway].node.is_some() {
-                    self.observe_member(gateway, member, believed_dead);
+                    self.observe_member(gateway, member);
                     self.update_members(gateway);
                 }
             }
--- a/crates/custody/src/sim/faults.rs
+++ b/crates/custody/src/sim/faults.rs
@@ -27,7 +27,8 @@
             8 => self.partition(|other| other == gateway, ends_at, gateway),
             9 => self.partition(|other| other % 2 == gateway % 2, ends_at, gateway),
             10 | 11 => self.cut_one_link(gateway, ends_at),
-            12 | 13 => self.suspect_falsely(gateway),
+            12 => self.suspect_falsely(gateway),
+            13 => self.deafen(gateway),
             14 => self.restart_voters(gateway, ends_at),
             15 if self.one_in(8) => self.restart_most_gateways(gateway),
             17 => self.lose_disk(gateway),
@@ -65,6 +66,35 @@
         self.schedule(ends_at, gateway, Event::StartProcess);
     }
 
+    /// Cuts the links by which messages go from some gateways to others, for a span.
+    pub fn cut_links(&mut self, from: &[usize], to: &[usize], span: Micros) {
+        self.counts.partitions += 1;
+        for &sender in from {
+            for &receiver in to.iter().filter(|&&receiver| receiver != sender) {
+                self.cut_links[sender][receiver] = true;
+            }
+        }
+        (0..self.processes.len()).for_each(|gateway| self.schedule_observations(gateway));
+        let first = from.first().copied().unwrap_or(0);
+        self.schedule(self.now + span, first, Event::RestoreLinks);
+    }
+
+    /// Cuts the links between two groups of gateways in both directions, for a span.
+    pub fn partition_groups(&mut self, one: &[usize], other: &[usize], span: Micros) {
+        self.cut_links(one, other, span);
+        self.cut_links(other, one, span);
+    }
+
+    /// Lets a gateway wrongly believe another one dead, for a span.
+    pub fn suspect(&mut self, gateway: usize, member: usize, span: Micros) {
+        self.believe_dead(gateway, member, self.now + span);
+    }
+
+    /// Pauses a gateway's process for a span.
+    pub fn pause_process(&mut self, gateway: usize, span: Micros) {
+        self.pause(gateway, self.now + span);
+    }
+
     /// Cuts all links between one side and the other gateways, sometimes in one direction only.
     fn partition(&mut self, is_on_side: impl Fn(usize) -> bool, ends_at: Micros, gateway: usize) {
         self.counts.partitions += 1;
@@ -95,10 +125,18 @@
         self.believe_dead(gateway, member, ends_at);
     }
 
+    /// Cuts a gateway off from all messages of the others, while its own arrive.
+    fn deafen(&mut self, gateway: usize) {
+        let span = self.random_time(2 * SECOND, 6 * SECOND) - self.now;
+        let others: Vec<usize> = (0..self.processes.len()).filter(|&other| other != gateway).collect();
+        self.cut_links(&others, &[gateway], span);
+    }
+
     fn believe_dead(&mut self, gateway: usize, member: usize, ends_at: Micros) {
         if gateway != member {
-            self.schedule(self.now, gateway, Event::ObserveMember { member, believed_dead: true });
-            self.schedule(ends_at, gateway, Event::ObserveMember { member, believed_dead: false });
+            self.processes[gateway].believed_dead_until[member] = ends_at;
+            self.schedule(self.now, gateway, Event::ObserveMember { member });
+            self.schedule(ends_at, gateway, Event::ObserveMember { member });
         }
     }
 
--- a/crates/custody/src/sim/process.rs
+++ b/crates/custody/src/sim/process.rs
@@ -32,6 +32,8 @@
     pub(super) wake_at: Micros,
     /// The observed incarnations of each other gateway, newest last.
     pub(super) observed: Vec<Vec<Observation>>,
+    /// Until when membership wrongly believes each other gateway dead.
+    pub(super) believed_dead_until: Vec<Micros>,
     pub(super) statements: BTreeMap<StatementKey, LocalStatement>,
     pub(super) may_act: bool,
     /// The number of the last statement accepted.
@@ -53,6 +55,7 @@
             paused_until: 0,
             wake_at: Micros::MAX,
             observed: vec![Vec::new(); gateways],
+            believed_dead_until: vec![0; gateways],
             statements: BTreeMap::new(),
             may_act: false,
             last_number: 0,
@@ -146,16 +149,24 @@
         for other in (0..self.processes.len()).filter(|&other| other != gateway) {
             for time in DETECTION_TIMES {
                 let at = self.random_time(time, 2 * time);
-                self.schedule(at, other, Event::ObserveMember { member: gateway, believed_dead: false });
+                self.schedule(at, other, Event::ObserveMember { member: gateway });
                 let at = self.random_time(time, 2 * time);
-                self.schedule(at, gateway, Event::ObserveMember { member: other, believed_dead: false });
+                self.schedule(at, gateway, Event::ObserveMember { member: other });
             }
         }
     }
 
+    /// Whether a gateway's probes of another one are answered, directly or by way of a third gateway.
+    fn answers_probes(&self, gateway: usize, member: usize) -> bool {
+        let is_linked = |one: usize, other: usize| !self.cut_links[one][other] && !self.cut_links[other][one];
+        let helps = |helper: usize| is_linked(gateway, helper) && is_linked(helper, member);
+        is_linked(gateway, member) || (0..self.processes.len()).any(helps)
+    }
+
     /// Updates what a gateway's membership observes of another gateway, or wrongly believes of it.
-    pub(super) fn observe_member(&mut self, gateway: usize, member: usize, believed_dead: bool) {
-        let is_cut = self.cut_links[gateway][member] && self.cut_links[member][gateway];
+    pub(super) fn observe_member(&mut self, gateway: usize, member: usize) {
+        let is_cut = !self.answers_probes(gateway, member);
+        let believed_dead = self.processes[gateway].believed_dead_until[member] > self.now;
         let other = &self.processes[member];
         let incarnation_number = other.incarnation_number;
         let is_dead = other.node.is_none() || other.paused_until > self.now || is_cut || believed_dead;
--- a/crates/custody/src/voter.rs
+++ b/crates/custody/src/voter.rs
@@ -2,16 +2,19 @@
 //!
 //! The remaining time of a lease that a voter reports is, on any clock within the allowed drift, never less
 //! than what the holder still counts.
+//!
+//! A voter fences a process only on evidence of its own that the process is gone ([`Evidence`]).
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::lease::LeaseTimes;
+use crate::evidence::Evidence;
+use crate::lease::{LeaseTimes, QuorumContact};
 use crate::wire::stored_marks::{decode_marks, encode_marks, Fence, StoredMarksError};
 use crate::wire::{FenceMark, Participant};
 use crate::{Incarnation, InjectedFault, Micros};
 
 /// Maximum number of grants, of fences and of pending replies that a voter holds; it refuses more.
-const MAX_REMEMBERED: usize = 4_096;
+pub(crate) const MAX_REMEMBERED: usize = 4_096;
 /// A process that has held no lease for this time ends its term by itself, so older fences may be dropped.
 pub(crate) const MAX_TERM_WITHOUT_LEASE: Micros = 3_600_000_000;
 
@@ -46,8 +49,14 @@
 /// The voter of one process.
 pub(crate) struct Voter {
     times: LeaseTimes,
+    fault: InjectedFault,
     /// By gateway name.
     grants: BTreeMap<String, Grant>,
+    /// What was heard of the participants.
+    pub evidence: Evidence,
+    /// Requests to fence participants that were heard too recently, by requesting gateway, each with the time
+    /// at which it is dropped.
+    deferred: BTreeMap<(String, Participant), Micros>,
     fences: BTreeMap<Incarnation, FenceState>,
     /// No lease is granted before this time, as leases granted before the restart may still be valid.
     silent_until: Micros,
@@ -108,7 +117,10 @@
             |fence: Fence| (fence.incarnation, FenceState { through_term: fence.through_term, since: now });
         Ok(Voter {
             times,
+            fault,
             grants: BTreeMap::new(),
+            evidence: Evidence::new(times),
+            deferred: BTreeMap::new(),
             fences: fences.into_iter().map(state).collect(),
             silent_until: if silent { now + times.wait_for_other_clock(times.lease) } else { 0 },
             has_stored: stored.is_some(),
@@ -214,6 +226,44 @@
         self.grants.len() < MAX_REMEMBERED
     }
 
+    /// Whether a participant may be fenced now: it is fenced already, or this voter has not heard for the
+    /// duration of a lease that it holds its own, and would have.
+    pub fn may_fence(&self, participant: &Participant, contact: Option<QuorumContact>) -> bool {
+        let fence = self.fences.get(&participant.incarnation);
+        if fence.is_some_and(|fence| fence.through_term >= participant.term) {
+            return true;
+        }
+        let is_silent = self.evidence.is_complete(participant, contact);
+        // A restarted voter that neither keeps silent nor listens first forgets the leases that it granted.
+        let faults = [InjectedFault::FencesWithoutEvidence, InjectedFault::NoStartupSilence];
+        is_silent || faults.contains(&self.fault)
+    }
+
+    /// Defers a request to fence a participant.
+    pub fn defer_fence(&mut self, participant: Participant, from: &str, until: Micros) {
+        let request = (from.to_owned(), participant);
+        if self.deferred.len() < MAX_REMEMBERED || self.deferred.contains_key(&request) {
+            self.deferred.insert(request, until);
+        }
+    }
+
+    /// Removes and returns the deferred requests that can be answered now, by requesting gateway.
+    pub fn take_due_requests(
+        &mut self,
+        now: Micros,
+        contact: Option<QuorumContact>,
+    ) -> BTreeMap<String, Vec<Participant>> {
+        self.deferred.retain(|_, until| now < *until);
+        let is_due = |(_, participant): &&(String, Participant)| self.may_fence(participant, contact);
+        let due: Vec<(String, Participant)> = self.deferred.keys().filter(is_due).cloned().collect();
+        let mut by_gateway: BTreeMap<String, Vec<Participant>> = BTreeMap::new();
+        for request in due {
+            self.deferred.remove(&request);
+            by_gateway.entry(request.0).or_default().push(request.1);
+        }
+        by_gateway
+    }
+
     /// Fences a participant; the next write stores the fence. Returns whether there was room for it.
     fn add_fence(&mut self, now: Micros, participant: &Participant) -> bool {
         let known = self.fences.get(&participant.incarnation);
--- a/crates/custody/src/wire.rs
+++ b/crates/custody/src/wire.rs
@@ -126,6 +126,8 @@
     MarksQuery(Micros),
     /// The sender's marks in the format of the stored file; empty if the sender has stored none either.
     StoredMarks { asked_at: Micros, marks: Vec<u8> },
+    /// The sender holds its lease; a voter does not fence it while it hears this.
+    LeaseHeld,
 }
 
 /// Why bytes cannot be decoded.
@@ -153,6 +155,7 @@
             Message::TermQuery => 9,
             Message::MarksQuery(_) => 10,
             Message::StoredMarks { .. } => 11,
+            Message::LeaseHeld => 12,
         }
     }
 
@@ -186,7 +189,7 @@
                     encoder.u8(rejection.reason as u8);
                 });
             }
-            Message::TermAnnouncement | Message::TermQuery => {}
+            Message::TermAnnouncement | Message::TermQuery | Message::LeaseHeld => {}
         }
         encoder.into_bytes()
     }
@@ -235,6 +238,7 @@
             9 => Message::TermQuery,
             10 => Message::MarksQuery(decoder.u64()?),
             11 => Message::StoredMarks { asked_at: decoder.u64()?, marks: decoder.long_bytes()? },
+            12 => Message::LeaseHeld,
             _ => return Err(DecodeError::Malformed),
         })
     }
--- a/crates/custody/src/wire/tests.rs
+++ b/crates/custody/src/wire/tests.rs
@@ -104,6 +104,7 @@
     assert_encoding(&Message::Fenced(0x23), "010301020304050607080a0b0c0d00000023");
     assert_encoding(&Message::TermAnnouncement, "010801020304050607080a0b0c0d");
     assert_encoding(&Message::TermQuery, "010901020304050607080a0b0c0d");
+    assert_encoding(&Message::LeaseHeld, "010c01020304050607080a0b0c0d");
 }
 
 #[test]
--- a/crates/custody/tests/takeover.rs
+++ b/crates/custody/tests/takeover.rs
@@ -50,8 +50,12 @@
     effects: Vec<(usize, Effect)>,
     /// The records that were sent: sender, receiver and bytes.
     sent_records: Vec<(usize, String, Vec<u8>)>,
+    /// The bytes that each gateway stored last.
+    stored_marks: Vec<Option<Vec<u8>>>,
     /// The gateway that no message passes to or from.
     partitioned: Option<usize>,
+    /// The gateway that stands still; messages to it are lost.
+    stopped: Option<usize>,
 }
 
 impl ThreeGateways {
@@ -84,7 +88,9 @@
             now: SECOND,
             effects: Vec::new(),
             sent_records: Vec::new(),
+            stored_marks: vec![None; 3],
             partitioned: None,
+            stopped: None,
         };
         gateways.run(SECOND);
         assert!(gateways.nodes.iter().all(|node| node.may_act(gateways.now)));
@@ -104,7 +110,10 @@
                     self.deliver_message(&format!("g{gateway}"), &to, &bytes);
                     self.sent_records.push((gateway, to, bytes));
                 }
-                Effect::StoreMarks(_) => self.nodes[gateway].marks_stored(self.now),
+                Effect::StoreMarks(bytes) => {
+                    self.stored_marks[gateway] = Some(bytes);
+                    self.nodes[gateway].marks_stored(self.now);
+                }
                 other => self.effects.push((gateway, other)),
             }
             gateway = 0;
@@ -116,6 +125,7 @@
         if self
             .partitioned
             .is_some_and(|partitioned| partitioned == gateway || from == format!("g{partitioned}"))
+            || self.stopped == Some(gateway)
         {
             return;
         }
@@ -136,7 +146,9 @@
         let until = self.now + span;
         while self.now < until {
             self.now += 5_000;
-            (0..3).for_each(|gateway| self.nodes[gateway].wake(self.now));
+            for gateway in (0..3).filter(|gateway| self.stopped != Some(*gateway)) {
+                self.nodes[gateway].wake(self.now);
+            }
             self.deliver_all();
         }
     }
@@ -250,21 +262,13 @@
 #[test]
 fn damaged_and_foreign_stored_marks_are_rejected() {
     let mut gateways = ThreeGateways::new(2);
-    let gone = |state| Member { incarnation: incarnation(2), site: "s2".into(), state };
     gateways.nodes[0].add_statement(gateways.now, record(1));
     gateways.run(SECOND);
-    gateways.nodes[1].update_members(gateways.now, vec![gone(MemberState::Dead)]);
-    let mut stored = None;
-    for _ in 0..400 {
-        gateways.now += 5_000;
-        gateways.nodes[1].wake(gateways.now);
-        while let Some(effect) = gateways.nodes[1].next_effect() {
-            if let Effect::StoreMarks(bytes) = effect {
-                gateways.nodes[1].marks_stored(gateways.now);
-                stored = Some(bytes);
-            }
-        }
-    }
+    let before = gateways.stored_marks[1].clone();
+    gateways.partitioned = Some(2);
+    gateways.set_membership(1, [(0, MemberState::Alive), (2, MemberState::Dead)]);
+    gateways.run(5 * SECOND);
+    let stored = gateways.stored_marks[1].clone().filter(|stored| Some(stored) != before.as_ref());
     let stored = stored.expect("marks are stored");
     let start = |bytes: &[u8]| {
         let settings = Settings {
@@ -385,3 +389,31 @@
         |effect: &&(usize, Effect)| matches!(&effect.1, Effect::TakenOver(record) if record.key == key(1));
     assert_eq!(gateways.effects.iter().filter(taken_over).count(), 1);
 }
+
+/// A voter that stood still and missed a running gateway's renewals fenced it as soon as it went on.
+#[test]
+fn a_voter_that_stood_still_listens_before_it_fences() {
+    let mut kept_lease = 0;
+    for offset in 0..20 {
+        let mut gateways = ThreeGateways::new(100);
+        gateways.nodes[0].add_statement(gateways.now, record(1));
+        gateways.run(3 * SECOND + offset * SECOND / 20);
+        // A renewal of the gateway may be lost, so that this voter has heard it less recently than the others.
+        gateways.partitioned = Some(0);
+        gateways.run(SECOND / 5);
+        gateways.partitioned = None;
+        gateways.set_membership(1, [(0, MemberState::Dead), (2, MemberState::Alive)]);
+        gateways.stopped = Some(2);
+        gateways.run(12 * SECOND / 5);
+        gateways.stopped = None;
+        kept_lease += u32::from(gateways.nodes[2].may_act(gateways.now));
+        let before = gateways.stored_marks[2].clone();
+        gateways.run(4 * SECOND);
+        assert_eq!(
+            gateways.stored_marks[2], before,
+            "offset {offset}: fenced a gateway that holds its lease"
+        );
+        assert!(gateways.nodes[0].may_act(gateways.now), "offset {offset}");
+    }
+    assert!(kept_lease > 0, "the voter has always stood still for longer than its lease");
+}
