serve: a poll from before a takeover is not told that its statement goes on

Change: a poll that arrived before the statement was adopted, here or where it was forwarded from, gets rows, the ending or 503 (ask again), as its first copy may have been answered. Polls that come later are answered as before: whoever still needs the statement asks again. Not closed by this: a copy of a poll that comes only after the takeover. Test: a_poll_from_before_the_adoption_is_not_told_that_the_statement_goes_on (the call it needs is new; with the old one the second poll gets the empty page). The key of the forwarded request is pinned, and is optional to read.

--- a/crates/gateway/src/core/protection.rs
+++ b/crates/gateway/src/core/protection.rs
@@ -9,7 +9,7 @@
 };
 use violetward_custody as custody;
 use violetward_statement::http::Headers;
-use violetward_statement::pages::{Ending, Pages};
+use violetward_statement::pages::{Ending, Pages, Turn};
 use violetward_statement::results::{QueryError, CANCELED, FAILED};
 use violetward_statement::session::Context;
 
@@ -267,6 +267,34 @@
         }
     }
 
+    /// Like [`Core::page_after`] for a request that arrived at a time; `None` if the request has to be repeated.
+    ///
+    /// The gateway from which the statement was adopted may have answered another copy of a request that
+    /// arrived before the adoption, even with the ending. Such a request is therefore not told that the
+    /// statement goes on; it gets rows, the ending or no answer.
+    pub fn page_for_request(
+        &mut self,
+        now: Micros,
+        id: StatementId,
+        (token, after): (u64, Option<u64>),
+        patient: bool,
+        arrived_at: Micros,
+    ) -> Option<Turn> {
+        if !self.adopted_after(id, arrived_at) {
+            return Some(self.page_after(now, id, token, after, patient));
+        }
+        match self.page_after(now, id, token, after, true) {
+            Turn::Page(page) if page.is_empty() => None,
+            Turn::Wait if !patient => None,
+            turn => Some(turn),
+        }
+    }
+
+    fn adopted_after(&self, id: StatementId, at: Micros) -> bool {
+        let adopted = |s: &&Statement| s.protection.as_ref().is_some_and(|g| g.adopted);
+        self.statements.get(&id).filter(adopted).is_some_and(|s| s.accepted_at > at)
+    }
+
     /// Whether a statement was adopted and its client has not polled here yet.
     pub(super) fn awaits_client(&self, id: StatementId) -> bool {
         self.statements.get(&id).and_then(|s| s.protection.as_ref()).is_some_and(|g| g.awaits_client)
--- a/crates/gateway/src/custody.rs
+++ b/crates/gateway/src/custody.rs
@@ -89,6 +89,9 @@
     pub host: String,
     /// How long the answer may wait for new rows, in milliseconds.
     pub wait_millis: u64,
+    /// How long the client's request has waited at the gateway that forwards it, in milliseconds.
+    #[serde(default)]
+    pub waited_millis: u64,
     /// Offset in the body from which on it is requested.
     #[serde(rename = "from")]
     pub offset: usize,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -173,7 +173,8 @@
         let host = format!("http://{}", request.host);
         let until = Instant::now() + Duration::from_millis(request.wait_millis);
         let Some((custody, token)) = self.protected_page(path) else { return Default::default() };
-        let request = Request { method: &request.method, base: &host, until };
+        let arrived_at = self.host.now().saturating_sub(request.waited_millis.saturating_mul(1_000));
+        let request = Request { method: &request.method, base: &host, until, arrived_at };
         match self.answer_if_held(&custody, &token, &request, None).await {
             HeldAnswer::Reply(reply) => {
                 let headers = reply.headers.iter().map(|(n, v)| (n.to_owned(), v.to_owned())).collect();
@@ -209,7 +210,8 @@
         let (method, target) = message.request();
         let base = base_uri(message);
         let until = Instant::now() + self.poll_timeout(query);
-        let request = Request { method, base: &base, until };
+        let arrived_at = self.host.now();
+        let request = Request { method, base: &base, until, arrived_at };
         loop {
             let holder = match self.answer_if_held(&custody, &token, &request, Some(connection)).await {
                 HeldAnswer::Reply(reply) => return Some(reply),
@@ -221,6 +223,7 @@
                 path: target.to_owned(),
                 host: message.headers.get("host").unwrap_or("localhost").to_owned(),
                 wait_millis: until.saturating_duration_since(Instant::now()).as_millis() as u64,
+                waited_millis: self.host.now().saturating_sub(arrived_at) / 1_000,
                 offset: 0,
             };
             match custody.forward(&self.host, &token, &forwarded, holder).await {
@@ -382,7 +385,8 @@
             ("GET" | "DELETE", _) => match self.local_page(path) {
                 Some((id, page)) if method == "GET" => {
                     let until = Instant::now() + self.poll_timeout(query);
-                    let request = Request { method, base: &base_uri(message), until };
+                    let arrived_at = self.host.now();
+                    let request = Request { method, base: &base_uri(message), until, arrived_at };
                     self.poll(&request, id, &page, None, Some(connection)).await
                 }
                 Some((id, _)) => {
@@ -471,7 +475,12 @@
         let reply = loop {
             let changed = self.host.subscribe(id);
             let patient = Instant::now() < until;
-            match self.host.with_core(|core, now| core.page_after(now, id, page.token, after, patient)) {
+            let wanted = (page.token, after);
+            let turn = self
+                .host
+                .with_core(|core, now| core.page_for_request(now, id, wanted, patient, request.arrived_at));
+            let Some(turn) = turn else { break Some(unreachable_reply()) };
+            match turn {
                 Turn::Page(contents) => {
                     // The slug of the next page contains which rows the client has by then and which gateways
                     // may hold the statement.
@@ -674,6 +683,8 @@
     base: &'a str,
     /// Time until which the reply may wait for a page.
     until: Instant,
+    /// When the client's request arrived here or at the gateway that forwarded it, in microseconds of the host's clock.
+    arrived_at: u64,
 }
 
 /// The result of looking for a statement in this gateway.
--- a/crates/gateway/tests/guarded.rs
+++ b/crates/gateway/tests/guarded.rs
@@ -319,3 +319,28 @@
     );
     assert!(!events.iter().any(|e| matches!(e, Event::Request(_))));
 }
+
+/// A copy of a poll that the former gateway had answered with the ending was told by the adopting gateway that
+/// the statement goes on: the client saw two answers that contradict each other.
+#[test]
+fn a_poll_from_before_the_adoption_is_not_told_that_the_statement_goes_on() {
+    let (harness, id, _) = start_statement("lookup");
+    let (mut adopter, adopted_id) = adopt_elsewhere(&harness.guardian_record(id));
+    let adopted_at = adopter.now;
+    let ask = |adopter: &mut Harness, patient: bool, arrived_at: Micros| {
+        let turn = adopter.core.page_for_request(adopter.now, adopted_id, (0, None), patient, arrived_at);
+        adopter.collect_effects();
+        turn
+    };
+    let before = adopted_at - SECOND / 2;
+    assert!(matches!(ask(&mut adopter, true, before), Some(Turn::Wait)), "it may still get rows or the end");
+    assert!(ask(&mut adopter, false, before).is_none());
+    // The client does need the statement: its next poll is answered as usual.
+    let attempt = *adopter.launched_attempts().last().expect("the first poll starts the statement");
+    adopter.receive_page(attempt, 0, Some("[[1]]"), false);
+    let rows = ask(&mut adopter, false, before);
+    assert!(matches!(&rows, Some(Turn::Page(page)) if page.data.is_some()), "{rows:?}");
+    let (mut other, other_id) = adopt_elsewhere(&harness.guardian_record(id));
+    let later = other.core.page_for_request(other.now, other_id, (0, None), false, other.now);
+    assert!(matches!(&later, Some(Turn::Page(page)) if page.is_empty()), "{later:?}");
+}
--- a/crates/gateway/tests/json_names.rs
+++ b/crates/gateway/tests/json_names.rs
@@ -10,14 +10,18 @@
         path: "/v1/statement/executing/s/x/1".into(),
         host: "gateway:8080".into(),
         wait_millis: 500,
+        waited_millis: 40,
         offset: 7,
     };
     let json = concat!(
         r#"{"method":"GET","path":"/v1/statement/executing/s/x/1","host":"gateway:8080","#,
-        r#""wait_millis":500,"from":7}"#
+        r#""wait_millis":500,"waited_millis":40,"from":7}"#
     );
     assert_eq!(serde_json::to_string(&request).unwrap(), json);
     assert_eq!(serde_json::from_str::<ForwardedRequest>(json).unwrap().offset, 7);
+    // Gateways of earlier versions do not say how long the request has waited.
+    let earlier = json.replace(r#""waited_millis":40,"#, "");
+    assert_eq!(serde_json::from_str::<ForwardedRequest>(&earlier).unwrap().waited_millis, 0);
 }
 
 #[test]
--- a/crates/statement/src/pages.rs
+++ b/crates/statement/src/pages.rs
@@ -81,6 +81,13 @@
     pub session: Vec<(String, String)>,
 }
 
+impl Page {
+    /// Whether it has neither rows nor the end.
+    pub fn is_empty(&self) -> bool {
+        self.data.is_none() && self.end.is_none()
+    }
+}
+
 /// What asking for a page gives.
 #[derive(Debug, Clone)]
 pub enum Turn {
