--- a/crates/lab/src/cluster/plans/custody.rs
+++ b/crates/lab/src/cluster/plans/custody.rs
@@ -53,6 +53,23 @@
         (gateways 5) (engines 4) (span "26s") (load 0.5) (keepers 5) (lease "1s")
         (at "5s" (part (0 1) (2 3 4))) (at "14s" (heal)) (expect (agree "14s"))"#,
     ),
+    (
+        "custody-cuts",
+        "custody: a busy day with two partitions; those that are cut off must not end those that go on",
+        r#"
+        (gateways 5) (engines 4) (span "36s") (load 0.9) (keepers 5)
+        (at "6s" (part (0 1) (2 3 4))) (at "12s" (heal)) (at "20s" (part (0 1) (2 3 4))) (at "26s" (heal))
+        (expect (agree "14s"))"#,
+    ),
+    (
+        "custody-cuts-five",
+        "custody: five partitions of a busy day, with other gateways on either side",
+        r#"
+        (gateways 5) (engines 4) (span "78s") (load 0.9) (keepers 5)
+        (at "6s" (part (0 1) (2 3 4))) (at "12s" (heal)) (at "20s" (part (2 3) (0 1 4))) (at "26s" (heal))
+        (at "34s" (part (0 4) (1 2 3))) (at "40s" (heal)) (at "48s" (part (1) (0 2 3 4))) (at "54s" (heal))
+        (at "62s" (part (3 4) (0 1 2))) (at "68s" (heal)) (expect (agree "14s"))"#,
+    ),
     (
         "custody-rolled",
         "custody: all get SIGTERM one after the other and come back",
--- a/test.sh
+++ b/test.sh
@@ -16,7 +16,7 @@
 cargo build --release --workspace --locked
 # Several processes with faults between them: a bounded set of the rig's plans, three at a time.
 printf "%s\n" half-killed unheard one-way pair-cut rekey twin forged settings-cut settings-halves settings-disks \
-  custody-pair custody-paused custody-rolled windows-one windows-halves site-acts | xargs -P 3 -I{} sh -c '
+  custody-pair custody-paused custody-rolled custody-halves custody-one-way custody-cuts windows-one windows-halves site-acts | xargs -P 3 -I{} sh -c '
   timeout 150 target/release/violetward-lab cluster {} >target/cluster-{}.txt 2>&1 && echo "cluster {}: passed" ||
     { cat target/cluster-{}.txt; exit 255; }'
 # Real gateways of a platform under drawn days of overlapping faults, two days one after the other.
