Platform: input of a client is read before an attempt of it begins

Cause: on its return the process reads sockets in the order in which they became ready. The answers of nodes come first, the room they leave goes to the next waiting request, and its cancelRequest lies unread behind; is_wanted asked the system only whether the connection was closed. Change: before an attempt is written, its client is asked for unread input, unless what it had sent was read within the last 10 ms. With some, the attempt stays queued, dials nothing, and goes once that input was handled. No length of a pause is involved: a loop that lags behind is the same case. A client that takes no answers is not read and does not hold its attempts. Test: a_request_that_is_taken_back_during_a_pause_is_not_sent_after_it; with the check taken out two of the requests that were taken back are sent. The bed's collector of fetches also gives their connections.

--- a/crates/net/src/duplex.rs
+++ b/crates/net/src/duplex.rs
@@ -241,6 +241,14 @@
         polled.is_ok() && sockets[0].revents().intersects(ends)
     }
 
+    /// Whether received data, or the end of the stream, is left to read.
+    pub fn has_unread_input(&self) -> bool {
+        let mut sockets = [PollFd::new(self.socket.get_ref(), PollFlags::IN)];
+        // A call that fails tells nothing of the input.
+        let polled = poll(&mut sockets, Some(&Timespec::default()));
+        polled.is_ok() && sockets[0].revents().contains(PollFlags::IN)
+    }
+
     /// Begins an orderly shutdown: nothing more is read or accepted for sending, and the peer sees the end of
     /// the stream after the last buffered byte. [`Duplex::finish`] completes it.
     pub fn close(&self) {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -24,6 +24,9 @@
 /// Bytes of answers without a result that may wait for a client while its requests are still read: far more
 /// than those to all requests that one connection may have open.
 const SHORT_ANSWERS_MAX_BYTES: usize = 64 << 10;
+/// Input that was read within this time before an attempt begins counts as current: a client that sends on and on
+/// always has more.
+const INPUT_MAX_AGE: Duration = Duration::from_millis(10);
 /// About the memory of a connection without what is buffered for it: its state and its task.
 const CONNECTION_BYTES: usize = 4 << 10;
 
@@ -83,6 +86,8 @@
     last_used: Cell<Option<Instant>>,
     /// It has sent a request that could be used.
     has_sent_request: Cell<bool>,
+    /// When all that had been received was last read.
+    input_read_at: Cell<Instant>,
     /// Why this side ended the connection, once it has.
     end_reason: Cell<Option<EndReason>>,
     /// Bytes of answers without a result since the last time when none were waiting.
@@ -130,6 +135,7 @@
             frame_since: Cell::new(None),
             last_used: Cell::new(None),
             has_sent_request: Cell::new(false),
+            input_read_at: Cell::new(Instant::now()),
             end_reason: Cell::new(None),
             short_answer_bytes: Cell::new(0),
         }
@@ -170,6 +176,24 @@
         has_left
     }
 
+    /// Whether input is left to be read that may take back its requests. While it has to take answers first,
+    /// nothing is read, and nothing waits for that.
+    pub fn has_input_to_read(&self) -> bool {
+        if self.input_read_at.get().elapsed() < INPUT_MAX_AGE {
+            return false;
+        }
+        match self.handling.get() {
+            Handling::Done => self.duplex.has_unread_input(),
+            Handling::Paused => false,
+            Handling::Active => true,
+        }
+    }
+
+    /// Notes that all has been read that had been received.
+    pub fn note_input_read(&self) {
+        self.input_read_at.set(Instant::now());
+    }
+
     /// Reads no more requests, and frees what was received of the next one. Whatever still comes is dropped.
     pub fn end_input(&self) {
         self.frames.take();
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -26,7 +26,7 @@
 use liveness::is_alive;
 
 use crate::core::{AttemptId, Completion, Launch};
-use crate::host::Host;
+use crate::host::{Demand, Host};
 use crate::link::{EngineEvent, Link};
 use crate::list::List;
 
@@ -55,6 +55,8 @@
     since: Instant,
     /// How many connections were found reset before anything of it was sent.
     resets: u32,
+    /// It needs no connection yet: input of its client is to be read first.
+    postponed: bool,
 }
 
 enum Work {
@@ -213,7 +215,7 @@
     /// Appends to the queue, and returns the entry's number.
     fn enqueue(&self, work: Work) -> u64 {
         let number = self.next_number.replace(self.next_number.get() + 1);
-        let queued = Queued { number, work, since: Instant::now(), resets: 0 };
+        let queued = Queued { number, work, since: Instant::now(), resets: 0, postponed: false };
         self.queue.borrow_mut().push_back(queued);
         number
     }
@@ -330,6 +332,10 @@
         let attempt = work.attempt();
         let number = engine.enqueue(work);
         self.send_queued(host, engine);
+        let is_postponed = |queued: &Queued| queued.number == number && queued.postponed;
+        if engine.queue.borrow().iter().any(is_postponed) {
+            return true;
+        }
         if engine.needs_dial(engine.late_after(connect_timeout(host))) && self.may_dial(engine, attempt) {
             dial(host, engine, true);
         }
@@ -362,10 +368,18 @@
                 index += 1;
                 continue;
             };
-            let Some(queued) = engine.queue.borrow_mut().remove(index) else { return };
             // The core may have cancelled the attempt while the effect of that is still to be carried out.
-            let wanted = queued.attempt().is_none_or(|attempt| host.is_wanted(attempt));
-            if !wanted || queued.is_expired(host.clock.now()) || send(host, engine, &connection, &queued) {
+            let demand = attempt.map_or(Demand::Wanted, |attempt| host.demand_for(attempt));
+            engine.queue.borrow_mut()[index].postponed = demand == Demand::Uncertain;
+            if demand == Demand::Uncertain {
+                index += 1;
+                continue;
+            }
+            let Some(queued) = engine.queue.borrow_mut().remove(index) else { return };
+            if demand == Demand::Gone
+                || queued.is_expired(host.clock.now())
+                || send(host, engine, &connection, &queued)
+            {
                 continue;
             }
             // The connection is dead and nothing was sent. That says nothing about the engine.
@@ -381,7 +395,8 @@
             }
         }
         // The dial for a queued entry may have been cancelled or have failed.
-        let waiting: Vec<_> = engine.queue.borrow().iter().map(Queued::attempt).collect();
+        let waiting: Vec<_> =
+            engine.queue.borrow().iter().filter(|queued| !queued.postponed).map(Queued::attempt).collect();
         if !engine.is_dialling() && waiting.into_iter().any(|attempt| self.may_dial(engine, attempt)) {
             dial(host, engine, true);
         }
--- a/crates/platform/src/engine/dial.rs
+++ b/crates/platform/src/engine/dial.rs
@@ -33,7 +33,8 @@
     /// Whether more entries are queued than dials are in progress that are not late.
     pub(super) fn needs_dial(&self, late_after: Duration) -> bool {
         let in_time = |c: &&Rc<Connection>| c.is_dialling() && c.up_since.get().elapsed() < late_after;
-        self.connections.borrow().iter().filter(in_time).count() < self.queue.borrow().len()
+        let waiting = self.queue.borrow().iter().filter(|queued| !queued.postponed).count();
+        self.connections.borrow().iter().filter(in_time).count() < waiting
     }
 
     /// The time after which a dial is late.
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -173,6 +173,7 @@
         if !requests::handle_received(host, client).await {
             return client.close(EndReason::Violation);
         }
+        host.send_postponed();
         // A client that sends without pause must not delay others.
         future::yield_now().await;
     }
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -89,11 +89,24 @@
     /// Detects pauses of this process.
     pub(crate) pauses: PauseDetector,
     freshness: ListFreshness,
+    /// Attempts wait until the input of their clients has been read.
+    has_postponed: Cell<bool>,
     phase: Cell<Phase>,
     /// Notified when the phase becomes [`Phase::Draining`].
     drain_started: Event,
 }
 
+/// Whether the client of an attempt still wants it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Demand {
+    /// As far as is known.
+    Wanted,
+    /// The client has sent something that is not read yet, perhaps that it takes the request back.
+    Uncertain,
+    /// The attempt was given up, or its client has gone.
+    Gone,
+}
+
 /// What the gateway does with new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -134,6 +147,7 @@
             start_times: RefCell::default(),
             pauses: PauseDetector::new(Instant::now()),
             freshness: ListFreshness::default(),
+            has_postponed: Cell::new(false),
             phase: Cell::new(Phase::Serving),
             drain_started: Event::new(),
         })
@@ -264,15 +278,29 @@
         self.results.borrow().has_room(bytes, self)
     }
 
-    /// Whether an attempt is outstanding and its client is still connected. The reader of a client that sent much
-    /// finds the end of the connection late.
-    pub(crate) fn is_wanted(&self, attempt: AttemptId) -> bool {
+    /// Whether an attempt may be sent now. The reader of a client that sent much finds the end of the connection
+    /// late, and after a pause of the process the answers of engines may be read before what clients have sent.
+    pub(crate) fn demand_for(&self, attempt: AttemptId) -> Demand {
         let client = self.read_core(|core| {
             let outstanding = core.is_outstanding(attempt);
             core.client_of(attempt.0).filter(|_| outstanding)
         });
         let client = client.and_then(|id| self.clients.borrow().get(&id).cloned());
-        client.is_some_and(|client| !client.has_left())
+        match client.filter(|client| !client.has_left()) {
+            None => Demand::Gone,
+            Some(client) if client.has_input_to_read() => {
+                self.has_postponed.set(true);
+                Demand::Uncertain
+            }
+            Some(_) => Demand::Wanted,
+        }
+    }
+
+    /// Sends the attempts that were postponed until the input of their clients was read.
+    pub(crate) fn send_postponed(self: &Rc<Self>) {
+        if self.has_postponed.replace(false) {
+            self.engines.send_all_queued(self);
+        }
     }
 
     /// Notes that an attempt is written to its connection now.
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -48,6 +48,7 @@
 pub async fn handle_received(host: &Rc<Host>, client: &Rc<Client>) -> bool {
     let read = read_batch(host, client).await;
     client.hold_statements(0);
+    client.note_input_read();
     let handled = match read {
         // Nothing that a client has sent is begun once it has gone, however much of it is left to be read.
         Ok(_) if client.has_left() => return true,
--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -156,13 +156,19 @@
     }
 
     fn collect(&self, word: &str) -> Vec<String> {
+        self.collect_commands(word).into_iter().map(|(_, words)| words[1].clone()).collect()
+    }
+
+    /// Consumes the pending events, until none comes for [`QUIET_PERIOD`], and returns the commands among them
+    /// whose first word is `word`, each with its connection.
+    pub fn collect_commands(&self, word: &str) -> Vec<(usize, Vec<String>)> {
         // Commands that the gateway wrote before it answered its client may not have reached the reader yet.
         let events = std::iter::from_fn(|| self.events.recv_timeout(QUIET_PERIOD).ok());
-        let request_id = |event| match event {
-            ConnectionEvent::Command(_, words) if words[0] == word => Some(words[1].clone()),
+        let command = |event| match event {
+            ConnectionEvent::Command(number, words) if words[0] == word => Some((number, words)),
             _ => None,
         };
-        events.filter_map(request_id).collect()
+        events.filter_map(command).collect()
     }
 
     /// Waits until the gateway has closed a connection.
--- a/crates/platform/tests/standstill.rs
+++ b/crates/platform/tests/standstill.rs
@@ -63,6 +63,33 @@
     assert_eq!(drains.collect_fetches(), Vec::<String>::new());
 }
 
+/// Guards against sending a waiting request after a pause to an engine whose answer was read first, although its
+/// client had taken it back during the pause.
+#[test]
+fn a_request_that_is_taken_back_during_a_pause_is_not_sent_after_it() {
+    let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+    let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+    let mut client = Client::connect(&gateway);
+    let ids: Vec<String> = (1..=30).map(request_id).collect();
+    client.send_burst(ids.iter().cloned(), "report", 6_000);
+    let sent = engine.collect_commands("fetch");
+    let is_sent = |id: &String| sent.iter().any(|(_, words)| words[1] == *id);
+    let waiting: Vec<(i32, String)> = (1..).zip(ids.iter().cloned()).filter(|(_, id)| !is_sent(id)).collect();
+    assert!(!sent.is_empty() && !waiting.is_empty(), "{} sent, {} waiting", sent.len(), waiting.len());
+    let taken_back = waiting.clone();
+    // The client stays connected.
+    let (engine, _client) = gateway.run_on_thread(move |_| {
+        sent.iter().for_each(|(connection, words)| engine.serve(*connection, &words[1]));
+        std::thread::sleep(Duration::from_millis(200));
+        taken_back.iter().for_each(|(seqid, _)| client.cancel(*seqid));
+        std::thread::sleep(Duration::from_millis(400));
+        (engine, client)
+    });
+    let sent_after: Vec<String> = engine.collect_fetches();
+    let is_taken_back = |id: &String| waiting.iter().any(|(_, waited)| waited == id);
+    assert_eq!(sent_after.into_iter().filter(is_taken_back).collect::<Vec<_>>(), Vec::<String>::new());
+}
+
 /// Guards against holding requests back for good after a pause while the resolver is silent.
 #[test]
 fn a_request_that_is_read_after_a_long_pause_is_sent_although_the_resolver_is_silent() {
