Platform: a cancelled request that its engine showed no sign of is taken back by a reset

Cause: the connection of a cancelled request was closed in order. The kernel keeps what the peer has not acknowledged and sends it once it can, also behind the end of the stream. Change: Duplex::reset closes with the linger time of zero, so that the kernel drops what it holds. All others are closed in order. Tests: a_reset_drops_what_the_peer_has_not_received; a_connection_whose_cancelled_request_was_not_heard_of_is_reset, which fails with an abort in place of the reset.

Test changed: an_open_request_is_answered_although_its_client_pauses_... served its request on a connection whose request the gateway had cancelled by then, as its comment allows; that write now meets the reset, and may fail. What it asks of the client is the same.

--- a/crates/net/src/duplex.rs
+++ b/crates/net/src/duplex.rs
@@ -10,6 +10,7 @@
 use event_listener::Event;
 use futures_lite::future;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use socket2::SockRef;
 use violetward_overload::Charge;
 
 use crate::SocketErrorKind;
@@ -52,7 +53,7 @@
     Open,
     /// Nothing more is read or accepted for sending; the unsent bytes are still sent.
     Closing,
-    /// Both directions are shut down; the unsent bytes have been dropped.
+    /// Nothing more is read or sent; the unsent bytes have been dropped.
     Aborted,
 }
 
@@ -265,12 +266,27 @@
 
     /// Shuts both directions down at once and drops the buffered bytes.
     pub fn abort(&self) {
+        self.drop_unsent();
+        self.socket.get_ref().shutdown(Shutdown::Both).ok();
+    }
+
+    /// Drops the buffered bytes, and lets the connection be reset when the socket is dropped: bytes that the peer
+    /// has not received by then are dropped by the kernel too. After an abort the kernel goes on to send them,
+    /// for minutes if the network is cut.
+    pub fn reset(&self) {
+        if SockRef::from(self.socket.get_ref()).set_linger(Some(Duration::ZERO)).is_err() {
+            return self.abort();
+        }
+        self.drop_unsent();
+    }
+
+    /// Ends reading and writing, and drops the buffered bytes.
+    fn drop_unsent(&self) {
         self.state.set(State::Aborted);
         self.unsent.take();
         self.charge.set(0);
         self.closed.notify(usize::MAX);
         self.all_sent.notify(usize::MAX);
-        self.socket.get_ref().shutdown(Shutdown::Both).ok();
     }
 
     /// Completes an orderly shutdown: sends the buffered bytes, ends the stream, then discards what the peer
--- a/crates/net/tests/duplex.rs
+++ b/crates/net/tests/duplex.rs
@@ -212,3 +212,22 @@
     assert!(started.elapsed() > 2 * MAX_STALL, "given up after {:?}, while the peer read", started.elapsed());
     drop(slow_reader.join().unwrap());
 }
+
+/// Bytes sent before the socket is dropped, and how the peer sees the connection end.
+fn end_behind_unread_bytes(end: impl FnOnce(&Duplex)) -> std::io::Result<usize> {
+    let (duplex, mut peer) = connect();
+    duplex.send(&vec![7; MAX_KERNEL_BYTES]);
+    end(&duplex);
+    assert_eq!(read(&duplex), b"", "an ended connection is not read");
+    drop(duplex);
+    peer.read_to_end(&mut Vec::new())
+}
+
+/// Guards against a request that reaches its engine after a cut of the network although it was given up: after an
+/// orderly close the kernel still sends what it holds.
+#[test]
+fn a_reset_drops_what_the_peer_has_not_received() {
+    assert!(end_behind_unread_bytes(Duplex::abort).is_ok_and(|received| received > 0));
+    let error = end_behind_unread_bytes(Duplex::reset).unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -98,6 +98,8 @@
     /// Nothing new is sent on it: the engine did not react to a cancelled request, or it has moved, was
     /// restarted, drains or has left.
     retired: Cell<bool>,
+    /// When a cancelled request was sent on it to which nothing was heard: the engine may not have received it.
+    unheard_cancelled: Cell<Option<Instant>>,
     /// Another connection was dialled because this one is late.
     overtaken: Cell<bool>,
     /// Notified when nothing waits for the dial any more.
@@ -119,11 +121,15 @@
         bytes.is_empty() || self.duplex.borrow().as_ref().is_some_and(|d| d.send(bytes))
     }
 
-    /// Closes it at once. Bytes that the engine has not received yet are lost.
+    /// Closes it at once. A cancelled request that the engine has not received yet must not reach it later: its
+    /// client has gone.
     fn abort(&self) {
         self.retired.set(true);
-        if let Some(duplex) = &*self.duplex.borrow() {
-            duplex.abort();
+        let is_unheard = self.unheard_cancelled.get().is_some_and(|sent| self.last_heard.get() < sent);
+        match &*self.duplex.borrow() {
+            Some(duplex) if is_unheard => duplex.reset(),
+            Some(duplex) => duplex.abort(),
+            None => {}
         }
     }
 
@@ -491,6 +497,9 @@
             // If a message is incomplete, its rest may come too late for the next answer, or never.
             connection.retired.set(true);
         }
+        if silent {
+            connection.unheard_cancelled.set(Some(sent));
+        }
         if connection.pending() == 0 && connection.has_unsent() {
             // The unsent rest of the request must not reach the engine later: the client may be gone by then.
             connection.abort();
--- a/crates/platform/src/engine/dial.rs
+++ b/crates/platform/src/engine/dial.rs
@@ -65,6 +65,7 @@
         last_heard: Cell::new(now),
         idle_since: Cell::new(now),
         retired: Cell::new(false),
+        unheard_cancelled: Cell::new(None),
         overtaken: Cell::new(false),
         dial_cancelled: Event::new(),
         up_since: Cell::new(now),
--- a/crates/platform/tests/bed/scripted.rs
+++ b/crates/platform/tests/bed/scripted.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -70,6 +70,8 @@
 struct Connection {
     socket: TcpStream,
     reader_state: AtomicU8,
+    /// The gateway has reset the connection.
+    was_reset: AtomicBool,
 }
 
 impl ScriptedEngine {
@@ -110,7 +112,8 @@
             for (number, socket) in listener.incoming().flatten().enumerate() {
                 socket.set_read_timeout(Some(READER_POLL_INTERVAL)).unwrap();
                 let reader_state = AtomicU8::new(READER_RUNNING);
-                let connection = Arc::new(Connection { socket, reader_state });
+                let was_reset = AtomicBool::new(false);
+                let connection = Arc::new(Connection { socket, reader_state, was_reset });
                 connections.lock().unwrap().insert(number, connection.clone());
                 let (event_sender, open_count) = (event_sender.clone(), open_count.clone());
                 open_count.fetch_add(1, Ordering::Relaxed);
@@ -176,12 +179,25 @@
         while self.next_event() != ConnectionEvent::Closed(number) {}
     }
 
+    /// Whether the gateway has ended a connection by a reset, as far as its reader has noticed.
+    pub fn was_reset(&self, number: usize) -> bool {
+        self.connections.lock().unwrap()[&number].was_reset.load(Ordering::Relaxed)
+    }
+
     /// Writes bytes on a connection.
     pub fn write(&self, number: usize, bytes: &[u8]) {
         let connection = self.connections.lock().unwrap()[&number].clone();
         (&connection.socket).write_all(bytes).unwrap();
     }
 
+    /// Like [`ScriptedEngine::serve`], on a connection that the gateway may have reset after it has cancelled the
+    /// request.
+    pub fn serve_if_open(&self, number: usize, id: &str) {
+        let connection = self.connections.lock().unwrap()[&number].clone();
+        let answer = encode_answer([id, "ok", SUCCESS_FIELDS, &page(id, 0)]);
+        (&connection.socket).write_all(&answer).ok();
+    }
+
     /// Writes an answer on a connection.
     pub fn send_answer(&self, number: usize, words: [&str; 4]) {
         self.write(number, &encode_answer(words));
@@ -243,6 +259,11 @@
         match (&connection.socket).read(&mut bytes) {
             Ok(read) if read > 0 => reader.feed(&bytes[..read]),
             Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => continue,
+            Err(e) => {
+                let was_reset = e.kind() == std::io::ErrorKind::ConnectionReset;
+                connection.was_reset.store(was_reset, Ordering::Relaxed);
+                break;
+            }
             _ => break,
         }
         while let Some(command) = reader.next_array().unwrap() {
--- a/crates/platform/tests/engine_races.rs
+++ b/crates/platform/tests/engine_races.rs
@@ -334,3 +334,24 @@
     engine.serve(first, &request_id(2));
     assert_eq!(client.read_response().1, served_page(&request_id(2)));
 }
+
+/// Guards against an orderly close behind a cancelled request of which the engine has shown no sign: what was
+/// written into a cut of the network would reach the engine after it, when the client has long gone.
+#[test]
+fn a_connection_whose_cancelled_request_was_not_heard_of_is_reset() {
+    for is_heard in [false, true] {
+        let (engine, resolver) = (ScriptedEngine::start(), ScriptedResolver::start());
+        let gateway = Gateway::start(resolver.address, &[engine.address], &[]);
+        let mut client = Client::connect(&gateway);
+        let seqid = client.send(&request_id(1), "report", 6_000);
+        let (connection, _) = engine.wait_for_command("fetch");
+        if is_heard {
+            // A part of an answer: the engine has the request.
+            engine.write(connection, b"*4\r\n");
+            client.wait_until_processed();
+        }
+        client.cancel(seqid);
+        engine.wait_until_closed(connection);
+        assert_eq!(engine.was_reset(connection), !is_heard);
+    }
+}
--- a/crates/platform/tests/standstill.rs
+++ b/crates/platform/tests/standstill.rs
@@ -121,7 +121,7 @@
     client.socket().write_all(&next[..20]).unwrap();
     // Longer than the frame timeout plus the period in which connections are checked for timeouts.
     std::thread::sleep(Duration::from_millis(2_800));
-    engine.serve(connection, &request_id(1));
+    engine.serve_if_open(connection, &request_id(1));
     // The request is served, or refused if its attempt was cancelled meanwhile. Sequence id 0 would mean that
     // the connection was closed.
     assert_eq!(client.read_response().0, 1);
