Module: a keyed request that may have run is refused only while engines remember it

Cause: end_unserved took a keyed request of group all for harmless to repeat however long ago its first attempt went out; only the gateway's own attempts looked at the window. Change: one check of the window for both (is_remembered). After it, and when other gateways made attempts of which nothing is known, the request fails. Test: keyed_request_that_may_have_run_is_refused_within_its_window_and_fails_after_it; without the check it fails.

--- a/src/logic/attempts.rs
+++ b/src/logic/attempts.rs
@@ -115,10 +115,16 @@
     /// No other function refuses or fails requests.
     pub(super) fn end_unserved(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open_requests.get(&id) else { return };
-        let effect = self.class(&open.request).effect;
-        // Engines only recognise a client's retry as a repeat if it carries the same deduplication key.
-        let deduplicated = effect.is_repeatable_anywhere() && open.request.has_dedup_key;
-        let harmless = (effect == Effect::Repeatable || deduplicated) && open.request.pin.is_none();
+        let repeatable = match self.class(&open.request).effect {
+            Effect::Repeatable => true,
+            // Engines only recognise a client's retry as a repeat if it carries the same deduplication key,
+            // and while they remember the request.
+            Effect::Keyed { scope: KeyScope::All, window } => {
+                open.request.has_dedup_key && self.is_remembered(open, window)
+            }
+            Effect::Keyed { .. } | Effect::Once => false,
+        };
+        let harmless = repeatable && open.request.pin.is_none();
         if harmless || !open.may_have_run() {
             // The time until the present debt has drained, varied by half so that clients don't retry all at
             // once.
--- a/src/logic/guard.rs
+++ b/src/logic/guard.rs
@@ -41,17 +41,23 @@
         if open.request.pin.is_some() {
             return false;
         }
-        let first_uncertain = open.first_uncertain.filter(|_| !open.has_unknown_attempts);
-        match (self.class(&open.request).effect, first_uncertain) {
+        match (self.class(&open.request).effect, open.first_uncertain) {
             (Effect::Repeatable, _) => true,
             (Effect::Once, _) | (_, None) => false,
-            (Effect::Keyed { scope, window }, Some((_, zone, cell, sent))) => {
-                scope.covers(&state.entry, zone, cell)
-                    && self.now + self.settings.quantum < sent.saturating_add(window)
+            (Effect::Keyed { scope, window }, Some((_, zone, cell, _))) => {
+                scope.covers(&state.entry, zone, cell) && self.is_remembered(open, window)
             }
         }
     }
 
+    /// Whether engines still drop repeats of a request that may have run: they remember it for `window` from
+    /// the sending of the first attempt that may have.
+    pub(super) fn is_remembered(&self, open: &OpenRequest, window: Micros) -> bool {
+        let first_uncertain = open.first_uncertain.filter(|_| !open.has_unknown_attempts);
+        first_uncertain
+            .is_some_and(|(_, _, _, sent)| self.now + self.settings.quantum < sent.saturating_add(window))
+    }
+
     /// The number of further attempts that the budget still allows. Within one quantum of the start of the
     /// window, requests are not counted but further attempts are, so that the budget also holds if event
     /// times are off by that much.
--- a/src/state.rs
+++ b/src/state.rs
@@ -340,13 +340,6 @@
     pub blocked_until: Micros,
 }
 
-impl Effect {
-    /// Whether a repeat is harmless on any engine.
-    pub(crate) fn is_repeatable_anywhere(&self) -> bool {
-        matches!(self, Effect::Repeatable | Effect::Keyed { scope: KeyScope::All, .. })
-    }
-}
-
 impl KeyScope {
     /// Whether the engine drops repeats of a request that was first sent to that zone and cell.
     pub(crate) fn covers(self, entry: &EngineEntry, zone: ZoneId, cell: CellId) -> bool {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -91,6 +91,22 @@
     }
 }
 
+/// Guards against a refusal, which promises that a retry is harmless, after engines have forgotten a request that
+/// may have run: the retry was applied a second time.
+#[test]
+fn keyed_request_that_may_have_run_is_refused_within_its_window_and_fails_after_it() {
+    let effect = Effect::Keyed { scope: KeyScope::All, window: SECOND };
+    for (answered_after, refused) in [(SECOND / 2, true), (2 * SECOND, false)] {
+        let mut gateway = TestGateway::with_engines(effect, 1);
+        gateway.request(1);
+        gateway.now += answered_after;
+        let draining = EngineEntry { listed: Listed::Draining, ..engine_entry(1) };
+        gateway.handle(Event::Engines { kind: ListKind::Changes, entries: vec![draining] });
+        let actions = gateway.answer(1, Outcome::Reset);
+        assert_eq!((is_refused(&actions, 1), is_failed(&actions, 1)), (refused, !refused));
+    }
+}
+
 #[test]
 fn request_has_one_attempt_in_flight_at_most() {
     let mut gateway = TestGateway::with_engines(Effect::Repeatable, 2);
