--- a/crates/gateway/src/custody.rs
+++ b/crates/gateway/src/custody.rs
@@ -769,12 +769,14 @@
     }
 
     /// Forwards a request to the gateway that holds the statement. Asks `first_holder` first, then the
-    /// gateways that the token names, then others.
+    /// gateways that the token names, then others. The client's request arrived here at `arrived_at`, in
+    /// microseconds of the host's clock.
     pub(crate) async fn forward(
         &self,
         host: &Rc<Host>,
         token: &Token,
         request: &ForwardedRequest,
+        arrived_at: u64,
         first_holder: Option<String>,
     ) -> ForwardOutcome {
         let Some(peers) = host.peers() else { return ForwardOutcome::Unreachable };
@@ -810,7 +812,10 @@
             }
             let Some(address) = peers.stream_address(&name) else { continue };
             tried.push(name.clone());
-            match self.call(&name, address, request).await {
+            // Calls of other gateways may have taken a while.
+            let waited_millis = host.now().saturating_sub(arrived_at) / 1_000;
+            let request = ForwardedRequest { waited_millis, ..request.clone() };
+            match self.call(&name, address, &request).await {
                 // This gateway cannot answer or may not act; another one may.
                 Some((response, _)) if response.status == 503 => may_be_lost = false,
                 Some((response, body)) if response.status != 0 => {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -223,10 +223,10 @@
                 path: target.to_owned(),
                 host: message.headers.get("host").unwrap_or("localhost").to_owned(),
                 wait_millis: until.saturating_duration_since(Instant::now()).as_millis() as u64,
-                waited_millis: self.host.now().saturating_sub(arrived_at) / 1_000,
+                waited_millis: 0,
                 offset: 0,
             };
-            match custody.forward(&self.host, &token, &forwarded, holder).await {
+            match custody.forward(&self.host, &token, &forwarded, arrived_at, holder).await {
                 ForwardOutcome::Response(response, body) => {
                     let mut headers = Headers::default();
                     response.headers.iter().for_each(|(name, value)| headers.push(name, value));
